Lay out the workspace with the shared types of all decisions

Three crates: policy (decisions, no I/O), godwithinge (daemons), standin (fakes and the load tool). Ids, events, commands, outcomes, claims, pools, the table's rows and the protocols come first, so that the parts can be built beside each other.

--- /dev/null
+++ b/godwithinge/src/bin/gwictl.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/godwithinge/src/lib.rs
@@ -0,0 +1,1 @@
+//! Daemons of godwithinge.
--- /dev/null
+++ b/policy/src/chart.rs
@@ -0,0 +1,1 @@
+//! Interpreter of state charts.
--- /dev/null
+++ b/policy/src/lib.rs
@@ -0,0 +1,23 @@
+//! Decisions of godwithinge, free of input and output.
+//!
+//! Every decision is a state machine that takes the time, an [`Event`] and a list to which it
+//! appends each [`Command`]. Nothing here reads a clock, opens a socket or draws from a global
+//! random number generator, so a session is a script of events and gives the same commands on
+//! each run.
+
+pub mod chart;
+pub mod claim;
+pub mod command;
+pub mod decision;
+pub mod entry;
+pub mod event;
+pub mod fault;
+pub mod host;
+pub mod id;
+pub mod outcome;
+pub mod pool;
+pub mod queue;
+pub mod router;
+pub mod table;
+
+pub use crate::{command::Command, event::Event, outcome::Outcome, table::Table};
--- /dev/null
+++ b/standin/examples/demo.rs
@@ -0,0 +1,2 @@
+//! Placeholder of the demonstration.
+fn main() {}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
