--- a/policy/src/chart.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Interpreter of state charts.
--- a/policy/src/claim.rs
+++ b/policy/src/claim.rs
@@ -3,7 +3,7 @@
 //! A claim is a row of the platform's table service, inserted under the condition that it is
 //! absent. It never lapses: whoever inserted it is the only one who may ever send that call.
 
-use crate::id::{AttemptId, Key, Payload, StageIndex, TargetId};
+use crate::id::{AttemptId, BlockHash, Key, Payload, StageIndex, TargetId};
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +20,8 @@
         attempt: AttemptId,
         /// The one target that the call may go to.
         target: TargetId,
+        /// Fingerprint of the request's payload.
+        payload: BlockHash,
     },
     /// The call took effect.
     Done {
@@ -27,6 +29,8 @@
         attempt: AttemptId,
         /// What the target answered.
         result: Payload,
+        /// Fingerprint of the request's payload.
+        payload: BlockHash,
     },
     /// The call was refused by its target and had no effect.
     Failed {
--- a/policy/src/command.rs
+++ b/policy/src/command.rs
@@ -108,8 +108,10 @@
     /// Priority of the request; higher goes first.
     pub priority: i32,
     /// Longest time that the call may take.
+    #[serde(with = "crate::millis")]
     pub timeout: Duration,
     /// Longest time without progress.
+    #[serde(with = "crate::millis")]
     pub silence: Duration,
     /// Idempotency key, the same for each attempt of this stage of this request.
     pub token: CompactString,
--- a/policy/src/event.rs
+++ b/policy/src/event.rs
@@ -20,6 +20,7 @@
         /// Name of the request.
         key: Key,
         /// Time that remains until the caller's deadline.
+        #[serde(with = "crate::millis")]
         deadline: Duration,
         /// Whether the caller sent this request before.
         #[serde(default)]
--- a/policy/src/fault.rs
+++ b/policy/src/fault.rs
@@ -18,6 +18,7 @@
     /// The target answered that it is full and did not run the call.
     Busy {
         /// How long the target asks to be left alone.
+        #[serde(default, with = "crate::millis::option")]
         retry_after: Option<Duration>,
     },
     /// The target rejected the input as invalid; repeating it can't help.
--- a/policy/src/host.rs
+++ b/policy/src/host.rs
@@ -50,6 +50,7 @@
     /// Prompt tokens that the target reads in a second; 0 for a plain service.
     pub prefill_per_second: f64,
     /// Age of the figures when the target gave them.
+    #[serde(with = "crate::millis")]
     pub age: Duration,
     /// Models that the target holds warm.
     pub models: Vec<ModelId>,
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fault;
 pub mod host;
 pub mod id;
+pub mod millis;
 pub mod outcome;
 pub mod pool;
 pub mod queue;
--- /dev/null
+++ b/policy/src/millis.rs
@@ -0,0 +1,58 @@
+//! Durations as milliseconds in serialised form.
+
+use serde::{Deserialize, Deserializer, Serializer};
+use std::time::Duration;
+
+/// Writes a duration as a number of milliseconds.
+///
+/// # Errors
+///
+/// Fails as the serializer fails.
+pub fn serialize<S: Serializer>(duration: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_f64(duration.as_secs_f64() * 1e3)
+}
+
+/// Reads a duration from a number of milliseconds.
+///
+/// # Errors
+///
+/// Fails if the value is not a number, or is negative or too large.
+pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+    let millis = f64::deserialize(deserializer)?;
+    Duration::try_from_secs_f64(millis / 1e3).map_err(serde::de::Error::custom)
+}
+
+/// Optional durations as milliseconds in serialised form.
+pub mod option {
+    use serde::{Deserialize, Deserializer, Serializer};
+    use std::time::Duration;
+
+    /// Writes a duration as a number of milliseconds, or nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the serializer fails.
+    pub fn serialize<S: Serializer>(
+        duration: &Option<Duration>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        match duration {
+            Some(duration) => super::serialize(duration, serializer),
+            None => serializer.serialize_none(),
+        }
+    }
+
+    /// Reads a duration from a number of milliseconds, or nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value is neither absent nor a number, or is negative or too large.
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<Duration>, D::Error> {
+        Option::<f64>::deserialize(deserializer)?
+            .map(|millis| Duration::try_from_secs_f64(millis / 1e3))
+            .transpose()
+            .map_err(serde::de::Error::custom)
+    }
+}
--- a/policy/src/outcome.rs
+++ b/policy/src/outcome.rs
@@ -20,6 +20,7 @@
         /// Why the request was not run.
         reason: Reason,
         /// How long the caller should wait before it asks again.
+        #[serde(with = "crate::millis")]
         retry_after: Duration,
     },
     /// The request ran and ended without an answer.
@@ -31,6 +32,7 @@
         /// Why the request failed.
         reason: Reason,
         /// How long the caller should wait before it asks again, where asking again can help.
+        #[serde(default, with = "crate::millis::option")]
         retry_after: Option<Duration>,
     },
     /// A non-idempotent call may have taken effect and will not be repeated.
@@ -72,6 +74,8 @@
     Refused,
     /// Every permitted attempt failed.
     Attempts,
+    /// The request identifier was used before with another payload.
+    Reused,
     /// The payload is quarantined because it ended several targets.
     Quarantined,
     /// The target rejected the input.
--- a/policy/src/pool.rs
+++ b/policy/src/pool.rs
@@ -27,8 +27,10 @@
     /// Whether a result is dear enough to be kept in the object store.
     pub checkpoint: bool,
     /// Longest time that one call may take.
+    #[serde(with = "crate::millis")]
     pub timeout: Duration,
     /// Longest time without progress before a connection is condemned.
+    #[serde(with = "crate::millis")]
     pub silence: Duration,
     /// Most tokens that an engine may generate for one call.
     pub max_tokens: u32,
