Add retry budget, payload quarantine and FNV-1a hash

A payload that a target died of is suspect; a second death, of another target or of the same one after its restart, quarantines it. Reports of one death within a second count once, since several attempts of one payload may break together. Memory is bounded: the oldest suspects go first, quarantines last.

The hash of prompt blocks and fingerprints is one function, fixed across hosts and releases.

--- /dev/null
+++ b/policy/src/hash.rs
@@ -0,0 +1,72 @@
+//! The 64-bit FNV-1a hash, the same on every host and in every release.
+
+use crate::id::BlockHash;
+use std::hash::Hasher;
+
+/// Bytes of a prompt that make up one block.
+pub const BLOCK_BYTES: usize = 64;
+
+const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hasher of the 64-bit FNV-1a function.
+#[derive(Clone, Copy, Debug)]
+pub struct Fnv(u64);
+
+impl Fnv {
+    /// Creates a hasher that has seen no byte.
+    pub const fn new() -> Self {
+        Self(OFFSET_BASIS)
+    }
+}
+
+impl Default for Fnv {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Hasher for Fnv {
+    #[inline]
+    fn write(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            self.0 = (self.0 ^ u64::from(byte)).wrapping_mul(PRIME);
+        }
+    }
+
+    #[inline]
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
+
+/// Returns the hash of `bytes`.
+pub fn bytes(bytes: &[u8]) -> u64 {
+    let mut hasher = Fnv::new();
+    hasher.write(bytes);
+    hasher.finish()
+}
+
+/// Returns the hash of several texts, each ended by a byte that is not in UTF-8.
+pub fn texts(texts: &[&str]) -> u64 {
+    const END: u8 = 0xff;
+    let mut hasher = Fnv::new();
+    for text in texts {
+        hasher.write(text.as_bytes());
+        hasher.write_u8(END);
+    }
+    hasher.finish()
+}
+
+/// Returns the hashes of a prompt's whole blocks, each with all blocks before it.
+pub fn blocks(prompt: &str) -> Vec<BlockHash> {
+    let mut hasher = Fnv::new();
+    prompt
+        .as_bytes()
+        .chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            hasher.write(block);
+            hasher.finish()
+        })
+        .collect()
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! random number generator, so a session is a script of events and gives the same commands on
 //! each run.
 
+pub mod budget;
 pub mod chart;
 pub mod claim;
 pub mod command;
@@ -12,9 +13,11 @@
 pub mod entry;
 pub mod event;
 pub mod fault;
+pub mod hash;
 pub mod host;
 pub mod id;
 pub mod outcome;
+pub mod poison;
 pub mod pool;
 pub mod queue;
 pub mod router;
--- /dev/null
+++ b/policy/tests/poison.rs
@@ -0,0 +1,121 @@
+//! Quarantine of payloads that end targets.
+
+use policy::{
+    hash,
+    id::{TargetId, Time},
+    poison::{self, Poison, Status},
+};
+use rstest::rstest;
+
+const X: u64 = 7;
+
+fn at(seconds: u64) -> Time {
+    Time::from_secs(seconds)
+}
+
+fn names(targets: &[&str]) -> Vec<TargetId> {
+    targets.iter().copied().map(Into::into).collect()
+}
+
+fn suspect(targets: &[&str]) -> Status {
+    Status::Suspect {
+        targets: names(targets),
+    }
+}
+
+#[rstest]
+#[case::none(&[], Status::Clear)]
+#[case::one(&[(0, "a")], suspect(&["a"]))]
+#[case::two(&[(0, "a"), (0, "b")], Status::Quarantined)]
+#[case::two_reports_of_one_death(&[(0, "a"), (0, "a")], suspect(&["a"]))]
+#[case::same_target_after_its_restart(&[(0, "a"), (9, "a")], Status::Quarantined)]
+fn two_deaths_quarantine(#[case] deaths: &[(u64, &str)], #[case] expected: Status) {
+    let mut poison = Poison::new(8);
+    for (time, target) in deaths {
+        let status = poison.died(at(*time), X, &TargetId::from(*target));
+        assert_eq!(status, poison.status(X));
+    }
+    assert_eq!(poison.status(X), expected);
+}
+
+#[rstest]
+#[case::news(&[], &["a"], true, suspect(&["a"]))]
+#[case::known(&["a"], &["a"], false, suspect(&["a"]))]
+#[case::another(&["a"], &["b"], true, Status::Quarantined)]
+#[case::twice_there(&["a"], &["a", "a"], true, Status::Quarantined)]
+#[case::nothing(&[], &[], false, Status::Clear)]
+fn facts_of_peers_merge(
+    #[case] ours: &[&str],
+    #[case] theirs: &[&str],
+    #[case] news: bool,
+    #[case] expected: Status,
+) {
+    let mut poison = Poison::new(8);
+    poison.merge(at(0), X, &names(ours));
+    assert_eq!(poison.merge(at(1), X, &names(theirs)), news);
+    assert!(!poison.merge(at(2), X, &names(theirs)));
+    assert_eq!(poison.status(X), expected);
+}
+
+#[rstest]
+#[case::suspect(&["a"], Status::Clear)]
+#[case::quarantined(&["a", "b"], Status::Quarantined)]
+fn a_finished_run_clears_only_a_suspect(#[case] deaths: &[&str], #[case] expected: Status) {
+    let mut poison = Poison::new(8);
+    poison.merge(at(0), X, &names(deaths));
+    poison.survived(X);
+    assert_eq!(poison.status(X), expected);
+}
+
+#[rstest]
+#[case::suspect(&["a"], 14 * 60, 1)]
+#[case::old_suspect(&["a"], 15 * 60, 0)]
+#[case::quarantined(&["a", "b"], 23 * 3_600, 1)]
+#[case::old_quarantine(&["a", "b"], 24 * 3_600, 0)]
+fn records_expire(#[case] deaths: &[&str], #[case] seconds: u64, #[case] left: usize) {
+    let mut poison = Poison::new(8);
+    poison.merge(at(0), X, &names(deaths));
+    poison.expire(at(seconds));
+    assert_eq!(poison.len(), left);
+}
+
+#[test]
+fn memory_is_bounded_and_quarantines_outlast_suspects() {
+    let mut poison = Poison::new(3);
+    poison.merge(at(0), X, &names(&["a", "b"]));
+    for fingerprint in 100..200 {
+        poison.died(at(fingerprint), fingerprint, &"c".into());
+    }
+    assert_eq!(poison.len(), 3);
+    assert_eq!(poison.status(X), Status::Quarantined);
+    assert_eq!(poison.status(199), suspect(&["c"]));
+}
+
+#[rstest]
+#[case("w", "p", "x", true)]
+#[case("v", "p", "x", false)]
+#[case("w", "px", "", false)]
+#[case("wp", "", "x", false)]
+fn fingerprints_tell_requests_apart(
+    #[case] workspace: &str,
+    #[case] pipeline: &str,
+    #[case] payload: &str,
+    #[case] same: bool,
+) {
+    let other = poison::fingerprint(&workspace.into(), &pipeline.into(), payload);
+    let known = poison::fingerprint(&"w".into(), &"p".into(), "x");
+    assert_eq!(other == known, same);
+}
+
+#[test]
+fn hashes_are_those_of_fnv_1a() {
+    assert_eq!(hash::bytes(b""), 0xcbf2_9ce4_8422_2325);
+    assert_eq!(hash::bytes(b"a"), 0xaf63_dc4c_8601_ec8c);
+    assert_eq!(hash::bytes(b"foobar"), 0x8594_4171_f739_67e8);
+    let prompt = "x".repeat(130);
+    let expected = [
+        hash::bytes(&prompt.as_bytes()[..64]),
+        hash::bytes(&prompt.as_bytes()[..128]),
+    ];
+    assert_eq!(hash::blocks(&prompt), expected);
+}
