--- a/policy/src/command.rs
+++ b/policy/src/command.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(tag = "command", rename_all = "snake_case")]
 pub enum Command {
-    /// Ask the platform about a claim row.
+    /// Ask the platform about a claim row, after all earlier asks about the same row.
     Claim {
         /// Name of the request.
         key: Key,
@@ -101,7 +101,7 @@
     pub target: TargetId,
     /// Address of the target: IP number and port.
     pub address: CompactString,
-    /// Input of the stage.
+    /// JSON input of a plain service, or the prompt of an engine.
     pub input: Payload,
     /// Text that an earlier attempt has streamed already; empty at first.
     pub resume: Payload,
--- a/policy/src/event.rs
+++ b/policy/src/event.rs
@@ -111,6 +111,6 @@
     },
     /// The time that the entry asked to be woken at has come.
     Wake,
-    /// The entry is to leave: it finishes what it has.
+    /// The entry takes no new request from now on and finishes what it has.
     Drain,
 }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hash;
 pub mod host;
 pub mod id;
+pub mod input;
 pub mod millis;
 pub mod outcome;
 pub mod poison;
--- a/policy/src/outcome.rs
+++ b/policy/src/outcome.rs
@@ -53,6 +53,16 @@
     Done,
 }
 
+impl Reason {
+    /// Returns whether asking again later can help.
+    pub fn is_transient(self) -> bool {
+        !matches!(
+            self,
+            Self::Refused | Self::Rejected | Self::Reused | Self::Quarantined
+        )
+    }
+}
+
 /// Why a request ended without an answer.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, IntoStaticStr, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
