Add the fakes of platform, engine and plain service

They run within a process or as gwi-standin. PROTOCOLS.md is corrected where it could not work: /control has a port of its own, since a stand-in that is down answers nothing; a stream that waits for its first token carries comment lines, so that a queue and a silent connection differ; rows count against the write rate one by one.

--- /dev/null
+++ b/standin/src/engine/mod.rs
@@ -0,0 +1,109 @@
+//! Fake of a model engine that batches continuously.
+
+mod api;
+mod cache;
+mod completion;
+mod order;
+mod settings;
+pub mod text;
+
+pub use self::{
+    cache::{BLOCK, blocks},
+    settings::{Counters, Run, Settings},
+};
+
+use self::api::Engine;
+use crate::{
+    control::Controlled,
+    http::{Gate, Listener},
+};
+use compact_str::CompactString;
+use serde_json::{Value, json};
+use std::{io, net::SocketAddr, sync::Arc};
+
+/// Running fake of an engine.
+#[derive(Debug)]
+pub struct Server {
+    listener: Listener,
+    engine: Arc<Engine>,
+}
+
+/// Starts a fake of an engine.
+///
+/// # Errors
+///
+/// Fails if the port can't be bound.
+pub async fn start(settings: Settings) -> io::Result<Server> {
+    let bound = Listener::bind(settings.port).await?;
+    let engine = Arc::new(Engine::new(settings, Arc::clone(bound.gate())));
+    let listener = bound.serve(Arc::clone(&engine));
+    Ok(Server { listener, engine })
+}
+
+impl Server {
+    /// Returns the address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Ends the server as if its process had died.
+    pub async fn stop(&self) {
+        self.listener.gate().stop().await;
+    }
+
+    /// Returns the switch of the server's connections.
+    pub fn gate(&self) -> &Arc<Gate> {
+        self.listener.gate()
+    }
+
+    /// Returns the settings as they are now.
+    pub fn settings(&self) -> Settings {
+        self.engine.settings()
+    }
+
+    /// Changes settings and faults.
+    pub fn control(&self, change: impl FnOnce(&mut Settings)) {
+        let settings = self.engine.change(change);
+        settings.faults.switch(self.gate());
+        if settings.faults.silent {
+            self.engine
+                .change(|settings| settings.faults.silent = false);
+        }
+    }
+
+    /// Empties the prefix cache, as a restart does.
+    pub fn chill(&self) {
+        self.engine.chill();
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> Counters {
+        self.engine.counters()
+    }
+
+    /// Takes out what each stream that has ended since the last call has cost.
+    pub fn take_runs(&self) -> Vec<Run> {
+        self.engine.take_runs()
+    }
+
+    /// Returns the models that are warm.
+    pub fn models(&self) -> Vec<CompactString> {
+        self.engine.warm()
+    }
+}
+
+impl Controlled for Server {
+    fn show(&self) -> Value {
+        json!({
+            "settings": self.settings(),
+            "counters": self.counters(),
+            "models": self.models(),
+        })
+    }
+
+    fn patch(&self, bytes: &[u8]) -> Result<(), serde_json::Error> {
+        let settings = crate::patch::apply(&self.settings(), bytes)?;
+        self.control(|known| *known = settings);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/standin/src/http/reply.rs
@@ -0,0 +1,86 @@
+//! Replies of the fakes.
+
+use super::Hangup;
+use bytes::Bytes;
+use futures::Stream;
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    Response, StatusCode,
+    body::Frame,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+};
+use serde::Serialize;
+use std::time::Duration;
+
+/// Body of a reply.
+pub type Body = UnsyncBoxBody<Bytes, Hangup>;
+
+/// Reply to one request.
+pub type Reply = Response<Body>;
+
+#[derive(Serialize)]
+struct Failure<'a> {
+    error_code: &'a str,
+    message: &'a str,
+}
+
+/// Returns a reply with raw bytes.
+pub fn bytes(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+    let body = Full::new(body.into()).map_err(|never| match never {});
+    let mut reply = Response::new(body.boxed_unsync());
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Returns a reply with a JSON value.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Reply {
+    let Ok(text) = serde_json::to_vec(value) else {
+        return bytes(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
+    };
+    let mut reply = bytes(status, text);
+    let kind = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(CONTENT_TYPE, kind);
+    reply
+}
+
+/// Returns a reply with status 200 and a JSON value.
+pub fn ok(value: &impl Serialize) -> Reply {
+    json(StatusCode::OK, value)
+}
+
+/// Returns a reply with an error.
+pub fn error(status: StatusCode, code: &str, message: &str) -> Reply {
+    let failure = Failure {
+        error_code: code,
+        message,
+    };
+    json(status, &failure)
+}
+
+/// Returns a 429 reply that asks the caller to wait; the wait is rounded up to whole seconds.
+pub fn busy(wait: Duration) -> Reply {
+    let mut reply = error(StatusCode::TOO_MANY_REQUESTS, "busy", "too many requests");
+    let seconds = wait.as_secs_f64().ceil() as u64;
+    reply
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    reply
+}
+
+/// Returns a 404 reply.
+pub fn not_found() -> Reply {
+    error(StatusCode::NOT_FOUND, "not_found", "no such thing here")
+}
+
+/// Returns a reply that is a stream of server-sent events, given as bytes.
+pub fn events<S>(events: S) -> Reply
+where
+    S: Stream<Item = Result<Bytes, Hangup>> + Send + 'static,
+{
+    use futures::StreamExt;
+    let body = StreamBody::new(events.map(|event| event.map(Frame::data)));
+    let mut reply = Response::new(BodyExt::boxed_unsync(body));
+    let kind = HeaderValue::from_static("text/event-stream");
+    reply.headers_mut().insert(CONTENT_TYPE, kind);
+    reply
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,17 @@
-//! Stand-ins.
+//! Small fakes of the systems around godwithinge, and its load tool.
+//!
+//! Each fake is a `Server` that listens on 127.0.0.1, shows its `address()`, takes faults through
+//! `control()` and ends like a dead process with `stop()`. `docs/PROTOCOLS.md` gives the protocols
+//! that the fakes speak.
+
+pub mod batch;
+pub mod control;
+pub mod engine;
+pub mod fault;
+pub mod fetch;
+pub mod http;
+pub mod mark;
+pub mod patch;
+pub mod platform;
+pub mod rate;
+pub mod service;
