Add the platform's client and a pool of HTTP connections

The legacy client of hyper-util neither condemns one silent connection nor says whether a connection was new, so the pool is built on hyper's connections: one request at a time, returned to the pool once the body was read to its end, closed otherwise. Reads are repeated once over a new connection; a write with a lost reply is reported as such.

--- /dev/null
+++ b/godwithinge/src/http/connection.rs
@@ -0,0 +1,84 @@
+//! One connection.
+
+use super::{Error, Request};
+use bytes::Bytes;
+use http::Response;
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use std::{io, time::Duration};
+use tokio::{net::TcpStream, task::AbortHandle, time};
+
+/// One connection, closed when it is dropped.
+#[derive(Debug)]
+pub(super) struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    requests: u64,
+}
+
+/// Failed sending of a request.
+#[derive(Debug)]
+pub(super) struct Failure {
+    /// What went wrong.
+    pub(super) error: Error,
+    /// The request, if no byte of it was written.
+    pub(super) unsent: Option<Request>,
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub(super) async fn open(address: &str, timeout: Duration) -> Result<Self, Error> {
+        let stream = time::timeout(timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_elapsed| Error::Connect(io::ErrorKind::TimedOut.into()))?
+            .map_err(Error::Connect)?;
+        stream.set_nodelay(true).map_err(Error::Connect)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|cause| Error::Connect(io::Error::other(cause)))?;
+        let driver = tokio::spawn(async move {
+            // The sender is told of a failure too, and reports it.
+            drop(connection.await);
+        });
+        Ok(Self {
+            sender,
+            driver: driver.abort_handle(),
+            requests: 0,
+        })
+    }
+
+    /// Sends a request and waits for the head of the response.
+    pub(super) async fn send(&mut self, request: Request) -> Result<Response<Incoming>, Failure> {
+        self.requests += 1;
+        if let Err(cause) = self.sender.ready().await {
+            return Err(Failure {
+                error: Error::Broken(cause),
+                unsent: Some(request),
+            });
+        }
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut failure| Failure {
+                unsent: failure.take_message(),
+                error: Error::Broken(failure.into_error()),
+            })
+    }
+
+    /// Returns whether the connection has served a request before the latest one.
+    pub(super) fn is_reused(&self) -> bool {
+        self.requests > 1
+    }
+
+    /// Returns whether neither side is known to have closed the connection.
+    pub(super) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/godwithinge/src/http/response.rs
@@ -0,0 +1,106 @@
+//! Response whose body is read part by part.
+
+use super::{Connection, Error, Pool};
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use http::{HeaderMap, StatusCode, header, response::Parts};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::time::Duration;
+
+/// Response whose body is read part by part.
+#[derive(Debug)]
+pub struct Response {
+    head: Parts,
+    body: Incoming,
+    connection: Option<Connection>,
+    pool: Pool,
+    address: CompactString,
+    reused: bool,
+}
+
+impl Response {
+    pub(super) fn new(
+        response: http::Response<Incoming>,
+        connection: Connection,
+        pool: Pool,
+        address: &str,
+    ) -> Self {
+        let (head, body) = response.into_parts();
+        Self {
+            head,
+            body,
+            reused: connection.is_reused(),
+            connection: Some(connection),
+            pool,
+            address: address.into(),
+        }
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> StatusCode {
+        self.head.status
+    }
+
+    /// Returns the headers.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.head.headers
+    }
+
+    /// Returns whether the connection had served a request before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Returns the time of the header `retry-after`, which is in whole seconds.
+    pub fn retry_after(&self) -> Option<Duration> {
+        let value = self.headers().get(header::RETRY_AFTER)?;
+        let seconds = value.to_str().ok()?.parse().ok()?;
+        Some(Duration::from_secs(seconds))
+    }
+
+    /// Reads the next part of the body; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
+        loop {
+            match self.body.frame().await {
+                None => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Some(Err(cause)) => return Err(Error::Broken(cause)),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or the body is longer than `limit` bytes.
+    pub async fn bytes(mut self, limit: usize) -> Result<Bytes, Error> {
+        let mut whole = BytesMut::new();
+        while let Some(part) = self.chunk().await? {
+            if whole.len() + part.len() > limit {
+                return Err(Error::TooLong);
+            }
+            whole.extend_from_slice(&part);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Returns the connection to the pool.
+    fn finish(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.put(&self.address, connection);
+        }
+    }
+}
--- a/godwithinge/src/lib.rs
+++ b/godwithinge/src/lib.rs
@@ -1,1 +1,10 @@
 //! Daemons of godwithinge.
+//!
+//! The daemons translate bytes into [`policy::Event`]s and [`policy::Command`]s into bytes; every
+//! decision is made by crate `policy`.
+
+pub mod http;
+pub mod log;
+pub mod metrics;
+pub mod platform;
+pub mod settings;
--- /dev/null
+++ b/godwithinge/src/metrics/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/godwithinge/src/platform/mod.rs
@@ -0,0 +1,222 @@
+//! Client of the platform: tables, objects, the host list and weights.
+
+mod error;
+mod wire;
+
+pub use self::{
+    error::Error,
+    wire::{Check, Conflict, Hosts, Range, Row, Rows, Transaction, Write},
+};
+
+use crate::http::{Error as HttpError, Pool, Request, Response, Reuse};
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{Method, StatusCode};
+use http_body_util::Full;
+use policy::claim::Version;
+use serde::{Deserialize, de::DeserializeOwned};
+use std::{fmt::Write as _, time::Duration};
+use tokio::time;
+
+/// Longest body that is read from the platform, in bytes.
+const MAX_BODY: usize = 256 << 20;
+
+/// Client of the platform.
+///
+/// A read whose pooled connection broke or went silent is repeated once over a new connection. A
+/// write never is: its failure is [`Error::Lost`], and the caller reads back what stands.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Pool,
+    address: CompactString,
+    timeout: Duration,
+}
+
+impl Client {
+    /// Creates a client of the platform at `address`; each exchange may take `timeout`.
+    pub fn new(address: impl Into<CompactString>, timeout: Duration) -> Self {
+        Self {
+            pool: Pool::new(timeout),
+            address: address.into(),
+            timeout,
+        }
+    }
+
+    /// Returns the address of the platform.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Reads one row; `None` if it is absent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform can't be asked or its answer is lost or an error.
+    pub async fn row(&self, table: &str, key: &str) -> Result<Option<Row>, Error> {
+        let path = format!("/v1/tables/{table}/row?key={}", escape(key));
+        optional(self.read::<Row>(&path).await)
+    }
+
+    /// Reads rows in order of their keys, consistently.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`row`](Self::row) does.
+    pub async fn rows(&self, table: &str, range: &Range) -> Result<Rows, Error> {
+        let path = format!("/v1/tables/{table}/rows?{}", range.to_query());
+        self.read(&path).await
+    }
+
+    /// Commits a transaction and returns its commit number.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Error::Conflict`] if a check failed and with [`Error::Lost`] if the
+    /// transaction may have been committed.
+    pub async fn commit(&self, transaction: &Transaction) -> Result<Version, Error> {
+        #[derive(Deserialize)]
+        struct Committed {
+            version: Version,
+        }
+        #[derive(Deserialize)]
+        struct Refused {
+            conflicts: Vec<Conflict>,
+        }
+        let body = serde_json::to_vec(transaction).map_err(Error::Malformed)?;
+        let request = request(Method::POST, "/v1/transactions", body.into());
+        let (status, body) = self.exchange(request, Reuse::Newest).await?;
+        if status == StatusCode::CONFLICT {
+            return Err(Error::Conflict(from_slice::<Refused>(&body)?.conflicts));
+        }
+        check(status)?;
+        Ok(from_slice::<Committed>(&body)?.version)
+    }
+
+    /// Stores an object, replacing any older one of that key.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`commit`](Self::commit) does, without conflicts.
+    pub async fn put_object(&self, key: &str, object: Bytes) -> Result<(), Error> {
+        let request = request(Method::PUT, &object_path(key), object);
+        check(self.exchange(request, Reuse::Newest).await?.0)
+    }
+
+    /// Reads an object; `None` if it is absent.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`row`](Self::row) does.
+    pub async fn object(&self, key: &str) -> Result<Option<Bytes>, Error> {
+        optional(self.read_bytes(&object_path(key)).await)
+    }
+
+    /// Deletes an object, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`put_object`](Self::put_object) does.
+    pub async fn delete_object(&self, key: &str) -> Result<(), Error> {
+        let request = request(Method::DELETE, &object_path(key), Bytes::new());
+        let (status, _) = self.exchange(request, Reuse::Newest).await?;
+        optional(check(status)).map(|_| ())
+    }
+
+    /// Reads the list of hosts.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`row`](Self::row) does.
+    pub async fn hosts(&self) -> Result<Hosts, Error> {
+        self.read("/v1/hosts").await
+    }
+
+    /// Reads the weights of a model.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`row`](Self::row) does, with [`Error::Limited`] over the rate of the store.
+    pub async fn weights(&self, model: &str) -> Result<Bytes, Error> {
+        self.read_bytes(&format!("/v1/weights/{}", escape(model)))
+            .await
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        from_slice(&self.read_bytes(path).await?)
+    }
+
+    async fn read_bytes(&self, path: &str) -> Result<Bytes, Error> {
+        let get = || request(Method::GET, path, Bytes::new());
+        let (status, body) = match self.exchange(get(), Reuse::Newest).await {
+            Err(Error::Lost(_)) => self.exchange(get(), Reuse::Never).await?,
+            reply => reply?,
+        };
+        check(status)?;
+        Ok(body)
+    }
+
+    async fn exchange(&self, request: Request, reuse: Reuse) -> Result<(StatusCode, Bytes), Error> {
+        let whole = async {
+            let response = self.pool.send(&self.address, request, reuse).await?;
+            let status = response.status();
+            if status == StatusCode::TOO_MANY_REQUESTS {
+                return limited(response).await;
+            }
+            Ok((status, response.bytes(MAX_BODY).await?))
+        };
+        time::timeout(self.timeout, whole)
+            .await
+            .map_err(|_elapsed| Error::Lost(HttpError::Silent))?
+    }
+}
+
+async fn limited(response: Response) -> Result<(StatusCode, Bytes), Error> {
+    let retry_after = response.retry_after();
+    response.bytes(MAX_BODY).await?;
+    Err(Error::Limited { retry_after })
+}
+
+fn check(status: StatusCode) -> Result<(), Error> {
+    if status.is_success() {
+        Ok(())
+    } else {
+        Err(Error::Status(status))
+    }
+}
+
+fn optional<T>(result: Result<T, Error>) -> Result<Option<T>, Error> {
+    match result {
+        Ok(value) => Ok(Some(value)),
+        Err(Error::Status(StatusCode::NOT_FOUND)) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+fn from_slice<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(body).map_err(Error::Malformed)
+}
+
+fn request(method: Method, path: &str, body: Bytes) -> Request {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    request
+}
+
+fn object_path(key: &str) -> String {
+    format!("/v1/objects/{}", escape(key))
+}
+
+/// Escapes text for use as one part of a path or query.
+pub(crate) fn escape(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte) {
+            escaped.push(char::from(byte));
+        } else {
+            // Writing to a string can't fail.
+            let _ = write!(escaped, "%{byte:02X}");
+        }
+    }
+    escaped
+}
