--- a/godwithinge/src/metrics/mod.rs
+++ b/godwithinge/src/metrics/mod.rs
@@ -1,1 +1,166 @@
-//! Placeholder.
+//! Metrics of an entry, as Prometheus reads them.
+
+use prometheus::{
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of the buckets of times, in seconds.
+const TIME_BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 30.0,
+];
+
+/// Metrics of an entry.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by pipeline and outcome.
+    pub outcomes: IntCounterVec,
+    /// Requests by pipeline that were answered in full within their deadline.
+    pub attained: IntCounterVec,
+    /// Requests by pipeline that were submitted.
+    pub submitted: IntCounterVec,
+    /// Time from submission to outcome by pipeline, in seconds.
+    pub time: HistogramVec,
+    /// Target seconds by pool and use (`useful` or `wasted`).
+    pub stage_seconds: GaugeVec,
+    /// Generated tokens by pool and use.
+    pub stage_tokens: IntCounterVec,
+    /// Calls by pool and result.
+    pub calls: IntCounterVec,
+    /// Calls by target and result.
+    pub target_calls: IntCounterVec,
+    /// Calls in flight by target.
+    pub target_in_flight: IntGaugeVec,
+    /// Decisions by pool and choice.
+    pub decisions: IntCounterVec,
+    /// Requests without a final outcome.
+    pub in_flight: IntGauge,
+    /// Requests that wait, by pool.
+    pub queue: IntGaugeVec,
+    /// Revision of the table in force.
+    pub revision: IntGauge,
+    /// Claim asks by kind and reply.
+    pub claims: IntCounterVec,
+    /// Settlements of claims that are not written yet.
+    pub unsettled: IntGauge,
+    /// Bytes of control traffic by kind.
+    pub control_bytes: IntCounterVec,
+}
+
+impl Metrics {
+    /// Creates metrics that are all zero.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics have one name.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let new = New(&registry);
+        Ok(Self {
+            outcomes: new.counter("requests", "Requests by outcome", &["pipeline", "outcome"])?,
+            attained: new.counter("attained", "Requests answered in time", &["pipeline"])?,
+            submitted: new.counter("submitted", "Requests submitted", &["pipeline"])?,
+            time: new.times("request_seconds", "Time to the outcome", &["pipeline"])?,
+            stage_seconds: new.gauges("stage_seconds", "Target seconds", &["pool", "use"])?,
+            stage_tokens: new.counter("stage_tokens", "Generated tokens", &["pool", "use"])?,
+            calls: new.counter("calls", "Calls by result", &["pool", "result"])?,
+            target_calls: new.counter("target_calls", "Calls by result", &["target", "result"])?,
+            target_in_flight: new.counts("target_in_flight", "Calls in flight", &["target"])?,
+            decisions: new.counter("decisions", "Decisions by choice", &["pool", "choice"])?,
+            in_flight: new.count("in_flight", "Requests without an outcome")?,
+            queue: new.counts("queue", "Stages that wait", &["pool"])?,
+            revision: new.count("table_revision", "Revision of the table")?,
+            claims: new.counter("claims", "Claim asks by reply", &["ask", "reply"])?,
+            unsettled: new.count("unsettled", "Settlements to be written")?,
+            control_bytes: new.counter("control_bytes", "Control traffic", &["kind"])?,
+            registry,
+        })
+    }
+
+    /// Counts a final outcome.
+    pub fn finish(&self, pipeline: &str, outcome: &str, seconds: f64, attained: bool) {
+        self.outcomes.with_label_values(&[pipeline, outcome]).inc();
+        self.time.with_label_values(&[pipeline]).observe(seconds);
+        if attained {
+            self.attained.with_label_values(&[pipeline]).inc();
+        }
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be encoded.
+    pub fn to_text(&self) -> Result<String, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Returns the registry, for metrics of other parts.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+}
+
+/// Creates metrics and registers them.
+struct New<'a>(&'a Registry);
+
+impl New<'_> {
+    fn opts(name: &str, help: &str) -> Opts {
+        Opts::new(name, help).namespace("gwi")
+    }
+
+    fn counter(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntCounterVec, prometheus::Error> {
+        let name = format!("{name}_total");
+        let metric = IntCounterVec::new(Self::opts(&name, help), labels)?;
+        self.0.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+
+    fn counts(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntGaugeVec, prometheus::Error> {
+        let metric = IntGaugeVec::new(Self::opts(name, help), labels)?;
+        self.0.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+
+    fn gauges(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<GaugeVec, prometheus::Error> {
+        let metric = GaugeVec::new(Self::opts(name, help), labels)?;
+        self.0.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+
+    fn count(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+        let metric = IntGauge::with_opts(Self::opts(name, help))?;
+        self.0.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+
+    fn times(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<HistogramVec, prometheus::Error> {
+        let opts = HistogramOpts::from(Self::opts(name, help)).buckets(TIME_BUCKETS.to_vec());
+        let metric = HistogramVec::new(opts, labels)?;
+        self.0.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+}
--- a/godwithinge/src/settings/mod.rs
+++ b/godwithinge/src/settings/mod.rs
@@ -1,1 +1,278 @@
-//! Placeholder.
+//! Settings of the daemons, read from a file in INI.
+//!
+//! All daemons of a host read the same file. Each mistake in it is reported, not only the first.
+
+mod error;
+mod pool;
+mod reader;
+mod secret;
+mod value;
+
+pub use self::{
+    error::{Cause, Error, Errors},
+    secret::Secret,
+};
+
+use self::reader::{Reader, Section};
+use compact_str::CompactString;
+use policy::{
+    id::{DomainId, HostId, RegionId},
+    pool::Pool,
+};
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+/// Exit status of a daemon whose settings are wrong.
+pub const EXIT_STATUS: u8 = 2;
+
+/// Settings of the daemons of one host.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The host and how it is reached.
+    pub daemon: Daemon,
+    /// How the platform is reached.
+    pub platform: Platform,
+    /// How other daemons are found.
+    pub peers: Peers,
+    /// Limits of the entry daemon.
+    pub entry: Entry,
+    /// Limits of the planner daemon.
+    pub planner: Planner,
+    /// All pools of the deployment.
+    pub pools: Vec<Pool>,
+}
+
+/// The host and how it is reached.
+#[derive(Clone, Debug)]
+pub struct Daemon {
+    /// Name of the host.
+    pub host: HostId,
+    /// Failure domain of the host.
+    pub domain: DomainId,
+    /// Region of the host.
+    pub region: RegionId,
+    /// Address of the interface for callers and operators.
+    pub listen: SocketAddr,
+    /// Address of the interface for peers.
+    pub peer_listen: SocketAddr,
+    /// Token that operators send.
+    pub operator_token: Secret,
+    /// Key that all daemons of the fleet share.
+    pub fleet_key: Secret,
+}
+
+/// How the platform is reached.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Address of the platform's service: IP number and port.
+    pub address: SocketAddr,
+    /// Longest time of one exchange.
+    pub timeout: Duration,
+}
+
+/// How other daemons are found.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    /// Addresses of the peer interfaces of some daemons.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Limits of the entry daemon.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Most stages that wait for one pool.
+    pub queue: usize,
+    /// Time that a final outcome is remembered.
+    pub remember: Duration,
+    /// Longest body of a caller's request, in bytes.
+    pub body_limit: usize,
+    /// Time that callers may keep a directory answer.
+    pub directory_ttl: Duration,
+    /// Time between two reads of the host list.
+    pub hosts_poll: Duration,
+    /// Time between two reads of the table of weights and limits.
+    pub table_poll: Duration,
+    /// Time between two reads of a target's load report.
+    pub load_poll: Duration,
+    /// Time that claims are kept, stated to callers.
+    pub claim_retention: Duration,
+}
+
+/// Limits of the planner daemon.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    /// Duration of the lease.
+    pub lease: Duration,
+    /// Longest time of an order to an engine.
+    pub order_timeout: Duration,
+    /// Time between two planning rounds.
+    pub interval: Duration,
+}
+
+impl Settings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all mistakes of the file at once.
+    pub fn from_file(path: &Path) -> Result<Self, Errors> {
+        let name = path.display().to_string();
+        match fs::read_to_string(path) {
+            Ok(text) => Self::from_str(&name, &text),
+            Err(cause) => Err(Errors::new(
+                name,
+                vec![Error::new("", "", Cause::Unreadable(cause))],
+            )),
+        }
+    }
+
+    /// Reads settings from `text`; errors name it `file`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all mistakes of the text at once.
+    pub fn from_str(file: &str, text: &str) -> Result<Self, Errors> {
+        let mut reader = match Reader::new(text) {
+            Ok(reader) => reader,
+            Err(error) => return Err(Errors::new(file, vec![error])),
+        };
+        let daemon = read_daemon(&mut reader);
+        let platform = read_platform(&mut reader);
+        let peers = read_peers(&mut reader);
+        let entry = read_entry(&mut reader);
+        let planner = read_planner(&mut reader);
+        let pools = pool::read_all(&mut reader);
+        let errors = reader.finish();
+        match (daemon, platform, peers, entry, planner) {
+            (Some(daemon), Some(platform), Some(peers), Some(entry), Some(planner))
+                if errors.is_empty() =>
+            {
+                Ok(Self {
+                    daemon,
+                    platform,
+                    peers,
+                    entry,
+                    planner,
+                    pools,
+                })
+            }
+            _ => Err(Errors::new(file, errors)),
+        }
+    }
+}
+
+/// Shortest time that a setting may have.
+const MIN_TIME: Duration = Duration::from_millis(10);
+/// Longest time that a timeout or interval may have.
+const MAX_TIME: Duration = Duration::from_secs(3600);
+/// Longest time that something is kept.
+const MAX_KEPT: Duration = Duration::from_secs(400 * 24 * 3600);
+/// Longest body that may be permitted, in bytes.
+const MAX_BODY: usize = 64 << 20;
+/// Longest queue that may be permitted.
+const MAX_QUEUE: usize = 1_000_000;
+
+fn read_daemon(reader: &mut Reader) -> Option<Daemon> {
+    let mut section = reader.section("daemon");
+    let host = section.name("host");
+    let domain = section.name("domain");
+    let region = section.name("region");
+    let listen = section.address("listen");
+    let peer_listen = section.address("peer_listen");
+    let operator_token = section.secret("operator_token");
+    let fleet_key = section.secret("fleet_key");
+    Some(Daemon {
+        host: host?,
+        domain: domain?,
+        region: region?,
+        listen: listen?,
+        peer_listen: peer_listen?,
+        operator_token: operator_token?,
+        fleet_key: fleet_key?,
+    })
+}
+
+fn read_platform(reader: &mut Reader) -> Option<Platform> {
+    let mut section = reader.section("platform");
+    let address = section.address("address");
+    let timeout = time(&mut section, "timeout");
+    Some(Platform {
+        address: address?,
+        timeout: timeout?,
+    })
+}
+
+fn read_peers(reader: &mut Reader) -> Option<Peers> {
+    let seeds = reader.section("peers").addresses("seeds");
+    Some(Peers { seeds: seeds? })
+}
+
+fn read_entry(reader: &mut Reader) -> Option<Entry> {
+    let mut section = reader.section("entry");
+    let queue = section.count("queue", 1..=MAX_QUEUE);
+    let remember = section.duration("remember", MIN_TIME..=MAX_KEPT);
+    let body_limit = section.count("body_limit", 1..=MAX_BODY);
+    let directory_ttl = time(&mut section, "directory_ttl");
+    let hosts_poll = time(&mut section, "hosts_poll");
+    let table_poll = time(&mut section, "table_poll");
+    let load_poll = time(&mut section, "load_poll");
+    let claim_retention = section.duration("claim_retention", MIN_TIME..=MAX_KEPT);
+    Some(Entry {
+        queue: queue?,
+        remember: remember?,
+        body_limit: body_limit?,
+        directory_ttl: directory_ttl?,
+        hosts_poll: hosts_poll?,
+        table_poll: table_poll?,
+        load_poll: load_poll?,
+        claim_retention: claim_retention?,
+    })
+}
+
+fn read_planner(reader: &mut Reader) -> Option<Planner> {
+    let mut section = reader.section("planner");
+    let lease = time(&mut section, "lease");
+    let order_timeout = time(&mut section, "order_timeout");
+    let interval = time(&mut section, "interval");
+    Some(Planner {
+        lease: lease?,
+        order_timeout: order_timeout?,
+        interval: interval?,
+    })
+}
+
+fn time(section: &mut Section<'_>, key: &'static str) -> Option<Duration> {
+    section.duration(key, MIN_TIME..=MAX_TIME)
+}
+
+/// Defaults: section, key, value.
+const DEFAULTS: [(&str, &str, &str); 18] = [
+    ("platform", "timeout", "500ms"),
+    ("peers", "seeds", ""),
+    ("entry", "queue", "1024"),
+    ("entry", "remember", "60s"),
+    ("entry", "body_limit", "1048576"),
+    ("entry", "directory_ttl", "5s"),
+    ("entry", "hosts_poll", "1s"),
+    ("entry", "table_poll", "2s"),
+    ("entry", "load_poll", "1s"),
+    ("entry", "claim_retention", "30d"),
+    ("planner", "lease", "5s"),
+    ("planner", "order_timeout", "1s"),
+    ("planner", "interval", "1s"),
+    ("pool", "lookup", "no"),
+    ("pool", "fenced", "no"),
+    ("pool", "checkpoint", "no"),
+    ("pool", "timeout", "4s"),
+    ("pool", "silence", "1s"),
+];
+
+/// Returns the default of a key, if it has one.
+fn default_of(section: &str, key: &str) -> Option<&'static str> {
+    let section = section.split_whitespace().next()?;
+    let mut defaults = DEFAULTS.into_iter();
+    let (_, _, value) = defaults.find(|found| (found.0, found.1) == (section, key))?;
+    Some(value)
+}
+
+/// Name as it stands in a section.
+type Name = CompactString;
--- /dev/null
+++ b/godwithinge/src/settings/pool.rs
@@ -0,0 +1,72 @@
+//! Sections of pools.
+
+use super::{
+    Cause, MAX_TIME, MIN_TIME,
+    reader::{Reader, Section},
+    value,
+};
+use policy::{
+    id::ModelId,
+    pool::{Kind, Pool},
+};
+
+/// What the names of pool sections begin with.
+const PREFIX: &str = "pool ";
+/// Most tokens that one call may be permitted to generate.
+const MAX_TOKENS: usize = 1 << 20;
+
+/// Reads all pools, without those that have mistakes.
+pub(super) fn read_all(reader: &mut Reader) -> Vec<Pool> {
+    let names = reader.names(PREFIX);
+    if names.is_empty() {
+        reader.fail("pool NAME", "", Cause::NoPool);
+    }
+    names
+        .iter()
+        .filter_map(|section| read(reader, section))
+        .collect()
+}
+
+fn read(reader: &mut Reader, title: &str) -> Option<Pool> {
+    let name = title.trim_start_matches(PREFIX).trim();
+    if !value::is_name(name) {
+        let value = name.into();
+        let allowed = "name of letters, digits, '-', '_' and '.'".into();
+        reader.fail(title, "", Cause::Invalid { value, allowed });
+    }
+    let mut section = reader.section(title);
+    let kind = section.parse("kind", "engine or service", |text| {
+        text.parse::<Kind>().ok()
+    });
+    let idempotent = section.flag("idempotent");
+    let lookup = section.flag("lookup");
+    let fenced = section.flag("fenced");
+    let checkpoint = section.flag("checkpoint");
+    let timeout = section.duration("timeout", MIN_TIME..=MAX_TIME);
+    let silence = section.duration("silence", MIN_TIME..=MAX_TIME);
+    let (model, max_tokens) = match kind {
+        Some(Kind::Engine) => read_engine(&mut section),
+        _ => (Some(ModelId::default()), Some(0)),
+    };
+    Some(Pool {
+        name: name.into(),
+        kind: kind?,
+        model: model?,
+        idempotent: idempotent?,
+        lookup: lookup?,
+        fenced: fenced?,
+        checkpoint: checkpoint?,
+        timeout: timeout?,
+        silence: silence?,
+        max_tokens: max_tokens?,
+    })
+}
+
+fn read_engine(section: &mut Section<'_>) -> (Option<ModelId>, Option<u32>) {
+    let model = section.name("model");
+    let max_tokens = section.count("max_tokens", 1..=MAX_TOKENS);
+    (
+        model,
+        max_tokens.and_then(|tokens| u32::try_from(tokens).ok()),
+    )
+}
--- /dev/null
+++ b/godwithinge/src/settings/reader.rs
@@ -0,0 +1,217 @@
+//! Reader of sections that collects mistakes.
+
+use super::{Cause, Error, Name, Secret, default_of, value};
+use compact_str::CompactString;
+use ini::Ini;
+use std::{collections::BTreeSet, net::SocketAddr, ops::RangeInclusive, time::Duration};
+
+/// Sections that a file may have.
+const SECTIONS: &str = "daemon, platform, peers, entry, planner, pool NAME";
+
+/// Reader of a file.
+#[derive(Debug)]
+pub(super) struct Reader {
+    ini: Ini,
+    errors: Vec<Error>,
+    read: BTreeSet<CompactString>,
+}
+
+/// Reader of one section.
+#[derive(Debug)]
+pub(super) struct Section<'a> {
+    reader: &'a mut Reader,
+    name: CompactString,
+    known: Vec<&'static str>,
+}
+
+impl Reader {
+    pub(super) fn new(text: &str) -> Result<Self, Error> {
+        let ini = Ini::load_from_str_noescape(text)
+            .map_err(|cause| Error::new("", "", Cause::Syntax(cause)))?;
+        Ok(Self {
+            ini,
+            errors: Vec::new(),
+            read: BTreeSet::new(),
+        })
+    }
+
+    /// Begins to read a section; a section that is absent has no keys.
+    pub(super) fn section(&mut self, name: &str) -> Section<'_> {
+        if self.ini.section_all(Some(name)).count() > 1 {
+            self.fail(name, "", Cause::Repeated);
+        }
+        self.read.insert(name.into());
+        Section {
+            reader: self,
+            name: name.into(),
+            known: Vec::new(),
+        }
+    }
+
+    /// Returns the names of all sections that begin with `prefix`.
+    pub(super) fn names(&self, prefix: &str) -> Vec<CompactString> {
+        let names = self.ini.sections().flatten();
+        let found: BTreeSet<CompactString> = names
+            .filter(|name| name.starts_with(prefix))
+            .map(Into::into)
+            .collect();
+        found.into_iter().collect()
+    }
+
+    pub(super) fn fail(&mut self, section: &str, key: &str, cause: Cause) {
+        self.errors.push(Error::new(section, key, cause));
+    }
+
+    /// Returns all mistakes, sections that were never read among them.
+    pub(super) fn finish(mut self) -> Vec<Error> {
+        let names: BTreeSet<CompactString> =
+            self.ini.sections().flatten().map(Into::into).collect();
+        for name in names.difference(&self.read.clone()) {
+            self.fail(name, "", Cause::UnknownSection { allowed: SECTIONS });
+        }
+        let stray: Vec<CompactString> = self
+            .ini
+            .general_section()
+            .iter()
+            .map(|(key, _)| key.into())
+            .collect();
+        for key in stray {
+            self.fail("", &key, Cause::UnknownSection { allowed: SECTIONS });
+        }
+        self.errors
+    }
+}
+
+impl Section<'_> {
+    /// Reads a name of letters, digits, `-`, `_` and `.`.
+    pub(super) fn name(&mut self, key: &'static str) -> Option<Name> {
+        let allowed = "letters, digits, '-', '_' and '.'";
+        self.parse(key, allowed, |text| {
+            value::is_name(text).then(|| text.into())
+        })
+    }
+
+    /// Reads an IP number and port.
+    pub(super) fn address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        self.parse(key, "IP number and port, as in 10.0.0.1:7000", |text| {
+            text.parse().ok()
+        })
+    }
+
+    /// Reads IP numbers and ports with commas between them; there may be none.
+    pub(super) fn addresses(&mut self, key: &'static str) -> Option<Vec<SocketAddr>> {
+        let allowed = "IP numbers and ports with commas between them";
+        self.parse(key, allowed, |text| {
+            let parts = text
+                .split(',')
+                .map(str::trim)
+                .filter(|part| !part.is_empty());
+            parts.map(|part| part.parse().ok()).collect()
+        })
+    }
+
+    /// Reads a secret, which no error shows.
+    pub(super) fn secret(&mut self, key: &'static str) -> Option<Secret> {
+        let allowed = format!("at least {MIN_SECRET} characters");
+        let text = self.text(key, &allowed)?;
+        if text.len() < MIN_SECRET {
+            self.invalid(key, "", allowed);
+            return None;
+        }
+        Some(Secret::new(text))
+    }
+
+    /// Reads a whole number within a range.
+    pub(super) fn count(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<usize>,
+    ) -> Option<usize> {
+        let allowed = format!("whole number from {} to {}", range.start(), range.end());
+        self.parse(key, &allowed, |text| {
+            text.parse().ok().filter(|number| range.contains(number))
+        })
+    }
+
+    /// Reads a duration with a unit within a range.
+    pub(super) fn duration(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<Duration>,
+    ) -> Option<Duration> {
+        let allowed = format!(
+            "whole number with unit ms, s, m, h or d, from {} to {}",
+            value::show(*range.start()),
+            value::show(*range.end())
+        );
+        self.parse(key, &allowed, |text| {
+            value::duration(text).filter(|time| range.contains(time))
+        })
+    }
+
+    /// Reads `yes` or `no`.
+    pub(super) fn flag(&mut self, key: &'static str) -> Option<bool> {
+        self.parse(key, "yes or no", value::flag)
+    }
+
+    /// Reads a value with `parse`, which gives `None` for one that is not permitted.
+    pub(super) fn parse<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let text = self.text(key, allowed)?;
+        let parsed = parse(&text);
+        if parsed.is_none() {
+            self.invalid(key, &text, allowed.into());
+        }
+        parsed
+    }
+
+    /// Returns the value of `key` or its default.
+    fn text(&mut self, key: &'static str, allowed: &str) -> Option<CompactString> {
+        self.known.push(key);
+        let section = self.reader.ini.section(Some(self.name.as_str()));
+        let found = section
+            .and_then(|section| section.get(key))
+            .map(Into::into)
+            .or_else(|| default_of(&self.name, key).map(Into::into));
+        if found.is_none() {
+            let allowed = allowed.into();
+            self.reader
+                .fail(&self.name, key, Cause::Missing { allowed });
+        }
+        found
+    }
+
+    fn invalid(&mut self, key: &str, value: &str, allowed: String) {
+        let value = value.into();
+        self.reader
+            .fail(&self.name, key, Cause::Invalid { value, allowed });
+    }
+}
+
+impl Drop for Section<'_> {
+    fn drop(&mut self) {
+        let Some(section) = self.reader.ini.section(Some(self.name.as_str())) else {
+            return;
+        };
+        let keys: BTreeSet<CompactString> = section.iter().map(|(key, _)| key.into()).collect();
+        let repeated = keys.iter().filter(|key| section.get_all(key).count() > 1);
+        let repeated: Vec<CompactString> = repeated.cloned().collect();
+        for key in repeated {
+            self.reader.fail(&self.name, &key, Cause::Repeated);
+        }
+        for key in keys {
+            if !self.known.contains(&key.as_str()) {
+                let allowed = self.known.clone();
+                self.reader
+                    .fail(&self.name, &key, Cause::UnknownKey { allowed });
+            }
+        }
+    }
+}
+
+/// Shortest secret, in bytes.
+const MIN_SECRET: usize = 8;
--- /dev/null
+++ b/godwithinge/src/settings/secret.rs
@@ -0,0 +1,33 @@
+//! Secrets, which are never shown.
+
+use compact_str::CompactString;
+use std::fmt;
+
+/// Text that is never shown in a log or error.
+#[derive(Clone, Eq, PartialEq)]
+pub struct Secret(CompactString);
+
+impl Secret {
+    /// Creates a secret.
+    pub fn new(text: impl Into<CompactString>) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the secret itself.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
+    /// Compares with `other` in a time that depends on the lengths only.
+    pub fn matches(&self, other: &str) -> bool {
+        let (own, other) = (self.0.as_bytes(), other.as_bytes());
+        let difference = own.iter().zip(other).fold(0, |sum, (a, b)| sum | (a ^ b));
+        own.len() == other.len() && difference == 0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
--- /dev/null
+++ b/godwithinge/src/settings/value.rs
@@ -0,0 +1,47 @@
+//! Values of settings.
+
+use std::time::Duration;
+
+/// Units of durations, with their length in milliseconds.
+const UNITS: [(&str, u64); 5] = [
+    ("ms", 1),
+    ("s", 1000),
+    ("m", 60_000),
+    ("h", 3_600_000),
+    ("d", 86_400_000),
+];
+
+/// Reads a duration, which is a whole number and a unit.
+pub(super) fn duration(text: &str) -> Option<Duration> {
+    let digits = text.find(|c: char| !c.is_ascii_digit())?;
+    let (number, unit) = text.split_at(digits);
+    let number: u64 = number.parse().ok()?;
+    let (_, length) = UNITS.into_iter().find(|(name, _)| *name == unit)?;
+    number.checked_mul(length).map(Duration::from_millis)
+}
+
+/// Writes a duration with the longest unit that leaves a whole number.
+pub(super) fn show(duration: Duration) -> String {
+    let millis = duration.as_millis() as u64;
+    let (name, length) = UNITS
+        .into_iter()
+        .rev()
+        .find(|(_, length)| millis.is_multiple_of(*length))
+        .unwrap_or(UNITS[0]);
+    format!("{}{name}", millis / length)
+}
+
+/// Reads a flag.
+pub(super) fn flag(text: &str) -> Option<bool> {
+    match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
+/// Returns whether `text` can be a name: letters, digits, `-`, `_` and `.`.
+pub(super) fn is_name(text: &str) -> bool {
+    let permitted = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    !text.is_empty() && text.chars().all(permitted)
+}
--- /dev/null
+++ b/godwithinge/tests/settings.rs
@@ -0,0 +1,118 @@
+//! Mistakes in settings are all reported, each by file, section, key and what is allowed.
+
+use godwithinge::settings::Settings;
+use rstest::rstest;
+use std::time::Duration;
+
+const GOOD: &str = "
+[daemon]
+host = e1
+domain = a
+region = r
+listen = 127.0.0.1:0
+peer_listen = 127.0.0.1:0
+operator_token = operators
+fleet_key = fleetkeys
+[platform]
+address = 127.0.0.1:1
+timeout = 250ms
+[pool clerk]
+kind = service
+idempotent = no
+[pool tailor]
+kind = engine
+model = m
+idempotent = yes
+max_tokens = 64
+";
+
+#[test]
+fn good() {
+    let settings = Settings::from_str("good.ini", GOOD).expect("settings are right");
+    assert_eq!(settings.platform.timeout, Duration::from_millis(250));
+    assert_eq!(settings.entry.queue, 1024);
+    assert_eq!(settings.pools.len(), 2);
+    assert!(!format!("{settings:?}").contains("fleetkeys"));
+}
+
+#[rstest]
+#[case::unknown_key(
+    "idempotent = no",
+    "idempotent = no\nhue = red",
+    "[pool clerk]",
+    "hue",
+    "allowed: kind"
+)]
+#[case::unknown_section(
+    "[platform]",
+    "[shelf]\na = 1\n[platform]",
+    "[shelf]",
+    "",
+    "allowed: daemon"
+)]
+#[case::missing("host = e1\n", "", "[daemon]", "host", "allowed: letters")]
+#[case::out_of_range(
+    "max_tokens = 64",
+    "max_tokens = 0",
+    "[pool tailor]",
+    "max_tokens",
+    "from 1 to"
+)]
+#[case::no_unit(
+    "timeout = 250ms",
+    "timeout = 250",
+    "[platform]",
+    "timeout",
+    "unit ms, s, m, h or d"
+)]
+#[case::no_ip(
+    "address = 127.0.0.1:1",
+    "address = here:1",
+    "[platform]",
+    "address",
+    "IP number"
+)]
+#[case::flag(
+    "idempotent = no",
+    "idempotent = maybe",
+    "[pool clerk]",
+    "idempotent",
+    "yes or no"
+)]
+#[case::kind(
+    "kind = service",
+    "kind = oracle",
+    "[pool clerk]",
+    "kind",
+    "engine or service"
+)]
+#[case::twice("host = e1", "host = e1\nhost = e2", "[daemon]", "host", "once")]
+#[case::short_secret("fleetkeys", "fleet", "[daemon]", "fleet_key", "at least 8")]
+fn mistake(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] section: &str,
+    #[case] key: &str,
+    #[case] allowed: &str,
+) {
+    let text = GOOD.replacen(from, to, 1);
+    let errors = Settings::from_str("bad.ini", &text).expect_err("settings are wrong");
+    let shown = errors.to_string();
+    assert_eq!(errors.as_slice().len(), 1, "{shown}");
+    assert!(shown.starts_with("bad.ini: "), "{shown}");
+    assert!(
+        shown.contains(section) && shown.contains(key) && shown.contains(allowed),
+        "{shown}"
+    );
+    assert!(!shown.contains("\"fleet\""), "{shown}");
+}
+
+#[test]
+fn all_at_once() {
+    let text = GOOD
+        .replace("host = e1", "host = e 1")
+        .replace("timeout = 250ms", "timeout = 1")
+        .replace("kind = service", "kind = x");
+    let errors = Settings::from_str("bad.ini", &text).expect_err("settings are wrong");
+    assert_eq!(errors.as_slice().len(), 3, "{errors}");
+}
