--- a/godwithinge/src/lib.rs
+++ b/godwithinge/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod metrics;
 pub mod platform;
 pub mod settings;
+pub mod target;
--- /dev/null
+++ b/godwithinge/src/target/engine.rs
@@ -0,0 +1,71 @@
+//! Calls to engines.
+
+use super::{Client, Decoder, json_request, wire, within};
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::HeaderName;
+use policy::{command::Call, fault::Fault, id::Payload, pool::Pool};
+
+/// Data of the event that ends a stream.
+const END: &str = "[DONE]";
+/// Header that holds the call's idempotency key.
+const TOKEN_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Runs a call and passes the text of each part on.
+pub(super) async fn run(
+    client: &Client,
+    call: &Call,
+    pool: &Pool,
+    mut progress: impl FnMut(&str) + Send,
+) -> Result<Payload, Fault> {
+    let body = body(call, pool)?;
+    let request = || json_request("/v1/completions", &body, (TOKEN_HEADER, &call.token));
+    let mut response = client.send(call, pool.idempotent, request).await?;
+    let mut decoder = Decoder::new();
+    let mut text = CompactString::from(&*call.resume);
+    loop {
+        let part = within(call.silence, response.chunk()).await?;
+        decoder.push(&part.ok_or(Fault::Broken)?);
+        while let Some(data) = decoder.next_data() {
+            if data == END {
+                // Reading the body to its end keeps the connection.
+                let _ = within(call.silence, response.chunk()).await;
+                return to_result(text);
+            }
+            let part = read_part(&data)?;
+            progress(&part);
+            text.push_str(&part);
+        }
+    }
+}
+
+fn body(call: &Call, pool: &Pool) -> Result<Bytes, Fault> {
+    let completion = wire::Completion {
+        model: &pool.model,
+        prompt: &call.input,
+        max_tokens: pool.max_tokens,
+        stream: true,
+        priority: call.priority,
+        user: &call.key.workspace,
+        resume: &call.resume,
+    };
+    match serde_json::to_vec(&completion) {
+        Ok(body) => Ok(body.into()),
+        Err(_cause) => Err(Fault::Rejected),
+    }
+}
+
+fn read_part(data: &str) -> Result<String, Fault> {
+    let Ok(part) = serde_json::from_str::<wire::Part>(data) else {
+        return Err(Fault::Error);
+    };
+    let texts = part.choices.into_iter().map(|choice| choice.text);
+    Ok(texts.collect())
+}
+
+fn to_result(text: CompactString) -> Result<Payload, Fault> {
+    match serde_json::to_string(&wire::Streamed { text }) {
+        Ok(result) => Ok(result.into()),
+        Err(_cause) => Err(Fault::Error),
+    }
+}
--- /dev/null
+++ b/godwithinge/src/target/service.rs
@@ -0,0 +1,45 @@
+//! Calls to plain services.
+
+use super::{Client, MAX_BODY, json_request, one_line, wire, within};
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue};
+use policy::{command::Call, fault::Fault, id::Payload, pool::Pool};
+use serde_json::value::RawValue;
+
+/// Header that holds the call's idempotency key.
+const TOKEN_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+/// Header that holds the call's priority.
+const PRIORITY_HEADER: HeaderName = HeaderName::from_static("x-priority");
+
+/// Runs a call.
+pub(super) async fn run(client: &Client, call: &Call, pool: &Pool) -> Result<Payload, Fault> {
+    let body = body(call, pool)?;
+    let request = || {
+        let mut request = json_request("/call", &body, (TOKEN_HEADER, &call.token));
+        let priority = HeaderValue::from(call.priority);
+        request.headers_mut().insert(PRIORITY_HEADER, priority);
+        request
+    };
+    let response = client.send(call, pool.idempotent, request).await?;
+    let body = within(call.silence, response.bytes(MAX_BODY)).await?;
+    match serde_json::from_slice::<&RawValue>(&body) {
+        Ok(result) => Ok(one_line(result.get())),
+        Err(_cause) => Err(Fault::Error),
+    }
+}
+
+fn body(call: &Call, pool: &Pool) -> Result<Bytes, Fault> {
+    let Ok(input) = serde_json::from_str(&call.input) else {
+        return Err(Fault::Rejected);
+    };
+    let body = wire::ServiceCall {
+        request: &call.key.request,
+        workspace: &call.key.workspace,
+        stage: &pool.name,
+        input,
+    };
+    match serde_json::to_vec(&body) {
+        Ok(body) => Ok(body.into()),
+        Err(_cause) => Err(Fault::Rejected),
+    }
+}
--- /dev/null
+++ b/godwithinge/src/target/wire.rs
@@ -0,0 +1,95 @@
+//! Messages of targets.
+
+use compact_str::CompactString;
+use policy::{
+    host::{Change, Report},
+    id::ModelId,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::time::Duration;
+
+/// Body of an engine's completion.
+#[derive(Debug, Serialize)]
+pub(super) struct Completion<'a> {
+    pub(super) model: &'a str,
+    pub(super) prompt: &'a str,
+    pub(super) max_tokens: u32,
+    pub(super) stream: bool,
+    pub(super) priority: i32,
+    pub(super) user: &'a str,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub(super) resume: &'a str,
+}
+
+/// One streamed part of a completion.
+#[derive(Debug, Deserialize)]
+pub(super) struct Part {
+    pub(super) choices: Vec<Choice>,
+}
+
+/// Text of a streamed part.
+#[derive(Debug, Deserialize)]
+pub(super) struct Choice {
+    pub(super) text: String,
+}
+
+/// Body of a call to a plain service.
+#[derive(Debug, Serialize)]
+pub(super) struct ServiceCall<'a> {
+    pub(super) request: &'a str,
+    pub(super) workspace: &'a str,
+    pub(super) stage: &'a str,
+    pub(super) input: &'a RawValue,
+}
+
+/// What became of a call.
+#[derive(Debug, Deserialize)]
+pub(super) struct Effect {
+    pub(super) result: Box<RawValue>,
+}
+
+/// Load report.
+#[derive(Debug, Deserialize)]
+pub(super) struct Load {
+    running: u32,
+    waiting: u32,
+    width: u32,
+    tokens_per_second: f64,
+    prefill_per_second: f64,
+    age_ms: f64,
+    #[serde(default)]
+    models: Vec<ModelId>,
+}
+
+/// Changes of an engine's prefix cache.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Events {
+    /// The changes in order.
+    pub events: Vec<Change>,
+    /// Number of the newest change at the engine.
+    pub sequence: u64,
+}
+
+impl From<Load> for Report {
+    fn from(load: Load) -> Self {
+        Self {
+            running: load.running,
+            waiting: load.waiting,
+            width: load.width,
+            tokens_per_second: load.tokens_per_second,
+            prefill_per_second: load.prefill_per_second,
+            age: Duration::from_secs_f64(load.age_ms.clamp(0.0, MAX_AGE_MS) / 1e3),
+            models: load.models,
+        }
+    }
+}
+
+/// Longest age of a report that is told apart, in milliseconds.
+const MAX_AGE_MS: f64 = 3.6e6;
+
+/// Text of a result that an engine streamed.
+#[derive(Debug, Serialize)]
+pub(super) struct Streamed {
+    pub(super) text: CompactString,
+}
