Check, edit and hold the table of weights and limits

Rows and cells as operators see them, CSV sheets, one check for daemons and operators, edits that refuse rows changed since their base and name the cells, and a holder that only moves to a higher revision.

--- /dev/null
+++ b/policy/src/table/check.rs
@@ -0,0 +1,154 @@
+//! What each cell of the table may hold.
+
+use super::{
+    Table,
+    row::{Column, Key, Kind},
+};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// A cell that holds what its column does not allow.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Invalid {
+    /// Row of the cell.
+    pub row: Key,
+    /// Column of the cell.
+    pub column: Column,
+    /// What the cell holds.
+    pub value: CompactString,
+    /// What it may hold.
+    pub allowed: CompactString,
+}
+
+/// Most rows of one table.
+pub const MAX_ROWS: usize = 20_000;
+
+impl Invalid {
+    /// Returns the fault of one cell, if it has one.
+    pub fn find(row: &Key, column: Column, value: &str) -> Option<Self> {
+        allowed::fault(row.kind, column, value).map(|allowed| Self {
+            row: row.clone(),
+            column,
+            value: value.into(),
+            allowed: allowed.into(),
+        })
+    }
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: column {}: {:?} is not {}",
+            self.row, self.column, self.value, self.allowed
+        )
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+impl Table {
+    /// Returns every cell that holds what its column does not allow.
+    pub fn check(&self) -> Vec<Invalid> {
+        let rows: Vec<_> = self.keys().collect();
+        let mut faults: Vec<_> = rows.iter().flat_map(|key| self.check_row(key)).collect();
+        if rows.len() > MAX_ROWS {
+            faults.push(Invalid {
+                row: rows[MAX_ROWS].clone(),
+                column: Column::Name,
+                value: rows[MAX_ROWS].name.clone(),
+                allowed: compact_str::format_compact!("one of at most {MAX_ROWS} rows"),
+            });
+        }
+        faults
+    }
+
+    fn check_row(&self, key: &Key) -> Vec<Invalid> {
+        let cells = self.row(key).map(|row| row.cells()).unwrap_or_default();
+        Invalid::find(key, Column::Name, &key.name)
+            .into_iter()
+            .chain(
+                cells
+                    .iter()
+                    .filter_map(|(column, text)| Invalid::find(key, *column, text)),
+            )
+            .collect()
+    }
+}
+
+/// Rules for the text of cells.
+pub(super) mod allowed {
+    use super::{Column, CompactString, Kind};
+    use crate::table::row::STAGE_SEPARATOR;
+
+    /// Longest name of a row or a pool, in bytes.
+    const MAX_NAME: usize = 64;
+    /// Largest share, weight and ceiling.
+    const MAX_NUMBER: f64 = 1e6;
+    /// Largest priority on either side of 0.
+    const MAX_PRIORITY: i32 = 1000;
+    /// Most stages of a pipeline.
+    const MAX_STAGES: usize = 16;
+
+    const NAME: &str = "a name of 1 to 64 letters, digits, '-', '_' or '.'";
+    const POSITIVE: &str = "a number above 0 and at most 1000000";
+    const WEIGHT: &str = "a number from 0 to 1000000";
+    const RATE: &str = "blank or a number above 0 and at most 1000000";
+    const COUNT: &str = "blank or a whole number from 0 to 1000000";
+    const PRIORITY: &str = "a whole number from -1000 to 1000";
+    const STAGES: &str = "1 to 16 names of pools, each once, joined by '>'";
+    const BLANK: &str = "blank, since rows of this kind have no such column";
+
+    /// Returns what the cell may hold if it does not hold that.
+    pub fn fault(kind: Kind, column: Column, text: &str) -> Option<&'static str> {
+        let text = text.trim();
+        if !kind.has(column) {
+            return (!text.is_empty()).then_some(BLANK);
+        }
+        let optional = text.is_empty() && !matches!(column, Column::Name | Column::Stages);
+        let (valid, rule) = match column {
+            Column::Name => (is_name(text), NAME),
+            Column::Share => (is_number(text, f64::MIN_POSITIVE), POSITIVE),
+            Column::Weight => (is_number(text, 0.0), WEIGHT),
+            Column::Ceiling if kind == Kind::Target => (is_count(text), COUNT),
+            Column::Ceiling => (is_number(text, f64::MIN_POSITIVE), RATE),
+            Column::Priority => (is_priority(text), PRIORITY),
+            Column::Stages => (are_stages(text), STAGES),
+        };
+        (!optional && !valid).then_some(rule)
+    }
+
+    /// Splits the text of a pipeline's stages.
+    pub fn stages(text: &str) -> impl Iterator<Item = CompactString> {
+        text.split(STAGE_SEPARATOR).map(|stage| stage.trim().into())
+    }
+
+    fn is_name(text: &str) -> bool {
+        let valid = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+        (1..=MAX_NAME).contains(&text.len()) && text.bytes().all(valid)
+    }
+
+    fn is_number(text: &str, least: f64) -> bool {
+        text.parse::<f64>()
+            .is_ok_and(|number| (least..=MAX_NUMBER).contains(&number))
+    }
+
+    fn is_count(text: &str) -> bool {
+        text.parse::<u32>()
+            .is_ok_and(|count| f64::from(count) <= MAX_NUMBER)
+    }
+
+    fn is_priority(text: &str) -> bool {
+        text.parse::<i32>()
+            .is_ok_and(|priority| (-MAX_PRIORITY..=MAX_PRIORITY).contains(&priority))
+    }
+
+    fn are_stages(text: &str) -> bool {
+        let names: Vec<_> = stages(text).collect();
+        let distinct = (1..names.len()).all(|i| !names[..i].contains(&names[i]));
+        (1..=MAX_STAGES).contains(&names.len())
+            && names.iter().all(|name| is_name(name))
+            && distinct
+    }
+}
--- /dev/null
+++ b/policy/src/table/edit.rs
@@ -0,0 +1,336 @@
+//! Edits that turn the table of one revision into the next one.
+
+use super::{
+    Table,
+    check::Invalid,
+    row::{Column, Key, Row},
+};
+use crate::id::Revision;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+use strum::IntoEnumIterator;
+
+/// Name that an operator's client draws for one edit, the same at each retry.
+pub type EditId = CompactString;
+
+/// New text of one cell.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Cell {
+    /// Row of the cell.
+    pub row: Key,
+    /// Column of the cell.
+    pub column: Column,
+    /// New text; a row whose cells are all blank is removed.
+    pub value: CompactString,
+}
+
+/// Text of one cell before and after.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Change {
+    /// Row of the cell.
+    pub row: Key,
+    /// Column of the cell.
+    pub column: Column,
+    /// Text before; blank if the row was absent.
+    pub before: CompactString,
+    /// Text after; blank if the row is absent.
+    pub after: CompactString,
+}
+
+/// An edit that an operator asks for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Edit {
+    /// Name of the edit.
+    pub id: EditId,
+    /// Operator who asks for it.
+    pub who: CompactString,
+    /// Revision that the operator saw.
+    pub base: Revision,
+    /// New texts of cells.
+    pub cells: Vec<Cell>,
+}
+
+/// Entry of the change log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Entry {
+    /// Revision that the edit made.
+    pub revision: Revision,
+    /// Name of the edit.
+    pub edit: EditId,
+    /// Operator who asked for it.
+    pub who: CompactString,
+    /// Wall-clock time of the edit, in milliseconds since 1970.
+    pub at_ms: u64,
+    /// Cells that the edit changed.
+    pub changes: Vec<Change>,
+}
+
+/// A cell that another operator changed in a row of the edit.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Clash {
+    /// Row of the cell.
+    pub row: Key,
+    /// Column of the cell.
+    pub column: Column,
+    /// Text that the operator saw.
+    pub seen: CompactString,
+    /// Text that stands now.
+    pub stands: CompactString,
+    /// Text that the edit asks for; `None` if the edit leaves the cell alone.
+    pub asked: Option<CompactString>,
+    /// Operator who changed the cell last.
+    pub who: CompactString,
+    /// Revision that changed it last.
+    pub revision: Revision,
+}
+
+/// Why an edit was refused.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(tag = "refusal", rename_all = "snake_case")]
+pub enum Refusal {
+    /// Cells hold what their columns do not allow.
+    Invalid {
+        /// All such cells.
+        faults: Vec<Invalid>,
+    },
+    /// Others changed rows of the edit since the revision that the operator saw.
+    Conflict {
+        /// The cells that differ.
+        cells: Vec<Clash>,
+    },
+    /// The edit is based on a revision that the table has not reached.
+    Ahead {
+        /// Revision that the edit is based on.
+        base: Revision,
+        /// Revision of the table.
+        stands: Revision,
+    },
+    /// The change log does not reach back to the revision that the operator saw.
+    Forgotten {
+        /// Revision that the edit is based on.
+        base: Revision,
+    },
+    /// Every cell holds the asked text already.
+    Unchanged,
+}
+
+impl Edit {
+    /// Applies the edit to `table`.
+    ///
+    /// `log` holds the entries of the change log after the edit's base, in order of revision.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an edit whose rows were changed since its base, and one that makes the table
+    /// invalid.
+    pub fn apply(
+        &self,
+        table: &Table,
+        log: &[Entry],
+        at_ms: u64,
+    ) -> Result<(Table, Entry), Refusal> {
+        self.check_base(table, log)?;
+        let clashes = self.clashes(table, log);
+        if !clashes.is_empty() {
+            return Err(Refusal::Conflict { cells: clashes });
+        }
+        let mut next = self.write(table)?;
+        let changes = table.diff(&next);
+        if changes.is_empty() {
+            return Err(Refusal::Unchanged);
+        }
+        let faults = next.check();
+        if !faults.is_empty() {
+            return Err(Refusal::Invalid { faults });
+        }
+        next.revision = table.revision + 1;
+        let entry = Entry {
+            revision: next.revision,
+            edit: self.id.clone(),
+            who: self.who.clone(),
+            at_ms,
+            changes,
+        };
+        Ok((next, entry))
+    }
+
+    /// Returns the rows that the edit touches.
+    pub fn rows(&self) -> BTreeSet<&Key> {
+        self.cells.iter().map(|cell| &cell.row).collect()
+    }
+
+    fn check_base(&self, table: &Table, log: &[Entry]) -> Result<(), Refusal> {
+        if self.base > table.revision {
+            return Err(Refusal::Ahead {
+                base: self.base,
+                stands: table.revision,
+            });
+        }
+        let complete = (self.base + 1..=table.revision).eq(log.iter().map(|entry| entry.revision));
+        if complete {
+            Ok(())
+        } else {
+            Err(Refusal::Forgotten { base: self.base })
+        }
+    }
+
+    fn clashes(&self, table: &Table, log: &[Entry]) -> Vec<Clash> {
+        let rows = self.rows();
+        let mut clashes = BTreeMap::new();
+        for entry in log {
+            let touched = entry.changes.iter().filter(|c| rows.contains(&c.row));
+            for change in touched {
+                let clash = clashes
+                    .entry((&change.row, change.column))
+                    .or_insert_with(|| self.clash(change));
+                clash.stands = table.cell(&change.row, change.column);
+                clash.who.clone_from(&entry.who);
+                clash.revision = entry.revision;
+            }
+        }
+        clashes
+            .into_values()
+            .filter(|clash| clash.seen != clash.stands)
+            .collect()
+    }
+
+    fn clash(&self, change: &Change) -> Clash {
+        let own = |cell: &&Cell| cell.row == change.row && cell.column == change.column;
+        Clash {
+            row: change.row.clone(),
+            column: change.column,
+            seen: change.before.clone(),
+            stands: change.after.clone(),
+            asked: self.cells.iter().find(own).map(|cell| cell.value.clone()),
+            who: CompactString::default(),
+            revision: 0,
+        }
+    }
+
+    fn write(&self, table: &Table) -> Result<Table, Refusal> {
+        let mut next = table.clone();
+        let mut faults = Vec::new();
+        for key in self.rows() {
+            let mut cells = table.row(key).map(|row| row.cells()).unwrap_or_default();
+            for cell in self.cells.iter().filter(|cell| cell.row == *key) {
+                cells.insert(cell.column, cell.value.clone());
+            }
+            if cells.values().all(CompactString::is_empty) {
+                next.remove(key);
+                continue;
+            }
+            match Row::from_cells(key, &cells) {
+                Ok(row) => next.insert(key.name.clone(), row),
+                Err(found) => faults.extend(found),
+            }
+            faults.extend(Invalid::find(key, Column::Name, &key.name));
+        }
+        if faults.is_empty() {
+            Ok(next)
+        } else {
+            Err(Refusal::Invalid { faults })
+        }
+    }
+}
+
+impl Table {
+    /// Returns the text of one cell; blank if the row is absent.
+    pub fn cell(&self, row: &Key, column: Column) -> CompactString {
+        self.row(row)
+            .map(|row| row.cell(column))
+            .unwrap_or_default()
+    }
+
+    /// Returns every cell that differs in `other`, by row and column.
+    pub fn diff(&self, other: &Self) -> Vec<Change> {
+        let rows: BTreeSet<_> = self.keys().chain(other.keys()).collect();
+        let mut changes = Vec::new();
+        for row in rows {
+            for column in Column::iter() {
+                let before = self.cell(&row, column);
+                let after = other.cell(&row, column);
+                if before != after {
+                    changes.push(Change {
+                        row: row.clone(),
+                        column,
+                        before,
+                        after,
+                    });
+                }
+            }
+        }
+        changes
+    }
+
+    /// Returns the table as it was before the edits of `log`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the faults of a log that holds texts its columns do not allow.
+    pub fn rewind(&self, log: &[Entry]) -> Result<Self, Refusal> {
+        let mut table = self.clone();
+        for entry in log.iter().rev() {
+            let cells = entry.changes.iter().map(|change| Cell {
+                row: change.row.clone(),
+                column: change.column,
+                value: change.before.clone(),
+            });
+            let undo = Edit {
+                id: entry.edit.clone(),
+                who: entry.who.clone(),
+                base: table.revision,
+                cells: cells.collect(),
+            };
+            table = undo.write(&table)?;
+            table.revision = entry.revision.saturating_sub(1);
+        }
+        Ok(table)
+    }
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: column {}: {:?} becomes {:?}",
+            self.row, self.column, self.before, self.after
+        )
+    }
+}
+
+impl fmt::Display for Clash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: column {}: {:?} was seen, {:?} stands since revision {} by {}",
+            self.row, self.column, self.seen, self.stands, self.revision, self.who
+        )
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Invalid { faults } => lines(f, "the table would be invalid", faults),
+            Self::Conflict { cells } => lines(f, "others changed the same rows", cells),
+            Self::Ahead { base, stands } => {
+                write!(f, "revision {base} was seen but the table is at {stands}")
+            }
+            Self::Forgotten { base } => {
+                write!(f, "the change log does not reach back to revision {base}")
+            }
+            Self::Unchanged => f.write_str("every cell holds the asked text already"),
+        }
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+fn lines(f: &mut fmt::Formatter<'_>, title: &str, items: &[impl fmt::Display]) -> fmt::Result {
+    f.write_str(title)?;
+    items.iter().try_for_each(|item| write!(f, "\n  {item}"))
+}
--- /dev/null
+++ b/policy/src/table/hold.rs
@@ -0,0 +1,205 @@
+//! The table that a daemon holds: it only ever moves to a higher revision.
+
+use super::{
+    Table,
+    check::Invalid,
+    row::{Key, Row},
+};
+use crate::id::Revision;
+use serde::{Deserialize, Serialize};
+use std::{collections::VecDeque, sync::Arc};
+use strum::Display;
+
+/// Steps between revisions that a daemon keeps for peers that lag.
+const MAX_STEPS: usize = 64;
+
+/// What brings a table to a higher revision.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(tag = "update", rename_all = "snake_case")]
+pub enum Update {
+    /// The whole table.
+    Snapshot {
+        /// The table.
+        table: Arc<Table>,
+    },
+    /// The rows that differ between two revisions.
+    Step(Step),
+}
+
+/// The rows that differ between two revisions.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Step {
+    /// Revision that the rows follow.
+    pub from: Revision,
+    /// Revision that the rows make.
+    pub to: Revision,
+    /// Rows that changed; `None` for those removed.
+    pub rows: Vec<(Key, Option<Row>)>,
+}
+
+/// What became of an update.
+#[derive(Clone, Debug, Display, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Verdict {
+    /// The update's table is now in force.
+    Adopted,
+    /// The update's revision is in force already.
+    Known,
+    /// The update's revision is lower than the one in force, which stands.
+    Lower {
+        /// Revision of the update.
+        offered: Revision,
+    },
+    /// The update has the revision in force but other rows; the one in force stands.
+    Forked,
+    /// The update follows a revision that the holder has not reached.
+    Gap,
+    /// The update's table is invalid and not taken.
+    Invalid {
+        /// All cells that hold what they may not.
+        faults: Vec<Invalid>,
+    },
+}
+
+/// The newest table that a daemon knows, and the steps that led to it.
+#[derive(Debug, Default)]
+pub struct Holder {
+    table: Option<Arc<Table>>,
+    steps: VecDeque<Step>,
+}
+
+impl Holder {
+    /// Creates a holder without a table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in an update if it leads to a higher revision and is valid.
+    pub fn offer(&mut self, update: &Update) -> Verdict {
+        match update {
+            Update::Snapshot { table } => self.offer_table(table),
+            Update::Step(step) => self.offer_step(step),
+        }
+    }
+
+    /// Returns the table in force.
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// Returns the revision in force, if there is a table.
+    pub fn revision(&self) -> Option<Revision> {
+        self.table.as_ref().map(|table| table.revision)
+    }
+
+    /// Returns what brings a peer at `revision` to the table in force.
+    ///
+    /// `None` if the peer is not behind.
+    pub fn update_since(&self, revision: Option<Revision>) -> Option<Update> {
+        let table = self.table.as_ref()?;
+        let Some(from) = revision else {
+            return Some(Update::Snapshot {
+                table: Arc::clone(table),
+            });
+        };
+        if from >= table.revision {
+            return None;
+        }
+        let start = self.steps.iter().position(|step| step.from == from);
+        Some(match start {
+            Some(start) => Update::Step(merge(self.steps.iter().skip(start))),
+            None => Update::Snapshot {
+                table: Arc::clone(table),
+            },
+        })
+    }
+
+    fn offer_table(&mut self, table: &Arc<Table>) -> Verdict {
+        if let Some(held) = &self.table {
+            if table.revision < held.revision {
+                let offered = table.revision;
+                return Verdict::Lower { offered };
+            }
+            if table.revision == held.revision {
+                let same = **table == **held;
+                return if same {
+                    Verdict::Known
+                } else {
+                    Verdict::Forked
+                };
+            }
+        }
+        self.adopt(Arc::clone(table))
+    }
+
+    fn offer_step(&mut self, step: &Step) -> Verdict {
+        let Some(held) = &self.table else {
+            return Verdict::Gap;
+        };
+        if step.to <= held.revision {
+            return Verdict::Known;
+        }
+        if step.from != held.revision {
+            return Verdict::Gap;
+        }
+        let mut table = Table::clone(held);
+        for (key, row) in &step.rows {
+            match row {
+                Some(row) => table.insert(key.name.clone(), row.clone()),
+                None => table.remove(key),
+            }
+        }
+        table.revision = step.to;
+        self.adopt(Arc::new(table))
+    }
+
+    fn adopt(&mut self, table: Arc<Table>) -> Verdict {
+        let faults = table.check();
+        if !faults.is_empty() {
+            return Verdict::Invalid { faults };
+        }
+        if let Some(held) = &self.table {
+            self.steps.push_back(step(held, &table));
+            if self.steps.len() > MAX_STEPS {
+                self.steps.pop_front();
+            }
+        }
+        self.table = Some(table);
+        Verdict::Adopted
+    }
+}
+
+fn step(from: &Table, to: &Table) -> Step {
+    let mut rows: Vec<_> = to
+        .keys()
+        .filter(|key| from.row(key) != to.row(key))
+        .map(|key| (to.row(&key), key))
+        .map(|(row, key)| (key, row))
+        .collect();
+    let removed = from.keys().filter(|key| to.row(key).is_none());
+    rows.extend(removed.map(|key| (key, None)));
+    Step {
+        from: from.revision,
+        to: to.revision,
+        rows,
+    }
+}
+
+fn merge<'a>(steps: impl Iterator<Item = &'a Step>) -> Step {
+    let mut whole = Step {
+        from: 0,
+        to: 0,
+        rows: Vec::new(),
+    };
+    for (index, step) in steps.enumerate() {
+        if index == 0 {
+            whole.from = step.from;
+        }
+        whole.to = step.to;
+        whole
+            .rows
+            .retain(|(key, _)| step.rows.iter().all(|(k, _)| k != key));
+        whole.rows.extend(step.rows.iter().cloned());
+    }
+    whole
+}
--- a/policy/src/table/mod.rs
+++ b/policy/src/table/mod.rs
@@ -1,4 +1,14 @@
 //! The table of weights and limits, the only control that operators have.
+//!
+//! A [`Table`] is a value at one [`Revision`]. Operators see it as rows and cells of text
+//! ([`row`], [`sheet`]), [`check`] says what a cell may hold, [`edit`] turns the table of one
+//! revision into the next one, and a daemon keeps the newest table in a [`hold::Holder`].
+
+pub mod check;
+pub mod edit;
+pub mod hold;
+pub mod row;
+pub mod sheet;
 
 use crate::id::{PipelineId, PoolId, Revision, TargetId, WorkspaceId};
 use serde::{Deserialize, Serialize};
@@ -81,3 +91,51 @@
         }
     }
 }
+
+impl Table {
+    /// Returns the row of `key`, if there is one.
+    pub fn row(&self, key: &row::Key) -> Option<row::Row> {
+        let name = &key.name;
+        match key.kind {
+            row::Kind::Workspace => self.workspaces.get(name).cloned().map(row::Row::Workspace),
+            row::Kind::Pipeline => self.pipelines.get(name).cloned().map(row::Row::Pipeline),
+            row::Kind::Target => self.targets.get(name).cloned().map(row::Row::Target),
+        }
+    }
+
+    /// Returns the keys of all rows, by kind and name.
+    pub fn keys(&self) -> impl Iterator<Item = row::Key> {
+        let workspaces = self
+            .workspaces
+            .keys()
+            .map(|name| (row::Kind::Workspace, name));
+        let pipelines = self
+            .pipelines
+            .keys()
+            .map(|name| (row::Kind::Pipeline, name));
+        let targets = self.targets.keys().map(|name| (row::Kind::Target, name));
+        workspaces
+            .chain(pipelines)
+            .chain(targets)
+            .map(|(kind, name)| row::Key::new(kind, name.clone()))
+    }
+
+    /// Puts `row` in the place of the row of the same name.
+    pub fn insert(&mut self, name: impl Into<compact_str::CompactString>, row: row::Row) {
+        let name = name.into();
+        match row {
+            row::Row::Workspace(row) => drop(self.workspaces.insert(name, row)),
+            row::Row::Pipeline(row) => drop(self.pipelines.insert(name, row)),
+            row::Row::Target(row) => drop(self.targets.insert(name, row)),
+        }
+    }
+
+    /// Removes the row of `key`, if there is one.
+    pub fn remove(&mut self, key: &row::Key) {
+        match key.kind {
+            row::Kind::Workspace => drop(self.workspaces.remove(&key.name)),
+            row::Kind::Pipeline => drop(self.pipelines.remove(&key.name)),
+            row::Kind::Target => drop(self.targets.remove(&key.name)),
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/table/sheet.rs
@@ -0,0 +1,245 @@
+//! The table as CSV, the way a spreadsheet holds it.
+//!
+//! The first record is the header, the second gives the revision that the sheet shows, and each
+//! other record is a row:
+//!
+//! ```text
+//! kind,name,share,weight,ceiling,priority,stages
+//! revision,17,,,,,
+//! workspace,tailors,2,,40,0,
+//! pipeline,fitting,,,,5,encoders>generators
+//! ```
+
+use super::{
+    Table,
+    check::Invalid,
+    row::{Cells, Column, Key, Kind, Row},
+};
+use crate::id::Revision;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeSet, fmt, str::FromStr};
+use strum::IntoEnumIterator;
+
+/// Name of the first column, which says what a row is about.
+const KIND: &str = "kind";
+
+/// Kind of the record that gives the revision.
+const REVISION: &str = "revision";
+
+/// A fault in the text of a sheet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(tag = "fault", rename_all = "snake_case")]
+pub enum Fault {
+    /// A cell holds what its column does not allow.
+    Cell(Invalid),
+    /// The header has an unknown or a repeated column.
+    Column {
+        /// Name of the column.
+        column: CompactString,
+    },
+    /// The header lacks the column `kind` or `name`.
+    Lacking {
+        /// Name of the column.
+        column: CompactString,
+    },
+    /// A record's kind is unknown.
+    Kind {
+        /// Line of the record.
+        line: u64,
+        /// What stands in the column.
+        value: CompactString,
+    },
+    /// The revision is not a whole number.
+    Revision {
+        /// Line of the record.
+        line: u64,
+        /// What stands in the column.
+        value: CompactString,
+    },
+    /// Two records are about the same row.
+    Repeated {
+        /// Line of the second record.
+        line: u64,
+        /// The row.
+        row: Key,
+    },
+    /// A record can't be read as CSV, or has more or fewer cells than the header.
+    Record {
+        /// Line of the record.
+        line: u64,
+    },
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Cell(fault) => fault.fmt(f),
+            Self::Column { column } => {
+                write!(f, "header: column {column:?} is unknown or repeated")
+            }
+            Self::Lacking { column } => write!(f, "header: column {column:?} does not exist"),
+            Self::Kind { line, value } => write!(
+                f,
+                "line {line}: column kind: {value:?} is not workspace, pipeline, target or revision"
+            ),
+            Self::Revision { line, value } => {
+                write!(f, "line {line}: revision {value:?} is not a whole number")
+            }
+            Self::Repeated { line, row } => write!(f, "line {line}: row {row} is repeated"),
+            Self::Record { line } => write!(
+                f,
+                "line {line}: the record is not CSV with as many cells as the header"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl Table {
+    /// Returns the table as CSV.
+    pub fn to_csv(&self) -> String {
+        let mut text = header();
+        text.push_str(&record(
+            REVISION,
+            &self.revision.to_string(),
+            &Cells::default(),
+        ));
+        for key in self.keys() {
+            let cells = self.row(&key).map(|row| row.cells()).unwrap_or_default();
+            text.push_str(&record(key.kind.into(), &key.name, &cells));
+        }
+        text
+    }
+
+    /// Reads a table from CSV.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults of the sheet at once.
+    pub fn from_csv(text: &str) -> Result<Self, Vec<Fault>> {
+        let mut reader = csv::ReaderBuilder::new()
+            .trim(csv::Trim::All)
+            .from_reader(text.as_bytes());
+        let header = match reader.headers() {
+            Ok(header) => columns(header)?,
+            Err(_) => return Err(vec![Fault::Record { line: 1 }]),
+        };
+        let mut sheet = Sheet::default();
+        for record in reader.records() {
+            sheet.read(&header, record);
+        }
+        if sheet.faults.is_empty() {
+            Ok(sheet.table)
+        } else {
+            Err(sheet.faults)
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Sheet {
+    table: Table,
+    seen: BTreeSet<Key>,
+    faults: Vec<Fault>,
+}
+
+impl Sheet {
+    fn read(&mut self, header: &[Option<Column>], record: csv::Result<csv::StringRecord>) {
+        let record = match record {
+            Ok(record) => record,
+            Err(error) => {
+                let line = error.position().map_or(0, csv::Position::line);
+                return self.faults.push(Fault::Record { line });
+            }
+        };
+        let line = record.position().map_or(0, csv::Position::line);
+        let mut kind = "";
+        let mut name = "";
+        let mut cells = Cells::default();
+        for (column, text) in header.iter().zip(&record) {
+            match column {
+                None => kind = text,
+                Some(Column::Name) => name = text,
+                Some(column) => drop(cells.insert(*column, text.into())),
+            }
+        }
+        if kind == REVISION {
+            self.set_revision(line, name);
+        } else if let Ok(kind) = Kind::from_str(kind) {
+            self.insert(line, Key::new(kind, name), &cells);
+        } else {
+            let value = kind.into();
+            self.faults.push(Fault::Kind { line, value });
+        }
+    }
+
+    fn set_revision(&mut self, line: u64, text: &str) {
+        match text.parse::<Revision>() {
+            Ok(revision) => self.table.revision = revision,
+            Err(_) => self.faults.push(Fault::Revision {
+                line,
+                value: text.into(),
+            }),
+        }
+    }
+
+    fn insert(&mut self, line: u64, key: Key, cells: &Cells) {
+        if let Some(fault) = Invalid::find(&key, Column::Name, &key.name) {
+            self.faults.push(Fault::Cell(fault));
+        }
+        match Row::from_cells(&key, cells) {
+            Ok(row) => self.table.insert(key.name.clone(), row),
+            Err(faults) => self.faults.extend(faults.into_iter().map(Fault::Cell)),
+        }
+        if !self.seen.insert(key.clone()) {
+            self.faults.push(Fault::Repeated { line, row: key });
+        }
+    }
+}
+
+/// Reads the header; `None` stands for the column of kinds.
+fn columns(header: &csv::StringRecord) -> Result<Vec<Option<Column>>, Vec<Fault>> {
+    let mut faults = Vec::new();
+    let mut columns: Vec<Option<Column>> = Vec::new();
+    for name in header {
+        let column = Column::from_str(name).ok();
+        if (column.is_none() && name != KIND) || columns.contains(&column) {
+            let column = name.into();
+            faults.push(Fault::Column { column });
+        }
+        columns.push(column);
+    }
+    for (column, name) in [(None, KIND), (Some(Column::Name), "name")] {
+        if !columns.contains(&column) {
+            let column = name.into();
+            faults.push(Fault::Lacking { column });
+        }
+    }
+    if faults.is_empty() {
+        Ok(columns)
+    } else {
+        Err(faults)
+    }
+}
+
+fn header() -> String {
+    let mut text = String::from(KIND);
+    for column in Column::iter() {
+        text.push(',');
+        text.push_str(column.into());
+    }
+    text.push('\n');
+    text
+}
+
+fn record(kind: &str, name: &str, cells: &Cells) -> String {
+    let mut text = format!("{kind},{name}");
+    for column in Column::iter().filter(|column| *column != Column::Name) {
+        text.push(',');
+        text.push_str(cells.get(&column).map_or("", CompactString::as_str));
+    }
+    text.push('\n');
+    text
+}
--- /dev/null
+++ b/policy/tests/table.rs
@@ -0,0 +1,235 @@
+//! Checks, sheets, edits and the holder of the table.
+
+use policy::table::{
+    Pipeline, Table, Target, Workspace,
+    edit::{Cell, Edit, Entry, Refusal},
+    hold::{Holder, Update, Verdict},
+    row::{Key, Row},
+    sheet::Fault,
+};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::sync::Arc;
+
+fn table() -> Table {
+    let mut table = Table {
+        revision: 3,
+        ..Table::default()
+    };
+    table.insert("tailors", Row::Workspace(Workspace::default()));
+    table.insert("crew", Row::Workspace(Workspace::default()));
+    table.insert(
+        "fitting",
+        Row::Pipeline(Pipeline::new(["encoders", "desk"])),
+    );
+    table.insert("e1", Row::Target(Target::default()));
+    table
+}
+
+/// Builds an edit from words such as `workspace/tailors.share=2`.
+fn edit(id: &str, base: u64, cells: &str) -> Edit {
+    let cell = |word: &str| {
+        let (place, value) = word.split_once('=').expect("a cell has a value");
+        let (row, column) = place.rsplit_once('.').expect("a cell has a column");
+        Cell {
+            row: row.parse().expect("the row is named"),
+            column: column.parse().expect("the column exists"),
+            value: value.into(),
+        }
+    };
+    Edit {
+        id: id.into(),
+        who: id.into(),
+        base,
+        cells: cells.split_whitespace().map(cell).collect(),
+    }
+}
+
+#[rstest]
+#[case(
+    "kind,name,share\nworkspace,a,0\n",
+    "workspace/a: column share: \"0\" is not a number above 0 and at most 1000000"
+)]
+#[case(
+    "kind,name,share,priority\nworkspace,a,x,2000\n",
+    "workspace/a: column share: \"x\" is not a number above 0 and at most 1000000|workspace/a: column priority: \"2000\" is not a whole number from -1000 to 1000"
+)]
+#[case(
+    "kind,name,ceiling\ntarget,e1,1.5\n",
+    "target/e1: column ceiling: \"1.5\" is not blank or a whole number from 0 to 1000000"
+)]
+#[case(
+    "kind,name,share\ntarget,e1,1\n",
+    "target/e1: column share: \"1\" is not blank, since rows of this kind have no such column"
+)]
+#[case(
+    "kind,name,stages\npipeline,p,a>a\n",
+    "pipeline/p: column stages: \"a>a\" is not 1 to 16 names of pools, each once, joined by '>'"
+)]
+#[case(
+    "kind,name,stages\npipeline,p,\n",
+    "pipeline/p: column stages: \"\" is not 1 to 16 names of pools, each once, joined by '>'"
+)]
+#[case(
+    "kind,name\nworkspace,\"a b\"\nworkspace,a/b\n",
+    "workspace/a b: column name: \"a b\" is not a name of 1 to 64 letters, digits, '-', '_' or '.'|workspace/a/b: column name: \"a/b\" is not a name of 1 to 64 letters, digits, '-', '_' or '.'"
+)]
+#[case(
+    "kind,name\nhost,a\nworkspace,a\nworkspace,a\nrevision,x\n",
+    "line 2: column kind: \"host\" is not workspace, pipeline, target or revision|line 4: row workspace/a is repeated|line 5: revision \"x\" is not a whole number"
+)]
+#[case(
+    "kind,colour,kind\n",
+    "header: column \"colour\" is unknown or repeated|header: column \"kind\" is unknown or repeated|header: column \"name\" does not exist"
+)]
+#[case(
+    "kind,name,share\nworkspace,a\n",
+    "line 2: the record is not CSV with as many cells as the header"
+)]
+fn sheets_name_every_fault(#[case] sheet: &str, #[case] expected: &str) {
+    let faults = Table::from_csv(sheet).expect_err("the sheet has faults");
+    let found: Vec<_> = faults.iter().map(Fault::to_string).collect();
+    assert_eq!(found.join("|"), expected);
+}
+
+#[test]
+fn sheets_keep_the_whole_table() {
+    let sheet = table().to_csv();
+    assert_eq!(Table::from_csv(&sheet), Ok(table()), "{sheet}");
+}
+
+#[rstest]
+#[case::same_cell(
+    "workspace/tailors.share=2",
+    "workspace/tailors.share=3",
+    "workspace/tailors.share 1>2 asked 3"
+)]
+#[case::same_row(
+    "workspace/tailors.ceiling=5",
+    "workspace/tailors.share=3",
+    "workspace/tailors.ceiling >5 asked -"
+)]
+#[case::other_row("workspace/crew.share=2", "workspace/tailors.share=3", "revision 5")]
+#[case::new_row(
+    "target/e2.weight=2",
+    "target/e2.weight=3",
+    "target/e2.weight >2 asked 3"
+)]
+#[case::removed(
+    "workspace/crew.share= workspace/crew.priority=",
+    "workspace/crew.share=4",
+    "workspace/crew.priority 0> asked -|workspace/crew.share 1> asked 4"
+)]
+#[case::invalid(
+    "workspace/crew.share=2",
+    "target/e1.weight=-1 workspace/tailors.share=0",
+    "workspace/tailors.share|target/e1.weight"
+)]
+#[case::unchanged("workspace/crew.share=2", "workspace/tailors.share=1", "unchanged")]
+fn a_second_edit_on_the_same_base(
+    #[case] first: &str,
+    #[case] second: &str,
+    #[case] expected: &str,
+) {
+    let (next, entry) = edit("ann", 3, first)
+        .apply(&table(), &[], 7)
+        .expect("the first holds");
+    let log = [entry];
+    assert_eq!(next.rewind(&log).expect("the log is sound"), table());
+    let said = match edit("bob", 3, second).apply(&next, &log, 8) {
+        Ok((table, _)) => format!("revision {}", table.revision),
+        Err(Refusal::Conflict { cells }) => {
+            let mut said: Vec<_> = cells
+                .iter()
+                .map(|c| {
+                    let asked = c.asked.as_deref().unwrap_or("-");
+                    format!(
+                        "{}.{} {}>{} asked {asked}",
+                        c.row, c.column, c.seen, c.stands
+                    )
+                })
+                .collect();
+            said.sort();
+            said.join("|")
+        }
+        Err(Refusal::Invalid { faults }) => {
+            let said: Vec<_> = faults
+                .iter()
+                .map(|f| format!("{}.{}", f.row, f.column))
+                .collect();
+            said.join("|")
+        }
+        Err(Refusal::Unchanged) => "unchanged".into(),
+        Err(other) => other.to_string(),
+    };
+    assert_eq!(said, expected);
+}
+
+#[rstest]
+#[case(9, &[], Refusal::Ahead { base: 9, stands: 3 })]
+#[case(1, &[], Refusal::Forgotten { base: 1 })]
+fn edits_need_a_base_in_the_log(
+    #[case] base: u64,
+    #[case] log: &[Entry],
+    #[case] expected: Refusal,
+) {
+    let refusal = edit("ann", base, "workspace/crew.share=2").apply(&table(), log, 0);
+    assert_eq!(refusal, Err(expected));
+}
+
+#[test]
+fn a_holder_catches_up_by_steps_and_never_goes_back() {
+    let (mut holder, mut late) = (Holder::new(), Holder::new());
+    let first = Update::Snapshot {
+        table: Arc::new(table()),
+    };
+    assert_eq!(holder.offer(&first), Verdict::Adopted);
+    assert_eq!(late.offer(&first), Verdict::Adopted);
+    let mut newest = table();
+    for cells in [
+        "target/e1.weight=2",
+        "workspace/crew.share= workspace/crew.priority=",
+    ] {
+        (newest, _) = edit("ann", newest.revision, cells)
+            .apply(&newest, &[], 0)
+            .expect("it holds");
+        let table = Arc::new(newest.clone());
+        assert_eq!(holder.offer(&Update::Snapshot { table }), Verdict::Adopted);
+    }
+    assert_eq!(holder.offer(&first), Verdict::Lower { offered: 3 });
+    let update = holder
+        .update_since(late.revision())
+        .expect("the peer is behind");
+    assert!(matches!(&update, Update::Step(step) if step.rows.len() == 2));
+    assert_eq!(Holder::new().offer(&update), Verdict::Gap);
+    assert_eq!(late.offer(&update), Verdict::Adopted);
+    assert_eq!(late.table().map(|t| Table::clone(t)), Some(newest.clone()));
+    assert_eq!(late.offer(&update), Verdict::Known);
+    newest.targets.clear();
+    let fork = Update::Snapshot {
+        table: Arc::new(newest),
+    };
+    assert_eq!(late.offer(&fork), Verdict::Forked);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, rng_seed: prop::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    /// Whatever updates come in whatever order, the revision in force never falls.
+    #[test]
+    fn the_revision_in_force_never_falls(revisions in prop::collection::vec((0_u64..20, 0_u64..20, any::<bool>()), 1..60)) {
+        let mut holder = Holder::new();
+        let mut before = None;
+        for (from, to, whole) in revisions {
+            let update = if whole {
+                Update::Snapshot { table: Arc::new(Table { revision: to, ..table() }) }
+            } else {
+                let rows = vec![(Key::new(policy::table::row::Kind::Target, "e1"), None)];
+                Update::Step(policy::table::hold::Step { from, to, rows })
+            };
+            holder.offer(&update);
+            prop_assert!(holder.revision() >= before);
+            before = holder.revision();
+        }
+    }
+}
