Name the row that a demand frame is about, and tell entries who shares ceilings

Pipelines have ceilings over the fleet like workspaces, so a demand frame names a row of the table. Event::Members says which daemons share the ceilings.

--- a/policy/src/command.rs
+++ b/policy/src/command.rs
@@ -3,8 +3,9 @@
 use crate::{
     claim::Ask,
     decision::Decision,
-    id::{AttemptId, BlockHash, Key, Payload, StageIndex, TargetId, WorkspaceId},
+    id::{AttemptId, BlockHash, Key, Payload, StageIndex, TargetId},
     outcome::Outcome,
+    table::row,
 };
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -128,13 +129,13 @@
         /// Targets that it ended so far.
         targets: Vec<TargetId>,
     },
-    /// Requests a second that a workspace offers at the sending entry.
+    /// Requests a second that a row of the table offers at the sending entry.
     Demand {
-        /// The workspace.
-        workspace: WorkspaceId,
+        /// The workspace or pipeline.
+        row: row::Key,
         /// Requests a second.
         rate: f64,
-        /// Part of the ceiling that the sender has in use, in requests a second.
+        /// Part of the row's ceiling that the sender has in use, in requests a second.
         part: f64,
     },
 }
--- a/policy/src/event.rs
+++ b/policy/src/event.rs
@@ -109,6 +109,13 @@
         /// The frame.
         frame: Frame,
     },
+    /// The daemons that share the ceilings changed.
+    Members {
+        /// Host names of all of them, the entry's own included.
+        members: Vec<HostId>,
+        /// Whether all of them are heard from.
+        steady: bool,
+    },
     /// The time that the entry asked to be woken at has come.
     Wake,
     /// The entry is to leave: it finishes what it has.
