--- a/policy/src/host.rs
+++ b/policy/src/host.rs
@@ -1,6 +1,6 @@
 //! Targets as the platform's host list and their own reports show them.
 
-use crate::id::{BlockHash, DomainId, HostId, ModelId, PoolId, RegionId, TargetId};
+use crate::id::{AdapterId, BlockHash, DomainId, HostId, ModelId, PoolId, RegionId, TargetId};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -53,6 +53,27 @@
     pub age: Duration,
     /// Models that the target holds warm.
     pub models: Vec<ModelId>,
+    /// Adapters that the target holds warm.
+    #[serde(default)]
+    pub adapters: Vec<AdapterId>,
+    /// Whether the target takes new work.
+    #[serde(default)]
+    pub role: Role,
+}
+
+/// What an engine was last ordered to do with new work.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Display, Eq, IntoStaticStr, PartialEq, Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Role {
+    /// The engine finishes what it has, because its models are about to change.
+    Draining,
+    /// The engine takes new work.
+    #[default]
+    #[serde(other)]
+    Serving,
 }
 
 /// A change of a target's prefix cache.
--- a/policy/src/id.rs
+++ b/policy/src/id.rs
@@ -34,6 +34,9 @@
 /// Name of a model.
 pub type ModelId = CompactString;
 
+/// Name of an adapter of a model.
+pub type AdapterId = CompactString;
+
 /// Position of a stage in its pipeline, from 0.
 pub type StageIndex = usize;
 
