Hold a region's lease in one row of the platform's table service

The holder counts from before its renewing request, others from after they first read the row, and an order is permitted only while its whole time-out lies within the lease. A lost reply is settled by reading the row back. Where targets ignore fences, a new holder waits the old lease and the longest order.

Ruled out: comparing wall clocks (hosts differ), deleting the row on release (the fence would start again).

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fault;
 pub mod host;
 pub mod id;
+pub mod lease;
 pub mod millis;
 pub mod outcome;
 pub mod pool;
--- /dev/null
+++ b/policy/tests/lease.rs
@@ -0,0 +1,323 @@
+//! The lease of a region: whole sessions, and safety under pauses, delays and lost replies.
+
+use policy::{
+    chart::Chart,
+    id::Time,
+    lease::{CHART, Command, Event, Lease, Reply, Row, Settings, State, Step},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use serde::Deserialize;
+use std::{collections::BTreeMap, fmt::Write, fs, path::PathBuf, time::Duration};
+
+const LEASE: Duration = Duration::from_secs(8);
+const ORDER: Duration = Duration::from_secs(1);
+
+fn lease(holder: &str) -> Lease {
+    Lease::new(Settings {
+        holder: holder.into(),
+        duration: LEASE,
+        order_timeout: ORDER,
+    })
+}
+
+/// One line of a session's script.
+#[derive(Deserialize)]
+struct Line {
+    at: u64,
+    #[serde(flatten)]
+    event: Event,
+}
+
+/// Plays the script lines of a golden file and returns the file as it should be.
+fn play(text: &str) -> String {
+    let mut lease = lease("a-1");
+    let mut out = String::new();
+    for line in text.lines().filter(|line| line.starts_with("{\"at\"")) {
+        let script: Line = serde_json::from_str(line).expect("a script line is an event");
+        let now = Duration::from_millis(script.at);
+        let mut commands = Vec::new();
+        lease.on(now, script.event, &mut commands);
+        writeln!(out, "{line}").unwrap();
+        for command in &commands {
+            writeln!(out, "  {}", serde_json::to_string(command).unwrap()).unwrap();
+        }
+        let (fenced, unfenced) = (lease.permit(now, true), lease.permit(now, false));
+        let wake = lease.wake_at().map(|time| time.as_millis());
+        writeln!(
+            out,
+            "  {} fenced={fenced:?} unfenced={unfenced:?} wake={wake:?}",
+            lease.state()
+        )
+        .unwrap();
+    }
+    out
+}
+
+#[rstest]
+#[case("first_holder")]
+#[case("lost_replies")]
+#[case("lapse_and_takeover")]
+#[case("paused_holder")]
+#[case("platform_out")]
+#[case("given_back")]
+fn session_matches_its_golden_file(#[case] name: &str) {
+    let path =
+        PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(format!("tests/golden/lease/{name}.txt"));
+    let text = fs::read_to_string(&path).expect("the golden file is readable");
+    let played = play(&text);
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        fs::write(&path, &played).expect("the golden file is writable");
+    }
+    assert_eq!(played, text);
+}
+
+#[test]
+fn chart_is_valid_and_ends_only_when_released() {
+    let chart = Chart::<State, Step>::from_str(CHART).unwrap();
+    assert!(chart.is_final(State::Released));
+    assert_eq!(chart.next(State::Watching, Step::Renew), None);
+}
+
+/// What happens in the simulated world at a given time.
+enum Item {
+    Write {
+        row: Row,
+        version: u64,
+        from: usize,
+        ask: u64,
+        reply: Option<Time>,
+    },
+    Read {
+        from: usize,
+        ask: u64,
+        reply: Option<Time>,
+    },
+    Reply {
+        to: usize,
+        ask: u64,
+        reply: Reply,
+    },
+}
+
+/// Three planners, one row, and a network that delays, loses and reorders.
+struct World {
+    rng: ChaCha8Rng,
+    chaos: bool,
+    planners: Vec<Lease>,
+    paused_until: Vec<Time>,
+    /// Holder's last permitted order by fence, and when it was.
+    orders: BTreeMap<u64, (usize, Time)>,
+    row: Option<Row>,
+    version: u64,
+    queue: BTreeMap<(Time, u64), Item>,
+    count: u64,
+}
+
+const TICK: Duration = Duration::from_millis(50);
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
+impl World {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            chaos: true,
+            planners: ["a", "b", "c"].map(lease).into(),
+            paused_until: vec![Time::ZERO; 3],
+            orders: BTreeMap::new(),
+            row: None,
+            version: 0,
+            queue: BTreeMap::new(),
+            count: 0,
+        }
+    }
+
+    fn put(&mut self, at: Time, item: Item) {
+        self.count += 1;
+        self.queue.insert((at, self.count), item);
+    }
+
+    fn delay(&mut self) -> Duration {
+        let most = match (self.chaos, self.rng.random_range(0..10)) {
+            (true, 0) => 12_000,
+            (true, 1..4) => 3_000,
+            _ => 100,
+        };
+        Duration::from_millis(self.rng.random_range(0..=most))
+    }
+
+    /// Sends a question: it and its answer may be lost or late, and the asker waits a bounded time.
+    fn ask(&mut self, now: Time, from: usize, command: Command) {
+        let there = now + self.delay();
+        let back = there + self.delay();
+        let lost = self.chaos && self.rng.random_range(0..5) == 0;
+        let reply = (!lost && back <= now + ASK_TIMEOUT).then_some(back);
+        let (ask, item) = match command {
+            Command::Read { ask } => (ask, Item::Read { from, ask, reply }),
+            Command::Write { ask, version, row } => (
+                ask,
+                Item::Write {
+                    row,
+                    version,
+                    from,
+                    ask,
+                    reply,
+                },
+            ),
+            Command::Gained { .. } | Command::Lost { .. } => return,
+        };
+        self.put(there, item);
+        if reply.is_none() {
+            let out = Item::Reply {
+                to: from,
+                ask,
+                reply: Reply::Out,
+            };
+            self.put(now + ASK_TIMEOUT, out);
+        }
+    }
+
+    fn event(&mut self, now: Time, planner: usize, event: Event) {
+        let mut commands = Vec::new();
+        self.planners[planner].on(now, event, &mut commands);
+        for command in commands {
+            self.ask(now, planner, command);
+        }
+    }
+
+    fn deliver(&mut self, now: Time, item: Item) {
+        match item {
+            Item::Reply { to, .. } if now < self.paused_until[to] => {
+                self.put(self.paused_until[to], item);
+            }
+            Item::Reply { to, ask, reply } => self.event(now, to, Event::Reply { ask, reply }),
+            Item::Read {
+                from,
+                ask,
+                reply: Some(at),
+            } => {
+                let reply = self.row.clone().map_or(Reply::Absent, |row| Reply::Row {
+                    row,
+                    version: self.version,
+                });
+                self.put(
+                    at,
+                    Item::Reply {
+                        to: from,
+                        ask,
+                        reply,
+                    },
+                );
+            }
+            Item::Read { .. } => {}
+            Item::Write {
+                row,
+                version,
+                from,
+                ask,
+                reply,
+            } => {
+                let written = version == self.version;
+                if written {
+                    self.version += 1;
+                    self.row = Some(row);
+                }
+                let answer = if written {
+                    Reply::Written {
+                        version: self.version,
+                    }
+                } else {
+                    Reply::Conflict
+                };
+                if let Some(at) = reply {
+                    self.put(
+                        at,
+                        Item::Reply {
+                            to: from,
+                            ask,
+                            reply: answer,
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    /// Moves on to `now`; fails if two planners may give orders at once.
+    fn tick(&mut self, now: Time) -> Result<(), TestCaseError> {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > now {
+                break;
+            }
+            let item = entry.remove();
+            self.deliver(now, item);
+        }
+        for planner in 0..self.planners.len() {
+            if self.chaos && self.rng.random_range(0..400) == 0 {
+                let pause = Duration::from_millis(self.rng.random_range(0..30_000));
+                self.paused_until[planner] = now + pause;
+            }
+            if now >= self.paused_until[planner] {
+                self.event(now, planner, Event::Wake);
+            }
+        }
+        self.check(now)
+    }
+
+    fn check(&mut self, now: Time) -> Result<(), TestCaseError> {
+        let permits: Vec<_> = self
+            .planners
+            .iter()
+            .enumerate()
+            .filter_map(|(planner, lease)| Some((planner, lease.permit(now, true)?)))
+            .collect();
+        prop_assert!(permits.len() <= 1, "two may order at {now:?}: {permits:?}");
+        let Some(&(planner, fence)) = permits.first() else {
+            return Ok(());
+        };
+        let newest = self.orders.last_key_value().map_or(0, |(fence, _)| *fence);
+        prop_assert!(fence >= newest, "fence fell from {newest} to {fence}");
+        if self.planners[planner].permit(now, false).is_some() {
+            for (other, last) in self.orders.range(..fence).map(|(_, order)| order) {
+                let guarded = *other == planner || *last + LEASE + ORDER <= now;
+                prop_assert!(
+                    guarded,
+                    "an order of {last:?} may still be under way at {now:?}"
+                );
+            }
+        }
+        let (holder, last) = self.orders.entry(fence).or_insert((planner, now));
+        prop_assert_eq!(*holder, planner, "two holders share a fence");
+        *last = now;
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn one_holder_orders_at_a_time_and_orders_resume_after_faults(seed: u64) {
+        let mut world = World::new(seed);
+        let mut now = Time::ZERO;
+        while now < Duration::from_secs(240) {
+            world.tick(now)?;
+            now += TICK;
+        }
+        world.chaos = false;
+        let calm = now + Duration::from_secs(30) + LEASE * 4;
+        while now < calm {
+            world.tick(now)?;
+            now += TICK;
+        }
+        let held = world.planners.iter().any(|lease| lease.permit(now, false).is_some());
+        prop_assert!(held, "nobody holds the lease after the faults ended");
+    }
+}
