--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod host;
 pub mod id;
 pub mod input;
+pub mod lease;
 pub mod millis;
 pub mod outcome;
 pub mod poison;
