--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -245,6 +245,7 @@
             }
             Event::Cache { target, change } => self.router.cache(turn.now, &target, &change),
             Event::Peer { frame, .. } => self.hear(turn.now, frame),
+            Event::Members { .. } => {}
             Event::Wake => self.wake(turn),
             Event::Drain => self.step(DaemonStep::Drain),
         }
