--- a/godwithinge/src/target/wire.rs
+++ b/godwithinge/src/target/wire.rs
@@ -2,8 +2,8 @@
 
 use compact_str::CompactString;
 use policy::{
-    host::{Change, Report},
-    id::ModelId,
+    host::{Change, Report, Role},
+    id::{AdapterId, ModelId},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -60,6 +60,10 @@
     age_ms: f64,
     #[serde(default)]
     models: Vec<ModelId>,
+    #[serde(default)]
+    adapters: Vec<AdapterId>,
+    #[serde(default)]
+    role: Option<Role>,
 }
 
 /// Changes of an engine's prefix cache.
@@ -81,6 +85,8 @@
             prefill_per_second: load.prefill_per_second,
             age: Duration::from_secs_f64(load.age_ms.clamp(0.0, MAX_AGE_MS) / 1e3),
             models: load.models,
+            adapters: load.adapters,
+            role: load.role.unwrap_or_default(),
         }
     }
 }
