--- a/policy/src/command.rs
+++ b/policy/src/command.rs
@@ -129,6 +129,11 @@
         /// Targets that it ended so far.
         targets: Vec<TargetId>,
     },
+    /// A suspect payload ran alone without ending its target.
+    Cleared {
+        /// Fingerprint of the payload.
+        fingerprint: BlockHash,
+    },
     /// Requests a second that a row of the table offers at the sending entry.
     Demand {
         /// The workspace or pipeline.
--- a/policy/src/entry/faults.rs
+++ b/policy/src/entry/faults.rs
@@ -7,7 +7,6 @@
 };
 use crate::{
     claim::{Ask, Row},
-    command::{Command, Frame},
     fault::Fault,
     id::AttemptId,
     outcome::Reason,
@@ -42,27 +41,6 @@
         });
     }
 
-    /// Makes the payload suspect if the target may have died of it, and tells the peers.
-    fn note_death(
-        &mut self,
-        turn: &mut Turn<'_>,
-        request: &Request,
-        attempt: &Attempt,
-        fault: Fault,
-    ) {
-        if !fault.is_death() {
-            return;
-        }
-        let mark = request.mark();
-        self.poison.died(turn.now, mark, &attempt.target);
-        let targets = self.poison.deaths(mark).to_vec();
-        let frame = Frame::Suspect {
-            fingerprint: mark,
-            targets,
-        };
-        turn.out.push(Command::Broadcast { frame });
-    }
-
     /// Repeats an idempotent stage at another target, or gives the request up.
     fn retry(
         &mut self,
--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -14,7 +14,7 @@
     hash,
     id::{AttemptId, BlockHash, Key, Payload, PoolId, Time},
     outcome::{Effects, Outcome, Reason},
-    poison::{self, Status},
+    poison,
     pool::Kind,
     queue::Item,
     router::{Need, Pick, Shortage, Verdict},
@@ -223,6 +223,9 @@
             self.quarantine(turn, request);
             return true;
         }
+        if self.is_suspect(request) && !self.running(request.mark()).is_empty() {
+            return false;
+        }
         match self.choose(turn, request) {
             Ok(pick) => {
                 self.assign(turn, request, pick);
@@ -281,19 +284,6 @@
         }
     }
 
-    fn is_suspect(&self, request: &Request) -> bool {
-        matches!(self.poison.status(request.mark()), Status::Suspect { .. })
-    }
-
-    pub(super) fn is_quarantined(&self, mark: BlockHash) -> bool {
-        matches!(self.poison.status(mark), Status::Quarantined)
-    }
-
-    pub(super) fn quarantine(&mut self, turn: &mut Turn<'_>, request: &mut Request) {
-        self.decide(turn, request, Choice::Quarantine, None, Vec::new());
-        self.give_up(turn, request, Reason::Quarantined);
-    }
-
     /// Gives the current stage to the target that was picked.
     fn assign(&mut self, turn: &mut Turn<'_>, request: &mut Request, pick: Pick) {
         let choice = if self.is_suspect(request) {
@@ -442,7 +432,7 @@
             };
             entry.router.ended(turn.now, id, Verdict::Done);
             entry.dirty.insert(request.pool().clone());
-            entry.poison.survived(request.mark());
+            entry.note_survival(turn, request);
             let Some(pool) = entry.pool(request) else {
                 return;
             };
--- /dev/null
+++ b/policy/src/entry/isolation.rs
@@ -0,0 +1,117 @@
+//! Payloads that end the targets that run them.
+//!
+//! After a first death only the entry that saw it may run the payload again, alone on one target.
+//! All other entries bar the payload until they hear that it is cleared. A second death
+//! quarantines it everywhere, so that a payload costs the fleet at most two targets unless it
+//! runs at several entries before its first death is known.
+
+use super::{
+    Entry, Turn,
+    request::{Attempt, Request},
+};
+use crate::{
+    command::{Command, Frame},
+    decision::Choice,
+    fault::Fault,
+    id::{BlockHash, HostId, Key, TargetId},
+    outcome::Reason,
+    poison::Status,
+};
+
+impl Entry {
+    /// Returns whether a target died of the payload in the pool of the current stage.
+    pub(super) fn is_suspect(&self, request: &Request) -> bool {
+        matches!(self.poison.status(request.mark()), Status::Suspect { .. })
+    }
+
+    /// Returns whether a payload may not run at this entry.
+    pub(super) fn is_quarantined(&self, mark: BlockHash) -> bool {
+        match self.poison.status(mark) {
+            Status::Clear => false,
+            Status::Suspect { .. } => self.barred.contains(&mark),
+            Status::Quarantined => true,
+        }
+    }
+
+    /// Ends a request whose payload may not run.
+    pub(super) fn quarantine(&mut self, turn: &mut Turn<'_>, request: &mut Request) {
+        self.decide(turn, request, Choice::Quarantine, None, Vec::new());
+        self.give_up(turn, request, Reason::Quarantined);
+    }
+
+    /// Makes the payload suspect if the target may have died of it, and tells the peers.
+    pub(super) fn note_death(
+        &mut self,
+        turn: &mut Turn<'_>,
+        request: &Request,
+        attempt: &Attempt,
+        fault: Fault,
+    ) {
+        if !fault.is_death() {
+            return;
+        }
+        let mark = request.mark();
+        self.poison.died(turn.now, mark, &attempt.target);
+        let targets = self.poison.deaths(mark).to_vec();
+        let frame = Frame::Suspect {
+            fingerprint: mark,
+            targets,
+        };
+        turn.out.push(Command::Broadcast { frame });
+    }
+
+    /// Clears a suspect payload that ran without ending its target, and tells the peers.
+    pub(super) fn note_survival(&mut self, turn: &mut Turn<'_>, request: &Request) {
+        if self.is_suspect(request) {
+            let fingerprint = request.mark();
+            self.poison.survived(fingerprint);
+            turn.out.push(Command::Broadcast {
+                frame: Frame::Cleared { fingerprint },
+            });
+        }
+    }
+
+    /// Takes in that a payload ended targets at a peer.
+    ///
+    /// Where both saw the same death, the one whose name comes first may run the payload again.
+    pub(super) fn suspect(
+        &mut self,
+        turn: &mut Turn<'_>,
+        from: &HostId,
+        mark: BlockHash,
+        targets: &[TargetId],
+    ) {
+        let own = matches!(self.poison.status(mark), Status::Suspect { .. })
+            && !self.barred.contains(&mark);
+        self.poison.merge(turn.now, mark, targets);
+        if !own || *from < self.settings.host {
+            self.barred.insert(mark);
+        }
+        self.withdraw(turn, mark);
+    }
+
+    /// Ends the requests that run a payload that may not run here any more.
+    fn withdraw(&mut self, turn: &mut Turn<'_>, mark: BlockHash) {
+        if !self.is_quarantined(mark) {
+            return;
+        }
+        for key in self.running(mark) {
+            self.with(&key, |entry, request| {
+                if entry.pool(request).is_some_and(|pool| pool.idempotent) {
+                    entry.quarantine(turn, request);
+                }
+            });
+        }
+    }
+
+    /// Returns the requests that have a payload in flight, in order of their names.
+    pub(super) fn running(&self, mark: BlockHash) -> Vec<Key> {
+        let all = self.requests.values();
+        let mut keys: Vec<_> = all
+            .filter(|request| !request.attempts.is_empty() && request.mark() == mark)
+            .map(|request| request.key.clone())
+            .collect();
+        keys.sort_unstable();
+        keys
+    }
+}
--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod finish;
 mod flow;
+mod isolation;
 mod memory;
 mod request;
 mod settings;
@@ -28,8 +29,8 @@
     command::{Command, Frame},
     decision::{Candidate, Choice, Decision},
     event::Event,
-    id::{AttemptId, Key, PoolId, TargetId, Time},
-    poison::{self, Poison},
+    id::{AttemptId, BlockHash, HostId, Key, PoolId, TargetId, Time},
+    poison::{self, Poison, Status},
     pool::Pool,
     queue::Queue,
     router::Router,
@@ -38,7 +39,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -68,6 +69,7 @@
     memory: Memory,
     timers: Timers,
     poison: Poison,
+    barred: HashSet<BlockHash>,
     retries: Budget,
     hedges: Budget,
     sequence: u64,
@@ -134,6 +136,7 @@
             memory: Memory::new(settings.remember),
             timers: Timers::default(),
             poison: Poison::new(POISON_RECORDS),
+            barred: HashSet::new(),
             retries: Budget::new(RETRY_SHARE, BUDGET_BURST),
             hedges: Budget::new(HEDGE_SHARE, BUDGET_BURST),
             sequence: 0,
@@ -244,7 +247,7 @@
                 self.mark_waiting();
             }
             Event::Cache { target, change } => self.router.cache(turn.now, &target, &change),
-            Event::Peer { frame, .. } => self.hear(turn.now, frame),
+            Event::Peer { from, frame } => self.hear(turn, &from, frame),
             Event::Members { .. } => {}
             Event::Wake => self.wake(turn),
             Event::Drain => self.step(DaemonStep::Drain),
@@ -266,14 +269,15 @@
         self.mark_waiting();
     }
 
-    fn hear(&mut self, now: Time, frame: Frame) {
+    fn hear(&mut self, turn: &mut Turn<'_>, from: &HostId, frame: Frame) {
         match frame {
             Frame::Suspect {
                 fingerprint,
                 targets,
             } => {
-                self.poison.merge(now, fingerprint, &targets);
+                self.suspect(turn, from, fingerprint, &targets);
             }
+            Frame::Cleared { fingerprint } => self.poison.survived(fingerprint),
             Frame::Demand { .. } => {}
         }
     }
@@ -288,6 +292,8 @@
         }
         self.memory.expire(turn.now);
         self.poison.expire(turn.now);
+        self.barred
+            .retain(|mark| self.poison.status(*mark) != Status::Clear);
         self.mark_waiting();
     }
 
--- /dev/null
+++ b/policy/tests/world/mod.rs
@@ -0,0 +1,576 @@
+//! Entries, a platform, targets and callers that exchange messages in virtual time.
+//!
+//! Messages are delayed, lost and reordered by a seeded generator; entries are killed and paused.
+//! The world notes what every target ran and what every caller was told.
+
+use policy::{
+    Command, Event, Outcome, Table,
+    claim::{self, Ask, Reply, Row},
+    command::Call,
+    entry::{Entry, Settings},
+    fault::Fault,
+    host::{Host, State},
+    id::{AttemptId, Key, Payload, Time},
+    pool::Pool,
+    table::{Pipeline, Workspace},
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+pub const ENTRIES: usize = 3;
+pub const EFFECT_POOLS: [&str; 2] = ["desk", "ledger"];
+
+/// Longest time after a deadline until a caller that waits has its outcome.
+const GRACE: Duration = Duration::from_millis(50);
+
+/// Shares of messages and processes that fail.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    pub claim_lost: f64,
+    pub call_broken: f64,
+    pub call_unsent: f64,
+    pub call_busy: f64,
+    pub kills: u32,
+    pub pauses: u32,
+    pub outage: bool,
+}
+
+/// What can arrive somewhere.
+#[derive(Debug)]
+enum Delivery {
+    Entry(usize, u64, Event),
+    Claim(usize, u64, Key, usize, Ask, bool),
+    Call(usize, u64, Call),
+    Copy(usize, usize),
+    Kill(usize),
+    Pause(usize, Duration),
+    GaveUp(usize, usize),
+}
+
+/// One caller with the copies of its request that it sent.
+#[derive(Debug)]
+pub struct Caller {
+    pub key: Key,
+    pub payload: Payload,
+    pub copies: Vec<Copy>,
+}
+
+/// One copy of a request.
+#[derive(Debug)]
+pub struct Copy {
+    pub entry: usize,
+    pub retry: bool,
+    pub deadline: Duration,
+    /// When the copy arrived, with the incarnation that took it.
+    pub arrived: Option<(Time, u64)>,
+    /// What the caller was told, unless it had given up waiting.
+    pub told: Option<(Time, Outcome)>,
+    pub gave_up: bool,
+}
+
+pub struct World {
+    pub now: Time,
+    pub callers: Vec<Caller>,
+    pub effects: HashMap<(Key, usize), Vec<Time>>,
+    pub dispatched: HashMap<Key, Vec<(Time, usize)>>,
+    pub crashes: BTreeSet<String>,
+    faults: Faults,
+    rng: ChaCha8Rng,
+    entries: Vec<Entry>,
+    incarnations: Vec<u64>,
+    paused: Vec<Time>,
+    agenda: BTreeMap<(Time, u64), Delivery>,
+    sequence: u64,
+    claims: HashMap<String, Row>,
+    cancelled: BTreeSet<AttemptId>,
+    outage: (Time, Time),
+}
+
+fn millis(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+pub fn pools() -> Vec<Pool> {
+    let (long, short) = (Duration::from_secs(2), millis(500));
+    vec![
+        Pool::new("encoders").with_limits(long, short),
+        Pool::new("engines")
+            .with_engine("m", 16)
+            .with_limits(long, short),
+        Pool::new("desk")
+            .with_effects(true)
+            .with_limits(long, short),
+        Pool::new("ledger")
+            .with_effects(false)
+            .with_limits(long, short),
+    ]
+}
+
+pub fn table() -> Table {
+    let mut table = Table {
+        revision: 1,
+        ..Table::default()
+    };
+    table.workspaces.insert("w".into(), Workspace::default());
+    table
+        .pipelines
+        .insert("read".into(), Pipeline::new(["encoders", "engines"]));
+    table.pipelines.insert(
+        "order".into(),
+        Pipeline::new(["encoders", "desk", "engines"]),
+    );
+    table
+        .pipelines
+        .insert("lodge".into(), Pipeline::new(["ledger"]));
+    table
+}
+
+pub fn hosts() -> Vec<Host> {
+    let pools = pools();
+    let targets = pools
+        .iter()
+        .flat_map(|pool| (0..3).map(move |n| (pool.name.clone(), n)));
+    targets
+        .map(|(pool, n)| Host {
+            host: format!("host-{pool}-{n}").into(),
+            target: format!("{pool}-{n}").into(),
+            address: format!("{pool}-{n}").into(),
+            domain: format!("d{n}").into(),
+            region: "r".into(),
+            state: State::Live,
+            pool,
+        })
+        .collect()
+}
+
+pub fn entry(index: usize, incarnation: u64) -> Entry {
+    let mut entry = Entry::new(Settings {
+        host: format!("entry-{index}").into(),
+        domain: format!("d{index}").into(),
+        incarnation,
+        seed: incarnation,
+        pools: pools(),
+        queue: 16,
+        remember: Duration::from_secs(600),
+    });
+    let mut none = Vec::new();
+    entry.on(
+        Time::ZERO,
+        Event::Table {
+            table: Arc::new(table()),
+        },
+        &mut none,
+    );
+    entry.on(Time::ZERO, Event::Hosts { hosts: hosts() }, &mut none);
+    entry
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let outage = if faults.outage {
+            let from = rng.random_range(0..4000);
+            (millis(from), millis(from + rng.random_range(500..6000)))
+        } else {
+            (Time::MAX, Time::MAX)
+        };
+        let mut world = Self {
+            now: Time::ZERO,
+            callers: Vec::new(),
+            effects: HashMap::new(),
+            dispatched: HashMap::new(),
+            crashes: BTreeSet::new(),
+            entries: (0..ENTRIES)
+                .map(|index| entry(index, index as u64 + 1))
+                .collect(),
+            incarnations: (1..=ENTRIES as u64).collect(),
+            paused: vec![Time::ZERO; ENTRIES],
+            agenda: BTreeMap::new(),
+            sequence: 0,
+            claims: HashMap::new(),
+            cancelled: BTreeSet::new(),
+            outage,
+            faults,
+            rng,
+        };
+        for _ in 0..faults.kills {
+            let (at, index) = (
+                world.rng.random_range(0..6000),
+                world.rng.random_range(0..ENTRIES),
+            );
+            world.deliver(millis(at), Delivery::Kill(index));
+        }
+        for _ in 0..faults.pauses {
+            let (at, index) = (
+                world.rng.random_range(0..6000),
+                world.rng.random_range(0..ENTRIES),
+            );
+            let pause = millis(world.rng.random_range(100..5000));
+            world.deliver(millis(at), Delivery::Pause(index, pause));
+        }
+        world
+    }
+
+    /// Has a caller send a request at `at`, and again when it loses patience.
+    pub fn call(&mut self, at: Time, pipeline: &str, name: &str, payload: &str) {
+        let key = Key::new("w", pipeline, name);
+        self.callers.push(Caller {
+            key,
+            payload: payload.into(),
+            copies: Vec::new(),
+        });
+        let caller = self.callers.len() - 1;
+        self.send_copy(caller, at, false);
+    }
+
+    /// Runs until nothing is left to happen.
+    pub fn run(&mut self) {
+        while self.now < Duration::from_secs(120) {
+            let next = self.agenda.first_key_value().map(|((at, _), _)| *at);
+            let wake = (0..ENTRIES)
+                .filter_map(|index| {
+                    Some((
+                        self.entries[index].wake_at()?.max(self.paused[index]),
+                        index,
+                    ))
+                })
+                .min();
+            match (next, wake) {
+                (None, None) => break,
+                (Some(at), Some((wake, index))) if wake < at => self.wake(wake, index),
+                (None, Some((wake, index))) => self.wake(wake, index),
+                (Some(_), _) => self.arrive(),
+            }
+        }
+    }
+
+    /// Returns whether a copy's caller should have been told its outcome by now.
+    pub fn is_overdue(&self, copy: &Copy) -> bool {
+        let Some((arrived, incarnation)) = copy.arrived else {
+            return false;
+        };
+        let alive = self.incarnations[copy.entry] == incarnation;
+        let due = arrived.max(self.paused[copy.entry]) + copy.deadline + GRACE;
+        alive && !copy.gave_up && copy.told.is_none() && self.now > due
+    }
+
+    fn wake(&mut self, at: Time, index: usize) {
+        self.now = self.now.max(at);
+        self.feed(index, Event::Wake);
+    }
+
+    fn arrive(&mut self) {
+        let Some(((at, _), delivery)) = self.agenda.pop_first() else {
+            return;
+        };
+        self.now = self.now.max(at);
+        match delivery {
+            Delivery::Entry(index, incarnation, event) => {
+                if self.incarnations[index] != incarnation {
+                } else if self.paused[index] > self.now {
+                    let at = self.paused[index];
+                    self.deliver(at, Delivery::Entry(index, incarnation, event));
+                } else {
+                    self.feed(index, event);
+                }
+            }
+            Delivery::Claim(index, incarnation, key, stage, ask, lost) => {
+                self.claim(index, incarnation, &key, stage, &ask, lost);
+            }
+            Delivery::Call(index, incarnation, call) => self.run_call(index, incarnation, &call),
+            Delivery::Copy(caller, copy) => self.copy_arrives(caller, copy),
+            Delivery::Kill(index) => self.kill(index),
+            Delivery::Pause(index, pause) => self.paused[index] = self.now + pause,
+            Delivery::GaveUp(caller, copy) => self.lose_patience(caller, copy),
+        }
+    }
+
+    fn deliver(&mut self, at: Time, delivery: Delivery) {
+        self.sequence += 1;
+        self.agenda.insert((at, self.sequence), delivery);
+    }
+
+    fn delay(&mut self, most: u64) -> Time {
+        self.now + Duration::from_micros(self.rng.random_range(100..most * 1000))
+    }
+
+    fn send_copy(&mut self, caller: usize, at: Time, retry: bool) {
+        let entry = self.rng.random_range(0..ENTRIES);
+        let deadline = millis(self.rng.random_range(300..3000));
+        self.callers[caller].copies.push(Copy {
+            entry,
+            retry,
+            deadline,
+            arrived: None,
+            told: None,
+            gave_up: false,
+        });
+        let copy = self.callers[caller].copies.len() - 1;
+        let slow = self.rng.random_bool(0.1);
+        let delay = millis(self.rng.random_range(1..if slow { 2500 } else { 5 }));
+        let patience = self.rng.random_range(0.3..1.3);
+        self.deliver(at + delay, Delivery::Copy(caller, copy));
+        self.deliver(
+            at + deadline.mul_f64(patience),
+            Delivery::GaveUp(caller, copy),
+        );
+    }
+
+    fn copy_arrives(&mut self, caller: usize, copy: usize) {
+        let index = self.callers[caller].copies[copy].entry;
+        if self.paused[index] > self.now {
+            let at = self.paused[index];
+            self.deliver(at, Delivery::Copy(caller, copy));
+            return;
+        }
+        let (key, payload) = (
+            self.callers[caller].key.clone(),
+            self.callers[caller].payload.clone(),
+        );
+        let sent = &mut self.callers[caller].copies[copy];
+        sent.arrived = Some((self.now, self.incarnations[index]));
+        let (deadline, retry) = (sent.deadline, sent.retry);
+        self.feed(
+            index,
+            Event::Submit {
+                key,
+                deadline,
+                retry,
+                payload,
+            },
+        );
+    }
+
+    fn lose_patience(&mut self, caller: usize, copy: usize) {
+        let sent = &mut self.callers[caller].copies[copy];
+        if sent.told.is_some() {
+            return;
+        }
+        sent.gave_up = true;
+        if self.callers[caller].copies.len() < 4 {
+            let at = self.delay(20);
+            self.send_copy(caller, at, true);
+        }
+    }
+
+    fn kill(&mut self, index: usize) {
+        self.incarnations[index] += ENTRIES as u64;
+        self.paused[index] = self.now;
+        self.entries[index] = entry(index, self.incarnations[index]);
+        for caller in 0..self.callers.len() {
+            for copy in 0..self.callers[caller].copies.len() {
+                let sent = &self.callers[caller].copies[copy];
+                if sent.entry == index && sent.arrived.is_some() && !sent.gave_up {
+                    self.lose_patience(caller, copy);
+                }
+            }
+        }
+    }
+
+    fn feed(&mut self, index: usize, event: Event) {
+        let mut commands = Vec::new();
+        self.entries[index].on(self.now, event, &mut commands);
+        let incarnation = self.incarnations[index];
+        for command in commands {
+            match command {
+                Command::Claim { key, stage, ask } => {
+                    let lost = self.rng.random_bool(self.faults.claim_lost);
+                    let at = self.delay(if lost { 2000 } else { 5 });
+                    if lost {
+                        let reply = Event::Claim {
+                            key: key.clone(),
+                            stage,
+                            reply: Reply::Out,
+                        };
+                        let timeout = self.now + millis(200);
+                        self.deliver(timeout, Delivery::Entry(index, incarnation, reply));
+                    }
+                    self.deliver(
+                        at,
+                        Delivery::Claim(index, incarnation, key, stage, ask, lost),
+                    );
+                }
+                Command::Dispatch(call) => {
+                    self.dispatched
+                        .entry(call.key.clone())
+                        .or_default()
+                        .push((self.now, index));
+                    let at = self.delay(3);
+                    self.deliver(at, Delivery::Call(index, incarnation, call));
+                }
+                Command::Cancel { attempt } => {
+                    self.cancelled.insert(attempt);
+                }
+                Command::Finish { key, outcome } => self.tell(index, &key, &outcome),
+                Command::Lookup { key, stage, .. } => {
+                    let result = self.effects.contains_key(&(key.clone(), stage));
+                    let result = result.then(|| answer(&key, stage));
+                    let at = self.delay(5);
+                    let event = Event::Looked { key, stage, result };
+                    self.deliver(at, Delivery::Entry(index, incarnation, event));
+                }
+                Command::Broadcast { frame } => {
+                    for peer in (0..ENTRIES).filter(|peer| *peer != index) {
+                        let from = format!("entry-{index}").into();
+                        let event = Event::Peer {
+                            from,
+                            frame: frame.clone(),
+                        };
+                        let (at, incarnation) = (self.delay(5), self.incarnations[peer]);
+                        self.deliver(at, Delivery::Entry(peer, incarnation, event));
+                    }
+                }
+                Command::Restore { key, stage, .. } => {
+                    let event = Event::Checkpoint {
+                        key,
+                        stage,
+                        result: None,
+                    };
+                    let at = self.delay(5);
+                    self.deliver(at, Delivery::Entry(index, incarnation, event));
+                }
+                Command::Emit { .. } | Command::Keep { .. } | Command::Decide(_) => {}
+            }
+        }
+    }
+
+    fn tell(&mut self, index: usize, key: &Key, outcome: &Outcome) {
+        let (now, incarnation) = (self.now, self.incarnations[index]);
+        let callers = self.callers.iter_mut().enumerate();
+        let mut again = Vec::new();
+        for (number, caller) in callers.filter(|(_, caller)| caller.key == *key) {
+            let waits = |copy: &&mut Copy| {
+                let arrived = copy.arrived.is_some_and(|(_, at)| at == incarnation);
+                copy.entry == index && arrived && copy.told.is_none() && !copy.gave_up
+            };
+            let mut told = false;
+            for copy in caller.copies.iter_mut().filter(waits) {
+                copy.told = Some((now, outcome.clone()));
+                told = true;
+            }
+            if let (true, Outcome::NotRun { retry_after, .. }) = (told, outcome)
+                && caller.copies.len() < 4
+            {
+                again.push((number, now + *retry_after));
+            }
+        }
+        for (caller, at) in again {
+            self.send_copy(caller, at, false);
+        }
+    }
+
+    fn claim(
+        &mut self,
+        index: usize,
+        incarnation: u64,
+        key: &Key,
+        stage: usize,
+        ask: &Ask,
+        lost: bool,
+    ) {
+        let out = self.now >= self.outage.0 && self.now < self.outage.1;
+        let reply = if out {
+            Reply::Out
+        } else {
+            apply(&mut self.claims, &claim::row_key(key, stage), ask)
+        };
+        if !lost {
+            let event = Event::Claim {
+                key: key.clone(),
+                stage,
+                reply,
+            };
+            let at = self.delay(5);
+            self.deliver(at, Delivery::Entry(index, incarnation, event));
+        }
+    }
+
+    fn run_call(&mut self, index: usize, incarnation: u64, call: &Call) {
+        let attempt = call.attempt;
+        let pool = pool_of(&call.key, call.stage);
+        let effect = EFFECT_POOLS.contains(&pool);
+        if !effect && self.cancelled.contains(&attempt) {
+            return;
+        }
+        let fault = self.draw_fault();
+        let crash = call.input.contains(&format!("crash-{pool}"));
+        if crash {
+            self.crashes.insert(call.target.to_string());
+        }
+        let runs = !crash && !fault.is_some_and(Fault::is_unrun);
+        if effect && runs {
+            let effects = self
+                .effects
+                .entry((call.key.clone(), call.stage))
+                .or_default();
+            effects.push(self.now);
+        }
+        let event = match fault {
+            _ if crash => Event::Failed {
+                attempt,
+                fault: Fault::Broken,
+            },
+            Some(fault) => Event::Failed { attempt, fault },
+            None => Event::Done {
+                attempt,
+                result: answer(&call.key, call.stage),
+            },
+        };
+        let slow = !crash && self.rng.random_bool(0.05);
+        let at = self.delay(if slow { 3000 } else { 60 });
+        self.deliver(at, Delivery::Entry(index, incarnation, event));
+    }
+
+    fn draw_fault(&mut self) -> Option<Fault> {
+        if self.rng.random_bool(self.faults.call_unsent) {
+            Some(Fault::Unsent)
+        } else if self.rng.random_bool(self.faults.call_busy) {
+            Some(Fault::Busy { retry_after: None })
+        } else if self.rng.random_bool(self.faults.call_broken) {
+            Some(Fault::Silent)
+        } else {
+            None
+        }
+    }
+}
+
+/// Answers an ask as the platform's table service does.
+fn apply(claims: &mut HashMap<String, Row>, row_key: &str, ask: &Ask) -> Reply {
+    let held = claims.get(row_key).cloned();
+    let holds =
+        |holder: &AttemptId| matches!(&held, Some(Row::Held { attempt, .. }) if attempt == holder);
+    match ask {
+        Ask::Insert { row } if held.is_none() => {
+            claims.insert(row_key.to_owned(), row.clone());
+        }
+        Ask::Settle { attempt, row } if holds(attempt) => {
+            claims.insert(row_key.to_owned(), row.clone());
+        }
+        Ask::Release { attempt } if holds(attempt) => {
+            claims.remove(row_key);
+        }
+        _ => {}
+    }
+    claims
+        .get(row_key)
+        .map_or(Reply::Absent, |row| Reply::Row { row: row.clone() })
+}
+
+pub fn pool_of(key: &Key, stage: usize) -> &'static str {
+    match (key.pipeline.as_str(), stage) {
+        ("lodge", _) => "ledger",
+        (_, 0) => "encoders",
+        ("order", 1) => "desk",
+        _ => "engines",
+    }
+}
+
+/// Returns what the targets answer to a stage of a request.
+pub fn answer(key: &Key, stage: usize) -> Payload {
+    format!("{{\"text\":\"{key} {stage}\"}}").into()
+}
