--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod fault;
 pub mod fetch;
+pub mod fleet;
 pub mod http;
 pub mod mark;
 pub mod patch;
--- a/standin/src/patch.rs
+++ b/standin/src/patch.rs
@@ -1,6 +1,9 @@
 //! Change of some members of a settings value by a JSON object.
 
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{
+    Serialize,
+    de::{DeserializeOwned, Error},
+};
 use serde_json::Value;
 
 /// Returns `settings` with the members that the JSON object in `bytes` names replaced.
@@ -14,8 +17,11 @@
 {
     let patch: serde_json::Map<String, Value> = serde_json::from_slice(bytes)?;
     let mut whole = serde_json::to_value(settings)?;
-    if let Value::Object(members) = &mut whole {
-        members.extend(patch);
+    for (member, value) in patch {
+        match whole.get_mut(&member) {
+            Some(known) => *known = value,
+            None => return Err(Error::custom(format_args!("unknown setting `{member}`"))),
+        }
     }
     serde_json::from_value(whole)
 }
