Add gwi-load: open-loop cases, costs by stage, spread over repeats

A run starts the fakes of a deployment in its own process and gwi-entry as processes of their own, offers a seeded schedule and prints JSON. The share that an ideal scheduler could carry stands beside attainment. An engine's first token tells the request, so that callers see whose answer they hold.

--- a/standin/src/engine/api.rs
+++ b/standin/src/engine/api.rs
@@ -3,11 +3,12 @@
 use super::{
     cache::{self, Cache},
     order::Orders,
-    settings::{Counters, Run, Settings},
+    settings::{Counters, Settings},
 };
 use crate::{
     batch::Batch,
     http::{Gate, Handler, Hangup, Reply, query, reply},
+    run::Run,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
--- a/standin/src/engine/cache.rs
+++ b/standin/src/engine/cache.rs
@@ -108,7 +108,10 @@
     }
 
     /// Returns the events after `after` that are at least `delay` old.
+    ///
+    /// A reader that knows a later event than there is has outlived a restart and gets all.
     pub(super) fn events(&self, after: u64, delay: Duration) -> Events {
+        let after = if after > self.sequence { 0 } else { after };
         let now = Instant::now();
         let published = self
             .events
--- a/standin/src/engine/completion.rs
+++ b/standin/src/engine/completion.rs
@@ -3,14 +3,14 @@
 use super::{
     api::{Engine, malformed},
     cache::{self, BLOCK},
-    settings::Run,
-    text::{PROMPT_TOKEN, TOKEN, word},
+    text::{PROMPT_TOKEN, TOKEN, Words},
 };
 use crate::{
     batch::Ticket,
     fault,
     http::{Hangup, Reply, reply},
     mark,
+    run::Run,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -120,11 +120,11 @@
                 yield Err(Hangup);
             }
             self.engine.cache(&self.blocks);
-            let hash = cache::hash(self.prompt.as_bytes());
+            let words = Words::new(&self.prompt);
             for index in self.first..self.count {
                 next = self.pace(next).await;
                 self.run.tokens += 1;
-                yield Ok(event(&word(hash, index)));
+                yield Ok(event(&words.get(index)));
             }
             self.complete();
             yield Ok(Bytes::from_static(DONE));
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -9,13 +9,14 @@
 
 pub use self::{
     cache::{BLOCK, blocks},
-    settings::{Counters, Run, Settings},
+    settings::{Counters, Settings},
 };
 
 use self::api::Engine;
 use crate::{
     control::Controlled,
     http::{Gate, Listener},
+    run::Run,
 };
 use compact_str::CompactString;
 use serde_json::{Value, json};
--- a/standin/src/engine/settings.rs
+++ b/standin/src/engine/settings.rs
@@ -60,7 +60,7 @@
             target: CompactString::const_new("engine-1"),
             seed: 1,
             models: vec![CompactString::const_new("base")],
-            role: CompactString::const_new("both"),
+            role: CompactString::const_new("serving"),
             tokens_per_second: 100.0,
             prefill_per_second: 4000.0,
             width: 8,
@@ -111,18 +111,3 @@
     /// Times that a model was loaded.
     pub loads: u64,
 }
-
-/// What one stream has cost.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Run {
-    /// Value of the `x-request-id` header.
-    pub token: CompactString,
-    /// Request that the prompt names by `request=ID`; empty if it names none.
-    pub request: CompactString,
-    /// Engine-seconds: time in the batch over its width.
-    pub seconds: f64,
-    /// Tokens that were generated.
-    pub tokens: u32,
-    /// Whether the stream was generated to the end.
-    pub completed: bool,
-}
--- /dev/null
+++ b/standin/src/load/run.rs
@@ -0,0 +1,117 @@
+//! One run of a plan.
+
+use super::{
+    caller::{Answer, Caller},
+    chaos,
+    entries::{Entries, Error, Launch, Rule},
+    measure::{self, Measure},
+    plan::Plan,
+    schedule::Arrival,
+};
+use crate::fleet::Fleet;
+use std::{cmp::Reverse, collections::BinaryHeap, path::Path, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Time after the last answer in which targets end what they run.
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// Offers a plan to entries that it starts from `binary`, with their files in `folder`.
+///
+/// `settings` are further lines of the section `[entry]`.
+///
+/// # Errors
+///
+/// Fails if a fake or an entry doesn't start.
+pub async fn run(
+    plan: &Plan,
+    rule: Rule,
+    binary: &Path,
+    folder: &Path,
+    settings: &str,
+) -> Result<Measure, Error> {
+    let fleet = Fleet::start(plan.deployment.clone(), plan.fakes.clone())
+        .await
+        .map_err(Error::Fake)?;
+    let pools = fleet.pools();
+    let launch = Launch {
+        binary,
+        folder,
+        region: &plan.deployment.region,
+        domains: &plan.deployment.domains,
+        pools: &pools,
+        rule,
+        settings,
+    };
+    let entries = Entries::start(&launch, plan.entries, fleet.platform()).await?;
+    let arrivals = plan.schedule.arrivals();
+    let answers = offer(plan, &arrivals, &fleet, &entries).await;
+    tokio::time::sleep(SETTLE).await;
+    let mut measure = Measure::new(&answers, &measure::take_runs(&fleet));
+    measure.duplicates = measure::duplicates(&fleet);
+    measure.carriable = carriable(plan, &arrivals);
+    drop(entries);
+    fleet.stop().await;
+    Ok(measure)
+}
+
+/// Sends each request at its time and returns the answers to those after the warm-up.
+async fn offer(plan: &Plan, arrivals: &[Arrival], fleet: &Fleet, entries: &Entries) -> Vec<Answer> {
+    let domains = plan.deployment.domains.clone();
+    let seeds = entries.addresses().to_vec();
+    let caller = Arc::new(Caller::new(seeds, domains, plan.patience));
+    let began = Instant::now();
+    let sending = async {
+        let mut calls = Vec::new();
+        for arrival in arrivals {
+            tokio::time::sleep_until(began + arrival.at).await;
+            let caller = Arc::clone(&caller);
+            let arrival = arrival.clone();
+            let measured = arrival.at >= plan.warmup;
+            let call = tokio::spawn(async move { caller.call(&arrival).await });
+            calls.push((measured, call));
+        }
+        calls
+    };
+    let (calls, ()) = tokio::join!(sending, chaos::run(&plan.steps, began, fleet, entries));
+    let mut answers = Vec::new();
+    for (measured, call) in calls {
+        if let Ok(answer) = call.await
+            && measured
+        {
+            answers.push(answer);
+        }
+    }
+    answers
+}
+
+/// Returns the share of requests that the healthy engines could answer in time if all their
+/// places formed one queue, in order of deadline, that leaves out what would be late.
+fn carriable(plan: &Plan, arrivals: &[Arrival]) -> f64 {
+    let places: usize = plan
+        .deployment
+        .groups
+        .iter()
+        .filter(|group| !group.pool.model.is_empty())
+        .map(|group| group.count * plan.fakes.engine.width as usize)
+        .sum();
+    let mut free: BinaryHeap<_> = (0..places).map(|_| Reverse(Duration::ZERO)).collect();
+    let mut offered = 0_u64;
+    let mut carried = 0_u64;
+    for arrival in arrivals {
+        let measured = u64::from(arrival.at >= plan.warmup);
+        offered += measured;
+        if arrival.tokens == 0 {
+            carried += measured;
+            continue;
+        }
+        let Some(Reverse(place)) = free.pop() else {
+            break;
+        };
+        let begin = place.max(arrival.at);
+        let end = begin + Duration::from_secs_f64(plan.work(arrival.tokens));
+        let in_time = end <= arrival.at + arrival.deadline;
+        carried += if in_time { measured } else { 0 };
+        free.push(Reverse(if in_time { end } else { place }));
+    }
+    carried as f64 / offered.max(1) as f64
+}
--- a/standin/src/service/api.rs
+++ b/standin/src/service/api.rs
@@ -6,6 +6,7 @@
     fault,
     http::{Gate, Handler, Hangup, Reply, reply},
     mark,
+    run::Run,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -16,6 +17,7 @@
 use serde_json::{Value, json, value::RawValue};
 use std::{
     collections::BTreeMap,
+    mem,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -50,6 +52,7 @@
     rng: ChaCha8Rng,
     counters: Counters,
     effects: BTreeMap<String, Effect>,
+    runs: Vec<Run>,
 }
 
 /// Body of a call.
@@ -67,6 +70,7 @@
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             counters: Counters::default(),
             effects: BTreeMap::new(),
+            runs: Vec::new(),
         };
         Self {
             gate,
@@ -95,6 +99,10 @@
         self.state().effects.clone()
     }
 
+    pub(super) fn take_runs(&self) -> Vec<Run> {
+        mem::take(&mut self.state().runs)
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -132,7 +140,7 @@
             return Err(Hangup);
         }
         let failed = self.work().await;
-        self.state().counters.seconds += started.elapsed().as_secs_f64();
+        self.note(&token, &call, started.elapsed(), !failed);
         drop(ticket);
         if failed {
             self.state().counters.failed += 1;
@@ -149,6 +157,19 @@
         Ok(reply::ok(&result))
     }
 
+    fn note(&self, token: &str, call: &Call, time: Duration, completed: bool) {
+        let width = f64::from(self.settings.borrow().width.max(1));
+        let mut state = self.state();
+        state.counters.seconds += time.as_secs_f64();
+        state.runs.push(Run {
+            token: token.into(),
+            request: call.request.clone(),
+            seconds: time.as_secs_f64() / width,
+            tokens: 0,
+            completed,
+        });
+    }
+
     /// Takes the time of one call and returns whether the call fails.
     async fn work(&self) -> bool {
         let settings = self.settings();
--- a/standin/src/service/mod.rs
+++ b/standin/src/service/mod.rs
@@ -12,6 +12,7 @@
 use crate::{
     control::Controlled,
     http::{Gate, Listener},
+    run::Run,
 };
 use serde_json::{Value, json};
 use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc};
@@ -71,6 +72,11 @@
         self.service.counters()
     }
 
+    /// Takes out what each call that has ended since the last time has cost.
+    pub fn take_runs(&self) -> Vec<Run> {
+        self.service.take_runs()
+    }
+
     /// Returns the effects by idempotency token.
     pub fn effects(&self) -> BTreeMap<String, Effect> {
         self.service.effects()
