Add the entry daemon around the decisions, and its interface

One mutex holds the decisions and what belongs to callers and calls; commands are begun before it is freed, so that they begin in the order in which they were decided.

--- /dev/null
+++ b/godwithinge/src/api/public.rs
@@ -0,0 +1,62 @@
+//! Directory, readiness and metrics.
+
+use super::{Code, Context, wire};
+use dropshot::{Body, HttpError, Query, RequestContext, endpoint};
+use http::{Response, header};
+use rand::RngExt;
+use serde::Serialize;
+
+/// Share of the time to live by which directory answers differ.
+const TTL_JITTER: f64 = 0.2;
+
+/// Names the entries that a caller may use, in the order of preference.
+#[endpoint {
+    method = GET,
+    path = "/v1/entries",
+}]
+pub(super) async fn entries(
+    context: RequestContext<Context>,
+    query: Query<wire::EntriesQuery>,
+) -> Result<Response<Body>, HttpError> {
+    let daemon = context.context();
+    let query = query.into_inner();
+    let entries = daemon.directory().entries(&query.domain);
+    let ttl = daemon.settings().entry.directory_ttl.as_millis() as f64;
+    let jitter = rand::rng().random_range(1.0 - TTL_JITTER..=1.0);
+    json(&wire::Entries {
+        entries: entries.into_iter().map(Into::into).collect(),
+        ttl_ms: (ttl * jitter) as u64,
+    })
+}
+
+/// Tells whether requests are served.
+#[endpoint {
+    method = GET,
+    path = "/ready",
+}]
+pub(super) async fn ready(context: RequestContext<Context>) -> Result<Response<Body>, HttpError> {
+    if !context.context().is_ready() {
+        return Err(Code::NotReady.into());
+    }
+    Ok(Response::new(Body::with_content("ready\n")))
+}
+
+/// Gives the metrics.
+#[endpoint {
+    method = GET,
+    path = "/metrics",
+}]
+pub(super) async fn metrics(context: RequestContext<Context>) -> Result<Response<Body>, HttpError> {
+    let text = context.context().metrics().to_text();
+    let text = text.map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    let response = Response::builder().header(header::CONTENT_TYPE, "text/plain; version=0.0.4");
+    Ok(response.body(text.into())?)
+}
+
+/// Answers with JSON.
+pub(super) fn json(message: &impl Serialize) -> Result<Response<Body>, HttpError> {
+    let body = serde_json::to_vec(message)
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    let response = Response::builder().header(header::CONTENT_TYPE, "application/json");
+    Ok(response.body(body.into())?)
+}
--- /dev/null
+++ b/godwithinge/src/api/stream.rs
@@ -0,0 +1,61 @@
+//! Answers as server-sent events.
+
+use super::wire;
+use crate::entry::{Item, Ticket};
+use bytes::Bytes;
+use dropshot::Body;
+use futures::stream;
+use http_body::Frame;
+use http_body_util::StreamBody;
+use policy::id::RequestId;
+use std::convert::Infallible;
+use tokio::sync::mpsc;
+
+/// Events that wait for a slow caller.
+const BUFFER: usize = 64;
+
+/// Returns a body that streams what the ticket gives.
+///
+/// A caller that goes away ends the stream and not the request.
+pub(super) fn body(id: RequestId, ticket: Ticket) -> Body {
+    let (sender, mut receiver) = mpsc::channel(BUFFER);
+    tokio::spawn(send(id, ticket, sender));
+    let frames = stream::poll_fn(move |context| receiver.poll_recv(context));
+    Body::wrap(StreamBody::new(frames))
+}
+
+async fn send(
+    id: RequestId,
+    mut ticket: Ticket,
+    sender: mpsc::Sender<Result<Frame<Bytes>, Infallible>>,
+) {
+    loop {
+        let item = tokio::select! {
+            item = ticket.next() => item,
+            () = sender.closed() => return,
+        };
+        let is_end = matches!(item, Item::End(_));
+        let event = Frame::data(to_event(&id, item).into());
+        if sender.send(Ok(event)).await.is_err() || is_end {
+            return;
+        }
+    }
+}
+
+fn to_event(id: &RequestId, item: Item) -> String {
+    match item {
+        Item::Part { sequence, text } => {
+            let data = to_json(&wire::Part { text: &text });
+            format!("event: part\nid: {sequence}\ndata: {data}\n\n")
+        }
+        Item::End(outcome) => {
+            let data = to_json(&wire::Answer::new(id.clone(), outcome));
+            format!("event: outcome\ndata: {data}\n\n")
+        }
+    }
+}
+
+/// Writes a message; those of this module can always be written.
+fn to_json(message: &impl serde::Serialize) -> String {
+    serde_json::to_string(message).unwrap_or_default()
+}
--- /dev/null
+++ b/godwithinge/src/api/submit.rs
@@ -0,0 +1,135 @@
+//! Requests of callers.
+
+use super::{Code, Context, stream, wire};
+use crate::entry::{Daemon, Phase, Submission};
+use dropshot::{Body, HttpError, Path, RequestContext, StreamingBody, endpoint};
+use futures::{StreamExt, pin_mut};
+use http::{HeaderMap, Response, StatusCode, header, response::Builder};
+use policy::{
+    Outcome,
+    id::{Key, RequestId},
+};
+use std::time::Duration;
+
+/// Longest request identifier, in bytes.
+const MAX_REQUEST_ID: usize = 256;
+/// Longest deadline; a later one is brought forward.
+const MAX_DEADLINE: Duration = Duration::from_secs(24 * 3600);
+/// Header with the number of the last part that a caller has.
+const LAST_EVENT_ID: &str = "last-event-id";
+
+/// Takes a request in and answers with its outcome, or streams its answer.
+#[endpoint {
+    method = POST,
+    path = "/v1/pipelines/{pipeline}/requests",
+}]
+pub(super) async fn submit(
+    context: RequestContext<Context>,
+    path: Path<wire::PipelinePath>,
+    body: StreamingBody,
+) -> Result<Response<Body>, HttpError> {
+    let daemon = context.context();
+    let limit = daemon.settings().entry.body_limit;
+    let after = read_after(context.request.headers())?;
+    let body = read_body(body, limit).await?;
+    let request: wire::Request = serde_json::from_slice(&body)
+        .map_err(|error| Code::MalformedBody.with_message(format!("body is malformed: {error}")))?;
+    check(&request)?;
+    let (id, streamed) = (request.id.clone(), request.stream);
+    let submission = to_submission(path.into_inner().pipeline, request, after);
+    let mut ticket = daemon.submit(submission).map_err(Code::from)?;
+    if streamed {
+        return respond(daemon, Response::builder())
+            .body(stream::body(id, ticket))
+            .map_err(Into::into);
+    }
+    let outcome = ticket.outcome().await;
+    drop(ticket);
+    whole(daemon, id, outcome)
+}
+
+/// Reads the body under the limit of the settings.
+async fn read_body(body: StreamingBody, limit: usize) -> Result<Vec<u8>, HttpError> {
+    let parts = body.into_stream();
+    pin_mut!(parts);
+    let mut whole = Vec::new();
+    while let Some(part) = parts.next().await {
+        let part = part?;
+        if whole.len() + part.len() > limit {
+            return Err(
+                Code::BodyTooLarge.with_message(format!("body is larger than {limit} bytes"))
+            );
+        }
+        whole.extend_from_slice(&part);
+    }
+    Ok(whole)
+}
+
+/// Returns the number of parts that the caller has already.
+fn read_after(headers: &HeaderMap) -> Result<usize, Code> {
+    let Some(value) = headers.get(LAST_EVENT_ID) else {
+        return Ok(0);
+    };
+    let last: Option<usize> = value.to_str().ok().and_then(|text| text.parse().ok());
+    last.and_then(|last| last.checked_add(1))
+        .ok_or(Code::LastEventIdInvalid)
+}
+
+fn check(request: &wire::Request) -> Result<(), Code> {
+    let id = &request.id;
+    if id.is_empty() || id.len() > MAX_REQUEST_ID || id.chars().any(char::is_control) {
+        return Err(Code::RequestIdInvalid);
+    }
+    if request.deadline_ms == 0 {
+        return Err(Code::DeadlineZero);
+    }
+    Ok(())
+}
+
+fn to_submission(pipeline: String, request: wire::Request, after: usize) -> Submission {
+    Submission {
+        key: Key::new(request.workspace, pipeline, request.id),
+        deadline: Duration::from_millis(request.deadline_ms).min(MAX_DEADLINE),
+        retry: request.retry,
+        payload: request.payload.get().into(),
+        after,
+    }
+}
+
+/// Answers with an outcome.
+fn whole(daemon: &Daemon, id: RequestId, outcome: Outcome) -> Result<Response<Body>, HttpError> {
+    let retry_after = match &outcome {
+        Outcome::NotRun { retry_after, .. } => Some(*retry_after),
+        Outcome::Failed { retry_after, .. } => *retry_after,
+        Outcome::Answered { .. } | Outcome::Unknown { .. } => None,
+    };
+    let status = status(&outcome);
+    let body = serde_json::to_vec(&wire::Answer::new(id, outcome))
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    let mut response = respond(daemon, Response::builder())
+        .status(status)
+        .header(header::CONTENT_TYPE, "application/json");
+    if let Some(retry_after) = retry_after {
+        let seconds = retry_after.as_secs_f64().ceil() as u64;
+        response = response.header(header::RETRY_AFTER, seconds);
+    }
+    Ok(response.body(body.into())?)
+}
+
+/// Has the caller close its connection if the daemon is leaving.
+fn respond(daemon: &Daemon, response: Builder) -> Builder {
+    if *daemon.phase().borrow() == Phase::Serving {
+        response
+    } else {
+        response.header(header::CONNECTION, "close")
+    }
+}
+
+fn status(outcome: &Outcome) -> StatusCode {
+    match outcome {
+        Outcome::Answered { .. } => StatusCode::OK,
+        Outcome::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::Failed { .. } => StatusCode::BAD_GATEWAY,
+        Outcome::Unknown { .. } => StatusCode::CONFLICT,
+    }
+}
--- /dev/null
+++ b/godwithinge/src/api/wire.rs
@@ -0,0 +1,167 @@
+//! Messages of the interface.
+
+use crate::entry::Named;
+use compact_str::CompactString;
+use policy::{
+    Outcome,
+    id::{DomainId, HostId, RequestId, WorkspaceId},
+    outcome::{Effects, Reason},
+};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::time::Duration;
+
+/// Body of a request.
+#[derive(Debug, Deserialize)]
+pub(super) struct Request {
+    pub(super) workspace: WorkspaceId,
+    #[serde(rename = "request")]
+    pub(super) id: RequestId,
+    pub(super) deadline_ms: u64,
+    #[serde(default)]
+    pub(super) retry: bool,
+    #[serde(default)]
+    pub(super) stream: bool,
+    pub(super) payload: Box<RawValue>,
+}
+
+/// Final outcome of a request.
+#[derive(Debug, Serialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+pub(super) enum Answer {
+    Answered {
+        request: RequestId,
+        answer: Box<RawValue>,
+    },
+    NotRun {
+        request: RequestId,
+        reason: Reason,
+        retry_after_ms: u64,
+    },
+    Failed {
+        request: RequestId,
+        stage: CompactString,
+        effects: Effects,
+        reason: Reason,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        retry_after_ms: Option<u64>,
+    },
+    Unknown {
+        request: RequestId,
+        stage: CompactString,
+    },
+}
+
+/// Streamed part of an answer.
+#[derive(Debug, Serialize)]
+pub(super) struct Part<'a> {
+    pub(super) text: &'a str,
+}
+
+/// Question for the directory.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub(super) struct EntriesQuery {
+    /// Workspace of the caller.
+    #[serde(default)]
+    #[expect(dead_code, reason = "entries are not steered by workspace yet")]
+    pub(super) workspace: String,
+    /// Failure domain of the caller.
+    #[serde(default)]
+    pub(super) domain: String,
+}
+
+/// Answer of the directory.
+#[derive(Debug, Serialize)]
+pub(super) struct Entries {
+    pub(super) entries: Vec<Entry>,
+    pub(super) ttl_ms: u64,
+}
+
+/// Entry that callers may use.
+#[derive(Debug, Serialize)]
+pub(super) struct Entry {
+    host: HostId,
+    address: CompactString,
+    domain: DomainId,
+}
+
+/// Names a request in a path.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub(super) struct RequestPath {
+    /// Pipeline of the request.
+    pub(super) pipeline: String,
+    /// Workspace of the request.
+    pub(super) workspace: String,
+    /// Identifier of the request.
+    pub(super) request: String,
+}
+
+/// Names a pipeline in a path.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub(super) struct PipelinePath {
+    /// The pipeline.
+    pub(super) pipeline: String,
+}
+
+/// State of a daemon.
+#[derive(Debug, Serialize)]
+pub(super) struct Status {
+    pub(super) host: HostId,
+    pub(super) incarnation: u64,
+    pub(super) phase: &'static str,
+    pub(super) ready: bool,
+    pub(super) revision: Option<u64>,
+    pub(super) in_flight: usize,
+    pub(super) unsettled: i64,
+    pub(super) peers: Vec<Named>,
+    pub(super) targets: Vec<policy::host::Host>,
+}
+
+impl Answer {
+    /// Creates the message for an outcome; a result that is no JSON counts as null.
+    pub(super) fn new(request: RequestId, outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Answered { answer } => Self::Answered {
+                request,
+                answer: RawValue::from_string(answer.as_ref().into())
+                    .unwrap_or_else(|_cause| RawValue::NULL.to_owned()),
+            },
+            Outcome::NotRun {
+                reason,
+                retry_after,
+            } => Self::NotRun {
+                request,
+                reason,
+                retry_after_ms: to_millis(retry_after),
+            },
+            Outcome::Failed {
+                stage,
+                effects,
+                reason,
+                retry_after,
+            } => Self::Failed {
+                request,
+                stage,
+                effects,
+                reason,
+                retry_after_ms: retry_after.map(to_millis),
+            },
+            Outcome::Unknown { stage } => Self::Unknown { request, stage },
+        }
+    }
+}
+
+impl From<Named> for Entry {
+    fn from(named: Named) -> Self {
+        Self {
+            host: named.host,
+            address: named.api,
+            domain: named.domain,
+        }
+    }
+}
+
+fn to_millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- a/godwithinge/src/bin/gwi-entry.rs
+++ b/godwithinge/src/bin/gwi-entry.rs
@@ -1,2 +1,87 @@
-//! Placeholder.
-fn main() {}
+//! Daemon of an entry host: takes requests of callers and runs them.
+
+use godwithinge::{
+    entry::Running,
+    log,
+    settings::{self, Settings},
+};
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+mod flags {
+    use godwithinge::log::Stream;
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Takes requests of callers and runs them.
+        cmd gwi-entry {
+            /// File of settings, in INI.
+            optional --settings file: PathBuf
+            /// Check the settings and end.
+            optional --check
+            /// Print the version and end.
+            optional --version
+            /// Stream of log lines: stdout or stderr.
+            optional --log stream: Stream
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::GwiEntry::from_env_or_exit();
+    if flags.version {
+        println!("gwi-entry {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = flags.settings else {
+        eprintln!("gwi-entry: flag --settings is missing");
+        return ExitCode::from(settings::EXIT_STATUS);
+    };
+    let settings = match Settings::from_file(&file) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            eprintln!("{errors}");
+            return ExitCode::from(settings::EXIT_STATUS);
+        }
+    };
+    if flags.check {
+        println!("{}: settings are right", file.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = log::init(flags.log.unwrap_or_default()) {
+        eprintln!("gwi-entry: {error}");
+        return ExitCode::FAILURE;
+    }
+    run(settings)
+}
+
+#[tokio::main]
+async fn run(settings: Settings) -> ExitCode {
+    match serve(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            tracing::error!(%failure, "entry failed");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Serves until a signal has drained the daemon.
+async fn serve(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let running = Running::start(settings)?;
+    let daemon = running.daemon().clone();
+    let left = running.wait();
+    tokio::pin!(left);
+    loop {
+        tokio::select! {
+            () = &mut left => return Ok(()),
+            _ = terminate.recv() => daemon.drain(),
+            _ = interrupt.recv() => daemon.drain(),
+        };
+    }
+}
--- /dev/null
+++ b/godwithinge/src/entry/attempt.rs
@@ -0,0 +1,141 @@
+//! Calls in flight.
+
+use super::{Daemon, state::State};
+use policy::{
+    Event,
+    command::Call,
+    fault::Fault,
+    id::{AttemptId, Payload, PoolId, TargetId},
+    pool::Pool,
+};
+use std::time::Instant;
+use tokio::task::AbortHandle;
+
+/// A call in flight.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    task: AbortHandle,
+    pool: PoolId,
+    target: TargetId,
+    started: Instant,
+    tokens: u64,
+}
+
+/// How a call ended, as the metrics name it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ending {
+    Done,
+    Failed(Fault),
+    Cancelled,
+}
+
+impl Daemon {
+    /// Begins a call.
+    pub(super) fn dispatch(&self, state: &mut State, call: Call) {
+        let Some(pool) = self.pool_of(state, &call) else {
+            tracing::error!(target = %call.target, "call to a target of no known pool");
+            return;
+        };
+        let attempt = call.attempt;
+        let entry = Attempt {
+            pool: pool.name.clone(),
+            target: call.target.clone(),
+            started: Instant::now(),
+            tokens: 0,
+            task: tokio::spawn(run(self.clone(), call, pool)).abort_handle(),
+        };
+        self.gauge(&entry.target).inc();
+        state.attempts.insert(attempt, entry);
+    }
+
+    /// Abandons a call, which closes its connection.
+    pub(super) fn cancel(&self, state: &mut State, attempt: AttemptId) {
+        if let Some(entry) = state.attempts.remove(&attempt) {
+            entry.task.abort();
+            self.count_call(&entry, Ending::Cancelled);
+        }
+    }
+
+    /// Returns the settings of the pool that a call is for.
+    fn pool_of(&self, state: &State, call: &Call) -> Option<Pool> {
+        let listed = state.hosts.get(&call.target).map(|host| &host.pool);
+        let name = listed.or_else(|| stage_pool(state, call))?;
+        let mut pools = self.settings().pools.iter();
+        pools.find(|pool| pool.name == *name).cloned()
+    }
+
+    fn ended(&self, attempt: AttemptId, ending: Ending) {
+        if let Some(entry) = self.state().attempts.remove(&attempt) {
+            self.count_call(&entry, ending);
+        }
+    }
+
+    fn progressed(&self, attempt: AttemptId, text: &str) {
+        if let Some(entry) = self.state().attempts.get_mut(&attempt) {
+            entry.tokens += 1;
+        }
+        self.handle(Event::Progress {
+            attempt,
+            text: text.into(),
+            tokens: 1,
+        });
+    }
+
+    fn count_call(&self, entry: &Attempt, ending: Ending) {
+        let metrics = self.metrics();
+        let (result, purpose) = match ending {
+            Ending::Done => ("done", "useful"),
+            Ending::Failed(fault) => (fault.into(), "wasted"),
+            Ending::Cancelled => ("cancelled", "wasted"),
+        };
+        let seconds = entry.started.elapsed().as_secs_f64();
+        let (pool, target) = (entry.pool.as_str(), entry.target.as_str());
+        metrics.calls.with_label_values(&[pool, result]).inc();
+        metrics
+            .target_calls
+            .with_label_values(&[target, result])
+            .inc();
+        metrics
+            .stage_seconds
+            .with_label_values(&[pool, purpose])
+            .add(seconds);
+        metrics
+            .stage_tokens
+            .with_label_values(&[pool, purpose])
+            .inc_by(entry.tokens);
+        self.gauge(&entry.target).dec();
+    }
+
+    fn gauge(&self, target: &TargetId) -> prometheus::IntGauge {
+        let gauges = &self.metrics().target_in_flight;
+        gauges.with_label_values(&[target.as_str()])
+    }
+}
+
+/// Returns the pool that the table names for the stage of a call.
+fn stage_pool<'a>(state: &'a State, call: &Call) -> Option<&'a PoolId> {
+    let table = state.table.as_ref()?;
+    let pipeline = table.pipelines.get(&call.key.pipeline)?;
+    pipeline.stages.get(call.stage)
+}
+
+/// Runs a call and tells the decisions how it ended.
+async fn run(daemon: Daemon, call: Call, pool: Pool) {
+    let attempt = call.attempt;
+    let progress = |text: &str| daemon.progressed(attempt, text);
+    let result: Result<Payload, Fault> = daemon.shared.targets.run(&call, &pool, progress).await;
+    match result {
+        Ok(result) => {
+            daemon.ended(attempt, Ending::Done);
+            daemon.handle(Event::Done { attempt, result });
+        }
+        Err(fault) => {
+            tracing::info!(
+                request = %call.key, stage = call.stage, attempt = %attempt,
+                target = %call.target, %fault, "attempt failed"
+            );
+            daemon.ended(attempt, Ending::Failed(fault));
+            daemon.handle(Event::Failed { attempt, fault });
+        }
+    }
+}
--- /dev/null
+++ b/godwithinge/src/entry/claim/order.rs
@@ -0,0 +1,58 @@
+//! Order of the asks about one row.
+
+use compact_str::CompactString;
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex as StdMutex, PoisonError},
+};
+use tokio::sync::{Mutex, OwnedMutexGuard};
+
+/// Rows that are being asked about.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Order {
+    rows: Arc<StdMutex<HashMap<CompactString, Arc<Mutex<()>>>>>,
+}
+
+/// A place in the order of one row.
+#[derive(Debug)]
+pub(super) struct Place {
+    row: Arc<Mutex<()>>,
+    held: Option<OwnedMutexGuard<()>>,
+}
+
+/// The turn of one ask; the next one follows when it is dropped.
+#[derive(Debug)]
+pub(super) struct Turn(
+    #[expect(dead_code, reason = "held until it is dropped")] OwnedMutexGuard<()>,
+);
+
+/// Number of rows above which unused ones are dropped.
+const SWEEP_ABOVE: usize = 1024;
+
+impl Order {
+    /// Takes a place; the first one in a row holds it from now on.
+    pub(super) fn enter(&self, row_key: &CompactString) -> Place {
+        let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
+        if rows.len() > SWEEP_ABOVE {
+            rows.retain(|_, row| Arc::strong_count(row) > 1);
+        }
+        let row = Arc::clone(rows.entry(row_key.clone()).or_default());
+        let held = Arc::clone(&row).try_lock_owned().ok();
+        Place { row, held }
+    }
+
+    /// Takes the turn of a row if nobody else has it.
+    pub(super) fn try_enter(&self, row_key: &CompactString) -> Option<Turn> {
+        self.enter(row_key).held.map(Turn)
+    }
+}
+
+impl Place {
+    /// Waits for the turn.
+    pub(super) async fn wait(self) -> Turn {
+        match self.held {
+            Some(held) => Turn(held),
+            None => Turn(self.row.lock_owned().await),
+        }
+    }
+}
--- /dev/null
+++ b/godwithinge/src/entry/drain.rs
@@ -0,0 +1,87 @@
+//! The way of a daemon out of service.
+
+use super::Daemon;
+use policy::Event;
+use std::time::Duration;
+use strum::{Display, IntoStaticStr};
+use tokio::{sync::watch, time};
+
+/// How far a daemon is on its way out of service.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Phase {
+    /// The directory names the daemon.
+    Serving,
+    /// The directory names it no more; callers that hold older answers are served.
+    Draining,
+    /// New requests are refused; what is in flight is finished.
+    Finishing,
+    /// Nothing is in flight.
+    Left,
+}
+
+/// Time between two looks at what is in flight.
+const POLL: Duration = Duration::from_millis(20);
+/// Time that other daemons take at most to learn that this one leaves.
+const SPREAD: Duration = Duration::from_secs(2);
+
+impl Daemon {
+    /// Begins to leave: the directory stops naming the daemon, callers are served for the time
+    /// that they may keep a directory answer, and what is in flight is finished.
+    ///
+    /// Returns whether this began it; a further call logs what is still in flight.
+    pub fn drain(&self) -> bool {
+        let phase = &self.shared.phase;
+        let began = phase.send_if_modified(|phase| {
+            let began = *phase == Phase::Serving;
+            if began {
+                *phase = Phase::Draining;
+            }
+            began
+        });
+        if began {
+            tracing::info!("draining");
+            tokio::spawn(leave(self.clone()));
+        } else {
+            self.log_in_flight();
+        }
+        began
+    }
+
+    /// Returns how far the daemon is on its way out of service.
+    pub fn phase(&self) -> watch::Receiver<Phase> {
+        self.shared.phase.subscribe()
+    }
+
+    /// Waits until the daemon has left.
+    pub async fn left(&self) {
+        let mut phase = self.phase();
+        // The sender lives as long as this handle.
+        let _ = phase.wait_for(|phase| *phase == Phase::Left).await;
+    }
+
+    fn log_in_flight(&self) {
+        let state = self.state();
+        let requests: Vec<_> = state.open.keys().map(ToString::to_string).collect();
+        let in_flight = state.core.in_flight();
+        drop(state);
+        let requests = requests.join(" ");
+        let unsettled = self.unsettled();
+        tracing::info!(in_flight, unsettled, requests, "still in flight");
+    }
+
+    fn is_idle(&self) -> bool {
+        self.in_flight() == 0 && self.unsettled() == 0
+    }
+}
+
+async fn leave(daemon: Daemon) {
+    let ttl = daemon.settings().entry.directory_ttl;
+    time::sleep(ttl + SPREAD).await;
+    daemon.shared.phase.send_replace(Phase::Finishing);
+    daemon.handle(Event::Drain);
+    while !daemon.is_idle() {
+        time::sleep(POLL).await;
+    }
+    daemon.shared.phase.send_replace(Phase::Left);
+}
--- /dev/null
+++ b/godwithinge/src/entry/keep.rs
@@ -0,0 +1,97 @@
+//! Stage results that are kept in the object store, and look-ups at targets.
+
+use super::{Daemon, state::State};
+use crate::platform;
+use bytes::Bytes;
+use compact_str::CompactString;
+use policy::{
+    Event, claim,
+    command::Frame,
+    id::{BlockHash, Key, Payload, StageIndex},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::Semaphore;
+
+/// Results that are written to the object store at once; more are not kept.
+const MAX_WRITES: usize = 8;
+/// Longest time of a look-up at a target.
+const LOOK_UP_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Client of the object store with a bound on writes.
+#[derive(Clone, Debug)]
+pub(super) struct Store {
+    platform: platform::Client,
+    writes: Arc<Semaphore>,
+}
+
+impl Store {
+    pub(super) fn new(platform: platform::Client) -> Self {
+        let writes = Arc::new(Semaphore::new(MAX_WRITES));
+        Self { platform, writes }
+    }
+}
+
+impl Daemon {
+    /// Keeps a result, unless the object store is busy or out.
+    pub(super) fn keep(&self, key: &Key, stage: StageIndex, input: BlockHash, result: Payload) {
+        let store = self.shared.store.clone();
+        let Ok(permit) = Arc::clone(&store.writes).try_acquire_owned() else {
+            return;
+        };
+        let name = object_key(key, stage, input);
+        tokio::spawn(async move {
+            let object = Bytes::copy_from_slice(result.as_bytes());
+            if let Err(error) = store.platform.put_object(&name, object).await {
+                tracing::debug!(%error, "result was not kept");
+            }
+            drop(permit);
+        });
+    }
+
+    /// Looks for a kept result.
+    pub(super) fn restore(&self, key: Key, stage: StageIndex, input: BlockHash) {
+        let daemon = self.clone();
+        tokio::spawn(async move {
+            let name = object_key(&key, stage, input);
+            let found = daemon.shared.store.platform.object(&name).await;
+            let result = found.ok().flatten().as_ref().and_then(to_payload);
+            daemon.handle(Event::Checkpoint { key, stage, result });
+        });
+    }
+
+    /// Asks a target what became of a call.
+    pub(super) fn look_up(
+        &self,
+        _state: &State,
+        key: Key,
+        stage: StageIndex,
+        address: &CompactString,
+        token: &CompactString,
+    ) {
+        let (daemon, address, token) = (self.clone(), address.clone(), token.clone());
+        tokio::spawn(async move {
+            let targets = &daemon.shared.targets;
+            let result = targets.look_up(&address, &token, LOOK_UP_TIMEOUT).await;
+            daemon.handle(Event::Looked { key, stage, result });
+        });
+    }
+
+    /// Sends a frame to the peers.
+    #[expect(
+        clippy::unused_self,
+        clippy::needless_pass_by_value,
+        reason = "links follow"
+    )]
+    pub(super) fn broadcast(&self, frame: Frame) {
+        tracing::debug!(?frame, "frame for peers");
+    }
+}
+
+fn object_key(key: &Key, stage: StageIndex, input: BlockHash) -> String {
+    format!("results/{}/{input:016x}", claim::row_key(key, stage))
+}
+
+fn to_payload(object: &Bytes) -> Option<Payload> {
+    let text = std::str::from_utf8(object).ok()?;
+    Some(text.into())
+}
--- /dev/null
+++ b/godwithinge/src/entry/perform.rs
@@ -0,0 +1,89 @@
+//! Commands of the decisions.
+
+use super::{Daemon, state::State};
+use policy::{Outcome, command::Command, decision::Decision, id::Key};
+
+impl Daemon {
+    /// Begins what a command asks for.
+    pub(super) fn perform(&self, state: &mut State, command: Command) {
+        match command {
+            Command::Claim { key, stage, ask } => self.ask_claim(key, stage, ask),
+            Command::Dispatch(call) => self.dispatch(state, call),
+            Command::Cancel { attempt } => self.cancel(state, attempt),
+            Command::Emit {
+                key,
+                sequence,
+                text,
+            } => state.feeds.emit(&key, sequence, text),
+            Command::Finish { key, outcome } => self.finish(state, &key, outcome),
+            Command::Keep {
+                key,
+                stage,
+                input,
+                result,
+            } => self.keep(&key, stage, input, result),
+            Command::Restore { key, stage, input } => self.restore(key, stage, input),
+            Command::Lookup {
+                key,
+                stage,
+                address,
+                token,
+                ..
+            } => self.look_up(state, key, stage, &address, &token),
+            Command::Broadcast { frame } => self.broadcast(frame),
+            Command::Decide(_) => {}
+        }
+    }
+
+    /// Gives the final outcome to the caller.
+    fn finish(&self, state: &mut State, key: &Key, outcome: Outcome) {
+        let now = self.now();
+        let (submitted, deadline) = state.open.remove(key).unwrap_or((now, now));
+        let answered = matches!(outcome, Outcome::Answered { .. });
+        let seconds = now.saturating_sub(submitted).as_secs_f64();
+        let name: &str = (&outcome).into();
+        let attained = answered && now <= deadline;
+        self.metrics()
+            .finish(&key.pipeline, name, seconds, attained);
+        tracing::info!(
+            workspace = %key.workspace, pipeline = %key.pipeline, request = %key.request,
+            outcome = name, seconds, attained, "request ended"
+        );
+        state.feeds.finish(now, key, outcome);
+    }
+
+    /// Counts a decision and keeps it for operators.
+    pub(super) fn note(&self, state: &mut State, decision: &Decision) {
+        let choice: &str = decision.choice.into();
+        self.metrics()
+            .decisions
+            .with_label_values(&[decision.pool.as_str(), choice])
+            .inc();
+        state.decisions.push(decision.clone());
+    }
+
+    pub(super) fn count_submitted(&self, key: &Key) {
+        self.metrics()
+            .submitted
+            .with_label_values(&[key.pipeline.as_str()])
+            .inc();
+    }
+}
+
+/// Logs a decision.
+pub(super) fn log(decision: &Decision) {
+    let candidates = serde_json::to_string(&decision.candidates).unwrap_or_default();
+    tracing::info!(
+        target: "decision",
+        workspace = %decision.key.workspace,
+        pipeline = %decision.key.pipeline,
+        request = %decision.key.request,
+        stage = decision.stage,
+        pool = %decision.pool,
+        choice = %decision.choice,
+        chosen = decision.target.as_deref(),
+        candidates,
+        revision = decision.revision,
+        "decision"
+    );
+}
--- /dev/null
+++ b/godwithinge/src/entry/state.rs
@@ -0,0 +1,50 @@
+//! What stands behind the mutex of an entry daemon.
+
+use super::{attempt::Attempt, feed::Feeds, ring::Ring};
+use policy::{
+    Table,
+    command::Command,
+    entry::Entry,
+    host::Host,
+    id::{AttemptId, Key, TargetId, Time},
+};
+use std::{collections::HashMap, sync::Arc};
+
+/// What stands behind the mutex of an entry daemon.
+#[derive(Debug)]
+pub(super) struct State {
+    /// The decisions.
+    pub(super) core: Entry,
+    /// Buffer for commands.
+    pub(super) commands: Vec<Command>,
+    /// When the timer is set to go off.
+    pub(super) armed: Option<Time>,
+    /// Parts and outcomes on their way to callers.
+    pub(super) feeds: Feeds,
+    /// Calls in flight.
+    pub(super) attempts: HashMap<AttemptId, Attempt>,
+    /// Targets on the host list.
+    pub(super) hosts: HashMap<TargetId, Host>,
+    /// Table that was handed over last.
+    pub(super) table: Option<Arc<Table>>,
+    /// Decisions that were made last.
+    pub(super) decisions: Ring,
+    /// Requests that wait for their final outcome, with their submission and deadline.
+    pub(super) open: HashMap<Key, (Time, Time)>,
+}
+
+impl State {
+    pub(super) fn new(core: Entry) -> Self {
+        Self {
+            core,
+            commands: Vec::new(),
+            armed: None,
+            feeds: Feeds::default(),
+            attempts: HashMap::new(),
+            hosts: HashMap::new(),
+            table: None,
+            decisions: Ring::default(),
+            open: HashMap::new(),
+        }
+    }
+}
--- a/godwithinge/src/lib.rs
+++ b/godwithinge/src/lib.rs
@@ -3,6 +3,8 @@
 //! The daemons translate bytes into [`policy::Event`]s and [`policy::Command`]s into bytes; every
 //! decision is made by crate `policy`.
 
+pub mod api;
+pub mod entry;
 pub mod http;
 pub mod log;
 pub mod metrics;
