--- a/godwithinge/src/api/error.rs
+++ b/godwithinge/src/api/error.rs
@@ -18,6 +18,8 @@
     RequestIdInvalid,
     /// The header `last-event-id` is no number.
     LastEventIdInvalid,
+    /// The request identifier was used with another payload.
+    RequestIdReused,
     /// The table has no such pipeline.
     PipelineUnknown,
     /// The table has no such workspace.
@@ -39,6 +41,7 @@
                 "request identifier must have 1 to 256 bytes and no control characters"
             }
             Self::LastEventIdInvalid => "header last-event-id must be a whole number",
+            Self::RequestIdReused => "request identifier was used with another payload",
             Self::PipelineUnknown => "pipeline does not exist",
             Self::WorkspaceUnknown => "workspace does not exist",
             Self::NotReady => "entry holds no table yet",
@@ -54,6 +57,7 @@
             | Self::LastEventIdInvalid => ErrorStatusCode::BAD_REQUEST,
             Self::BodyTooLarge => ClientErrorStatusCode::PAYLOAD_TOO_LARGE.into(),
             Self::PipelineUnknown | Self::WorkspaceUnknown => ErrorStatusCode::NOT_FOUND,
+            Self::RequestIdReused => ClientErrorStatusCode::CONFLICT.into(),
             Self::NotReady => ErrorStatusCode::SERVICE_UNAVAILABLE,
             Self::Unauthorized => ErrorStatusCode::UNAUTHORIZED,
         }
@@ -83,6 +87,7 @@
             Refusal::NotReady => Self::NotReady,
             Refusal::UnknownWorkspace => Self::WorkspaceUnknown,
             Refusal::UnknownPipeline => Self::PipelineUnknown,
+            Refusal::IdReused => Self::RequestIdReused,
         }
     }
 }
--- a/godwithinge/src/entry/ticket.rs
+++ b/godwithinge/src/entry/ticket.rs
@@ -3,6 +3,7 @@
 use super::{Daemon, state::State};
 use policy::{
     Event, Outcome,
+    entry::Admission,
     id::{Key, Payload},
 };
 use std::time::Duration;
@@ -56,6 +57,8 @@
     UnknownWorkspace,
     /// The table has no such pipeline.
     UnknownPipeline,
+    /// The identifier was used with another payload.
+    IdReused,
 }
 
 impl Daemon {
@@ -143,5 +146,9 @@
     if !table.pipelines.contains_key(&submission.key.pipeline) {
         return Err(Refusal::UnknownPipeline);
     }
+    let admission = state.core.admission(&submission.key, &submission.payload);
+    if admission == Admission::Reused {
+        return Err(Refusal::IdReused);
+    }
     Ok(())
 }
