--- /dev/null
+++ b/policy/src/estimate.rs
@@ -0,0 +1,113 @@
+//! Quantiles and means of a stream of durations, in constant memory.
+
+use std::time::Duration;
+
+/// Buckets of the histogram.
+const BUCKETS: usize = 160;
+
+/// Lower end of the first bucket, in seconds.
+const FLOOR_SECONDS: f64 = 0.000_1;
+
+/// Ratio between the ends of a bucket; a quantile is off by at most half of it.
+const RATIO: f64 = 1.1;
+
+/// Samples after which all counts are halved, so that old ones fade.
+const WINDOW: u32 = 1_024;
+
+/// Samples that a quantile needs.
+const FIRST_SAMPLES: u32 = 16;
+
+/// Fading histogram with logarithmic buckets from 0.1 ms to several minutes.
+///
+/// # Performance
+///
+/// Adding a sample takes constant time, a quantile one walk over the buckets.
+#[derive(Clone, Debug)]
+pub struct Histogram {
+    counts: [u32; BUCKETS],
+    total: u32,
+}
+
+impl Histogram {
+    /// Creates an empty histogram.
+    pub const fn new() -> Self {
+        Self {
+            counts: [0; BUCKETS],
+            total: 0,
+        }
+    }
+
+    /// Adds a sample.
+    pub fn add(&mut self, sample: Duration) {
+        if self.total >= WINDOW {
+            self.fade();
+        }
+        self.counts[bucket(sample)] += 1;
+        self.total += 1;
+    }
+
+    /// Returns the duration that the share `quantile` of the samples does not exceed.
+    ///
+    /// `None` until there are enough samples.
+    pub fn quantile(&self, quantile: f64) -> Option<Duration> {
+        if self.total < FIRST_SAMPLES {
+            return None;
+        }
+        let rank = (quantile.clamp(0.0, 1.0) * f64::from(self.total)).ceil() as u32;
+        let mut seen = 0;
+        let at = self.counts.iter().position(|count| {
+            seen += count;
+            seen >= rank.max(1)
+        });
+        at.map(middle)
+    }
+
+    fn fade(&mut self) {
+        for count in &mut self.counts {
+            *count /= 2;
+        }
+        self.total = self.counts.iter().sum();
+    }
+}
+
+impl Default for Histogram {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Exponentially weighted moving average.
+#[derive(Clone, Copy, Debug)]
+pub struct Average {
+    value: Option<f64>,
+    gain: f64,
+}
+
+impl Average {
+    /// Creates an average without a sample, in which a new sample weighs `gain`.
+    pub const fn new(gain: f64) -> Self {
+        Self { value: None, gain }
+    }
+
+    /// Adds a sample.
+    pub fn add(&mut self, sample: f64) {
+        self.value = Some(
+            self.value
+                .map_or(sample, |old| old + self.gain * (sample - old)),
+        );
+    }
+
+    /// Returns the average, if there was a sample.
+    pub const fn get(&self) -> Option<f64> {
+        self.value
+    }
+}
+
+fn bucket(sample: Duration) -> usize {
+    let steps = (sample.as_secs_f64() / FLOOR_SECONDS).max(1.0).ln() / RATIO.ln();
+    (steps as usize).min(BUCKETS - 1)
+}
+
+fn middle(bucket: usize) -> Duration {
+    Duration::from_secs_f64(FLOOR_SECONDS * RATIO.powf(bucket as f64 + 0.5))
+}
--- /dev/null
+++ b/policy/src/router/member.rs
@@ -0,0 +1,76 @@
+//! What a router knows of one pool.
+
+use crate::{
+    estimate::{Average, Histogram},
+    id::Time,
+    pool::Pool,
+    router::Subset,
+};
+use std::time::Duration;
+
+/// Weight of one call or report in the averages of a pool.
+const GAIN: f64 = 0.05;
+
+/// Smallest ratio of the time of calls to what was expected.
+const SHORTEST_STRETCH: f64 = 0.01;
+
+/// What a router knows of one pool.
+#[derive(Debug)]
+pub(super) struct Member {
+    /// Settings of the pool.
+    pub settings: Pool,
+    /// Targets that this entry works with.
+    pub subset: Subset,
+    /// Time of calls from dispatch to result.
+    pub service: Histogram,
+    /// Time of calls from dispatch to the first part of the result.
+    pub first: Histogram,
+    /// Time of whole stages, waiting included.
+    pub stage: Histogram,
+    /// Mean time of calls, in seconds.
+    pub mean: Average,
+    /// Mean ratio of the time of calls to what was expected.
+    pub stretch: Average,
+    /// Mean load of a target by other entries.
+    pub others: Average,
+    /// When the last report of any target came.
+    pub last_report: Time,
+}
+
+impl Member {
+    pub fn new(settings: Pool) -> Self {
+        Self {
+            settings,
+            subset: Subset::default(),
+            service: Histogram::new(),
+            first: Histogram::new(),
+            stage: Histogram::new(),
+            mean: Average::new(GAIN),
+            stretch: Average::new(GAIN),
+            others: Average::new(GAIN),
+            last_report: Time::ZERO,
+        }
+    }
+
+    /// Notes a call that took `seconds` and `stretch` times what was expected.
+    pub fn done(&mut self, seconds: f64, stretch: f64) {
+        self.service.add(Duration::from_secs_f64(seconds));
+        self.mean.add(seconds);
+        self.stretch.add(stretch);
+    }
+
+    /// Returns how much longer than expected calls usually take.
+    pub fn usual_stretch(&self) -> f64 {
+        self.stretch.get().unwrap_or(1.0).max(SHORTEST_STRETCH)
+    }
+
+    /// Returns the mean load of a target by other entries.
+    pub fn usual_others(&self) -> f64 {
+        self.others.get().unwrap_or(0.0)
+    }
+
+    pub fn reported(&mut self, now: Time, others: f64) {
+        self.last_report = now;
+        self.others.add(others);
+    }
+}
--- /dev/null
+++ b/policy/src/router/mod.rs
@@ -0,0 +1,404 @@
+//! Choice of a target for one stage of a request.
+//!
+//! Targets are compared by the expected time to the result: the wait for a place at the target,
+//! the prompt tokens that are not in its prefix cache, the tokens to generate, and penalties for
+//! failures and for distance. Of a few targets that are drawn at random, and of those that hold
+//! the prompt's prefix, the best one is taken, so that entries with the same stale reports do not
+//! all choose the same target.
+
+mod choice;
+mod health;
+mod member;
+mod prefix;
+mod score;
+mod subset;
+mod target;
+
+use crate::{
+    decision::Candidate,
+    fault::Fault,
+    host::{Change, Host, Report, State},
+    id::{AttemptId, BlockHash, DomainId, HostId, PoolId, RegionId, TargetId, Time, WorkspaceId},
+    pool::Pool,
+    router::{
+        member::Member,
+        prefix::Index,
+        subset::Subset,
+        target::{End, MAX_STRETCH, Target},
+    },
+    table::{self, Table},
+};
+use compact_str::CompactString;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+use strum::{Display, EnumString, IntoStaticStr};
+
+/// What a stage needs of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Pool that the stage runs in.
+    pub pool: &'a PoolId,
+    /// Workspace of the caller.
+    pub workspace: &'a WorkspaceId,
+    /// Hashes of the prompt's blocks, each with all blocks before it; empty for plain services.
+    pub prefix: &'a [BlockHash],
+    /// Tokens that the stage is expected to generate.
+    pub tokens: u32,
+    /// Targets that the request may not use again.
+    pub avoid: &'a [TargetId],
+    /// Whether the call must have the target to itself among this entry's calls.
+    pub alone: bool,
+}
+
+/// Target that was chosen, with those it was compared with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pick {
+    /// The target.
+    pub target: TargetId,
+    /// Address of the target.
+    pub address: CompactString,
+    /// Expected time to the result.
+    pub expected: Duration,
+    /// Targets that were compared.
+    pub candidates: Vec<Candidate>,
+}
+
+/// Why no target was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shortage {
+    /// The pool has no live target that the request may use.
+    NoTarget,
+    /// Every usable target is at its limit.
+    NoRoom,
+}
+
+/// How a call to a target ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The target answered in full.
+    Done,
+    /// The call ended without a result.
+    Failed(Fault),
+    /// The call was abandoned.
+    Cancelled,
+}
+
+/// How targets are compared.
+#[derive(Clone, Copy, Debug, Default, Display, EnumString, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Rule {
+    /// By the expected time to the result.
+    #[default]
+    Scored,
+    /// In turn, each up to its reported width; a baseline.
+    RoundRobin,
+    /// By the calls in flight from this entry, each up to its reported width; a baseline.
+    LeastInFlight,
+}
+
+/// Targets of a pool that one entry works with, unless set otherwise.
+const SUBSET_SIZE: usize = 16;
+
+/// Targets that are drawn for one choice.
+const DRAWN: usize = 4;
+
+/// Knowledge of all targets, and the choice among them.
+#[derive(Debug)]
+pub struct Router {
+    domain: DomainId,
+    region: Option<RegionId>,
+    identity: HostId,
+    subset_size: usize,
+    rule: Rule,
+    targets: Vec<Target>,
+    free: Vec<u32>,
+    names: HashMap<TargetId, u32>,
+    pools: BTreeMap<PoolId, Member>,
+    domains: HashMap<DomainId, health::Outage>,
+    weights: BTreeMap<TargetId, table::Target>,
+    prefixes: Index,
+    running: HashMap<AttemptId, Call>,
+    scratch: Vec<u32>,
+}
+
+/// One call in flight.
+#[derive(Clone, Debug)]
+struct Call {
+    target: u32,
+    started: Time,
+    /// Expected seconds, unless nothing is known of the pool yet.
+    expected: Option<f64>,
+    /// Whether a part of the result has come.
+    progressed: bool,
+}
+
+impl Router {
+    /// Creates a router for an entry in `domain` that serves `pools`.
+    pub fn new(domain: DomainId, pools: &[Pool]) -> Self {
+        Self {
+            identity: domain.clone(),
+            domain,
+            region: None,
+            subset_size: SUBSET_SIZE,
+            rule: Rule::default(),
+            targets: Vec::new(),
+            free: Vec::new(),
+            names: HashMap::new(),
+            pools: pools
+                .iter()
+                .map(|pool| (pool.name.clone(), Member::new(pool.clone())))
+                .collect(),
+            domains: HashMap::new(),
+            weights: BTreeMap::new(),
+            prefixes: Index::new(),
+            running: HashMap::new(),
+            scratch: Vec::new(),
+        }
+    }
+
+    /// Works with a stable subset of `size` targets of each pool, which `host` determines.
+    #[must_use]
+    pub fn with_subset(mut self, host: impl Into<HostId>, size: usize) -> Self {
+        self.identity = host.into();
+        self.subset_size = size.max(1);
+        self
+    }
+
+    /// Compares targets by `rule`.
+    #[must_use]
+    pub fn with_rule(mut self, rule: Rule) -> Self {
+        self.rule = rule;
+        self
+    }
+
+    /// Takes in the platform's host list.
+    pub fn set_hosts(&mut self, now: Time, hosts: &[Host]) {
+        for target in &mut self.targets {
+            target.listed = false;
+        }
+        for host in hosts {
+            self.list(now, host);
+        }
+        self.region = hosts
+            .iter()
+            .find(|host| host.domain == self.domain)
+            .map(|host| host.region.clone());
+        self.drop_unlisted();
+        self.rebuild_subsets();
+    }
+
+    /// Takes in the weights and ceilings of targets.
+    pub fn set_table(&mut self, _now: Time, table: &Table) {
+        self.weights.clone_from(&table.targets);
+        for target in &mut self.targets {
+            target.set_row(self.weights.get(&target.host.target));
+        }
+    }
+
+    /// Takes in a target's report of its load.
+    pub fn report(&mut self, now: Time, target: &TargetId, report: &Report) {
+        let Some(&index) = self.names.get(target) else {
+            return;
+        };
+        let target = &mut self.targets[index as usize];
+        let Some(pool) = self.pools.get_mut(&target.host.pool) else {
+            return;
+        };
+        target.report(now, report, pool.settings.idempotent);
+        pool.reported(now, target.others_reported());
+    }
+
+    /// Takes in a change of a target's prefix cache.
+    pub fn cache(&mut self, now: Time, target: &TargetId, change: &Change) {
+        if let Some(&index) = self.names.get(target) {
+            self.prefixes.change(now, index, change);
+        }
+    }
+
+    /// Returns the address of a target, if it is on the host list.
+    pub fn address(&self, target: &TargetId) -> Option<&CompactString> {
+        let target = self.target(target)?;
+        target.listed.then_some(&target.host.address)
+    }
+
+    /// Returns the targets of `pool` that this entry works with now.
+    pub fn subset(&self, pool: &PoolId) -> impl Iterator<Item = &TargetId> {
+        self.pools
+            .get(pool)
+            .map_or(&[][..], |pool| pool.subset.active())
+            .iter()
+            .map(|&index| &self.targets[index as usize].host.target)
+    }
+
+    /// Returns the calls in flight from this entry to `target`.
+    pub fn in_flight(&self, target: &TargetId) -> u32 {
+        self.target(target).map_or(0, |target| target.in_flight)
+    }
+
+    /// Returns the calls that `target` may have in flight from this entry; at least 1.
+    pub fn limit(&self, target: &TargetId) -> Option<u32> {
+        self.target(target).map(|target| target.limit.get())
+    }
+
+    /// Returns the time that a stage takes in `pool`, at `quantile` between 0 and 1.
+    ///
+    /// `None` until enough calls have ended.
+    pub fn quantile(&self, pool: &PoolId, quantile: f64) -> Option<Duration> {
+        self.pools.get(pool)?.service.quantile(quantile)
+    }
+
+    /// Notes the time of a whole stage in `pool`, waiting and repeated attempts included.
+    pub fn staged(&mut self, pool: &PoolId, time: Duration) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.stage.add(time);
+        }
+    }
+
+    /// Returns the time of a whole stage in `pool`, waiting included, at `quantile`.
+    ///
+    /// `None` until enough stages were noted with [`staged`](Self::staged).
+    pub fn stage_quantile(&self, pool: &PoolId, quantile: f64) -> Option<Duration> {
+        self.pools.get(pool)?.stage.quantile(quantile)
+    }
+
+    /// Returns the time from the dispatch of a call in `pool` to its first part, at `quantile`.
+    ///
+    /// `None` until enough calls have given a first part.
+    pub fn first_quantile(&self, pool: &PoolId, quantile: f64) -> Option<Duration> {
+        self.pools.get(pool)?.first.quantile(quantile)
+    }
+
+    /// Returns the calls that the live targets of `pool` can take at once from this entry.
+    pub fn width(&self, pool: &PoolId) -> u32 {
+        let Some(pool) = self.pools.get(pool) else {
+            return 0;
+        };
+        let members = pool.subset.active().iter();
+        members
+            .map(|&index| &self.targets[index as usize])
+            .filter(|target| target.is_offered(&pool.settings))
+            .map(Target::free_width)
+            .sum()
+    }
+
+    /// Notes that a call was sent.
+    pub fn started(&mut self, now: Time, attempt: AttemptId, target: &TargetId, need: &Need<'_>) {
+        let Some(&index) = self.names.get(target) else {
+            return;
+        };
+        let known = self.is_known(index, need);
+        let expected = known.then(|| self.expected(now, index, need));
+        self.prefixes.sent(now, index, need.prefix);
+        self.targets[index as usize].started(now, attempt, expected, need.alone);
+        let call = Call {
+            target: index,
+            started: now,
+            expected,
+            progressed: false,
+        };
+        self.running.insert(attempt, call);
+    }
+
+    /// Notes the first part of a result, for the time to the first token.
+    pub fn progressed(&mut self, now: Time, attempt: AttemptId, _tokens: u32) {
+        let Some(call) = self.running.get_mut(&attempt) else {
+            return;
+        };
+        let pool = &self.targets[call.target as usize].host.pool;
+        if !std::mem::replace(&mut call.progressed, true)
+            && let Some(pool) = self.pools.get_mut(pool)
+        {
+            pool.first.add(now.saturating_sub(call.started));
+        }
+    }
+
+    /// Notes that a call ended.
+    pub fn ended(&mut self, now: Time, attempt: AttemptId, verdict: Verdict) {
+        let Some(call) = self.running.remove(&attempt) else {
+            return;
+        };
+        let target = &mut self.targets[call.target as usize];
+        let Some(pool) = self.pools.get_mut(&target.host.pool) else {
+            return;
+        };
+        let took = now.saturating_sub(call.started).as_secs_f64();
+        let usual = pool.usual_stretch();
+        let end = End {
+            stretch: call
+                .expected
+                .map_or(usual, |expected| (took / expected).min(MAX_STRETCH)),
+            usual,
+            verdict,
+        };
+        let ejected = target.ended(now, attempt, &end);
+        if verdict == Verdict::Done {
+            pool.done(took, end.stretch);
+        }
+        let lost = matches!(verdict, Verdict::Failed(fault) if health::is_loss(fault));
+        if ejected {
+            let domain = self.domains.entry(target.host.domain.clone()).or_default();
+            domain.add(now);
+        }
+        if lost {
+            self.prefixes.forget(call.target);
+        }
+    }
+
+    fn target(&self, name: &TargetId) -> Option<&Target> {
+        self.names
+            .get(name)
+            .map(|&index| &self.targets[index as usize])
+    }
+
+    fn list(&mut self, now: Time, host: &Host) {
+        if let Some(&index) = self.names.get(&host.target) {
+            self.targets[index as usize].relist(host);
+            return;
+        }
+        let mut target = Target::new(now, host.clone());
+        target.set_row(self.weights.get(&host.target));
+        let index = self.free.pop().unwrap_or(self.targets.len() as u32);
+        if index as usize == self.targets.len() {
+            self.targets.push(target);
+        } else {
+            self.targets[index as usize] = target;
+        }
+        self.prefixes.forget(index);
+        self.names.insert(host.target.clone(), index);
+    }
+
+    /// Frees the places of targets that are off the list and have no call in flight.
+    fn drop_unlisted(&mut self) {
+        for (index, target) in self.targets.iter().enumerate() {
+            let gone = !target.listed && target.in_flight == 0;
+            if gone && self.names.remove(&target.host.target).is_some() {
+                self.free.push(index as u32);
+            }
+        }
+    }
+
+    fn rebuild_subsets(&mut self) {
+        let mut pools: BTreeMap<&PoolId, Vec<u32>> = BTreeMap::new();
+        for (index, target) in self.targets.iter().enumerate() {
+            if target.listed && target.host.state == State::Live {
+                pools
+                    .entry(&target.host.pool)
+                    .or_default()
+                    .push(index as u32);
+            }
+        }
+        for pool in self.pools.values_mut() {
+            pool.subset.clear();
+        }
+        for (name, mut members) in pools {
+            subset::order(&mut members, &self.targets, &self.identity);
+            self.pools
+                .entry(name.clone())
+                .or_insert_with(|| Member::new(Pool::new(name.clone())))
+                .subset
+                .set(members, self.subset_size);
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/router/score.rs
@@ -0,0 +1,137 @@
+//! Expected time to the result of a call at one target.
+
+use crate::{
+    id::Time,
+    pool::Kind,
+    router::{Member, Need, Router, Target},
+};
+use std::time::Duration;
+
+/// Prompt tokens in one block.
+const BLOCK_TOKENS: f64 = 16.0;
+
+/// Time of a call of which nothing is known.
+const UNKNOWN_SERVICE: f64 = 0.05;
+
+/// Shortest expected time of a call.
+const SHORTEST: f64 = 0.001;
+
+/// Longest expected time of a call.
+const LONGEST: f64 = 3_600.0;
+
+/// Share of the service time that a fully loaded target is held to be worse than an idle one.
+const CROWDING: f64 = 0.1;
+
+/// Cost of a round trip to another failure domain, in seconds.
+const DOMAIN_COST: f64 = 0.003;
+
+/// Cost of a round trip to another region, in seconds.
+const REGION_COST: f64 = 0.1;
+
+/// Cost of a call that fails, in seconds.
+const FAILURE_COST: f64 = 2.0;
+
+/// Cost of a target whose domain seems to be lost, in seconds for each ejection there.
+const OUTAGE_COST: f64 = 0.5;
+
+/// Ejections in one domain that may be unrelated.
+const UNRELATED_EJECTIONS: f64 = 1.5;
+
+/// Cost of a target that no longer reports, in seconds.
+const OVERDUE_COST: f64 = 1.0;
+
+/// Time behind the pool's last report after which a target's report is overdue.
+const OVERDUE: Duration = Duration::from_secs(3);
+
+impl Router {
+    /// Returns the expected seconds of a call at a target, penalties left out.
+    pub(super) fn expected(&self, now: Time, index: u32, need: &Need<'_>) -> f64 {
+        let target = &self.targets[index as usize];
+        let Some(pool) = self.pools.get(&target.host.pool) else {
+            return UNKNOWN_SERVICE;
+        };
+        let service = self.service(index, pool, need);
+        let load = target.load(now, pool.usual_others());
+        service + wait(load, target.places(), service)
+    }
+
+    /// Returns the score of a target for a call; lower is better.
+    pub(super) fn score(&self, now: Time, index: u32, need: &Need<'_>, pool: &Member) -> f64 {
+        let target = &self.targets[index as usize];
+        let service = self.service(index, pool, need);
+        let load = target.load(now, pool.usual_others());
+        let places = target.places();
+        let crowding = service * CROWDING * (load / places).min(1.0);
+        let time = (service + wait(load, places, service))
+            * target.stretch(now, pool.usual_stretch())
+            + crowding;
+        (time + self.penalty(now, target, pool)) / target.weight
+    }
+
+    /// Returns the expected seconds of a call that finds a free place.
+    fn service(&self, index: u32, pool: &Member, need: &Need<'_>) -> f64 {
+        self.known_service(index, pool, need)
+            .unwrap_or(UNKNOWN_SERVICE)
+            .clamp(SHORTEST, LONGEST)
+    }
+
+    /// Returns whether the time of a call can be told from earlier calls or reports.
+    pub(super) fn is_known(&self, index: u32, need: &Need<'_>) -> bool {
+        let pool = self.pools.get(&self.targets[index as usize].host.pool);
+        pool.is_some_and(|pool| self.known_service(index, pool, need).is_some())
+    }
+
+    fn known_service(&self, index: u32, pool: &Member, need: &Need<'_>) -> Option<f64> {
+        let generation = match pool.settings.kind {
+            Kind::Engine => self.generation(index, need),
+            Kind::Service => None,
+        };
+        generation.or_else(|| pool.mean.get())
+    }
+
+    /// Returns the seconds that an engine reads and generates, if it reported its rates.
+    fn generation(&self, index: u32, need: &Need<'_>) -> Option<f64> {
+        let report = &self.targets[index as usize].report;
+        if report.tokens_per_second <= 0.0 {
+            return None;
+        }
+        let decode = f64::from(need.tokens) / report.tokens_per_second;
+        if report.prefill_per_second <= 0.0 || need.prefix.is_empty() {
+            return Some(decode);
+        }
+        let missing = need.prefix.len() as f64 - self.prefixes.held(index, need.prefix);
+        Some(decode + missing * BLOCK_TOKENS / report.prefill_per_second)
+    }
+
+    fn penalty(&self, now: Time, target: &Target, pool: &Member) -> f64 {
+        let outage = self.domains.get(&target.host.domain);
+        let level = outage.map_or(0.0, |outage| outage.level(now));
+        let mut cost = self.distance(target) + target.health.failures() * FAILURE_COST;
+        if level > UNRELATED_EJECTIONS {
+            cost += level * OUTAGE_COST;
+        }
+        if is_overdue(target, pool) {
+            cost += OVERDUE_COST;
+        }
+        cost
+    }
+
+    fn distance(&self, target: &Target) -> f64 {
+        match &self.region {
+            _ if target.host.domain == self.domain => 0.0,
+            Some(region) if *region != target.host.region => REGION_COST,
+            _ => DOMAIN_COST,
+        }
+    }
+}
+
+/// Returns the seconds until one of `places` is free when `load` calls are there already.
+fn wait(load: f64, places: f64, service: f64) -> f64 {
+    (load + 1.0 - places).max(0.0) / places * service
+}
+
+fn is_overdue(target: &Target, pool: &Member) -> bool {
+    target
+        .heard_at
+        .is_some_and(|heard| pool.last_report > heard + OVERDUE)
+}
--- /dev/null
+++ b/policy/src/router/target.rs
@@ -0,0 +1,274 @@
+//! What a router knows of one target.
+
+use crate::{
+    fault::Fault,
+    host::{Host, Report, State},
+    id::{AttemptId, Time},
+    limit::Limit,
+    pool::{Kind, Pool},
+    router::{
+        Verdict,
+        health::{Access, Health},
+    },
+    table,
+};
+use std::{collections::VecDeque, time::Duration};
+
+/// Weight of one call in the averages of a target.
+const GAIN: f64 = 0.3;
+
+/// Time in which a stretched service time fades to the e-th part when no call refreshes it.
+const STRETCH_FADE: Duration = Duration::from_secs(15);
+
+/// Time in which the load that other entries caused at one target drifts to that of any target.
+const OTHERS_FADE: Duration = Duration::from_secs(2);
+
+/// Age up to which a report decides whether a target has room.
+const FRESH: Duration = Duration::from_secs(1);
+
+/// Share of its width by which a target may be overbooked, so that it never idles between reports.
+const OVERBOOKING: f64 = 0.25;
+
+/// Longest stretch of a service time that is told apart.
+pub(super) const MAX_STRETCH: f64 = 100.0;
+
+/// What a router knows of one target.
+#[derive(Debug)]
+pub(super) struct Target {
+    pub host: Host,
+    /// Whether the target is on the host list.
+    pub listed: bool,
+    pub weight: f64,
+    pub ceiling: Option<u32>,
+    pub in_flight: u32,
+    pub limit: Limit,
+    pub health: Health,
+    pub report: Report,
+    /// When the figures of the last report were true.
+    pub reported_at: Option<Time>,
+    /// When the last report came.
+    pub heard_at: Option<Time>,
+    others: f64,
+    stretch: Option<f64>,
+    stretch_at: Time,
+    calls: VecDeque<Started>,
+    alone: Option<AttemptId>,
+}
+
+/// End of one call.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct End {
+    /// How much longer than expected the call took.
+    pub stretch: f64,
+    /// The same figure for the whole pool.
+    pub usual: f64,
+    pub verdict: Verdict,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Started {
+    attempt: AttemptId,
+    at: Time,
+    expected: Option<f64>,
+}
+
+impl Target {
+    pub fn new(now: Time, host: Host) -> Self {
+        Self {
+            host,
+            listed: true,
+            weight: 1.0,
+            ceiling: None,
+            in_flight: 0,
+            limit: Limit::new(),
+            health: Health::default(),
+            report: Report::default(),
+            reported_at: None,
+            heard_at: None,
+            others: 0.0,
+            stretch: None,
+            stretch_at: now,
+            calls: VecDeque::new(),
+            alone: None,
+        }
+    }
+
+    pub fn relist(&mut self, host: &Host) {
+        if self.host != *host {
+            self.host = host.clone();
+        }
+        self.listed = true;
+    }
+
+    pub fn set_row(&mut self, row: Option<&table::Target>) {
+        self.weight = row.map_or(1.0, |row| row.weight);
+        self.ceiling = row.and_then(|row| row.ceiling);
+        self.limit.set_ceiling(self.ceiling);
+    }
+
+    pub fn report(&mut self, now: Time, report: &Report, idempotent: bool) {
+        self.report.clone_from(report);
+        self.reported_at = Some(now.saturating_sub(report.age));
+        self.heard_at = Some(now);
+        let load = report.running.saturating_add(report.waiting);
+        self.others = f64::from(load.saturating_sub(self.in_flight));
+        self.limit.set_width(report.width);
+        if self.health.reported(now, idempotent) {
+            self.limit.restart();
+        }
+    }
+
+    /// Returns the load by other entries, as of the last report.
+    pub const fn others_reported(&self) -> f64 {
+        self.others
+    }
+
+    /// Returns the age of the last report's figures.
+    pub fn report_age(&self, now: Time) -> Option<Duration> {
+        self.reported_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns the calls at the target now.
+    ///
+    /// The load that other entries cause drifts from the last report's to `usual`, the mean of
+    /// the pool, as the report ages.
+    pub fn load(&self, now: Time, usual: f64) -> f64 {
+        let age = self.report_age(now).unwrap_or(Duration::MAX);
+        let kept = (-age.as_secs_f64() / OTHERS_FADE.as_secs_f64()).exp();
+        f64::from(self.in_flight) + usual + (self.others - usual) * kept
+    }
+
+    /// Returns whether the target takes new calls of its pool at all.
+    pub fn is_offered(&self, pool: &Pool) -> bool {
+        self.listed && self.host.state == State::Live && self.weight > 0.0 && self.is_warm(pool)
+    }
+
+    /// Returns whether there is room for one more call, given the usual load by other entries.
+    pub fn has_room(&self, now: Time, usual: f64, alone: bool) -> bool {
+        let most = match self.access(now) {
+            Access::Closed => 0,
+            Access::Probe => 1,
+            Access::Open if alone => 1,
+            Access::Open => self.limit.get(),
+        };
+        self.alone.is_none() && self.in_flight < most && self.has_place(now, usual)
+    }
+
+    /// Returns what the target may be given now.
+    pub fn access(&self, now: Time) -> Access {
+        self.health.access(now, self.heard_at.is_some())
+    }
+
+    /// Returns the places that the target has, as far as is known.
+    pub fn places(&self) -> f64 {
+        f64::from(match self.report.width {
+            0 => self.limit.get(),
+            width => width,
+        })
+    }
+
+    /// Returns the calls that the target takes at once from this entry, beside those of others.
+    pub fn free_width(&self) -> u32 {
+        let free = (self.places() - self.others).max(1.0);
+        self.limit.get().min(free as u32)
+    }
+
+    /// Returns how much longer than expected the target's calls take.
+    ///
+    /// What is known fades to `usual`, the figure of the whole pool.
+    pub fn stretch(&self, now: Time, usual: f64) -> f64 {
+        let age = now.saturating_sub(self.stretch_at).as_secs_f64();
+        let faded = usual
+            + (self.stretch.unwrap_or(usual) - usual) * (-age / STRETCH_FADE.as_secs_f64()).exp();
+        let oldest = self.calls.front().map_or(0.0, |call| call.stretch(now));
+        faded.max(oldest).min(MAX_STRETCH)
+    }
+
+    pub fn started(&mut self, now: Time, attempt: AttemptId, expected: Option<f64>, alone: bool) {
+        self.in_flight += 1;
+        self.calls.push_back(Started {
+            attempt,
+            at: now,
+            expected,
+        });
+        if alone {
+            self.alone = Some(attempt);
+        }
+    }
+
+    /// Notes the end of a call, and returns whether that ejects the target.
+    pub fn ended(&mut self, now: Time, attempt: AttemptId, end: &End) -> bool {
+        let End {
+            stretch,
+            usual,
+            verdict,
+        } = *end;
+        let in_flight = self.in_flight;
+        self.remove(attempt);
+        match verdict {
+            Verdict::Done => {
+                self.set_stretch(now, stretch, usual);
+                self.limit.sample(stretch / usual.min(1.0), in_flight);
+                if self.health.succeeded() {
+                    self.limit.restart();
+                }
+                false
+            }
+            Verdict::Failed(Fault::Busy { .. }) => {
+                self.limit.back_off(now);
+                false
+            }
+            Verdict::Failed(Fault::Rejected) => false,
+            Verdict::Failed(fault) => self.health.failed(now, fault),
+            Verdict::Cancelled => {
+                if stretch > self.stretch(now, usual) {
+                    self.set_stretch(now, stretch, usual);
+                }
+                false
+            }
+        }
+    }
+
+    fn is_warm(&self, pool: &Pool) -> bool {
+        pool.kind == Kind::Service
+            || pool.model.is_empty()
+            || self.heard_at.is_none()
+            || self.report.models.contains(&pool.model)
+    }
+
+    fn has_place(&self, now: Time, usual: f64) -> bool {
+        let load = self.load(now, usual);
+        if self
+            .ceiling
+            .is_some_and(|ceiling| load >= f64::from(ceiling))
+        {
+            return false;
+        }
+        let fresh = self.report_age(now).is_some_and(|age| age < FRESH);
+        let width = f64::from(self.report.width);
+        !fresh || width == 0.0 || load < width + (width * OVERBOOKING).max(1.0)
+    }
+
+    fn set_stretch(&mut self, now: Time, sample: f64, usual: f64) {
+        let known = self.stretch(now, usual);
+        self.stretch = Some(known + GAIN * (sample - known));
+        self.stretch_at = now;
+    }
+
+    fn remove(&mut self, attempt: AttemptId) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(at) = self.calls.iter().position(|call| call.attempt == attempt) {
+            self.calls.remove(at);
+        }
+        if self.alone == Some(attempt) {
+            self.alone = None;
+        }
+    }
+}
+
+impl Started {
+    fn stretch(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.expected.map_or(0.0, |expected| age / expected)
+    }
+}
--- /dev/null
+++ b/policy/tests/estimate.rs
@@ -0,0 +1,143 @@
+//! Quantiles, averages and adaptive limits.
+
+use policy::{
+    estimate::{Average, Histogram},
+    id::Time,
+    limit::Limit,
+};
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+use rstest::rstest;
+use std::time::Duration;
+
+#[rstest]
+#[case(0.5, 500)]
+#[case(0.95, 950)]
+#[case(0.99, 990)]
+#[case(1.0, 1_000)]
+fn quantiles_are_near(#[case] quantile: f64, #[case] expected: u64) {
+    let mut histogram = Histogram::new();
+    (1..=1_000).for_each(|sample| histogram.add(Duration::from_millis(sample)));
+    let found = histogram.quantile(quantile).unwrap().as_secs_f64() * 1_000.0;
+    let ratio = found / expected as f64;
+    assert!((0.9..1.1).contains(&ratio), "{found} ms");
+}
+
+#[rstest]
+#[case(15, None)]
+#[case(16, Some(true))]
+fn quantiles_need_samples(#[case] samples: u64, #[case] expected: Option<bool>) {
+    let mut histogram = Histogram::new();
+    (0..samples).for_each(|_| histogram.add(Duration::from_millis(10)));
+    let near = |found: Duration| found.abs_diff(Duration::from_millis(10)).as_millis() == 0;
+    assert_eq!(histogram.quantile(0.5).map(near), expected);
+}
+
+#[test]
+fn old_samples_fade() {
+    let mut histogram = Histogram::new();
+    (0..10_000).for_each(|_| histogram.add(Duration::from_secs(9)));
+    (0..10_000).for_each(|_| histogram.add(Duration::from_millis(9)));
+    assert!(histogram.quantile(0.95).unwrap() < Duration::from_millis(10));
+}
+
+#[test]
+fn extreme_samples_are_kept_in_range() {
+    let mut histogram = Histogram::new();
+    (0..16).for_each(|_| histogram.add(Duration::MAX));
+    (0..16).for_each(|_| histogram.add(Duration::ZERO));
+    assert!(histogram.quantile(0.0).unwrap() < Duration::from_millis(1));
+    assert!(histogram.quantile(1.0).unwrap() > Duration::from_secs(60));
+}
+
+#[test]
+fn an_average_follows_its_samples() {
+    let mut average = Average::new(0.5);
+    assert_eq!(average.get(), None);
+    average.add(4.0);
+    average.add(8.0);
+    assert_eq!(average.get(), Some(6.0));
+}
+
+#[rstest]
+#[case::reported(12, None, 12)]
+#[case::unknown(0, None, 8)]
+#[case::ceiling(12, Some(5), 5)]
+#[case::no_place(12, Some(0), 1)]
+fn limits_start_at_the_width(
+    #[case] width: u32,
+    #[case] ceiling: Option<u32>,
+    #[case] expected: u32,
+) {
+    let mut limit = Limit::new();
+    limit.set_ceiling(ceiling);
+    limit.set_width(width);
+    assert_eq!(limit.get(), expected);
+}
+
+#[rstest]
+#[case::as_expected(1.0, 16, 16)]
+#[case::twice_as_long(2.0, 12, 16)]
+#[case::ten_times_as_long(10.0, 3, 5)]
+fn limits_follow_the_stretch(#[case] stretch: f64, #[case] least: u32, #[case] most: u32) {
+    let mut limit = Limit::new();
+    limit.set_width(8);
+    for _ in 0..200 {
+        limit.sample(stretch, limit.get());
+    }
+    assert!((least..=most).contains(&limit.get()), "{}", limit.get());
+}
+
+#[test]
+fn an_unused_limit_does_not_grow() {
+    let mut limit = Limit::new();
+    (0..100).for_each(|_| limit.sample(1.0, 1));
+    assert_eq!(limit.get(), 8);
+}
+
+#[test]
+fn answers_of_being_full_count_once_in_a_while() {
+    let mut limit = Limit::new();
+    limit.set_width(100);
+    (0..10).for_each(|_| limit.back_off(Time::from_secs(1)));
+    assert_eq!(limit.get(), 70);
+    limit.back_off(Time::from_secs(2));
+    assert_eq!(limit.get(), 49);
+}
+
+#[test]
+fn a_cold_target_is_eased_in() {
+    let mut limit = Limit::new();
+    limit.set_width(8);
+    limit.restart();
+    let mut seen = vec![limit.get()];
+    while limit.is_cold() {
+        limit.sample(1.0, limit.get());
+        seen.push(limit.get());
+    }
+    assert_eq!(seen, [1, 2, 3, 5, 7, 10]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+    #[test]
+    fn limits_stay_in_range(
+        steps in vec((0..4_u8, 0.0..200.0_f64, 0..100_u32), 0..200),
+        ceiling in 0..20_u32,
+    ) {
+        let mut limit = Limit::new();
+        limit.set_ceiling(Some(ceiling));
+        for (at, (kind, stretch, number)) in steps.into_iter().enumerate() {
+            match kind {
+                0 => limit.sample(stretch, number),
+                1 => limit.back_off(Time::from_millis(at as u64 * 60)),
+                2 => limit.set_width(number),
+                _ => limit.restart(),
+            }
+            prop_assert!((1..=ceiling.max(1)).contains(&limit.get()));
+        }
+    }
+}
--- /dev/null
+++ b/policy/tests/router.rs
@@ -0,0 +1,545 @@
+//! Choice of targets.
+
+use policy::{
+    fault::Fault,
+    host::{Change, Host, Report, State},
+    id::{AttemptId, PoolId, TargetId, Time, WorkspaceId},
+    pool::Pool,
+    router::{Need, Router, Rule, Shortage, Verdict},
+    table::{self, Table},
+};
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::{collections::BTreeSet, time::Duration};
+
+const POOL: &str = "slots";
+
+/// Router with its clock, generator and calls.
+struct Bench {
+    router: Router,
+    rng: ChaCha8Rng,
+    now: Time,
+    sequence: u64,
+    pool: PoolId,
+    workspace: WorkspaceId,
+}
+
+impl Bench {
+    fn new(router: Router, hosts: &[Host]) -> Self {
+        let mut bench = Self {
+            router,
+            rng: ChaCha8Rng::seed_from_u64(6),
+            now: Time::ZERO,
+            sequence: 0,
+            pool: POOL.into(),
+            workspace: "tailors".into(),
+        };
+        bench.router.set_hosts(Time::ZERO, hosts);
+        bench
+    }
+
+    fn services(hosts: &[Host]) -> Self {
+        Self::new(Router::new("a".into(), &[Pool::new(POOL)]), hosts)
+    }
+
+    fn engines(hosts: &[Host]) -> Self {
+        let pool = Pool::new(POOL).with_engine("m", 100);
+        Self::new(Router::new("a".into(), &[pool]), hosts)
+    }
+
+    fn sleep(&mut self, milliseconds: u64) {
+        self.now += Duration::from_millis(milliseconds);
+    }
+
+    fn report(&mut self, target: &str, report: &Report) {
+        self.router.report(self.now, &target.into(), report);
+    }
+
+    fn choose_with(&mut self, prefix: &[u64], avoid: &[TargetId], alone: bool) -> Chosen {
+        let need = Need {
+            pool: &self.pool,
+            workspace: &self.workspace,
+            prefix,
+            tokens: 20,
+            avoid,
+            alone,
+        };
+        let pick = self.router.choose(self.now, &need, &mut self.rng)?;
+        self.sequence += 1;
+        let attempt = AttemptId {
+            incarnation: 1,
+            sequence: self.sequence,
+        };
+        self.router.started(self.now, attempt, &pick.target, &need);
+        Ok((attempt, pick.target))
+    }
+
+    fn choose(&mut self) -> Chosen {
+        self.choose_with(&[], &[], false)
+    }
+
+    fn end(&mut self, attempt: AttemptId, verdict: Verdict) {
+        self.router.ended(self.now, attempt, verdict);
+    }
+
+    /// Makes calls one after another, and counts those at `target`.
+    fn count(&mut self, target: &str, calls: usize, took: impl Fn(&str) -> u64) -> usize {
+        let mut chosen = 0;
+        for _ in 0..calls {
+            let (attempt, at) = self.choose().unwrap();
+            chosen += usize::from(at == target);
+            self.sleep(took(&at));
+            self.end(attempt, Verdict::Done);
+        }
+        chosen
+    }
+}
+
+type Chosen = Result<(AttemptId, TargetId), Shortage>;
+
+fn host(name: &str, domain: &str) -> Host {
+    Host {
+        host: name.into(),
+        target: name.into(),
+        pool: POOL.into(),
+        address: "127.0.0.1:1".into(),
+        domain: domain.into(),
+        region: "amman".into(),
+        state: State::Live,
+    }
+}
+
+fn hosts(names: &[&str]) -> Vec<Host> {
+    names.iter().map(|name| host(name, &name[..1])).collect()
+}
+
+fn engine(running: u32, tokens_per_second: f64) -> Report {
+    Report {
+        running,
+        waiting: 0,
+        width: 8,
+        tokens_per_second,
+        prefill_per_second: 1_000.0,
+        age: Duration::ZERO,
+        models: vec!["m".into()],
+    }
+}
+
+fn failed(fault: Fault) -> Verdict {
+    Verdict::Failed(fault)
+}
+
+#[rstest]
+#[case::idle_before_busy(engine(7, 50.0), engine(1, 50.0), "a2")]
+#[case::waiting_counts(Report { waiting: 9, ..engine(8, 50.0) }, engine(7, 50.0), "a2")]
+#[case::fast_before_slow(engine(1, 5.0), engine(4, 50.0), "a2")]
+#[case::cold_model(Report { models: vec![], ..engine(0, 50.0) }, engine(5, 50.0), "a2")]
+fn reports_decide(#[case] one: Report, #[case] two: Report, #[case] expected: &str) {
+    let mut bench = Bench::engines(&hosts(&["a1", "a2"]));
+    bench.report("a1", &one);
+    bench.report("a2", &two);
+    assert_eq!(bench.choose().unwrap().1, expected);
+}
+
+#[rstest]
+#[case::own_domain(&["a1", "b1"], "a1")]
+#[case::other_domain(&["b1", "c1"], "b1")]
+fn own_domain_is_preferred(#[case] names: &[&str], #[case] first: &str) {
+    let mut bench = Bench::services(&hosts(names));
+    let chosen = bench.count(first, 20, |_| 10);
+    let all_ours = first.starts_with('a');
+    assert_eq!(chosen == 20, all_ours, "{chosen} of 20 calls at {first}");
+}
+
+#[rstest]
+#[case::fresh(0, 0)]
+#[case::old(5_000, 4)]
+fn aged_reports_lose_their_weight(#[case] age: u64, #[case] expected: usize) {
+    let mut bench = Bench::engines(&hosts(&["a1", "a2"]));
+    let age = Duration::from_millis(age);
+    bench.sleep(10_000);
+    bench.report(
+        "a1",
+        &Report {
+            age,
+            ..engine(12, 50.0)
+        },
+    );
+    bench.report(
+        "a2",
+        &Report {
+            age,
+            ..engine(0, 50.0)
+        },
+    );
+    let chosen = (0..8).filter(|_| bench.choose().unwrap().1 == "a1").count();
+    assert_eq!(chosen, expected);
+}
+
+#[test]
+fn a_prompt_goes_where_its_prefix_is() {
+    let mut bench = Bench::engines(&hosts(&["a1", "a2", "a3", "a4", "a5", "a6"]));
+    for name in ["a1", "a2", "a3", "a4", "a5", "a6"] {
+        bench.report(name, &engine(2, 50.0));
+    }
+    let prefix: Vec<u64> = (1..60).collect();
+    let (_, first) = bench.choose_with(&prefix, &[], false).unwrap();
+    for _ in 0..3 {
+        assert_eq!(bench.choose_with(&prefix, &[], false).unwrap().1, first);
+    }
+}
+
+#[rstest]
+#[case::stored(&[(true, 1)], true)]
+#[case::removed(&[(true, 1), (false, 2)], false)]
+#[case::one_gap(&[(true, 1), (true, 3)], true)]
+fn cache_events_correct_the_index(#[case] events: &[(bool, u64)], #[case] kept: bool) {
+    let mut bench = Bench::engines(&hosts(&["a1", "a2"]));
+    bench.report("a1", &engine(4, 50.0));
+    bench.report("a2", &engine(3, 50.0));
+    let blocks: Vec<u64> = (1..60).collect();
+    for &(stored, sequence) in events {
+        let blocks = blocks.clone();
+        let change = if stored {
+            Change::Stored { sequence, blocks }
+        } else {
+            Change::Removed { sequence, blocks }
+        };
+        bench.router.cache(bench.now, &"a1".into(), &change);
+    }
+    let (_, chosen) = bench.choose_with(&blocks, &[], false).unwrap();
+    assert_eq!(chosen == "a1", kept);
+}
+
+#[rstest]
+#[case::late(0, true)]
+#[case::in_time(3_000, false)]
+fn a_late_event_does_not_remove_what_was_sent_since(#[case] after: u64, #[case] kept: bool) {
+    let mut bench = Bench::engines(&hosts(&["a1", "a2"]));
+    bench.report("a1", &engine(4, 50.0));
+    bench.report("a2", &engine(3, 50.0));
+    let blocks: Vec<u64> = (1..60).collect();
+    let avoid = [TargetId::from("a2")];
+    let (attempt, _) = bench.choose_with(&blocks, &avoid, false).unwrap();
+    bench.end(attempt, Verdict::Cancelled);
+    bench.sleep(after);
+    let removed = Change::Removed {
+        sequence: 1,
+        blocks: blocks.clone(),
+    };
+    bench.router.cache(bench.now, &"a1".into(), &removed);
+    let (_, chosen) = bench.choose_with(&blocks, &[], false).unwrap();
+    assert_eq!(chosen == "a1", kept);
+}
+
+#[rstest]
+#[case::refused(Fault::Unsent, 1)]
+#[case::broken(Fault::Broken, 2)]
+#[case::silent(Fault::Silent, 3)]
+#[case::error(Fault::Error, 3)]
+fn failing_targets_are_ejected(#[case] fault: Fault, #[case] calls: usize) {
+    let mut bench = Bench::services(&hosts(&["a1"]));
+    for _ in 0..calls {
+        let (attempt, _) = bench.choose().unwrap();
+        bench.end(attempt, failed(fault));
+    }
+    assert_eq!(bench.choose().unwrap_err(), Shortage::NoRoom);
+    bench.sleep(250);
+    let (probe, _) = bench.choose().unwrap();
+    assert_eq!(
+        bench.choose().unwrap_err(),
+        Shortage::NoRoom,
+        "one probe at a time"
+    );
+    bench.end(probe, failed(fault));
+    bench.sleep(250);
+    assert_eq!(
+        bench.choose().unwrap_err(),
+        Shortage::NoRoom,
+        "backs off further"
+    );
+    bench.sleep(250);
+    let (probe, _) = bench.choose().unwrap();
+    bench.end(probe, Verdict::Done);
+    assert_eq!(bench.router.limit(&"a1".into()), Some(1), "eased in");
+    bench.count("a1", 20, |_| 10);
+    assert!(bench.router.limit(&"a1".into()) > Some(1));
+}
+
+#[rstest]
+#[case::rejected(Fault::Rejected)]
+#[case::busy(Fault::Busy { retry_after: None })]
+fn answers_do_not_eject(#[case] fault: Fault) {
+    let mut bench = Bench::services(&hosts(&["a1"]));
+    for _ in 0..20 {
+        let (attempt, _) = bench.choose().unwrap();
+        bench.end(attempt, failed(fault));
+    }
+}
+
+#[test]
+fn a_lost_target_waits_for_its_report() {
+    let mut bench = Bench::engines(&hosts(&["a1", "a2"]));
+    bench.report("a1", &engine(0, 50.0));
+    bench.report("a2", &engine(0, 50.0));
+    bench.router.ended(
+        bench.now,
+        AttemptId {
+            incarnation: 0,
+            sequence: 0,
+        },
+        Verdict::Done,
+    );
+    let avoid = [TargetId::from("a2")];
+    let (attempt, _) = bench.choose_with(&[], &avoid, false).unwrap();
+    bench.end(attempt, failed(Fault::Unsent));
+    for _ in 0..30 {
+        bench.sleep(100);
+        let (attempt, target) = bench.choose().unwrap();
+        assert_eq!(target, "a2");
+        bench.end(attempt, Verdict::Done);
+    }
+    bench.report("a1", &engine(0, 50.0));
+    assert_eq!(bench.choose_with(&[], &avoid, false).unwrap().1, "a1");
+    assert_eq!(
+        bench.choose_with(&[], &avoid, false).unwrap_err(),
+        Shortage::NoRoom
+    );
+}
+
+#[test]
+fn the_rest_of_a_lost_domain_is_left_alone() {
+    let names = ["b1", "b2", "b3", "b4", "c1", "c2", "c3", "c4"];
+    let mut bench = Bench::services(&hosts(&names));
+    for lost in ["b1", "b2"] {
+        let others = names
+            .iter()
+            .filter(|name| **name != lost)
+            .copied()
+            .map(Into::into);
+        let others: Vec<TargetId> = others.collect();
+        let (attempt, _) = bench.choose_with(&[], &others, false).unwrap();
+        bench.end(attempt, failed(Fault::Unsent));
+    }
+    let mut domains = BTreeSet::new();
+    for _ in 0..8 {
+        domains.insert(bench.choose().unwrap().1[..1].to_string());
+    }
+    assert_eq!(domains, BTreeSet::from(["c".to_string()]));
+}
+
+#[test]
+fn a_slow_target_is_avoided_and_tried_again_later() {
+    let mut bench = Bench::services(&hosts(&["a1", "a2", "a3"]));
+    let took = |target: &str| if target == "a1" { 500 } else { 50 };
+    bench.count("a1", 30, took);
+    assert!(bench.count("a1", 100, took) <= 5);
+    bench.sleep(120_000);
+    assert!(bench.count("a1", 100, |_| 50) >= 10);
+}
+
+#[test]
+fn a_suspect_runs_alone() {
+    let mut bench = Bench::services(&hosts(&["a1", "a2"]));
+    let (first, used) = bench.choose().unwrap();
+    let (suspect, own) = bench.choose_with(&[], &[], true).unwrap();
+    assert_ne!(own, used);
+    assert_eq!(
+        bench.choose_with(&[], &[], true).unwrap_err(),
+        Shortage::NoRoom
+    );
+    for _ in 0..7 {
+        assert_eq!(bench.choose().unwrap().1, used);
+    }
+    bench.end(first, Verdict::Done);
+    bench.end(suspect, Verdict::Done);
+    assert_eq!(bench.choose().unwrap().1, own);
+}
+
+#[rstest]
+#[case::zero_weight(0.0, None, 0)]
+#[case::usual(1.0, None, 8)]
+#[case::ceiling(1.0, Some(3), 3)]
+fn the_table_binds(#[case] weight: f64, #[case] ceiling: Option<u32>, #[case] expected: usize) {
+    let mut bench = Bench::services(&hosts(&["a1"]));
+    let mut table = Table::default();
+    let row = table::Target { weight, ceiling };
+    table.targets.insert("a1".into(), row);
+    bench.router.set_table(bench.now, &table);
+    bench.router.set_hosts(bench.now, &hosts(&["a1"]));
+    let chosen = std::iter::repeat_with(|| bench.choose()).take_while(Result::is_ok);
+    assert_eq!(chosen.count(), expected);
+}
+
+#[rstest]
+#[case::round_robin(Rule::RoundRobin)]
+#[case::least_in_flight(Rule::LeastInFlight)]
+fn baselines_spread_calls(#[case] rule: Rule) {
+    let names = ["a1", "a2", "a3"];
+    let router = Router::new("a".into(), &[Pool::new(POOL)]).with_rule(rule);
+    let mut bench = Bench::new(router, &hosts(&names));
+    for round in 1..=3 {
+        for _ in names {
+            bench.choose().unwrap();
+        }
+        for name in names {
+            assert_eq!(bench.router.in_flight(&name.into()), round);
+        }
+    }
+}
+
+fn subset_of(entry: &str, hosts: &[Host]) -> BTreeSet<TargetId> {
+    let router = Router::new("a".into(), &[Pool::new(POOL)]).with_subset(entry, 12);
+    let bench = Bench::new(router, hosts);
+    bench.router.subset(&bench.pool).cloned().collect()
+}
+
+fn fleet(targets: usize) -> Vec<Host> {
+    let named = |at: usize| host(&format!("t{at}"), &format!("d{}", at % 6));
+    (0..targets).map(named).collect()
+}
+
+#[test]
+fn subsets_are_stable_and_spread_over_domains() {
+    let before = fleet(120);
+    let after: Vec<_> = before.iter().skip(3).cloned().collect();
+    let mut used = BTreeSet::new();
+    for entry in 0..66 {
+        let entry = format!("e{entry}");
+        let (old, new) = (subset_of(&entry, &before), subset_of(&entry, &after));
+        let gone = old
+            .iter()
+            .filter(|name| ["t0", "t1", "t2"].contains(&name.as_str()));
+        assert_eq!(new.difference(&old).count(), gone.count());
+        for domain in 0..6 {
+            let of = |name: &&TargetId| name[1..].parse::<usize>().unwrap() % 6 == domain;
+            assert_eq!(old.iter().filter(of).count(), 2);
+        }
+        used.extend(old);
+    }
+    assert!(used.len() > 110, "{} of 120 targets are used", used.len());
+}
+
+#[test]
+fn a_saturated_subset_widens_and_settles() {
+    let router = Router::new("a".into(), &[Pool::new(POOL)]).with_subset("e", 2);
+    let mut bench = Bench::new(router, &fleet(12));
+    let calls: Vec<_> = (0..24).map(|_| bench.choose().unwrap().0).collect();
+    assert_eq!(bench.router.subset(&bench.pool).count(), 4);
+    for call in calls {
+        bench.end(call, Verdict::Done);
+    }
+    bench.sleep(30_000);
+    bench.choose().unwrap();
+    assert_eq!(bench.router.subset(&bench.pool).count(), 2);
+}
+
+#[test]
+fn a_removed_target_keeps_its_calls_and_frees_its_place() {
+    let mut bench = Bench::services(&hosts(&["a1", "a2"]));
+    let calls = [bench.choose().unwrap(), bench.choose().unwrap()];
+    bench.router.set_hosts(bench.now, &hosts(&["a2"]));
+    assert_eq!(bench.router.address(&"a1".into()), None);
+    assert_eq!(bench.choose().unwrap().1, "a2");
+    for (attempt, _) in calls {
+        bench.end(attempt, Verdict::Done);
+    }
+    bench.router.set_hosts(bench.now, &hosts(&["a2", "a3"]));
+    assert_eq!(bench.router.in_flight(&"a1".into()), 0);
+    assert_eq!(bench.router.in_flight(&"a3".into()), 0);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Choose,
+    End(usize, u8),
+    Leave(usize),
+    Weigh(usize, bool),
+    Load(usize, u32),
+    Sleep(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => Just(Step::Choose),
+        6 => (any::<usize>(), 0..9_u8).prop_map(|(call, how)| Step::End(call, how)),
+        1 => (0..6_usize).prop_map(Step::Leave),
+        1 => (0..6_usize, any::<bool>()).prop_map(|(target, used)| Step::Weigh(target, used)),
+        2 => (0..6_usize, 0..20_u32).prop_map(|(target, load)| Step::Load(target, load)),
+        2 => (1..400_u64).prop_map(Step::Sleep),
+    ]
+}
+
+const VERDICTS: [Verdict; 9] = [
+    Verdict::Done,
+    Verdict::Done,
+    Verdict::Done,
+    Verdict::Cancelled,
+    Verdict::Failed(Fault::Unsent),
+    Verdict::Failed(Fault::Broken),
+    Verdict::Failed(Fault::Silent),
+    Verdict::Failed(Fault::Error),
+    Verdict::Failed(Fault::Busy { retry_after: None }),
+];
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+    #[test]
+    fn limits_and_states_are_respected(steps in vec(step(), 0..200)) {
+        const CEILING: u32 = 5;
+        let mut listed = fleet(6);
+        let mut table = Table::default();
+        for host in &listed {
+            let row = table::Target { weight: 1.0, ceiling: Some(CEILING) };
+            table.targets.insert(host.target.clone(), row);
+        }
+        let mut bench = Bench::services(&listed);
+        bench.router.set_table(Time::ZERO, &table);
+        let mut calls = Vec::new();
+        for step in steps {
+            match step {
+                Step::Choose => {
+                    if let Ok((attempt, target)) = bench.choose() {
+                        let host = listed.iter().find(|host| host.target == target).unwrap();
+                        prop_assert_eq!(host.state, State::Live);
+                        prop_assert!(table.targets[&target].weight > 0.0);
+                        prop_assert!(bench.router.in_flight(&target) <= CEILING);
+                        calls.push(attempt);
+                    }
+                }
+                Step::End(call, how) => {
+                    if !calls.is_empty() {
+                        let attempt = calls.swap_remove(call % calls.len());
+                        bench.end(attempt, VERDICTS[usize::from(how)]);
+                    }
+                }
+                Step::Leave(target) => {
+                    listed[target].state = State::Leaving;
+                    bench.router.set_hosts(bench.now, &listed);
+                }
+                Step::Weigh(target, used) => {
+                    let name = &listed[target].target;
+                    table.targets.get_mut(name).unwrap().weight = f64::from(u8::from(used));
+                    bench.router.set_table(bench.now, &table);
+                }
+                Step::Load(target, running) => {
+                    let name = listed[target].target.clone();
+                    let report = Report { running, width: 4, ..Report::default() };
+                    bench.report(&name, &report);
+                }
+                Step::Sleep(milliseconds) => bench.sleep(milliseconds),
+            }
+            let in_flight: u32 = listed.iter().map(|host| bench.router.in_flight(&host.target)).sum();
+            prop_assert_eq!(in_flight as usize, calls.len());
+            for host in &listed {
+                prop_assert!(bench.router.limit(&host.target) >= Some(1));
+            }
+        }
+    }
+}
