--- a/policy/src/command.rs
+++ b/policy/src/command.rs
@@ -3,8 +3,9 @@
 use crate::{
     claim::Ask,
     decision::Decision,
-    id::{AttemptId, BlockHash, Key, Payload, StageIndex, TargetId, WorkspaceId},
+    id::{AttemptId, BlockHash, Key, Payload, StageIndex, TargetId},
     outcome::Outcome,
+    table::row,
 };
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -14,7 +15,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(tag = "command", rename_all = "snake_case")]
 pub enum Command {
-    /// Ask the platform about a claim row.
+    /// Ask the platform about a claim row, after all earlier asks about the same row.
     Claim {
         /// Name of the request.
         key: Key,
@@ -101,15 +102,17 @@
     pub target: TargetId,
     /// Address of the target: IP number and port.
     pub address: CompactString,
-    /// Input of the stage.
+    /// JSON input of a plain service, or the prompt of an engine.
     pub input: Payload,
     /// Text that an earlier attempt has streamed already; empty at first.
     pub resume: Payload,
     /// Priority of the request; higher goes first.
     pub priority: i32,
     /// Longest time that the call may take.
+    #[serde(with = "crate::millis")]
     pub timeout: Duration,
     /// Longest time without progress.
+    #[serde(with = "crate::millis")]
     pub silence: Duration,
     /// Idempotency key, the same for each attempt of this stage of this request.
     pub token: CompactString,
@@ -126,13 +129,13 @@
         /// Targets that it ended so far.
         targets: Vec<TargetId>,
     },
-    /// Requests a second that a workspace offers at the sending entry.
+    /// Requests a second that a row of the table offers at the sending entry.
     Demand {
-        /// The workspace.
-        workspace: WorkspaceId,
+        /// The workspace or pipeline.
+        row: row::Key,
         /// Requests a second.
         rate: f64,
-        /// Part of the ceiling that the sender has in use, in requests a second.
+        /// Part of the row's ceiling that the sender has in use, in requests a second.
         part: f64,
     },
 }
