--- a/policy/tests/router.rs
+++ b/policy/tests/router.rs
@@ -124,6 +124,7 @@
         prefill_per_second: 1_000.0,
         age: Duration::ZERO,
         models: vec!["m".into()],
+        ..Report::default()
     }
 }
 
