Hold ceilings over the fleet by demand that entries publish

Each entry lowers its part at once and raises it only into what it has seen the others leave free, and only on demand that the others had time to hear of.

--- /dev/null
+++ b/policy/src/ceiling/limit.rs
@@ -0,0 +1,225 @@
+//! One ceiling and the parts of it that the entries have in use.
+
+use super::{Bucket, FLOOR_SHARE, RAISE_PERIOD};
+use crate::id::{HostId, Time};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+/// Time over which the offered rate is averaged.
+const AVERAGE: Duration = Duration::from_secs(3);
+
+/// Shortest time between two publications of one row's demand.
+const PUBLISH_PERIOD: Duration = Duration::from_secs(1);
+
+/// Change of the offered rate that is published, relative to the published one.
+const RATE_STEP: f64 = 0.1;
+
+/// Change of the offered rate that is published, in standard deviations of its average.
+const NOISE_STEP: f64 = 2.0;
+
+/// Offered rate that is published as none, as a share of the ceiling.
+const IDLE: f64 = 2e-3;
+
+/// Smallest change of a part that is made, relative to the part.
+const PART_STEP: f64 = 0.01;
+
+/// One ceiling, the entry's own part and the others' as they published them.
+#[derive(Debug)]
+pub(super) struct Limit {
+    pub bucket: Bucket,
+    ceiling: f64,
+    offered: u32,
+    rate: f64,
+    measured: Time,
+    raised: Option<Time>,
+    published: Demand,
+    published_at: Option<Time>,
+    earlier: VecDeque<(Time, f64)>,
+    peers: BTreeMap<HostId, Demand>,
+}
+
+/// Demand and part that an entry published.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Demand {
+    rate: f64,
+    part: f64,
+}
+
+impl Limit {
+    /// Creates a limit of which the entry has the floor in use.
+    pub fn new(now: Time, ceiling: f64, members: usize) -> Self {
+        Self {
+            bucket: Bucket::new(now, floor(ceiling, members)),
+            ceiling,
+            offered: 0,
+            rate: 0.0,
+            measured: now,
+            raised: None,
+            published: Demand::default(),
+            published_at: None,
+            earlier: VecDeque::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Changes the ceiling; a lower one lowers the part in proportion.
+    #[must_use]
+    pub fn with_ceiling(mut self, now: Time, ceiling: f64) -> Self {
+        let factor = ceiling / self.ceiling;
+        if factor < 1.0 {
+            self.bucket.set_rate(now, self.bucket.rate() * factor);
+        }
+        self.ceiling = ceiling;
+        self
+    }
+
+    /// Forgets the parts of entries that are no members any more.
+    pub fn keep_peers(&mut self, now: Time, members: &BTreeSet<HostId>) {
+        self.peers.retain(|host, _| members.contains(host));
+        if members.len() == 1 {
+            return;
+        }
+        // A member that joined takes its floor at once, so the others make room for it.
+        let most = self.ceiling - floor(self.ceiling, members.len()) * (members.len() - 1) as f64;
+        if self.bucket.rate() > most {
+            self.bucket.set_rate(now, most);
+        }
+    }
+
+    /// Takes in what another entry published.
+    pub fn learn(&mut self, _now: Time, from: &HostId, rate: f64, part: f64) {
+        if rate.is_finite() && part.is_finite() && rate >= 0.0 && part >= 0.0 {
+            self.peers.insert(from.clone(), Demand { rate, part });
+        }
+    }
+
+    /// Counts an offered request.
+    pub fn offered(&mut self) {
+        self.offered += 1;
+    }
+
+    /// Averages the offered rate.
+    pub fn measure(&mut self, now: Time) {
+        let passed = now.saturating_sub(self.measured).as_secs_f64();
+        if passed == 0.0 {
+            return;
+        }
+        let weight = 1.0 - (-passed / AVERAGE.as_secs_f64()).exp();
+        self.rate += (f64::from(self.offered) / passed - self.rate) * weight;
+        self.offered = 0;
+        self.measured = now;
+    }
+
+    /// Lowers the part to what it should be, or raises it into what the others left free.
+    pub fn adjust(&mut self, now: Time, host: &HostId, members: &BTreeSet<HostId>, steady: bool) {
+        let others = members.iter().filter(|member| *member != host);
+        let others: Vec<_> = others
+            .map(|member| self.peers.get(member).copied().unwrap_or_default())
+            .collect();
+        let own = self.bucket.rate();
+        let step = own * PART_STEP;
+        let target = self.own_target(&others, self.published.rate);
+        if target < own - step {
+            self.bucket.set_rate(now, target);
+            return;
+        }
+        let rested = self.raised.is_none_or(|at| now >= at + RAISE_PERIOD);
+        let settled = self.settled_rate(now);
+        let target = self.own_target(&others, settled);
+        if target < own + step || !rested || !steady {
+            return;
+        }
+        let raise = self.raise(&others, target - own);
+        if raise > 0.0 {
+            self.bucket.set_rate(now, own + raise);
+            self.raised = Some(now);
+        }
+    }
+
+    /// Returns the demand and the part if the others must know them.
+    pub fn news(&mut self, now: Time) -> Option<(f64, f64)> {
+        let part = self.bucket.rate();
+        let part_moved = (part - self.published.part).abs() > f64::EPSILON;
+        let due = self
+            .published_at
+            .is_none_or(|at| now >= at + PUBLISH_PERIOD);
+        let rate = self.rounded_rate();
+        let rate_moved = due && (rate - self.published.rate).abs() > self.publish_step();
+        if !part_moved && !rate_moved {
+            return None;
+        }
+        if rate_moved {
+            self.earlier.push_back((now, self.published.rate));
+            self.published.rate = rate;
+        }
+        self.published.part = part;
+        self.published_at = Some(now);
+        Some((self.published.rate, part))
+    }
+
+    fn rounded_rate(&self) -> f64 {
+        if self.rate < self.ceiling * IDLE {
+            0.0
+        } else {
+            self.rate
+        }
+    }
+
+    /// Change of the rate that is neither small nor noise of random arrivals.
+    fn publish_step(&self) -> f64 {
+        if self.rate < self.ceiling * IDLE {
+            return 0.0;
+        }
+        let relative = self.published.rate * RATE_STEP;
+        let variance = self.rate.max(self.published.rate) / (2.0 * AVERAGE.as_secs_f64());
+        relative.max(NOISE_STEP * variance.sqrt())
+    }
+
+    /// Lowest rate that any entry may still take for this entry's published one.
+    fn settled_rate(&mut self, now: Time) -> f64 {
+        while let Some((replaced, _)) = self.earlier.front()
+            && now >= *replaced + RAISE_PERIOD
+        {
+            self.earlier.pop_front();
+        }
+        let earlier = self.earlier.iter().map(|(_, rate)| *rate);
+        earlier.fold(self.published.rate, f64::min)
+    }
+
+    /// Part that this entry should have if its demand is `rate`.
+    fn own_target(&self, others: &[Demand], rate: f64) -> f64 {
+        let total = rate + others.iter().map(|demand| demand.rate).sum::<f64>();
+        self.target(total, others.len() + 1, rate)
+    }
+
+    /// Part that an entry should have: the floor, and the rest in proportion to demand.
+    fn target(&self, total: f64, members: usize, rate: f64) -> f64 {
+        let rest = self.ceiling * (1.0 - FLOOR_SHARE);
+        let share = if total > 0.0 {
+            rate / total
+        } else {
+            1.0 / members as f64
+        };
+        floor(self.ceiling, members) + rest * share
+    }
+
+    /// Share of what is left free that falls to this entry, which lacks `lack`.
+    fn raise(&self, others: &[Demand], lack: f64) -> f64 {
+        let members = others.len() + 1;
+        // A silent entry has at least its floor in use.
+        let part = |demand: &Demand| demand.part.max(floor(self.ceiling, members));
+        let used = self.bucket.rate() + others.iter().map(part).sum::<f64>();
+        let free = (self.ceiling - used).max(0.0);
+        let total = self.published.rate + others.iter().map(|demand| demand.rate).sum::<f64>();
+        let lacking =
+            |demand: &Demand| (self.target(total, members, demand.rate) - part(demand)).max(0.0);
+        let wanted = lack + others.iter().map(lacking).sum::<f64>();
+        lack * (free / wanted).min(1.0)
+    }
+}
+
+fn floor(ceiling: f64, members: usize) -> f64 {
+    ceiling * FLOOR_SHARE / members as f64
+}
