--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! each run.
 
 pub mod ceiling;
+pub mod budget;
 pub mod chart;
 pub mod claim;
 pub mod command;
@@ -13,10 +14,14 @@
 pub mod entry;
 pub mod event;
 pub mod fault;
+pub mod hash;
 pub mod host;
 pub mod id;
+pub mod input;
+pub mod lease;
 pub mod millis;
 pub mod outcome;
+pub mod poison;
 pub mod pool;
 pub mod queue;
 pub mod router;
