Spread members, demand and suspect payloads as versioned items

Each origin numbers its items and peers pass them on in order, so one stamp an origin says what a peer lacks. The directory names two entries of each domain for a workspace, own domain first.

The golden session of a restart showed that a daemon with a lower number than before was not heard, since nobody told it of its lost row: peers now tell a host of its own items and it moves past them. Without that step both the session and the property of convergence fail.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,12 +5,13 @@
 //! random number generator, so a session is a script of events and gives the same commands on
 //! each run.
 
-pub mod ceiling;
 pub mod budget;
+pub mod ceiling;
 pub mod chart;
 pub mod claim;
 pub mod command;
 pub mod decision;
+pub mod directory;
 pub mod entry;
 pub mod event;
 pub mod fault;
@@ -19,6 +20,7 @@
 pub mod id;
 pub mod input;
 pub mod lease;
+pub mod member;
 pub mod millis;
 pub mod outcome;
 pub mod poison;
--- /dev/null
+++ b/policy/tests/control.rs
@@ -0,0 +1,300 @@
+//! Golden sessions of the table, membership, ceilings and the directory.
+//!
+//! Each file in `golden/control` is a script: a line that starts with `> ` is a step, and the
+//! lines after it are what the step gives. With `UPDATE_GOLDEN` set, the files are written anew.
+
+use compact_str::CompactString;
+use policy::{
+    ceiling::Ceiling,
+    command::Frame,
+    directory,
+    id::{DomainId, HostId},
+    member::{Member, Members, Profile, Pulse, State, gossip::Stamp, overlay},
+    table::{
+        Table,
+        edit::{Cell, Edit, Entry},
+        hold::{Holder, Update},
+        row::Key,
+    },
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::{collections::BTreeMap, env, fmt::Write, fs, path::PathBuf, sync::Arc, time::Duration};
+
+/// One daemon of a session.
+struct Daemon {
+    members: Members,
+    ceiling: Ceiling,
+    holder: Holder,
+    known: BTreeMap<HostId, BTreeMap<HostId, Stamp>>,
+}
+
+/// State of a session.
+struct Session {
+    now: Duration,
+    daemons: BTreeMap<HostId, Daemon>,
+    tables: Vec<Arc<Table>>,
+    log: Vec<Entry>,
+    rng: ChaCha8Rng,
+}
+
+impl Session {
+    fn new() -> Self {
+        Self {
+            now: Duration::ZERO,
+            daemons: BTreeMap::new(),
+            tables: vec![Arc::new(Table::default())],
+            log: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(1),
+        }
+    }
+
+    fn step(&mut self, words: &[&str]) -> String {
+        match *words {
+            ["at", time] => self.at(time),
+            ["daemon", host, domain, incarnation] => self.start(host, domain, incarnation),
+            ["beat", host, load] => {
+                let load = load.parse().expect("the load is a number");
+                let pulse = Pulse { load, revision: 0 };
+                let now = self.now;
+                self.daemon(host).members.beat(now, pulse);
+                String::new()
+            }
+            ["state", host, state] => {
+                let state: State = state.parse().expect("the state exists");
+                self.daemon(host).members.set_state(state);
+                String::new()
+            }
+            ["exchange", from, to] => self.exchange(from, to),
+            ["members", host] => {
+                let line = |m: &Member| format!("{} {}\n", m.host, m.presence);
+                self.members(host).iter().map(line).collect()
+            }
+            ["sharers", host] => {
+                let (hosts, steady) = self.daemons[host].members.sharers(self.now);
+                let sharers = hosts.join(" ");
+                format!("{sharers} {}\n", if steady { "steady" } else { "in doubt" })
+            }
+            ["links", host] => {
+                let links = overlay::neighbours(&host.into(), &self.members(host));
+                format!("{}\n", links.join(" "))
+            }
+            ["directory", host, workspace, domain] => self.directory(host, workspace, domain),
+            ["demand", host, row, rate] => {
+                let row = row.parse().expect("the row is named");
+                let rate = rate.parse().expect("the rate is a number");
+                let part = self.daemons[host].ceiling.part(&row).unwrap_or_default();
+                let frame = Frame::Demand { row, rate, part };
+                self.daemon(host).members.publish(&frame);
+                String::new()
+            }
+            ["admit", host, row, count] => self.admit(host, row, count),
+            ["tick", host] => self.tick(host),
+            ["edit", who, base, ref cells @ ..] => self.edit(who, base, cells),
+            ["sheet"] => self.tables[self.tables.len() - 1].to_csv(),
+            ["log"] => {
+                let line = |e: &Entry| {
+                    let cells = e.changes.iter().map(|c| format!("  {c}\n"));
+                    let cells = cells.collect::<String>();
+                    format!("revision {} by {}\n{cells}", e.revision, e.who)
+                };
+                self.log.iter().map(line).collect()
+            }
+            ["offer", host, revision] => self.offer(host, revision),
+            ["pass", from, to] => self.pass(from, to),
+            _ => panic!("step {words:?} does not exist"),
+        }
+    }
+
+    fn at(&mut self, time: &str) -> String {
+        let seconds = time.parse().expect("the time is in seconds");
+        self.now = Duration::from_secs_f64(seconds);
+        String::new()
+    }
+
+    fn start(&mut self, host: &str, domain: &str, incarnation: &str) -> String {
+        let profile = Profile {
+            incarnation: incarnation.parse().expect("the incarnation is a number"),
+            api: format!("{host}:80").into(),
+            peer: format!("{host}:81").into(),
+            domain: domain.into(),
+            region: "r".into(),
+            state: State::Live,
+        };
+        let daemon = Daemon {
+            members: Members::new(host, profile),
+            ceiling: Ceiling::new(host),
+            holder: Holder::new(),
+            known: BTreeMap::new(),
+        };
+        self.daemons.insert(host.into(), daemon);
+        for other in self.daemons.values_mut() {
+            other.known.remove(host);
+        }
+        String::new()
+    }
+
+    fn daemon(&mut self, host: &str) -> &mut Daemon {
+        self.daemons.get_mut(host).expect("the daemon was started")
+    }
+
+    fn members(&self, host: &str) -> Vec<Member> {
+        self.daemons[host].members.members(self.now)
+    }
+
+    fn exchange(&mut self, from: &str, to: &str) -> String {
+        let now = self.now;
+        let sender = self.daemon(from);
+        let known = sender.known.entry(to.into()).or_default();
+        let items = sender.members.delta(now, &to.into(), known, usize::MAX);
+        let mut text = format!("{} items\n", items.len());
+        let receiver = self.daemon(to);
+        for (origin, frame) in receiver.members.merge(now, items) {
+            receiver.ceiling.learn(now, &origin, &frame);
+            writeln!(text, "{origin}: {}", json(&frame)).expect("a string takes any text");
+        }
+        let (sharers, steady) = receiver.members.sharers(now);
+        receiver.ceiling.set_members(now, &sharers, steady);
+        text
+    }
+
+    fn directory(&mut self, host: &str, workspace: &str, domain: &str) -> String {
+        let members = self.members(host);
+        let domain = DomainId::from(domain);
+        let ttl = Duration::from_secs(5);
+        let answer = directory::answer(
+            &members,
+            &workspace.into(),
+            Some(&domain),
+            ttl,
+            &mut self.rng,
+        );
+        let within = (Duration::from_secs(4)..=ttl).contains(&answer.ttl);
+        let line = |named: &directory::Named| format!("{} {}\n", named.host, named.domain);
+        let lines: String = answer.entries.iter().map(line).collect();
+        format!("{lines}ttl within bounds: {within}\n")
+    }
+
+    fn admit(&mut self, host: &str, row: &str, count: &str) -> String {
+        let now = self.now;
+        let row: Key = row.parse().expect("the row is named");
+        let count: usize = count.parse().expect("the count is a number");
+        let ceiling = &mut self.daemon(host).ceiling;
+        let admit = |_: &usize| ceiling.admit(now, &[&row], Duration::ZERO).is_ok();
+        format!("{} of {count} admitted\n", (0..count).filter(admit).count())
+    }
+
+    fn tick(&mut self, host: &str) -> String {
+        let now = self.now;
+        let daemon = self.daemon(host);
+        let mut frames = Vec::new();
+        daemon.ceiling.tick(now, &mut frames);
+        let mut text = String::new();
+        for frame in &frames {
+            daemon.members.publish(frame);
+            text.extend([&json(frame), "\n"]);
+        }
+        text
+    }
+
+    fn edit(&mut self, who: &str, base: &str, cells: &[&str]) -> String {
+        let cell = |word: &&str| {
+            let (place, value) = word.split_once('=').expect("a cell has a value");
+            let (row, column) = place.rsplit_once('.').expect("a cell has a column");
+            Cell {
+                row: row.parse().expect("the row is named"),
+                column: column.parse().expect("the column exists"),
+                value: value.into(),
+            }
+        };
+        let base = base.parse().expect("the base is a number");
+        let edit = Edit {
+            id: CompactString::from(who),
+            who: who.into(),
+            base,
+            cells: cells.iter().map(cell).collect(),
+        };
+        let table = Arc::clone(&self.tables[self.tables.len() - 1]);
+        let log: Vec<_> = self
+            .log
+            .iter()
+            .filter(|e| e.revision > base)
+            .cloned()
+            .collect();
+        match edit.apply(&table, &log, 0) {
+            Ok((table, entry)) => {
+                self.tables.push(Arc::new(table));
+                self.log.push(entry);
+                format!("revision {}\n", self.tables.len() - 1)
+            }
+            Err(refusal) => format!("refused: {refusal}\n"),
+        }
+    }
+
+    fn offer(&mut self, host: &str, revision: &str) -> String {
+        let revision: usize = revision.parse().expect("the revision is a number");
+        let now = self.now;
+        let table = Arc::clone(&self.tables[revision]);
+        let daemon = self.daemon(host);
+        let verdict = daemon.holder.offer(&Update::Snapshot { table });
+        if let Some(table) = daemon.holder.table() {
+            daemon.ceiling.set_table(now, table);
+        }
+        format!(
+            "{verdict}, revision {:?} in force\n",
+            daemon.holder.revision()
+        )
+    }
+
+    fn pass(&mut self, from: &str, to: &str) -> String {
+        let revision = self.daemons[to].holder.revision();
+        let Some(update) = self.daemons[from].holder.update_since(revision) else {
+            return "nothing to pass\n".into();
+        };
+        let verdict = self.daemon(to).holder.offer(&update);
+        let kind = match update {
+            Update::Snapshot { .. } => "snapshot".into(),
+            Update::Step(step) => format!("{} rows", step.rows.len()),
+        };
+        let revision = self.daemons[to].holder.revision();
+        format!("{kind}: {verdict}, revision {revision:?} in force\n")
+    }
+}
+
+fn json(frame: &Frame) -> String {
+    serde_json::to_string(frame).expect("a frame is JSON")
+}
+
+fn replay(script: &str) -> String {
+    let mut session = Session::new();
+    let mut transcript = String::new();
+    for line in script.lines() {
+        if line.starts_with('#') || line.is_empty() {
+            transcript.push_str(line);
+            transcript.push('\n');
+        } else if let Some(step) = line.strip_prefix("> ") {
+            let words: Vec<_> = step.split_whitespace().collect();
+            let given = session.step(&words);
+            transcript.extend([line, "\n", &given]);
+        }
+    }
+    transcript
+}
+
+#[rstest]
+#[case("table")]
+#[case("membership")]
+#[case("ceiling")]
+fn sessions_match(#[case] name: &str) {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/golden/control")
+        .join(format!("{name}.txt"));
+    let script = fs::read_to_string(&path).expect("the session is in its file");
+    let transcript = replay(&script);
+    if env::var_os("UPDATE_GOLDEN").is_some() {
+        fs::write(&path, &transcript).expect("the session can be written");
+        return;
+    }
+    assert_eq!(transcript, script, "session {name} differs");
+}
