Place models on engines by demand, with declarative orders that reports confirm

Each engine has a plan; reports are compared with it, so an order that came late, got lost or came from a former holder is seen and undone. A model takes an engine from one that has had a lasting surplus; engines drain first; loads keep to the region's part of the weight store's rate, most wanted first.

Found while simulating lost answers: engines that drained held each other's loads back (three draining, two changes permitted, no order ever again). Loads now count only engines that apply an order; golden session all_draining.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lease;
 pub mod millis;
 pub mod outcome;
+pub mod placement;
 pub mod pool;
 pub mod queue;
 pub mod router;
--- /dev/null
+++ b/policy/src/placement/demand.rs
@@ -0,0 +1,95 @@
+//! Demand for each model against the engines that are planned for it.
+
+use super::{Settings, engine::Known};
+use crate::id::{ModelId, TargetId, Time};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// Seats that a model without an engine counts as having, so that its pressure stays finite.
+const LEAST_SEATS: f64 = 0.01;
+
+/// Demand for one model over time.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Demand {
+    /// Requests that wait at entries.
+    pub waiting: f64,
+    /// Requests that run or wait anywhere, smoothed.
+    pub requests: f64,
+    measured: Option<Time>,
+    pub surplus_since: Option<Time>,
+}
+
+/// Engines planned for one model.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Supply {
+    pub engines: usize,
+    /// Requests that the engines can run at once.
+    pub seats: f64,
+}
+
+impl Demand {
+    /// Takes in a new measurement, smoothed exponentially with time constant `smooth`.
+    pub(super) fn measure(&mut self, now: Time, requests: f64, smooth: Duration) {
+        let weight = self.measured.map_or(1.0, |last| {
+            let passed = now.saturating_sub(last).as_secs_f64();
+            1.0 - (-passed / smooth.as_secs_f64().max(f64::MIN_POSITIVE)).exp()
+        });
+        self.requests += (requests - self.requests) * weight;
+        self.measured = Some(now);
+    }
+
+    /// Returns requests for each seat; where there is no seat, as if there were a small part of one.
+    pub(super) fn pressure(&self, supply: Supply) -> f64 {
+        self.requests / supply.seats.max(LEAST_SEATS)
+    }
+
+    /// Returns whether more engines are needed.
+    pub(super) fn is_short(&self, supply: Supply, least: usize, settings: &Settings) -> bool {
+        supply.engines < least || self.pressure(supply) > settings.high
+    }
+
+    /// Returns whether the model can do without `seats` of its seats.
+    pub(super) fn can_spare(
+        &self,
+        supply: Supply,
+        seats: f64,
+        least: usize,
+        settings: &Settings,
+    ) -> bool {
+        let rest = supply.seats - seats;
+        supply.engines > least && self.requests <= rest * settings.low
+    }
+}
+
+/// Counts the seats planned for each model, on engines that can be counted on.
+pub(super) fn supply<'a>(engines: impl Iterator<Item = &'a Known>) -> BTreeMap<ModelId, Supply> {
+    let mut supply = BTreeMap::<ModelId, Supply>::new();
+    for known in engines {
+        let Some(plan) = &known.plan else { continue };
+        for model in plan {
+            let entry = supply.entry(model.clone()).or_default();
+            entry.engines += 1;
+            entry.seats += seats(known, plan);
+        }
+    }
+    supply
+}
+
+/// Returns the requests of one model that an engine with `plan` can run at once.
+pub(super) fn seats(known: &Known, plan: &BTreeSet<ModelId>) -> f64 {
+    f64::from(known.report.width.max(1)) / plan.len().max(1) as f64
+}
+
+/// Counts the requests for each model at the engines, shared among the models that each holds.
+pub(super) fn requests(engines: &BTreeMap<TargetId, Known>) -> BTreeMap<ModelId, f64> {
+    let mut requests = BTreeMap::new();
+    for known in engines.values() {
+        let load = f64::from(known.report.running + known.report.waiting);
+        for model in &known.held {
+            *requests.entry(model.clone()).or_insert(0.0) += load / known.held.len() as f64;
+        }
+    }
+    requests
+}
--- /dev/null
+++ b/policy/src/placement/order.rs
@@ -0,0 +1,164 @@
+//! Orders that bring engines to their plan.
+
+use super::{Command, Placement, engine::Known};
+use crate::{
+    host::Role,
+    id::{AdapterId, ModelId, TargetId, Time},
+    lease::Fence,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use strum::{Display, IntoStaticStr};
+
+/// One order to an engine, given that it holds what was seen.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Order {
+    /// Number of the order at this planner.
+    pub number: u64,
+    /// Engine that the order goes to.
+    pub target: TargetId,
+    /// Number of the lease's holder.
+    pub fence: Fence,
+    /// Models that the engine was seen to hold.
+    pub seen: Vec<ModelId>,
+    /// Models that the engine is to hold.
+    pub models: Vec<ModelId>,
+    /// Adapters that the engine is to hold.
+    pub adapters: Vec<AdapterId>,
+    /// Whether the engine is to take new work.
+    pub role: Role,
+    /// Why the order is given.
+    pub reason: Reason,
+    /// Requests for each seat of the most wanted model that the order loads.
+    pub pressure: f64,
+}
+
+/// Why an order is given.
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, IntoStaticStr, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// The engine must finish its requests before its models change.
+    Drain,
+    /// The engine is to load a model.
+    Load,
+    /// The engine holds a model that it should not, and lacks none.
+    Unload,
+    /// The engine lacks an adapter.
+    Adapter,
+    /// The engine is to take new work again.
+    Serve,
+}
+
+impl Placement {
+    /// Gives the orders that the lease and the weight store's rate permit, most wanted first.
+    pub(super) fn give(
+        &mut self,
+        now: Time,
+        fenced: Option<Fence>,
+        unfenced: Option<Fence>,
+        commands: &mut Vec<Command>,
+    ) {
+        let mut orders: Vec<_> = self
+            .fresh(now)
+            .filter(|known| known.is_settled())
+            .filter_map(|known| {
+                let fence = if known.engine.fenced {
+                    fenced
+                } else {
+                    unfenced
+                };
+                self.order(now, known, fence?)
+            })
+            .collect();
+        orders.sort_by(|a, b| {
+            let pressure = b.pressure.total_cmp(&a.pressure);
+            pressure.then_with(|| a.target.cmp(&b.target))
+        });
+        for order in orders {
+            if self.has_room(now, &order) {
+                self.send(now, order, commands);
+            }
+        }
+    }
+
+    fn order(&self, now: Time, known: &Known, fence: Fence) -> Option<Order> {
+        let plan = known.plan.as_ref()?;
+        let adapters = self.adapters(plan);
+        let lacks: Vec<_> = plan.difference(&known.held).collect();
+        let pressure = lacks.iter().filter_map(|model| self.pressure.get(*model));
+        let order = |reason, models: &BTreeSet<ModelId>, role| Order {
+            number: 0,
+            target: known.engine.target.clone(),
+            fence,
+            seen: known.held.iter().cloned().collect(),
+            models: models.iter().cloned().collect(),
+            adapters: self.adapters(models),
+            role,
+            reason,
+            pressure: pressure.clone().copied().fold(0.0, f64::max),
+        };
+        let removes = known.held.difference(plan).next().is_some();
+        if removes && !known.is_drained(now, &self.settings) {
+            let draining = known.report.role == Role::Draining;
+            return (!draining).then(|| order(Reason::Drain, &known.held, Role::Draining));
+        }
+        let reason = if !lacks.is_empty() {
+            Reason::Load
+        } else if removes {
+            Reason::Unload
+        } else if !known.holds_adapters(&adapters) {
+            Reason::Adapter
+        } else if known.report.role == Role::Draining {
+            Reason::Serve
+        } else {
+            return None;
+        };
+        Some(order(reason, plan, Role::Serving))
+    }
+
+    fn adapters(&self, models: &BTreeSet<ModelId>) -> Vec<AdapterId> {
+        models
+            .iter()
+            .filter_map(|model| self.settings.models.get(model))
+            .flat_map(|model| model.adapters.iter().cloned())
+            .collect()
+    }
+
+    /// Returns whether the order keeps to the weight store's rate and to the number of changes.
+    ///
+    /// Engines that drain hold back further drains but no load, or they could wait for each other.
+    fn has_room(&self, now: Time, order: &Order) -> bool {
+        let others = self
+            .fresh(now)
+            .filter(|known| known.engine.target != order.target);
+        let changes = self.settings.changes;
+        match order.reason {
+            Reason::Drain => others.filter(|known| known.is_changing()).count() < changes,
+            Reason::Load => {
+                now >= self.next_load
+                    && others.filter(|known| known.is_applying()).count() < changes
+            }
+            Reason::Unload | Reason::Adapter | Reason::Serve => true,
+        }
+    }
+
+    fn send(&mut self, now: Time, mut order: Order, commands: &mut Vec<Command>) {
+        self.last_order += 1;
+        order.number = self.last_order;
+        if order.reason == Reason::Load {
+            let loads = order
+                .models
+                .iter()
+                .filter(|model| !order.seen.contains(model));
+            self.next_load = now + self.settings.load_interval * loads.count() as u32;
+        }
+        if let Some(known) = self.engines.get_mut(&order.target) {
+            if order.reason == Reason::Load {
+                known.changed = Some(now);
+            }
+            known.ordered(now, order.clone(), &self.chart);
+        }
+        commands.push(Command::Order(order));
+    }
+}
--- /dev/null
+++ b/policy/src/placement/plan.rs
@@ -0,0 +1,204 @@
+//! Assignment of models to engines.
+
+use super::{
+    Placement,
+    demand::{self, Demand, Supply},
+    engine::Known,
+};
+use crate::id::{ModelId, TargetId, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A change of one engine's plan: a model to add, and one that gives its place if there is no room.
+struct Change {
+    target: TargetId,
+    donor: Option<ModelId>,
+}
+
+impl Placement {
+    /// Brings the plan of each engine up to date with demand.
+    pub(super) fn assign(&mut self, now: Time) {
+        self.measure(now);
+        self.keep_held();
+        let mut supply = self.supply(now);
+        self.track_surplus(now, &supply);
+        for model in self.wanted(&supply) {
+            while self.changes(now) < self.settings.changes && self.is_short(&model, &supply) {
+                let Some(change) = self.find(now, &model, &supply) else {
+                    break;
+                };
+                self.apply(now, &model, change);
+                supply = self.supply(now);
+            }
+        }
+        self.pressure = self.pressures(&supply);
+    }
+
+    fn measure(&mut self, now: Time) {
+        let requests = demand::requests(&self.engines);
+        for (model, demand) in &mut self.demand {
+            let running = requests.get(model).copied().unwrap_or(0.0);
+            demand.measure(now, running + demand.waiting, self.settings.smooth);
+        }
+    }
+
+    /// Plans what an engine already holds, if it may hold it, so that a new planner changes nothing.
+    fn keep_held(&mut self) {
+        let most = self.settings.models_per_engine;
+        let engines = self.engines.values_mut();
+        for known in engines.filter(|known| known.is_settled()) {
+            let may = |model: &&ModelId| known.engine.models.contains(*model);
+            let current = known.plan.as_ref().unwrap_or(&known.held);
+            known.plan = Some(current.iter().filter(may).take(most).cloned().collect());
+        }
+    }
+
+    fn supply(&self, now: Time) -> BTreeMap<ModelId, Supply> {
+        let ttl = self.settings.report_ttl;
+        demand::supply(
+            self.engines
+                .values()
+                .filter(|known| known.is_fresh(now, ttl)),
+        )
+    }
+
+    fn track_surplus(&mut self, now: Time, supply: &BTreeMap<ModelId, Supply>) {
+        for (model, demand) in &mut self.demand {
+            let supply = supply.get(model).copied().unwrap_or_default();
+            let one = supply.seats / supply.engines.max(1) as f64;
+            let least = self.settings.least(model);
+            let spare = demand.can_spare(supply, one, least, &self.settings);
+            demand.surplus_since = spare.then(|| demand.surplus_since.unwrap_or(now));
+        }
+    }
+
+    fn pressures(&self, supply: &BTreeMap<ModelId, Supply>) -> BTreeMap<ModelId, f64> {
+        let pressure = |(model, demand): (&ModelId, &Demand)| {
+            let supply = supply.get(model).copied().unwrap_or_default();
+            (model.clone(), demand.pressure(supply))
+        };
+        self.demand.iter().map(pressure).collect()
+    }
+
+    /// Returns the models from the most to the least wanted.
+    fn wanted(&self, supply: &BTreeMap<ModelId, Supply>) -> Vec<ModelId> {
+        let mut models: Vec<_> = self.pressures(supply).into_iter().collect();
+        models.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+        models.into_iter().map(|(model, _)| model).collect()
+    }
+
+    fn is_short(&self, model: &ModelId, supply: &BTreeMap<ModelId, Supply>) -> bool {
+        let supply = supply.get(model).copied().unwrap_or_default();
+        let least = self.settings.least(model);
+        self.demand
+            .get(model)
+            .is_some_and(|demand| demand.is_short(supply, least, &self.settings))
+    }
+
+    /// Counts the engines that are not yet what their plan says.
+    fn changes(&self, now: Time) -> usize {
+        let pending = |known: &&Known| {
+            let planned = known.plan.as_ref().is_none_or(|plan| *plan == known.held);
+            known.is_changing() || !planned
+        };
+        self.fresh(now).filter(pending).count()
+    }
+
+    /// Returns the engines that can be counted on.
+    pub(super) fn fresh(&self, now: Time) -> impl Iterator<Item = &Known> {
+        let ttl = self.settings.report_ttl;
+        let engines = self.engines.values();
+        engines.filter(move |known| known.is_fresh(now, ttl))
+    }
+
+    /// Finds the engine that can take `model` at the least cost to the other models.
+    fn find(
+        &self,
+        now: Time,
+        model: &ModelId,
+        supply: &BTreeMap<ModelId, Supply>,
+    ) -> Option<Change> {
+        let usable = |known: &&Known| {
+            let plan = known.plan.as_ref();
+            known.engine.models.contains(model)
+                && known.is_settled()
+                && plan.is_some_and(|plan| !plan.contains(model))
+        };
+        self.fresh(now)
+            .filter(usable)
+            .filter_map(|known| self.change(now, known, model, supply))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, change)| change)
+    }
+
+    /// Returns how an engine can take `model`, and the cost of that.
+    fn change(
+        &self,
+        now: Time,
+        known: &Known,
+        model: &ModelId,
+        supply: &BTreeMap<ModelId, Supply>,
+    ) -> Option<(f64, Change)> {
+        let plan = known.plan.as_ref()?;
+        let load = f64::from(known.report.running + known.report.waiting);
+        let target = known.engine.target.clone();
+        if plan.len() < self.settings.models_per_engine {
+            return Some((
+                -1.0 / (1.0 + load),
+                Change {
+                    target,
+                    donor: None,
+                },
+            ));
+        }
+        let donor = self.donor(now, known, plan, model, supply)?;
+        Some((
+            load,
+            Change {
+                target,
+                donor: Some(donor),
+            },
+        ))
+    }
+
+    fn donor(
+        &self,
+        now: Time,
+        known: &Known,
+        plan: &BTreeSet<ModelId>,
+        model: &ModelId,
+        supply: &BTreeMap<ModelId, Supply>,
+    ) -> Option<ModelId> {
+        let hold = self.settings.hold;
+        if known.changed.is_some_and(|changed| now < changed + hold) {
+            return None;
+        }
+        let engines = supply.get(model).map_or(0, |supply| supply.engines);
+        let urgent = engines < self.settings.least(model);
+        let gives = |donor: &&ModelId| {
+            let has = supply.get(*donor).copied().unwrap_or_default();
+            let least = self.settings.least(donor);
+            let Some(demand) = self.demand.get(*donor) else {
+                return true;
+            };
+            let seats = demand::seats(known, plan);
+            let spare = demand.can_spare(has, seats, least, &self.settings);
+            let lasting = demand
+                .surplus_since
+                .is_some_and(|since| now >= since + hold);
+            (spare && lasting) || (urgent && has.engines > least)
+        };
+        plan.iter().find(gives).cloned()
+    }
+
+    fn apply(&mut self, now: Time, model: &ModelId, change: Change) {
+        let Some(known) = self.engines.get_mut(&change.target) else {
+            return;
+        };
+        let plan = known.plan.get_or_insert_default();
+        if let Some(donor) = change.donor {
+            plan.remove(&donor);
+        }
+        plan.insert(model.clone());
+        known.changed = Some(now);
+    }
+}
--- /dev/null
+++ b/policy/tests/placement.rs
@@ -0,0 +1,384 @@
+//! Placement of models: whole sessions, and convergence under stale orders, losses and restarts.
+
+use policy::{
+    chart::Chart,
+    host::{Report, Role},
+    id::{ModelId, Time},
+    placement::{
+        Answer, CHART, Command, Engine, Event, Model, Order, Placement, Reason, Settings, State,
+        Step,
+    },
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use serde::Deserialize;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write,
+    fs,
+    path::PathBuf,
+    time::Duration,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const LOAD_INTERVAL: Duration = Duration::from_secs(3);
+const HOLD: Duration = Duration::from_secs(20);
+
+fn settings() -> Settings {
+    let model = |adapter: &str| Model {
+        least: 1,
+        adapters: vec![adapter.into()],
+    };
+    Settings {
+        models: [
+            ("draft".into(), model("label")),
+            ("fit".into(), model("crew")),
+        ]
+        .into(),
+        models_per_engine: 1,
+        changes: 2,
+        load_interval: LOAD_INTERVAL,
+        patience: Duration::from_secs(15),
+        drain: Duration::from_secs(5),
+        hold: HOLD,
+        smooth: Duration::from_secs(2),
+        report_ttl: Duration::from_secs(4),
+        high: 0.8,
+        low: 0.5,
+    }
+}
+
+fn engine(target: &str, fenced: bool) -> Engine {
+    Engine {
+        target: target.into(),
+        fenced,
+        models: vec!["draft".into(), "fit".into()],
+    }
+}
+
+/// One line of a session's script.
+#[derive(Deserialize)]
+struct Line {
+    at: u64,
+    #[serde(flatten)]
+    event: Event,
+}
+
+/// Plays the script lines of a golden file and returns the file as it should be.
+fn play(text: &str) -> String {
+    let mut placement = Placement::new(settings());
+    let mut out = String::new();
+    for line in text.lines().filter(|line| line.starts_with("{\"at\"")) {
+        let script: Line = serde_json::from_str(line).expect("a script line is an event");
+        let mut commands = Vec::new();
+        placement.on(
+            Duration::from_millis(script.at),
+            script.event,
+            &mut commands,
+        );
+        writeln!(out, "{line}").unwrap();
+        for command in &commands {
+            writeln!(out, "  {}", serde_json::to_string(command).unwrap()).unwrap();
+        }
+    }
+    out
+}
+
+#[rstest]
+#[case("cold_engines")]
+#[case("demand_moves")]
+#[case("stale_order_undone")]
+#[case("no_permit")]
+#[case("lost_answer")]
+#[case("all_draining")]
+fn session_matches_its_golden_file(#[case] name: &str) {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join(format!("tests/golden/placement/{name}.txt"));
+    let text = fs::read_to_string(&path).expect("the golden file is readable");
+    let played = play(&text);
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        fs::write(&path, &played).expect("the golden file is writable");
+    }
+    assert_eq!(played, text);
+}
+
+#[test]
+fn chart_is_valid_and_an_unknown_engine_is_never_ordered() {
+    let chart = Chart::<State, Step>::from_str(CHART).unwrap();
+    assert_eq!(chart.next(State::Unknown, Step::Order), None);
+    assert_eq!(chart.next(State::Applying, Step::Order), None);
+}
+
+/// A simulated engine that loads what it is ordered to.
+#[derive(Default)]
+struct Fake {
+    models: BTreeSet<ModelId>,
+    loading: BTreeMap<ModelId, Time>,
+    adapters: Vec<ModelId>,
+    role: Role,
+    fence: u64,
+    fenced: bool,
+    running: u32,
+}
+
+impl Fake {
+    fn has_or_loads(&self) -> BTreeSet<ModelId> {
+        let loading = self.loading.keys().cloned();
+        self.models.iter().cloned().chain(loading).collect()
+    }
+
+    fn order(&mut self, now: Time, order: &Order, check_seen: bool, load: Duration) -> Answer {
+        if self.fenced && order.fence < self.fence {
+            return Answer::Refused;
+        }
+        let has = self.has_or_loads();
+        if check_seen && order.seen.iter().cloned().collect::<BTreeSet<_>>() != has {
+            return Answer::Mismatch;
+        }
+        self.fence = self.fence.max(order.fence);
+        let wanted: BTreeSet<_> = order.models.iter().cloned().collect();
+        self.models.retain(|model| wanted.contains(model));
+        self.loading.retain(|model, _| wanted.contains(model));
+        for model in wanted.difference(&has) {
+            self.loading.insert(model.clone(), now + load);
+        }
+        self.adapters.clone_from(&order.adapters);
+        self.role = order.role;
+        Answer::Accepted
+    }
+
+    fn tick(&mut self, now: Time) {
+        let ready: Vec<_> = self
+            .loading
+            .iter()
+            .filter(|(_, ready)| **ready <= now)
+            .collect();
+        let ready: Vec<_> = ready.into_iter().map(|(model, _)| model.clone()).collect();
+        self.loading.retain(|model, _| !ready.contains(model));
+        self.models.extend(ready);
+    }
+
+    fn report(&self) -> Report {
+        Report {
+            running: self.running,
+            width: 8,
+            models: self.models.iter().cloned().collect(),
+            adapters: self.adapters.clone(),
+            role: self.role,
+            ..Report::default()
+        }
+    }
+}
+
+/// One planner before simulated engines that lose answers, restart and get stale orders.
+struct World {
+    rng: ChaCha8Rng,
+    placement: Placement,
+    engines: BTreeMap<ModelId, Fake>,
+    demand: BTreeMap<ModelId, f64>,
+    late: Vec<(Time, Event)>,
+    /// Models that each engine was last ordered to load, and when.
+    loaded: BTreeMap<ModelId, (Time, Vec<ModelId>)>,
+    next_load: Time,
+    orders: Vec<(Time, Order)>,
+}
+
+impl World {
+    fn new(seed: u64, count: usize) -> Self {
+        let names: Vec<ModelId> = (0..count).map(|n| format!("e{n}").into()).collect();
+        let engines = names.iter().enumerate().map(|(n, name)| {
+            let fake = Fake {
+                models: [["draft", "fit"][n % 2].into()].into(),
+                adapters: vec![["label", "crew"][n % 2].into()],
+                fenced: n % 3 == 0,
+                ..Fake::default()
+            };
+            (name.clone(), fake)
+        });
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            placement: Placement::new(settings()),
+            engines: engines.collect(),
+            demand: [("draft".into(), 6.0), ("fit".into(), 6.0)].into(),
+            late: Vec::new(),
+            loaded: BTreeMap::new(),
+            next_load: Time::ZERO,
+            orders: Vec::new(),
+        };
+        let engines = world
+            .engines
+            .iter()
+            .map(|(name, fake)| engine(name, fake.fenced));
+        let engines = engines.collect();
+        world.event(Time::ZERO, Event::Engines { engines });
+        world
+    }
+
+    fn event(&mut self, now: Time, event: Event) -> Vec<Order> {
+        let mut commands = Vec::new();
+        self.placement.on(now, event, &mut commands);
+        commands
+            .into_iter()
+            .map(|Command::Order(order)| order)
+            .collect()
+    }
+
+    fn share_load(&mut self) {
+        for fake in self.engines.values_mut() {
+            fake.running = 0;
+        }
+        for (model, demand) in &self.demand {
+            let has = |fake: &&mut Fake| fake.models.contains(model) && fake.role == Role::Serving;
+            let mut holders: Vec<_> = self.engines.values_mut().filter(has).collect();
+            let count = holders.len() as f64;
+            for fake in &mut holders {
+                fake.running = (demand / count).ceil() as u32;
+            }
+        }
+    }
+
+    fn disturb(&mut self, now: Time) {
+        for demand in self.demand.values_mut() {
+            if self.rng.random_range(0..30) == 0 {
+                *demand = f64::from(self.rng.random_range(0..40));
+            }
+        }
+        for (name, fake) in &mut self.engines {
+            match self.rng.random_range(0..60) {
+                0 => fake.models.clear(),
+                1 | 2 => {
+                    let stale = Order {
+                        number: 0,
+                        target: name.clone(),
+                        fence: 1,
+                        seen: fake.has_or_loads().into_iter().collect(),
+                        models: vec![["draft", "fit"][self.rng.random_range(0..2)].into()],
+                        adapters: Vec::new(),
+                        role: Role::Serving,
+                        reason: Reason::Load,
+                        pressure: 0.0,
+                    };
+                    fake.order(now, &stale, true, SECOND);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Moves on by a second; fails if an order breaks a bound.
+    fn tick(&mut self, now: Time, chaos: bool) -> Result<(), TestCaseError> {
+        if chaos {
+            self.disturb(now);
+        }
+        self.share_load();
+        for name in self.engines.keys().cloned().collect::<Vec<_>>() {
+            let fake = self.engines.get_mut(&name).unwrap();
+            fake.tick(now);
+            let mut report = fake.report();
+            report.age = Duration::from_millis(self.rng.random_range(0..2_500));
+            let at = now + report.age;
+            self.late.push((
+                at,
+                Event::Report {
+                    target: name,
+                    report,
+                },
+            ));
+        }
+        let (due, late) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.late = late;
+        let due: Vec<(Time, Event)> = due;
+        for (_, event) in due {
+            self.event(now, event);
+        }
+        let orders = self.event(
+            now,
+            Event::Plan {
+                fenced: Some(2),
+                unfenced: Some(2),
+            },
+        );
+        for order in orders {
+            self.obey(now, &order, chaos)?;
+        }
+        Ok(())
+    }
+
+    fn obey(&mut self, now: Time, order: &Order, chaos: bool) -> Result<(), TestCaseError> {
+        if order.reason == Reason::Load {
+            prop_assert!(
+                now >= self.next_load,
+                "a load at {now:?} goes over the weight rate"
+            );
+            self.next_load = now + LOAD_INTERVAL;
+            let last = self.loaded.get(&order.target);
+            let same = last.is_some_and(|(_, models)| *models == order.models);
+            let steady = same || last.is_none_or(|(at, _)| now >= *at + HOLD);
+            prop_assert!(steady, "{} flaps at {now:?}", order.target);
+            let value = (now, order.models.clone());
+            self.loaded.insert(order.target.clone(), value);
+        }
+        self.orders.push((now, order.clone()));
+        let lost = chaos && self.rng.random_range(0..4) == 0;
+        let arrives = !lost || self.rng.random();
+        let load = Duration::from_secs(self.rng.random_range(1..6));
+        let fake = self.engines.get_mut(&order.target).unwrap();
+        let answer = if arrives {
+            fake.order(now, order, true, load)
+        } else {
+            Answer::Out
+        };
+        let event = Event::Answer {
+            target: order.target.clone(),
+            order: order.number,
+            answer: if lost { Answer::Out } else { answer },
+        };
+        self.event(now, event);
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 100,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn bounds_hold_and_engines_end_as_planned(seed: u64, count in 3_usize..8) {
+        let mut world = World::new(seed, count);
+        for second in 0..300 {
+            world.tick(SECOND * second, true)?;
+        }
+        for second in 300..500 {
+            world.tick(SECOND * second, false)?;
+        }
+        for (name, fake) in &world.engines {
+            prop_assert_eq!(fake.role, Role::Serving);
+            let planned = world.placement.planned(name);
+            prop_assert_eq!(planned, Some(&fake.models), "{} is not as planned", name);
+            prop_assert_eq!(fake.models.len(), 1, "{} holds {:?}", name, &fake.models);
+        }
+        let late = world.orders.iter().filter(|(at, _)| *at > SECOND * 440).count();
+        prop_assert_eq!(late, 0, "orders go on under steady demand");
+    }
+
+    #[test]
+    fn demand_that_swings_about_a_bound_moves_no_engine_to_and_fro(seed: u64) {
+        let mut world = World::new(seed, 4);
+        for second in 0..600 {
+            let swing = f64::from(world.rng.random_range(-3..=3));
+            world.demand = [("draft".into(), 12.8 + swing), ("fit".into(), 8.0 - swing)].into();
+            world.tick(SECOND * second, false)?;
+        }
+        let loads = world.orders.iter().filter(|(_, order)| order.reason == Reason::Load);
+        let loads = loads.count();
+        prop_assert!(loads <= 1, "{loads} loads under steady demand");
+    }
+}
