--- a/godwithinge/src/settings/mod.rs
+++ b/godwithinge/src/settings/mod.rs
@@ -3,6 +3,7 @@
 //! All daemons of a host read the same file. Each mistake in it is reported, not only the first.
 
 mod error;
+mod planner;
 mod pool;
 mod reader;
 mod secret;
@@ -10,6 +11,7 @@
 
 pub use self::{
     error::{Cause, Error, Errors},
+    planner::Planner,
     secret::Secret,
 };
 
@@ -97,17 +99,6 @@
     pub claim_retention: Duration,
 }
 
-/// Limits of the planner daemon.
-#[derive(Clone, Debug)]
-pub struct Planner {
-    /// Duration of the lease.
-    pub lease: Duration,
-    /// Longest time of an order to an engine.
-    pub order_timeout: Duration,
-    /// Time between two planning rounds.
-    pub interval: Duration,
-}
-
 impl Settings {
     /// Reads settings from a file.
     ///
@@ -139,7 +130,7 @@
         let platform = read_platform(&mut reader);
         let peers = read_peers(&mut reader);
         let entry = read_entry(&mut reader);
-        let planner = read_planner(&mut reader);
+        let planner = planner::read(&mut reader);
         let pools = pool::read_all(&mut reader);
         let errors = reader.finish();
         match (daemon, platform, peers, entry, planner) {
@@ -228,24 +219,12 @@
     })
 }
 
-fn read_planner(reader: &mut Reader) -> Option<Planner> {
-    let mut section = reader.section("planner");
-    let lease = time(&mut section, "lease");
-    let order_timeout = time(&mut section, "order_timeout");
-    let interval = time(&mut section, "interval");
-    Some(Planner {
-        lease: lease?,
-        order_timeout: order_timeout?,
-        interval: interval?,
-    })
-}
-
 fn time(section: &mut Section<'_>, key: &'static str) -> Option<Duration> {
     section.duration(key, MIN_TIME..=MAX_TIME)
 }
 
 /// Defaults: section, key, value.
-const DEFAULTS: [(&str, &str, &str); 18] = [
+const DEFAULTS: [(&str, &str, &str); 30] = [
     ("platform", "timeout", "500ms"),
     ("peers", "seeds", ""),
     ("entry", "queue", "1024"),
@@ -259,6 +238,18 @@
     ("planner", "lease", "5s"),
     ("planner", "order_timeout", "1s"),
     ("planner", "interval", "1s"),
+    ("planner", "models_per_engine", "1"),
+    ("planner", "changes", "2"),
+    ("planner", "load_interval", "10s"),
+    ("planner", "load_timeout", "5m"),
+    ("planner", "drain_timeout", "30s"),
+    ("planner", "hold", "60s"),
+    ("planner", "smooth", "10s"),
+    ("planner", "report_ttl", "5s"),
+    ("planner", "raise_at", "80"),
+    ("planner", "lower_at", "50"),
+    ("model", "least", "1"),
+    ("model", "adapters", ""),
     ("pool", "lookup", "no"),
     ("pool", "fenced", "no"),
     ("pool", "checkpoint", "no"),
--- a/godwithinge/src/settings/reader.rs
+++ b/godwithinge/src/settings/reader.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, ops::RangeInclusive, time::Duration};
 
 /// Sections that a file may have.
-const SECTIONS: &str = "daemon, platform, peers, entry, planner, pool NAME";
+const SECTIONS: &str = "daemon, platform, peers, entry, planner, pool NAME, model NAME";
 
 /// Reader of a file.
 #[derive(Debug)]
--- a/godwithinge/tests/settings.rs
+++ b/godwithinge/tests/settings.rs
@@ -50,6 +50,27 @@
     "",
     "allowed: daemon"
 )]
+#[case::bounds_too_close(
+    "[platform]",
+    "[planner]\nraise_at = 50\nlower_at = 50\n[platform]",
+    "[planner]",
+    "lower_at",
+    "from 0 to 49"
+)]
+#[case::order_as_long_as_lease(
+    "[platform]",
+    "[planner]\nlease = 2s\norder_timeout = 2s\n[platform]",
+    "[planner]",
+    "order_timeout",
+    "to 1s"
+)]
+#[case::adapter_name(
+    "[platform]",
+    "[model m]\nadapters = a b\n[platform]",
+    "[model m]",
+    "adapters",
+    "names with commas"
+)]
 #[case::missing("host = e1\n", "", "[daemon]", "host", "allowed: letters")]
 #[case::out_of_range(
     "max_tokens = 64",
--- a/policy/src/lease/mod.rs
+++ b/policy/src/lease/mod.rs
@@ -248,6 +248,11 @@
         (self.is_held() && in_time && !guarded).then_some(self.fence)
     }
 
+    /// Returns the latest time at which an order may begin, as long as the lease is held.
+    pub fn order_until(&self) -> Time {
+        self.until.saturating_sub(self.settings.order_timeout)
+    }
+
     /// Returns when the lease wants [`Event::Wake`], if it does.
     pub fn wake_at(&self) -> Option<Time> {
         let due = (self.asked.is_none() && self.state != State::Released).then_some(self.due);
