--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod member;
 pub mod millis;
 pub mod outcome;
+pub mod placement;
 pub mod poison;
 pub mod pool;
 pub mod queue;
