--- a/policy/src/member/mod.rs
+++ b/policy/src/member/mod.rs
@@ -157,6 +157,9 @@
                 fingerprint,
                 targets,
             } => (Topic::Poison(*fingerprint), Value::Poison(targets.clone())),
+            Frame::Cleared { fingerprint } => {
+                (Topic::Poison(*fingerprint), Value::Poison(Vec::new()))
+            }
             Frame::Demand { row, rate, part } => {
                 let (rate, part) = (*rate, *part);
                 (Topic::Demand(row.clone()), Value::Demand { rate, part })
@@ -274,6 +277,9 @@
 
 fn frame(topic: Topic, value: Value) -> Option<Frame> {
     match (topic, value) {
+        (Topic::Poison(fingerprint), Value::Poison(targets)) if targets.is_empty() => {
+            Some(Frame::Cleared { fingerprint })
+        }
         (Topic::Poison(fingerprint), Value::Poison(targets)) => Some(Frame::Suspect {
             fingerprint,
             targets,
--- a/policy/tests/world/mod.rs
+++ b/policy/tests/world/mod.rs
@@ -369,7 +369,7 @@
         }
         let (key, payload) = (
             self.callers[caller].key.clone(),
-            self.callers[caller].payload.clone(),
+            Payload::clone(&self.callers[caller].payload),
         );
         let sent = &mut self.callers[caller].copies[copy];
         sent.arrived = Some((self.now, self.incarnations[index]));
