Count a request as repeated when a repeated copy joins it

Cause: a repeated copy that reached the entry of the first one joined its request, which kept the first copy's promise. Ruled out: the refusal, which was never asked for, and the claim, which was taken once.

--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -49,7 +49,9 @@
     ) {
         let deadline = turn.now + deadline;
         if self.requests.contains_key(&key) {
-            self.with(&key, |entry, request| entry.ask_again(request, deadline));
+            self.with(&key, |entry, request| {
+                entry.ask_again(request, deadline, retry)
+            });
             return;
         }
         if let Some(answer) = self
@@ -101,8 +103,11 @@
     }
 
     /// Has a further caller wait for a request that is in flight.
-    fn ask_again(&mut self, request: &mut Request, deadline: Time) {
+    ///
+    /// A repeated copy may have run at another entry meanwhile, so the request counts as repeated.
+    fn ask_again(&mut self, request: &mut Request, deadline: Time, retry: bool) {
         request.step(Step::Attach);
+        request.retry |= retry;
         if deadline > request.deadline {
             request.deadline = deadline;
             self.set_deadline(request);
