Keep golden sessions of requests, and let a leaving entry refuse nothing

Fourteen scripts with the commands and decisions they give. Reading them showed four things that are mended here: a leaving entry recorded the refusal of a repeated request for good, although another entry could run it (now: unknown, nothing recorded); a quarantine was logged as two decisions; a wait and a foreign claim were logged as none; durations were written with rounding noise.

--- a/policy/src/decision.rs
+++ b/policy/src/decision.rs
@@ -47,7 +47,7 @@
     Hedge,
     /// A stream goes on at another target from where it broke.
     Resume,
-    /// The stage waits for its claim.
+    /// The stage waits for the result of another copy that holds its claim.
     Claim,
     /// A kept result took the place of a call.
     Restored,
--- a/policy/src/entry/claims.rs
+++ b/policy/src/entry/claims.rs
@@ -75,8 +75,9 @@
                 self.fail(turn, request, Reason::Reused, None);
             }
             Row::Held { target, .. } => {
-                if request.state() == State::Claiming {
-                    request.step(Step::Taken);
+                if request.step(Step::Taken) {
+                    let holder = Some(target.clone());
+                    self.decide(turn, request, Choice::Claim, holder, Vec::new());
                 }
                 self.look_up(turn, request, target);
                 self.pause(turn, request);
--- a/policy/src/entry/finish.rs
+++ b/policy/src/entry/finish.rs
@@ -31,11 +31,21 @@
         self.finish(turn, request, Outcome::Answered { answer });
     }
 
-    /// Gives a request up that can't get its answer, with the strongest promise that is true.
+    /// Gives a request up that can't get its answer.
     pub(super) fn give_up(&mut self, turn: &mut Turn<'_>, request: &mut Request, reason: Reason) {
         self.decide(turn, request, Choice::GiveUp, None, Vec::new());
+        self.conclude(turn, request, reason);
+    }
+
+    /// Ends a request that can't get its answer, with the strongest promise that is true.
+    ///
+    /// A leaving entry records no refusal, so that another entry can still run the request.
+    pub(super) fn conclude(&mut self, turn: &mut Turn<'_>, request: &mut Request, reason: Reason) {
         let retry_after = reason.is_transient().then(|| self.retry_after(request));
         match self.open_claim(request) {
+            Some(_) if request.retry && reason == Reason::Leaving => {
+                self.leave_unknown(turn, request);
+            }
             Some(stage) if request.retry && !self.holds_claim(request) => {
                 self.refuse(turn, request, stage, reason);
             }
--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -208,6 +208,7 @@
                 request.state() != State::Waiting || entry.place(turn, request)
             });
             if placed == Some(false) {
+                self.note_wait(turn, &item.key);
                 passed.push(item);
             }
         }
@@ -218,6 +219,16 @@
         }
     }
 
+    /// Logs that the current stage waits, once.
+    fn note_wait(&mut self, turn: &mut Turn<'_>, key: &Key) {
+        self.with(key, |entry, request| {
+            if !request.waited {
+                request.waited = true;
+                entry.decide(turn, request, Choice::Wait, None, Vec::new());
+            }
+        });
+    }
+
     /// Sends the current stage to a target or gives it up; `false` leaves it in the queue.
     fn place(&mut self, turn: &mut Turn<'_>, request: &mut Request) -> bool {
         if turn.now + self.work_left(request) > request.deadline {
--- a/policy/src/entry/isolation.rs
+++ b/policy/src/entry/isolation.rs
@@ -36,7 +36,7 @@
     /// Ends a request whose payload may not run.
     pub(super) fn quarantine(&mut self, turn: &mut Turn<'_>, request: &mut Request) {
         self.decide(turn, request, Choice::Quarantine, None, Vec::new());
-        self.give_up(turn, request, Reason::Quarantined);
+        self.conclude(turn, request, Reason::Quarantined);
     }
 
     /// Makes the payload suspect if the target may have died of it, and tells the peers.
--- a/policy/src/entry/request.rs
+++ b/policy/src/entry/request.rs
@@ -41,6 +41,8 @@
     pub spent: Vec<TargetId>,
     /// Targets that were full or refused the connection a moment ago.
     pub full: Vec<TargetId>,
+    /// Whether it was logged that the current stage waits.
+    pub waited: bool,
     /// Text that the current stage has streamed.
     pub text: String,
     /// Parts that were passed on to the caller.
@@ -101,6 +103,7 @@
             attempts: Vec::new(),
             spent: Vec::new(),
             full: Vec::new(),
+            waited: false,
             text: String::new(),
             emitted: 0,
             dispatched: false,
@@ -181,6 +184,7 @@
         self.spent.clear();
         self.full.clear();
         self.text.clear();
+        self.waited = false;
         self.broken = None;
         self.pause = FIRST_PAUSE;
     }
--- a/policy/src/millis.rs
+++ b/policy/src/millis.rs
@@ -3,13 +3,13 @@
 use serde::{Deserialize, Deserializer, Serializer};
 use std::time::Duration;
 
-/// Writes a duration as a number of milliseconds.
+/// Writes a duration as a number of milliseconds, to the microsecond.
 ///
 /// # Errors
 ///
 /// Fails as the serializer fails.
 pub fn serialize<S: Serializer>(duration: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
-    serializer.serialize_f64(duration.as_secs_f64() * 1e3)
+    serializer.serialize_f64(duration.as_micros() as f64 / 1e3)
 }
 
 /// Reads a duration from a number of milliseconds.
--- a/policy/tests/promise.rs
+++ b/policy/tests/promise.rs
@@ -1,5 +1,6 @@
 //! What always holds, under interleaved deliveries, deaths, pauses and outages.
 
+mod fixture;
 mod world;
 
 use policy::{Outcome, id::Key, outcome::Effects};
--- a/policy/tests/regression/attach_keeps_retry.rs
+++ b/policy/tests/regression/attach_keeps_retry.rs
@@ -3,7 +3,7 @@
 //! The repeated copy had run at another entry meanwhile, where the side effect took place. The
 //! request kept the first copy's promise and answered both with `effects: none`.
 
-use crate::world::entry;
+use crate::fixture::entry;
 use policy::{
     Command, Event, Outcome,
     id::{Key, Time},
--- /dev/null
+++ b/policy/tests/request.rs
@@ -0,0 +1,88 @@
+//! Whole sessions of requests at one entry: a script of events, and the commands that follow.
+//!
+//! A golden file holds notes (`#`), script lines (`{"at": milliseconds, ...event}`) and, indented,
+//! what the entry gave: wake-ups by its own timers (`~ milliseconds`) and commands. Run with
+//! `UPDATE_GOLDEN=1` to write the files anew.
+
+mod fixture;
+
+use policy::{Command, Event, entry::Entry, id::Time};
+use rstest::rstest;
+use serde::Deserialize;
+use std::{fmt::Write, fs, path::PathBuf, time::Duration};
+
+/// One line of a session's script.
+#[derive(Deserialize)]
+struct Line {
+    at: u64,
+    #[serde(flatten)]
+    event: Event,
+}
+
+#[rstest]
+#[case("answered")]
+#[case("engine_dies_mid_stream")]
+#[case("claim_reply_lost")]
+#[case("claim_held_elsewhere")]
+#[case("call_broken_and_looked_up")]
+#[case("call_broken_without_lookup")]
+#[case("call_outlives_deadline")]
+#[case("connection_refused")]
+#[case("platform_out")]
+#[case("repeated_request_refused")]
+#[case("hopeless_request")]
+#[case("poison")]
+#[case("late_result")]
+#[case("drain")]
+fn session_matches_its_golden_file(#[case] name: &str) {
+    let path =
+        PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(format!("tests/golden/request/{name}.txt"));
+    let text = fs::read_to_string(&path).expect("the golden file is readable");
+    let played = play(&text);
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        fs::write(&path, &played).expect("the golden file is writable");
+    }
+    assert_eq!(played, text);
+}
+
+/// Plays the script lines of a golden file and returns the file as it should be.
+fn play(text: &str) -> String {
+    let mut entry = fixture::entry(0, 1, false);
+    let mut out = String::new();
+    for line in text.lines() {
+        if line.starts_with("# in flight") {
+            continue;
+        }
+        if line.starts_with('#') || line.is_empty() {
+            writeln!(out, "{line}").unwrap();
+        } else if line.starts_with('{') {
+            let script: Line = serde_json::from_str(line).expect("a script line is an event");
+            let now = Duration::from_millis(script.at);
+            wake_until(&mut entry, now, &mut out);
+            writeln!(out, "{line}").unwrap();
+            feed(&mut entry, now, script.event, &mut out);
+        }
+    }
+    wake_until(&mut entry, Duration::from_secs(60), &mut out);
+    writeln!(out, "# in flight at the end: {}", entry.in_flight()).unwrap();
+    out
+}
+
+fn wake_until(entry: &mut Entry, until: Time, out: &mut String) {
+    while let Some(at) = entry.wake_at().filter(|at| *at < until) {
+        writeln!(out, "  ~ {:.3}", at.as_secs_f64() * 1e3).unwrap();
+        feed(entry, at, Event::Wake, out);
+    }
+}
+
+fn feed(entry: &mut Entry, now: Time, event: Event, out: &mut String) {
+    let mut commands = Vec::new();
+    entry.on(now, event, &mut commands);
+    for command in &commands {
+        writeln!(out, "  {}", render(command)).unwrap();
+    }
+}
+
+fn render(command: &Command) -> String {
+    serde_json::to_string(command).expect("a command is JSON")
+}
--- a/policy/tests/world/mod.rs
+++ b/policy/tests/world/mod.rs
@@ -3,22 +3,19 @@
 //! Messages are delayed, lost and reordered by a seeded generator; entries are killed and paused.
 //! The world notes what every target ran and what every caller was told.
 
+use crate::fixture::{entry, millis};
 use policy::{
-    Command, Event, Outcome, Table,
+    Command, Event, Outcome,
     claim::{self, Ask, Reply, Row},
     command::Call,
-    entry::{Entry, Settings},
+    entry::Entry,
     fault::Fault,
-    host::{Host, Report, State},
     id::{AttemptId, HostId, Key, Payload, Time},
-    pool::Pool,
-    table::{Pipeline, Workspace},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    sync::Arc,
     time::Duration,
 };
 
@@ -97,101 +94,6 @@
     outage: (Time, Time),
 }
 
-fn millis(value: u64) -> Duration {
-    Duration::from_millis(value)
-}
-
-pub fn pools() -> Vec<Pool> {
-    let (long, short) = (Duration::from_secs(2), millis(500));
-    vec![
-        Pool::new("encoders").with_limits(long, short),
-        Pool::new("engines")
-            .with_engine("m", 16)
-            .with_limits(long, short),
-        Pool::new("desk")
-            .with_effects(true)
-            .with_limits(long, short),
-        Pool::new("ledger")
-            .with_effects(false)
-            .with_limits(long, short),
-    ]
-}
-
-pub fn table() -> Table {
-    let mut table = Table {
-        revision: 1,
-        ..Table::default()
-    };
-    table.workspaces.insert("w".into(), Workspace::default());
-    table
-        .pipelines
-        .insert("read".into(), Pipeline::new(["encoders", "engines"]));
-    table.pipelines.insert(
-        "order".into(),
-        Pipeline::new(["encoders", "desk", "engines"]),
-    );
-    table
-        .pipelines
-        .insert("lodge".into(), Pipeline::new(["ledger"]));
-    table
-}
-
-pub fn hosts() -> Vec<Host> {
-    let pools = pools();
-    let targets = pools
-        .iter()
-        .flat_map(|pool| (0..3).map(move |n| (pool.name.clone(), n)));
-    targets
-        .map(|(pool, n)| Host {
-            host: format!("host-{pool}-{n}").into(),
-            target: format!("{pool}-{n}").into(),
-            address: format!("{pool}-{n}").into(),
-            domain: format!("d{n}").into(),
-            region: "r".into(),
-            state: State::Live,
-            pool,
-        })
-        .collect()
-}
-
-pub fn entry(index: usize, incarnation: u64, overload: bool) -> Entry {
-    let mut entry = Entry::new(Settings {
-        host: format!("entry-{index}").into(),
-        domain: format!("d{index}").into(),
-        incarnation,
-        seed: incarnation,
-        pools: pools(),
-        queue: if overload { 2 } else { 16 },
-        remember: Duration::from_secs(600),
-    });
-    let mut none = Vec::new();
-    entry.on(
-        Time::ZERO,
-        Event::Table {
-            table: Arc::new(table()),
-        },
-        &mut none,
-    );
-    entry.on(Time::ZERO, Event::Hosts { hosts: hosts() }, &mut none);
-    if overload {
-        for host in hosts() {
-            let report = Report {
-                width: 1,
-                ..Report::default()
-            };
-            entry.on(
-                Time::ZERO,
-                Event::Load {
-                    target: host.target,
-                    report,
-                },
-                &mut none,
-            );
-        }
-    }
-    entry
-}
-
 impl World {
     pub fn new(seed: u64, faults: Faults) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
