--- a/godwithinge/src/api/submit.rs
+++ b/godwithinge/src/api/submit.rs
@@ -40,6 +40,7 @@
     let mut ticket = daemon.submit(submission).map_err(Code::from)?;
     if streamed {
         return respond(daemon, Response::builder())
+            .header(header::CONTENT_TYPE, "text/event-stream")
             .body(stream::body(id, ticket))
             .map_err(Into::into);
     }
