Let an entry be created with a routing rule and a subset size

The subset was keyed by the failure domain alone, which gave all entries of a domain the same one; it is keyed by the host now.

--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -32,7 +32,7 @@
     poison::{self, Poison},
     pool::Pool,
     queue::Queue,
-    router::Router,
+    router::{Router, Rule, SUBSET_SIZE},
     table::Table,
 };
 use rand::SeedableRng;
@@ -128,7 +128,8 @@
             state: DAEMON.start(),
             table: None,
             lanes,
-            router: Router::new(settings.domain.clone(), &settings.pools),
+            router: Router::new(settings.domain.clone(), &settings.pools)
+                .with_subset(settings.host.clone(), SUBSET_SIZE),
             requests: HashMap::new(),
             attempts: HashMap::new(),
             memory: Memory::new(settings.remember),
@@ -142,6 +143,20 @@
         }
     }
 
+    /// Compares targets by `rule`.
+    #[must_use]
+    pub fn with_rule(mut self, rule: Rule) -> Self {
+        self.router = self.router.with_rule(rule);
+        self
+    }
+
+    /// Works with a stable subset of `size` targets of each pool.
+    #[must_use]
+    pub fn with_subset(mut self, size: usize) -> Self {
+        self.router = self.router.with_subset(self.settings.host.clone(), size);
+        self
+    }
+
     /// Takes in one event and appends what is to be done.
     pub fn on(&mut self, now: Time, event: Event, commands: &mut Vec<Command>) {
         let mut turn = Turn { now, out: commands };
--- a/policy/src/router/mod.rs
+++ b/policy/src/router/mod.rs
@@ -99,7 +99,7 @@
 }
 
 /// Targets of a pool that one entry works with, unless set otherwise.
-const SUBSET_SIZE: usize = 16;
+pub const SUBSET_SIZE: usize = 16;
 
 /// Targets that are drawn for one choice.
 const DRAWN: usize = 4;
