--- a/policy/src/router/health.rs
+++ b/policy/src/router/health.rs
@@ -21,6 +21,9 @@
 /// Time after which a lost target is probed even if it has not reported again.
 const LOST_PROBE: Duration = Duration::from_secs(10);
 
+/// Time in which the share of failed calls fades to the e-th part.
+const FAILURE_FADE: Duration = Duration::from_secs(5);
+
 /// Time in which the failures of a domain fade to the e-th part.
 const OUTAGE_FADE: Duration = Duration::from_secs(3);
 
@@ -32,6 +35,7 @@
     successes: u32,
     ejected: Option<Ejection>,
     failures: f64,
+    failed_at: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -69,9 +73,10 @@
         }
     }
 
-    /// Returns the recent share of calls that failed.
-    pub const fn failures(&self) -> f64 {
-        self.failures
+    /// Returns the share of calls that failed lately.
+    pub fn failures(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.failed_at);
+        self.failures * (-age.as_secs_f64() / FAILURE_FADE.as_secs_f64()).exp()
     }
 
     /// Notes that a call ended well, and returns whether that ends an ejection.
@@ -90,7 +95,9 @@
     /// Calls that were in flight when the target was ejected don't eject it again.
     pub fn failed(&mut self, now: Time, fault: Fault) -> bool {
         self.successes = 0;
-        self.failures += FAILURE_GAIN * (1.0 - self.failures);
+        let failures = self.failures(now);
+        self.failures = failures + FAILURE_GAIN * (1.0 - failures);
+        self.failed_at = now;
         self.points += points(fault);
         let ejects = match self.ejected {
             None => self.points >= EJECT_POINTS,
--- a/policy/src/router/score.rs
+++ b/policy/src/router/score.rs
@@ -106,7 +106,7 @@
     fn penalty(&self, now: Time, target: &Target, pool: &Member) -> f64 {
         let outage = self.domains.get(&target.host.domain);
         let level = outage.map_or(0.0, |outage| outage.level(now));
-        let mut cost = self.distance(target) + target.health.failures() * FAILURE_COST;
+        let mut cost = self.distance(target) + target.health.failures(now) * FAILURE_COST;
         if level > UNRELATED_EJECTIONS {
             cost += level * OUTAGE_COST;
         }
--- a/policy/tests/router.rs
+++ b/policy/tests/router.rs
@@ -310,6 +310,27 @@
     );
 }
 
+#[test]
+fn a_target_that_is_back_gets_its_share_again() {
+    let mut bench = Bench::services(&hosts(&["a1", "a2"]));
+    let avoid = [TargetId::from("a2")];
+    for _ in 0..4 {
+        let (attempt, _) = bench.choose_with(&[], &avoid, false).unwrap();
+        bench.end(attempt, failed(Fault::Broken));
+        bench.sleep(2_000);
+    }
+    bench.report("a1", &Report::default());
+    bench.sleep(30_000);
+    for _ in 0..10 {
+        let calls = [bench.choose().unwrap(), bench.choose().unwrap()];
+        bench.sleep(50);
+        assert_ne!(calls[0].1, calls[1].1);
+        for (attempt, _) in calls {
+            bench.end(attempt, Verdict::Done);
+        }
+    }
+}
+
 #[test]
 fn the_rest_of_a_lost_domain_is_left_alone() {
     let names = ["b1", "b2", "b3", "b4", "c1", "c2", "c3", "c4"];
