--- a/godwithinge/src/entry/mod.rs
+++ b/godwithinge/src/entry/mod.rs
@@ -140,7 +140,8 @@
             pools: settings.pools.clone(),
             queue: settings.entry.queue,
             remember: settings.entry.remember,
-        });
+        })
+        .with_rule(settings.entry.rule);
         let address = settings.platform.address.to_string();
         let platform = platform::Client::new(address, settings.platform.timeout);
         let metrics = Metrics::new().map_err(Error::Metrics)?;
--- a/godwithinge/src/settings/mod.rs
+++ b/godwithinge/src/settings/mod.rs
@@ -20,6 +20,7 @@
 use policy::{
     id::{DomainId, HostId, RegionId},
     pool::Pool,
+    router::Rule,
 };
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
@@ -83,6 +84,8 @@
 pub struct Entry {
     /// Most stages that wait for one pool.
     pub queue: usize,
+    /// How targets are compared.
+    pub rule: Rule,
     /// Time that a final outcome is remembered.
     pub remember: Duration,
     /// Longest body of a caller's request, in bytes.
@@ -200,6 +203,7 @@
 fn read_entry(reader: &mut Reader) -> Option<Entry> {
     let mut section = reader.section("entry");
     let queue = section.count("queue", 1..=MAX_QUEUE);
+    let rule = section.parse("rule", RULES, |text| text.parse().ok());
     let remember = section.duration("remember", MIN_TIME..=MAX_KEPT);
     let body_limit = section.count("body_limit", 1..=MAX_BODY);
     let directory_ttl = time(&mut section, "directory_ttl");
@@ -209,6 +213,7 @@
     let claim_retention = section.duration("claim_retention", MIN_TIME..=MAX_KEPT);
     Some(Entry {
         queue: queue?,
+        rule: rule?,
         remember: remember?,
         body_limit: body_limit?,
         directory_ttl: directory_ttl?,
@@ -223,11 +228,15 @@
     section.duration(key, MIN_TIME..=MAX_TIME)
 }
 
+/// Ways to compare targets.
+const RULES: &str = "scored, round_robin or least_in_flight";
+
 /// Defaults: section, key, value.
-const DEFAULTS: [(&str, &str, &str); 30] = [
+const DEFAULTS: [(&str, &str, &str); 31] = [
     ("platform", "timeout", "500ms"),
     ("peers", "seeds", ""),
     ("entry", "queue", "1024"),
+    ("entry", "rule", "scored"),
     ("entry", "remember", "60s"),
     ("entry", "body_limit", "1048576"),
     ("entry", "directory_ttl", "5s"),
--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -50,7 +50,7 @@
         let deadline = turn.now + deadline;
         if self.requests.contains_key(&key) {
             self.with(&key, |entry, request| {
-                entry.ask_again(request, deadline, retry)
+                entry.ask_again(request, deadline, retry);
             });
             return;
         }
--- a/standin/src/load/entries.rs
+++ b/standin/src/load/entries.rs
@@ -2,7 +2,10 @@
 
 use crate::platform;
 use compact_str::format_compact;
-use policy::pool::{Kind, Pool};
+use policy::{
+    pool::{Kind, Pool},
+    router::Rule,
+};
 use std::{
     fmt,
     fs::{self, File},
@@ -13,7 +16,6 @@
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use strum::{Display, EnumString, IntoStaticStr};
 use tokio::time::Instant;
 
 /// Longest time until all entries are ready.
@@ -22,19 +24,6 @@
 /// Time between two looks at whether the entries are ready.
 const READY_POLL: Duration = Duration::from_millis(50);
 
-/// How entries compare targets.
-#[derive(Clone, Copy, Debug, Default, Display, EnumString, Eq, IntoStaticStr, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub enum Rule {
-    /// By the expected time to the result.
-    #[default]
-    Scored,
-    /// In turn; a baseline.
-    RoundRobin,
-    /// By the calls in flight; a baseline.
-    LeastInFlight,
-}
-
 /// Why entries could not be started.
 #[derive(Debug)]
 pub enum Error {
@@ -206,9 +195,7 @@
              operator_token = load-operator-token\nfleet_key = load-fleet-key-of-the-load-tool\n\
              [platform]\naddress = {platform}\n[entry]\n"
         );
-        if self.rule != Rule::Scored {
-            text.push_str(&format_compact!("rule = {}\n", self.rule));
-        }
+        text.push_str(&format_compact!("rule = {}\n", self.rule));
         text.push_str(self.settings);
         for pool in self.pools {
             text.push_str(&section(pool));
--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -17,7 +17,7 @@
 pub use self::{
     caller::{Answer, Caller, Ending, Patience},
     chaos::{Action, Step},
-    entries::{Entries, Error, Rule},
+    entries::{Entries, Error},
     measure::{Cost, Group, Measure, Quantiles},
     plan::{Plan, Scenario},
     plot::{Bar, plot},
@@ -25,3 +25,4 @@
     schedule::{Arrival, Class, Schedule},
     summary::{Report, Spread},
 };
+pub use policy::router::Rule;
--- a/standin/src/load/run.rs
+++ b/standin/src/load/run.rs
@@ -3,12 +3,13 @@
 use super::{
     caller::{Answer, Caller},
     chaos,
-    entries::{Entries, Error, Launch, Rule},
+    entries::{Entries, Error, Launch},
     measure::{self, Measure},
     plan::Plan,
     schedule::Arrival,
 };
 use crate::fleet::Fleet;
+use policy::router::Rule;
 use std::{cmp::Reverse, collections::BinaryHeap, path::Path, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
