Prove promises with the real daemons, killed, stopped and cut off

Adds a bench that starts gwi-entry with settings of its own before stand-ins, and tests of claims, streams, leaving targets, silent connections, drains and the interface. A read of a load report that hits a silent connection logs that it was closed. The platform's stand-in can delay its reply after the effect, so that a claim can be seen before its holder knows of it. Each of seven entries is drained in turn under load: no request failed.

--- a/godwithinge/src/entry/poll.rs
+++ b/godwithinge/src/entry/poll.rs
@@ -145,6 +145,7 @@
             .targets
             .retain(|address| addresses.iter().any(|known| known == address));
         self.state().hosts = by_name;
+        tracing::info!(targets = hosts.len(), "hosts in force");
         self.handle(Event::Hosts { hosts });
     }
 
--- a/godwithinge/src/target/engine.rs
+++ b/godwithinge/src/target/engine.rs
@@ -26,7 +26,8 @@
     loop {
         let part = within(call.silence, response.chunk()).await?;
         decoder.push(&part.ok_or(Fault::Broken)?);
-        while let Some(data) = decoder.next_data() {
+        while let Some(event) = decoder.next_event() {
+            let data = event.data;
             if data == END {
                 // Reading the body to its end keeps the connection.
                 let _ = within(call.silence, response.chunk()).await;
--- a/godwithinge/src/target/mod.rs
+++ b/godwithinge/src/target/mod.rs
@@ -6,7 +6,11 @@
 mod sse;
 mod wire;
 
-pub use self::{error::Error, sse::Decoder, wire::Events};
+pub use self::{
+    error::Error,
+    sse::{Decoder, Event},
+    wire::Events,
+};
 
 use crate::{
     http::{Error as HttpError, Pool as Connections, Request, Response, Reuse},
@@ -137,9 +141,13 @@
             }
             Ok(response.bytes(MAX_BODY).await?)
         };
-        time::timeout(timeout, exchange)
-            .await
-            .map_err(|_elapsed| HttpError::Silent)?
+        match time::timeout(timeout, exchange).await {
+            Ok(reply) => reply,
+            Err(_elapsed) => {
+                tracing::warn!(%address, "silent connection was closed");
+                Err(HttpError::Silent.into())
+            }
+        }
     }
 
     /// Sends a call and waits for the head of the response.
--- a/godwithinge/src/target/sse.rs
+++ b/godwithinge/src/target/sse.rs
@@ -6,6 +6,17 @@
     buffer: Vec<u8>,
 }
 
+/// One event with data.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Event {
+    /// Name of the event; empty if it has none.
+    pub name: String,
+    /// Identifier of the event; empty if it has none.
+    pub id: String,
+    /// Data of the event.
+    pub data: String,
+}
+
 impl Decoder {
     /// Creates a decoder at the begin of a stream.
     pub fn new() -> Self {
@@ -17,27 +28,31 @@
         self.buffer.extend_from_slice(part);
     }
 
-    /// Returns the data of the next whole event.
-    ///
-    /// Comments and fields other than `data` are skipped.
-    pub fn next_data(&mut self) -> Option<String> {
+    /// Returns the next whole event; comments and events without data are skipped.
+    pub fn next_event(&mut self) -> Option<Event> {
         loop {
             let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
-            let event: Vec<u8> = self.buffer.drain(..end + 2).collect();
-            if let Some(data) = data(&event) {
-                return Some(data);
+            let text: Vec<u8> = self.buffer.drain(..end + 2).collect();
+            if let Some(event) = read(&String::from_utf8_lossy(&text)) {
+                return Some(event);
             }
         }
     }
 }
 
-/// Joins the data lines of an event; `None` if it has none.
-fn data(event: &[u8]) -> Option<String> {
-    let event = String::from_utf8_lossy(event);
-    let lines = event
-        .lines()
-        .filter_map(|line| line.strip_prefix("data:"))
-        .map(|line| line.strip_prefix(' ').unwrap_or(line));
-    let lines: Vec<_> = lines.collect();
-    (!lines.is_empty()).then(|| lines.join("\n"))
+/// Reads the fields of an event; `None` if it has no data.
+fn read(text: &str) -> Option<Event> {
+    let mut event = Event::default();
+    let mut data = Vec::new();
+    for (field, value) in text.lines().filter_map(|line| line.split_once(':')) {
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "event" => event.name = value.into(),
+            "id" => event.id = value.into(),
+            "data" => data.push(value),
+            _ => {}
+        }
+    }
+    event.data = data.join("\n");
+    (!data.is_empty()).then_some(event)
 }
--- /dev/null
+++ b/godwithinge/tests/process/claim.rs
@@ -0,0 +1,178 @@
+//! A non-idempotent call runs at most once.
+
+use crate::common::{Ask, Bench, FILING, ORDER, until};
+use policy::claim::Row;
+use rstest::rstest;
+use std::time::Duration;
+
+fn is_held(row: &Row) -> bool {
+    matches!(row, Row::Held { .. })
+}
+
+fn is_done(row: &Row) -> bool {
+    matches!(row, Row::Done { .. })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn claim_reply_lost() {
+    let bench = Bench::start(2).await;
+    let entry = bench.entry("e1").await;
+    bench.fleet.platform().control(|it| it.lose_replies = 1);
+    let reply = entry.send(&Ask::new(ORDER, "r")).await;
+    assert_eq!(reply.outcome(), "answered", "{reply:?}");
+    assert_eq!(bench.effects("clerks", "r"), 1);
+    bench.claimed(ORDER, "r", is_done).await;
+    assert!(bench.fleet.platform().counters().lost > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settle_reply_lost() {
+    let bench = Bench::start(2).await;
+    let entry = bench.entry("e1").await;
+    bench.change("clerks", |it| it.time_ms = 300.0);
+    let ask = Ask::new(ORDER, "r");
+    let sent = entry.send(&ask);
+    let lose = async {
+        bench.claimed(ORDER, "r", is_held).await;
+        bench.fleet.platform().control(|it| it.lose_replies = 1);
+    };
+    let (reply, ()) = tokio::join!(sent, lose);
+    assert_eq!(reply.outcome(), "answered", "{reply:?}");
+    bench.claimed(ORDER, "r", is_done).await;
+}
+
+/// Two entries get the same request at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_entries_at_once() {
+    let bench = Bench::start(2).await;
+    let (one, two) = tokio::join!(bench.entry("e1"), bench.entry("e2"));
+    for number in 0..10 {
+        let ask = Ask::new(ORDER, &format!("r{number}"));
+        let (first, second) = tokio::join!(one.send(&ask), two.send(&ask));
+        assert_eq!(
+            bench.effects("clerks", &ask.request),
+            1,
+            "{first:?} {second:?}"
+        );
+        assert_eq!(first.outcome(), "answered", "{first:?}");
+        assert_eq!(second, first);
+    }
+}
+
+/// The holder of a claim stops between its claim and its call, and goes on later.
+#[tokio::test(flavor = "multi_thread")]
+async fn holder_stopped() {
+    let bench = Bench::start(2).await;
+    let (one, two) = tokio::join!(bench.entry("e1"), bench.entry("e2"));
+    bench.fleet.platform().control(|it| it.delay_reply_ms = 200);
+    let ask = Ask::new(ORDER, "r").with_deadline(1500);
+    let first = one.send(&ask);
+    let second = async {
+        bench.claimed(ORDER, "r", is_held).await;
+        one.signal("STOP");
+        bench.fleet.platform().control(|it| it.delay_reply_ms = 0);
+        let reply = two.send(&ask.again()).await;
+        assert_eq!(bench.effects("clerks", "r"), 0);
+        one.signal("CONT");
+        reply
+    };
+    let (first, second) = tokio::join!(first, second);
+    assert_eq!(second.outcome(), "unknown", "{second:?}");
+    assert!(
+        ["unknown", "failed", "answered"].contains(&first.outcome()),
+        "{first:?}"
+    );
+    let third = two.send(&ask.again().with_deadline(4000)).await;
+    assert!(bench.effects("clerks", "r") <= 1, "{first:?} {third:?}");
+}
+
+/// An entry is killed between its claim and its call, or between its call and the reply.
+#[rstest]
+#[case::unsent(ORDER, "clerks", false, "unknown", 0)]
+#[case::sent(ORDER, "clerks", true, "unknown", 1)]
+#[case::sent_looked_up(FILING, "desks", true, "answered", 1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_killed(
+    #[case] pipeline: &str,
+    #[case] pool: &str,
+    #[case] sent: bool,
+    #[case] outcome: &str,
+    #[case] effects: u32,
+) {
+    let bench = Bench::start(2).await;
+    let (one, two) = tokio::join!(bench.entry("e1"), bench.entry("e2"));
+    bench.change(pool, |it| it.delay_reply_ms = 2000);
+    if !sent {
+        bench.fleet.platform().control(|it| it.delay_reply_ms = 200);
+    }
+    let ask = Ask::new(pipeline, "r");
+    let kill = async {
+        bench.claimed(pipeline, "r", is_held).await;
+        if sent {
+            until("effect", || bench.effects(pool, "r") == 1).await;
+        }
+        one.kill();
+    };
+    let (first, ()) = tokio::join!(one.send(&ask), kill);
+    assert_eq!(first.outcome(), "lost");
+    bench.fleet.platform().control(|it| it.delay_reply_ms = 0);
+    let second = two.send(&ask.again().with_deadline(1500)).await;
+    assert_eq!(second.outcome(), outcome, "{second:?}");
+    assert_eq!(bench.effects(pool, "r"), effects);
+}
+
+/// The target answers after the deadline; the same request asked again gets the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answer() {
+    let bench = Bench::start(2).await;
+    let (one, two) = tokio::join!(bench.entry("e1"), bench.entry("e2"));
+    bench.change("clerks", |it| it.delay_reply_ms = 1200);
+    let ask = Ask::new(ORDER, "r").with_deadline(500);
+    let first = one.send(&ask).await;
+    assert_eq!(first.outcome(), "unknown", "{first:?}");
+    for entry in [&one, &two] {
+        let again = entry.send(&ask.again().with_deadline(4000)).await;
+        assert_eq!(again.outcome(), "answered", "{again:?}");
+    }
+    assert_eq!(bench.effects("clerks", "r"), 1);
+}
+
+/// The platform is out for the whole time.
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_out() {
+    let bench = Bench::start(2).await;
+    let entry = bench.entry("e1").await;
+    bench.fleet.platform().control(|it| it.outage = true);
+    let ask = Ask::new(ORDER, "r").with_deadline(700);
+    let first = entry.send(&ask).await;
+    assert_ne!(first.outcome(), "answered", "{first:?}");
+    let again = entry.send(&ask.again()).await;
+    assert_ne!(again.outcome(), "answered", "{again:?}");
+    assert_eq!(bench.calls("clerks"), 0);
+    let size = entry.send(&Ask::new("size", "s")).await;
+    assert_eq!(size.outcome(), "answered", "{size:?}");
+}
+
+/// The platform goes out after the claim; the settlement is written once it is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn settled_after_outage() {
+    let bench = Bench::start(2).await;
+    let (one, two) = tokio::join!(bench.entry("e1"), bench.entry("e2"));
+    bench.change("clerks", |it| it.delay_reply_ms = 300);
+    let ask = Ask::new(ORDER, "r");
+    let outage = async {
+        until("effect", || bench.effects("clerks", "r") == 1).await;
+        bench.fleet.platform().control(|it| it.outage = true);
+    };
+    let (first, ()) = tokio::join!(one.send(&ask), outage);
+    assert_eq!(first.outcome(), "answered", "{first:?}");
+    assert_eq!(bench.claim(ORDER, "r").map(|row| is_held(&row)), Some(true));
+    let here = one.send(&ask.again()).await;
+    assert_eq!(here, first);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    bench.fleet.platform().control(|it| it.outage = false);
+    bench.claimed(ORDER, "r", is_done).await;
+    let there = two.send(&ask.again()).await;
+    assert_eq!(there, first);
+    assert_eq!(bench.effects("clerks", "r"), 1);
+}
--- /dev/null
+++ b/godwithinge/tests/process/common/bench.rs
@@ -0,0 +1,220 @@
+//! Stand-ins of one small deployment, and the entry daemons before them.
+
+use super::{BOUND, Entry, until};
+use policy::{
+    claim::{self, Row},
+    id::Key,
+    pool::{Kind, Pool},
+    table::{Pipeline, Table, Workspace},
+};
+use standin::{
+    engine,
+    fleet::{self, Deployment, Fleet, Group, Node},
+    service,
+};
+use std::{
+    fmt::Write as _,
+    fs,
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Pipeline of one idempotent stage.
+pub const SIZE: &str = "size";
+/// Pipeline that ends with a non-idempotent stage whose targets can't be asked about a call.
+pub const ORDER: &str = "order";
+/// Pipeline that ends with a non-idempotent stage whose targets can be asked about a call.
+pub const FILING: &str = "filing";
+/// Pipeline that ends with an engine.
+pub const SUMMARY: &str = "summary";
+
+/// Benches that run at once, so that tests don't starve each other.
+const MAX_BENCHES: usize = 3;
+static BENCHES: std::sync::LazyLock<Arc<Semaphore>> =
+    std::sync::LazyLock::new(|| Arc::new(Semaphore::new(MAX_BENCHES)));
+static NUMBER: AtomicU32 = AtomicU32::new(0);
+
+/// Stand-ins of one deployment, and the entry daemons before them.
+pub struct Bench {
+    pub fleet: Fleet,
+    folder: PathBuf,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Bench {
+    /// Starts the stand-ins with `count` targets in each pool.
+    pub async fn start(count: usize) -> Self {
+        Self::with_settings(count, fleet::Settings::default()).await
+    }
+
+    /// Starts the stand-ins with the given settings.
+    pub async fn with_settings(count: usize, settings: fleet::Settings) -> Self {
+        let permit = Arc::clone(&BENCHES)
+            .acquire_owned()
+            .await
+            .expect("never closed");
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("gwi-{}-{number}", std::process::id()));
+        fs::create_dir_all(&folder).expect("folder can be made");
+        let fleet = Fleet::start(deployment(count), settings)
+            .await
+            .expect("stand-ins start");
+        Self {
+            fleet,
+            folder,
+            _permit: permit,
+        }
+    }
+
+    /// Starts an entry daemon and waits until it is ready.
+    pub async fn entry(&self, host: &str) -> Entry {
+        let entry = self.start_entry(host);
+        entry.ready().await;
+        entry
+    }
+
+    /// Starts an entry daemon.
+    pub fn start_entry(&self, host: &str) -> Entry {
+        let file = self.folder.join(format!("{host}.ini"));
+        fs::write(&file, self.settings(host)).expect("settings can be written");
+        Entry::start(&file)
+    }
+
+    /// Returns the services of a pool.
+    pub fn services(&self, pool: &str) -> Vec<Arc<service::Server>> {
+        self.fleet.pool(pool).map(Node::server).collect()
+    }
+
+    /// Changes the settings of all services of a pool.
+    pub fn change(&self, pool: &str, change: impl Fn(&mut service::Settings)) {
+        for service in self.services(pool) {
+            service.control(&change);
+        }
+    }
+
+    /// Returns the engines.
+    pub fn engines(&self) -> Vec<Arc<engine::Server>> {
+        self.fleet.engines().iter().map(Node::server).collect()
+    }
+
+    /// Returns how often calls of a request took effect in a pool.
+    pub fn effects(&self, pool: &str, request: &str) -> u32 {
+        let effects = self
+            .services(pool)
+            .into_iter()
+            .flat_map(|it| it.effects().into_values());
+        effects
+            .filter(|effect| effect.request == request)
+            .map(|effect| effect.count)
+            .sum()
+    }
+
+    /// Returns how many calls the services of a pool took in.
+    pub fn calls(&self, pool: &str) -> u64 {
+        self.services(pool)
+            .iter()
+            .map(|it| it.counters().calls)
+            .sum()
+    }
+
+    /// Returns the claim row of the last stage of a request, if there is one.
+    pub fn claim(&self, pipeline: &str, request: &str) -> Option<Row> {
+        let key = claim::row_key(&Key::new("tailors", pipeline, request), 1);
+        let row = self.fleet.platform().row("claims", &key)?;
+        serde_json::from_value(row.value).ok()
+    }
+
+    /// Waits until the claim row of the last stage is as wanted.
+    pub async fn claimed(&self, pipeline: &str, request: &str, wanted: fn(&Row) -> bool) {
+        until("claim row", || {
+            self.claim(pipeline, request)
+                .is_some_and(|row| wanted(&row))
+        })
+        .await;
+    }
+
+    fn settings(&self, host: &str) -> String {
+        let mut text = format!(
+            "[daemon]\nhost = {host}\ndomain = a\nregion = r\nlisten = 127.0.0.1:0\n\
+             peer_listen = 127.0.0.1:0\noperator_token = operators\nfleet_key = fleetkeys\n\
+             [platform]\naddress = {}\ntimeout = 250ms\n[entry]\ndirectory_ttl = 500ms\n\
+             hosts_poll = 100ms\nload_poll = 200ms\ntable_poll = 200ms\n",
+            self.fleet.platform().address()
+        );
+        for pool in self.fleet.pools() {
+            write_pool(&mut text, &pool);
+        }
+        text
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        drop(fs::remove_dir_all(&self.folder));
+    }
+}
+
+fn write_pool(text: &mut String, pool: &Pool) {
+    let flag = |flag| if flag { "yes" } else { "no" };
+    let _ = write!(
+        text,
+        "[pool {}]\nkind = {}\nidempotent = {}\nlookup = {}\ncheckpoint = {}\ntimeout = {}ms\n\
+         silence = {}ms\n",
+        pool.name,
+        pool.kind,
+        flag(pool.idempotent),
+        flag(pool.lookup),
+        flag(pool.checkpoint),
+        pool.timeout.as_millis(),
+        pool.silence.as_millis()
+    );
+    if pool.kind == Kind::Engine {
+        let _ = write!(
+            text,
+            "model = {}\nmax_tokens = {}\n",
+            pool.model, pool.max_tokens
+        );
+    }
+}
+
+fn deployment(count: usize) -> Deployment {
+    let limits = (Duration::from_secs(4), Duration::from_millis(800));
+    let plain = |name: &str| Pool::new(name).with_limits(limits.0, limits.1);
+    let engine = Pool::new("engines")
+        .with_engine("base", 64)
+        .with_limits(BOUND, limits.1);
+    let pools = [
+        plain("encoders"),
+        plain("clerks")
+            .with_limits(limits.0, limits.0)
+            .with_effects(false),
+        plain("desks")
+            .with_limits(limits.0, limits.0)
+            .with_effects(true),
+        engine,
+    ];
+    let pipelines = [
+        (SIZE, vec!["encoders"]),
+        (ORDER, vec!["encoders", "clerks"]),
+        (FILING, vec!["encoders", "desks"]),
+        (SUMMARY, vec!["encoders", "engines"]),
+    ];
+    let pipelines = pipelines.map(|(name, stages)| (name.into(), Pipeline::new(stages)));
+    let workspaces = ["tailors", "fitters"].map(|name| (name.into(), Workspace::default()));
+    Deployment {
+        region: "r".into(),
+        domains: vec!["a".into(), "b".into()],
+        groups: pools.map(|pool| Group { pool, count }).into(),
+        table: Table {
+            revision: 1,
+            workspaces: workspaces.into(),
+            pipelines: pipelines.into(),
+            ..Table::default()
+        },
+    }
+}
--- /dev/null
+++ b/godwithinge/tests/process/common/caller.rs
@@ -0,0 +1,159 @@
+//! Requests of callers.
+
+use super::bound;
+use bytes::Bytes;
+use godwithinge::target::Decoder;
+use http_body_util::BodyExt;
+use hyper::{Method, body::Incoming};
+use serde_json::{Value, json};
+use standin::fetch;
+use std::net::SocketAddr;
+
+/// A request that a caller sends.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub pipeline: String,
+    pub request: String,
+    pub workspace: String,
+    pub deadline_ms: u64,
+    pub retry: bool,
+    pub payload: Value,
+}
+
+/// Streamed parts with their numbers, and the outcome if it came.
+pub type Parts = (Vec<(u64, String)>, Option<Value>);
+
+/// What a caller gets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// A status with a JSON body.
+    Body(u16, Value),
+    /// The connection was refused or broke.
+    Lost,
+}
+
+impl Ask {
+    /// Creates a first request with a deadline of four seconds.
+    pub fn new(pipeline: &str, request: &str) -> Self {
+        Self {
+            pipeline: pipeline.into(),
+            request: request.into(),
+            workspace: "tailors".into(),
+            deadline_ms: 4000,
+            retry: false,
+            payload: json!({"crew": 17}),
+        }
+    }
+
+    /// Sets the deadline in milliseconds.
+    pub fn with_deadline(mut self, deadline_ms: u64) -> Self {
+        self.deadline_ms = deadline_ms;
+        self
+    }
+
+    /// Sets the payload.
+    pub fn with_payload(mut self, payload: Value) -> Self {
+        self.payload = payload;
+        self
+    }
+
+    /// Says that the request was sent before.
+    pub fn again(&self) -> Self {
+        Self {
+            retry: true,
+            ..self.clone()
+        }
+    }
+
+    /// Sends the request and returns its outcome.
+    pub async fn send(&self, entry: SocketAddr) -> Reply {
+        let body = self.body(false);
+        let whole = async {
+            let response = fetch::send(entry, Method::POST, &self.path(), body, &[])
+                .await
+                .ok()?;
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await.ok()?.to_bytes();
+            Some((status, serde_json::from_slice(&body).unwrap_or_default()))
+        };
+        match bound("outcome", whole).await {
+            Some((status, body)) => Reply::Body(status, body),
+            None => Reply::Lost,
+        }
+    }
+
+    /// Sends the request, streamed, and reads up to `limit` parts after number `last`.
+    ///
+    /// Returns the parts with their numbers, and the outcome if it came.
+    pub async fn stream(&self, entry: SocketAddr, last: Option<u64>, limit: usize) -> Parts {
+        self.try_stream(entry, last, limit)
+            .await
+            .expect("entry answers")
+    }
+
+    /// Does as [`stream`](Self::stream); `None` if the entry can't be reached.
+    pub async fn try_stream(
+        &self,
+        entry: SocketAddr,
+        last: Option<u64>,
+        limit: usize,
+    ) -> Option<Parts> {
+        let last = last.map(|last| last.to_string());
+        let headers: Vec<_> = last
+            .iter()
+            .map(|last| ("last-event-id", last.as_str()))
+            .collect();
+        let body = self.body(true);
+        let response = fetch::send(entry, Method::POST, &self.path(), body, &headers).await;
+        Some(bound("stream", read(response.ok()?.into_body(), limit)).await)
+    }
+
+    fn path(&self) -> String {
+        format!("/v1/pipelines/{}/requests", self.pipeline)
+    }
+
+    fn body(&self, stream: bool) -> Bytes {
+        let body = json!({
+            "workspace": self.workspace,
+            "request": self.request,
+            "deadline_ms": self.deadline_ms,
+            "retry": self.retry,
+            "stream": stream,
+            "payload": self.payload,
+        });
+        body.to_string().into()
+    }
+}
+
+impl Reply {
+    /// Returns the name of the outcome, or what stands in its place.
+    pub fn outcome(&self) -> &str {
+        match self {
+            Self::Body(_, body) => body["outcome"].as_str().unwrap_or("error"),
+            Self::Lost => "lost",
+        }
+    }
+}
+
+async fn read(mut body: Incoming, limit: usize) -> Parts {
+    let mut decoder = Decoder::new();
+    let mut parts = Vec::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        decoder.push(frame.data_ref().map_or(&[], |data| data.as_ref()));
+        while let Some(event) = decoder.next_event() {
+            let data: Value = serde_json::from_str(&event.data).expect("data is JSON");
+            if event.name == "outcome" {
+                return (parts, Some(data));
+            }
+            let text = data["text"].as_str().expect("part has a text");
+            parts.push((
+                event.id.parse().expect("part has a number"),
+                text.to_owned(),
+            ));
+            if parts.len() == limit {
+                return (parts, None);
+            }
+        }
+    }
+    (parts, None)
+}
--- /dev/null
+++ b/godwithinge/tests/process/common/entry.rs
@@ -0,0 +1,112 @@
+//! An entry daemon as a process of its own.
+
+use super::{Ask, Reply, bound, until, until_some};
+use serde_json::Value;
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::{Arc, Mutex},
+    thread,
+};
+
+/// An entry daemon as a process of its own; killed when it is dropped.
+pub struct Entry {
+    process: Mutex<Child>,
+    lines: Arc<Mutex<Vec<Value>>>,
+}
+
+impl Entry {
+    /// Starts a daemon with a file of settings.
+    pub fn start(settings: &Path) -> Self {
+        let mut process = Command::new(env!("CARGO_BIN_EXE_gwi-entry"))
+            .arg("--settings")
+            .arg(settings)
+            .env("GWI_LOG", "info,dropshot=warn")
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("daemon starts");
+        let output = process.stdout.take().expect("output is piped");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let seen = Arc::clone(&lines);
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                let line = serde_json::from_str(&line).expect("each log line is JSON");
+                seen.lock().expect("no panic").push(line);
+            }
+        });
+        let process = Mutex::new(process);
+        Self { process, lines }
+    }
+
+    /// Waits until the daemon is ready.
+    pub async fn ready(&self) {
+        bound("address", self.address()).await;
+        let ready = ["table in force", "hosts in force"];
+        until("readiness", || {
+            ready.iter().all(|line| self.logged(line) > 0)
+        })
+        .await;
+    }
+
+    /// Returns the address of the interface for callers.
+    pub async fn address(&self) -> SocketAddr {
+        until_some("address", || {
+            let lines = self.lines.lock().expect("no panic");
+            let line = lines
+                .iter()
+                .find(|line| line["message"] == "entry started")?;
+            line["address"].as_str()?.parse().ok()
+        })
+        .await
+    }
+
+    /// Returns how many log lines have this message.
+    pub fn logged(&self, message: &str) -> usize {
+        let lines = self.lines.lock().expect("no panic");
+        lines
+            .iter()
+            .filter(|line| line["message"] == message)
+            .count()
+    }
+
+    /// Sends a request and returns its outcome.
+    pub async fn send(&self, ask: &Ask) -> Reply {
+        ask.send(self.address().await).await
+    }
+
+    /// Sends a signal, as in `STOP`.
+    pub fn signal(&self, name: &str) {
+        let id = self.process.lock().expect("no panic").id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(
+            status.expect("kill runs").success(),
+            "signal {name} to {id}"
+        );
+    }
+
+    /// Kills the daemon and waits for its end.
+    pub fn kill(&self) {
+        let mut process = self.process.lock().expect("no panic");
+        process.kill().expect("process is ours");
+        process.wait().expect("process ends");
+    }
+
+    /// Returns the exit status if the daemon has ended.
+    pub fn status(&self) -> Option<ExitStatus> {
+        self.process
+            .lock()
+            .expect("no panic")
+            .try_wait()
+            .expect("process is ours")
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let process = self.process.get_mut().expect("no panic");
+        drop(process.kill());
+        drop(process.wait());
+    }
+}
--- /dev/null
+++ b/godwithinge/tests/process/drain.rs
@@ -0,0 +1,186 @@
+//! A graceful shutdown cuts off nothing.
+
+use crate::common::{Ask, Bench, Entry, FILING, Reply, SIZE, SUMMARY, until};
+use http_body_util::BodyExt;
+use hyper::Method;
+use serde_json::{Value, json};
+use standin::fetch;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{task::JoinSet, time};
+
+/// Entry hosts of a deployment.
+const ENTRIES: usize = 7;
+/// Callers that send one request after another.
+const CALLERS: usize = 12;
+/// Time that a caller keeps a directory answer; its longest permitted one in these tests.
+const TTL: Duration = Duration::from_millis(400);
+
+/// Callers that use the directory, and what went wrong for them.
+struct Load {
+    stop: AtomicBool,
+    answered: AtomicUsize,
+    failed: Mutex<Vec<Reply>>,
+    seeds: Mutex<Vec<SocketAddr>>,
+}
+
+async fn directory(load: &Load) -> Vec<SocketAddr> {
+    loop {
+        let seeds = load.seeds.lock().expect("no panic").clone();
+        for seed in seeds {
+            let path = "/v1/entries?workspace=tailors&domain=a";
+            let Ok(body) = fetch::get(seed, path).await else {
+                continue;
+            };
+            let answer: Value = serde_json::from_slice(&body).expect("directory answers JSON");
+            let entries = answer["entries"].as_array().expect("entries are listed");
+            let addresses = entries
+                .iter()
+                .map(|it| it["address"].as_str().expect("address"));
+            return addresses
+                .map(|it| it.parse().expect("IP and port"))
+                .collect();
+        }
+    }
+}
+
+/// Sends one request after another to the entries that the directory names.
+async fn call(load: Arc<Load>, caller: usize) {
+    let mut number = 0;
+    while !load.stop.load(Ordering::Relaxed) {
+        let entries = directory(&load).await;
+        let fresh = time::Instant::now();
+        while fresh.elapsed() < TTL && !load.stop.load(Ordering::Relaxed) {
+            number += 1;
+            let pipeline = [SIZE, SUMMARY, FILING][number % 3];
+            let payload = json!({"prompt": "tokens=12"});
+            let ask = Ask::new(pipeline, &format!("c{caller}-{number}")).with_payload(payload);
+            let entry = entries[(caller + number) % entries.len()];
+            let reply = if pipeline == SUMMARY {
+                stream(&ask, entry).await
+            } else {
+                ask.send(entry).await
+            };
+            if reply.outcome() == "answered" {
+                load.answered.fetch_add(1, Ordering::Relaxed);
+            } else {
+                load.failed.lock().expect("no panic").push(reply);
+            }
+        }
+    }
+}
+
+async fn stream(ask: &Ask, entry: SocketAddr) -> Reply {
+    match ask.try_stream(entry, None, usize::MAX).await {
+        Some((_, Some(outcome))) => Reply::Body(200, outcome),
+        _ => Reply::Lost,
+    }
+}
+
+/// Each of seven entries is drained in turn under load, and replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_entry_in_turn() {
+    let bench = Bench::start(4).await;
+    let mut entries: Vec<Entry> = Vec::new();
+    for number in 0..ENTRIES {
+        entries.push(bench.entry(&format!("e{number}")).await);
+    }
+    let load = Arc::new(Load {
+        stop: AtomicBool::new(false),
+        answered: AtomicUsize::new(0),
+        failed: Mutex::default(),
+        seeds: Mutex::default(),
+    });
+    set_seeds(&load, &entries).await;
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        callers.spawn(call(Arc::clone(&load), caller));
+    }
+    for number in 0..ENTRIES {
+        let before = load.answered.load(Ordering::Relaxed);
+        until("load", || {
+            load.answered.load(Ordering::Relaxed) > before + 20
+        })
+        .await;
+        let leaver = entries.remove(0);
+        set_seeds(&load, &entries).await;
+        leaver.signal("TERM");
+        until("end of the entry", || leaver.status().is_some()).await;
+        assert_eq!(leaver.status().and_then(|it| it.code()), Some(0));
+        entries.push(bench.entry(&format!("e{number}-new")).await);
+    }
+    load.stop.store(true, Ordering::Relaxed);
+    while let Some(ended) = callers.join_next().await {
+        ended.expect("no panic");
+    }
+    let failed = load.failed.lock().expect("no panic");
+    assert!(
+        failed.is_empty(),
+        "{} failed: {:?}",
+        failed.len(),
+        failed.first()
+    );
+}
+
+async fn set_seeds(load: &Load, entries: &[Entry]) {
+    let mut seeds = Vec::new();
+    for entry in entries {
+        seeds.push(entry.address().await);
+    }
+    *load.seeds.lock().expect("no panic") = seeds;
+}
+
+/// An entry that drains finishes a long call; a second signal tells what is in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_call() {
+    let bench = Bench::start(1).await;
+    let entry = bench.entry("e1").await;
+    bench.change("desks", |it| it.time_ms = 3500.0);
+    let ask = Ask::new(FILING, "r").with_deadline(8000);
+    let drain = async {
+        until("call", || bench.calls("desks") == 1).await;
+        entry.signal("TERM");
+        until("draining", || entry.logged("draining") == 1).await;
+        entry.signal("TERM");
+        until("report", || entry.logged("still in flight") == 1).await;
+    };
+    let (reply, ()) = tokio::join!(entry.send(&ask), drain);
+    assert_eq!(reply.outcome(), "answered", "{reply:?}");
+    until("end of the entry", || entry.status().is_some()).await;
+    assert_eq!(bench.effects("desks", "r"), 1);
+}
+
+/// The directory stops naming an entry as soon as it drains; operators can drain it too.
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_by_operator() {
+    let bench = Bench::start(1).await;
+    let (one, two) = tokio::join!(bench.entry("e1"), bench.entry("e2"));
+    let address = one.address().await;
+    let token = [("authorization", "Bearer operators")];
+    let path = "/v1/drain";
+    let response = fetch::send(address, Method::POST, path, "".into(), &token).await;
+    let response = response.expect("entry answers");
+    assert_eq!(response.status(), 200);
+    drop(response.into_body().collect().await);
+    until("end of the entry", || one.status().is_some()).await;
+    let body = fetch::get(two.address().await, "/v1/entries")
+        .await
+        .expect("directory answers");
+    let answer: Value = serde_json::from_slice(&body).expect("directory answers JSON");
+    let hosts: Vec<_> = answer["entries"]
+        .as_array()
+        .expect("entries")
+        .iter()
+        .collect();
+    assert_eq!(
+        (hosts.len(), &hosts[0]["host"]),
+        (1, &"e2".into()),
+        "{answer}"
+    );
+}
--- /dev/null
+++ b/godwithinge/tests/process/leaving.rs
@@ -0,0 +1,63 @@
+//! A leaving target gets no new work.
+
+use crate::common::{Ask, Bench, ORDER, SIZE};
+use policy::host::State;
+use rstest::rstest;
+use std::time::Duration;
+use tokio::time;
+
+/// Longest time from the host list's word until new work stops.
+const LIMIT: Duration = Duration::from_secs(3);
+
+/// The list says that a target leaves, with many calls in flight; the platform is out just after.
+#[rstest]
+#[case::platform_up(SIZE, "encoders", false)]
+#[case::platform_out(SIZE, "encoders", true)]
+#[case::claims(ORDER, "clerks", false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving(#[case] pipeline: &str, #[case] pool: &str, #[case] outage: bool) {
+    let bench = Bench::start(2).await;
+    let entry = bench.entry("e1").await;
+    let leaver = &bench.services(pool)[0];
+    let name = leaver.settings().target;
+    let load = |from: usize, count: usize| {
+        let asks = (from..from + count).map(|n| Ask::new(pipeline, &format!("r{n}")));
+        let asks: Vec<_> = asks.collect();
+        let entry = &entry;
+        async move {
+            for chunk in asks.chunks(4) {
+                let mut sent = tokio::task::JoinSet::new();
+                let address = entry.address().await;
+                for ask in chunk {
+                    let ask = ask.clone();
+                    sent.spawn(async move { ask.send(address).await });
+                }
+                while let Some(reply) = sent.join_next().await {
+                    let reply = reply.expect("no panic");
+                    assert_eq!(reply.outcome(), "answered", "{reply:?}");
+                }
+            }
+        }
+    };
+    load(0, 40).await;
+    assert!(leaver.counters().calls > 0, "the target was in use");
+    let mut hosts = bench.fleet.platform().hosts();
+    let host = hosts.iter_mut().find(|host| host.target == name);
+    host.expect("target is listed").state = State::Leaving;
+    bench.fleet.platform().set_hosts(hosts);
+    let end = time::Instant::now() + LIMIT;
+    if outage {
+        // The list is read every 100 ms here.
+        load(100, 40).await;
+        time::sleep(Duration::from_millis(500)).await;
+        bench.fleet.platform().control(|it| it.outage = true);
+    }
+    let mut number = 1000;
+    while time::Instant::now() < end {
+        load(number, 8).await;
+        number += 8;
+    }
+    let calls = leaver.counters().calls;
+    load(100_000, 80).await;
+    assert_eq!(leaver.counters().calls, calls);
+}
--- /dev/null
+++ b/godwithinge/tests/process/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the real daemons on loopback, before stand-ins.
+
+mod api;
+mod claim;
+mod common;
+mod drain;
+mod leaving;
+mod silent;
+mod stream;
--- /dev/null
+++ b/godwithinge/tests/process/stream.rs
@@ -0,0 +1,122 @@
+//! Whole answers, also when streams, callers, entries and engines break.
+
+use crate::common::{Ask, Bench, SIZE, SUMMARY, until};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+const TOKENS: u64 = 30;
+
+fn summary(request: &str) -> Ask {
+    Ask::new(SUMMARY, request).with_payload(json!({"prompt": format!("tokens={TOKENS} {request}")}))
+}
+
+fn join(parts: &[(u64, String)]) -> String {
+    parts.iter().map(|(_, text)| text.as_str()).collect()
+}
+
+/// Returns the text of an answer.
+fn text(outcome: &Value) -> &str {
+    assert_eq!(outcome["outcome"], "answered", "{outcome}");
+    outcome["answer"]["text"]
+        .as_str()
+        .expect("answer has a text")
+}
+
+/// The stream is cut, and resumed at the same or another entry.
+#[rstest]
+#[case::same_entry(false)]
+#[case::other_entry(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_resumed(#[case] elsewhere: bool) {
+    let bench = Bench::start(2).await;
+    let (one, two) = tokio::join!(bench.entry("e1"), bench.entry("e2"));
+    let ask = summary("r");
+    let (mut parts, outcome) = ask.stream(one.address().await, None, 7).await;
+    assert_eq!((parts.len(), outcome), (7, None));
+    let other = if elsewhere { &two } else { &one };
+    let address = other.address().await;
+    let (rest, outcome) = ask.again().stream(address, Some(6), usize::MAX).await;
+    parts.extend(rest);
+    let numbers: Vec<u64> = parts.iter().map(|(number, _)| *number).collect();
+    assert_eq!(numbers, (0..TOKENS).collect::<Vec<_>>());
+    assert_eq!(join(&parts), text(&outcome.expect("outcome comes")));
+}
+
+/// The entry is killed while it streams, and the caller comes back at another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_killed_mid_stream() {
+    let bench = Bench::start(2).await;
+    let (one, two) = tokio::join!(bench.entry("e1"), bench.entry("e2"));
+    let ask = summary("r");
+    let kill = async {
+        let streaming = || bench.engines().iter().any(|it| it.counters().calls > 0);
+        until("engine call", streaming).await;
+        one.kill();
+    };
+    let address = one.address().await;
+    let ((first, outcome), ()) = tokio::join!(ask.stream(address, None, usize::MAX), kill);
+    assert_eq!(outcome, None);
+    let last = first.last().map(|(number, _)| *number);
+    let (rest, outcome) = ask
+        .again()
+        .stream(two.address().await, last, usize::MAX)
+        .await;
+    let whole = join(&first) + &join(&rest);
+    assert_eq!(whole, text(&outcome.expect("outcome comes")));
+}
+
+/// The engine dies or stalls mid-stream, and the stream goes on at another one.
+#[rstest]
+#[case::killed(true)]
+#[case::stalled(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_lost_mid_stream(#[case] killed: bool) {
+    let bench = Bench::start(2).await;
+    let entry = bench.entry("e1").await;
+    let ask = summary("r").with_deadline(8000);
+    let lose = async {
+        let engines = bench.engines();
+        let calls = || engines.iter().position(|it| it.counters().calls > 0);
+        until("engine call", || calls().is_some()).await;
+        let engine = &engines[calls().expect("one has a call")];
+        if killed {
+            engine.stop().await;
+        } else {
+            engine.control(|it| it.faults.stall = true);
+        }
+    };
+    let address = entry.address().await;
+    let ((parts, outcome), ()) = tokio::join!(ask.stream(address, None, usize::MAX), lose);
+    assert_eq!(join(&parts), text(&outcome.expect("outcome comes")));
+    assert_eq!(parts.len() as u64, TOKENS);
+}
+
+/// One target of a stage stalls.
+#[tokio::test(flavor = "multi_thread")]
+async fn stage_stalled() {
+    let bench = Bench::start(3).await;
+    let entry = bench.entry("e1").await;
+    bench.services("encoders")[0].control(|it| it.faults.stall = true);
+    for number in 0..6 {
+        let reply = entry.send(&Ask::new(SIZE, &format!("r{number}"))).await;
+        assert_eq!(reply.outcome(), "answered", "{reply:?}");
+    }
+}
+
+/// Two callers use one identifier in two workspaces; each gets its own answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn equal_ids_in_two_workspaces() {
+    let bench = Bench::start(2).await;
+    let entry = bench.entry("e1").await;
+    let one = Ask::new("order", "r");
+    let mut two = one.clone();
+    two.workspace = "fitters".into();
+    let (first, second) = tokio::join!(entry.send(&one), entry.send(&two));
+    for (reply, ask) in [(first, &one), (second, &two)] {
+        let crate::common::Reply::Body(200, body) = reply else {
+            panic!("{reply:?}");
+        };
+        assert_eq!(body["answer"]["workspace"], ask.workspace.as_str());
+    }
+    assert_eq!(bench.effects("clerks", "r"), 2);
+}
--- a/standin/src/platform/api.rs
+++ b/standin/src/platform/api.rs
@@ -135,10 +135,19 @@
 impl Handler for Platform {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Result<Reply, Hangup> {
         let delay = self.state().settings.delay_ms;
-        if delay > 0 {
-            tokio::time::sleep(Duration::from_millis(delay)).await;
-        }
-        self.state().answer(&request)
+        sleep(delay).await;
+        let (reply, delay) = {
+            let mut state = self.state();
+            (state.answer(&request), state.settings.delay_reply_ms)
+        };
+        sleep(delay).await;
+        reply
+    }
+}
+
+async fn sleep(millis: u64) {
+    if millis > 0 {
+        tokio::time::sleep(Duration::from_millis(millis)).await;
     }
 }
 
--- a/standin/src/platform/settings.rs
+++ b/standin/src/platform/settings.rs
@@ -10,8 +10,10 @@
     pub port: u16,
     /// Whether all connections are closed at once.
     pub outage: bool,
-    /// Delay of each reply, in milliseconds.
+    /// Delay of each request before it takes effect, in milliseconds.
     pub delay_ms: u64,
+    /// Delay between the effect of a request and its reply, in milliseconds.
+    pub delay_reply_ms: u64,
     /// How many further writes take effect and get no reply.
     pub lose_replies: u32,
     /// Commit as of which tables are read; 0 for the newest.
