Prove refusals and the quarantine of payloads with the real daemons

A request that was told not_run took no effect at any stand-in, also after bursts; a second copy is never told so while the first one runs, and a first copy that is delayed past the recorded refusal does not run. A payload that ends its targets costs at most two of six at one entry.

--- a/godwithinge/tests/process/common/bench.rs
+++ b/godwithinge/tests/process/common/bench.rs
@@ -122,6 +122,13 @@
             .sum()
     }
 
+    /// Returns whether no plain service runs a call.
+    pub fn is_idle(&self) -> bool {
+        let services = self.fleet.services().iter();
+        let mut counters = services.map(|it| it.server().counters());
+        counters.all(|it| it.calls == it.effects + it.failed)
+    }
+
     /// Returns the claim row of the last stage of a request, if there is one.
     pub fn claim(&self, pipeline: &str, request: &str) -> Option<Row> {
         let key = claim::row_key(&Key::new("tailors", pipeline, request), 1);
--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -5,5 +5,7 @@
 mod common;
 mod drain;
 mod leaving;
+mod poison;
+mod refusal;
 mod silent;
 mod stream;
--- /dev/null
+++ b/godwithinge/tests/process/poison.rs
@@ -0,0 +1,49 @@
+//! A payload that ends each target that runs it.
+
+use crate::common::{Ask, Bench, Reply, SIZE, SUMMARY};
+use rstest::rstest;
+use serde_json::json;
+use standin::fleet::Node;
+
+/// Targets that one payload may end in the whole fleet.
+const LIMIT: usize = 2;
+/// Targets in each pool.
+const TARGETS: usize = 6;
+
+fn lost(bench: &Bench, pool: &str) -> usize {
+    let services = bench.fleet.pool(pool).map(Node::server);
+    let services = services.filter(|it| it.gate().is_ended()).count();
+    let engines = bench.engines();
+    let engines = engines.iter().filter(|it| it.gate().is_ended()).count();
+    services + engines
+}
+
+/// The caller sends the payload again under the same and under new identifiers.
+#[rstest]
+#[case::service(SIZE, "encoders")]
+#[case::engine(SUMMARY, "engines")]
+#[tokio::test(flavor = "multi_thread")]
+async fn sent_again(#[case] pipeline: &str, #[case] pool: &str) {
+    let bench = Bench::start(TARGETS).await;
+    let entry = bench.entry("e1").await;
+    let ask = Ask::new(pipeline, "r").with_payload(json!({"crash": pool}));
+    let mut new = ask.clone();
+    for number in 0..4 {
+        new.request = format!("r{number}");
+        for ask in [ask.again(), new.clone()] {
+            let reply = entry.send(&ask).await;
+            let Reply::Body(502, body) = &reply else {
+                panic!("{reply:?}");
+            };
+            assert_eq!(body["reason"], "quarantined", "{body}");
+        }
+    }
+    assert!(
+        (1..=LIMIT).contains(&lost(&bench, pool)),
+        "{}",
+        lost(&bench, pool)
+    );
+    let other = Ask::new(pipeline, "other").with_payload(json!({"prompt": "tokens=4"}));
+    let reply = entry.send(&other).await;
+    assert_eq!(reply.outcome(), "answered", "{reply:?}");
+}
--- /dev/null
+++ b/godwithinge/tests/process/refusal.rs
@@ -0,0 +1,129 @@
+//! When a caller is told that its request was not run, it was not run, and will not be.
+
+use crate::common::{Ask, Bench, Entry, ORDER, Reply, SIZE, until};
+use rstest::rstest;
+use serde_json::Value;
+use tokio::task::JoinSet;
+
+/// Requests of a burst.
+const BURST: usize = 60;
+/// Bursts that follow each other.
+const ROUNDS: usize = 3;
+
+fn body(reply: Reply) -> Value {
+    match reply {
+        Reply::Body(_, body) => body,
+        Reply::Lost => panic!("connection was lost"),
+    }
+}
+
+/// Bursts overload a stage; no request that was not run took effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn overload() {
+    let bench = Bench::start(1).await;
+    let entry = bench.entry("e1").await;
+    bench.change("clerks", |it| {
+        (it.time_ms, it.width, it.queue) = (60.0, 1, 0);
+    });
+    bench.change("encoders", |it| {
+        (it.time_ms, it.width, it.queue) = (40.0, 2, 0);
+    });
+    let mut not_run = Vec::new();
+    // The first burst may come before the entry knows how little the targets can take.
+    for round in 0..ROUNDS {
+        not_run.extend(burst(&bench, &entry, round).await);
+    }
+    assert!(!not_run.is_empty(), "the bursts were no overload");
+    until("idle targets", || bench.is_idle()).await;
+    for request in not_run {
+        let effects = ["encoders", "clerks"].map(|pool| bench.effects(pool, &request));
+        assert_eq!(effects, [0, 0], "{request}");
+    }
+}
+
+/// Sends many requests at once and returns those that were not run.
+async fn burst(bench: &Bench, entry: &Entry, round: usize) -> Vec<String> {
+    let address = entry.address().await;
+    let mut burst = JoinSet::new();
+    for number in 0..BURST {
+        let ask = Ask::new(ORDER, &format!("r{round}-{number}")).with_deadline(600);
+        burst.spawn(async move { (ask.request.clone(), ask.send(address).await) });
+    }
+    let mut not_run = Vec::new();
+    while let Some(ended) = burst.join_next().await {
+        let (request, reply) = ended.expect("no panic");
+        let body = body(reply);
+        let effects = bench.effects("clerks", &request);
+        match body["outcome"].as_str() {
+            Some("not_run") => {
+                assert!(body["retry_after_ms"].as_u64() > Some(0), "{body}");
+                not_run.push(request);
+            }
+            Some("answered") => assert_eq!(effects, 1),
+            Some("failed") if body["effects"] == "none" => assert_eq!(effects, 0, "{body}"),
+            _ => {}
+        }
+    }
+    not_run
+}
+
+/// The first copy runs at another entry; the second must not be told that it was not run.
+#[rstest]
+#[case::marked(true)]
+#[case::unmarked(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn first_copy_runs(#[case] marked: bool) {
+    let bench = Bench::start(2).await;
+    let (one, two) = tokio::join!(bench.entry("e1"), bench.entry("e2"));
+    bench.change("clerks", |it| it.time_ms = 1500.0);
+    let first = Ask::new(ORDER, "r");
+    let mut second = first.clone().with_deadline(300);
+    second.retry = marked;
+    let ask_again = async {
+        until("call", || bench.calls("clerks") == 1).await;
+        two.send(&second).await
+    };
+    let (first, second) = tokio::join!(one.send(&first), ask_again);
+    assert_eq!(first.outcome(), "answered", "{first:?}");
+    assert_eq!(second.outcome(), "unknown", "{second:?}");
+    assert_eq!(bench.effects("clerks", "r"), 1);
+}
+
+/// The second copy is refused; the first one, delayed on its way, must not run after that.
+#[tokio::test(flavor = "multi_thread")]
+async fn first_copy_delayed() {
+    let bench = Bench::start(2).await;
+    let (one, two) = tokio::join!(bench.entry("e1"), bench.entry("e2"));
+    let first = Ask::new(ORDER, "r");
+    bench.change("encoders", |it| it.fail = 1.0);
+    let second = body(two.send(&first.again()).await);
+    assert_eq!(
+        (&second["outcome"], &second["effects"]),
+        (&"failed".into(), &"none".into())
+    );
+    bench.change("encoders", |it| it.fail = 0.0);
+    let late = body(one.send(&first).await);
+    assert_eq!(
+        (&late["outcome"], &late["reason"]),
+        (&"failed".into(), &"refused".into()),
+        "{late}"
+    );
+    assert_eq!(bench.effects("clerks", "r"), 0);
+}
+
+/// The platform is out, so that a refusal can't be recorded.
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_out() {
+    let bench = Bench::start(2).await;
+    let entry = bench.entry("e1").await;
+    bench.change("encoders", |it| it.fail = 1.0);
+    bench.fleet.platform().control(|it| it.outage = true);
+    let order = entry.send(&Ask::new(ORDER, "r").again()).await;
+    assert_eq!(order.outcome(), "unknown", "{order:?}");
+    let size = body(entry.send(&Ask::new(SIZE, "s").again()).await);
+    assert_eq!(
+        (&size["outcome"], &size["effects"]),
+        (&"failed".into(), &"none".into()),
+        "{size}"
+    );
+}
