--- /dev/null
+++ b/godwithinge/tests/process/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the real daemons on loopback, before stand-ins.
+
+mod api;
+mod claim;
+mod common;
+mod drain;
+mod leaving;
+mod poison;
+mod refusal;
+mod silent;
+mod stream;
