Read and edit the table in the platform's table service

An edit is one transaction that checks the versions of its rows, of the revision and of the log entry. After a lost reply the change log tells by the edit's id whether it took effect. A poll transfers only what changed, and reads a platform that fell back as a whole.

--- a/godwithinge/src/lib.rs
+++ b/godwithinge/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod http;
 pub mod log;
 pub mod metrics;
+pub mod peer;
 pub mod platform;
 pub mod settings;
+pub mod table;
 pub mod target;
--- /dev/null
+++ b/godwithinge/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Links between daemons.
--- /dev/null
+++ b/godwithinge/tests/table.rs
@@ -0,0 +1,186 @@
+//! Edits of the table against a platform that fails.
+
+use godwithinge::{
+    platform::Client,
+    table::{Error, Poll, Store},
+};
+use policy::table::{
+    Table, Workspace,
+    edit::{Cell, Edit, Refusal},
+    row::Row,
+};
+use rstest::rstest;
+use standin::platform::{self, Server, Settings};
+use std::time::Duration;
+
+async fn start() -> (Server, Client) {
+    let server = platform::start(Settings::default())
+        .await
+        .expect("the stand-in starts");
+    let client = Client::new(server.address().to_string(), Duration::from_millis(500));
+    let mut table = Table::default();
+    table.insert("tailors", Row::Workspace(Workspace::default()));
+    table.insert("crew", Row::Workspace(Workspace::default()));
+    server.set_table(&table);
+    (server, client)
+}
+
+fn edit(id: &str, base: u64, row: &str, share: &str) -> Edit {
+    Edit {
+        id: id.into(),
+        who: id.into(),
+        base,
+        cells: vec![Cell {
+            row: row.parse().expect("the row is named"),
+            column: policy::table::row::Column::Share,
+            value: share.into(),
+        }],
+    }
+}
+
+fn clashes(error: &Error) -> Vec<String> {
+    match error {
+        Error::Refused(Refusal::Conflict { cells }) => cells
+            .iter()
+            .map(|c| format!("{}.{}", c.row, c.column))
+            .collect(),
+        other => panic!("{other} is no conflict"),
+    }
+}
+
+#[tokio::test]
+async fn one_of_two_racing_edits_is_accepted() {
+    let (_server, client) = start().await;
+    for round in 0..20 {
+        let store = Store::new(client.clone());
+        let base = store
+            .read()
+            .await
+            .expect("the table is read")
+            .table
+            .revision;
+        let shares = [format!("{}", 2 * round + 2), format!("{}", 2 * round + 3)];
+        let ann = edit(
+            &format!("ann{round}"),
+            base,
+            "workspace/tailors",
+            &shares[0],
+        );
+        let bob = edit(
+            &format!("bob{round}"),
+            base,
+            "workspace/tailors",
+            &shares[1],
+        );
+        let (ann, bob) = tokio::join!(store.edit(&ann, 1), store.edit(&bob, 1));
+        let refused = match (ann, bob) {
+            (Ok(_), Err(error)) | (Err(error), Ok(_)) => error,
+            both => panic!("{both:?}"),
+        };
+        assert_eq!(clashes(&refused), ["workspace/tailors.share"]);
+        let log = store.log(base).await.expect("the log is read");
+        assert_eq!(log.len(), 1);
+    }
+}
+
+#[tokio::test]
+async fn edits_of_different_rows_both_take_effect() {
+    let (_server, client) = start().await;
+    let store = Store::new(client);
+    let base = store
+        .read()
+        .await
+        .expect("the table is read")
+        .table
+        .revision;
+    let ann = edit("ann", base, "workspace/tailors", "2");
+    let bob = edit("bob", base, "workspace/crew", "3");
+    let (ann, bob) = tokio::join!(store.edit(&ann, 1), store.edit(&bob, 1));
+    let mut revisions = [ann, bob].map(|entry| entry.expect("the edit holds").revision);
+    revisions.sort_unstable();
+    assert_eq!(revisions, [base + 1, base + 2]);
+}
+
+#[rstest]
+#[case::reply_lost(1)]
+#[case::replies_lost(3)]
+#[tokio::test]
+async fn a_lost_reply_does_not_repeat_an_edit(#[case] lost: u32) {
+    let (server, client) = start().await;
+    let store = Store::new(client);
+    let base = store
+        .read()
+        .await
+        .expect("the table is read")
+        .table
+        .revision;
+    server.control(|settings| settings.lose_replies = lost);
+    let ann = edit("ann", base, "workspace/tailors", "2");
+    let first = store.edit(&ann, 1).await.expect("the edit took effect");
+    let again = store.edit(&ann, 2).await.expect("the edit took effect");
+    assert_eq!(first, again);
+    assert_eq!(store.log(base).await.expect("the log is read").len(), 1);
+}
+
+#[tokio::test]
+async fn an_outage_refuses_edits_with_a_clear_error() {
+    let (server, client) = start().await;
+    let store = Store::new(client).with_patience(Duration::from_millis(300));
+    let base = store
+        .read()
+        .await
+        .expect("the table is read")
+        .table
+        .revision;
+    server.control(|settings| settings.outage = true);
+    let error = store
+        .edit(&edit("ann", base, "workspace/crew", "2"), 1)
+        .await;
+    let error = error.expect_err("the platform is out");
+    assert!(
+        error.to_string().starts_with("platform is not available"),
+        "{error}"
+    );
+}
+
+#[tokio::test]
+async fn a_poll_reads_changes_and_shows_a_platform_that_fell_back() {
+    let (server, client) = start().await;
+    let store = Store::new(client.clone());
+    let mut poll = Poll::new(client);
+    let first = poll
+        .read()
+        .await
+        .expect("the table is read")
+        .expect("it is new");
+    assert_eq!(poll.read().await.expect("the table is read"), None);
+    let old = store.read().await.expect("the table is read").version;
+    for (share, id) in [("2", "a"), ("3", "b")] {
+        let base = store
+            .read()
+            .await
+            .expect("the table is read")
+            .table
+            .revision;
+        let entry = store
+            .edit(&edit(id, base, "workspace/crew", share), 1)
+            .await;
+        entry.expect("the edit holds");
+    }
+    let newest = poll
+        .read()
+        .await
+        .expect("the table is read")
+        .expect("it is new");
+    assert_eq!(newest.revision, first.revision + 2);
+    assert_eq!(newest.workspaces["crew"].share.to_string(), "3");
+    server.control(|settings| settings.stale = old);
+    let fallen = poll
+        .read()
+        .await
+        .expect("the table is read")
+        .expect("it is old");
+    assert_eq!(fallen, first);
+    server.control(|settings| settings.stale = 0);
+    assert_eq!(poll.read().await.expect("the table is read"), None);
+}
