--- /dev/null
+++ b/godwithinge/src/peer/hub.rs
@@ -0,0 +1,406 @@
+//! State that all links of a daemon share.
+
+use super::{
+    Error, Event,
+    frame::{Frame, Known},
+    socket::{Identity, Traffic},
+};
+use policy::{
+    command,
+    id::{HostId, Revision, Time},
+    member::{Member, Members, Profile, Pulse, State as Phase, gossip::Stamp},
+    table::{
+        Table,
+        hold::{Holder, Update, Verdict},
+    },
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+use tokio::sync::{mpsc, watch};
+
+/// Frames that wait for a link before it counts as too slow.
+const MAX_WAITING: usize = 64;
+
+/// Most items in one frame.
+const MAX_ITEMS: usize = 4096;
+
+/// Time after which the table is asked for again.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+
+/// Most links that a daemon takes from its peers.
+const MAX_ACCEPTED: usize = 16;
+
+/// Number of a link.
+pub(super) type LinkId = u64;
+
+/// State that all links of a daemon share.
+#[derive(Debug)]
+pub(super) struct Hub {
+    pub identity: Identity,
+    pub traffic: Traffic,
+    pub ended: watch::Receiver<()>,
+    started: Instant,
+    state: Mutex<State>,
+}
+
+/// What the hub's lock guards.
+#[derive(Debug)]
+pub(super) struct State {
+    pub members: Members,
+    pub links: BTreeMap<LinkId, Link>,
+    pub dialling: BTreeSet<HostId>,
+    pub seeds: BTreeSet<SocketAddr>,
+    holder: Holder,
+    events: mpsc::UnboundedSender<Event>,
+    sharers: Option<(Vec<HostId>, bool)>,
+    load: f32,
+    next: LinkId,
+}
+
+/// One link, as the hub sees it.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub host: HostId,
+    pub dialled: bool,
+    pub heard: Time,
+    frames: mpsc::Sender<Vec<u8>>,
+    view: View,
+}
+
+/// What is known of the peer at the other end of a connection.
+#[derive(Debug, Default)]
+pub(super) struct View {
+    /// Newest stamps that the peer has; `None` until it said so.
+    known: Option<BTreeMap<HostId, Stamp>>,
+    asked: Option<Time>,
+    visit: bool,
+}
+
+impl View {
+    /// Creates the view of a peer in an exchange that is not kept as a link.
+    pub fn of_visit() -> Self {
+        Self {
+            visit: true,
+            ..Self::default()
+        }
+    }
+}
+
+impl Hub {
+    pub fn new(
+        identity: Identity,
+        profile: Profile,
+        traffic: Traffic,
+        events: mpsc::UnboundedSender<Event>,
+        ended: watch::Receiver<()>,
+    ) -> Self {
+        let state = State {
+            members: Members::new(identity.host.clone(), profile),
+            links: BTreeMap::new(),
+            dialling: BTreeSet::new(),
+            seeds: BTreeSet::new(),
+            holder: Holder::new(),
+            events,
+            sharers: None,
+            load: 0.0,
+            next: 0,
+        };
+        Self {
+            identity,
+            traffic,
+            ended,
+            started: Instant::now(),
+            state: Mutex::new(state),
+        }
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn now(&self) -> Time {
+        self.started.elapsed()
+    }
+
+    pub fn publish(&self, frame: &command::Frame) {
+        self.state().members.publish(frame);
+    }
+
+    pub fn offer(&self, update: &Update) -> Verdict {
+        self.state().offer(update)
+    }
+
+    pub fn table(&self) -> Option<Arc<Table>> {
+        self.state().holder.table().cloned()
+    }
+
+    pub fn set_load(&self, load: f32) {
+        self.state().load = load;
+    }
+
+    pub fn set_state(&self, phase: Phase) {
+        let now = self.now();
+        let mut state = self.state();
+        state.members.set_state(phase);
+        state.flush(now);
+    }
+
+    pub fn add_seeds(&self, seeds: &[SocketAddr]) {
+        self.state().seeds.extend(seeds);
+    }
+
+    pub fn members(&self) -> Vec<Member> {
+        self.state().members.members(self.now())
+    }
+
+    pub fn linked(&self) -> Vec<HostId> {
+        let state = self.state();
+        let hosts: BTreeSet<_> = state.links.values().map(|link| &link.host).collect();
+        hosts.into_iter().cloned().collect()
+    }
+
+    /// Adds a link that was opened, and returns its number and the frames to send over it.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a link to a peer that has a better one, and links above the limit.
+    pub fn add(
+        &self,
+        host: &HostId,
+        dialled: bool,
+    ) -> Result<(LinkId, mpsc::Receiver<Vec<u8>>), Error> {
+        let now = self.now();
+        let mut state = self.state();
+        state.make_room(&self.identity.host, host, dialled)?;
+        let (frames, receiver) = mpsc::channel(MAX_WAITING);
+        let id = state.next;
+        state.next += 1;
+        let link = Link {
+            host: host.clone(),
+            dialled,
+            heard: now,
+            frames,
+            view: View::default(),
+        };
+        state.links.insert(id, link);
+        let stamps = state.members.digest(now, 0, 1);
+        state.send(id, &Frame::digest(0, 1, false, stamps));
+        let have = Frame::Have(state.holder.revision());
+        state.send(id, &have);
+        Ok((id, receiver))
+    }
+
+    /// Takes in a frame of a link.
+    pub fn receive(&self, id: LinkId, frame: Frame) -> Result<(), Error> {
+        let now = self.now();
+        let mut state = self.state();
+        let Some(link) = state.links.get_mut(&id) else {
+            return Err(Error::Refused);
+        };
+        link.heard = now;
+        let mut view = std::mem::take(&mut link.view);
+        let replies = state.answer(now, &mut view, frame);
+        if let Some(link) = state.links.get_mut(&id) {
+            link.view = view;
+        }
+        for reply in replies? {
+            state.send(id, &reply);
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    /// Publishes a pulse if it is due, tells peers what they lack and the daemon who shares.
+    pub fn tick(&mut self, now: Time) {
+        let revision = self.holder.revision().unwrap_or_default();
+        let load = self.load;
+        self.members.beat(now, Pulse { load, revision });
+        self.flush(now);
+        let sharers = self.members.sharers(now);
+        if self.sharers.as_ref() != Some(&sharers) {
+            let (members, steady) = sharers.clone();
+            self.sharers = Some(sharers);
+            self.tell(Event::Members { members, steady });
+        }
+    }
+
+    /// Sends over each link the items that the peer lacks.
+    pub fn flush(&mut self, now: Time) {
+        let mut slow = Vec::new();
+        for (id, link) in &mut self.links {
+            let Some(known) = &mut link.view.known else {
+                continue;
+            };
+            let items = self.members.delta(now, &link.host, known, MAX_ITEMS);
+            if !items.is_empty() && !link.send(&Frame::Items(items)) {
+                slow.push(*id);
+            }
+        }
+        self.links.retain(|id, _| !slow.contains(id));
+    }
+
+    /// Says over each link which revision is in force; this also shows that the link works.
+    pub fn say_revision(&mut self) {
+        let have = Frame::Have(self.holder.revision());
+        self.links.retain(|_, link| link.send(&have));
+    }
+
+    /// Returns the revision of the table in force, if there is one.
+    pub fn revision(&self) -> Option<Revision> {
+        self.holder.revision()
+    }
+
+    /// Takes in an update of the table and passes it on if it is adopted.
+    pub fn offer(&mut self, update: &Update) -> Verdict {
+        let verdict = self.holder.offer(update);
+        if verdict == Verdict::Adopted
+            && let Some(table) = self.holder.table().cloned()
+        {
+            self.tell(Event::Table(table));
+            self.say_revision();
+        }
+        verdict
+    }
+
+    /// Takes in a frame and returns the replies.
+    pub fn answer(
+        &mut self,
+        now: Time,
+        view: &mut View,
+        frame: Frame,
+    ) -> Result<Vec<Frame>, Error> {
+        match frame {
+            Frame::Digest(known) => Ok(self.answer_digest(now, view, known)),
+            Frame::Items(items) => {
+                if let Some(known) = &mut view.known {
+                    for item in &items {
+                        let stamp = known.entry(item.origin.clone()).or_default();
+                        *stamp = item.stamp.max(*stamp);
+                    }
+                }
+                for (from, frame) in self.members.merge(now, items) {
+                    self.tell(Event::Frame { from, frame });
+                }
+                Ok(Vec::new())
+            }
+            Frame::Have(revision) => Ok(self.ask(now, view, revision)),
+            Frame::Want(revision) => {
+                let update = self.holder.update_since(revision).map(Frame::Update);
+                Ok(update.into_iter().collect())
+            }
+            Frame::Update(update) => Ok(self.answer_update(&update)),
+            Frame::Hello(_) | Frame::Proof(_) => Err(Error::Unexpected {
+                frame: frame.name(),
+            }),
+        }
+    }
+
+    fn answer_digest(&mut self, now: Time, view: &mut View, known: Known) -> Vec<Frame> {
+        let (bucket, count) = (known.bucket, known.count);
+        if !view.visit {
+            view.known = Some(known.stamps.into_iter().collect());
+            return Vec::new();
+        }
+        let items = self.members.answer(now, &known.stamps, bucket, count);
+        let mut replies = vec![Frame::Items(items)];
+        if known.ask {
+            let stamps = self.members.digest(now, bucket, count);
+            replies.push(Frame::digest(bucket, count, false, stamps));
+            replies.push(Frame::Have(self.holder.revision()));
+        }
+        replies
+    }
+
+    /// Asks for the table if the peer has a newer one.
+    fn ask(&self, now: Time, view: &mut View, revision: Option<Revision>) -> Vec<Frame> {
+        let own = self.holder.revision();
+        let asked = view.asked.is_some_and(|asked| now < asked + ASK_AGAIN);
+        if revision <= own || asked {
+            return Vec::new();
+        }
+        view.asked = Some(now);
+        vec![Frame::Want(own)]
+    }
+
+    fn answer_update(&mut self, update: &Update) -> Vec<Frame> {
+        match self.offer(update) {
+            Verdict::Gap => vec![Frame::Want(None)],
+            Verdict::Invalid { faults } => {
+                let fault = faults.first().map(ToString::to_string);
+                tracing::error!(faults = faults.len(), fault, "peer sent an invalid table");
+                Vec::new()
+            }
+            Verdict::Forked => {
+                tracing::error!("peer holds other rows at the revision in force");
+                Vec::new()
+            }
+            Verdict::Adopted | Verdict::Known | Verdict::Lower { .. } => Vec::new(),
+        }
+    }
+
+    /// Drops what a new link to `host` replaces.
+    ///
+    /// Of two links between the same daemons, the one that the lower host name dialled is kept.
+    fn make_room(&mut self, own: &HostId, host: &HostId, dialled: bool) -> Result<(), Error> {
+        let opener = |link: &Link| if link.dialled { own } else { host };
+        let better = |link: &Link| link.dialled != dialled && opener(link) < host.max(own);
+        let same = |link: &Link| link.host == *host;
+        if self.links.values().any(|link| same(link) && better(link)) {
+            return Err(Error::Refused);
+        }
+        let accepted = self
+            .links
+            .values()
+            .filter(|link| !link.dialled && !same(link));
+        if !dialled && accepted.count() >= MAX_ACCEPTED {
+            return Err(Error::Refused);
+        }
+        self.links.retain(|_, link| !same(link));
+        Ok(())
+    }
+
+    fn send(&mut self, id: LinkId, frame: &Frame) {
+        if self.links.get(&id).is_some_and(|link| !link.send(frame)) {
+            self.links.remove(&id);
+        }
+    }
+
+    fn tell(&self, event: Event) {
+        // A daemon that ends does not listen any more.
+        drop(self.events.send(event));
+    }
+}
+
+impl Link {
+    /// Hands a frame to the link; `false` if the link can't take it.
+    fn send(&self, frame: &Frame) -> bool {
+        match frame.to_vec() {
+            Ok(bytes) => self.frames.try_send(bytes).is_ok(),
+            Err(error) => {
+                tracing::error!(%error, frame = frame.name(), "frame was not sent");
+                true
+            }
+        }
+    }
+}
+
+impl Frame {
+    pub(super) fn digest(
+        bucket: u64,
+        count: u64,
+        ask: bool,
+        stamps: policy::member::gossip::Digest,
+    ) -> Self {
+        Self::Digest(Known {
+            bucket,
+            count,
+            ask,
+            stamps,
+        })
+    }
+}
--- /dev/null
+++ b/godwithinge/src/peer/link.rs
@@ -0,0 +1,201 @@
+//! Tasks that carry frames between connections and the hub.
+
+use super::{
+    Error,
+    frame::Frame,
+    hub::{Hub, LinkId, View},
+    socket::Socket,
+};
+use policy::id::HostId;
+use rand::RngExt;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, mpsc},
+    time,
+};
+
+/// Time without a frame after which a link counts as silent.
+pub(super) const SILENCE: Duration = Duration::from_secs(3);
+
+/// Longest time of one exchange with a daemon that has no link.
+const VISIT: Duration = Duration::from_secs(2);
+
+/// Connections whose peers have not proved themselves yet.
+const MAX_UNPROVED: usize = 16;
+
+/// Time before the next connection is taken after one could not be.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Origins in one bucket of a visit's digest.
+const BUCKET: usize = 24;
+
+/// Runs a task until the links end.
+pub(super) fn spawn(hub: &Arc<Hub>, task: impl Future<Output = ()> + Send + 'static) {
+    let mut ended = hub.ended.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = task => {}
+            // The sender never sends, so a change means that it was dropped.
+            _ = ended.changed() => {}
+        }
+    });
+}
+
+/// Takes connections from peers.
+pub(super) async fn listen(hub: Arc<Hub>, listener: TcpListener) {
+    let unproved = Arc::new(Semaphore::new(MAX_UNPROVED));
+    loop {
+        let (stream, address) = match listener.accept().await {
+            Ok(connection) => connection,
+            Err(error) => {
+                tracing::warn!(%error, "connection of a peer was not taken");
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&unproved).try_acquire_owned() else {
+            tracing::warn!(%address, "connection refused: too many peers are unproved");
+            continue;
+        };
+        let own = Arc::clone(&hub);
+        spawn(&hub, async move {
+            let proved = Socket::accept(stream, &own.identity, &own.traffic).await;
+            drop(permit);
+            log(address, accept(&own, proved).await);
+        });
+    }
+}
+
+/// Opens a link to a peer and keeps it.
+pub(super) async fn dial(hub: Arc<Hub>, host: HostId, address: SocketAddr) {
+    let opened = Socket::dial(address, &hub.identity, false, &hub.traffic).await;
+    hub.state().dialling.remove(&host);
+    let ended = match opened {
+        Ok(socket) => keep(&hub, socket, true).await,
+        Err(error) => Err(error),
+    };
+    log(address, ended);
+}
+
+/// Exchanges once with a daemon that has no link.
+pub(super) async fn visit(hub: Arc<Hub>, address: SocketAddr) {
+    let exchange = async {
+        let mut socket = Socket::dial(address, &hub.identity, true, &hub.traffic).await?;
+        for frame in questions(&hub) {
+            socket.send(&frame).await?;
+        }
+        let mut view = View::of_visit();
+        let mut asked = false;
+        loop {
+            let frame = socket.receive().await?;
+            let last = match &frame {
+                Frame::Have(_) => true,
+                Frame::Update(_) => asked,
+                _ => false,
+            };
+            let replies = reply(&hub, &mut socket, &mut view, frame).await?;
+            asked = replies.iter().any(|reply| matches!(reply, Frame::Want(_)));
+            if last && !asked {
+                socket.close().await;
+                return Ok(());
+            }
+        }
+    };
+    let ended = time::timeout(VISIT, exchange).await;
+    log(address, ended.unwrap_or(Err(Error::Timeout)));
+}
+
+/// Returns the frames that open a visit: the revision, and what is known of one bucket.
+fn questions(hub: &Hub) -> [Frame; 2] {
+    let now = hub.now();
+    let state = hub.state();
+    let count = state.members.members(now).len().div_ceil(BUCKET).max(1) as u64;
+    let bucket = rand::rng().random_range(0..count);
+    let stamps = state.members.digest(now, bucket, count);
+    // The answer to the digest comes last, and ends the visit.
+    [
+        Frame::Have(state.revision()),
+        Frame::digest(bucket, count, true, stamps),
+    ]
+}
+
+async fn accept(hub: &Hub, proved: Result<Socket, Error>) -> Result<(), Error> {
+    let socket = proved?;
+    if socket.visit {
+        serve_visit(hub, socket).await
+    } else {
+        keep(hub, socket, false).await
+    }
+}
+
+async fn serve_visit(hub: &Hub, mut socket: Socket) -> Result<(), Error> {
+    let mut view = View::of_visit();
+    let serve = async {
+        loop {
+            let frame = socket.receive().await?;
+            reply(hub, &mut socket, &mut view, frame).await?;
+        }
+    };
+    match time::timeout(VISIT, serve).await {
+        Ok(Err(Error::Closed)) => Ok(()),
+        Ok(ended) => ended,
+        Err(_) => Err(Error::Timeout),
+    }
+}
+
+async fn reply(
+    hub: &Hub,
+    socket: &mut Socket,
+    view: &mut View,
+    frame: Frame,
+) -> Result<Vec<Frame>, Error> {
+    let now = hub.now();
+    let replies = hub.state().answer(now, view, frame)?;
+    for reply in &replies {
+        socket.send(reply).await?;
+    }
+    Ok(replies)
+}
+
+/// Keeps a link until it ends.
+async fn keep(hub: &Hub, mut socket: Socket, dialled: bool) -> Result<(), Error> {
+    let (id, mut frames) = hub.add(&socket.host, dialled)?;
+    tracing::info!(peer = %socket.host, dialled, "link opened");
+    let ended = carry(hub, id, &mut socket, &mut frames).await;
+    hub.state().links.remove(&id);
+    let reason = ended.as_ref().err().map(ToString::to_string);
+    tracing::info!(peer = %socket.host, dialled, reason, "link ended");
+    ended
+}
+
+async fn carry(
+    hub: &Hub,
+    id: LinkId,
+    socket: &mut Socket,
+    frames: &mut mpsc::Receiver<Vec<u8>>,
+) -> Result<(), Error> {
+    loop {
+        tokio::select! {
+            frame = time::timeout(SILENCE, socket.receive()) => {
+                hub.receive(id, frame.map_err(|_silent| Error::Silent)??)?;
+            }
+            bytes = frames.recv() => {
+                // The hub drops a link that it replaces or that is too slow.
+                let bytes = bytes.ok_or(Error::Refused)?;
+                let sent = time::timeout(SILENCE, socket.send_bytes(bytes)).await;
+                sent.map_err(|_slow| Error::Slow)??;
+            }
+        }
+    }
+}
+
+fn log(address: SocketAddr, ended: Result<(), Error>) {
+    match ended {
+        Err(error) if error.is_foreign() => {
+            tracing::warn!(%address, %error, "peer was refused");
+        }
+        Err(error) => tracing::debug!(%address, %error, "connection to a peer ended"),
+        Ok(()) => {}
+    }
+}
--- /dev/null
+++ b/godwithinge/src/peer/socket.rs
@@ -0,0 +1,248 @@
+//! Connection that carries frames, and how two daemons prove themselves to each other.
+
+use super::{
+    Error,
+    frame::{Frame, Hello, MAX_FRAME, Mac, Nonce, VERSION},
+};
+use crate::settings::Secret;
+use futures::{SinkExt, StreamExt};
+use hmac::{Hmac, KeyInit, Mac as _};
+use policy::id::HostId;
+use prometheus::IntCounter;
+use sha2::Sha256;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{net::TcpStream, time};
+use tokio_tungstenite::{
+    WebSocketStream, accept_async_with_config, client_async_with_config,
+    tungstenite::{Message, protocol::WebSocketConfig},
+};
+
+/// Longest time of opening a connection and proving both ends.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest frame of a peer that has not proved itself, in bytes.
+const MAX_UNPROVED: usize = 512;
+
+/// Memory that a connection sets aside for reading, in bytes.
+const READ_BUFFER: usize = 8 << 10;
+
+/// Bytes of a WebSocket header that are counted with each frame.
+const HEADER: u64 = 6;
+
+/// What proves a daemon to its peers.
+#[derive(Clone, Debug)]
+pub(super) struct Identity {
+    pub host: HostId,
+    pub key: Secret,
+}
+
+/// Counters of bytes on links.
+#[derive(Clone, Debug)]
+pub(super) struct Traffic {
+    pub sent: IntCounter,
+    pub received: IntCounter,
+}
+
+/// Connection to a peer that has proved itself.
+#[derive(Debug)]
+pub(super) struct Socket {
+    pub host: HostId,
+    pub visit: bool,
+    stream: WebSocketStream<TcpStream>,
+    traffic: Traffic,
+}
+
+/// Which end of a connection signs.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Dialler,
+    Acceptor,
+}
+
+impl Socket {
+    /// Opens a connection to the peer at `address`.
+    pub async fn dial(
+        address: SocketAddr,
+        identity: &Identity,
+        visit: bool,
+        traffic: &Traffic,
+    ) -> Result<Self, Error> {
+        let open = async {
+            let stream = TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            let url = format!("ws://{address}/");
+            let (stream, _) = client_async_with_config(url, stream, Some(config())).await?;
+            let mut socket = Self::new(stream, traffic, visit);
+            let own = hello(identity, visit);
+            socket.send(&Frame::Hello(own.clone())).await?;
+            let theirs = socket.hello(identity).await?;
+            socket.prove(identity, End::Dialler, &own, &theirs).await?;
+            socket.check(identity, End::Acceptor, &own, &theirs).await?;
+            Ok(socket)
+        };
+        time::timeout(OPEN_TIMEOUT, open)
+            .await
+            .unwrap_or(Err(Error::Timeout))
+    }
+
+    /// Takes a connection that a peer opened; the peer has to prove itself first.
+    pub async fn accept(
+        stream: TcpStream,
+        identity: &Identity,
+        traffic: &Traffic,
+    ) -> Result<Self, Error> {
+        let open = async {
+            stream.set_nodelay(true)?;
+            let stream = accept_async_with_config(stream, Some(config())).await?;
+            let mut socket = Self::new(stream, traffic, false);
+            let theirs = socket.hello(identity).await?;
+            socket.visit = theirs.visit;
+            let own = hello(identity, theirs.visit);
+            socket.send(&Frame::Hello(own.clone())).await?;
+            socket.check(identity, End::Dialler, &theirs, &own).await?;
+            socket.prove(identity, End::Acceptor, &theirs, &own).await?;
+            Ok(socket)
+        };
+        time::timeout(OPEN_TIMEOUT, open)
+            .await
+            .unwrap_or(Err(Error::Timeout))
+    }
+
+    /// Sends a frame.
+    pub async fn send(&mut self, frame: &Frame) -> Result<(), Error> {
+        self.send_bytes(frame.to_vec()?).await
+    }
+
+    /// Sends a frame that was written before.
+    pub async fn send_bytes(&mut self, bytes: Vec<u8>) -> Result<(), Error> {
+        self.traffic.sent.inc_by(bytes.len() as u64 + HEADER);
+        self.stream.send(Message::binary(bytes)).await?;
+        Ok(())
+    }
+
+    /// Receives the next frame.
+    pub async fn receive(&mut self) -> Result<Frame, Error> {
+        self.receive_within(MAX_FRAME).await
+    }
+
+    /// Closes the connection.
+    pub async fn close(mut self) {
+        // The peer may be gone already.
+        drop(self.stream.close(None).await);
+    }
+
+    fn new(stream: WebSocketStream<TcpStream>, traffic: &Traffic, visit: bool) -> Self {
+        Self {
+            host: HostId::default(),
+            visit,
+            stream,
+            traffic: traffic.clone(),
+        }
+    }
+
+    async fn receive_within(&mut self, limit: usize) -> Result<Frame, Error> {
+        loop {
+            match self.stream.next().await.ok_or(Error::Closed)?? {
+                Message::Binary(bytes) => {
+                    self.traffic.received.inc_by(bytes.len() as u64 + HEADER);
+                    if bytes.len() > limit {
+                        return Err(Error::TooLarge { size: bytes.len() });
+                    }
+                    return Frame::from_slice(&bytes);
+                }
+                Message::Close(_) => return Err(Error::Closed),
+                Message::Ping(_) | Message::Pong(_) => {}
+                Message::Text(_) | Message::Frame(_) => return Err(Error::Malformed),
+            }
+        }
+    }
+
+    async fn hello(&mut self, identity: &Identity) -> Result<Hello, Error> {
+        match self.receive_within(MAX_UNPROVED).await? {
+            Frame::Hello(hello) if hello.version != VERSION => Err(Error::Version {
+                version: hello.version,
+            }),
+            Frame::Hello(hello) if hello.host == identity.host => Err(Error::Own),
+            Frame::Hello(hello) => {
+                self.host.clone_from(&hello.host);
+                Ok(hello)
+            }
+            frame => Err(Error::Unexpected {
+                frame: frame.name(),
+            }),
+        }
+    }
+
+    async fn prove(
+        &mut self,
+        identity: &Identity,
+        end: End,
+        dialler: &Hello,
+        acceptor: &Hello,
+    ) -> Result<(), Error> {
+        let mac = sign(identity, end, dialler, acceptor)?.finalize();
+        let mac: Mac = mac.into_bytes().into();
+        self.send(&Frame::Proof(mac)).await
+    }
+
+    async fn check(
+        &mut self,
+        identity: &Identity,
+        end: End,
+        dialler: &Hello,
+        acceptor: &Hello,
+    ) -> Result<(), Error> {
+        let frame = self.receive_within(MAX_UNPROVED).await?;
+        let Frame::Proof(mac) = frame else {
+            return Err(Error::Unexpected {
+                frame: frame.name(),
+            });
+        };
+        let expected = sign(identity, end, dialler, acceptor)?;
+        expected
+            .verify_slice(&mac)
+            .map_err(|_differs| Error::Stranger {
+                host: self.host.clone(),
+            })
+    }
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER)
+        .max_message_size(Some(MAX_FRAME))
+        .max_frame_size(Some(MAX_FRAME))
+}
+
+fn hello(identity: &Identity, visit: bool) -> Hello {
+    let nonce: Nonce = rand::random();
+    Hello {
+        version: VERSION,
+        host: identity.host.clone(),
+        nonce,
+        visit,
+    }
+}
+
+/// Signs both openings under the fleet key; the two ends never sign the same bytes.
+fn sign(
+    identity: &Identity,
+    end: End,
+    dialler: &Hello,
+    acceptor: &Hello,
+) -> Result<Hmac<Sha256>, Error> {
+    let key = identity.key.expose().as_bytes();
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).map_err(|_length| Error::Encode)?;
+    mac.update(match end {
+        End::Dialler => b"dialler",
+        End::Acceptor => b"acceptor",
+    });
+    for hello in [dialler, acceptor] {
+        let length = hello.host.len() as u64;
+        mac.update(&length.to_be_bytes());
+        mac.update(hello.host.as_bytes());
+        mac.update(&hello.nonce);
+        mac.update(&[u8::from(hello.visit)]);
+    }
+    Ok(mac)
+}
--- /dev/null
+++ b/godwithinge/src/peer/upkeep.rs
@@ -0,0 +1,72 @@
+//! Regular work of the links: pulses, dialling and visits.
+
+use super::{hub::Hub, link};
+use policy::{
+    id::{HostId, Time},
+    member::overlay,
+};
+use rand::seq::IndexedRandom;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::{self, MissedTickBehavior};
+
+/// Time between two rounds of telling peers what they lack.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Ticks between two rounds of dialling and visits.
+const UPKEEP_TICKS: u64 = 5;
+
+/// Does the regular work of the links.
+pub(super) async fn run(hub: Arc<Hub>) {
+    let mut ticks = time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    for round in 0.. {
+        ticks.tick().await;
+        let now = hub.now();
+        hub.state().tick(now);
+        if round % UPKEEP_TICKS == 0 {
+            hub.state().say_revision();
+            dial(&hub, now);
+            visit(&hub, now);
+        }
+    }
+}
+
+/// Opens links to the chosen peers that have none, and drops those to others.
+fn dial(hub: &Arc<Hub>, now: Time) {
+    let mut state = hub.state();
+    let members = state.members.members(now);
+    let chosen = overlay::neighbours(&hub.identity.host, &members);
+    state
+        .links
+        .retain(|_, link| !link.dialled || chosen.contains(&link.host));
+    for host in chosen {
+        let linked = state.links.values().any(|link| link.host == host);
+        let member = members.iter().find(|member| member.host == host);
+        let address = member.and_then(|member| member.profile.peer.parse().ok());
+        if let Some(address) = address.filter(|_| !linked)
+            && state.dialling.insert(host.clone())
+        {
+            link::spawn(hub, link::dial(Arc::clone(hub), host, address));
+        }
+    }
+}
+
+/// Exchanges once with a daemon drawn at random, and with one seed that is not known yet.
+fn visit(hub: &Arc<Hub>, now: Time) {
+    let linked = hub.linked();
+    let state = hub.state();
+    let members = state.members.members(now);
+    let mut rng = rand::rng();
+    let stranger = overlay::stranger(&hub.identity.host, &members, &linked, &mut rng);
+    let address = |host: &HostId| -> Option<SocketAddr> {
+        let member = members.iter().find(|member| member.host == *host)?;
+        member.profile.peer.parse().ok()
+    };
+    let known: Vec<_> = members.iter().filter_map(|m| address(&m.host)).collect();
+    let unknown = state.seeds.iter().filter(|seed| !known.contains(seed));
+    let unknown: Vec<_> = unknown.copied().collect();
+    let visits = stranger.as_ref().and_then(address);
+    for address in visits.into_iter().chain(unknown.choose(&mut rng).copied()) {
+        link::spawn(hub, link::visit(Arc::clone(hub), address));
+    }
+}
--- /dev/null
+++ b/godwithinge/src/peer/wire.rs
@@ -0,0 +1,345 @@
+//! Form of the frames on the wire: CBOR arrays under short names.
+
+use super::{
+    Error,
+    frame::{Frame, Hello, Known, Mac, Nonce},
+};
+use compact_str::CompactString;
+use policy::{
+    id::{BlockHash, HostId, Incarnation, Revision, TargetId},
+    member::{
+        Profile, Pulse, State,
+        gossip::{self, Item, Stamp, Topic},
+    },
+    table::{
+        Pipeline, Table, Target, Workspace,
+        hold::{Step, Update},
+        row::{Key, Kind, Row},
+    },
+};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Steps of load in a pulse.
+const LOAD_STEPS: f32 = 1000.0;
+
+/// A frame on the wire.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) enum Message {
+    #[serde(rename = "h")]
+    Hello(u16, HostId, Nonce, bool),
+    #[serde(rename = "p")]
+    Proof(Mac),
+    #[serde(rename = "d")]
+    Digest(u64, u64, bool, Vec<(HostId, u64, u64)>),
+    #[serde(rename = "i")]
+    Items(Vec<Batch>),
+    #[serde(rename = "v")]
+    Have(Option<Revision>),
+    #[serde(rename = "w")]
+    Want(Option<Revision>),
+    #[serde(rename = "u")]
+    Update(Option<Revision>, Revision, Vec<Line>),
+}
+
+/// Items of one origin: host, epoch, and a version for each value.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Batch(HostId, u64, Vec<(u64, Value)>);
+
+/// Topic and value of an item.
+#[derive(Debug, Deserialize, Serialize)]
+enum Value {
+    #[serde(rename = "p")]
+    Profile(
+        Incarnation,
+        CompactString,
+        CompactString,
+        CompactString,
+        CompactString,
+        State,
+    ),
+    #[serde(rename = "b")]
+    Pulse(u16, Revision),
+    #[serde(rename = "d")]
+    Demand(Sort, CompactString, f32, f32),
+    #[serde(rename = "x")]
+    Poison(BlockHash, Vec<TargetId>),
+}
+
+/// Kind of a row.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+enum Sort {
+    #[serde(rename = "w")]
+    Workspace,
+    #[serde(rename = "p")]
+    Pipeline,
+    #[serde(rename = "t")]
+    Target,
+}
+
+/// Name and cells of a row; no cells for a row that was removed.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Line(Sort, CompactString, Option<Cells>);
+
+#[derive(Debug, Deserialize, Serialize)]
+enum Cells {
+    #[serde(rename = "w")]
+    Workspace(f64, Option<f64>, i32),
+    #[serde(rename = "p")]
+    Pipeline(Vec<CompactString>, i32, Option<f64>),
+    #[serde(rename = "t")]
+    Target(f64, Option<u32>),
+}
+
+impl From<&Frame> for Message {
+    fn from(frame: &Frame) -> Self {
+        match frame {
+            Frame::Hello(hello) => {
+                Self::Hello(hello.version, hello.host.clone(), hello.nonce, hello.visit)
+            }
+            Frame::Proof(mac) => Self::Proof(*mac),
+            Frame::Digest(known) => {
+                let stamps = known.stamps.iter();
+                let stamps = stamps.map(|(host, s)| (host.clone(), s.epoch, s.version));
+                Self::Digest(known.bucket, known.count, known.ask, stamps.collect())
+            }
+            Frame::Items(items) => Self::Items(batches(items)),
+            Frame::Have(revision) => Self::Have(*revision),
+            Frame::Want(revision) => Self::Want(*revision),
+            Frame::Update(Update::Snapshot { table }) => {
+                let lines = table.keys().map(|key| Line::new(&key, table.row(&key)));
+                Self::Update(None, table.revision, lines.collect())
+            }
+            Frame::Update(Update::Step(step)) => {
+                let lines = step.rows.iter();
+                let lines = lines.map(|(key, row)| Line::new(key, row.clone()));
+                Self::Update(Some(step.from), step.to, lines.collect())
+            }
+        }
+    }
+}
+
+impl TryFrom<Message> for Frame {
+    type Error = Error;
+
+    fn try_from(message: Message) -> Result<Self, Error> {
+        Ok(match message {
+            Message::Hello(version, host, nonce, visit) => Self::Hello(Hello {
+                version,
+                host,
+                nonce,
+                visit,
+            }),
+            Message::Proof(mac) => Self::Proof(mac),
+            Message::Digest(bucket, count, ask, stamps) => {
+                if bucket >= count {
+                    return Err(Error::Malformed);
+                }
+                let stamps = stamps.into_iter();
+                Self::Digest(Known {
+                    bucket,
+                    count,
+                    ask,
+                    stamps: stamps
+                        .map(|(host, epoch, version)| (host, Stamp { epoch, version }))
+                        .collect(),
+                })
+            }
+            Message::Items(batches) => {
+                let items = batches.into_iter().map(Batch::into_items);
+                let items = items.collect::<Result<Vec<_>, _>>()?;
+                Self::Items(items.into_iter().flatten().collect())
+            }
+            Message::Have(revision) => Self::Have(revision),
+            Message::Want(revision) => Self::Want(revision),
+            Message::Update(from, to, lines) => {
+                let rows = lines.into_iter().map(Line::into_row);
+                let rows = rows.collect::<Result<Vec<_>, _>>()?;
+                Self::Update(match from {
+                    Some(from) => Update::Step(Step { from, to, rows }),
+                    None => snapshot(to, rows)?,
+                })
+            }
+        })
+    }
+}
+
+fn snapshot(revision: Revision, rows: Vec<(Key, Option<Row>)>) -> Result<Update, Error> {
+    let mut table = Table {
+        revision,
+        ..Table::default()
+    };
+    for (key, row) in rows {
+        table.insert(key.name, row.ok_or(Error::Malformed)?);
+    }
+    let table = Arc::new(table);
+    Ok(Update::Snapshot { table })
+}
+
+/// Groups items by origin and epoch; their order is kept.
+fn batches(items: &[Item]) -> Vec<Batch> {
+    let mut batches: Vec<Batch> = Vec::new();
+    for item in items {
+        let value = (item.stamp.version, Value::from((&item.topic, &item.value)));
+        match batches.last_mut() {
+            Some(batch) if batch.0 == item.origin && batch.1 == item.stamp.epoch => {
+                batch.2.push(value);
+            }
+            _ => batches.push(Batch(item.origin.clone(), item.stamp.epoch, vec![value])),
+        }
+    }
+    batches
+}
+
+impl Batch {
+    fn into_items(self) -> Result<Vec<Item>, Error> {
+        let Self(origin, epoch, values) = self;
+        let item = |(version, value): (u64, Value)| {
+            let (topic, value) = value.try_into()?;
+            Ok(Item {
+                origin: origin.clone(),
+                stamp: Stamp { epoch, version },
+                topic,
+                value,
+            })
+        };
+        values.into_iter().map(item).collect()
+    }
+}
+
+impl From<(&Topic, &gossip::Value)> for Value {
+    fn from((topic, value): (&Topic, &gossip::Value)) -> Self {
+        match (topic, value) {
+            (_, gossip::Value::Profile(profile)) => Self::Profile(
+                profile.incarnation,
+                profile.api.clone(),
+                profile.peer.clone(),
+                profile.domain.clone(),
+                profile.region.clone(),
+                profile.state,
+            ),
+            (_, gossip::Value::Pulse(pulse)) => {
+                let load = (pulse.load * LOAD_STEPS).clamp(0.0, f32::from(u16::MAX));
+                Self::Pulse(load as u16, pulse.revision)
+            }
+            (Topic::Demand(key), gossip::Value::Demand { rate, part }) => Self::Demand(
+                key.kind.into(),
+                key.name.clone(),
+                *rate as f32,
+                *part as f32,
+            ),
+            (Topic::Poison(fingerprint), gossip::Value::Poison(targets)) => {
+                Self::Poison(*fingerprint, targets.clone())
+            }
+            // A topic of another kind than its value is not published.
+            (_, gossip::Value::Demand { .. } | gossip::Value::Poison(_)) => {
+                Self::Poison(BlockHash::default(), Vec::new())
+            }
+        }
+    }
+}
+
+impl TryFrom<Value> for (Topic, gossip::Value) {
+    type Error = Error;
+
+    fn try_from(value: Value) -> Result<Self, Error> {
+        Ok(match value {
+            Value::Profile(incarnation, api, peer, domain, region, state) => (
+                Topic::Profile,
+                gossip::Value::Profile(Profile {
+                    incarnation,
+                    api,
+                    peer,
+                    domain,
+                    region,
+                    state,
+                }),
+            ),
+            Value::Pulse(load, revision) => (
+                Topic::Pulse,
+                gossip::Value::Pulse(Pulse {
+                    load: f32::from(load) / LOAD_STEPS,
+                    revision,
+                }),
+            ),
+            Value::Demand(sort, name, rate, part) => {
+                let valid = |value: f32| value.is_finite() && value >= 0.0;
+                if !valid(rate) || !valid(part) {
+                    return Err(Error::Malformed);
+                }
+                let (rate, part) = (f64::from(rate), f64::from(part));
+                let topic = Topic::Demand(Key::new(sort.into(), name));
+                (topic, gossip::Value::Demand { rate, part })
+            }
+            Value::Poison(fingerprint, targets) => {
+                (Topic::Poison(fingerprint), gossip::Value::Poison(targets))
+            }
+        })
+    }
+}
+
+impl Line {
+    fn new(key: &Key, row: Option<Row>) -> Self {
+        Self(key.kind.into(), key.name.clone(), row.map(Cells::from))
+    }
+
+    fn into_row(self) -> Result<(Key, Option<Row>), Error> {
+        let Self(sort, name, cells) = self;
+        let key = Key::new(sort.into(), name);
+        let row = cells.map(Row::from);
+        let fits = row.as_ref().is_none_or(|row| row.kind() == key.kind);
+        if fits {
+            Ok((key, row))
+        } else {
+            Err(Error::Malformed)
+        }
+    }
+}
+
+impl From<Row> for Cells {
+    fn from(row: Row) -> Self {
+        match row {
+            Row::Workspace(row) => Self::Workspace(row.share, row.ceiling, row.priority),
+            Row::Pipeline(row) => Self::Pipeline(row.stages, row.priority, row.ceiling),
+            Row::Target(row) => Self::Target(row.weight, row.ceiling),
+        }
+    }
+}
+
+impl From<Cells> for Row {
+    fn from(cells: Cells) -> Self {
+        match cells {
+            Cells::Workspace(share, ceiling, priority) => Self::Workspace(Workspace {
+                share,
+                ceiling,
+                priority,
+            }),
+            Cells::Pipeline(stages, priority, ceiling) => Self::Pipeline(Pipeline {
+                stages,
+                priority,
+                ceiling,
+            }),
+            Cells::Target(weight, ceiling) => Self::Target(Target { weight, ceiling }),
+        }
+    }
+}
+
+impl From<Kind> for Sort {
+    fn from(kind: Kind) -> Self {
+        match kind {
+            Kind::Workspace => Self::Workspace,
+            Kind::Pipeline => Self::Pipeline,
+            Kind::Target => Self::Target,
+        }
+    }
+}
+
+impl From<Sort> for Kind {
+    fn from(sort: Sort) -> Self {
+        match sort {
+            Sort::Workspace => Self::Workspace,
+            Sort::Pipeline => Self::Pipeline,
+            Sort::Target => Self::Target,
+        }
+    }
+}
--- /dev/null
+++ b/godwithinge/tests/peer.rs
@@ -0,0 +1,404 @@
+//! Links between daemons, with peers that are strange, corrupt or silent.
+
+use futures::{SinkExt, StreamExt};
+use godwithinge::{
+    metrics::Metrics,
+    peer::{
+        Event, Links, Settings,
+        frame::{Frame, Hello, Known, MAX_FRAME, VERSION},
+    },
+    settings::Secret,
+};
+use hmac::{Hmac, KeyInit, Mac};
+use policy::{
+    command,
+    member::Presence,
+    table::{
+        Table, Workspace,
+        row::{Key, Kind, Row},
+    },
+};
+use prometheus::IntCounterVec;
+use rstest::rstest;
+use sha2::Sha256;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+    time,
+};
+use tokio_tungstenite::{WebSocketStream, accept_async, client_async, tungstenite::Message};
+
+const KEY: &str = "fleet key of the tests";
+
+struct Daemon {
+    links: Links,
+    events: UnboundedReceiver<Event>,
+    bytes: IntCounterVec,
+}
+
+async fn start(index: usize, key: &str, seeds: &[SocketAddr]) -> Daemon {
+    let listen = "127.0.0.1:0".parse().expect("the address is valid");
+    let bytes = Metrics::new().expect("metrics have names").control_bytes;
+    let settings = Settings {
+        host: format!("h{index}").into(),
+        incarnation: index as u64 + 1,
+        api: listen,
+        listen,
+        domain: format!("d{}", index % 3).into(),
+        region: "r".into(),
+        seeds: seeds.to_vec(),
+        key: Secret::new(key),
+        bytes: bytes.clone(),
+    };
+    let (links, events) = Links::start(settings).await.expect("the port is free");
+    Daemon {
+        links,
+        events,
+        bytes,
+    }
+}
+
+async fn fleet(size: usize) -> Vec<Daemon> {
+    let first = start(0, KEY, &[]).await;
+    let seed = first.links.address();
+    let mut fleet = vec![first];
+    for index in 1..size {
+        fleet.push(start(index, KEY, &[seed]).await);
+    }
+    fleet
+}
+
+/// Waits until `done` holds, for at most ten seconds.
+async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    for _ in 0..1000 {
+        if done() {
+            return;
+        }
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what} did not come");
+}
+
+fn live(daemon: &Daemon) -> usize {
+    let members = daemon.links.members();
+    members
+        .iter()
+        .filter(|m| m.presence == Presence::Live)
+        .count()
+}
+
+fn table(revision: u64) -> Arc<Table> {
+    let mut table = Table {
+        revision,
+        ..Table::default()
+    };
+    for row in 0..revision {
+        table.insert(format!("w{row}"), Row::Workspace(Workspace::default()));
+    }
+    Arc::new(table)
+}
+
+#[tokio::test]
+async fn a_fleet_learns_members_tables_and_frames() {
+    let mut fleet = fleet(9).await;
+    until("membership", || {
+        fleet.iter().all(|daemon| live(daemon) == 9)
+    })
+    .await;
+    until("a link of each", || {
+        fleet.iter().all(|d| !d.links.linked().is_empty())
+    })
+    .await;
+    for revision in [1, 2, 5] {
+        fleet[3].links.offer(&table(revision));
+        until("the table", || {
+            fleet.iter().all(|d| d.links.revision() == Some(revision))
+        })
+        .await;
+    }
+    fleet[4].links.offer(&table(2));
+    let row = Key::new(Kind::Workspace, "w1");
+    let sent = command::Frame::Demand {
+        row,
+        rate: 4.0,
+        part: 2.0,
+    };
+    fleet[7].links.broadcast(&sent);
+    for daemon in fleet.iter_mut().take(7) {
+        let mut heard = 0;
+        until("the frame", || {
+            while let Ok(event) = daemon.events.try_recv() {
+                let own = Event::Frame {
+                    from: "h7".into(),
+                    frame: sent.clone(),
+                };
+                heard += usize::from(event == own);
+            }
+            heard > 0
+        })
+        .await;
+        assert_eq!(heard, 1, "the frame comes once");
+        assert_eq!(daemon.links.table(), Some(table(5)), "the table stays");
+    }
+}
+
+#[tokio::test]
+async fn a_daemon_that_comes_back_alone_gets_the_table_from_its_peers() {
+    let mut fleet = fleet(4).await;
+    until("membership", || {
+        fleet.iter().all(|daemon| live(daemon) == 4)
+    })
+    .await;
+    fleet[0].links.offer(&table(3));
+    until("the table", || {
+        fleet.iter().all(|d| d.links.revision() == Some(3))
+    })
+    .await;
+    let seeds: Vec<_> = fleet.iter().map(|d| d.links.address()).collect();
+    for (index, daemon) in fleet.iter_mut().enumerate().take(3) {
+        *daemon = start(index, KEY, &seeds).await;
+        until("the table", || daemon.links.revision() == Some(3)).await;
+        until("membership", || live(daemon) == 4).await;
+    }
+}
+
+#[tokio::test]
+async fn a_stranger_learns_and_changes_nothing() {
+    let fleet = fleet(2).await;
+    until("membership", || {
+        fleet.iter().all(|daemon| live(daemon) == 2)
+    })
+    .await;
+    let stranger = start(7, "another key", &[fleet[0].links.address()]).await;
+    stranger.links.offer(&table(9));
+    let sent = stranger.bytes.with_label_values(&["peer_sent"]);
+    until("attempts to link", || sent.get() > 500).await;
+    assert_eq!(live(&stranger), 1);
+    assert!(
+        fleet
+            .iter()
+            .all(|d| d.links.revision().is_none() && live(d) == 2)
+    );
+}
+
+/// What a peer sends that is no daemon, or broken.
+#[derive(Clone, Copy, Debug)]
+enum Garbage {
+    Noise,
+    Text,
+    Huge,
+    Unproved,
+    BadVersion,
+}
+
+#[rstest]
+#[case(Garbage::Noise)]
+#[case(Garbage::Text)]
+#[case(Garbage::Huge)]
+#[case(Garbage::Unproved)]
+#[case(Garbage::BadVersion)]
+#[tokio::test]
+async fn garbage_is_refused_and_harms_nothing(#[case] garbage: Garbage) {
+    let fleet = fleet(2).await;
+    let address = fleet[0].links.address();
+    let mut stream = TcpStream::connect(address).await.expect("the port is open");
+    if matches!(garbage, Garbage::Noise) {
+        stream
+            .write_all(&[0xfe; 4096])
+            .await
+            .expect("bytes are taken");
+        let mut rest = Vec::new();
+        let read = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut rest);
+        time::timeout(Duration::from_secs(5), read)
+            .await
+            .expect("it is closed")
+            .unwrap_or_default();
+    } else {
+        let mut socket = client(stream, address).await;
+        let frame = match garbage {
+            Garbage::Text => Message::text("hello"),
+            Garbage::Huge => Message::binary(vec![0; MAX_FRAME + 1]),
+            Garbage::Unproved => message(&Frame::Update(update(9))),
+            _ => message(&Frame::Hello(hello("h9", VERSION + 1))),
+        };
+        drop(socket.send(frame).await);
+        let end = async { while let Some(Ok(Message::Binary(_))) = socket.next().await {} };
+        time::timeout(Duration::from_secs(5), end)
+            .await
+            .expect("it is closed");
+    }
+    until("membership", || {
+        fleet.iter().all(|daemon| live(daemon) == 2)
+    })
+    .await;
+    assert!(fleet.iter().all(|d| d.links.revision().is_none()));
+}
+
+#[tokio::test]
+async fn a_silent_link_is_replaced_and_a_corrupt_one_ended() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let (told, mut ended) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        for turn in 0.. {
+            let Ok((stream, _)) = listener.accept().await else {
+                return;
+            };
+            tokio::spawn(mute(stream, address, turn % 2 == 1, told.clone()));
+        }
+    });
+    let daemon = start(0, KEY, &[address]).await;
+    // Each link goes silent after it said who it is; each second one then sends what is no frame.
+    for _ in 0..4 {
+        let end = time::timeout(Duration::from_secs(8), ended.recv()).await;
+        end.expect("the link was replaced");
+    }
+    let profile = |d: &Daemon| d.links.members().len();
+    assert_eq!(profile(&daemon), 2);
+}
+
+/// Is a peer that proves itself and then goes silent; tells when a link to it has ended.
+async fn mute(stream: TcpStream, address: SocketAddr, corrupt: bool, ended: UnboundedSender<()>) {
+    let mut socket = accept_async(stream).await.expect("it is a WebSocket");
+    let visit = acknowledge(&mut socket).await;
+    drop(socket.send(message(&profile(address))).await);
+    if corrupt {
+        drop(socket.send(Message::binary(vec![0xff; 64])).await);
+    }
+    while let Some(Ok(Message::Binary(_))) = socket.next().await {}
+    if !visit {
+        let _ = ended.send(());
+    }
+}
+
+type Socket = WebSocketStream<TcpStream>;
+
+async fn client(stream: TcpStream, address: SocketAddr) -> Socket {
+    let (socket, _) = client_async(format!("ws://{address}/"), stream)
+        .await
+        .expect("upgrade");
+    socket
+}
+
+fn hello(host: &str, version: u16) -> Hello {
+    Hello {
+        version,
+        host: host.into(),
+        nonce: [7; 16],
+        visit: false,
+    }
+}
+
+fn message(frame: &Frame) -> Message {
+    Message::binary(frame.to_vec().expect("the frame is small"))
+}
+
+fn update(revision: u64) -> policy::table::hold::Update {
+    policy::table::hold::Update::Snapshot {
+        table: table(revision),
+    }
+}
+
+fn profile(address: SocketAddr) -> Frame {
+    use policy::member::{
+        Profile, State,
+        gossip::{Item, Stamp, Topic, Value},
+    };
+    let profile = Profile {
+        incarnation: 1,
+        api: address.to_string().into(),
+        peer: address.to_string().into(),
+        domain: "d".into(),
+        region: "r".into(),
+        state: State::Live,
+    };
+    let millis = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let version = millis.expect("the clock is set").as_millis() as u64;
+    Frame::Items(vec![Item {
+        origin: "h9".into(),
+        stamp: Stamp { epoch: 1, version },
+        topic: Topic::Profile,
+        value: Value::Profile(profile),
+    }])
+}
+
+async fn next(socket: &mut Socket) -> Frame {
+    let message = socket
+        .next()
+        .await
+        .expect("the link is open")
+        .expect("it works");
+    Frame::from_slice(&message.into_data()).expect("it is a frame")
+}
+
+fn sign(end: &str, dialler: &Hello, acceptor: &Hello) -> Frame {
+    let mut mac = Hmac::<Sha256>::new_from_slice(KEY.as_bytes()).expect("any key will do");
+    mac.update(end.as_bytes());
+    for hello in [dialler, acceptor] {
+        mac.update(&(hello.host.len() as u64).to_be_bytes());
+        mac.update(hello.host.as_bytes());
+        mac.update(&hello.nonce);
+        mac.update(&[u8::from(hello.visit)]);
+    }
+    Frame::Proof(mac.finalize().into_bytes().into())
+}
+
+/// Takes a link as a daemon does, and returns whether it is for one exchange.
+async fn acknowledge(socket: &mut Socket) -> bool {
+    let Frame::Hello(theirs) = next(socket).await else {
+        panic!("no hello came")
+    };
+    let own = Hello {
+        visit: theirs.visit,
+        ..hello("h9", VERSION)
+    };
+    socket
+        .send(message(&Frame::Hello(own.clone())))
+        .await
+        .expect("it is taken");
+    assert_eq!(next(socket).await, sign("dialler", &theirs, &own));
+    socket
+        .send(message(&sign("acceptor", &theirs, &own)))
+        .await
+        .expect("it is taken");
+    own.visit
+}
+
+#[test]
+fn frames_keep_their_content_and_truncated_ones_are_refused() {
+    let stamps = vec![(
+        "h1".into(),
+        policy::member::gossip::Stamp {
+            epoch: 3,
+            version: 4,
+        },
+    )];
+    let known = Known {
+        bucket: 0,
+        count: 2,
+        ask: true,
+        stamps,
+    };
+    let frames = [
+        Frame::Hello(hello("h1", VERSION)),
+        Frame::Digest(known),
+        Frame::Have(None),
+        Frame::Want(Some(4)),
+        Frame::Update(update(3)),
+        profile(([127, 0, 0, 1], 80).into()),
+    ];
+    for frame in frames {
+        let bytes = frame.to_vec().expect("the frame is small");
+        assert_eq!(Frame::from_slice(&bytes).expect("it is whole"), frame);
+        for end in 0..bytes.len() {
+            assert!(
+                Frame::from_slice(&bytes[..end]).is_err(),
+                "{frame:?} cut at {end}"
+            );
+        }
+    }
+}
--- a/policy/src/member/overlay.rs
+++ b/policy/src/member/overlay.rs
@@ -34,14 +34,17 @@
 }
 
 /// Draws a peer for one exchange, from those that have no link.
+///
+/// Lost daemons are drawn as well, so that the two sides of a cut find each other when it heals.
 pub fn stranger(
     host: &HostId,
     members: &[Member],
     linked: &[HostId],
     rng: &mut impl Rng,
 ) -> Option<HostId> {
-    reachable(host, members)
-        .filter(|member| !linked.contains(&member.host))
+    members
+        .iter()
+        .filter(|member| member.host != *host && !linked.contains(&member.host))
         .choose(rng)
         .map(|member| member.host.clone())
 }
