--- a/godwithinge/src/lib.rs
+++ b/godwithinge/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod http;
 pub mod log;
 pub mod metrics;
+pub mod peer;
 pub mod platform;
 pub mod settings;
+pub mod table;
 pub mod target;
