Add the planner daemon around lease and placement, with a dry run

One task owns both state machines; exchanges with the platform and engines run beside it and come back as events. An order checks the lease's end again right before its connection is opened.

--- a/godwithinge/src/bin/gwi-planner.rs
+++ b/godwithinge/src/bin/gwi-planner.rs
@@ -1,2 +1,107 @@
-//! Placeholder.
-fn main() {}
+//! Daemon that places models on the engines of a region.
+
+use godwithinge::{
+    log,
+    planner::{self, Planner},
+    settings::{self, Settings},
+};
+use std::{io, process::ExitCode};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+mod flags {
+    use godwithinge::log::Stream;
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Places models on the engines of a region.
+        cmd gwi-planner {
+            /// File of settings, in INI.
+            optional --settings file: PathBuf
+            /// Check the settings and end.
+            optional --check
+            /// Print the orders of the next hour as JSON, give none, and end.
+            optional --dry-run
+            /// Print the version and end.
+            optional --version
+            /// Stream of log lines: stdout or stderr.
+            optional --log stream: Stream
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::GwiPlanner::from_env_or_exit();
+    if flags.version {
+        println!("gwi-planner {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = flags.settings else {
+        eprintln!("gwi-planner: flag --settings is missing");
+        return ExitCode::from(settings::EXIT_STATUS);
+    };
+    let settings = match Settings::from_file(&file) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            eprintln!("{errors}");
+            return ExitCode::from(settings::EXIT_STATUS);
+        }
+    };
+    if flags.check {
+        println!("{}: settings are right", file.display());
+        return ExitCode::SUCCESS;
+    }
+    if flags.dry_run {
+        return dry_run(&settings);
+    }
+    if let Err(error) = log::init(flags.log.unwrap_or_default()) {
+        eprintln!("gwi-planner: {error}");
+        return ExitCode::FAILURE;
+    }
+    run(settings)
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn dry_run(settings: &Settings) -> ExitCode {
+    match planner::preview(settings).await {
+        Ok(planned) => {
+            for order in planned {
+                println!("{}", serde_json::json!(order));
+            }
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("gwi-planner: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn run(settings: Settings) -> ExitCode {
+    let signals = signal(SignalKind::terminate())
+        .and_then(|terminate| Ok((terminate, signal(SignalKind::interrupt())?)));
+    match signals {
+        Ok((terminate, interrupt)) => {
+            Planner::new(settings)
+                .run(ended(terminate, interrupt))
+                .await;
+            ExitCode::SUCCESS
+        }
+        Err(failure) => fail(&failure),
+    }
+}
+
+async fn ended(mut terminate: Signal, mut interrupt: Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+fn fail(failure: &io::Error) -> ExitCode {
+    tracing::error!(%failure, "planner failed");
+    ExitCode::FAILURE
+}
--- a/godwithinge/src/lib.rs
+++ b/godwithinge/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod http;
 pub mod log;
 pub mod metrics;
+pub mod planner;
 pub mod platform;
 pub mod settings;
 pub mod target;
--- /dev/null
+++ b/godwithinge/src/planner/lease.rs
@@ -0,0 +1,47 @@
+//! The lease row, as the platform's table service is asked for it.
+
+use crate::platform::{Client, Error, Transaction};
+use policy::{
+    claim::Version,
+    lease::{Reply, Row},
+};
+
+/// Table of the leases, one row a region.
+pub const TABLE: &str = "leases";
+
+/// Reads the lease row of `region`.
+pub(super) async fn read(client: &Client, region: &str) -> Reply {
+    let row = match client.row(TABLE, region).await {
+        Ok(Some(row)) => row,
+        Ok(None) => return Reply::Absent,
+        Err(error) => return out(&error),
+    };
+    match serde_json::from_value::<Row>(row.value) {
+        Ok(value) => Reply::Row {
+            row: value,
+            version: row.version,
+        },
+        Err(cause) => out(&Error::Malformed(cause)),
+    }
+}
+
+/// Writes the lease row of `region` if `version` stands there.
+pub(super) async fn write(client: &Client, region: &str, version: Version, row: &Row) -> Reply {
+    let value = match serde_json::to_value(row) {
+        Ok(value) => value,
+        Err(cause) => return out(&Error::Malformed(cause)),
+    };
+    let transaction = Transaction::new()
+        .with_check(TABLE, region, version)
+        .with_write(TABLE, region, value);
+    match client.commit(&transaction).await {
+        Ok(version) => Reply::Written { version },
+        Err(Error::Conflict(_)) => Reply::Conflict,
+        Err(error) => out(&error),
+    }
+}
+
+fn out(error: &Error) -> Reply {
+    tracing::warn!(%error, "lease row can't be asked for");
+    Reply::Out
+}
--- /dev/null
+++ b/godwithinge/src/planner/order.rs
@@ -0,0 +1,92 @@
+//! Orders to engines.
+
+use super::clock::Clock;
+use crate::http::{Pool, Request, Reuse};
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{Method, StatusCode};
+use http_body_util::Full;
+use policy::{
+    host::Role,
+    id::{AdapterId, ModelId, Time},
+    lease::Fence,
+    placement::{Answer, Order},
+};
+use serde::Serialize;
+use std::{net::SocketAddr, time::Duration};
+use tokio::time;
+
+/// Longest answer that is read, in bytes.
+const MAX_BODY: usize = 64 << 10;
+
+/// Body of an order.
+#[derive(Debug, Serialize)]
+struct Body<'a> {
+    fence: Fence,
+    seen: &'a [ModelId],
+    models: &'a [ModelId],
+    adapters: &'a [AdapterId],
+    role: Role,
+}
+
+/// Limits within which one order is sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Limits {
+    /// Latest time at which the order may begin.
+    pub(super) until: Time,
+    /// Longest time that it may take.
+    pub(super) timeout: Duration,
+}
+
+/// Gives an order, unless the lease no longer permits it.
+pub(super) async fn give(
+    connections: &Pool,
+    clock: Clock,
+    address: SocketAddr,
+    order: &Order,
+    limits: Limits,
+) -> Answer {
+    let Some(request) = request(order) else {
+        return Answer::Lapsed;
+    };
+    let address = CompactString::from(address.to_string());
+    let exchange = async {
+        if clock.now() > limits.until {
+            return Answer::Lapsed;
+        }
+        let Ok(response) = connections.send(&address, request, Reuse::Never).await else {
+            return Answer::Out;
+        };
+        let status = response.status();
+        // Reading the body to its end keeps the connection.
+        let _ = response.bytes(MAX_BODY).await;
+        answer(status)
+    };
+    time::timeout(limits.timeout, exchange)
+        .await
+        .unwrap_or(Answer::Out)
+}
+
+fn answer(status: StatusCode) -> Answer {
+    match status {
+        StatusCode::CONFLICT => Answer::Refused,
+        StatusCode::PRECONDITION_FAILED => Answer::Mismatch,
+        status if status.is_success() => Answer::Accepted,
+        _ => Answer::Out,
+    }
+}
+
+fn request(order: &Order) -> Option<Request> {
+    let body = Body {
+        fence: order.fence,
+        seen: &order.seen,
+        models: &order.models,
+        adapters: &order.adapters,
+        role: order.role,
+    };
+    let body = serde_json::to_vec(&body).ok()?;
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = "/orders".parse().ok()?;
+    Some(request)
+}
--- /dev/null
+++ b/godwithinge/src/planner/preview.rs
@@ -0,0 +1,102 @@
+//! Dry run: the orders that would be given if demand stayed as it is now.
+
+use super::{engine, model_settings};
+use crate::{
+    platform::{Client, Error},
+    settings::Settings,
+    target::Client as Targets,
+};
+use policy::{
+    host::Report,
+    id::{TargetId, Time},
+    placement::{Answer, Command, Event, Order, Placement},
+};
+use serde::Serialize;
+use std::{collections::BTreeMap, time::Duration};
+
+/// Time that a dry run looks ahead.
+const HORIZON: Duration = Duration::from_secs(3600);
+/// Time between two rounds of a dry run.
+const STEP: Duration = Duration::from_secs(1);
+
+/// An order that would be given.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Planned {
+    /// Time from now.
+    #[serde(rename = "after_ms", with = "policy::millis")]
+    pub after: Time,
+    /// The order.
+    #[serde(flatten)]
+    pub order: Order,
+}
+
+/// Returns the orders that a planner would give in the next hour if demand stayed as it is.
+///
+/// Engines that don't report are left out. Nothing is ordered.
+///
+/// # Errors
+///
+/// Fails if the host list can't be read.
+pub async fn preview(settings: &Settings) -> Result<Vec<Planned>, Error> {
+    let platform = &settings.platform;
+    let client = Client::new(platform.address.to_string(), platform.timeout);
+    let hosts = client.hosts().await?.hosts;
+    let engines = engine::from_hosts(&hosts, &settings.daemon.region, &settings.pools);
+    let targets = Targets::new();
+    let mut reports = BTreeMap::new();
+    for (target, reached) in &engines {
+        let address = reached.address.to_string();
+        let load = targets.load(&address, settings.planner.order_timeout);
+        if let Ok((report, _)) = load.await {
+            reports.insert(target.clone(), report);
+        }
+    }
+    let mut placement = Placement::new(model_settings(settings));
+    let engines = engines.into_values().map(|reached| reached.engine);
+    let engines = Event::Engines {
+        engines: engines.collect(),
+    };
+    placement.on(Time::ZERO, engines, &mut Vec::new());
+    Ok(play(&mut placement, reports))
+}
+
+/// Plays rounds in which each engine follows its orders at once.
+fn play(placement: &mut Placement, mut reports: BTreeMap<TargetId, Report>) -> Vec<Planned> {
+    let mut planned = Vec::new();
+    let mut now = Time::ZERO;
+    while now < HORIZON {
+        for (target, report) in &reports {
+            let (target, report) = (target.clone(), report.clone());
+            placement.on(now, Event::Report { target, report }, &mut Vec::new());
+        }
+        let (fenced, unfenced) = (Some(0), Some(0));
+        let mut commands = Vec::new();
+        placement.on(now, Event::Plan { fenced, unfenced }, &mut commands);
+        for Command::Order(order) in commands {
+            follow(&mut reports, &order);
+            let (target, order_number) = (order.target.clone(), order.number);
+            let answer = Event::Answer {
+                target,
+                order: order_number,
+                answer: Answer::Accepted,
+            };
+            placement.on(now, answer, &mut Vec::new());
+            planned.push(Planned { after: now, order });
+        }
+        now += STEP;
+    }
+    planned
+}
+
+fn follow(reports: &mut BTreeMap<TargetId, Report>, order: &Order) {
+    if let Some(report) = reports.get_mut(&order.target) {
+        report.age = Duration::ZERO;
+        report.models.clone_from(&order.models);
+        report.adapters.clone_from(&order.adapters);
+        report.role = order.role;
+        if order.role == policy::host::Role::Draining {
+            report.running = 0;
+            report.waiting = 0;
+        }
+    }
+}
