Shrink a target's limit by the wait for the first token

The limit followed the stretch of the whole service time over the pool's mean, which rises with the load, so under a burst it stayed at 4 and more for each of 7 entries at engines of width 4. An engine's wait shows in the time to the first token, which doesn't depend on the length of the answer. The limit now shrinks by a fifth when that wait is above a quarter of the mean service time and grows by one a round otherwise, down to 1.

The waste under the burst stays: requests are sent too close to their deadline.

--- a/policy/src/limit.rs
+++ b/policy/src/limit.rs
@@ -1,8 +1,8 @@
 //! Adaptive limit of the calls in flight at one target.
 //!
-//! The limit follows the gradient between the time that a call should take and the time that it
-//! took: while calls take no longer than expected, the limit grows by the root of itself, which
-//! keeps a short queue at the target; when they take longer, it shrinks in proportion.
+//! The limit grows by about one for each round of calls that did not wait at the target, and
+//! shrinks by a part when one did (additive increase, multiplicative decrease). It goes down to 1,
+//! since many entries may share a target.
 
 use crate::id::Time;
 use std::time::Duration;
@@ -10,20 +10,14 @@
 /// Limit of a target that has reported no width.
 const FIRST_LIMIT: f64 = 8.0;
 
-/// Stretch of the service time that is not held against a target.
-const TOLERANCE: f64 = 1.5;
-
-/// Smallest part of the limit that one sample leaves.
-const STEEPEST: f64 = 0.5;
-
-/// Weight of one sample.
-const GAIN: f64 = 0.2;
+/// Part of the limit that is left when a call had to wait at the target.
+const SHRINK: f64 = 0.8;
 
 /// Part of the limit that is left when a target answers that it is full.
 const BACK_OFF: f64 = 0.7;
 
-/// Time in which several answers of being full count once.
-const BACK_OFF_PAUSE: Duration = Duration::from_millis(100);
+/// Time in which several signs of being full count once.
+const PAUSE: Duration = Duration::from_millis(100);
 
 /// Multiple of the reported width that the limit never exceeds.
 const WIDEST: f64 = 2.0;
@@ -34,7 +28,7 @@
     value: f64,
     width: Option<u32>,
     ceiling: Option<u32>,
-    backed_off: Option<Time>,
+    shrunk: Option<Time>,
     cold: bool,
 }
 
@@ -45,7 +39,7 @@
             value: FIRST_LIMIT,
             width: None,
             ceiling: None,
-            backed_off: None,
+            shrunk: None,
             cold: false,
         }
     }
@@ -78,28 +72,24 @@
         }
     }
 
-    /// Takes in a call that took `stretch` times the expected time with `in_flight` others.
-    pub fn sample(&mut self, stretch: f64, in_flight: u32) {
-        let gradient = (TOLERANCE / stretch.max(f64::EPSILON)).clamp(STEEPEST, 1.0);
-        let goal = self.value * gradient + self.value.sqrt();
-        let grows = goal > self.value;
-        if grows && f64::from(in_flight) * 2.0 < self.value {
+    /// Takes in a call that did not wait at the target, with `in_flight` others.
+    pub fn grow(&mut self, in_flight: u32) {
+        if f64::from(in_flight) * 2.0 < self.value {
             return;
         }
-        let gain = if self.cold { 1.0 } else { GAIN };
-        self.value = (self.value + gain * (goal - self.value)).clamp(1.0, self.widest());
+        let step = if self.cold { 1.0 } else { 1.0 / self.value };
+        self.value = (self.value + step).min(self.widest());
         self.cold &= self.value < self.start();
     }
 
+    /// Takes in a call that had to wait at the target.
+    pub fn shrink(&mut self, now: Time) {
+        self.scale(now, SHRINK);
+    }
+
     /// Takes in that the target answered that it is full.
     pub fn back_off(&mut self, now: Time) {
-        let soon = self
-            .backed_off
-            .is_some_and(|before| now < before + BACK_OFF_PAUSE);
-        if !soon {
-            self.backed_off = Some(now);
-            self.value = (self.value * BACK_OFF).max(1.0);
-        }
+        self.scale(now, BACK_OFF);
     }
 
     /// Starts again from 1, for a target that comes back and has to warm up.
@@ -108,6 +98,13 @@
         self.cold = true;
     }
 
+    fn scale(&mut self, now: Time, factor: f64) {
+        if self.shrunk.is_none_or(|before| now >= before + PAUSE) {
+            self.shrunk = Some(now);
+            self.value = (self.value * factor).max(1.0);
+        }
+    }
+
     fn start(&self) -> f64 {
         self.width.map_or(FIRST_LIMIT, f64::from)
     }
--- a/policy/src/router/mod.rs
+++ b/policy/src/router/mod.rs
@@ -130,6 +130,8 @@
     started: Time,
     /// Expected seconds, unless nothing is known of the pool yet.
     expected: Option<f64>,
+    /// Expected seconds to the first part, of an engine that reported its rates.
+    prefill: Option<f64>,
     /// Whether a part of the result has come.
     progressed: bool,
 }
@@ -290,12 +292,14 @@
         };
         let known = self.is_known(index, need);
         let expected = known.then(|| self.expected(now, index, need));
+        let prefill = self.prefill(index, need);
         self.prefixes.sent(now, index, need.prefix);
         self.targets[index as usize].started(now, attempt, expected, need.alone);
         let call = Call {
             target: index,
             started: now,
             expected,
+            prefill,
             progressed: false,
         };
         self.running.insert(attempt, call);
@@ -306,11 +310,16 @@
         let Some(call) = self.running.get_mut(&attempt) else {
             return;
         };
-        let pool = &self.targets[call.target as usize].host.pool;
+        let target = &mut self.targets[call.target as usize];
         if !std::mem::replace(&mut call.progressed, true)
-            && let Some(pool) = self.pools.get_mut(pool)
+            && let Some(pool) = self.pools.get_mut(&target.host.pool)
         {
-            pool.first.add(now.saturating_sub(call.started));
+            let took = now.saturating_sub(call.started);
+            pool.first.add(took);
+            if let Some(prefill) = call.prefill {
+                let waited = took.as_secs_f64() - prefill;
+                target.waited(now, waited, pool.mean.get());
+            }
         }
     }
 
@@ -330,6 +339,7 @@
                 .expected
                 .map_or(usual, |expected| (took / expected).min(MAX_STRETCH)),
             usual,
+            waited: call.prefill.is_some(),
             verdict,
         };
         let ejected = target.ended(now, attempt, &end);
--- a/policy/src/router/score.rs
+++ b/policy/src/router/score.rs
@@ -96,11 +96,17 @@
             return None;
         }
         let decode = f64::from(need.tokens) / report.tokens_per_second;
-        if report.prefill_per_second <= 0.0 || need.prefix.is_empty() {
-            return Some(decode);
+        Some(decode + self.prefill(index, need).unwrap_or(0.0))
+    }
+
+    /// Returns the seconds that an engine reads the prompt, if it reported its rate.
+    pub(super) fn prefill(&self, index: u32, need: &Need<'_>) -> Option<f64> {
+        let rate = self.targets[index as usize].report.prefill_per_second;
+        if rate <= 0.0 {
+            return None;
         }
         let missing = need.prefix.len() as f64 - self.prefixes.held(index, need.prefix);
-        Some(decode + missing * BLOCK_TOKENS / report.prefill_per_second)
+        Some(missing * BLOCK_TOKENS / rate)
     }
 
     fn penalty(&self, now: Time, target: &Target, pool: &Member) -> f64 {
--- a/policy/src/router/target.rs
+++ b/policy/src/router/target.rs
@@ -29,6 +29,12 @@
 /// Share of its width by which a target may be overbooked, so that it never idles between reports.
 const OVERBOOKING: f64 = 0.25;
 
+/// Stretch of the service time, over that of the pool, that shows a wait at the target.
+const TOLERANCE: f64 = 2.0;
+
+/// Share of the mean service time that a call may wait for its first part.
+const LONG_WAIT: f64 = 0.25;
+
 /// Longest stretch of a service time that is told apart.
 pub(super) const MAX_STRETCH: f64 = 100.0;
 
@@ -62,6 +68,8 @@
     pub stretch: f64,
     /// The same figure for the whole pool.
     pub usual: f64,
+    /// Whether the wait at the target was told by the time to the first part.
+    pub waited: bool,
     pub verdict: Verdict,
 }
 
@@ -202,13 +210,16 @@
             stretch,
             usual,
             verdict,
+            ..
         } = *end;
         let in_flight = self.in_flight;
         self.remove(attempt);
         match verdict {
             Verdict::Done => {
                 self.set_stretch(now, stretch, usual);
-                self.limit.sample(stretch / usual.min(1.0), in_flight);
+                if !end.waited {
+                    self.set_limit(now, stretch > usual * TOLERANCE, in_flight);
+                }
                 if self.health.succeeded() {
                     self.limit.restart();
                 }
@@ -229,6 +240,22 @@
         }
     }
 
+    /// Takes in how long a call waited at the target, where calls take `mean` seconds.
+    pub fn waited(&mut self, now: Time, seconds: f64, mean: Option<f64>) {
+        if let Some(mean) = mean {
+            let in_flight = self.in_flight;
+            self.set_limit(now, seconds > mean * LONG_WAIT, in_flight);
+        }
+    }
+
+    fn set_limit(&mut self, now: Time, full: bool, in_flight: u32) {
+        if full {
+            self.limit.shrink(now);
+        } else {
+            self.limit.grow(in_flight);
+        }
+    }
+
     fn is_warm(&self, pool: &Pool) -> bool {
         pool.kind == Kind::Service
             || pool.model.is_empty()
