--- a/standin/src/load/measure.rs
+++ b/standin/src/load/measure.rs
@@ -17,7 +17,7 @@
     pub offered: u64,
     /// Share of those that were answered in full within their deadline.
     pub attainment: f64,
-    /// Share that an ideal scheduler with the same engines could answer so, as an upper bound.
+    /// Share that one queue before all healthy engines, with known sizes, could answer so.
     pub carriable: f64,
     /// Requests by how they ended.
     pub endings: BTreeMap<CompactString, u64>,
--- a/standin/src/load/run.rs
+++ b/standin/src/load/run.rs
@@ -85,8 +85,10 @@
     answers
 }
 
-/// Returns the share of requests that the healthy engines could answer in time if all their
-/// places formed one queue, in order of deadline, that leaves out what would be late.
+/// Returns the share of requests that the healthy engines could answer in time if one queue in
+/// order of arrival stood before all their places, and left out what it knows would be late.
+///
+/// No bound in the strict sense: to serve short requests first could carry a few more.
 fn carriable(plan: &Plan, arrivals: &[Arrival]) -> f64 {
     let places: usize = plan
         .deployment
