--- a/standin/src/load/caller.rs
+++ b/standin/src/load/caller.rs
@@ -99,7 +99,7 @@
     pub first: Option<Duration>,
     /// Times between parts.
     pub gaps: Vec<Duration>,
-    /// Times from a send to its refusal.
+    /// Times from a send to a refusal that asks to send again later.
     pub refusals: Vec<Duration>,
     /// How often the request was sent.
     pub sends: u32,
@@ -176,7 +176,7 @@
             let limit = attempt.deadline + GRACE;
             match timeout_at(limit, self.send(*entry, &mut attempt)).await {
                 Ok(Some(found)) => {
-                    let refused = found.outcome.as_deref() == Some("not_run");
+                    let refused = found.is_refusal();
                     let wait = found.retry_after_ms.unwrap_or(0);
                     outcome = Some(found);
                     if !refused {
--- a/standin/src/load/measure.rs
+++ b/standin/src/load/measure.rs
@@ -35,7 +35,7 @@
     pub first_token_ms: Quantiles,
     /// Milliseconds between parts.
     pub gap_ms: Quantiles,
-    /// Milliseconds from a send to its refusal.
+    /// Milliseconds from a send to a refusal that asks to send again later.
     pub refusal_ms: Quantiles,
     /// Cost by stage.
     pub stages: BTreeMap<CompactString, Cost>,
--- a/standin/src/load/stream.rs
+++ b/standin/src/load/stream.rs
@@ -19,6 +19,17 @@
     pub(super) error_code: Option<CompactString>,
 }
 
+impl Final {
+    /// Returns whether the caller is asked to send again later.
+    pub(super) fn is_refusal(&self) -> bool {
+        match self.outcome.as_deref() {
+            Some("not_run") => true,
+            Some("failed") => self.retry_after_ms.is_some(),
+            _ => false,
+        }
+    }
+}
+
 /// Parts that have come so far, also over earlier connections.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Parts {
