--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -6,11 +6,14 @@
 //! each run.
 
 pub mod budget;
+pub mod ceiling;
 pub mod chart;
 pub mod claim;
 pub mod command;
 pub mod decision;
+pub mod directory;
 pub mod entry;
+pub mod estimate;
 pub mod event;
 pub mod fault;
 pub mod hash;
@@ -18,6 +21,8 @@
 pub mod id;
 pub mod input;
 pub mod lease;
+pub mod limit;
+pub mod member;
 pub mod millis;
 pub mod outcome;
 pub mod placement;
