Delete claims that are older than the retention

Each workspace is swept by one entry, 64 rows a page; rows hold no time, so commit numbers are marked with the time at which they were the newest. The settings refuse a retention shorter than the longest call of a pool with effects.

--- a/godwithinge/src/entry/mod.rs
+++ b/godwithinge/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod poll;
 mod ring;
 mod state;
+mod sweep;
 mod ticket;
 
 pub use self::{
@@ -95,6 +96,7 @@
         tasks.spawn(poll::sweep(daemon.clone()));
         tasks.spawn(directory::run(daemon.clone()));
         tasks.spawn(settler.run(daemon.clone()));
+        tasks.spawn(sweep::run(daemon.clone()));
         tracing::info!(
             host = %shared.settings.daemon.host,
             domain = %shared.settings.daemon.domain,
--- a/godwithinge/src/settings/mod.rs
+++ b/godwithinge/src/settings/mod.rs
@@ -132,9 +132,9 @@
         let daemon = read_daemon(&mut reader);
         let platform = read_platform(&mut reader);
         let peers = read_peers(&mut reader);
-        let entry = read_entry(&mut reader);
         let planner = planner::read(&mut reader);
         let pools = pool::read_all(&mut reader);
+        let entry = read_entry(&mut reader, longest_claim(&pools));
         let errors = reader.finish();
         match (daemon, platform, peers, entry, planner) {
             (Some(daemon), Some(platform), Some(peers), Some(entry), Some(planner))
@@ -200,7 +200,7 @@
     Some(Peers { seeds: seeds? })
 }
 
-fn read_entry(reader: &mut Reader) -> Option<Entry> {
+fn read_entry(reader: &mut Reader, longest_claim: Duration) -> Option<Entry> {
     let mut section = reader.section("entry");
     let queue = section.count("queue", 1..=MAX_QUEUE);
     let rule = section.parse("rule", RULES, |text| text.parse().ok());
@@ -210,7 +210,7 @@
     let hosts_poll = time(&mut section, "hosts_poll");
     let table_poll = time(&mut section, "table_poll");
     let load_poll = time(&mut section, "load_poll");
-    let claim_retention = section.duration("claim_retention", MIN_TIME..=MAX_KEPT);
+    let claim_retention = section.duration("claim_retention", longest_claim..=MAX_KEPT);
     Some(Entry {
         queue: queue?,
         rule: rule?,
@@ -224,6 +224,14 @@
     })
 }
 
+/// Returns the longest time that a call may take whose claim must be kept meanwhile.
+fn longest_claim(pools: &[Pool]) -> Duration {
+    let claimed = pools.iter().filter(|pool| !pool.idempotent);
+    claimed
+        .map(|pool| pool.timeout)
+        .fold(MIN_TIME, Duration::max)
+}
+
 fn time(section: &mut Section<'_>, key: &'static str) -> Option<Duration> {
     section.duration(key, MIN_TIME..=MAX_TIME)
 }
--- a/godwithinge/tests/process/common/bench.rs
+++ b/godwithinge/tests/process/common/bench.rs
@@ -80,8 +80,16 @@
 
     /// Starts an entry daemon.
     pub fn start_entry(&self, host: &str) -> Entry {
+        self.start_entry_with(host, "")
+    }
+
+    /// Starts an entry daemon with further lines in its section `entry`.
+    pub fn start_entry_with(&self, host: &str, lines: &str) -> Entry {
         let file = self.folder.join(format!("{host}.ini"));
-        fs::write(&file, self.settings(host)).expect("settings can be written");
+        let settings = self
+            .settings(host)
+            .replace("[entry]\n", &format!("[entry]\n{lines}\n"));
+        fs::write(&file, settings).expect("settings can be written");
         Entry::start(&file)
     }
 
--- a/policy/src/claim.rs
+++ b/policy/src/claim.rs
@@ -3,7 +3,7 @@
 //! A claim is a row of the platform's table service, inserted under the condition that it is
 //! absent. It never lapses: whoever inserted it is the only one who may ever send that call.
 
-use crate::id::{AttemptId, BlockHash, Key, Payload, StageIndex, TargetId};
+use crate::id::{AttemptId, BlockHash, Key, Payload, StageIndex, TargetId, WorkspaceId};
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
@@ -86,7 +86,6 @@
 /// Parts are escaped so that no two requests share a key.
 #[must_use]
 pub fn row_key(key: &Key, stage: StageIndex) -> CompactString {
-    let escape = |text: &str| text.replace('%', "%25").replace('/', "%2F");
     format_compact!(
         "{}/{}/{}/{stage}",
         escape(&key.workspace),
@@ -94,3 +93,13 @@
         escape(&key.request)
     )
 }
+
+/// Returns what the keys of all claim rows of a workspace begin with.
+#[must_use]
+pub fn workspace_prefix(workspace: &WorkspaceId) -> CompactString {
+    format_compact!("{}/", escape(workspace))
+}
+
+fn escape(text: &str) -> String {
+    text.replace('%', "%25").replace('/', "%2F")
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod pool;
 pub mod queue;
 pub mod router;
+pub mod sweep;
 pub mod table;
 
 pub use crate::{command::Command, event::Event, outcome::Outcome, table::Table};
