Repeat a suspect payload outside the domain where its target died

A lost failure domain ends several targets within moments. A suspect now goes to another failure domain if one has room. A payload that really kills still costs two targets at most.

--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -269,10 +269,32 @@
     fn choose(&mut self, turn: &Turn<'_>, request: &Request) -> Result<Pick, Shortage> {
         let prefix = self.prefix(request);
         let avoid = request.avoided();
+        if let Some(pick) = self.choose_elsewhere(turn, request, &prefix) {
+            return Ok(pick);
+        }
         let need = self.need(request, &prefix, &avoid);
         self.router.choose(turn.now, &need, &mut self.rng)
     }
 
+    /// Chooses a target for a suspect payload outside the failure domains where targets died.
+    ///
+    /// A lost domain ends several targets within moments; a second death there would put an
+    /// innocent payload into quarantine.
+    fn choose_elsewhere(
+        &mut self,
+        turn: &Turn<'_>,
+        request: &Request,
+        prefix: &[BlockHash],
+    ) -> Option<Pick> {
+        if request.spent.is_empty() || !self.is_suspect(request) {
+            return None;
+        }
+        let mut avoid = self.router.beside(&request.spent);
+        avoid.extend(request.avoided());
+        let need = self.need(request, prefix, &avoid);
+        self.router.choose(turn.now, &need, &mut self.rng).ok()
+    }
+
     fn need<'a>(
         &self,
         request: &'a Request,
--- a/policy/src/router/mod.rs
+++ b/policy/src/router/mod.rs
@@ -223,6 +223,20 @@
         target.listed.then_some(&target.host.address)
     }
 
+    /// Returns all targets of the pools and failure domains of some targets.
+    pub fn beside(&self, targets: &[TargetId]) -> Vec<TargetId> {
+        let known: Vec<_> = targets
+            .iter()
+            .filter_map(|name| self.target(name))
+            .map(|target| (&target.host.pool, &target.host.domain))
+            .collect();
+        self.targets
+            .iter()
+            .filter(|target| known.contains(&(&target.host.pool, &target.host.domain)))
+            .map(|target| target.host.target.clone())
+            .collect()
+    }
+
     /// Returns the targets of `pool` that this entry works with now.
     pub fn subset(&self, pool: &PoolId) -> impl Iterator<Item = &TargetId> {
         self.pools
--- a/policy/tests/regression/main.rs
+++ b/policy/tests/regression/main.rs
@@ -4,3 +4,4 @@
 mod fixture;
 
 mod attach_keeps_retry;
+mod lost_domain_quarantines_no_one;
