Give up a request earlier where others wait for its room

Under the burst the queue is served just before its deadlines, and a request was sent as long as a tenth of all calls would end in the time left: 30 of 218 engine-seconds went into answers that came too late. While others wait for the room, a request now needs the time in which eight of ten calls end.

--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -28,6 +28,9 @@
 /// Quantile of a stage's time that a request must still have left to be worth a call.
 const FEASIBLE_QUANTILE: f64 = 0.1;
 
+/// The same quantile when other stages wait for the room that the call would take.
+const CONTENDED_QUANTILE: f64 = 0.8;
+
 /// Quantile of a stage's time after which its attempt is doubled.
 const HEDGE_QUANTILE: f64 = 0.95;
 
@@ -119,7 +122,9 @@
             self.give_up(turn, request, Reason::Leaving);
         } else if request.marks().any(|mark| self.is_quarantined(mark)) {
             self.quarantine(turn, request);
-        } else if turn.now + self.wait(request) + self.work_left(request) > request.deadline {
+        } else if turn.now + self.wait(request) + self.work_left(request, FEASIBLE_QUANTILE)
+            > request.deadline
+        {
             self.give_up(turn, request, Reason::Infeasible);
         } else {
             self.enter_stage(turn, request);
@@ -220,7 +225,7 @@
 
     /// Sends the current stage to a target or gives it up; `false` leaves it in the queue.
     fn place(&mut self, turn: &mut Turn<'_>, request: &mut Request) -> bool {
-        if turn.now + self.work_left(request) > request.deadline {
+        if turn.now + self.work_left(request, self.feasible(request)) > request.deadline {
             self.give_up(turn, request, Reason::Infeasible);
             return true;
         }
@@ -510,11 +515,24 @@
         }
     }
 
-    /// Returns the least time that the rest of the pipeline takes.
-    pub(super) fn work_left(&self, request: &Request) -> Duration {
+    /// Returns the quantile of a stage's time that a request must still have left.
+    ///
+    /// A call that is likely to end too late is worth trying only if no other stage waits for
+    /// the room.
+    fn feasible(&self, request: &Request) -> f64 {
+        let lane = self.lanes.get(request.pool());
+        if lane.is_none_or(|lane| lane.queue.is_empty()) {
+            FEASIBLE_QUANTILE
+        } else {
+            CONTENDED_QUANTILE
+        }
+    }
+
+    /// Returns the time that the rest of the pipeline takes, at `quantile` of each stage.
+    pub(super) fn work_left(&self, request: &Request, quantile: f64) -> Duration {
         request.stages[request.stage()..]
             .iter()
-            .filter_map(|pool| self.router.quantile(pool, FEASIBLE_QUANTILE))
+            .filter_map(|pool| self.router.quantile(pool, quantile))
             .sum()
     }
 
