--- a/standin/src/load/measure.rs
+++ b/standin/src/load/measure.rs
@@ -17,7 +17,7 @@
     pub offered: u64,
     /// Share of those that were answered in full within their deadline.
     pub attainment: f64,
-    /// Share that an ideal scheduler with the same engines could answer so, as an upper bound.
+    /// Share that one queue before all healthy engines, with known sizes, could answer so.
     pub carriable: f64,
     /// Requests by how they ended.
     pub endings: BTreeMap<CompactString, u64>,
@@ -35,7 +35,7 @@
     pub first_token_ms: Quantiles,
     /// Milliseconds between parts.
     pub gap_ms: Quantiles,
-    /// Milliseconds from a send to its refusal.
+    /// Milliseconds from a send to a refusal that asks to send again later.
     pub refusal_ms: Quantiles,
     /// Cost by stage.
     pub stages: BTreeMap<CompactString, Cost>,
