--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -29,7 +29,7 @@
 const FEASIBLE_QUANTILE: f64 = 0.1;
 
 /// The same quantile when other stages wait for the room that the call would take.
-const CONTENDED_QUANTILE: f64 = 0.8;
+const CONTENDED_QUANTILE: f64 = 0.95;
 
 /// Quantile of a stage's time after which its attempt is doubled.
 const HEDGE_QUANTILE: f64 = 0.95;
