Measure slopes of cost by size with gwi-load slopes

Real daemons before a byte-counting relay and stub targets; processor time and memory as the kernel counts them; least squares through repeated points.

--- a/standin/src/bin/gwi-load.rs
+++ b/standin/src/bin/gwi-load.rs
@@ -5,6 +5,7 @@
 use standin::{
     fleet::Name,
     load::{self, Bar, Plan, Report, Rule, Scenario},
+    slopes::{self, Slope},
 };
 use std::{
     env, fmt, fs, io,
@@ -26,10 +27,17 @@
 /// Measured length of a run, unless set.
 const SPAN: Duration = Duration::from_secs(24);
 
+/// Times that each point of a slope is measured, unless set.
+const REPEATS: usize = 3;
+
+/// Seconds over which the rates of a slope are measured, unless set.
+const SLOPE_SECONDS: u64 = 5;
+
 mod flags {
     use standin::{
         fleet::Name,
         load::{Rule, Scenario},
+        slopes::Name as Measurement,
     };
     use std::path::PathBuf;
 
@@ -69,6 +77,22 @@
                 repeated --set line: String
             }
 
+            /// Measures how costs grow with one size; prints one JSON line for each slope.
+            cmd slopes {
+                /// Measurements, as targets, workspaces or claims; all if none is named.
+                repeated names: Measurement
+                /// Times that each point is measured; 3 unless set.
+                optional --repeat count: usize
+                /// Seconds over which rates are measured; 5 unless set.
+                optional --seconds seconds: u64
+                /// Folder of the daemons' programs; that of this program unless set.
+                optional --programs folder: PathBuf
+                /// Folder for the daemons' settings and logs.
+                optional --folder folder: PathBuf
+                /// Print JSON lines; the default prints a Markdown table.
+                optional --json
+            }
+
             /// Prints a Markdown table of reports, read as JSON lines from files.
             cmd table {
                 /// Files of reports.
@@ -97,6 +121,8 @@
     Io(PathBuf, io::Error),
     /// A file doesn't hold reports.
     Report(PathBuf, serde_json::Error),
+    /// A slope can't be measured.
+    Slope(slopes::Error),
     /// The chart can't be written.
     Plot(PathBuf),
 }
@@ -107,6 +133,7 @@
             Self::Load(error) => error.fmt(f),
             Self::Io(path, error) => write!(f, "{}: {error}", path.display()),
             Self::Report(path, error) => write!(f, "{}: no report: {error}", path.display()),
+            Self::Slope(error) => error.fmt(f),
             Self::Plot(path) => write!(f, "{}: the chart can't be written", path.display()),
         }
     }
@@ -129,6 +156,7 @@
         _ if flags.version => print_version(),
         flags::GwiLoadCmd::Version(_) => print_version(),
         flags::GwiLoadCmd::Run(flags) => measure(flags).await?,
+        flags::GwiLoadCmd::Slopes(flags) => measure_slopes(flags).await?,
         flags::GwiLoadCmd::Table(flags) => print_table(&read(&flags.files)?),
         flags::GwiLoadCmd::Plot(flags) => draw(&flags)?,
     }
@@ -188,6 +216,41 @@
     Ok(report.with_spread())
 }
 
+async fn measure_slopes(flags: flags::Slopes) -> Result<(), Error> {
+    let names = match flags.names.as_slice() {
+        [] => slopes::Name::iter().collect(),
+        named => named.to_vec(),
+    };
+    let programs = flags.programs.unwrap_or_else(|| {
+        let own = beside();
+        own.parent().map(Path::to_owned).unwrap_or_default()
+    });
+    let settings = slopes::Settings {
+        place: slopes::Place {
+            programs,
+            folder: flags.folder.unwrap_or_else(scratch),
+        },
+        repeats: flags.repeat.unwrap_or(REPEATS),
+        seconds: flags.seconds.unwrap_or(SLOPE_SECONDS),
+    };
+    if !flags.json {
+        println!("{}", Slope::table_head());
+    }
+    for name in names {
+        for slope in slopes::measure(name, &settings)
+            .await
+            .map_err(Error::Slope)?
+        {
+            if flags.json {
+                println!("{}", serde_json::json!(slope));
+            } else {
+                println!("{}", slope.table_row());
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Returns the path of `gwi-entry` beside this program.
 fn beside() -> PathBuf {
     let own = env::current_exe().unwrap_or_default();
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod rate;
 pub mod run;
 pub mod service;
+pub mod slopes;
