Count the leases that the cut holder lost against those that it gained

Cause: on a machine with a load of 19 the holder lost its lease once before the cut and gained it again, and the test wanted exactly one loss. Ruled out: an order after the cut (the engines were untouched). The new check is that every lease that was gained is lost in the end, the last one included.

--- a/godwithinge/tests/planner.rs
+++ b/godwithinge/tests/planner.rs
@@ -260,7 +260,10 @@
     cut.store(false, Ordering::SeqCst);
 
     world.assert_untouched().await;
-    assert_eq!(old.logged("lease lost").len(), 1);
+    // A busy machine may have cost the holder its lease before the cut; it is lost for good after it.
+    let lost = old.logged("lease lost").len();
+    assert!(lost >= 1);
+    assert_eq!(lost, old.logged("lease gained").len());
 }
 
 #[rstest]
