--- a/policy/src/chart/mod.rs
+++ b/policy/src/chart/mod.rs
@@ -28,6 +28,23 @@
 {
 }
 
+/// Declares an enum whose variants a chart names in snake case.
+macro_rules! names {
+    ($(#[$doc:meta])* $name:ident { $($(#[$variant_doc:meta])* $variant:ident),* $(,)? }) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Eq, Hash, PartialEq, strum::Display, strum::EnumIter,
+            strum::EnumString, strum::IntoStaticStr, strum::VariantNames,
+        )]
+        #[strum(serialize_all = "snake_case")]
+        pub enum $name {
+            $($(#[$variant_doc])* $variant),*
+        }
+    };
+}
+
+pub(crate) use names;
+
 /// A state chart over the states `S` and the steps `E`.
 #[derive(Clone, Debug)]
 pub struct Chart<S, E> {
--- a/policy/src/entry/state.rs
+++ b/policy/src/entry/state.rs
@@ -1,22 +1,7 @@
 //! States of requests, attempts and the daemon, as their charts give them.
 
-use crate::chart::Chart;
+use crate::chart::{Chart, names};
 use std::sync::LazyLock;
-use strum::{Display, EnumIter, EnumString, IntoStaticStr, VariantNames};
-
-macro_rules! names {
-    ($(#[$doc:meta])* $name:ident { $($(#[$variant_doc:meta])* $variant:ident),* $(,)? }) => {
-        $(#[$doc])*
-        #[derive(
-            Clone, Copy, Debug, Display, EnumIter, EnumString, Eq, Hash, IntoStaticStr, PartialEq,
-            VariantNames,
-        )]
-        #[strum(serialize_all = "snake_case")]
-        pub enum $name {
-            $($(#[$variant_doc])* $variant),*
-        }
-    };
-}
 
 names! {
     /// State of a request.
--- a/policy/src/lease/mod.rs
+++ b/policy/src/lease/mod.rs
@@ -13,7 +13,6 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
-use strum::{Display, EnumIter, EnumString, IntoStaticStr, VariantNames};
 
 /// Text of the chart that a lease follows.
 pub const CHART: &str = include_str!("../../charts/lease.toml");
@@ -109,68 +108,44 @@
     },
 }
 
-/// State of a lease, as in its chart.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Display,
-    EnumIter,
-    EnumString,
-    Eq,
-    Hash,
-    IntoStaticStr,
-    PartialEq,
-    VariantNames,
-)]
-#[strum(serialize_all = "snake_case")]
-pub enum State {
-    /// Another planner may hold the lease.
-    Watching,
-    /// The lease is being taken over.
-    Taking,
-    /// It is unknown whether the lease was taken over.
-    Checking,
-    /// The lease is held.
-    Holding,
-    /// The lease is held and being renewed.
-    Renewing,
-    /// The lease is held, and it is unknown whether it was renewed.
-    Confirming,
-    /// The planner is about to end.
-    Released,
+names! {
+    /// State of a lease, as in its chart.
+    State {
+        /// Another planner may hold the lease.
+        Watching,
+        /// The lease is being taken over.
+        Taking,
+        /// It is unknown whether the lease was taken over.
+        Checking,
+        /// The lease is held.
+        Holding,
+        /// The lease is held and being renewed.
+        Renewing,
+        /// The lease is held, and it is unknown whether it was renewed.
+        Confirming,
+        /// The planner is about to end.
+        Released,
+    }
 }
 
-/// Step from one state to another, as in the chart.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Display,
-    EnumIter,
-    EnumString,
-    Eq,
-    Hash,
-    IntoStaticStr,
-    PartialEq,
-    VariantNames,
-)]
-#[strum(serialize_all = "snake_case")]
-pub enum Step {
-    /// The lease is free and gets written.
-    Take,
-    /// The lease is due for renewal and gets written.
-    Renew,
-    /// The row of this planner stands.
-    Confirm,
-    /// The row of this planner does not stand.
-    Refuse,
-    /// It is unknown which row stands.
-    Doubt,
-    /// The time of the lease has passed.
-    Lapse,
-    /// The planner is about to end.
-    Release,
+names! {
+    /// Step from one state to another, as in the chart.
+    Step {
+        /// The lease is free and gets written.
+        Take,
+        /// The lease is due for renewal and gets written.
+        Renew,
+        /// The row of this planner stands.
+        Confirm,
+        /// The row of this planner does not stand.
+        Refuse,
+        /// It is unknown which row stands.
+        Doubt,
+        /// The time of the lease has passed.
+        Lapse,
+        /// The planner is about to end.
+        Release,
+    }
 }
 
 /// A row of another holder, and since when it has stood unchanged.
--- a/policy/src/placement/engine.rs
+++ b/policy/src/placement/engine.rs
@@ -2,13 +2,12 @@
 
 use super::{Answer, Order, Settings};
 use crate::{
-    chart::Chart,
+    chart::{Chart, names},
     host::{Report, Role},
     id::{AdapterId, ModelId, TargetId, Time},
 };
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, time::Duration};
-use strum::{Display, EnumIter, EnumString, IntoStaticStr, VariantNames};
 
 /// Text of the chart that the knowledge of an engine follows.
 pub const CHART: &str = include_str!("../../charts/engine.toml");
@@ -24,56 +23,32 @@
     pub models: Vec<ModelId>,
 }
 
-/// State of the knowledge of an engine, as in its chart.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Display,
-    EnumIter,
-    EnumString,
-    Eq,
-    Hash,
-    IntoStaticStr,
-    PartialEq,
-    VariantNames,
-)]
-#[strum(serialize_all = "snake_case")]
-pub enum State {
-    /// It is unknown what the engine holds.
-    Unknown,
-    /// The engine holds what its last report says.
-    Settled,
-    /// An order is under way.
-    Ordering,
-    /// The engine applies an order.
-    Applying,
+names! {
+    /// State of the knowledge of an engine, as in its chart.
+    State {
+        /// It is unknown what the engine holds.
+        Unknown,
+        /// The engine holds what its last report says.
+        Settled,
+        /// An order is under way.
+        Ordering,
+        /// The engine applies an order.
+        Applying,
+    }
 }
 
-/// Step from one state to another, as in the chart.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Display,
-    EnumIter,
-    EnumString,
-    Eq,
-    Hash,
-    IntoStaticStr,
-    PartialEq,
-    VariantNames,
-)]
-#[strum(serialize_all = "snake_case")]
-pub enum Step {
-    /// A report tells what the engine holds.
-    Report,
-    /// An order goes out.
-    Order,
-    /// The engine accepted the order.
-    Accept,
-    /// It is unknown whether the order has taken or will take effect.
-    Doubt,
+names! {
+    /// Step from one state to another, as in the chart.
+    Step {
+        /// A report tells what the engine holds.
+        Report,
+        /// An order goes out.
+        Order,
+        /// The engine accepted the order.
+        Accept,
+        /// It is unknown whether the order has taken or will take effect.
+        Doubt,
+    }
 }
 
 /// What the planner knows of one engine.
