--- a/policy/src/lease/mod.rs
+++ b/policy/src/lease/mod.rs
@@ -9,7 +9,11 @@
 
 pub use self::row::{Fence, Row};
 
-use crate::{chart::Chart, claim::Version, id::Time};
+use crate::{
+    chart::{Chart, names},
+    claim::Version,
+    id::Time,
+};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
