Count the queues of all later stages at the door

Admission counted the queue of the first stage's pool alone. Under a burst all refusals came after three stages had run, most of them at the deadline. It now adds the work that goes before the request in each later queue, by the shares of the workspaces that wait, and a waiting stage is given up when it becomes infeasible instead of when it comes to the front.

The regression test fails without it.

--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -25,12 +25,6 @@
 /// Stages that can't be placed now and are passed over to look at later ones.
 const PASSED_OVER: usize = 8;
 
-/// Quantile of a stage's time that a request must still have left to be worth a call.
-const FEASIBLE_QUANTILE: f64 = 0.1;
-
-/// The same quantile when other stages wait for the room that the call would take.
-const CONTENDED_QUANTILE: f64 = 0.8;
-
 /// Quantile of a stage's time after which its attempt is doubled.
 const HEDGE_QUANTILE: f64 = 0.95;
 
@@ -122,9 +116,7 @@
             self.give_up(turn, request, Reason::Leaving);
         } else if request.marks().any(|mark| self.is_quarantined(mark)) {
             self.quarantine(turn, request);
-        } else if turn.now + self.wait(request) + self.work_left(request, FEASIBLE_QUANTILE)
-            > request.deadline
-        {
+        } else if turn.now + self.time_left(request) > request.deadline {
             self.give_up(turn, request, Reason::Infeasible);
         } else {
             self.enter_stage(turn, request);
@@ -204,6 +196,7 @@
 
     /// Places waiting stages of a pool for as long as there is room.
     pub(super) fn pump(&mut self, turn: &mut Turn<'_>, pool: &PoolId) {
+        self.drop_infeasible(turn, pool);
         let mut passed = Vec::new();
         while passed.len() < PASSED_OVER {
             let Some(item) = self.lanes.get_mut(pool).and_then(|lane| lane.queue.pop()) else {
@@ -236,7 +229,7 @@
 
     /// Sends the current stage to a target or gives it up; `false` leaves it in the queue.
     fn place(&mut self, turn: &mut Turn<'_>, request: &mut Request) -> bool {
-        if turn.now + self.work_left(request, self.feasible(request)) > request.deadline {
+        if !self.is_feasible(turn.now, request) {
             self.give_up(turn, request, Reason::Infeasible);
             return true;
         }
@@ -547,37 +540,6 @@
             attempt.step(AttemptStep::End);
         }
     }
-
-    /// Returns the quantile of a stage's time that a request must still have left.
-    ///
-    /// A call that is likely to end too late is worth trying only if no other stage waits for
-    /// the room.
-    fn feasible(&self, request: &Request) -> f64 {
-        let lane = self.lanes.get(request.pool());
-        if lane.is_none_or(|lane| lane.queue.is_empty()) {
-            FEASIBLE_QUANTILE
-        } else {
-            CONTENDED_QUANTILE
-        }
-    }
-
-    /// Returns the time that the rest of the pipeline takes, at `quantile` of each stage.
-    pub(super) fn work_left(&self, request: &Request, quantile: f64) -> Duration {
-        request.stages[request.stage()..]
-            .iter()
-            .filter_map(|pool| self.router.quantile(pool, quantile))
-            .sum()
-    }
-
-    /// Returns the time that the current stage is expected to wait in the queue.
-    pub(super) fn wait(&self, request: &Request) -> Duration {
-        let pool = request.pool();
-        let backlog = self
-            .lanes
-            .get(pool)
-            .map_or(0.0, |lane| lane.queue.backlog(request.priority));
-        Duration::from_secs_f64(backlog / f64::from(self.router.width(pool).max(1)))
-    }
 }
 
 fn stages(pipeline: &Pipeline) -> Option<Arc<[PoolId]>> {
--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -6,6 +6,7 @@
 
 mod claims;
 mod faults;
+mod feasible;
 mod finish;
 mod flow;
 mod isolation;
--- a/policy/src/queue/level.rs
+++ b/policy/src/queue/level.rs
@@ -29,6 +29,8 @@
     /// Virtual time of the workspace that was served last.
     served: f64,
     cost: f64,
+    /// Shares of the workspaces with waiting items.
+    shares: f64,
 }
 
 /// Waiting items of one workspace.
@@ -58,6 +60,15 @@
         self.cost
     }
 
+    /// Returns the work that goes before a new item of `workspace`, in target seconds.
+    ///
+    /// For each item of its own, the other workspaces get theirs in proportion to their shares.
+    pub fn ahead(&self, workspace: &WorkspaceId) -> f64 {
+        self.flows.get(workspace).map_or(0.0, |flow| {
+            (flow.cost * self.shares / flow.share).min(self.cost)
+        })
+    }
+
     /// Returns how many items of `workspace` wait.
     pub fn count(&self, workspace: &WorkspaceId) -> usize {
         self.flows.get(workspace).map_or(0, |flow| flow.items.len())
@@ -100,6 +111,7 @@
         });
         if self.is_empty() {
             self.cost = 0.0;
+            self.shares = 0.0;
         }
         self.drop_idle();
     }
@@ -135,6 +147,7 @@
         if !flow.items.is_empty() {
             self.turns.remove(&(Measure(flow.start), workspace.clone()));
             self.loads.remove(&(flow.load, workspace.clone()));
+            self.shares -= flow.share;
         }
         change(flow);
         if flow.items.is_empty() {
@@ -143,6 +156,7 @@
             flow.load = Measure(flow.cost / flow.share);
             self.turns.insert((Measure(flow.start), workspace.clone()));
             self.loads.insert((flow.load, workspace.clone()));
+            self.shares += flow.share;
         }
     }
 
--- a/policy/src/queue/mod.rs
+++ b/policy/src/queue/mod.rs
@@ -14,6 +14,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap},
+    ops::Bound,
 };
 
 /// One waiting stage of a request.
@@ -164,6 +165,19 @@
             .sum()
     }
 
+    /// Returns the work that goes before a new item of `workspace` and `priority`, in target
+    /// seconds.
+    pub fn ahead(&self, workspace: &WorkspaceId, priority: i32) -> f64 {
+        let higher = (Bound::Unbounded, Bound::Excluded(Reverse(priority)));
+        let higher: f64 = self
+            .levels
+            .range(higher)
+            .map(|(_, level)| level.cost())
+            .sum();
+        let level = self.levels.get(&Reverse(priority));
+        higher + level.map_or(0.0, |level| level.ahead(workspace))
+    }
+
     fn insert(&mut self, number: i64, item: Item) {
         if self.levels.len() > SPARE_LEVELS {
             self.levels.retain(|_, level| !level.is_empty());
--- a/policy/tests/queue.rs
+++ b/policy/tests/queue.rs
@@ -283,3 +283,21 @@
         }
     }
 }
+
+#[rstest]
+#[case::own_items_with_their_shares("a", 0, 4.0)]
+#[case::no_own_items("c", 0, 0.0)]
+#[case::no_more_than_all_others("b", 0, 5.0)]
+#[case::higher_priority_goes_first("c", -1, 5.0)]
+fn work_ahead_follows_the_shares(
+    #[case] workspace: &str,
+    #[case] priority: i32,
+    #[case] expected: f64,
+) {
+    let mut queue = Queue::new(8);
+    for (workspace, request) in [("a", "1"), ("a", "2"), ("b", "3"), ("b", "4"), ("b", "5")] {
+        queue.push(item(workspace, request, 0, 9)).unwrap();
+    }
+    let ahead = queue.ahead(&workspace.into(), priority);
+    assert!((ahead - expected).abs() < 1e-9, "{ahead}");
+}
