Link the entries, and take the table and the directory from the links

The entry opens its interface for peers, hands frames and members to the decisions, offers the tables that it reads to the holder of the links, names entries by policy::directory, and says over the links that it leaves. The table of daemons only serves to find peers; a daemon deletes its row when it has left. Queue lengths are exported, which the planner reads.

--- a/godwithinge/src/api/operator.rs
+++ b/godwithinge/src/api/operator.rs
@@ -36,7 +36,8 @@
         revision: daemon.table().map(|table| table.revision),
         in_flight: daemon.in_flight(),
         unsettled: daemon.unsettled(),
-        peers: daemon.directory().others(),
+        members: daemon.links().members(),
+        linked: daemon.links().linked(),
         targets: daemon.hosts(),
     })
 }
--- a/godwithinge/src/api/public.rs
+++ b/godwithinge/src/api/public.rs
@@ -3,12 +3,8 @@
 use super::{Code, Context, wire};
 use dropshot::{Body, HttpError, Query, RequestContext, endpoint};
 use http::{Response, header};
-use rand::RngExt;
 use serde::Serialize;
 
-/// Share of the time to live by which directory answers differ.
-const TTL_JITTER: f64 = 0.2;
-
 /// Names the entries that a caller may use, in the order of preference.
 #[endpoint {
     method = GET,
@@ -18,15 +14,12 @@
     context: RequestContext<Context>,
     query: Query<wire::EntriesQuery>,
 ) -> Result<Response<Body>, HttpError> {
-    let daemon = context.context();
     let query = query.into_inner();
-    let entries = daemon.directory().entries(&query.domain);
-    let ttl = daemon.settings().entry.directory_ttl.as_millis() as f64;
-    let jitter = rand::rng().random_range(1.0 - TTL_JITTER..=1.0);
-    json(&wire::Entries {
-        entries: entries.into_iter().map(Into::into).collect(),
-        ttl_ms: (ttl * jitter) as u64,
-    })
+    let domain = query.domain.map(Into::into);
+    let answer = context
+        .context()
+        .directory(&query.workspace.into(), domain.as_ref());
+    json(&wire::Entries::from(answer))
 }
 
 /// Tells whether requests are served.
--- a/godwithinge/src/api/wire.rs
+++ b/godwithinge/src/api/wire.rs
@@ -1,10 +1,10 @@
 //! Messages of the interface.
 
-use crate::entry::Named;
 use compact_str::CompactString;
 use policy::{
-    Outcome,
+    Outcome, directory,
     id::{DomainId, HostId, RequestId, WorkspaceId},
+    member::Member,
     outcome::{Effects, Reason},
 };
 use schemars::JsonSchema;
@@ -64,11 +64,9 @@
 pub(super) struct EntriesQuery {
     /// Workspace of the caller.
     #[serde(default)]
-    #[expect(dead_code, reason = "entries are not steered by workspace yet")]
     pub(super) workspace: String,
     /// Failure domain of the caller.
-    #[serde(default)]
-    pub(super) domain: String,
+    pub(super) domain: Option<String>,
 }
 
 /// Answer of the directory.
@@ -114,7 +112,8 @@
     pub(super) revision: Option<u64>,
     pub(super) in_flight: usize,
     pub(super) unsettled: i64,
-    pub(super) peers: Vec<Named>,
+    pub(super) members: Vec<Member>,
+    pub(super) linked: Vec<HostId>,
     pub(super) targets: Vec<policy::host::Host>,
 }
 
@@ -152,11 +151,20 @@
     }
 }
 
-impl From<Named> for Entry {
-    fn from(named: Named) -> Self {
+impl From<directory::Answer> for Entries {
+    fn from(answer: directory::Answer) -> Self {
+        Self {
+            entries: answer.entries.into_iter().map(Into::into).collect(),
+            ttl_ms: to_millis(answer.ttl),
+        }
+    }
+}
+
+impl From<directory::Named> for Entry {
+    fn from(named: directory::Named) -> Self {
         Self {
             host: named.host,
-            address: named.api,
+            address: named.address,
             domain: named.domain,
         }
     }
--- a/godwithinge/src/bin/gwi-entry.rs
+++ b/godwithinge/src/bin/gwi-entry.rs
@@ -73,7 +73,7 @@
 async fn serve(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let running = Running::start(settings)?;
+    let running = Running::start(settings).await?;
     let daemon = running.daemon().clone();
     let left = running.wait();
     tokio::pin!(left);
--- a/godwithinge/src/entry/directory.rs
+++ b/godwithinge/src/entry/directory.rs
@@ -1,152 +1,114 @@
-//! The directory: which entries callers may use.
+//! The daemon's row in the platform's table of daemons, and the rows of the others.
+//!
+//! Peers find each other by these rows besides the seeds of the settings; what daemons say of
+//! themselves later goes over the links.
 
 use super::{Daemon, Phase};
-use crate::{
-    platform::{Range, Transaction},
-    settings::Settings,
+use crate::platform::{Range, Rows, Transaction};
+use compact_str::{CompactString, format_compact};
+use policy::{
+    claim::Version,
+    directory::{self, Answer},
+    id::{DomainId, Incarnation, RegionId, WorkspaceId},
 };
-use compact_str::CompactString;
-use policy::id::{DomainId, HostId, Incarnation, RegionId};
 use serde::{Deserialize, Serialize};
-use std::{
-    net::SocketAddr,
-    sync::{Mutex, PoisonError},
-    time::Duration,
-};
+use serde_json::Value;
+use std::time::Duration;
 use tokio::time::{self, MissedTickBehavior};
 
 /// Table of the daemons.
 const TABLE: &str = "daemons";
-/// Time between two reads of the daemons.
-const INTERVAL: Duration = Duration::from_secs(1);
-/// Most entries that one answer names.
-const MAX_NAMED: usize = 8;
-
-/// What is known of the daemons.
-#[derive(Debug)]
-pub struct Directory {
-    own: Mutex<Named>,
-    others: Mutex<Vec<Named>>,
-}
+/// Time between two reads of the daemons while no peer is linked.
+const ALONE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of those intervals between two reads while peers are linked.
+const LINKED_INTERVALS: u32 = 10;
 
-/// An entry as the directory names it, and as its row in the table of daemons shows it.
+/// Row of a daemon.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Named {
-    /// Name of the host.
-    pub host: HostId,
-    /// Address of the interface for callers.
-    pub api: CompactString,
-    /// Address of the interface for peers.
-    pub peer: CompactString,
-    /// Failure domain of the host.
-    pub domain: DomainId,
-    /// Region of the host.
-    pub region: RegionId,
-    /// Number that the daemon drew at its start.
-    pub incarnation: Incarnation,
-    /// Whether the daemon takes no new callers.
+struct Row {
+    api: CompactString,
+    peer: CompactString,
+    domain: DomainId,
+    region: RegionId,
+    incarnation: Incarnation,
     #[serde(default)]
-    pub leaving: bool,
+    leaving: bool,
 }
 
-impl Directory {
-    pub(super) fn new(settings: &Settings) -> Self {
-        let daemon = &settings.daemon;
-        Self {
-            own: Mutex::new(Named {
-                host: daemon.host.clone(),
-                api: daemon.listen.to_string().into(),
-                peer: daemon.peer_listen.to_string().into(),
-                domain: daemon.domain.clone(),
-                region: daemon.region.clone(),
-                incarnation: 0,
-                leaving: false,
-            }),
-            others: Mutex::default(),
-        }
-    }
-
-    pub(super) fn set_address(&self, address: SocketAddr) {
-        self.change(|own| own.api = address.to_string().into());
+impl Daemon {
+    /// Returns the entries that a caller may use, in the order of preference.
+    pub fn directory(&self, workspace: &WorkspaceId, domain: Option<&DomainId>) -> Answer {
+        let ttl = self.settings().entry.directory_ttl;
+        let members = self.links().members();
+        directory::answer(&members, workspace, domain, ttl, &mut rand::rng())
     }
 
-    /// Returns the entries that a caller in `domain` may use, in the order of preference.
-    ///
-    /// The first of another domain stands second at the latest.
-    pub fn entries(&self, domain: &str) -> Vec<Named> {
-        let own = self.own();
-        let mut entries = self.others();
-        entries.retain(|entry| !entry.leaving && entry.host != own.host);
-        if !own.leaving || entries.is_empty() {
-            entries.insert(0, own);
-        }
-        entries.sort_by_key(|entry| entry.domain != domain);
-        let away = entries.iter().position(|entry| entry.domain != domain);
-        if let Some(away) = away.filter(|away| *away > 1) {
-            let entry = entries.remove(away);
-            entries.insert(1, entry);
-        }
-        entries.truncate(MAX_NAMED);
-        entries
+    /// Deletes the daemon's row.
+    pub(super) async fn withdraw(&self) {
+        self.write_row(Value::Null).await;
     }
 
-    /// Returns all daemons that are known.
-    pub fn others(&self) -> Vec<Named> {
-        let others = self.others.lock().unwrap_or_else(PoisonError::into_inner);
-        others.clone()
+    async fn write_row(&self, value: Value) -> bool {
+        let host = &self.settings().daemon.host;
+        let transaction = Transaction::new().with_write(TABLE, host, value);
+        self.shared.platform.commit(&transaction).await.is_ok()
     }
 
-    fn own(&self) -> Named {
-        let own = self.own.lock().unwrap_or_else(PoisonError::into_inner);
-        own.clone()
-    }
-
-    fn change(&self, change: impl FnOnce(&mut Named)) {
-        let mut own = self.own.lock().unwrap_or_else(PoisonError::into_inner);
-        change(&mut own);
+    fn row(&self, phase: Phase) -> Row {
+        let daemon = &self.settings().daemon;
+        Row {
+            api: format_compact!("{}", self.address()),
+            peer: format_compact!("{}", self.links().address()),
+            domain: daemon.domain.clone(),
+            region: daemon.region.clone(),
+            incarnation: self.incarnation(),
+            leaving: phase != Phase::Serving,
+        }
     }
 }
 
 /// Writes the daemon's own row whenever it changes, and reads those of the others.
 pub(super) async fn run(daemon: Daemon) {
-    let directory = daemon.directory();
-    directory.change(|own| own.incarnation = daemon.incarnation());
     let mut phase = daemon.phase();
-    let mut written: Option<Named> = None;
-    let mut ticks = time::interval(INTERVAL);
+    let mut written: Option<Row> = None;
+    let mut version = 0;
+    let mut ticks = time::interval(ALONE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
+    for round in 0.. {
         tokio::select! {
             _ = ticks.tick() => {}
             Ok(()) = phase.changed() => {}
         }
-        let leaving = *phase.borrow_and_update() != Phase::Serving;
-        directory.change(|own| own.leaving = leaving);
-        let own = directory.own();
-        if written.as_ref() != Some(&own) && write(&daemon, &own).await {
-            written = Some(own);
+        let row = daemon.row(*phase.borrow_and_update());
+        if written.as_ref() != Some(&row)
+            && let Ok(value) = serde_json::to_value(&row)
+            && daemon.write_row(value).await
+        {
+            written = Some(row);
+        }
+        let is_linked = !daemon.links().linked().is_empty();
+        if !is_linked || round % LINKED_INTERVALS == 0 {
+            version = read(&daemon, version).await;
         }
-        read(&daemon).await;
     }
 }
 
-async fn write(daemon: &Daemon, own: &Named) -> bool {
-    let Ok(value) = serde_json::to_value(own) else {
-        return false;
-    };
-    let transaction = Transaction::new().with_write(TABLE, &own.host, value);
-    daemon.shared.platform.commit(&transaction).await.is_ok()
+/// Reads the rows that were written after `version` and returns the newest version.
+async fn read(daemon: &Daemon, version: Version) -> Version {
+    let range = Range::new("").with_since(version);
+    match daemon.shared.platform.rows(TABLE, &range).await {
+        Ok(read) if read.version >= version => {
+            let version = read.version;
+            add_seeds(daemon, read);
+            version
+        }
+        Ok(_) | Err(_) => version,
+    }
 }
 
-async fn read(daemon: &Daemon) {
-    if let Ok(read) = daemon.shared.platform.rows(TABLE, &Range::new("")).await {
-        let rows = read.rows.into_iter();
-        let named = rows.filter_map(|row| serde_json::from_value(row.value).ok());
-        let mut others = daemon
-            .directory()
-            .others
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *others = named.collect();
-    }
+fn add_seeds(daemon: &Daemon, read: Rows) {
+    let rows = read.rows.into_iter();
+    let rows = rows.filter_map(|row| serde_json::from_value::<Row>(row.value).ok());
+    let seeds: Vec<_> = rows.filter_map(|row| row.peer.parse().ok()).collect();
+    daemon.links().add_seeds(&seeds);
 }
--- a/godwithinge/src/entry/drain.rs
+++ b/godwithinge/src/entry/drain.rs
@@ -1,7 +1,7 @@
 //! The way of a daemon out of service.
 
 use super::Daemon;
-use policy::Event;
+use policy::{Event, member::State};
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
 use tokio::{sync::watch, time};
@@ -24,6 +24,8 @@
 const POLL: Duration = Duration::from_millis(20);
 /// Time that other daemons take at most to learn that this one leaves.
 const SPREAD: Duration = Duration::from_secs(2);
+/// Time for the last words to the peers and the platform.
+const FAREWELL: Duration = Duration::from_millis(500);
 
 impl Daemon {
     /// Begins to leave: the directory stops naming the daemon, callers are served for the time
@@ -41,6 +43,7 @@
         });
         if began {
             tracing::info!("draining");
+            self.links().set_state(State::Leaving);
             tokio::spawn(leave(self.clone()));
         } else {
             self.log_in_flight();
@@ -84,5 +87,8 @@
     while !daemon.is_idle() {
         time::sleep(POLL).await;
     }
+    daemon.links().set_state(State::Left);
+    // Peers learn it over open links within the same time.
+    let _ = time::timeout(FAREWELL, daemon.withdraw()).await;
     daemon.shared.phase.send_replace(Phase::Left);
 }
--- a/godwithinge/src/entry/keep.rs
+++ b/godwithinge/src/entry/keep.rs
@@ -6,7 +6,6 @@
 use compact_str::CompactString;
 use policy::{
     Event, claim,
-    command::Frame,
     id::{BlockHash, Key, Payload, StageIndex},
 };
 use std::{sync::Arc, time::Duration};
@@ -75,16 +74,6 @@
             daemon.handle(Event::Looked { key, stage, result });
         });
     }
-
-    /// Sends a frame to the peers.
-    #[expect(
-        clippy::unused_self,
-        clippy::needless_pass_by_value,
-        reason = "links follow"
-    )]
-    pub(super) fn broadcast(&self, frame: Frame) {
-        tracing::debug!(?frame, "frame for peers");
-    }
 }
 
 fn object_key(key: &Key, stage: StageIndex, input: BlockHash) -> String {
--- a/godwithinge/src/entry/mod.rs
+++ b/godwithinge/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod error;
 mod feed;
 mod keep;
+mod peer;
 mod perform;
 mod poll;
 mod ring;
@@ -18,14 +19,13 @@
 mod ticket;
 
 pub use self::{
-    directory::{Directory, Named},
     drain::Phase,
     error::Error,
     ticket::{Item, Refusal, Submission, Ticket},
 };
 
 use self::{claim::Claims, keep::Store, state::State};
-use crate::{api, metrics::Metrics, platform, settings::Settings, target};
+use crate::{api, metrics::Metrics, peer::Links, platform, settings::Settings, target};
 use policy::{
     Event, Table,
     command::Command,
@@ -36,7 +36,7 @@
 };
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
     time::Instant,
 };
 use tokio::{
@@ -60,7 +60,7 @@
     state: Mutex<State>,
     timer: Notify,
     phase: watch::Sender<Phase>,
-    directory: Directory,
+    place: OnceLock<Place>,
     targets: target::Client,
     platform: platform::Client,
     claims: Claims,
@@ -68,6 +68,13 @@
     metrics: Metrics,
 }
 
+/// Where the daemon is reached, known once its interfaces are open.
+#[derive(Debug)]
+struct Place {
+    address: SocketAddr,
+    links: Links,
+}
+
 /// A daemon with its tasks; they end when it is dropped.
 #[derive(Debug)]
 pub struct Running {
@@ -81,13 +88,16 @@
     ///
     /// # Errors
     ///
-    /// Fails if the interface for callers can't be opened.
-    pub fn start(settings: Settings) -> Result<Self, Error> {
+    /// Fails if the interface for callers or that for peers can't be opened.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
         let (daemon, settler) = Daemon::new(settings)?;
         let server = api::start(&daemon).map_err(Error::Listen)?;
+        let address = server.address();
+        let (links, events) = peer::start(&daemon, address).await?;
         let shared = &daemon.shared;
-        shared.directory.set_address(server.address());
+        shared.place.get_or_init(|| Place { address, links });
         let mut tasks = JoinSet::new();
+        tasks.spawn(peer::run(daemon.clone(), events));
         tasks.spawn(run_timer(daemon.clone()));
         tasks.spawn(poll::hosts(daemon.clone()));
         tasks.spawn(poll::table(daemon.clone()));
@@ -99,7 +109,7 @@
             host = %shared.settings.daemon.host,
             domain = %shared.settings.daemon.domain,
             incarnation = shared.incarnation,
-            address = %server.address(),
+            %address,
             "entry started"
         );
         Ok(Self {
@@ -152,7 +162,7 @@
             state: Mutex::new(State::new(core)),
             timer: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
-            directory: Directory::new(&settings),
+            place: OnceLock::new(),
             targets: target::Client::new(),
             store: Store::new(platform.clone()),
             platform,
@@ -179,9 +189,27 @@
         self.shared.incarnation
     }
 
-    /// Returns what is known of the other daemons.
-    pub fn directory(&self) -> &Directory {
-        &self.shared.directory
+    /// Returns the address of the interface for callers and operators.
+    ///
+    /// # Panics
+    ///
+    /// Never: no handle is given out before the interfaces are open.
+    fn address(&self) -> SocketAddr {
+        self.place().address
+    }
+
+    /// Returns the links to the other daemons.
+    ///
+    /// # Panics
+    ///
+    /// Never, as [`address`](Self::address).
+    pub fn links(&self) -> &Links {
+        &self.place().links
+    }
+
+    fn place(&self) -> &Place {
+        let place = self.shared.place.get();
+        place.expect("interfaces are open before the handle is used")
     }
 
     /// Returns the table in force, if one is held.
--- /dev/null
+++ b/godwithinge/src/entry/peer.rs
@@ -0,0 +1,81 @@
+//! What goes between the decisions and the links to other daemons.
+
+use super::{Daemon, Error};
+use crate::peer::{Event as PeerEvent, Links, Settings};
+use policy::{Event, Table, command::Frame, table::hold::Verdict};
+use std::{net::SocketAddr, sync::Arc};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Opens the interface for peers.
+pub(super) async fn start(
+    daemon: &Daemon,
+    api: SocketAddr,
+) -> Result<(Links, UnboundedReceiver<PeerEvent>), Error> {
+    let settings = daemon.settings();
+    let links = Links::start(Settings {
+        host: settings.daemon.host.clone(),
+        incarnation: daemon.incarnation(),
+        api,
+        listen: settings.daemon.peer_listen,
+        domain: settings.daemon.domain.clone(),
+        region: settings.daemon.region.clone(),
+        seeds: settings.peers.seeds.clone(),
+        key: settings.daemon.fleet_key.clone(),
+        bytes: daemon.metrics().control_bytes.clone(),
+    });
+    links.await.map_err(Error::Peers)
+}
+
+/// Hands over what the links tell.
+pub(super) async fn run(daemon: Daemon, mut events: UnboundedReceiver<PeerEvent>) {
+    while let Some(event) = events.recv().await {
+        match event {
+            PeerEvent::Frame { from, frame } => daemon.handle(Event::Peer { from, frame }),
+            PeerEvent::Members { members, steady } => {
+                daemon.handle(Event::Members { members, steady });
+            }
+            PeerEvent::Table(table) => daemon.set_table(table),
+        }
+    }
+}
+
+impl Daemon {
+    /// Sends a frame to all daemons of the fleet.
+    pub(super) fn broadcast(&self, frame: &Frame) {
+        self.links().broadcast(frame);
+    }
+
+    /// Takes in the table that the platform holds; a higher revision comes into force.
+    pub(super) fn offer(&self, table: Table) {
+        match self.links().offer(&Arc::new(table)) {
+            Verdict::Adopted | Verdict::Known | Verdict::Gap => {}
+            Verdict::Lower { offered } => {
+                let held = self.links().revision();
+                tracing::error!(
+                    offered,
+                    held,
+                    "platform answered a lower revision of the table"
+                );
+            }
+            Verdict::Forked => {
+                tracing::error!("platform holds other rows at the revision in force");
+            }
+            Verdict::Invalid { faults } => {
+                let fault = faults.first().map(ToString::to_string);
+                tracing::error!(
+                    faults = faults.len(),
+                    fault,
+                    "platform holds an invalid table"
+                );
+            }
+        }
+    }
+
+    fn set_table(&self, table: Arc<Table>) {
+        let revision = table.revision;
+        self.state().table = Some(Arc::clone(&table));
+        self.metrics().revision.set(revision.cast_signed());
+        self.handle(Event::Table { table });
+        tracing::info!(revision, "table in force");
+    }
+}
--- a/godwithinge/src/entry/perform.rs
+++ b/godwithinge/src/entry/perform.rs
@@ -30,7 +30,7 @@
                 token,
                 ..
             } => self.look_up(state, key, stage, &address, &token),
-            Command::Broadcast { frame } => self.broadcast(frame),
+            Command::Broadcast { frame } => self.broadcast(&frame),
             Command::Decide(_) => {}
         }
     }
--- a/godwithinge/src/entry/poll.rs
+++ b/godwithinge/src/entry/poll.rs
@@ -1,24 +1,11 @@
 //! Reads of the host list, the table and the targets' reports.
 
 use super::Daemon;
-use crate::platform::{Range, Row};
-use compact_str::CompactString;
-use policy::{
-    Event, Table,
-    host::Host,
-    id::{Revision, TargetId},
-    pool::Kind,
-};
-use serde::de::DeserializeOwned;
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use crate::table::Poll;
+use policy::{Event, host::Host, id::TargetId, pool::Kind};
+use std::{collections::HashMap, time::Duration};
 use tokio::time::{self, MissedTickBehavior};
 
-/// Table of weights and limits.
-const WEIGHTS: &str = "weights";
 /// Shortest time between two reads of any targets' reports; it bounds the control traffic.
 const REPORT_SPACING: Duration = Duration::from_millis(50);
 /// Longest time of reading a target's report.
@@ -46,19 +33,12 @@
 /// Reads the table of weights and limits again and again.
 pub(super) async fn table(daemon: Daemon) {
     let mut ticks = ticks(daemon.settings().entry.table_poll);
-    let mut rows: BTreeMap<CompactString, Row> = BTreeMap::new();
-    let mut since = 0;
+    let mut poll = Poll::new(daemon.shared.platform.clone());
     loop {
         ticks.tick().await;
-        let range = Range::new("").with_since(since);
-        match daemon.shared.platform.rows(WEIGHTS, &range).await {
-            Ok(read) if read.version >= since => {
-                since = read.version;
-                rows.extend(read.rows.into_iter().map(|row| (row.key.clone(), row)));
-                rows.retain(|_, row| !row.value.is_null());
-                daemon.set_table(to_table(&rows));
-            }
-            Ok(read) => tracing::error!(since, version = read.version, "table went back"),
+        match poll.read().await {
+            Ok(Some(table)) => daemon.offer(table),
+            Ok(None) => {}
             Err(error) => tracing::warn!(%error, "table was not read"),
         }
     }
@@ -101,11 +81,17 @@
         let mut state = daemon.state();
         state.feeds.sweep(now, keep);
         let in_flight = state.core.in_flight();
+        for (pool, count) in state.core.queued() {
+            let gauge = daemon.metrics().queue.with_label_values(&[pool.as_str()]);
+            gauge.set((count as u64).cast_signed());
+        }
         drop(state);
         daemon
             .metrics()
             .in_flight
             .set((in_flight as u64).cast_signed());
+        let capacity = daemon.settings().entry.queue as f32;
+        daemon.links().set_load(in_flight as f32 / capacity);
     }
 }
 
@@ -149,28 +135,6 @@
         self.handle(Event::Hosts { hosts });
     }
 
-    /// Hands a table over if its revision is above the one that is held.
-    pub(super) fn set_table(&self, table: Result<Table, serde_json::Error>) {
-        let table = match table {
-            Ok(table) => Arc::new(table),
-            Err(error) => {
-                tracing::error!(%error, "table is malformed");
-                return;
-            }
-        };
-        let mut state = self.state();
-        let held = state.table.as_ref().map(|table| table.revision);
-        if held >= Some(table.revision) {
-            return;
-        }
-        state.table = Some(Arc::clone(&table));
-        drop(state);
-        let revision = table.revision;
-        self.metrics().revision.set(revision.cast_signed());
-        tracing::info!(revision, "table in force");
-        self.handle(Event::Table { table });
-    }
-
     /// Returns the targets to read reports of, and whether they are engines.
     fn targets(&self) -> Vec<(Host, bool)> {
         let engines = self.settings().pools.iter();
@@ -194,38 +158,6 @@
     }
 }
 
-/// Key of the row that holds the revision.
-const REVISION: &str = "revision";
-
-fn to_table(rows: &BTreeMap<CompactString, Row>) -> Result<Table, serde_json::Error> {
-    #[derive(serde::Deserialize)]
-    struct Numbered {
-        revision: Revision,
-    }
-    let revision = match rows.get(REVISION) {
-        Some(row) => serde_json::from_value::<Numbered>(row.value.clone())?.revision,
-        None => 0,
-    };
-    Ok(Table {
-        revision,
-        workspaces: read_rows(rows, "workspace/")?,
-        pipelines: read_rows(rows, "pipeline/")?,
-        targets: read_rows(rows, "target/")?,
-    })
-}
-
-fn read_rows<T: DeserializeOwned>(
-    rows: &BTreeMap<CompactString, Row>,
-    prefix: &str,
-) -> Result<BTreeMap<CompactString, T>, serde_json::Error> {
-    let named = rows
-        .iter()
-        .filter_map(|(key, row)| Some((key.strip_prefix(prefix)?, row)));
-    named
-        .map(|(name, row)| Ok((name.into(), serde_json::from_value(row.value.clone())?)))
-        .collect()
-}
-
 fn ticks(interval: Duration) -> time::Interval {
     let mut ticks = time::interval(interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/godwithinge/src/peer/hub.rs
+++ b/godwithinge/src/peer/hub.rs
@@ -126,8 +126,14 @@
         self.started.elapsed()
     }
 
+    /// Publishes a frame; one about a payload goes out at once, others with the next tick.
     pub fn publish(&self, frame: &command::Frame) {
-        self.state().members.publish(frame);
+        let now = self.now();
+        let mut state = self.state();
+        state.members.publish(frame);
+        if !matches!(frame, command::Frame::Demand { .. }) {
+            state.flush(now);
+        }
     }
 
     pub fn offer(&self, update: &Update) -> Verdict {
--- a/godwithinge/tests/process/common/entry.rs
+++ b/godwithinge/tests/process/common/entry.rs
@@ -1,7 +1,11 @@
 //! An entry daemon as a process of its own.
 
-use super::{Ask, Reply, bound, until, until_some};
+use super::{Ask, POLL, Reply, bound, until, until_some};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Method;
 use serde_json::Value;
+use standin::fetch;
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
@@ -10,6 +14,7 @@
     sync::{Arc, Mutex},
     thread,
 };
+use tokio::time;
 
 /// An entry daemon as a process of its own; killed when it is dropped.
 pub struct Entry {
@@ -62,6 +67,26 @@
         .await
     }
 
+    /// Waits until the daemon has links to `count` others.
+    pub async fn linked(&self, count: usize) {
+        let address = self.address().await;
+        let token = [("authorization", "Bearer operators")];
+        let linked = async {
+            loop {
+                let path = "/v1/status";
+                let status = fetch::send(address, Method::GET, path, Bytes::new(), &token).await;
+                let body = status.expect("entry answers").into_body().collect().await;
+                let body = body.expect("body comes").to_bytes();
+                let status: Value = serde_json::from_slice(&body).expect("status is JSON");
+                if status["linked"].as_array().map_or(0, Vec::len) >= count {
+                    return;
+                }
+                time::sleep(POLL).await;
+            }
+        };
+        bound("links", linked).await;
+    }
+
     /// Returns how many log lines have this message.
     pub fn logged(&self, message: &str) -> usize {
         let lines = self.lines.lock().expect("no panic");
--- a/godwithinge/tests/process/poison.rs
+++ b/godwithinge/tests/process/poison.rs
@@ -18,17 +18,22 @@
     services + engines
 }
 
-/// The caller sends the payload again under the same and under new identifiers.
+/// The caller sends the payload again under the same and under new identifiers, through all
+/// entries.
 #[rstest]
 #[case::service(SIZE, "encoders")]
 #[case::engine(SUMMARY, "engines")]
 #[tokio::test(flavor = "multi_thread")]
 async fn sent_again(#[case] pipeline: &str, #[case] pool: &str) {
     let bench = Bench::start(TARGETS).await;
-    let entry = bench.entry("e1").await;
+    let entries = tokio::join!(bench.entry("e1"), bench.entry("e2"), bench.entry("e3"));
+    let entries = [entries.0, entries.1, entries.2];
+    for entry in &entries {
+        entry.linked(entries.len() - 1).await;
+    }
     let ask = Ask::new(pipeline, "r").with_payload(json!({"crash": pool}));
     let mut new = ask.clone();
-    for number in 0..4 {
+    for (number, entry) in entries.iter().cycle().take(6).enumerate() {
         new.request = format!("r{number}");
         for ask in [ask.again(), new.clone()] {
             let reply = entry.send(&ask).await;
@@ -38,12 +43,11 @@
             assert_eq!(body["reason"], "quarantined", "{body}");
         }
     }
-    assert!(
-        (1..=LIMIT).contains(&lost(&bench, pool)),
-        "{}",
-        lost(&bench, pool)
-    );
+    let lost = lost(&bench, pool);
+    assert!((1..=LIMIT).contains(&lost), "{lost} targets were lost");
     let other = Ask::new(pipeline, "other").with_payload(json!({"prompt": "tokens=4"}));
-    let reply = entry.send(&other).await;
-    assert_eq!(reply.outcome(), "answered", "{reply:?}");
+    for entry in &entries {
+        let reply = entry.send(&other).await;
+        assert_eq!(reply.outcome(), "answered", "{reply:?}");
+    }
 }
--- a/godwithinge/tests/regression/stream_content_type.rs
+++ b/godwithinge/tests/regression/stream_content_type.rs
@@ -33,7 +33,7 @@
     let fleet = Fleet::start(deployment, fleet::Settings::default())
         .await
         .expect("free ports");
-    let entry = Running::start(settings(&fleet)).expect("a free port");
+    let entry = Running::start(settings(&fleet)).await.expect("a free port");
     let ready = async {
         while fetch::get(entry.address(), "/ready").await.is_err() {
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/standin/examples/demo.rs
+++ b/standin/examples/demo.rs
@@ -164,7 +164,7 @@
     settings.daemon.peer_listen = loopback;
     settings.platform.address = fleet.platform().address();
     settings.peers.seeds.clear();
-    let running = Running::start(settings)?;
+    let running = Running::start(settings).await?;
     let ready = async {
         while !running.daemon().is_ready() || running.daemon().hosts().is_empty() {
             time::sleep(POLL).await;
