--- a/godwithinge/src/entry/sweep.rs
+++ b/godwithinge/src/entry/sweep.rs
@@ -112,9 +112,8 @@
 fn next(daemon: &Daemon, last: Option<&WorkspaceId>) -> Option<WorkspaceId> {
     let table = daemon.table()?;
     let own = &daemon.settings().daemon.host;
-    let others = daemon.directory().others();
-    let mut hosts: Vec<HostId> = others.into_iter().map(|other| other.host).collect();
-    hosts.push(own.clone());
+    let members = daemon.links().members();
+    let hosts: Vec<HostId> = members.into_iter().map(|member| member.host).collect();
     let mut mine = table
         .workspaces
         .keys()
