--- a/standin/src/load/measure.rs
+++ b/standin/src/load/measure.rs
@@ -19,6 +19,8 @@
     pub attainment: f64,
     /// Share that one queue before all healthy engines, with known sizes, could answer so.
     pub carriable: f64,
+    /// The same where the queue knows only the mean size.
+    pub carriable_blind: f64,
     /// Requests by how they ended.
     pub endings: BTreeMap<CompactString, u64>,
     /// Requests that were not attained, by ending and reason.
--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -3,6 +3,7 @@
 //! A [`Plan`] says what is offered, to which fakes and with which faults; [`run`] offers it and
 //! returns a [`Measure`].
 
+mod bound;
 mod caller;
 mod chaos;
 mod entries;
--- a/standin/src/load/run.rs
+++ b/standin/src/load/run.rs
@@ -1,6 +1,7 @@
 //! One run of a plan.
 
 use super::{
+    bound::Bound,
     caller::{Answer, Caller},
     chaos,
     entries::{Entries, Error, Launch},
@@ -10,7 +11,7 @@
 };
 use crate::fleet::Fleet;
 use policy::router::Rule;
-use std::{cmp::Reverse, collections::BinaryHeap, path::Path, sync::Arc, time::Duration};
+use std::{path::Path, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 /// Time after the last answer in which targets end what they run.
@@ -49,7 +50,9 @@
     tokio::time::sleep(SETTLE).await;
     let mut measure = Measure::new(&answers, &measure::take_runs(&fleet));
     measure.duplicates = measure::duplicates(&fleet);
-    measure.carriable = carriable(plan, &arrivals);
+    let bound = Bound::new(plan, &arrivals);
+    measure.carriable = bound.share(|tokens| plan.work(tokens));
+    measure.carriable_blind = bound.share(|_| bound.mean());
     drop(entries);
     fleet.stop().await;
     Ok(measure)
@@ -84,37 +87,3 @@
     }
     answers
 }
-
-/// Returns the share of requests that the healthy engines could answer in time if one queue in
-/// order of arrival stood before all their places, and left out what it knows would be late.
-///
-/// No bound in the strict sense: to serve short requests first could carry a few more.
-fn carriable(plan: &Plan, arrivals: &[Arrival]) -> f64 {
-    let places: usize = plan
-        .deployment
-        .groups
-        .iter()
-        .filter(|group| !group.pool.model.is_empty())
-        .map(|group| group.count * plan.fakes.engine.width as usize)
-        .sum();
-    let mut free: BinaryHeap<_> = (0..places).map(|_| Reverse(Duration::ZERO)).collect();
-    let mut offered = 0_u64;
-    let mut carried = 0_u64;
-    for arrival in arrivals {
-        let measured = u64::from(arrival.at >= plan.warmup);
-        offered += measured;
-        if arrival.tokens == 0 {
-            carried += measured;
-            continue;
-        }
-        let Some(Reverse(place)) = free.pop() else {
-            break;
-        };
-        let begin = place.max(arrival.at);
-        let end = begin + Duration::from_secs_f64(plan.work(arrival.tokens));
-        let in_time = end <= arrival.at + arrival.deadline;
-        carried += if in_time { measured } else { 0 };
-        free.push(Reverse(if in_time { end } else { place }));
-    }
-    carried as f64 / offered.max(1) as f64
-}
--- a/standin/src/load/summary.rs
+++ b/standin/src/load/summary.rs
@@ -41,15 +41,17 @@
 type Column = (&'static str, fn(&Measure) -> f64);
 
 /// Main measures, in the order of the table's columns.
-const COLUMNS: [Column; 10] = [
+const COLUMNS: [Column; 12] = [
     ("attainment", |measure| measure.attainment),
     ("carriable", |measure| measure.carriable),
+    ("carriable_blind", |measure| measure.carriable_blind),
     ("fairness", |measure| measure.fairness),
     ("engine_cost", |measure| measure.engine_cost),
     ("extra_calls", |measure| measure.extra_calls),
     ("latency_p95_ms", |measure| measure.latency_ms.p95),
     ("first_token_p95_ms", |measure| measure.first_token_ms.p95),
     ("gap_p95_ms", |measure| measure.gap_ms.p95),
+    ("refusal_p50_ms", |measure| measure.refusal_ms.p50),
     ("refusal_p99_ms", |measure| measure.refusal_ms.p99),
     ("duplicates", |measure| measure.duplicates as f64),
 ];
