--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -4,6 +4,7 @@
 //! `charts/request.toml`: its stages wait in the queue of their pool, are routed to a target and
 //! end with a result, or the request is given up with exactly one final outcome.
 
+mod choice;
 mod claims;
 mod faults;
 mod feasible;
