Prove that an entry starts from its peers and keeps its table

An entry that starts while the platform is out takes the table from a peer; a platform that answers an older table raises an alarm and changes nothing. The test of stalled targets loads them, since the router no longer spreads requests that come one by one.

--- a/godwithinge/src/entry/mod.rs
+++ b/godwithinge/src/entry/mod.rs
@@ -110,6 +110,7 @@
             domain = %shared.settings.daemon.domain,
             incarnation = shared.incarnation,
             %address,
+            peer_address = %daemon.links().address(),
             "entry started"
         );
         Ok(Self {
--- a/godwithinge/tests/process/claim.rs
+++ b/godwithinge/tests/process/claim.rs
@@ -40,7 +40,7 @@
     assert_eq!(reply.outcome(), "answered", "{reply:?}");
     bench.claimed(ORDER, "r", is_done).await; // An entry leaves only when nothing is unsettled.
     entry.signal("TERM");
-    until("end of the entry", || entry.status().is_some()).await;
+    until("end of the entry", || entry.ended().is_some()).await;
 }
 
 /// Two entries get the same request at the same time.
--- a/godwithinge/tests/process/common/bench.rs
+++ b/godwithinge/tests/process/common/bench.rs
@@ -80,8 +80,15 @@
 
     /// Starts an entry daemon.
     pub fn start_entry(&self, host: &str) -> Entry {
+        self.start_entry_with(host, "")
+    }
+
+    /// Starts an entry daemon with addresses of some peers.
+    pub fn start_entry_with(&self, host: &str, seeds: &str) -> Entry {
         let file = self.folder.join(format!("{host}.ini"));
-        fs::write(&file, self.settings(host)).expect("settings can be written");
+        let peers = format!("[peers]\nseeds = {seeds}\n");
+        let text = self.settings(host) + &peers;
+        fs::write(&file, text).expect("settings can be written");
         Entry::start(&file)
     }
 
--- a/godwithinge/tests/process/common/entry.rs
+++ b/godwithinge/tests/process/common/entry.rs
@@ -57,36 +57,45 @@
 
     /// Returns the address of the interface for callers.
     pub async fn address(&self) -> SocketAddr {
-        until_some("address", || {
+        self.started("address").await
+    }
+
+    /// Returns the address of the interface for peers.
+    pub async fn peer_address(&self) -> SocketAddr {
+        self.started("peer_address").await
+    }
+
+    /// Returns an address that the daemon logged at its start.
+    async fn started(&self, field: &str) -> SocketAddr {
+        until_some(field, || {
             let lines = self.lines.lock().expect("no panic");
-            let line = lines
-                .iter()
-                .find(|line| line["message"] == "entry started")?;
-            line["address"].as_str()?.parse().ok()
+            let mut lines = lines.iter();
+            let line = lines.find(|line| line["message"] == "entry started")?;
+            line[field].as_str()?.parse().ok()
         })
         .await
     }
 
     /// Waits until the daemon has links to `count` others.
     pub async fn linked(&self, count: usize) {
-        let address = self.address().await;
-        let token = [("authorization", "Bearer operators")];
         let linked = async {
-            loop {
-                let path = "/v1/status";
-                let status = fetch::send(address, Method::GET, path, Bytes::new(), &token).await;
-                let body = status.expect("entry answers").into_body().collect().await;
-                let body = body.expect("body comes").to_bytes();
-                let status: Value = serde_json::from_slice(&body).expect("status is JSON");
-                if status["linked"].as_array().map_or(0, Vec::len) >= count {
-                    return;
-                }
+            while self.status().await["linked"].as_array().map_or(0, Vec::len) < count {
                 time::sleep(POLL).await;
             }
         };
         bound("links", linked).await;
     }
 
+    /// Returns what the daemon tells operators of itself.
+    pub async fn status(&self) -> Value {
+        let token = [("authorization", "Bearer operators")];
+        let address = self.address().await;
+        let status = fetch::send(address, Method::GET, "/v1/status", Bytes::new(), &token).await;
+        let body = status.expect("entry answers").into_body().collect().await;
+        let body = body.expect("body comes").to_bytes();
+        serde_json::from_slice(&body).expect("status is JSON")
+    }
+
     /// Returns how many log lines have this message.
     pub fn logged(&self, message: &str) -> usize {
         let lines = self.lines.lock().expect("no panic");
@@ -119,7 +128,7 @@
     }
 
     /// Returns the exit status if the daemon has ended.
-    pub fn status(&self) -> Option<ExitStatus> {
+    pub fn ended(&self) -> Option<ExitStatus> {
         self.process
             .lock()
             .expect("no panic")
--- a/godwithinge/tests/process/drain.rs
+++ b/godwithinge/tests/process/drain.rs
@@ -112,8 +112,8 @@
         let leaver = entries.remove(0);
         set_seeds(&load, &entries).await;
         leaver.signal("TERM");
-        until("end of the entry", || leaver.status().is_some()).await;
-        assert_eq!(leaver.status().and_then(|it| it.code()), Some(0));
+        until("end of the entry", || leaver.ended().is_some()).await;
+        assert_eq!(leaver.ended().and_then(|it| it.code()), Some(0));
         entries.push(bench.entry(&format!("e{number}-new")).await);
     }
     load.stop.store(true, Ordering::Relaxed);
@@ -153,7 +153,7 @@
     };
     let (reply, ()) = tokio::join!(entry.send(&ask), drain);
     assert_eq!(reply.outcome(), "answered", "{reply:?}");
-    until("end of the entry", || entry.status().is_some()).await;
+    until("end of the entry", || entry.ended().is_some()).await;
     assert_eq!(bench.effects("desks", "r"), 1);
 }
 
@@ -176,7 +176,7 @@
     bench
         .claimed(FILING, "r", |row| matches!(row, Row::Done { .. }))
         .await;
-    until("end of the entry", || entry.status().is_some()).await;
+    until("end of the entry", || entry.ended().is_some()).await;
 }
 
 /// The directory stops naming an entry as soon as it drains; operators can drain it too.
@@ -191,7 +191,7 @@
     let response = response.expect("entry answers");
     assert_eq!(response.status(), 200);
     drop(response.into_body().collect().await);
-    until("end of the entry", || one.status().is_some()).await;
+    until("end of the entry", || one.ended().is_some()).await;
     let body = fetch::get(two.address().await, "/v1/entries")
         .await
         .expect("directory answers");
--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -9,3 +9,4 @@
 mod refusal;
 mod silent;
 mod stream;
+mod table;
--- a/godwithinge/tests/process/stream.rs
+++ b/godwithinge/tests/process/stream.rs
@@ -4,6 +4,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::sync::atomic::Ordering;
+use tokio::task::JoinSet;
 
 const TOKENS: u64 = 30;
 
@@ -95,13 +96,23 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stage_stalled() {
     let bench = Bench::start(3).await;
+    // The third target alone is too narrow for the load.
+    bench.change("encoders", |it| {
+        (it.time_ms, it.width) = (20.0, 2);
+    });
     let entry = bench.entry("e1").await;
     let encoders = bench.services("encoders");
     for stalled in &encoders[..2] {
         stalled.control(|it| it.faults.stall = true);
     }
-    for number in 0..6 {
-        let reply = entry.send(&Ask::new(SIZE, &format!("r{number}"))).await;
+    let address = entry.address().await;
+    let mut burst = JoinSet::new();
+    for number in 0..8 {
+        let ask = Ask::new(SIZE, &format!("r{number}"));
+        burst.spawn(async move { ask.send(address).await });
+    }
+    while let Some(reply) = burst.join_next().await {
+        let reply = reply.expect("no panic");
         assert_eq!(reply.outcome(), "answered", "{reply:?}");
     }
     assert!(encoders[..2].iter().any(|it| it.counters().calls > 0));
--- /dev/null
+++ b/godwithinge/tests/process/table.rs
@@ -0,0 +1,48 @@
+//! The table of weights and limits at the entries.
+
+use crate::common::{Ask, Bench, SIZE, until};
+use standin::platform::Server;
+
+/// Writes the table anew under a higher revision.
+fn raise(platform: &Server, bench: &Bench, revision: u64) {
+    let mut table = bench.fleet.deployment().table.clone();
+    table.revision = revision;
+    platform.set_table(&table);
+}
+
+/// An entry that starts while the platform is out takes the table from its peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn started_in_outage() {
+    let bench = Bench::start(1).await;
+    let one = bench.entry("e1").await;
+    bench.fleet.platform().control(|it| it.outage = true);
+    let seeds = one.peer_address().await.to_string();
+    let two = bench.start_entry_with("e2", &seeds);
+    until("table", || two.logged("table in force") == 1).await;
+    let status = two.status().await;
+    assert_eq!(
+        (&status["ready"], &status["revision"]),
+        (&true.into(), &1.into()),
+        "{status}"
+    );
+}
+
+/// The platform answers an older table; the one in force stands, and an alarm is logged.
+#[tokio::test(flavor = "multi_thread")]
+async fn older_answer() {
+    let bench = Bench::start(1).await;
+    let entry = bench.entry("e1").await;
+    let platform = bench.fleet.platform();
+    let old = platform
+        .row("weights", "revision")
+        .expect("table is written");
+    raise(platform, &bench, 2);
+    until("higher revision", || entry.logged("table in force") == 2).await;
+    platform.control(|it| it.stale = old.version);
+    let alarm = "platform answered a lower revision of the table";
+    until("alarm", || entry.logged(alarm) > 0).await;
+    assert_eq!(entry.status().await["revision"], 2);
+    let reply = entry.send(&Ask::new(SIZE, "r")).await;
+    assert_eq!(reply.outcome(), "answered", "{reply:?}");
+    assert_eq!(entry.logged("table in force"), 2);
+}
