Ask for the host list only when it has changed

An idle entry reads the list each second. Load reports were bounded already (50 ms between two). Ruled out: reading it less often, since a leaving target must be known within 3 s.

The read names the version that is known and is answered 304. The fake's version counts all lists now: it was an index, which repeats once old lists are dropped; the new test fails with that index.

--- a/godwithinge/src/platform/mod.rs
+++ b/godwithinge/src/platform/mod.rs
@@ -15,7 +15,11 @@
 use http_body_util::Full;
 use policy::claim::Version;
 use serde::{Deserialize, de::DeserializeOwned};
-use std::{fmt::Write as _, time::Duration};
+use std::{
+    fmt::Write as _,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 use tokio::time;
 
 /// Longest body that is read from the platform, in bytes.
@@ -30,6 +34,7 @@
     pool: Pool,
     address: CompactString,
     timeout: Duration,
+    hosts: Arc<Mutex<Option<Hosts>>>,
 }
 
 impl Client {
@@ -39,6 +44,7 @@
             pool: Pool::new(timeout),
             address: address.into(),
             timeout,
+            hosts: Arc::default(),
         }
     }
 
@@ -122,15 +128,31 @@
         optional(check(status)).map(|_| ())
     }
 
-    /// Reads the list of hosts.
+    /// Reads the list of hosts; one that is unchanged since the last read is not sent again.
     ///
     /// # Errors
     ///
     /// Fails as [`row`](Self::row) does.
-    ///
-    /// Goes over the connection that has been idle longest, which finds silent ones.
     pub async fn hosts(&self) -> Result<Hosts, Error> {
-        from_slice(&self.read_bytes("/v1/hosts", Reuse::Oldest).await?)
+        let known = self.last_hosts();
+        let path = match &known {
+            Some(known) => format!("/v1/hosts?after={}", known.version),
+            None => "/v1/hosts".to_owned(),
+        };
+        match (self.read::<Hosts>(&path).await, known) {
+            (Err(Error::Status(StatusCode::NOT_MODIFIED)), Some(known)) => Ok(known),
+            (Ok(hosts), _) => {
+                let mut last = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+                *last = Some(hosts.clone());
+                Ok(hosts)
+            }
+            (Err(error), _) => Err(error),
+        }
+    }
+
+    fn last_hosts(&self) -> Option<Hosts> {
+        let last = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        last.clone()
     }
 
     /// Reads the weights of a model.
--- a/standin/src/platform/api.rs
+++ b/standin/src/platform/api.rs
@@ -37,6 +37,8 @@
     store: Store,
     objects: BTreeMap<String, Bytes>,
     lists: VecDeque<(Instant, Arc<Vec<Host>>)>,
+    /// Lists that are kept no more.
+    forgotten: u64,
     reads: Bucket,
     writes: Bucket,
     weights: Bucket,
@@ -57,7 +59,7 @@
 
 #[derive(Serialize)]
 struct List {
-    version: usize,
+    version: u64,
     hosts: Arc<Vec<Host>>,
 }
 
@@ -86,6 +88,7 @@
             store: Store::default(),
             objects: BTreeMap::new(),
             lists: VecDeque::new(),
+            forgotten: 0,
             reads: Bucket::new(),
             writes: Bucket::new(),
             weights: Bucket::new(),
@@ -123,6 +126,7 @@
         let mut state = self.state();
         if state.lists.len() == LISTS {
             state.lists.pop_front();
+            state.forgotten += 1;
         }
         state.lists.push_back((Instant::now(), Arc::new(hosts)));
     }
@@ -163,7 +167,7 @@
                 Ok(self.get_rows(table, request.uri()))
             }
             (&Method::POST, ["v1", "transactions"]) => self.transact(request.body()),
-            (&Method::GET, ["v1", "hosts"]) => Ok(self.get_hosts()),
+            (&Method::GET, ["v1", "hosts"]) => Ok(self.get_hosts(request.uri())),
             (&Method::GET, ["v1", "weights", ..]) => Ok(self.get_weights()),
             (method, ["v1", "objects", ..]) => {
                 let key = path.trim_start_matches("/v1/objects/");
@@ -256,7 +260,7 @@
         }
     }
 
-    fn get_hosts(&mut self) -> Reply {
+    fn get_hosts(&mut self, uri: &Uri) -> Reply {
         if let Some(busy) = self.refuse_read() {
             return busy;
         }
@@ -267,9 +271,16 @@
             .iter()
             .rposition(|(at, _)| now.duration_since(*at) >= lag);
         let at = old.unwrap_or(0);
+        let version = match self.lists.len() {
+            0 => 0,
+            _ => self.forgotten + at as u64 + 1,
+        };
+        if query(uri, "after") == Some(version.to_string()) {
+            return reply::bytes(StatusCode::NOT_MODIFIED, Vec::new());
+        }
         let hosts = self.lists.get(at).map(|(_, hosts)| Arc::clone(hosts));
         reply::ok(&List {
-            version: at,
+            version,
             hosts: hosts.unwrap_or_default(),
         })
     }
--- a/standin/tests/platform.rs
+++ b/standin/tests/platform.rs
@@ -1,8 +1,14 @@
 //! Tests of the platform's fake.
 
+use godwithinge::platform::Client;
+use policy::host::{Host, State};
 use rstest::rstest;
 use serde_json::{Value, json};
 use standin::{fetch, platform};
+use std::time::Duration;
+
+/// Longest time of an exchange.
+const TIMEOUT: Duration = Duration::from_secs(5);
 
 async fn start() -> platform::Server {
     platform::start(platform::Settings::default())
@@ -86,6 +92,36 @@
     assert_eq!(answer["rows"].as_array().map(Vec::len), Some(1));
 }
 
+#[tokio::test]
+async fn unchanged_host_list_is_not_sent_again() {
+    let server = start().await;
+    let client = Client::new(server.address().to_string(), TIMEOUT);
+    assert!(client.hosts().await.expect("an answer").hosts.is_empty());
+    let host = |at: usize| Host {
+        host: format!("h{at}").into(),
+        target: format!("t{at}").into(),
+        pool: "pool".into(),
+        address: "127.0.0.1:1".into(),
+        domain: "a".into(),
+        region: "r".into(),
+        state: State::Live,
+    };
+    // More lists than the fake keeps, so that old ones are forgotten on the way.
+    for at in 0..1_100 {
+        server.set_hosts(vec![host(at)]);
+        if (4..1_090).contains(&at) {
+            continue;
+        }
+        for _ in 0..2 {
+            let list = client.hosts().await.expect("an answer");
+            assert_eq!(list.hosts, [host(at)]);
+        }
+        let path = format!("/v1/hosts?after={}", at + 1);
+        let same = fetch::get(server.address(), &path).await;
+        assert!(matches!(same, Err(fetch::Error::Status(status, _)) if status == 304));
+    }
+}
+
 #[tokio::test]
 async fn outage_ends() {
     let server = start().await;
