Bound what the planner reads for control

It asked every engine each round (266 B each, so 53 KB/s at 200 engines) and every entry for all metrics. Engines are now asked in turn, 50 ms apart, and their reports count for three rounds; one entry's metrics are read at a time, at 1.5 KB/s.

--- a/godwithinge/src/planner/mod.rs
+++ b/godwithinge/src/planner/mod.rs
@@ -15,7 +15,7 @@
     preview::{Planned, preview},
 };
 
-use self::{clock::Clock, engine::Reached, order::Limits};
+use self::{clock::Clock, engine::Reached, order::Limits, waiting::Waiting};
 use crate::{
     http::Pool as Connections, platform::Client, settings::Settings, target::Client as Targets,
 };
@@ -30,6 +30,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 use tokio::{
     sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
@@ -37,6 +38,9 @@
     time,
 };
 
+/// Time between two reads of any engines' loads; it bounds the control traffic.
+const REPORT_SPACING: Duration = Duration::from_millis(50);
+
 /// What a task found out.
 #[derive(Debug)]
 enum Found {
@@ -45,6 +49,7 @@
     Hosts(BTreeMap<TargetId, Reached>),
     /// The load of an engine was asked for, with or without a report.
     Polled(TargetId, Option<Event>),
+    Waiting(waiting::Answer),
 }
 
 /// The planner daemon.
@@ -58,7 +63,11 @@
     lease: Lease,
     placement: Placement,
     engines: BTreeMap<TargetId, Reached>,
+    /// Engines that are being asked for their load.
     polled: BTreeSet<TargetId>,
+    /// Engine that was asked last.
+    last_polled: Option<TargetId>,
+    waiting: Waiting,
     /// Orders that are under way, which a release must wait for.
     ordering: usize,
     tasks: JoinSet<()>,
@@ -86,6 +95,8 @@
             placement: Placement::new(model_settings(&settings)),
             engines: BTreeMap::new(),
             polled: BTreeSet::new(),
+            last_polled: None,
+            waiting: Waiting::default(),
             ordering: 0,
             tasks: JoinSet::new(),
             found,
@@ -147,6 +158,11 @@
                     self.on_placement(event);
                 }
             }
+            Found::Waiting(answer) => {
+                for (model, requests) in self.waiting.take_in(self.clock.now(), answer) {
+                    self.on_placement(Event::Waiting { model, requests });
+                }
+            }
         }
     }
 
@@ -254,40 +270,65 @@
     }
 
     fn read_waiting(&mut self) {
+        let Some(ask) = self.waiting.next(self.clock.now()) else {
+            return;
+        };
         let (client, found) = (self.client.clone(), self.found.clone());
         let connections = self.connections.clone();
         let settings = Arc::clone(&self.settings);
         self.tasks.spawn(async move {
             let region = &settings.daemon.region;
             let timeout = settings.planner.order_timeout;
-            let read = waiting::read(&client, &connections, region, &settings.pools, timeout);
-            for (model, requests) in read.await {
-                let _ = found.send(Found::Placement(Event::Waiting { model, requests }));
-            }
+            let read = waiting::read(&client, &connections, region, &settings.pools, ask, timeout);
+            let _ = found.send(Found::Waiting(read.await));
         });
     }
 
+    /// Asks the engines for their loads in turn, so many each round that the spacing is kept.
     fn poll(&mut self) {
-        for (target, reached) in &self.engines {
-            if !self.polled.insert(target.clone()) {
-                continue;
+        let spaced = self
+            .settings
+            .planner
+            .interval
+            .div_duration_f64(REPORT_SPACING);
+        let count = (spaced as usize).clamp(1, self.engines.len().max(1));
+        let last = self.last_polled.take();
+        let after = self
+            .engines
+            .keys()
+            .filter(|target| last.as_ref() < Some(*target));
+        let names: Vec<_> = after
+            .chain(self.engines.keys())
+            .take(count)
+            .cloned()
+            .collect();
+        self.last_polled = names.last().cloned();
+        for target in names {
+            if self.polled.insert(target.clone()) {
+                self.poll_one(target);
             }
-            let (targets, found) = (self.targets.clone(), self.found.clone());
-            let (target, address) = (target.clone(), reached.address.to_string());
-            let (clock, timeout) = (self.clock, self.settings.planner.order_timeout);
-            self.tasks.spawn(async move {
-                let asked = clock.now();
-                let load = targets.load(&address, timeout).await.ok();
-                let event = load.map(|(mut report, _)| {
-                    // The report may be as old as the request for it.
-                    report.age += clock.now().saturating_sub(asked);
-                    let target = target.clone();
-                    Event::Report { target, report }
-                });
-                let _ = found.send(Found::Polled(target, event));
-            });
         }
     }
+
+    fn poll_one(&mut self, target: TargetId) {
+        let Some(reached) = self.engines.get(&target) else {
+            return;
+        };
+        let (targets, found) = (self.targets.clone(), self.found.clone());
+        let address = reached.address.to_string();
+        let (clock, timeout) = (self.clock, self.settings.planner.order_timeout);
+        self.tasks.spawn(async move {
+            let asked = clock.now();
+            let load = targets.load(&address, timeout).await.ok();
+            let event = load.map(|(mut report, _)| {
+                // The report may be as old as the request for it.
+                report.age += clock.now().saturating_sub(asked);
+                let target = target.clone();
+                Event::Report { target, report }
+            });
+            let _ = found.send(Found::Polled(target, event));
+        });
+    }
 }
 
 /// Returns the settings of placement, with each engine pool's model among the models.
@@ -313,6 +354,7 @@
         hold: planner.hold,
         smooth: planner.smooth,
         report_ttl: planner.report_ttl,
+        report_spacing: REPORT_SPACING,
         high: planner.raise_at as f64 / PERCENT,
         low: planner.lower_at as f64 / PERCENT,
     }
--- a/policy/src/placement/mod.rs
+++ b/policy/src/placement/mod.rs
@@ -28,6 +28,9 @@
     time::Duration,
 };
 
+/// Rounds of reports for which an engine that does not report is still counted on.
+const REPORT_ROUNDS: u32 = 3;
+
 /// What placement is started with.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -49,6 +52,8 @@
     pub smooth: Duration,
     /// Age from which a report no longer counts.
     pub report_ttl: Duration,
+    /// Time between two reports of any engines; with many, reports count for longer.
+    pub report_spacing: Duration,
     /// Requests for each seat from which a model needs another engine.
     pub high: f64,
     /// Requests for each remaining seat up to which a model can spare an engine.
@@ -200,6 +205,12 @@
         self.engines.get(target)?.plan.as_ref()
     }
 
+    /// Returns the age from which a report no longer counts, given how long it takes to ask all.
+    fn report_ttl(&self) -> Duration {
+        let round = self.settings.report_spacing * self.engines.len() as u32;
+        self.settings.report_ttl.max(round * REPORT_ROUNDS)
+    }
+
     fn set_engines(&mut self, now: Time, engines: Vec<Engine>) {
         let mut known = std::mem::take(&mut self.engines);
         for engine in engines {
--- a/policy/src/placement/plan.rs
+++ b/policy/src/placement/plan.rs
@@ -53,7 +53,7 @@
     }
 
     fn supply(&self, now: Time) -> BTreeMap<ModelId, Supply> {
-        let ttl = self.settings.report_ttl;
+        let ttl = self.report_ttl();
         demand::supply(
             self.engines
                 .values()
@@ -105,7 +105,7 @@
 
     /// Returns the engines that can be counted on.
     pub(super) fn fresh(&self, now: Time) -> impl Iterator<Item = &Known> {
-        let ttl = self.settings.report_ttl;
+        let ttl = self.report_ttl();
         let engines = self.engines.values();
         engines.filter(move |known| known.is_fresh(now, ttl))
     }
--- a/policy/tests/placement.rs
+++ b/policy/tests/placement.rs
@@ -45,6 +45,7 @@
         hold: HOLD,
         smooth: Duration::from_secs(2),
         report_ttl: Duration::from_secs(4),
+        report_spacing: Duration::from_millis(50),
         high: 0.8,
         low: 0.5,
     }
--- a/standin/src/slopes/local.rs
+++ b/standin/src/slopes/local.rs
@@ -183,6 +183,7 @@
         hold: Duration::from_secs(60),
         smooth: Duration::from_secs(10),
         report_ttl: Duration::from_secs(5),
+        report_spacing: Duration::from_millis(50),
         high: 0.8,
         low: 0.5,
     }
