End silent links by the time since the last frame

The limit of silence began anew whenever a frame was sent, which happens each second, so a silent link was kept for ever. The test did not show it: links that were sent a corrupt frame ended, and their ends were counted as if for silence. It now waits for two silent ends and one corrupt end. With the old loop, and with the limit raised to 300 s, it fails: "the link was replaced: Elapsed".

--- a/godwithinge/src/peer/link.rs
+++ b/godwithinge/src/peer/link.rs
@@ -12,7 +12,7 @@
 use tokio::{
     net::TcpListener,
     sync::{Semaphore, mpsc},
-    time,
+    time::{self, Instant},
 };
 
 /// Time without a frame after which a link counts as silent.
@@ -175,10 +175,12 @@
     socket: &mut Socket,
     frames: &mut mpsc::Receiver<Vec<u8>>,
 ) -> Result<(), Error> {
+    let mut silent_at = Instant::now() + SILENCE;
     loop {
         tokio::select! {
-            frame = time::timeout(SILENCE, socket.receive()) => {
+            frame = time::timeout_at(silent_at, socket.receive()) => {
                 hub.receive(id, frame.map_err(|_silent| Error::Silent)??)?;
+                silent_at = Instant::now() + SILENCE;
             }
             bytes = frames.recv() => {
                 // The hub drops a link that it replaces or that is too slow.
--- a/godwithinge/tests/peer.rs
+++ b/godwithinge/tests/peer.rs
@@ -21,7 +21,14 @@
 use prometheus::IntCounterVec;
 use rstest::rstest;
 use sha2::Sha256;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -244,34 +251,40 @@
     let address = listener.local_addr().expect("it is bound");
     let (told, mut ended) = mpsc::unbounded_channel();
     tokio::spawn(async move {
-        for turn in 0.. {
-            let Ok((stream, _)) = listener.accept().await else {
-                return;
-            };
-            tokio::spawn(mute(stream, address, turn % 2 == 1, told.clone()));
+        let links = Arc::new(AtomicU32::new(0));
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(mute(stream, address, Arc::clone(&links), told.clone()));
         }
     });
     let daemon = start(0, KEY, &[address]).await;
     let vouching = tokio::spawn(vouch(daemon.links.address(), address));
     // Each link goes silent after it said who it is; each second one then sends what is no frame.
-    for _ in 0..4 {
+    let mut seen = [0, 0];
+    while seen[0] < 2 || seen[1] < 1 {
         let end = time::timeout(Duration::from_secs(8), ended.recv()).await;
-        end.expect("the link was replaced");
+        let corrupt = end.expect("the link was replaced").expect("the peer runs");
+        seen[usize::from(corrupt)] += 1;
     }
     assert!(!vouching.is_finished());
 }
 
 /// Is a peer that proves itself and then goes silent; tells when a link to it has ended.
-async fn mute(stream: TcpStream, address: SocketAddr, corrupt: bool, ended: UnboundedSender<()>) {
+async fn mute(
+    stream: TcpStream,
+    address: SocketAddr,
+    links: Arc<AtomicU32>,
+    ended: UnboundedSender<bool>,
+) {
     let mut socket = accept_async(stream).await.expect("it is a WebSocket");
     let visit = acknowledge(&mut socket).await;
     drop(socket.send(message(&profile(address))).await);
+    let corrupt = !visit && links.fetch_add(1, Ordering::Relaxed) % 2 == 1;
     if corrupt {
         drop(socket.send(Message::binary(vec![0xff; 64])).await);
     }
     while let Some(Ok(Message::Binary(_))) = socket.next().await {}
     if !visit {
-        let _ = ended.send(());
+        let _ = ended.send(corrupt);
     }
 }
 
