--- a/godwithinge/src/entry/mod.rs
+++ b/godwithinge/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod poll;
 mod ring;
 mod state;
+mod sweep;
 mod ticket;
 
 pub use self::{
@@ -95,6 +96,7 @@
         tasks.spawn(poll::sweep(daemon.clone()));
         tasks.spawn(directory::run(daemon.clone()));
         tasks.spawn(settler.run(daemon.clone()));
+        tasks.spawn(sweep::run(daemon.clone()));
         tracing::info!(
             host = %shared.settings.daemon.host,
             domain = %shared.settings.daemon.domain,
@@ -140,7 +142,8 @@
             pools: settings.pools.clone(),
             queue: settings.entry.queue,
             remember: settings.entry.remember,
-        });
+        })
+        .with_rule(settings.entry.rule);
         let address = settings.platform.address.to_string();
         let platform = platform::Client::new(address, settings.platform.timeout);
         let metrics = Metrics::new().map_err(Error::Metrics)?;
--- a/godwithinge/src/lib.rs
+++ b/godwithinge/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod log;
 pub mod metrics;
 pub mod peer;
+pub mod planner;
 pub mod platform;
 pub mod settings;
 pub mod table;
--- a/godwithinge/src/settings/mod.rs
+++ b/godwithinge/src/settings/mod.rs
@@ -20,6 +20,7 @@
 use policy::{
     id::{DomainId, HostId, RegionId},
     pool::Pool,
+    router::Rule,
 };
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
@@ -83,6 +84,8 @@
 pub struct Entry {
     /// Most stages that wait for one pool.
     pub queue: usize,
+    /// How targets are compared.
+    pub rule: Rule,
     /// Time that a final outcome is remembered.
     pub remember: Duration,
     /// Longest body of a caller's request, in bytes.
@@ -129,9 +132,9 @@
         let daemon = read_daemon(&mut reader);
         let platform = read_platform(&mut reader);
         let peers = read_peers(&mut reader);
-        let entry = read_entry(&mut reader);
         let planner = planner::read(&mut reader);
         let pools = pool::read_all(&mut reader);
+        let entry = read_entry(&mut reader, longest_claim(&pools));
         let errors = reader.finish();
         match (daemon, platform, peers, entry, planner) {
             (Some(daemon), Some(platform), Some(peers), Some(entry), Some(planner))
@@ -197,18 +200,20 @@
     Some(Peers { seeds: seeds? })
 }
 
-fn read_entry(reader: &mut Reader) -> Option<Entry> {
+fn read_entry(reader: &mut Reader, longest_claim: Duration) -> Option<Entry> {
     let mut section = reader.section("entry");
     let queue = section.count("queue", 1..=MAX_QUEUE);
+    let rule = section.parse("rule", RULES, |text| text.parse().ok());
     let remember = section.duration("remember", MIN_TIME..=MAX_KEPT);
     let body_limit = section.count("body_limit", 1..=MAX_BODY);
     let directory_ttl = time(&mut section, "directory_ttl");
     let hosts_poll = time(&mut section, "hosts_poll");
     let table_poll = time(&mut section, "table_poll");
     let load_poll = time(&mut section, "load_poll");
-    let claim_retention = section.duration("claim_retention", MIN_TIME..=MAX_KEPT);
+    let claim_retention = section.duration("claim_retention", longest_claim..=MAX_KEPT);
     Some(Entry {
         queue: queue?,
+        rule: rule?,
         remember: remember?,
         body_limit: body_limit?,
         directory_ttl: directory_ttl?,
@@ -219,15 +224,27 @@
     })
 }
 
+/// Returns the longest time that a call may take whose claim must be kept meanwhile.
+fn longest_claim(pools: &[Pool]) -> Duration {
+    let claimed = pools.iter().filter(|pool| !pool.idempotent);
+    claimed
+        .map(|pool| pool.timeout)
+        .fold(MIN_TIME, Duration::max)
+}
+
 fn time(section: &mut Section<'_>, key: &'static str) -> Option<Duration> {
     section.duration(key, MIN_TIME..=MAX_TIME)
 }
 
+/// Ways to compare targets.
+const RULES: &str = "scored, round_robin or least_in_flight";
+
 /// Defaults: section, key, value.
-const DEFAULTS: [(&str, &str, &str); 30] = [
+const DEFAULTS: [(&str, &str, &str); 31] = [
     ("platform", "timeout", "500ms"),
     ("peers", "seeds", ""),
     ("entry", "queue", "1024"),
+    ("entry", "rule", "scored"),
     ("entry", "remember", "60s"),
     ("entry", "body_limit", "1048576"),
     ("entry", "directory_ttl", "5s"),
--- a/godwithinge/src/target/mod.rs
+++ b/godwithinge/src/target/mod.rs
@@ -6,7 +6,11 @@
 mod sse;
 mod wire;
 
-pub use self::{error::Error, sse::Decoder, wire::Events};
+pub use self::{
+    error::Error,
+    sse::{Decoder, Event},
+    wire::Events,
+};
 
 use crate::{
     http::{Error as HttpError, Pool as Connections, Request, Response, Reuse},
@@ -137,9 +141,18 @@
             }
             Ok(response.bytes(MAX_BODY).await?)
         };
-        time::timeout(timeout, exchange)
-            .await
-            .map_err(|_elapsed| HttpError::Silent)?
+        match time::timeout(timeout, exchange).await {
+            Ok(reply) => reply,
+            Err(_elapsed) => {
+                self.note_silence(address);
+                Err(HttpError::Silent.into())
+            }
+        }
+    }
+
+    fn note_silence(&self, address: &str) {
+        self.connections.note_silence(address);
+        tracing::warn!(%address, "silent connection was closed");
     }
 
     /// Sends a call and waits for the head of the response.
@@ -154,7 +167,7 @@
             let pooled = self.connections.send(address, request(), Reuse::Newest);
             match time::timeout(call.silence, pooled).await {
                 Ok(reply) => return accept(reply.map_err(|error| to_fault(&error))?).await,
-                Err(_elapsed) => tracing::warn!(%address, "silent connection was closed"),
+                Err(_elapsed) => self.note_silence(address),
             }
         }
         let fresh = self.connections.send(address, request(), Reuse::Never);
--- /dev/null
+++ b/godwithinge/tests/process/silent.rs
@@ -0,0 +1,57 @@
+//! Connections that go silent for good while new ones work.
+
+use crate::common::{Ask, Bench, Entry, ORDER, SIZE, until};
+use rstest::rstest;
+use std::sync::Arc;
+use tokio::task::JoinSet;
+
+/// Requests that run at once.
+const AT_ONCE: usize = 12;
+
+/// Sends requests of a pipeline at once, which must be answered.
+async fn burst(entry: &Entry, pipeline: &str, name: &str, deadline_ms: u64) {
+    let address = entry.address().await;
+    let mut burst = JoinSet::new();
+    for number in 0..AT_ONCE {
+        let ask = Ask::new(pipeline, &format!("{name}{number}")).with_deadline(deadline_ms);
+        burst.spawn(async move { ask.send(address).await });
+    }
+    while let Some(reply) = burst.join_next().await {
+        let reply = reply.expect("no panic");
+        assert_eq!(reply.outcome(), "answered", "{reply:?}");
+    }
+}
+
+/// All open connections to the only target of a stage, or to the platform, go silent.
+#[rstest]
+#[case::target(true)]
+#[case::platform(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn open_connections(#[case] target: bool) {
+    let bench = Bench::start(1).await;
+    let entry = bench.entry("e1").await;
+    burst(&entry, ORDER, "before", 4000).await;
+    if target {
+        bench.services("encoders")[0].gate().silence();
+    } else {
+        bench.fleet.platform().gate().silence();
+    }
+    burst(&entry, ORDER, "after", 2000).await;
+    for number in 0..AT_ONCE {
+        assert_eq!(bench.effects("clerks", &format!("after{number}")), 1);
+    }
+}
+
+/// A silent connection is found by the reads of load reports, before a call uses it.
+#[tokio::test(flavor = "multi_thread")]
+async fn found_by_reports() {
+    let bench = Bench::start(1).await;
+    let entry = bench.entry("e1").await;
+    burst(&entry, SIZE, "before", 4000).await;
+    let encoder = Arc::clone(&bench.services("encoders")[0]);
+    encoder.gate().silence();
+    until("silent connections are closed", || {
+        entry.logged("silent connection was closed") > 0
+    })
+    .await;
+}
--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -28,6 +28,9 @@
 /// Quantile of a stage's time that a request must still have left to be worth a call.
 const FEASIBLE_QUANTILE: f64 = 0.1;
 
+/// The same quantile when other stages wait for the room that the call would take.
+const CONTENDED_QUANTILE: f64 = 0.95;
+
 /// Quantile of a stage's time after which its attempt is doubled.
 const HEDGE_QUANTILE: f64 = 0.95;
 
@@ -119,7 +122,9 @@
             self.give_up(turn, request, Reason::Leaving);
         } else if request.marks().any(|mark| self.is_quarantined(mark)) {
             self.quarantine(turn, request);
-        } else if turn.now + self.wait(request) + self.work_left(request) > request.deadline {
+        } else if turn.now + self.wait(request) + self.work_left(request, FEASIBLE_QUANTILE)
+            > request.deadline
+        {
             self.give_up(turn, request, Reason::Infeasible);
         } else {
             self.enter_stage(turn, request);
@@ -208,6 +213,7 @@
                 request.state() != State::Waiting || entry.place(turn, request)
             });
             if placed == Some(false) {
+                self.note_wait(turn, &item.key);
                 passed.push(item);
             }
         }
@@ -218,9 +224,19 @@
         }
     }
 
+    /// Logs that the current stage waits, once.
+    fn note_wait(&mut self, turn: &mut Turn<'_>, key: &Key) {
+        self.with(key, |entry, request| {
+            if !request.waited {
+                request.waited = true;
+                entry.decide(turn, request, Choice::Wait, None, Vec::new());
+            }
+        });
+    }
+
     /// Sends the current stage to a target or gives it up; `false` leaves it in the queue.
     fn place(&mut self, turn: &mut Turn<'_>, request: &mut Request) -> bool {
-        if turn.now + self.work_left(request) > request.deadline {
+        if turn.now + self.work_left(request, self.feasible(request)) > request.deadline {
             self.give_up(turn, request, Reason::Infeasible);
             return true;
         }
@@ -258,10 +274,32 @@
     fn choose(&mut self, turn: &Turn<'_>, request: &Request) -> Result<Pick, Shortage> {
         let prefix = self.prefix(request);
         let avoid = request.avoided();
+        if let Some(pick) = self.choose_elsewhere(turn, request, &prefix) {
+            return Ok(pick);
+        }
         let need = self.need(request, &prefix, &avoid);
         self.router.choose(turn.now, &need, &mut self.rng)
     }
 
+    /// Chooses a target for a suspect payload outside the failure domains where targets died.
+    ///
+    /// A lost domain ends several targets within moments; a second death there would put an
+    /// innocent payload into quarantine.
+    fn choose_elsewhere(
+        &mut self,
+        turn: &Turn<'_>,
+        request: &Request,
+        prefix: &[BlockHash],
+    ) -> Option<Pick> {
+        if request.spent.is_empty() || !self.is_suspect(request) {
+            return None;
+        }
+        let mut avoid = self.router.beside(&request.spent);
+        avoid.extend(request.avoided());
+        let need = self.need(request, prefix, &avoid);
+        self.router.choose(turn.now, &need, &mut self.rng).ok()
+    }
+
     fn need<'a>(
         &self,
         request: &'a Request,
@@ -510,11 +548,24 @@
         }
     }
 
-    /// Returns the least time that the rest of the pipeline takes.
-    pub(super) fn work_left(&self, request: &Request) -> Duration {
+    /// Returns the quantile of a stage's time that a request must still have left.
+    ///
+    /// A call that is likely to end too late is worth trying only if no other stage waits for
+    /// the room.
+    fn feasible(&self, request: &Request) -> f64 {
+        let lane = self.lanes.get(request.pool());
+        if lane.is_none_or(|lane| lane.queue.is_empty()) {
+            FEASIBLE_QUANTILE
+        } else {
+            CONTENDED_QUANTILE
+        }
+    }
+
+    /// Returns the time that the rest of the pipeline takes, at `quantile` of each stage.
+    pub(super) fn work_left(&self, request: &Request, quantile: f64) -> Duration {
         request.stages[request.stage()..]
             .iter()
-            .filter_map(|pool| self.router.quantile(pool, FEASIBLE_QUANTILE))
+            .filter_map(|pool| self.router.quantile(pool, quantile))
             .sum()
     }
 
--- a/policy/src/router/mod.rs
+++ b/policy/src/router/mod.rs
@@ -99,7 +99,7 @@
 }
 
 /// Targets of a pool that one entry works with, unless set otherwise.
-const SUBSET_SIZE: usize = 16;
+pub const SUBSET_SIZE: usize = 16;
 
 /// Targets that are drawn for one choice.
 const DRAWN: usize = 4;
@@ -130,6 +130,8 @@
     started: Time,
     /// Expected seconds, unless nothing is known of the pool yet.
     expected: Option<f64>,
+    /// Expected seconds to the first part, of an engine that reported its rates.
+    prefill: Option<f64>,
     /// Whether a part of the result has come.
     progressed: bool,
 }
@@ -223,6 +225,20 @@
         target.listed.then_some(&target.host.address)
     }
 
+    /// Returns all targets of the pools and failure domains of some targets.
+    pub fn beside(&self, targets: &[TargetId]) -> Vec<TargetId> {
+        let known: Vec<_> = targets
+            .iter()
+            .filter_map(|name| self.target(name))
+            .map(|target| (&target.host.pool, &target.host.domain))
+            .collect();
+        self.targets
+            .iter()
+            .filter(|target| known.contains(&(&target.host.pool, &target.host.domain)))
+            .map(|target| target.host.target.clone())
+            .collect()
+    }
+
     /// Returns the targets of `pool` that this entry works with now.
     pub fn subset(&self, pool: &PoolId) -> impl Iterator<Item = &TargetId> {
         self.pools
@@ -290,12 +306,14 @@
         };
         let known = self.is_known(index, need);
         let expected = known.then(|| self.expected(now, index, need));
+        let prefill = self.prefill(index, need);
         self.prefixes.sent(now, index, need.prefix);
         self.targets[index as usize].started(now, attempt, expected, need.alone);
         let call = Call {
             target: index,
             started: now,
             expected,
+            prefill,
             progressed: false,
         };
         self.running.insert(attempt, call);
@@ -306,11 +324,16 @@
         let Some(call) = self.running.get_mut(&attempt) else {
             return;
         };
-        let pool = &self.targets[call.target as usize].host.pool;
+        let target = &mut self.targets[call.target as usize];
         if !std::mem::replace(&mut call.progressed, true)
-            && let Some(pool) = self.pools.get_mut(pool)
+            && let Some(pool) = self.pools.get_mut(&target.host.pool)
         {
-            pool.first.add(now.saturating_sub(call.started));
+            let took = now.saturating_sub(call.started);
+            pool.first.add(took);
+            if let Some(prefill) = call.prefill {
+                let waited = took.as_secs_f64() - prefill;
+                target.waited(now, waited, pool.mean.get());
+            }
         }
     }
 
@@ -330,6 +353,7 @@
                 .expected
                 .map_or(usual, |expected| (took / expected).min(MAX_STRETCH)),
             usual,
+            waited: call.prefill.is_some(),
             verdict,
         };
         let ejected = target.ended(now, attempt, &end);
