Give operators a command line for the table and the entries

gwictl gets, checks, compares, sets, removes, applies and logs the table, shows an entry's state, drains it, explains a request and shows the planner's dry run; as text in columns or as JSON, with an exit status for each kind of refusal.

--- a/godwithinge/src/bin/gwictl.rs
+++ b/godwithinge/src/bin/gwictl.rs
@@ -1,2 +1,245 @@
-//! Placeholder.
-fn main() {}
+//! Command line of operators.
+
+use godwithinge::{
+    ctl::{self, Error, Operator, Request, Status, View},
+    planner,
+    platform::Client,
+    settings::{Secret, Settings},
+    table::Store,
+};
+use policy::id::Key;
+use std::{
+    env, fs,
+    io::{self, Write},
+    net::SocketAddr,
+    path::Path,
+    process::ExitCode,
+    time::Duration,
+};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+mod flags {
+    use std::{net::SocketAddr, path::PathBuf};
+
+    xflags::xflags! {
+        /// Shows and edits the table of weights and limits, and talks to entries.
+        ///
+        /// Exit status: 0 done, 1 platform or entry not available, 2 wrong usage or settings,
+        /// 3 invalid table, 4 conflict with another edit, 5 edit may have taken effect.
+        cmd gwictl {
+            /// File of settings, in INI; flags go before it.
+            optional --settings file: PathBuf
+            /// Address of the platform: IP number and port.
+            optional --platform address: SocketAddr
+            /// Address of an entry's interface: IP number and port.
+            optional --entry address: SocketAddr
+            /// File that holds the operator's token.
+            optional --token-file file: PathBuf
+            /// Name of the operator for the change log.
+            optional --who name: String
+            /// Longest time that an edit is tried for, in seconds.
+            optional --patience seconds: u64
+            /// Print JSON.
+            optional --json
+            /// Print the version and end.
+            optional --version
+
+            /// The table of weights and limits.
+            cmd table {
+                /// Show the table.
+                cmd get {
+                    /// Print CSV, for a spreadsheet.
+                    optional --csv
+                }
+                /// Check a sheet without the platform.
+                cmd check {
+                    required sheet: PathBuf
+                }
+                /// Show the cells in which a sheet differs from the revision that it is based on.
+                cmd diff {
+                    required sheet: PathBuf
+                }
+                /// Edit single cells, written workspace/tailors.share=2.
+                cmd set {
+                    repeated cell: String
+                    /// Revision that the edit is based on; the newest if not given.
+                    optional --base revision: u64
+                    /// Name of the edit, to ask for it again after a lost reply.
+                    optional --edit name: String
+                }
+                /// Remove a row.
+                cmd remove {
+                    required row: String
+                    /// Revision that the edit is based on; the newest if not given.
+                    optional --base revision: u64
+                }
+                /// Edit all cells in which a sheet differs from the revision it is based on.
+                cmd apply {
+                    required sheet: PathBuf
+                    /// Name of the edit, to ask for it again after a lost reply.
+                    optional --edit name: String
+                }
+                /// Show the change log.
+                cmd log {
+                    /// Revision after which the log begins.
+                    optional --after revision: u64
+                }
+            }
+            /// Show the state of an entry.
+            cmd status {}
+            /// Drain an entry; again, have it log what is in flight.
+            cmd drain {}
+            /// Show the decisions about a request, named tailors/fitting/fit-17.
+            cmd explain {
+                required request: String
+            }
+            /// Show the orders that the planner would give in the next hour.
+            cmd plan {}
+        }
+    }
+}
+
+use flags::{Gwictl, GwictlCmd, TableCmd};
+
+/// Longest time of one exchange with the platform where no settings give it.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Flags, and the settings behind them.
+struct Options {
+    flags: Gwictl,
+    settings: Option<Settings>,
+}
+
+fn main() -> ExitCode {
+    if env::args().nth(1).as_deref() == Some("--version") {
+        println!("gwictl {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let flags = Gwictl::from_env_or_exit();
+    let json = flags.json;
+    let csv = matches!(&flags.subcommand, GwictlCmd::Table(table)
+        if matches!(&table.subcommand, TableCmd::Get(get) if get.csv));
+    match run(flags).and_then(|view| print(&view, json, csv)) {
+        Ok(()) => ExitCode::from(Status::Done as u8),
+        Err(error) => {
+            eprintln!("gwictl: {error}");
+            ExitCode::from(error.status() as u8)
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn run(flags: Gwictl) -> Result<View, Error> {
+    let settings = flags.settings.as_deref().map(Settings::from_file);
+    let settings = settings.transpose().map_err(Error::Settings)?;
+    let options = Options { flags, settings };
+    match &options.flags.subcommand {
+        GwictlCmd::Table(table) => options.table(&table.subcommand).await,
+        GwictlCmd::Status(_) => options.operator()?.status().await,
+        GwictlCmd::Drain(_) => options.operator()?.drain().await,
+        GwictlCmd::Explain(explain) => {
+            let key = parse_request(&explain.request)?;
+            options.operator()?.explain(&key).await
+        }
+        GwictlCmd::Plan(_) => {
+            let settings = options.settings.as_ref();
+            let settings = settings.ok_or(Error::Missing { flag: "--settings" })?;
+            let planned = planner::preview(settings).await;
+            planned.map(View::Plan).map_err(Error::Platform)
+        }
+    }
+}
+
+impl Options {
+    async fn table(&self, command: &TableCmd) -> Result<View, Error> {
+        let request = self.request();
+        match command {
+            TableCmd::Get(_) => ctl::get(&self.store()?).await,
+            TableCmd::Check(check) => ctl::check(&read(&check.sheet)?),
+            TableCmd::Diff(diff) => ctl::diff(&self.store()?, &read(&diff.sheet)?).await,
+            TableCmd::Set(set) => {
+                let request = Request {
+                    base: set.base,
+                    id: set.edit.as_deref().map(Into::into),
+                    ..request
+                };
+                ctl::set(&self.store()?, request, &set.cell).await
+            }
+            TableCmd::Remove(remove) => {
+                let base = remove.base;
+                ctl::remove(&self.store()?, Request { base, ..request }, &remove.row).await
+            }
+            TableCmd::Apply(apply) => {
+                let id = apply.edit.as_deref().map(Into::into);
+                let sheet = read(&apply.sheet)?;
+                ctl::apply(&self.store()?, Request { id, ..request }, &sheet).await
+            }
+            TableCmd::Log(log) => ctl::log(&self.store()?, log.after.unwrap_or(0)).await,
+        }
+    }
+
+    fn request(&self) -> Request {
+        let user = || env::var("USER").unwrap_or_else(|_| "operator".into());
+        Request {
+            who: self.flags.who.clone().unwrap_or_else(user).into(),
+            ..Request::default()
+        }
+    }
+
+    fn store(&self) -> Result<Store, Error> {
+        let settings = self.settings.as_ref().map(|settings| &settings.platform);
+        let address = self.flags.platform;
+        let address = address.or(settings.map(|platform| platform.address));
+        let address = address.ok_or(Error::Missing { flag: "--platform" })?;
+        let timeout = settings.map_or(TIMEOUT, |platform| platform.timeout);
+        let store = Store::new(Client::new(address.to_string(), timeout));
+        Ok(match self.flags.patience {
+            Some(seconds) => store.with_patience(Duration::from_secs(seconds)),
+            None => store,
+        })
+    }
+
+    fn operator(&self) -> Result<Operator, Error> {
+        let settings = self.settings.as_ref().map(|settings| &settings.daemon);
+        let listen = settings.map(|daemon| daemon.listen);
+        let address: Option<SocketAddr> = self.flags.entry.or(listen);
+        let address = address.ok_or(Error::Missing { flag: "--entry" })?;
+        let token = match &self.flags.token_file {
+            Some(file) => Some(Secret::new(read(file)?.trim())),
+            None => settings.map(|daemon| daemon.operator_token.clone()),
+        };
+        let token = token.ok_or(Error::Missing {
+            flag: "--token-file",
+        })?;
+        Ok(Operator::new(address, token))
+    }
+}
+
+fn parse_request(word: &str) -> Result<Key, Error> {
+    let mut parts = word.splitn(3, '/');
+    match (parts.next(), parts.next(), parts.next()) {
+        (Some(workspace), Some(pipeline), Some(request)) => {
+            Ok(Key::new(workspace, pipeline, request))
+        }
+        _ => Err(Error::Request { word: word.into() }),
+    }
+}
+
+fn read(file: &Path) -> Result<String, Error> {
+    fs::read_to_string(file).map_err(|cause| Error::File {
+        file: file.into(),
+        cause,
+    })
+}
+
+fn print(view: &View, json: bool, csv: bool) -> Result<(), Error> {
+    let text = match view {
+        View::Table(table) if csv => table.to_csv(),
+        view if json => format!("{:#}\n", view.to_json().map_err(Error::Malformed)?),
+        view => view.to_string(),
+    };
+    let mut output = io::stdout().lock();
+    output.write_all(text.as_bytes()).map_err(Error::Output)
+}
--- /dev/null
+++ b/godwithinge/src/ctl/view.rs
@@ -0,0 +1,252 @@
+//! What an operator gets to see, as text or as JSON.
+
+use super::Grid;
+use crate::planner::Planned;
+use compact_str::{CompactString, ToCompactString, format_compact};
+use policy::{
+    decision::Decision,
+    id::{HostId, Revision},
+    member::Member,
+    table::{
+        Table,
+        edit::{Change, Entry},
+        row::{Column, Key},
+    },
+};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::{fmt, net::SocketAddr};
+use strum::IntoEnumIterator;
+
+/// What an operator gets to see.
+#[derive(Clone, Debug, PartialEq)]
+pub enum View {
+    /// The table.
+    Table(Table),
+    /// A sheet without faults.
+    Checked {
+        /// Revision that the sheet is based on.
+        revision: Revision,
+        /// Rows of the sheet.
+        rows: usize,
+    },
+    /// Cells that differ.
+    Changes(Vec<Change>),
+    /// An edit that was accepted.
+    Accepted(Entry),
+    /// Entries of the change log.
+    Log(Vec<Entry>),
+    /// State of an entry.
+    Status(State),
+    /// An entry that drains.
+    Draining {
+        /// Address of the entry.
+        entry: SocketAddr,
+    },
+    /// Decisions about a request.
+    Decisions(Vec<Decision>),
+    /// Orders of a dry run of the planner.
+    Plan(Vec<Planned>),
+}
+
+/// State of an entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct State {
+    /// Host of the entry.
+    pub host: HostId,
+    /// Number that the daemon drew at its start.
+    pub incarnation: u64,
+    /// How far the daemon is on its way out of service.
+    pub phase: CompactString,
+    /// Whether requests are served.
+    pub ready: bool,
+    /// Revision of the table in force.
+    pub revision: Option<Revision>,
+    /// Requests without a final outcome.
+    pub in_flight: usize,
+    /// Settlements of claims that are not written yet.
+    pub unsettled: i64,
+    /// All daemons that the entry knows.
+    #[serde(default)]
+    pub members: Vec<Member>,
+    /// Hosts that the entry has a link to.
+    #[serde(default)]
+    pub linked: Vec<HostId>,
+    /// Targets on the host list.
+    #[serde(default)]
+    pub targets: Vec<policy::host::Host>,
+}
+
+impl View {
+    /// Returns the view as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value has no form in JSON.
+    pub fn to_json(&self) -> serde_json::Result<Value> {
+        match self {
+            Self::Table(table) => serde_json::to_value(table),
+            Self::Checked { revision, rows } => Ok(json!({"revision": revision, "rows": rows})),
+            Self::Changes(changes) => serde_json::to_value(changes),
+            Self::Accepted(entry) => serde_json::to_value(entry),
+            Self::Log(log) => serde_json::to_value(log),
+            Self::Status(state) => serde_json::to_value(state),
+            Self::Draining { entry } => Ok(json!({"draining": entry})),
+            Self::Decisions(decisions) => serde_json::to_value(decisions),
+            Self::Plan(plan) => serde_json::to_value(plan),
+        }
+    }
+}
+
+impl fmt::Display for View {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Table(table) => write!(f, "revision {}\n{}", table.revision, rows(table)),
+            Self::Checked { revision, rows } => {
+                writeln!(f, "{rows} rows are valid, based on revision {revision}")
+            }
+            Self::Changes(changes) if changes.is_empty() => writeln!(f, "no cell differs"),
+            Self::Changes(changes) => cells(changes).fmt(f),
+            Self::Accepted(entry) => {
+                let (revision, edit) = (entry.revision, &entry.edit);
+                writeln!(f, "accepted as revision {revision}, edit {edit}")?;
+                cells(&entry.changes).fmt(f)
+            }
+            Self::Log(log) => log_grid(log).fmt(f),
+            Self::Status(state) => state.fmt(f),
+            Self::Draining { entry } => writeln!(f, "entry at {entry} drains"),
+            Self::Decisions(decisions) => decision_grid(decisions).fmt(f),
+            Self::Plan(plan) => plan_grid(plan).fmt(f),
+        }
+    }
+}
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut facts = Grid::default();
+        let mut fact = |name: &str, value: CompactString| facts.push([name.into(), value]);
+        fact("host", self.host.clone());
+        fact("phase", self.phase.clone());
+        fact("ready", if self.ready { "yes" } else { "no" }.into());
+        let revision = self.revision.map(|revision| revision.to_compact_string());
+        fact("revision", revision.unwrap_or_else(|| "none".into()));
+        fact("in flight", self.in_flight.to_compact_string());
+        fact("unsettled", self.unsettled.to_compact_string());
+        fact("targets", self.targets.len().to_compact_string());
+        writeln!(f, "{facts}")?;
+        let header = ["member", "presence", "domain", "revision", "load", "linked"];
+        let mut members = Grid::new(&header);
+        for member in &self.members {
+            let linked = self.linked.contains(&member.host);
+            members.push([
+                member.host.clone(),
+                member.presence.to_compact_string(),
+                member.profile.domain.clone(),
+                member.pulse.revision.to_compact_string(),
+                format_compact!("{:.2}", member.pulse.load),
+                if linked { "yes" } else { "" }.into(),
+            ]);
+        }
+        members.fmt(f)
+    }
+}
+
+fn rows(table: &Table) -> Grid {
+    let mut header = vec!["kind"];
+    header.extend(Column::iter().map(<&'static str>::from));
+    let mut grid = Grid::new(&header);
+    for key in table.keys() {
+        let cell = |column| cell(table, &key, column);
+        let cells = Column::iter().map(cell);
+        grid.push(std::iter::once(key.kind.to_compact_string()).chain(cells));
+    }
+    grid
+}
+
+fn cell(table: &Table, key: &Key, column: Column) -> CompactString {
+    match column {
+        Column::Name => key.name.clone(),
+        column => table.cell(key, column),
+    }
+}
+
+fn cells(changes: &[Change]) -> Grid {
+    let mut grid = Grid::new(&["row", "column", "before", "after"]);
+    for change in changes {
+        grid.push([
+            change.row.to_compact_string(),
+            change.column.to_compact_string(),
+            shown(&change.before),
+            shown(&change.after),
+        ]);
+    }
+    grid
+}
+
+fn log_grid(log: &[Entry]) -> Grid {
+    let header = [
+        "revision", "at ms", "who", "edit", "row", "column", "before", "after",
+    ];
+    let mut grid = Grid::new(&header);
+    for entry in log {
+        for change in &entry.changes {
+            grid.push([
+                entry.revision.to_compact_string(),
+                entry.at_ms.to_compact_string(),
+                entry.who.clone(),
+                entry.edit.clone(),
+                change.row.to_compact_string(),
+                change.column.to_compact_string(),
+                shown(&change.before),
+                shown(&change.after),
+            ]);
+        }
+    }
+    grid
+}
+
+fn decision_grid(decisions: &[Decision]) -> Grid {
+    let mut grid = Grid::new(&[
+        "stage",
+        "pool",
+        "choice",
+        "target",
+        "revision",
+        "candidates",
+    ]);
+    for decision in decisions {
+        let score = |c: &policy::decision::Candidate| format!("{}={:.3}", c.target, c.score);
+        let candidates: Vec<_> = decision.candidates.iter().map(score).collect();
+        grid.push([
+            decision.stage.to_compact_string(),
+            decision.pool.clone(),
+            decision.choice.to_compact_string(),
+            decision.target.clone().unwrap_or_default(),
+            decision.revision.to_compact_string(),
+            candidates.join(" ").into(),
+        ]);
+    }
+    grid
+}
+
+fn plan_grid(plan: &[Planned]) -> Grid {
+    let mut grid = Grid::new(&["after", "target", "order"]);
+    for planned in plan {
+        let order = serde_json::to_string(&planned.order).unwrap_or_default();
+        grid.push([
+            format_compact!("{}s", planned.after.as_secs()),
+            planned.order.target.clone(),
+            order.into(),
+        ]);
+    }
+    grid
+}
+
+/// Shows a blank cell as a dash.
+fn shown(text: &CompactString) -> CompactString {
+    if text.is_empty() {
+        "-".into()
+    } else {
+        text.clone()
+    }
+}
--- a/godwithinge/src/lib.rs
+++ b/godwithinge/src/lib.rs
@@ -4,6 +4,7 @@
 //! decision is made by crate `policy`.
 
 pub mod api;
+pub mod ctl;
 pub mod entry;
 pub mod http;
 pub mod log;
