Admit requests under the ceilings of their workspace and pipeline

The ceilings were divided among the entries, but no request was held to them. A request over a part waits for its token as long as its deadline allows it, else it is told at once that it was not run and when to come back.

--- a/policy/src/ceiling/mod.rs
+++ b/policy/src/ceiling/mod.rs
@@ -97,6 +97,11 @@
         self.limits = limits;
     }
 
+    /// Returns whether no row has a ceiling.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty()
+    }
+
     /// Takes in who shares the ceilings, and whether all of them are heard from.
     pub fn set_members(&mut self, now: Time, members: &[HostId], steady: bool) {
         self.members = members.iter().cloned().collect();
--- a/policy/src/entry/claims.rs
+++ b/policy/src/entry/claims.rs
@@ -169,6 +169,7 @@
                 return;
             }
             match request.state() {
+                State::Waiting if !request.begun => entry.enter_stage(turn, request),
                 State::Waiting => entry.enqueue(turn, request),
                 State::Claiming => Self::ask_for_claim_again(turn, request),
                 State::Watching => turn.ask(request, Ask::Read),
--- a/policy/src/entry/finish.rs
+++ b/policy/src/entry/finish.rs
@@ -42,6 +42,17 @@
     /// A leaving entry records no refusal, so that another entry can still run the request.
     pub(super) fn conclude(&mut self, turn: &mut Turn<'_>, request: &mut Request, reason: Reason) {
         let retry_after = reason.is_transient().then(|| self.retry_after(request));
+        self.conclude_after(turn, request, reason, retry_after);
+    }
+
+    /// Ends a request as [`conclude`](Self::conclude) does, with the time to come back after.
+    pub(super) fn conclude_after(
+        &mut self,
+        turn: &mut Turn<'_>,
+        request: &mut Request,
+        reason: Reason,
+        retry_after: Option<Duration>,
+    ) {
         match self.open_claim(request) {
             Some(_) if request.retry && reason == Reason::Leaving => {
                 self.leave_unknown(turn, request);
--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -119,12 +119,12 @@
         } else if turn.now + self.time_left(request) > request.deadline {
             self.give_up(turn, request, Reason::Infeasible);
         } else {
-            self.enter_stage(turn, request);
+            self.admit(turn, request);
         }
     }
 
     /// Begins the current stage: from a kept result if there may be one, else in the queue.
-    fn enter_stage(&mut self, turn: &mut Turn<'_>, request: &mut Request) {
+    pub(super) fn enter_stage(&mut self, turn: &mut Turn<'_>, request: &mut Request) {
         let Some(pool) = self.pool(request) else {
             self.fail(turn, request, Reason::NoTarget, None);
             return;
--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -4,6 +4,7 @@
 //! `charts/request.toml`: its stages wait in the queue of their pool, are routed to a target and
 //! end with a result, or the request is given up with exactly one final outcome.
 
+mod admission;
 mod choice;
 mod claims;
 mod faults;
@@ -27,6 +28,7 @@
 };
 use crate::{
     budget::Budget,
+    ceiling::Ceiling,
     claim::Ask,
     command::{Command, Frame},
     decision::{Candidate, Choice, Decision},
@@ -70,6 +72,8 @@
     attempts: HashMap<AttemptId, Key>,
     memory: Memory,
     timers: Timers,
+    ceiling: Ceiling,
+    ticking: bool,
     poison: Poison,
     barred: HashSet<BlockHash>,
     retries: Budget,
@@ -138,6 +142,8 @@
             attempts: HashMap::new(),
             memory: Memory::new(settings.remember),
             timers: Timers::default(),
+            ceiling: Ceiling::new(settings.host.clone()),
+            ticking: false,
             poison: Poison::new(POISON_RECORDS),
             barred: HashSet::new(),
             retries: Budget::new(RETRY_SHARE, BUDGET_BURST),
@@ -265,7 +271,7 @@
             }
             Event::Cache { target, change } => self.router.cache(turn.now, &target, &change),
             Event::Peer { from, frame } => self.hear(turn, &from, frame),
-            Event::Members { .. } => {}
+            Event::Members { members, steady } => self.set_members(turn.now, &members, steady),
             Event::Wake => self.wake(turn),
             Event::Drain => self.step(DaemonStep::Drain),
         }
@@ -281,6 +287,10 @@
             return;
         }
         self.router.set_table(now, &table);
+        self.ceiling.set_table(now, &table);
+        if !self.ticking {
+            self.arm_ceilings(now);
+        }
         self.table = Some(table);
         self.step(DaemonStep::Table);
         self.mark_waiting();
@@ -295,7 +305,7 @@
                 self.suspect(turn, from, fingerprint, &targets);
             }
             Frame::Cleared { fingerprint } => self.poison.survived(fingerprint),
-            Frame::Demand { .. } => {}
+            Frame::Demand { .. } => self.ceiling.learn(turn.now, from, &frame),
         }
     }
 
@@ -304,6 +314,7 @@
             match due {
                 Due::Deadline(key) => self.expire(turn, &key),
                 Due::Pause { key, epoch } => self.resume(turn, &key, epoch),
+                Due::Ceilings => self.tick_ceilings(turn),
                 Due::Hedge(attempt) => self.hedge(turn, attempt),
             }
         }
--- a/policy/src/entry/request.rs
+++ b/policy/src/entry/request.rs
@@ -14,6 +14,10 @@
 
 /// One request at one entry.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is an independent fact"
+)]
 pub struct Request {
     /// Name of the request.
     pub key: Key,
@@ -33,6 +37,8 @@
     pub stages: Arc<[PoolId]>,
     /// Results of the stages that are done.
     pub results: Vec<Payload>,
+    /// Whether the first stage has begun.
+    pub begun: bool,
     /// Input of the current stage.
     pub input: Payload,
     /// Attempts at the current stage.
@@ -92,6 +98,7 @@
         Self {
             key,
             fingerprint,
+            begun: false,
             input: Arc::clone(&payload),
             payload,
             retry: false,
@@ -174,6 +181,7 @@
     /// Prepares the current stage, whose targets speak the protocol of engines if `engine`.
     pub fn prepare(&mut self, engine: bool) {
         let compose = if engine { input::prompt } else { input::call };
+        self.begun = true;
         self.input = compose(&self.payload, &self.stages[..self.stage()], &self.results);
     }
 
--- a/policy/src/entry/timer.rs
+++ b/policy/src/entry/timer.rs
@@ -15,6 +15,8 @@
         /// Number of the request's state change that the pause belongs to.
         epoch: u64,
     },
+    /// The parts of the ceilings are looked at again.
+    Ceilings,
     /// An attempt is slow enough to be doubled.
     Hedge(AttemptId),
 }
--- /dev/null
+++ b/policy/tests/ceilings.rs
@@ -0,0 +1,130 @@
+//! Ceilings of workspaces and pipelines at one entry.
+
+mod fixture;
+
+use fixture::{entry, millis, table};
+use policy::{
+    Command, Event, Outcome,
+    entry::Entry,
+    id::{Key, Time},
+    outcome::Reason,
+};
+use std::{sync::Arc, time::Duration};
+
+/// Requests a second that the workspace may send.
+const CEILING: f64 = 4.0;
+
+/// When the entry has the whole ceiling in use.
+const WARM: Time = Duration::from_secs(12);
+
+/// Requests that are sent at once; the entry saves up at most two.
+const BURST: usize = 12;
+
+/// Returns an entry that is alone and whose workspace has asked for its ceiling for a while.
+fn warm() -> Entry {
+    let mut entry = entry(0, 1, false);
+    let mut table = table();
+    table.revision = 2;
+    let workspace = table.workspaces.values_mut().next();
+    workspace.expect("the table has a workspace").ceiling = Some(CEILING);
+    let event = Event::Table {
+        table: Arc::new(table),
+    };
+    entry.on(Duration::ZERO, event, &mut Vec::new());
+    let mut at = Duration::ZERO;
+    while at < WARM {
+        let name = format!("warm-{}", at.as_millis());
+        submit(&mut entry, at, &name, millis(100), &mut Vec::new());
+        run(&mut entry, at, &mut Vec::new());
+        at += millis(200);
+    }
+    run(&mut entry, WARM, &mut Vec::new());
+    entry
+}
+
+fn submit(entry: &mut Entry, at: Time, name: &str, deadline: Duration, out: &mut Vec<Command>) {
+    let key = Key::new("w", "read", name);
+    let event = Event::Submit {
+        key,
+        deadline,
+        retry: false,
+        payload: "{}".into(),
+    };
+    entry.on(at, event, out);
+}
+
+fn run(entry: &mut Entry, until: Time, out: &mut Vec<Command>) {
+    while let Some(at) = entry.wake_at().filter(|at| *at <= until) {
+        entry.on(at, Event::Wake, out);
+    }
+}
+
+fn burst(entry: &mut Entry, deadline: Duration) -> Vec<Command> {
+    let mut out = Vec::new();
+    for number in 0..BURST {
+        submit(entry, WARM, &format!("r{number}"), deadline, &mut out);
+    }
+    out
+}
+
+fn dispatched(commands: &[Command]) -> usize {
+    let calls = commands
+        .iter()
+        .filter(|command| matches!(command, Command::Dispatch(_)));
+    calls.count()
+}
+
+/// Requests over the ceiling wait for their turn as long as their deadline allows it.
+#[test]
+fn patient_requests_wait_for_the_ceiling() {
+    let mut entry = warm();
+    let mut commands = burst(&mut entry, Duration::from_secs(60));
+    for second in 1..=4 {
+        run(
+            &mut entry,
+            WARM + Duration::from_secs(second),
+            &mut commands,
+        );
+        let most = (CEILING * second as f64 * 1.05) as usize + 2;
+        let begun = dispatched(&commands);
+        assert!(begun <= most.min(BURST), "{begun} begun in {second} s");
+    }
+    assert_eq!(dispatched(&commands), BURST);
+}
+
+/// Requests that can't wait are told at once that they were not run, and when to come back.
+#[test]
+fn impatient_requests_are_refused_at_once() {
+    let mut entry = warm();
+    let commands = burst(&mut entry, millis(100));
+    let refusals: Vec<_> = commands
+        .iter()
+        .filter_map(|command| match command {
+            Command::Finish {
+                outcome:
+                    Outcome::NotRun {
+                        reason,
+                        retry_after,
+                    },
+                ..
+            } => Some((*reason, *retry_after)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(refusals.len() + dispatched(&commands), BURST);
+    assert!(refusals.len() >= BURST - 3, "{refusals:?}");
+    for (reason, retry_after) in refusals {
+        assert_eq!(reason, Reason::Ceiling);
+        assert!(retry_after > millis(100));
+    }
+}
+
+/// A tick tells the peers what the workspace asks for.
+#[test]
+fn demand_is_published() {
+    let mut entry = warm();
+    let mut commands = burst(&mut entry, Duration::from_secs(1));
+    run(&mut entry, WARM + Duration::from_secs(3), &mut commands);
+    let is_frame = |command: &&Command| matches!(command, Command::Broadcast { .. });
+    assert!(commands.iter().any(|command| is_frame(&command)));
+}
