--- a/godwithinge/src/entry/mod.rs
+++ b/godwithinge/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod poll;
 mod ring;
 mod state;
+mod sweep;
 mod ticket;
 
 pub use self::{
@@ -105,6 +106,7 @@
         tasks.spawn(poll::sweep(daemon.clone()));
         tasks.spawn(directory::run(daemon.clone()));
         tasks.spawn(settler.run(daemon.clone()));
+        tasks.spawn(sweep::run(daemon.clone()));
         tracing::info!(
             host = %shared.settings.daemon.host,
             domain = %shared.settings.daemon.domain,
--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -9,4 +9,5 @@
 mod refusal;
 mod silent;
 mod stream;
+mod sweep;
 mod table;
