Prove edits by gwictl through races, outages and replaced entries

Two operators race on one cell; an edit outlives an outage in which all entries but one are replaced; replies to edits are lost; an invalid table stands on the platform; the platform is out while requests are served. gwi-load slopes spread measures the time until an edit is in force at all entries.

--- a/godwithinge/tests/process/common/bench.rs
+++ b/godwithinge/tests/process/common/bench.rs
@@ -96,6 +96,11 @@
         Entry::start(&file)
     }
 
+    /// Returns the path of a file in the bench's folder.
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+
     /// Returns the services of a pool.
     pub fn services(&self, pool: &str) -> Vec<Arc<service::Server>> {
         self.fleet.pool(pool).map(Node::server).collect()
--- a/godwithinge/tests/process/common/mod.rs
+++ b/godwithinge/tests/process/common/mod.rs
@@ -16,7 +16,7 @@
 /// Longest time until an awaited state must have come.
 const BOUND: Duration = Duration::from_secs(20);
 /// Time between two looks at an awaited state.
-const POLL: Duration = Duration::from_millis(5);
+pub const POLL: Duration = Duration::from_millis(5);
 
 /// Waits until `state` holds.
 pub async fn until(what: &str, mut state: impl FnMut() -> bool) {
--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -4,6 +4,7 @@
 mod claim;
 mod common;
 mod drain;
+mod edit;
 mod leaving;
 mod poison;
 mod refusal;
--- a/standin/src/slopes/mod.rs
+++ b/standin/src/slopes/mod.rs
@@ -6,6 +6,7 @@
 mod local;
 mod planner;
 mod requests;
+mod spread;
 mod stub;
 mod usage;
 mod world;
@@ -36,6 +37,8 @@
     Daemons,
     /// Cost of an entry by edits.
     Edits,
+    /// Time until an edit is in force everywhere by entries in the fleet.
+    Spread,
     /// Reads and writes at the platform by replaced entries.
     Replacements,
     /// Processor time, memory and platform exchanges of an entry by requests.
@@ -177,6 +180,7 @@
         Name::Workspaces => entry::workspaces(settings).await,
         Name::Edits => entry::edits(settings).await,
         Name::Daemons => fleet::daemons(settings).await,
+        Name::Spread => spread::edits(settings).await,
         Name::Replacements => fleet::replacements(settings).await,
         Name::Requests => requests::requests(settings).await,
         Name::Tokens => requests::tokens(settings).await,
