Move a stream off an engine that gives far fewer tokens than usual

Requests that were already on an engine when it became ten times slower were lost at their deadline: streams can't be doubled, since the slow one gives its next token before the double has read the prompt. After the time in which 95 of 100 calls end, a stream with less than a third of the tokens that the pool's engines usually give by then is now cancelled and resumed at another engine with room, within the budget of hedges. Slow and doubled attempts have a file of their own.

--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -5,7 +5,6 @@
     finish::LEAST_RETRY_AFTER,
     request::{Attempt, Request},
     state::{AttemptStep, Request as State, Step},
-    timer::Due,
 };
 use crate::{
     claim::{Ask, Row},
@@ -31,9 +30,6 @@
 /// The same quantile when other stages wait for the room that the call would take.
 const CONTENDED_QUANTILE: f64 = 0.95;
 
-/// Quantile of a stage's time after which its attempt is doubled.
-const HEDGE_QUANTILE: f64 = 0.95;
-
 /// Quantile of a stage's time that the queue counts as its work.
 const COST_QUANTILE: f64 = 0.5;
 
@@ -271,7 +267,7 @@
         true
     }
 
-    fn choose(&mut self, turn: &Turn<'_>, request: &Request) -> Result<Pick, Shortage> {
+    pub(super) fn choose(&mut self, turn: &Turn<'_>, request: &Request) -> Result<Pick, Shortage> {
         let prefix = self.prefix(request);
         let avoid = request.avoided();
         if let Some(pick) = self.choose_elsewhere(turn, request, &prefix) {
@@ -354,7 +350,12 @@
     }
 
     /// Takes room at a target for a new attempt.
-    fn reserve(&mut self, turn: &Turn<'_>, request: &mut Request, pick: Pick) -> AttemptId {
+    pub(super) fn reserve(
+        &mut self,
+        turn: &Turn<'_>,
+        request: &mut Request,
+        pick: Pick,
+    ) -> AttemptId {
         let id = self.next_attempt();
         let prefix = self.prefix(request);
         let need = self.need(request, &prefix, &[]);
@@ -377,7 +378,7 @@
         } else {
             pool.timeout
         };
-        let (silence, hedged) = (pool.silence, pool.idempotent && pool.kind == Kind::Service);
+        let (silence, hedged) = (pool.silence, pool.idempotent);
         let token = request.token();
         let (key, stage) = (request.key.clone(), request.stage());
         let input = Arc::clone(&request.input);
@@ -404,33 +405,11 @@
         }));
         request.dispatched = true;
         request.step(Step::Send);
-        if hedged && let Some(time) = self.router.quantile(request.pool(), HEDGE_QUANTILE) {
-            self.timers.set(turn.now + time, Due::Hedge(id));
+        if hedged {
+            self.watch(turn, request, id);
         }
     }
 
-    /// Doubles an attempt that is slow, if the budget allows it.
-    pub(super) fn hedge(&mut self, turn: &mut Turn<'_>, id: AttemptId) {
-        let Some(key) = self.attempts.get(&id).cloned() else {
-            return;
-        };
-        self.with(&key, |entry, request| {
-            let slow = request.state() == State::Running && request.attempts.len() == 1;
-            if !slow || entry.is_suspect(request) {
-                return;
-            }
-            let Ok(pick) = entry.choose(turn, request) else {
-                return;
-            };
-            if entry.hedges.try_spend() {
-                let (target, candidates) = (Some(pick.target.clone()), pick.candidates.clone());
-                entry.decide(turn, request, Choice::Hedge, target, candidates);
-                let double = entry.reserve(turn, request, pick);
-                entry.send(turn, request, double);
-            }
-        });
-    }
-
     /// Passes on a streamed part, and abandons the other attempts at the stage.
     pub(super) fn progressed(
         &mut self,
--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod finish;
 mod flow;
+mod hedge;
 mod isolation;
 mod memory;
 mod request;
--- a/policy/src/router/member.rs
+++ b/policy/src/router/member.rs
@@ -33,6 +33,8 @@
     pub stretch: Average,
     /// Mean load of a target by other entries.
     pub others: Average,
+    /// Mean of the reported tokens a second of one request.
+    pub rate: Average,
     /// When the last report of any target came.
     pub last_report: Time,
 }
@@ -48,6 +50,7 @@
             mean: Average::new(GAIN),
             stretch: Average::new(GAIN),
             others: Average::new(GAIN),
+            rate: Average::new(GAIN),
             last_report: Time::ZERO,
         }
     }
@@ -69,7 +72,10 @@
         self.others.get().unwrap_or(0.0)
     }
 
-    pub fn reported(&mut self, now: Time, others: f64) {
+    pub fn reported(&mut self, now: Time, others: f64, rate: f64) {
+        if rate > 0.0 {
+            self.rate.add(rate);
+        }
         self.last_report = now;
         self.others.add(others);
     }
--- a/policy/src/router/mod.rs
+++ b/policy/src/router/mod.rs
@@ -104,6 +104,9 @@
 /// Targets that are drawn for one choice.
 const DRAWN: usize = 4;
 
+/// Ratio of the usual tokens to those that have come at which a call counts as slow.
+const SLOW: f64 = 3.0;
+
 /// Knowledge of all targets, and the choice among them.
 #[derive(Debug)]
 pub struct Router {
@@ -132,8 +135,8 @@
     expected: Option<f64>,
     /// Expected seconds to the first part, of an engine that reported its rates.
     prefill: Option<f64>,
-    /// Whether a part of the result has come.
-    progressed: bool,
+    /// Tokens that have come.
+    tokens: u32,
 }
 
 impl Router {
@@ -209,7 +212,7 @@
             return;
         };
         target.report(now, report, pool.settings.idempotent);
-        pool.reported(now, target.others_reported());
+        pool.reported(now, target.others_reported(), report.tokens_per_second);
     }
 
     /// Takes in a change of a target's prefix cache.
@@ -314,20 +317,20 @@
             started: now,
             expected,
             prefill,
-            progressed: false,
+            tokens: 0,
         };
         self.running.insert(attempt, call);
     }
 
-    /// Notes the first part of a result, for the time to the first token.
-    pub fn progressed(&mut self, now: Time, attempt: AttemptId, _tokens: u32) {
+    /// Notes a part of a result.
+    pub fn progressed(&mut self, now: Time, attempt: AttemptId, tokens: u32) {
         let Some(call) = self.running.get_mut(&attempt) else {
             return;
         };
         let target = &mut self.targets[call.target as usize];
-        if !std::mem::replace(&mut call.progressed, true)
-            && let Some(pool) = self.pools.get_mut(&target.host.pool)
-        {
+        let is_first = call.tokens == 0;
+        call.tokens = call.tokens.saturating_add(tokens.max(1));
+        if is_first && let Some(pool) = self.pools.get_mut(&target.host.pool) {
             let took = now.saturating_sub(call.started);
             pool.first.add(took);
             if let Some(prefill) = call.prefill {
@@ -337,6 +340,23 @@
         }
     }
 
+    /// Returns whether an engine has given far fewer tokens for a call than engines of the pool
+    /// usually do in that time.
+    pub fn is_slow(&self, now: Time, attempt: AttemptId) -> bool {
+        let Some(call) = self.running.get(&attempt) else {
+            return false;
+        };
+        let pool = self
+            .pools
+            .get(&self.targets[call.target as usize].host.pool);
+        let Some(rate) = pool.and_then(|pool| pool.rate.get()) else {
+            return false;
+        };
+        let age = now.saturating_sub(call.started).as_secs_f64();
+        let generating = age - call.prefill.unwrap_or(0.0);
+        f64::from(call.tokens) * SLOW < generating * rate
+    }
+
     /// Notes that a call ended.
     pub fn ended(&mut self, now: Time, attempt: AttemptId, verdict: Verdict) {
         let Some(call) = self.running.remove(&attempt) else {
--- a/policy/tests/scenario.rs
+++ b/policy/tests/scenario.rs
@@ -171,6 +171,19 @@
                     );
                 }
             }
+            ("part", [requests @ .., tokens]) => {
+                let tokens = tokens.parse().unwrap();
+                let event = |attempt| Event::Progress {
+                    attempt,
+                    text: "x".into(),
+                    tokens,
+                };
+                for request in requests {
+                    let place = self.attempts.keys().find(|place| place.0 == **request);
+                    let attempt = self.attempts[&place.cloned().expect("an attempt in flight")];
+                    self.on(now, event(attempt));
+                }
+            }
             ("done", requests) => self.end(
                 requests,
                 |attempt| {
@@ -256,6 +269,7 @@
 #[case("late_reports")]
 #[case("long_and_short")]
 #[case("resend")]
+#[case("moved_stream")]
 fn session_matches_its_golden_file(#[case] name: &str) {
     let path =
         PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(format!("tests/golden/scenario/{name}.txt"));
