--- a/godwithinge/tests/process/common/bench.rs
+++ b/godwithinge/tests/process/common/bench.rs
@@ -80,16 +80,19 @@
 
     /// Starts an entry daemon.
     pub fn start_entry(&self, host: &str) -> Entry {
-        self.start_entry_with(host, "")
+        self.start_entry_with(host, "entry", "")
     }
 
-    /// Starts an entry daemon with further lines in its section `entry`.
-    pub fn start_entry_with(&self, host: &str, lines: &str) -> Entry {
+    /// Starts an entry daemon with further lines in a section of its settings.
+    pub fn start_entry_with(&self, host: &str, section: &str, lines: &str) -> Entry {
         let file = self.folder.join(format!("{host}.ini"));
-        let settings = self
-            .settings(host)
-            .replace("[entry]\n", &format!("[entry]\n{lines}\n"));
-        fs::write(&file, settings).expect("settings can be written");
+        let header = format!("[{section}]\n");
+        let mut text = self.settings(host);
+        if !text.contains(&header) {
+            text.push_str(&header);
+        }
+        let text = text.replace(&header, &format!("{header}{lines}\n"));
+        fs::write(&file, text).expect("settings can be written");
         Entry::start(&file)
     }
 
--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -16,7 +16,7 @@
     poison,
     pool::Kind,
     queue::Item,
-    router::{Need, Pick, Shortage, Verdict},
+    router::{Pick, Shortage, Verdict},
     table::Pipeline,
 };
 use std::{sync::Arc, time::Duration};
@@ -24,12 +24,6 @@
 /// Stages that can't be placed now and are passed over to look at later ones.
 const PASSED_OVER: usize = 8;
 
-/// Quantile of a stage's time that a request must still have left to be worth a call.
-const FEASIBLE_QUANTILE: f64 = 0.1;
-
-/// The same quantile when other stages wait for the room that the call would take.
-const CONTENDED_QUANTILE: f64 = 0.95;
-
 /// Quantile of a stage's time that the queue counts as its work.
 const COST_QUANTILE: f64 = 0.5;
 
@@ -118,9 +112,7 @@
             self.give_up(turn, request, Reason::Leaving);
         } else if request.marks().any(|mark| self.is_quarantined(mark)) {
             self.quarantine(turn, request);
-        } else if turn.now + self.wait(request) + self.work_left(request, FEASIBLE_QUANTILE)
-            > request.deadline
-        {
+        } else if turn.now + self.time_left(request) > request.deadline {
             self.give_up(turn, request, Reason::Infeasible);
         } else {
             self.enter_stage(turn, request);
@@ -200,6 +192,7 @@
 
     /// Places waiting stages of a pool for as long as there is room.
     pub(super) fn pump(&mut self, turn: &mut Turn<'_>, pool: &PoolId) {
+        self.drop_infeasible(turn, pool);
         let mut passed = Vec::new();
         while passed.len() < PASSED_OVER {
             let Some(item) = self.lanes.get_mut(pool).and_then(|lane| lane.queue.pop()) else {
@@ -232,7 +225,7 @@
 
     /// Sends the current stage to a target or gives it up; `false` leaves it in the queue.
     fn place(&mut self, turn: &mut Turn<'_>, request: &mut Request) -> bool {
-        if turn.now + self.work_left(request, self.feasible(request)) > request.deadline {
+        if !self.is_feasible(turn.now, request) {
             self.give_up(turn, request, Reason::Infeasible);
             return true;
         }
@@ -267,62 +260,6 @@
         true
     }
 
-    pub(super) fn choose(&mut self, turn: &Turn<'_>, request: &Request) -> Result<Pick, Shortage> {
-        let prefix = self.prefix(request);
-        let avoid = request.avoided();
-        if let Some(pick) = self.choose_elsewhere(turn, request, &prefix) {
-            return Ok(pick);
-        }
-        let need = self.need(request, &prefix, &avoid);
-        self.router.choose(turn.now, &need, &mut self.rng)
-    }
-
-    /// Chooses a target for a suspect payload outside the failure domains where targets died.
-    ///
-    /// A lost domain ends several targets within moments; a second death there would put an
-    /// innocent payload into quarantine.
-    fn choose_elsewhere(
-        &mut self,
-        turn: &Turn<'_>,
-        request: &Request,
-        prefix: &[BlockHash],
-    ) -> Option<Pick> {
-        if request.spent.is_empty() || !self.is_suspect(request) {
-            return None;
-        }
-        let mut avoid = self.router.beside(&request.spent);
-        avoid.extend(request.avoided());
-        let need = self.need(request, prefix, &avoid);
-        self.router.choose(turn.now, &need, &mut self.rng).ok()
-    }
-
-    fn need<'a>(
-        &self,
-        request: &'a Request,
-        prefix: &'a [BlockHash],
-        avoid: &'a [crate::id::TargetId],
-    ) -> Need<'a> {
-        Need {
-            pool: request.pool(),
-            workspace: &request.key.workspace,
-            prefix,
-            tokens: self.pool(request).map_or(0, |pool| pool.max_tokens),
-            avoid,
-            alone: self.is_suspect(request),
-        }
-    }
-
-    fn prefix(&self, request: &Request) -> Vec<BlockHash> {
-        let is_engine = self
-            .pool(request)
-            .is_some_and(|pool| pool.kind == Kind::Engine);
-        if is_engine {
-            hash::blocks(&request.input)
-        } else {
-            Vec::new()
-        }
-    }
-
     /// Gives the current stage to the target that was picked.
     fn assign(&mut self, turn: &mut Turn<'_>, request: &mut Request, pick: Pick) {
         let choice = if self.is_suspect(request) {
@@ -526,37 +463,6 @@
             attempt.step(AttemptStep::End);
         }
     }
-
-    /// Returns the quantile of a stage's time that a request must still have left.
-    ///
-    /// A call that is likely to end too late is worth trying only if no other stage waits for
-    /// the room.
-    fn feasible(&self, request: &Request) -> f64 {
-        let lane = self.lanes.get(request.pool());
-        if lane.is_none_or(|lane| lane.queue.is_empty()) {
-            FEASIBLE_QUANTILE
-        } else {
-            CONTENDED_QUANTILE
-        }
-    }
-
-    /// Returns the time that the rest of the pipeline takes, at `quantile` of each stage.
-    pub(super) fn work_left(&self, request: &Request, quantile: f64) -> Duration {
-        request.stages[request.stage()..]
-            .iter()
-            .filter_map(|pool| self.router.quantile(pool, quantile))
-            .sum()
-    }
-
-    /// Returns the time that the current stage is expected to wait in the queue.
-    pub(super) fn wait(&self, request: &Request) -> Duration {
-        let pool = request.pool();
-        let backlog = self
-            .lanes
-            .get(pool)
-            .map_or(0.0, |lane| lane.queue.backlog(request.priority));
-        Duration::from_secs_f64(backlog / f64::from(self.router.width(pool).max(1)))
-    }
 }
 
 fn stages(pipeline: &Pipeline) -> Option<Arc<[PoolId]>> {
--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -4,8 +4,10 @@
 //! `charts/request.toml`: its stages wait in the queue of their pool, are routed to a target and
 //! end with a result, or the request is given up with exactly one final outcome.
 
+mod choice;
 mod claims;
 mod faults;
+mod feasible;
 mod finish;
 mod flow;
 mod hedge;
