--- a/policy/src/router/member.rs
+++ b/policy/src/router/member.rs
@@ -55,11 +55,13 @@
         }
     }
 
-    /// Notes a call that took `seconds` and `stretch` times what was expected.
-    pub fn done(&mut self, seconds: f64, stretch: f64) {
+    /// Notes a call that took `seconds`, and `stretch` times what was expected, if that is known.
+    pub fn done(&mut self, seconds: f64, stretch: Option<f64>) {
         self.service.add(Duration::from_secs_f64(seconds));
         self.mean.add(seconds);
-        self.stretch.add(stretch);
+        if let Some(stretch) = stretch {
+            self.stretch.add(stretch);
+        }
     }
 
     /// Returns how much longer than expected calls usually take.
--- a/policy/src/router/mod.rs
+++ b/policy/src/router/mod.rs
@@ -367,19 +367,20 @@
             return;
         };
         let took = now.saturating_sub(call.started).as_secs_f64();
+        let stretch = call
+            .expected
+            .map(|expected| (took / expected).min(MAX_STRETCH));
+        if verdict == Verdict::Done {
+            pool.done(took, stretch);
+        }
         let usual = pool.usual_stretch();
         let end = End {
-            stretch: call
-                .expected
-                .map_or(usual, |expected| (took / expected).min(MAX_STRETCH)),
+            stretch: stretch.unwrap_or(usual),
             usual,
             waited: call.prefill.is_some(),
             verdict,
         };
         let ejected = target.ended(now, attempt, &end);
-        if verdict == Verdict::Done {
-            pool.done(took, end.stretch);
-        }
         let lost = matches!(verdict, Verdict::Failed(fault) if health::is_loss(fault));
         if ejected {
             let domain = self.domains.entry(target.host.domain.clone()).or_default();
--- a/policy/tests/router.rs
+++ b/policy/tests/router.rs
@@ -362,6 +362,22 @@
     assert!(bench.count("a1", 100, |_| 50) >= 10);
 }
 
+#[test]
+fn the_first_call_does_not_speak_against_its_target() {
+    let mut bench = Bench::engines(&hosts(&["a1", "a2"]));
+    bench.report("a1", &engine(0, 50.0));
+    bench.report("a2", &engine(0, 50.0));
+    let (attempt, first) = bench.choose().unwrap();
+    bench.sleep(100);
+    bench.end(attempt, Verdict::Done);
+    let need = bench.choose().unwrap();
+    bench.end(need.0, Verdict::Cancelled);
+    let chosen = (0..8)
+        .filter(|_| bench.choose().unwrap().1 == first)
+        .count();
+    assert_eq!(chosen, 4);
+}
+
 #[test]
 fn a_suspect_runs_alone() {
     let mut bench = Bench::services(&hosts(&["a1", "a2"]));
