--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod feasible;
 mod finish;
 mod flow;
+mod hedge;
 mod isolation;
 mod memory;
 mod request;
