Read another planner's lease half as often

330 planners that read it each quarter of 5 s are 264 reads/s of the platform's two thousand; each half is 132. Ruled out: reading only when the lease might have lapsed (66 reads/s), since a renewal right after a read then delays a takeover to twice the lease.

--- a/policy/src/lease/mod.rs
+++ b/policy/src/lease/mod.rs
@@ -18,9 +18,12 @@
 /// Text of the chart that a lease follows.
 pub const CHART: &str = include_str!("../../charts/lease.toml");
 
-/// Part of the lease after which the holder renews it, and others read its row again.
+/// Part of the lease after which the holder renews it, and failed reads are repeated.
 const INTERVAL_PART: u32 = 4;
 
+/// Part of the lease after which a planner that does not hold it reads its row again.
+const WATCH_PART: u32 = 2;
+
 /// Part of another's lease that is waited besides, since clocks differ in speed.
 const DRIFT_PART: u32 = 16;
 
@@ -330,8 +333,11 @@
             Reply::Absent => self.seen = None,
             Reply::Written { .. } | Reply::Conflict | Reply::Out => return,
         }
-        if self.is_free(now) {
-            self.take(now, commands);
+        match self.free_at() {
+            Some(free) if now < free => {
+                self.due = free.min(now + self.settings.duration / WATCH_PART)
+            }
+            _ => self.take(now, commands),
         }
     }
 
@@ -350,13 +356,13 @@
         }
     }
 
-    fn is_free(&self, now: Time) -> bool {
-        self.seen.as_ref().is_none_or(|seen| {
-            let duration = seen.row.duration;
-            let own = seen.row.holder == self.settings.holder;
-            let lapsed = now >= seen.since + duration + duration / DRIFT_PART;
-            own || duration.is_zero() || lapsed
-        })
+    /// Returns when the row that was read may be taken over; `None` if at once.
+    fn free_at(&self) -> Option<Time> {
+        let seen = self.seen.as_ref()?;
+        let duration = seen.row.duration;
+        let own = seen.row.holder == self.settings.holder;
+        let lapse = seen.since + duration + duration / DRIFT_PART;
+        (!own && !duration.is_zero()).then_some(lapse)
     }
 
     fn take(&mut self, now: Time, commands: &mut Vec<Command>) {
