--- a/policy/src/lease/mod.rs
+++ b/policy/src/lease/mod.rs
@@ -314,7 +314,7 @@
         }
         match self.free_at() {
             Some(free) if now < free => {
-                self.due = free.min(now + self.settings.duration / WATCH_PART)
+                self.due = free.min(now + self.settings.duration / WATCH_PART);
             }
             _ => self.take(now, commands),
         }
