--- a/godwithinge/tests/planner.rs
+++ b/godwithinge/tests/planner.rs
@@ -14,12 +14,15 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::Duration,
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 /// Bound on each wait for a state.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -319,6 +322,49 @@
     world.until_held("draft").await;
 }
 
+/// Answers every request with the metrics of an entry at which some stages wait.
+async fn metrics(waiting: Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            // The request is short and comes in one piece.
+            let _ = stream.read(&mut request).await;
+            let count = waiting.load(Ordering::SeqCst);
+            let body = format!("gwi_queue{{pool=\"draft\"}} {count}\ngwi_queue{{pool=\"x\"}} 9\n");
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            let _ = stream.write_all((head + &body).as_bytes()).await;
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn model_is_loaded_once_requests_wait_for_it_at_an_entry() {
+    let world = World::new("waiting", true).await;
+    let waiting = Arc::new(AtomicUsize::new(0));
+    let api = metrics(Arc::clone(&waiting)).await.to_string();
+    let row = json!({"host": "e1", "api": api, "region": "r"});
+    let write = platform::Write {
+        table: "daemons".into(),
+        key: "e1".into(),
+        value: row,
+    };
+    world
+        .platform
+        .commit(&[], vec![write])
+        .expect("no check fails");
+    let path = world.settings("draft", world.platform.address());
+    let settings = fs::read_to_string(&path).expect("written above") + "[model draft]\nleast = 0\n";
+    fs::write(&path, settings).expect("the folder is writable");
+    let _planner = Planner::start(&path);
+    world.until_renewed(4).await;
+    assert_eq!(world.engine.counters().orders, 0);
+    waiting.store(5, Ordering::SeqCst);
+    world.until_held("draft").await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_reply_to_the_takeover_is_settled_by_reading_back() {
     let world = World::new("lost", true).await;
