--- a/godwithinge/tests/process/edit.rs
+++ b/godwithinge/tests/process/edit.rs
@@ -46,10 +46,10 @@
 /// Starts entries that know each other.
 async fn entries(bench: &Bench) -> Vec<Entry> {
     let first = bench.entry(ALL[0]).await;
-    let seeds = format!("seeds = {}", first.peer_address().await);
+    let seeds = first.peer_address().await.to_string();
     let mut entries = vec![first];
     for host in &ALL[1..] {
-        let entry = bench.start_entry_with(host, "peers", &seeds);
+        let entry = bench.start_entry_with_seeds(host, &seeds);
         entry.ready().await;
         entries.push(entry);
     }
@@ -87,10 +87,10 @@
     let revision = edit["revision"].as_u64().expect("it has a revision");
     in_force(&entries[2], revision).await;
     bench.fleet.platform().control(|it| it.outage = true);
-    let seeds = format!("seeds = {}", entries[2].peer_address().await);
+    let seeds = entries[2].peer_address().await.to_string();
     for index in [0, 1, 3] {
         entries[index].kill();
-        entries[index] = bench.start_entry_with(ALL[index], "peers", &seeds);
+        entries[index] = bench.start_entry_with_seeds(ALL[index], &seeds);
     }
     for entry in &entries {
         until("table", || entry.logged("table in force") > 0).await;
