--- a/godwithinge/src/entry/claim/mod.rs
+++ b/godwithinge/src/entry/claim/mod.rs
@@ -17,7 +17,7 @@
 use policy::{
     Event,
     claim::{self, Ask, Reply, Row, Version},
-    id::{AttemptId, Key, StageIndex},
+    id::{AttemptId, Incarnation, Key, StageIndex},
 };
 use std::{
     collections::HashMap,
@@ -38,15 +38,22 @@
     metrics: Metrics,
 }
 
-/// Holders and versions of the held rows that this daemon wrote or read.
-#[derive(Clone, Debug, Default)]
-struct Versions(Arc<Mutex<HashMap<CompactString, (AttemptId, Version)>>>);
+/// Versions of the rows that attempts of this daemon hold.
+#[derive(Clone, Debug)]
+struct Versions {
+    incarnation: Incarnation,
+    held: Arc<Mutex<HashMap<CompactString, (AttemptId, Version)>>>,
+}
 
 /// Creates the asks about claim rows and the task that settles them.
-pub(super) fn new(platform: platform::Client, metrics: Metrics) -> (Claims, Settler) {
+pub(super) fn new(
+    platform: platform::Client,
+    incarnation: Incarnation,
+    metrics: Metrics,
+) -> (Claims, Settler) {
     let (sender, receiver) = mpsc::unbounded_channel();
     let order = Order::default();
-    let versions = Versions::default();
+    let versions = Versions::new(incarnation);
     let settler = Settler::new(
         platform.clone(),
         order.clone(),
@@ -132,25 +139,37 @@
 }
 
 impl Versions {
+    fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            held: Arc::default(),
+        }
+    }
+
     /// Returns the version of the row that `attempt` is known to hold.
     fn get(&self, row_key: &str, attempt: AttemptId) -> Option<Version> {
-        let versions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let versions = self.held.lock().unwrap_or_else(PoisonError::into_inner);
         let (holder, version) = versions.get(row_key)?;
         (*holder == attempt).then_some(*version)
     }
 
     /// Notes a row that was written or read.
+    ///
+    /// Rows of other daemons are not kept, since nothing here would ever drop them.
     fn note(&self, row_key: &CompactString, row: &Row, version: Version) {
-        let mut versions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Row::Held { attempt, .. } = row {
-            versions.insert(row_key.clone(), (*attempt, version));
-        } else {
-            versions.remove(row_key);
+        let mut versions = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        match row {
+            Row::Held { attempt, .. } if attempt.incarnation == self.incarnation => {
+                versions.insert(row_key.clone(), (*attempt, version));
+            }
+            _ => {
+                versions.remove(row_key);
+            }
         }
     }
 
     fn remove(&self, row_key: &str) {
-        let mut versions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut versions = self.held.lock().unwrap_or_else(PoisonError::into_inner);
         versions.remove(row_key);
     }
 }
--- a/godwithinge/src/entry/mod.rs
+++ b/godwithinge/src/entry/mod.rs
@@ -158,7 +158,7 @@
         let address = settings.platform.address.to_string();
         let platform = platform::Client::new(address, settings.platform.timeout);
         let metrics = Metrics::new().map_err(Error::Metrics)?;
-        let (claims, settler) = claim::new(platform.clone(), metrics.clone());
+        let (claims, settler) = claim::new(platform.clone(), incarnation, metrics.clone());
         let shared = Shared {
             incarnation,
             started: Instant::now(),
