Record what a lookup tells of a claim whose holder is gone

A copy that watched a foreign claim took the result that the target told, but left the row held, so that each later copy had to ask the target again.

--- a/policy/src/entry/claims.rs
+++ b/policy/src/entry/claims.rs
@@ -74,7 +74,10 @@
             {
                 self.fail(turn, request, Reason::Reused, None);
             }
-            Row::Held { target, .. } => {
+            Row::Held {
+                attempt, target, ..
+            } => {
+                request.holder = Some(attempt);
                 if request.step(Step::Taken) {
                     let holder = Some(target.clone());
                     self.decide(turn, request, Choice::Claim, holder, Vec::new());
@@ -149,9 +152,10 @@
         });
     }
 
-    /// Records what a lookup told of the request's own call.
+    /// Records what a lookup told of the call that holds the claim.
     fn settle_lookup(turn: &mut Turn<'_>, request: &Request, result: &Payload) {
-        if let Some(attempt) = request.broken.as_ref().map(|broken| broken.id) {
+        let own = request.broken.as_ref().map(|broken| broken.id);
+        if let Some(attempt) = own.or(request.holder) {
             let result = Payload::clone(result);
             let row = Row::Done {
                 attempt,
--- a/policy/src/entry/request.rs
+++ b/policy/src/entry/request.rs
@@ -59,6 +59,8 @@
     pub effects: Effects,
     /// The attempt at the current stage that ended without a result, if it held a claim.
     pub broken: Option<Attempt>,
+    /// The attempt of another copy that holds the claim of the current stage.
+    pub holder: Option<AttemptId>,
     /// Why the request is being refused.
     pub refusal: Option<Reason>,
     /// Pause before the next try of what failed last.
@@ -116,6 +118,7 @@
             dispatched: false,
             effects: Effects::None,
             broken: None,
+            holder: None,
             refusal: None,
             pause: FIRST_PAUSE,
             epoch: 0,
@@ -194,6 +197,7 @@
         self.text.clear();
         self.waited = false;
         self.broken = None;
+        self.holder = None;
         self.pause = FIRST_PAUSE;
     }
 
--- a/policy/tests/request.rs
+++ b/policy/tests/request.rs
@@ -24,6 +24,7 @@
 #[case("engine_dies_mid_stream")]
 #[case("claim_reply_lost")]
 #[case("claim_held_elsewhere")]
+#[case("claim_holder_is_gone")]
 #[case("call_broken_and_looked_up")]
 #[case("call_broken_without_lookup")]
 #[case("call_outlives_deadline")]
