Be strict about late requests only before a queue that outlasts them

Where any other stage waited for the same room, a request needed the time in which 19 in 20 calls end. The strict quantile now counts only if the queue takes longer than the request has left, since only then another request is late anyway.

--- a/policy/src/entry/feasible.rs
+++ b/policy/src/entry/feasible.rs
@@ -10,18 +10,22 @@
 /// Quantile of a stage's time that a request must still have left to be worth a call.
 const FEASIBLE_QUANTILE: f64 = 0.1;
 
-/// The same quantile when other stages wait for the room that the call would take.
+/// The same quantile when the room would go to others that may be late without it.
 const CONTENDED_QUANTILE: f64 = 0.95;
 
 impl Entry {
     /// Returns whether the current stage is worth a call now.
     ///
-    /// A call that is likely to end too late is worth trying only if no other stage waits for
-    /// the room.
+    /// A call that is likely to end too late is worth trying unless the queue behind it is so long
+    /// that some of it will be late anyway.
     pub(super) fn is_feasible(&self, now: Time, request: &Request) -> bool {
-        let lane = self.lanes.get(request.pool());
-        let free = lane.is_none_or(|lane| lane.queue.is_empty());
-        now + self.work_left(request, quantile(free)) <= request.deadline
+        let backlog = self
+            .lanes
+            .get(request.pool())
+            .map_or(0.0, |lane| lane.queue.backlog(request.priority));
+        let wait = self.share_out(backlog, request.pool());
+        let left = request.deadline.saturating_sub(now);
+        self.work_left(request, quantile(wait, left)) <= left
     }
 
     /// Gives up the waiting stages of a pool that can't end in time any more.
@@ -41,10 +45,11 @@
         }
     }
 
-    /// Returns the time that the rest of the pipeline takes, waiting included.
-    pub(super) fn time_left(&self, request: &Request) -> Duration {
+    /// Returns whether a new request can be expected to end in time, waiting included.
+    pub(super) fn is_promising(&self, now: Time, request: &Request) -> bool {
         let wait = self.wait(request);
-        wait + self.work_left(request, quantile(wait.is_zero()))
+        let left = request.deadline.saturating_sub(now + wait);
+        self.work_left(request, quantile(wait, left)) <= left
     }
 
     /// Returns the time that the rest of the pipeline is expected to wait in queues.
@@ -68,15 +73,20 @@
             let workspace = &request.key.workspace;
             lane.queue.ahead(workspace, request.priority)
         });
-        Duration::from_secs_f64(ahead / f64::from(self.router.width(pool).max(1)))
+        self.share_out(ahead, pool)
+    }
+
+    /// Returns the time in which the targets of a pool do some work, in target seconds.
+    fn share_out(&self, work: f64, pool: &PoolId) -> Duration {
+        Duration::from_secs_f64(work / f64::from(self.router.width(pool).max(1)))
     }
 }
 
-/// Returns the quantile that counts where room is free or others wait for it.
-fn quantile(free: bool) -> f64 {
-    if free {
-        FEASIBLE_QUANTILE
-    } else {
+/// Returns the quantile that counts for a request with some time left before a queue.
+fn quantile(wait: Duration, left: Duration) -> f64 {
+    if wait > left {
         CONTENDED_QUANTILE
+    } else {
+        FEASIBLE_QUANTILE
     }
 }
--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -116,7 +116,7 @@
             self.give_up(turn, request, Reason::Leaving);
         } else if request.marks().any(|mark| self.is_quarantined(mark)) {
             self.quarantine(turn, request);
-        } else if turn.now + self.time_left(request) > request.deadline {
+        } else if !self.is_promising(turn.now, request) {
             self.give_up(turn, request, Reason::Infeasible);
         } else {
             self.enter_stage(turn, request);
--- a/standin/src/bin/gwi-load.rs
+++ b/standin/src/bin/gwi-load.rs
@@ -39,7 +39,7 @@
         load::{Rule, Scenario},
         slopes::Name as Measurement,
     };
-    use std::path::PathBuf;
+    use std::{net::SocketAddr, path::PathBuf};
 
     xflags::xflags! {
         /// Offers load to entries and prints what it measures, as JSON.
@@ -77,6 +77,24 @@
                 repeated --set line: String
             }
 
+            /// Offers a case's requests, without its faults, to entries that run already.
+            ///
+            /// Prints one JSON line; what targets ran is not known.
+            cmd offer {
+                /// Address of an entry that is asked for the others; repeatable.
+                repeated --at address: SocketAddr
+                /// Case; steady unless set.
+                optional --scenario name: Scenario
+                /// Pipelines and workspaces: wasfi (the default) or addis.
+                optional --deployment name: Name
+                /// Seed; 1 unless set.
+                optional --seed seed: u64
+                /// Offered share of what a fleet of the fakes can carry; 0.7 unless set.
+                optional --load share: f64
+                /// Measured seconds; 24 unless set.
+                optional --seconds seconds: u64
+            }
+
             /// Measures how costs grow with one size; prints one JSON line for each slope.
             cmd slopes {
                 /// Measurements, as targets, workspaces or claims; all if none is named.
@@ -157,6 +175,7 @@
         flags::GwiLoadCmd::Version(_) => print_version(),
         flags::GwiLoadCmd::Run(flags) => measure(flags).await?,
         flags::GwiLoadCmd::Slopes(flags) => measure_slopes(flags).await?,
+        flags::GwiLoadCmd::Offer(flags) => offer(flags).await?,
         flags::GwiLoadCmd::Table(flags) => print_table(&read(&flags.files)?),
         flags::GwiLoadCmd::Plot(flags) => draw(&flags)?,
     }
@@ -251,6 +270,20 @@
     Ok(())
 }
 
+async fn offer(flags: flags::Offer) -> Result<(), Error> {
+    let scenario = flags.scenario.unwrap_or(Scenario::Steady);
+    let name = flags.deployment.unwrap_or(Name::Wasfi);
+    let load = flags.load.unwrap_or(LOAD);
+    let span = flags.seconds.map_or(SPAN, Duration::from_secs);
+    let plan = Plan::new(scenario, name, load, span, flags.seed.unwrap_or(1));
+    let measure = load::offer(&plan, flags.at).await;
+    match serde_json::to_string(&measure) {
+        Ok(line) => println!("{line}"),
+        Err(error) => return Err(Error::Report(PathBuf::from("measure"), error)),
+    }
+    Ok(())
+}
+
 /// Returns the path of `gwi-entry` beside this program.
 fn beside() -> PathBuf {
     let own = env::current_exe().unwrap_or_default();
--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -22,7 +22,7 @@
     measure::{Cost, Group, Measure, Quantiles},
     plan::{Plan, Scenario},
     plot::{Bar, plot},
-    run::run,
+    run::{offer, run},
     schedule::{Arrival, Class, Schedule},
     summary::{Report, Spread},
 };
--- a/standin/src/load/run.rs
+++ b/standin/src/load/run.rs
@@ -11,7 +11,7 @@
 };
 use crate::fleet::Fleet;
 use policy::router::Rule;
-use std::{path::Path, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 /// Time after the last answer in which targets end what they run.
@@ -46,7 +46,11 @@
     };
     let entries = Entries::start(&launch, plan.entries, fleet.platform()).await?;
     let arrivals = plan.schedule.arrivals();
-    let answers = offer(plan, &arrivals, &fleet, &entries).await;
+    let began = Instant::now();
+    let (answers, ()) = tokio::join!(
+        send(plan, &arrivals, entries.addresses().to_vec(), began),
+        chaos::run(&plan.steps, began, &fleet, &entries),
+    );
     tokio::time::sleep(SETTLE).await;
     let mut measure = Measure::new(&answers, &measure::take_runs(&fleet));
     measure.duplicates = measure::duplicates(&fleet);
@@ -58,25 +62,34 @@
     Ok(measure)
 }
 
-/// Sends each request at its time and returns the answers to those after the warm-up.
-async fn offer(plan: &Plan, arrivals: &[Arrival], fleet: &Fleet, entries: &Entries) -> Vec<Answer> {
+/// Offers a plan to entries that run already, some of which are at `seeds`.
+///
+/// The plan's faults don't happen, and what targets ran is not known.
+pub async fn offer(plan: &Plan, seeds: Vec<SocketAddr>) -> Measure {
+    let arrivals = plan.schedule.arrivals();
+    let answers = send(plan, &arrivals, seeds, Instant::now()).await;
+    Measure::new(&answers, &BTreeMap::new())
+}
+
+/// Sends each request at its time, counted from `began`, and returns the answers to those after
+/// the warm-up.
+async fn send(
+    plan: &Plan,
+    arrivals: &[Arrival],
+    seeds: Vec<SocketAddr>,
+    began: Instant,
+) -> Vec<Answer> {
     let domains = plan.deployment.domains.clone();
-    let seeds = entries.addresses().to_vec();
     let caller = Arc::new(Caller::new(seeds, domains, plan.patience));
-    let began = Instant::now();
-    let sending = async {
-        let mut calls = Vec::new();
-        for arrival in arrivals {
-            tokio::time::sleep_until(began + arrival.at).await;
-            let caller = Arc::clone(&caller);
-            let arrival = arrival.clone();
-            let measured = arrival.at >= plan.warmup;
-            let call = tokio::spawn(async move { caller.call(&arrival).await });
-            calls.push((measured, call));
-        }
-        calls
-    };
-    let (calls, ()) = tokio::join!(sending, chaos::run(&plan.steps, began, fleet, entries));
+    let mut calls = Vec::new();
+    for arrival in arrivals {
+        tokio::time::sleep_until(began + arrival.at).await;
+        let caller = Arc::clone(&caller);
+        let arrival = arrival.clone();
+        let measured = arrival.at >= plan.warmup;
+        let call = tokio::spawn(async move { caller.call(&arrival).await });
+        calls.push((measured, call));
+    }
     let mut answers = Vec::new();
     for (measured, call) in calls {
         if let Ok(answer) = call.await
