--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -10,3 +10,4 @@
 mod silent;
 mod stream;
 mod sweep;
+mod table;
