--- a/policy/src/entry/admission.rs
+++ b/policy/src/entry/admission.rs
@@ -16,7 +16,7 @@
     pub(super) fn admit(&mut self, turn: &mut Turn<'_>, request: &mut Request) {
         let workspace = row::Key::new(row::Kind::Workspace, request.key.workspace.clone());
         let pipeline = row::Key::new(row::Kind::Pipeline, request.key.pipeline.clone());
-        let patience = self.patience(turn.now, request);
+        let patience = self.slack(turn.now, request);
         match self
             .ceiling
             .admit(turn.now, &[&workspace, &pipeline], patience)
@@ -52,13 +52,6 @@
         }
     }
 
-    /// Returns how long a request can wait before its first stage.
-    fn patience(&self, now: Time, request: &Request) -> Duration {
-        request
-            .deadline
-            .saturating_sub(now + self.time_left(request))
-    }
-
     fn postpone(&mut self, turn: &mut Turn<'_>, request: &mut Request, wait: Duration) {
         self.decide(turn, request, Choice::Wait, None, Vec::new());
         let due = Due::Pause {
--- a/policy/src/entry/feasible.rs
+++ b/policy/src/entry/feasible.rs
@@ -52,6 +52,13 @@
         self.work_left(request, quantile(wait, left)) <= left
     }
 
+    /// Returns the time that a new request can spare before its first stage.
+    pub(super) fn slack(&self, now: Time, request: &Request) -> Duration {
+        let work = self.work_left(request, FEASIBLE_QUANTILE);
+        let left = request.deadline.saturating_sub(now);
+        left.saturating_sub(self.wait(request) + work)
+    }
+
     /// Returns the time that the rest of the pipeline is expected to wait in queues.
     pub(super) fn wait(&self, request: &Request) -> Duration {
         request.stages[request.stage()..]
--- a/standin/src/bin/gwi-load.rs
+++ b/standin/src/bin/gwi-load.rs
@@ -54,8 +54,8 @@
             ///
             /// Prints one JSON line for each case and rule.
             cmd run {
-                /// Case: steady, burst, slow, dead, domain, flood, reports, mixed or impatient;
-                /// repeatable; all if none is named.
+                /// Case: steady, burst, slow, dead, domain, flood, reports, mixed, impatient,
+                /// entries or unkept; repeatable; all if none is named.
                 repeated --scenario name: Scenario
                 /// Shape of the fakes: wasfi (the default) or addis.
                 optional --deployment name: Name
--- a/standin/src/load/chaos.rs
+++ b/standin/src/load/chaos.rs
@@ -24,6 +24,8 @@
     Kill(usize),
     /// The engine with this number comes back cold at its address.
     Restart(usize),
+    /// The entry with this number dies.
+    KillEntry(usize),
     /// All targets and entries of the failure domain die.
     KillDomain(CompactString),
     /// The dead domain leaves the host list.
@@ -59,6 +61,7 @@
                     tracing::error!(%error, "engine did not come back");
                 }
             }
+            Self::KillEntry(number) => entries.kill(*number),
             Self::KillDomain(domain) => kill_domain(domain, fleet, entries).await,
             Self::Unlist(domain) => {
                 let mut hosts = fleet.hosts();
--- a/standin/src/load/entries.rs
+++ b/standin/src/load/entries.rs
@@ -100,6 +100,13 @@
         &self.addresses
     }
 
+    /// Kills the entry with this number, counted from 0.
+    pub fn kill(&self, number: usize) {
+        if let Some(process) = self.processes().get_mut(number) {
+            process.kill();
+        }
+    }
+
     /// Kills the entries of a failure domain.
     pub fn kill_domain(&self, domain: &str) {
         let mut processes = self.processes();
--- a/standin/src/load/plan.rs
+++ b/standin/src/load/plan.rs
@@ -36,6 +36,10 @@
     Mixed,
     /// The burst, with callers that send again at once after every refusal.
     Impatient,
+    /// Three entries die without notice, one after another.
+    Entries,
+    /// The same, with no stage result kept in the object store.
+    Unkept,
 }
 
 /// What is offered, to which fakes and with which faults.
@@ -79,6 +83,9 @@
 /// Engine that becomes slow or dies.
 const VICTIM: usize = 1;
 
+/// Entries that die one after another.
+const VICTIMS: u32 = 3;
+
 /// Entry hosts of a deployment.
 const ENTRIES: usize = 7;
 
@@ -132,6 +139,13 @@
                 self.schedule.bursts.push((begin, begin + BURST, 3.0));
                 self.patience = Patience::None;
             }
+            Scenario::Entries => self.kill_entries(begin, span),
+            Scenario::Unkept => {
+                self.kill_entries(begin, span);
+                for group in &mut self.deployment.groups {
+                    group.pool.checkpoint = false;
+                }
+            }
             Scenario::Slow => self.step(begin, Action::Slow(VICTIM, 10.0)),
             Scenario::Dead => {
                 self.step(begin, Action::Kill(VICTIM));
@@ -152,6 +166,13 @@
         }
     }
 
+    fn kill_entries(&mut self, begin: Duration, span: Duration) {
+        for number in 0..VICTIMS {
+            let at = begin + span / 2 * number / VICTIMS;
+            self.step(at, Action::KillEntry(number as usize));
+        }
+    }
+
     fn step(&mut self, at: Duration, action: Action) {
         self.steps.push(Step { at, action });
     }
