Hold deaths of several targets in one failure domain against the domain

Each payload that broke also ran alone on one engine, though nothing was wrong with it. Two targets of one domain that die within a second are now the domain's: payloads with one death among those are cleared, at the peers too. A payload that two targets died of stays quarantined.

--- a/policy/src/entry/admission.rs
+++ b/policy/src/entry/admission.rs
@@ -56,7 +56,7 @@
     fn patience(&self, now: Time, request: &Request) -> Duration {
         request
             .deadline
-            .saturating_sub(now + self.time_left(request))
+            .saturating_sub(now + self.time_left(now, request))
     }
 
     fn postpone(&mut self, turn: &mut Turn<'_>, request: &mut Request, wait: Duration) {
--- a/policy/src/entry/feasible.rs
+++ b/policy/src/entry/feasible.rs
@@ -47,9 +47,14 @@
 
     /// Returns whether a new request can be expected to end in time, waiting included.
     pub(super) fn is_promising(&self, now: Time, request: &Request) -> bool {
+        now + self.time_left(now, request) <= request.deadline
+    }
+
+    /// Returns the time that the rest of the pipeline takes, waiting included.
+    pub(super) fn time_left(&self, now: Time, request: &Request) -> Duration {
         let wait = self.wait(request);
         let left = request.deadline.saturating_sub(now + wait);
-        self.work_left(request, quantile(wait, left)) <= left
+        wait + self.work_left(request, quantile(wait, left))
     }
 
     /// Returns the time that the rest of the pipeline is expected to wait in queues.
--- a/policy/src/entry/isolation.rs
+++ b/policy/src/entry/isolation.rs
@@ -58,6 +58,7 @@
             targets,
         };
         turn.out.push(Command::Broadcast { frame });
+        self.note_outage(turn, &attempt.target);
     }
 
     /// Clears a suspect payload that ran without ending its target, and tells the peers.
--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod hedge;
 mod isolation;
 mod memory;
+mod outage;
 mod request;
 mod settings;
 pub mod state;
@@ -23,6 +24,7 @@
 
 use self::{
     memory::Memory,
+    outage::Deaths,
     request::Request,
     state::{DAEMON, Daemon, DaemonStep},
     timer::{Due, Timers},
@@ -77,6 +79,7 @@
     ticking: bool,
     poison: Poison,
     barred: HashSet<BlockHash>,
+    deaths: Deaths,
     retries: Budget,
     hedges: Budget,
     sequence: u64,
@@ -147,6 +150,7 @@
             ticking: false,
             poison: Poison::new(POISON_RECORDS),
             barred: HashSet::new(),
+            deaths: Deaths::default(),
             retries: Budget::new(RETRY_SHARE, BUDGET_BURST),
             hedges: Budget::new(HEDGE_SHARE, BUDGET_BURST),
             sequence: 0,
--- /dev/null
+++ b/policy/src/entry/outage.rs
@@ -0,0 +1,76 @@
+//! Deaths of targets that a lost failure domain explains.
+
+use super::{Entry, Turn};
+use crate::{
+    command::{Command, Frame},
+    id::{BlockHash, DomainId, TargetId, Time},
+};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
+
+/// Time within which deaths of several targets of one failure domain are held to be the domain's.
+const SAME_OUTAGE: Duration = Duration::from_secs(1);
+
+/// Deaths of targets in the last moments.
+#[derive(Debug, Default)]
+pub(super) struct Deaths {
+    recent: VecDeque<Death>,
+}
+
+#[derive(Debug)]
+struct Death {
+    at: Time,
+    target: TargetId,
+    domain: DomainId,
+}
+
+impl Deaths {
+    /// Notes a death, and returns the targets that died with it in its failure domain, itself
+    /// included.
+    fn note(&mut self, now: Time, target: &TargetId, domain: &DomainId) -> BTreeSet<TargetId> {
+        let is_old = |death: &Death| death.at + SAME_OUTAGE < now;
+        while self.recent.front().is_some_and(is_old) {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(Death {
+            at: now,
+            target: target.clone(),
+            domain: domain.clone(),
+        });
+        let same = self.recent.iter().filter(|death| death.domain == *domain);
+        same.map(|death| death.target.clone()).collect()
+    }
+}
+
+impl Entry {
+    /// Clears the payloads whose one death a lost failure domain explains, and tells the peers.
+    ///
+    /// A payload that two targets died of stays in quarantine.
+    pub(super) fn note_outage(&mut self, turn: &mut Turn<'_>, target: &TargetId) {
+        let Some(domain) = self.router.domain(target) else {
+            return;
+        };
+        let lost = self.deaths.note(turn.now, target, domain);
+        if lost.len() < 2 {
+            return;
+        }
+        for fingerprint in self.explained(&lost) {
+            self.poison.survived(fingerprint);
+            turn.out.push(Command::Broadcast {
+                frame: Frame::Cleared { fingerprint },
+            });
+        }
+        self.mark_waiting();
+    }
+
+    /// Returns the suspects that a single one of some targets died of.
+    fn explained(&self, lost: &BTreeSet<TargetId>) -> Vec<BlockHash> {
+        let suspects = self.poison.suspects();
+        suspects
+            .filter(|(_, targets)| matches!(targets.as_slice(), [one] if lost.contains(one)))
+            .map(|(fingerprint, _)| fingerprint)
+            .collect()
+    }
+}
--- a/policy/src/router/mod.rs
+++ b/policy/src/router/mod.rs
@@ -228,6 +228,11 @@
         target.listed.then_some(&target.host.address)
     }
 
+    /// Returns the failure domain of a target.
+    pub fn domain(&self, target: &TargetId) -> Option<&DomainId> {
+        Some(&self.target(target)?.host.domain)
+    }
+
     /// Returns all targets of the pools and failure domains of some targets.
     pub fn beside(&self, targets: &[TargetId]) -> Vec<TargetId> {
         let known: Vec<_> = targets
--- a/policy/tests/regression/lost_domain_quarantines_no_one.rs
+++ b/policy/tests/regression/lost_domain_quarantines_no_one.rs
@@ -5,6 +5,7 @@
 
 use policy::{
     Command, Event,
+    command::Frame,
     entry::{Entry, Settings},
     fault::Fault,
     host::{Host, State},
@@ -12,6 +13,7 @@
     pool::Pool,
     table::{Pipeline, Table},
 };
+use rstest::rstest;
 use std::{sync::Arc, time::Duration};
 
 fn host(target: &str, domain: &str) -> Host {
@@ -64,18 +66,21 @@
     })
 }
 
+fn submit(request: &str) -> Event {
+    Event::Submit {
+        key: Key::new("w", "read", request),
+        deadline: Duration::from_secs(4),
+        retry: false,
+        payload: format!("\"{request}\"").into(),
+    }
+}
+
 #[test]
 fn broken_call_is_repeated_in_another_domain() {
     for seed in 0..20 {
         let mut entry = entry(seed);
         let mut commands = Vec::new();
-        let submit = Event::Submit {
-            key: Key::new("w", "read", "r"),
-            deadline: Duration::from_secs(4),
-            retry: false,
-            payload: "{}".into(),
-        };
-        entry.on(Time::ZERO, submit, &mut commands);
+        entry.on(Time::ZERO, submit("r"), &mut commands);
         let (attempt, first) = dispatched(&commands).expect("a first call");
         let fault = Fault::Broken;
         commands.clear();
@@ -87,3 +92,47 @@
         assert_ne!(first[..1], second[..1], "{first} and then {second}");
     }
 }
+
+/// Ends the targets of two calls of different payloads, and returns how many payloads are cleared.
+fn cleared(entry: &mut Entry, calls: &[(AttemptId, TargetId)]) -> usize {
+    let mut commands = Vec::new();
+    for (at, (attempt, _)) in calls.iter().enumerate() {
+        let event = Event::Failed {
+            attempt: *attempt,
+            fault: Fault::Broken,
+        };
+        entry.on(Duration::from_millis(at as u64), event, &mut commands);
+    }
+    let frames = commands.iter().filter_map(|command| match command {
+        Command::Broadcast { frame } => Some(frame),
+        _ => None,
+    });
+    let frames = frames.filter(|frame| matches!(frame, Frame::Cleared { .. }));
+    frames.count()
+}
+
+#[rstest]
+#[case::same_domain("a", 2)]
+#[case::other_domain("b", 0)]
+fn deaths_in_one_domain_are_not_held_against_payloads(
+    #[case] domain: &str,
+    #[case] expected: usize,
+) {
+    let mut entry = entry(1);
+    let mut calls = Vec::new();
+    for number in 0..40 {
+        let mut commands = Vec::new();
+        entry.on(Time::ZERO, submit(&format!("r{number}")), &mut commands);
+        calls.extend(dispatched(&commands));
+    }
+    let first = calls
+        .iter()
+        .find(|(_, target)| target.starts_with('a'))
+        .expect("a near call");
+    let second = calls
+        .iter()
+        .find(|(_, target)| target.starts_with(domain) && *target != first.1)
+        .expect("another call");
+    let pair = [first.clone(), second.clone()];
+    assert_eq!(cleared(&mut entry, &pair), expected, "{pair:?}");
+}
