Bound the control traffic of reports and of the host list

The host list is read with the version that is held, so that an unchanged list costs no body. All bytes of exchanges with targets and the platform are counted by kind, heads included.

--- a/godwithinge/src/entry/mod.rs
+++ b/godwithinge/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod peer;
 mod perform;
 mod poll;
+mod report;
 mod ring;
 mod state;
 mod sweep;
@@ -102,7 +103,7 @@
         tasks.spawn(run_timer(daemon.clone()));
         tasks.spawn(poll::hosts(daemon.clone()));
         tasks.spawn(poll::table(daemon.clone()));
-        tasks.spawn(poll::loads(daemon.clone()));
+        tasks.spawn(report::run(daemon.clone()));
         tasks.spawn(poll::sweep(daemon.clone()));
         tasks.spawn(directory::run(daemon.clone()));
         tasks.spawn(settler.run(daemon.clone()));
@@ -156,8 +157,9 @@
         })
         .with_rule(settings.entry.rule);
         let address = settings.platform.address.to_string();
-        let platform = platform::Client::new(address, settings.platform.timeout);
         let metrics = Metrics::new().map_err(Error::Metrics)?;
+        let platform = platform::Client::new(address, settings.platform.timeout)
+            .with_bytes(metrics.control_bytes.clone());
         let (claims, settler) = claim::new(platform.clone(), metrics.clone());
         let shared = Shared {
             incarnation,
--- a/godwithinge/src/entry/state.rs
+++ b/godwithinge/src/entry/state.rs
@@ -8,7 +8,10 @@
     host::Host,
     id::{AttemptId, Key, TargetId, Time},
 };
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 /// What stands behind the mutex of an entry daemon.
 #[derive(Debug)]
@@ -25,6 +28,8 @@
     pub(super) attempts: HashMap<AttemptId, Attempt>,
     /// Targets on the host list.
     pub(super) hosts: HashMap<TargetId, Host>,
+    /// Targets that got a call since their last report was read.
+    pub(super) used: HashSet<TargetId>,
     /// Table that was handed over last.
     pub(super) table: Option<Arc<Table>>,
     /// Decisions that were made last.
@@ -42,6 +47,7 @@
             feeds: Feeds::default(),
             attempts: HashMap::new(),
             hosts: HashMap::new(),
+            used: HashSet::new(),
             table: None,
             decisions: Ring::default(),
             open: HashMap::new(),
--- a/godwithinge/src/http/mod.rs
+++ b/godwithinge/src/http/mod.rs
@@ -142,6 +142,14 @@
     }
 }
 
+/// Returns the length of the head of a request without other fields, in bytes.
+pub fn head_len(path: &str, address: &str) -> usize {
+    REQUEST_LEN + path.len() + address.len()
+}
+
+/// Bytes of a request's head beside the path and the host.
+const REQUEST_LEN: usize = "GET  HTTP/1.1\r\nhost: \r\n\r\n".len();
+
 fn set_host(request: &mut Request, address: &str) {
     if let Ok(host) = HeaderValue::from_str(address) {
         request.headers_mut().insert(header::HOST, host);
--- a/godwithinge/src/http/response.rs
+++ b/godwithinge/src/http/response.rs
@@ -8,6 +8,11 @@
 use hyper::body::Incoming;
 use std::time::Duration;
 
+/// Bytes of a status line and of the line that ends the head.
+const STATUS_LEN: usize = 19;
+/// Bytes of a header field beside its name and value.
+const FIELD_LEN: usize = 4;
+
 /// Response whose body is read part by part.
 #[derive(Debug)]
 pub struct Response {
@@ -47,6 +52,13 @@
         &self.head.headers
     }
 
+    /// Returns the length of the head in bytes.
+    pub fn head_len(&self) -> usize {
+        let fields = self.headers().iter();
+        let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_LEN);
+        STATUS_LEN + fields.sum::<usize>()
+    }
+
     /// Returns whether the connection had served a request before.
     pub fn is_reused(&self) -> bool {
         self.reused
--- a/godwithinge/src/platform/mod.rs
+++ b/godwithinge/src/platform/mod.rs
@@ -8,12 +8,14 @@
     wire::{Check, Conflict, Hosts, Range, Row, Rows, Transaction, Write},
 };
 
-use crate::http::{Error as HttpError, Pool, Request, Response, Reuse};
+use crate::http::{Error as HttpError, Pool, Request, Response, Reuse, head_len};
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{Method, StatusCode};
+use http_body::Body;
 use http_body_util::Full;
 use policy::claim::Version;
+use prometheus::IntCounterVec;
 use serde::{Deserialize, de::DeserializeOwned};
 use std::{fmt::Write as _, time::Duration};
 use tokio::time;
@@ -30,6 +32,7 @@
     pool: Pool,
     address: CompactString,
     timeout: Duration,
+    bytes: Option<IntCounterVec>,
 }
 
 impl Client {
@@ -39,9 +42,17 @@
             pool: Pool::new(timeout),
             address: address.into(),
             timeout,
+            bytes: None,
         }
     }
 
+    /// Counts the bytes of all exchanges by kind.
+    #[must_use]
+    pub fn with_bytes(mut self, counter: IntCounterVec) -> Self {
+        self.bytes = Some(counter);
+        self
+    }
+
     /// Returns the address of the platform.
     pub fn address(&self) -> &str {
         &self.address
@@ -133,6 +144,20 @@
         from_slice(&self.read_bytes("/v1/hosts", Reuse::Oldest).await?)
     }
 
+    /// Reads the list of hosts, unless its version is still `since`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`hosts`](Self::hosts) does.
+    pub async fn hosts_since(&self, since: Version) -> Result<Option<Hosts>, Error> {
+        let path = format!("/v1/hosts?since={since}");
+        match self.read_bytes(&path, Reuse::Oldest).await {
+            Ok(body) => from_slice(&body).map(Some),
+            Err(Error::Status(StatusCode::NOT_MODIFIED)) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Reads the weights of a model.
     ///
     /// # Errors
@@ -143,6 +168,14 @@
             .await
     }
 
+    fn count(&self, path: &str, bytes: u64) {
+        if let Some(counter) = &self.bytes {
+            let part = path.split(['/', '?']).nth(2).unwrap_or_default();
+            let kind = format!("platform_{part}");
+            counter.with_label_values(&[kind.as_str()]).inc_by(bytes);
+        }
+    }
+
     async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
         from_slice(&self.read_bytes(path, Reuse::Newest).await?)
     }
@@ -159,12 +192,19 @@
 
     async fn exchange(&self, request: Request, reuse: Reuse) -> Result<(StatusCode, Bytes), Error> {
         let whole = async {
+            let (path, sent) = (
+                request.uri().to_string(),
+                request.body().size_hint().lower(),
+            );
             let response = self.pool.send(&self.address, request, reuse).await?;
             let status = response.status();
             if status == StatusCode::TOO_MANY_REQUESTS {
                 return limited(response).await;
             }
-            Ok((status, response.bytes(MAX_BODY).await?))
+            let head = head_len(&path, &self.address) + response.head_len();
+            let body = response.bytes(MAX_BODY).await?;
+            self.count(&path, sent + (head + body.len()) as u64);
+            Ok((status, body))
         };
         match time::timeout(self.timeout, whole).await {
             Ok(reply) => reply,
--- a/godwithinge/src/target/mod.rs
+++ b/godwithinge/src/target/mod.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    http::{Error as HttpError, Pool as Connections, Request, Response, Reuse},
+    http::{Error as HttpError, Pool as Connections, Request, Response, Reuse, head_len},
     platform::escape,
 };
 use bytes::Bytes;
@@ -86,12 +86,13 @@
     /// Asks a target what became of a call; `None` if it can't say that the call took effect.
     pub async fn look_up(&self, address: &str, token: &str, timeout: Duration) -> Option<Payload> {
         let path = format!("/effects/{}", escape(&visible(token)));
-        let body = self.get(address, &path, Reuse::Never, timeout).await.ok()?;
+        let read = self.get(address, &path, Reuse::Never, timeout).await;
+        let (body, _) = read.ok()?;
         let effect: wire::Effect = serde_json::from_slice(&body).ok()?;
         Some(one_line(effect.result.get()))
     }
 
-    /// Reads a target's load report and returns it with its length in bytes.
+    /// Reads a target's load report and returns it with the bytes of the exchange.
     ///
     /// Goes over the connection that has been idle longest, which finds silent ones.
     ///
@@ -99,12 +100,13 @@
     ///
     /// Fails if the target doesn't answer within `timeout` or its answer is malformed.
     pub async fn load(&self, address: &str, timeout: Duration) -> Result<(Report, usize), Error> {
-        let body = self.get(address, "/load", Reuse::Oldest, timeout).await?;
+        let (body, bytes) = self.get(address, "/load", Reuse::Oldest, timeout).await?;
         let load: wire::Load = serde_json::from_slice(&body).map_err(Error::Malformed)?;
-        Ok((load.into(), body.len()))
+        Ok((load.into(), bytes))
     }
 
-    /// Reads the changes of an engine's prefix cache after number `after`, with their length.
+    /// Reads the changes of an engine's prefix cache after number `after`, with the bytes of the
+    /// exchange.
     ///
     /// # Errors
     ///
@@ -116,9 +118,9 @@
         timeout: Duration,
     ) -> Result<(Events, usize), Error> {
         let path = format!("/cache?after={after}");
-        let body = self.get(address, &path, Reuse::Oldest, timeout).await?;
+        let (body, bytes) = self.get(address, &path, Reuse::Oldest, timeout).await?;
         let events = serde_json::from_slice(&body).map_err(Error::Malformed)?;
-        Ok((events, body.len()))
+        Ok((events, bytes))
     }
 
     /// Closes the idle connections to all addresses for which `keep` is false.
@@ -132,14 +134,17 @@
         path: &str,
         reuse: Reuse,
         timeout: Duration,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<(Bytes, usize), Error> {
         let exchange = async {
             let request = request(Method::GET, path, Bytes::new());
             let response = self.connections.send(address, request, reuse).await?;
             if !response.status().is_success() {
                 return Err(Error::Status(response.status()));
             }
-            Ok(response.bytes(MAX_BODY).await?)
+            let head = response.head_len();
+            let body = response.bytes(MAX_BODY).await?;
+            let bytes = head_len(path, address) + head + body.len();
+            Ok((body, bytes))
         };
         match time::timeout(timeout, exchange).await {
             Ok(reply) => reply,
--- a/standin/src/platform/api.rs
+++ b/standin/src/platform/api.rs
@@ -163,7 +163,7 @@
                 Ok(self.get_rows(table, request.uri()))
             }
             (&Method::POST, ["v1", "transactions"]) => self.transact(request.body()),
-            (&Method::GET, ["v1", "hosts"]) => Ok(self.get_hosts()),
+            (&Method::GET, ["v1", "hosts"]) => Ok(self.get_hosts(request.uri())),
             (&Method::GET, ["v1", "weights", ..]) => Ok(self.get_weights()),
             (method, ["v1", "objects", ..]) => {
                 let key = path.trim_start_matches("/v1/objects/");
@@ -256,7 +256,7 @@
         }
     }
 
-    fn get_hosts(&mut self) -> Reply {
+    fn get_hosts(&mut self, uri: &Uri) -> Reply {
         if let Some(busy) = self.refuse_read() {
             return busy;
         }
@@ -267,6 +267,10 @@
             .iter()
             .rposition(|(at, _)| now.duration_since(*at) >= lag);
         let at = old.unwrap_or(0);
+        let since = crate::http::query::find(uri, "since").and_then(|since| since.parse().ok());
+        if since == Some(at) {
+            return reply::bytes(StatusCode::NOT_MODIFIED, "");
+        }
         let hosts = self.lists.get(at).map(|(_, hosts)| Arc::clone(hosts));
         reply::ok(&List {
             version: at,
