Keep all reports of targets within a budget of bytes a second

With 96 targets and 16 callers, 20 reads a second cost 17.4 KB/s of control traffic at an entry, above the 11 KB/s that a daemon may spend.

--- a/godwithinge/src/entry/report.rs
+++ b/godwithinge/src/entry/report.rs
@@ -1,7 +1,7 @@
 //! Reads of the targets' reports.
 //!
 //! Only the targets that this entry works with are read, those with recent calls more often than
-//! idle ones, and never more in a second than the control traffic permits.
+//! idle ones, and all of them together within a budget of bytes a second.
 
 use super::{Daemon, poll, state::State};
 use policy::{
@@ -13,8 +13,10 @@
 use std::{collections::HashMap, time::Duration};
 use tokio::sync::mpsc;
 
-/// Shortest time between two reads of any targets' reports; it bounds the control traffic.
-const SPACING: Duration = Duration::from_millis(50);
+/// Time between the begin of two reads.
+const SPACING: Duration = Duration::from_millis(25);
+/// Bytes of reports that are read in a second at most, out of 11 KB a second for all control.
+const BYTES_PER_SECOND: f64 = 8e3;
 /// Reads of a target in use for each read of an idle one.
 const IDLE_FACTOR: u32 = 10;
 /// Longest time of reading a target's report.
@@ -31,22 +33,34 @@
     sequence: u64,
 }
 
-/// End of a read, with the number of the newest change of the cache if that was read.
-type End = (TargetId, Option<u64>);
+/// End of a read.
+#[derive(Debug)]
+struct End {
+    target: TargetId,
+    /// Bytes that were sent and received.
+    bytes: usize,
+    /// Number of the newest change of the cache, if that was read.
+    sequence: Option<u64>,
+}
 
 /// Reads the targets' reports for as long as the daemon runs.
 pub(super) async fn run(daemon: Daemon) {
     let mut reads: HashMap<TargetId, Read> = HashMap::new();
     let (sender, mut ended) = mpsc::unbounded_channel::<End>();
     let mut ticks = poll::ticks(SPACING);
+    let mut budget = BYTES_PER_SECOND;
     loop {
         ticks.tick().await;
-        while let Ok((target, sequence)) = ended.try_recv() {
-            let read = reads.entry(target).or_default();
+        budget = (budget + BYTES_PER_SECOND * SPACING.as_secs_f64()).min(BYTES_PER_SECOND);
+        while let Ok(end) = ended.try_recv() {
+            budget -= end.bytes as f64;
+            let read = reads.entry(end.target).or_default();
             read.is_running = false;
-            read.sequence = sequence.unwrap_or(read.sequence);
+            read.sequence = end.sequence.unwrap_or(read.sequence);
         }
-        if let Some((host, engine)) = daemon.due(&mut reads) {
+        if budget > 0.0
+            && let Some((host, engine)) = daemon.due(&mut reads)
+        {
             let after = engine.then(|| reads[&host.target].sequence);
             tokio::spawn(read(daemon.clone(), host, after, sender.clone()));
         }
@@ -55,9 +69,20 @@
 
 /// Reads one target's reports.
 async fn read(daemon: Daemon, host: Host, after: Option<u64>, ended: mpsc::UnboundedSender<End>) {
-    let sequence = daemon.read_reports(&host, after).await;
+    let (load, mut bytes) = daemon.read_load(&host).await;
+    let mut sequence = None;
+    if let Some(after) = after.filter(|_| load) {
+        let (newest, more) = daemon.read_cache(&host, after).await;
+        sequence = newest;
+        bytes += more;
+    }
+    let target = host.target;
     // The receiver ends with the daemon.
-    let _ = ended.send((host.target, sequence));
+    let _ = ended.send(End {
+        target,
+        bytes,
+        sequence,
+    });
 }
 
 impl Daemon {
@@ -103,28 +128,35 @@
         Some(read.at.map_or(Time::ZERO, |at| at + wait))
     }
 
-    /// Hands over a target's reports and returns the number of the newest change of its cache.
-    async fn read_reports(&self, host: &Host, after: Option<u64>) -> Option<u64> {
-        let targets = &self.shared.targets;
+    /// Hands over a target's load; returns whether it could be read, and the bytes of that.
+    async fn read_load(&self, host: &Host) -> (bool, usize) {
         let target = host.target.clone();
-        match targets.load(&host.address, TIMEOUT).await {
+        match self.shared.targets.load(&host.address, TIMEOUT).await {
             Ok((report, bytes)) => {
                 self.count_control("load", bytes);
                 self.handle(Event::Load { target, report });
+                (true, bytes)
             }
             Err(error) => {
-                tracing::debug!(target = %host.target, %error, "load was not read");
-                return None;
+                tracing::debug!(%target, %error, "load was not read");
+                (false, 0)
             }
         }
-        let read = targets.cache(&host.address, after?, TIMEOUT).await;
-        let (read, bytes) = read.ok()?;
+    }
+
+    /// Hands over the changes of an engine's cache; returns the number of the newest, if they
+    /// could be read, and the bytes of that.
+    async fn read_cache(&self, host: &Host, after: u64) -> (Option<u64>, usize) {
+        let targets = &self.shared.targets;
+        let Ok((read, bytes)) = targets.cache(&host.address, after, TIMEOUT).await else {
+            return (None, 0);
+        };
         self.count_control("cache", bytes);
         for change in read.events {
             let target = host.target.clone();
             self.handle(Event::Cache { target, change });
         }
-        Some(read.sequence)
+        (Some(read.sequence), bytes)
     }
 
     fn count_control(&self, kind: &str, bytes: usize) {
--- a/godwithinge/tests/process/common/bench.rs
+++ b/godwithinge/tests/process/common/bench.rs
@@ -90,6 +90,16 @@
         self.start_entry_as(host, &settings)
     }
 
+    /// Starts an entry daemon that polls as often as by default, and waits until it is ready.
+    pub async fn usual_entry(&self, host: &str) -> Entry {
+        let settings = self.settings(host);
+        let lines = settings.lines().filter(|line| !line.contains("_poll"));
+        let settings: Vec<_> = lines.collect();
+        let entry = self.start_entry_as(host, &(settings.join("\n") + "\n"));
+        entry.ready().await;
+        entry
+    }
+
     /// Starts an entry daemon with addresses of some peers.
     pub fn start_entry_with_seeds(&self, host: &str, seeds: &str) -> Entry {
         let settings = self.settings(host) + &format!("[peers]\nseeds = {seeds}\n");
--- /dev/null
+++ b/godwithinge/tests/process/control.rs
@@ -0,0 +1,66 @@
+//! Control traffic of a daemon stays within its bound.
+
+use crate::common::{Ask, Bench, Entry, SUMMARY};
+use serde_json::json;
+use standin::fetch;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{task::JoinSet, time};
+
+/// Most bytes of control traffic that a daemon may cause in a second.
+const LIMIT: f64 = 11e3;
+/// Time over which the traffic is counted.
+const TIME: Duration = Duration::from_secs(5);
+/// Callers that send one request after another.
+const CALLERS: usize = 16;
+/// Targets in each of the four pools.
+const TARGETS: usize = 24;
+
+/// Returns the bytes of control traffic so far; claims and their settlement are none.
+async fn control(entry: &Entry) -> f64 {
+    let body = fetch::get(entry.address().await, "/metrics").await;
+    let text = String::from_utf8(body.expect("entry answers").to_vec()).expect("metrics are text");
+    let lines = text
+        .lines()
+        .filter(|line| line.starts_with("gwi_control_bytes_total"));
+    let lines = lines.filter(|line| !line.contains("platform_transactions"));
+    let values = lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok());
+    values.sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_a_second() {
+    let bench = Bench::start(TARGETS).await;
+    let entries = tokio::join!(bench.usual_entry("e1"), bench.usual_entry("e2"));
+    entries.0.linked(1).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let (stop, address) = (Arc::clone(&stop), entries.0.address().await);
+        callers.spawn(async move {
+            for number in 0.. {
+                if stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                let payload = json!({"prompt": format!("tokens=8 {caller} {number}")});
+                let ask = Ask::new(SUMMARY, &format!("r{caller}-{number}")).with_payload(payload);
+                let reply = ask.send(address).await;
+                assert_eq!(reply.outcome(), "answered", "{reply:?}");
+            }
+        });
+    }
+    let before = control(&entries.0).await;
+    time::sleep(TIME).await;
+    let rate = (control(&entries.0).await - before) / TIME.as_secs_f64();
+    stop.store(true, Ordering::Relaxed);
+    while let Some(ended) = callers.join_next().await {
+        ended.expect("no panic");
+    }
+    println!("{rate:.0} bytes a second of control traffic");
+    assert!(rate <= LIMIT, "{rate} bytes a second");
+}
--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod claim;
 mod common;
+mod control;
 mod drain;
 mod leaving;
 mod poison;
