--- a/godwithinge/src/entry/poll.rs
+++ b/godwithinge/src/entry/poll.rs
@@ -15,17 +15,12 @@
     let mut version = None;
     loop {
         ticks.tick().await;
-        let platform = &daemon.shared.platform;
-        let read = match version {
-            Some(version) => platform.hosts_since(version).await,
-            None => platform.hosts().await.map(Some),
-        };
-        match read {
-            Ok(Some(list)) => {
+        match daemon.shared.platform.hosts().await {
+            Ok(list) if version == Some(list.version) => {}
+            Ok(list) => {
                 version = Some(list.version);
                 daemon.set_hosts(list.hosts);
             }
-            Ok(None) => {}
             Err(error) => tracing::warn!(%error, "host list was not read"),
         }
     }
--- a/godwithinge/src/platform/mod.rs
+++ b/godwithinge/src/platform/mod.rs
@@ -17,7 +17,11 @@
 use policy::claim::Version;
 use prometheus::IntCounterVec;
 use serde::{Deserialize, de::DeserializeOwned};
-use std::{fmt::Write as _, time::Duration};
+use std::{
+    fmt::Write as _,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 use tokio::time;
 
 /// Longest body that is read from the platform, in bytes.
@@ -33,6 +37,7 @@
     address: CompactString,
     timeout: Duration,
     bytes: Option<IntCounterVec>,
+    hosts: Arc<Mutex<Option<Hosts>>>,
 }
 
 impl Client {
@@ -43,6 +48,7 @@
             address: address.into(),
             timeout,
             bytes: None,
+            hosts: Arc::default(),
         }
     }
 
@@ -133,7 +139,7 @@
         optional(check(status)).map(|_| ())
     }
 
-    /// Reads the list of hosts.
+    /// Reads the list of hosts; one that is unchanged since the last read is not sent again.
     ///
     /// # Errors
     ///
@@ -141,21 +147,26 @@
     ///
     /// Goes over the connection that has been idle longest, which finds silent ones.
     pub async fn hosts(&self) -> Result<Hosts, Error> {
-        from_slice(&self.read_bytes("/v1/hosts", Reuse::Oldest).await?)
+        let known = self.last_hosts();
+        let path = match &known {
+            Some(known) => format!("/v1/hosts?after={}", known.version),
+            None => "/v1/hosts".to_owned(),
+        };
+        match (self.read_bytes(&path, Reuse::Oldest).await, known) {
+            (Err(Error::Status(StatusCode::NOT_MODIFIED)), Some(known)) => Ok(known),
+            (Ok(body), _) => {
+                let hosts: Hosts = from_slice(&body)?;
+                let mut last = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+                *last = Some(hosts.clone());
+                Ok(hosts)
+            }
+            (Err(error), _) => Err(error),
+        }
     }
 
-    /// Reads the list of hosts, unless its version is still `since`.
-    ///
-    /// # Errors
-    ///
-    /// Fails as [`hosts`](Self::hosts) does.
-    pub async fn hosts_since(&self, since: Version) -> Result<Option<Hosts>, Error> {
-        let path = format!("/v1/hosts?since={since}");
-        match self.read_bytes(&path, Reuse::Oldest).await {
-            Ok(body) => from_slice(&body).map(Some),
-            Err(Error::Status(StatusCode::NOT_MODIFIED)) => Ok(None),
-            Err(error) => Err(error),
-        }
+    fn last_hosts(&self) -> Option<Hosts> {
+        let last = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        last.clone()
     }
 
     /// Reads the weights of a model.
--- /dev/null
+++ b/godwithinge/tests/process/chaos.rs
@@ -0,0 +1,192 @@
+//! Promises under faults that come at any moment, together or twice.
+
+use crate::common::{Ask, Bench, Entry, FILING, ORDER, Reply, SIZE, SUMMARY, bound};
+use policy::claim::Row;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+use serde_json::json;
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{task::JoinSet, time};
+
+/// Callers that send one request after another.
+const CALLERS: usize = 10;
+/// Faults that are made, one after another.
+const FAULTS: usize = 16;
+/// Time between two faults.
+const PAUSE: Duration = Duration::from_millis(400);
+/// Tries of one request by its caller.
+const TRIES: usize = 4;
+
+/// One request with all that its caller was told.
+struct Story {
+    ask: Ask,
+    replies: Vec<Reply>,
+}
+
+/// Entries that callers use; a dead one is replaced.
+type Entries = Arc<Mutex<Vec<Arc<Entry>>>>;
+
+/// Sends requests one after another, each again until it has an answer.
+async fn call(caller: usize, seed: u64, entries: Entries, stop: Arc<AtomicBool>) -> Vec<Story> {
+    let mut rng = StdRng::seed_from_u64(seed + caller as u64);
+    let mut stories = Vec::new();
+    for number in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let pipeline = [SIZE, ORDER, FILING, SUMMARY][number % 4];
+        let payload = json!({"prompt": format!("tokens=10 {caller} {number}")});
+        let ask = Ask::new(pipeline, &format!("c{caller}-{number}"))
+            .with_payload(payload)
+            .with_deadline(1500);
+        let mut replies = Vec::new();
+        for again in 0..TRIES {
+            let entry = {
+                let entries = entries.lock().expect("no panic");
+                let at = rng.random_range(0..entries.len());
+                Arc::clone(&entries[at])
+            };
+            let ask = if again == 0 { ask.clone() } else { ask.again() };
+            let reply = entry.send(&ask).await;
+            let is_answer = reply.outcome() == "answered";
+            replies.push(reply);
+            if is_answer {
+                break;
+            }
+        }
+        stories.push(Story { ask, replies });
+    }
+    stories
+}
+
+/// Makes one fault, waits, and mends it.
+async fn fault(bench: &Bench, entries: &Entries, kind: usize, rng: &mut StdRng, count: usize) {
+    let platform = bench.fleet.platform();
+    let pools = ["encoders", "clerks", "desks"];
+    let pool = pools[rng.random_range(0..pools.len())];
+    let service = &bench.services(pool)[rng.random_range(0..2)];
+    let picked = {
+        let entries = entries.lock().expect("no panic");
+        let at = rng.random_range(0..entries.len());
+        Arc::clone(&entries[at])
+    };
+    match kind {
+        0 => platform.control(|it| it.outage = true),
+        1 => platform.control(|it| it.lose_replies = 3),
+        2 => platform.gate().silence(),
+        3 => service.gate().silence(),
+        4 => service.control(|it| it.faults.down = true),
+        5 => service.control(|it| it.faults.stall = true),
+        6 => picked.signal("STOP"),
+        _ => {
+            let fresh = Arc::new(bench.entry(&format!("new{count}")).await);
+            let mut entries = entries.lock().expect("no panic");
+            entries.retain(|entry| !Arc::ptr_eq(entry, &picked));
+            entries.push(fresh);
+            picked.kill();
+        }
+    }
+    time::sleep(PAUSE).await;
+    platform.control(|it| it.outage = false);
+    service.control(|it| (it.faults.down, it.faults.stall) = (false, false));
+    if kind == 6 {
+        picked.signal("CONT");
+    }
+}
+
+/// Checks what the caller of one request was told against what took effect.
+fn check(bench: &Bench, story: &Story) {
+    let request = &story.ask.request;
+    let effects = match story.ask.pipeline.as_str() {
+        ORDER => bench.effects("clerks", request),
+        FILING => bench.effects("desks", request),
+        _ => 0,
+    };
+    assert!(
+        effects <= 1,
+        "{request} took effect {effects} times: {:?}",
+        story.replies
+    );
+    for reply in &story.replies {
+        let Reply::Body(_, body) = reply else {
+            continue;
+        };
+        let none = reply.outcome() == "not_run" || body["effects"] == "none";
+        let last = story.replies.last() == Some(reply);
+        assert!(
+            !(none && last && effects > 0),
+            "{request}: {:?}",
+            story.replies
+        );
+        assert!(
+            !(reply.outcome() == "not_run" && effects > 0),
+            "{request}: {:?}",
+            story.replies
+        );
+        if reply.outcome() != "answered" {
+            continue;
+        }
+        let answer = &body["answer"];
+        if story.ask.pipeline == SUMMARY {
+            let text = answer["text"].as_str().expect("answer has a text");
+            assert_eq!(text.split_whitespace().count(), 10, "{body}");
+        } else {
+            assert_eq!(answer["request"], request.as_str(), "{body}");
+        }
+        let once = [ORDER, FILING].contains(&story.ask.pipeline.as_str());
+        assert!(!once || effects == 1, "{request}: {:?}", story.replies);
+    }
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[tokio::test(flavor = "multi_thread")]
+async fn faults_at_any_moment(#[case] seed: u64) {
+    let bench = Bench::start(2).await;
+    let started = tokio::join!(bench.entry("e1"), bench.entry("e2"), bench.entry("e3"));
+    let entries = [started.0, started.1, started.2].map(Arc::new);
+    let entries: Entries = Arc::new(Mutex::new(entries.into()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        callers.spawn(call(caller, seed, Arc::clone(&entries), Arc::clone(&stop)));
+    }
+    let mut rng = StdRng::seed_from_u64(seed);
+    for count in 0..FAULTS {
+        // Each kind comes twice, in an order of its own.
+        let kind = (count * 5 + seed as usize) % 8;
+        fault(&bench, &entries, kind, &mut rng, count).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let stories: Vec<Story> = callers.join_all().await.into_iter().flatten().collect();
+    let entries = entries.lock().expect("no panic").clone();
+    for entry in &entries {
+        bound("idle entry", entry.idle()).await;
+    }
+    let answered = |story: &&Story| {
+        let last = story.replies.last();
+        last.is_some_and(|reply| reply.outcome() == "answered")
+    };
+    println!(
+        "{} of {} answered",
+        stories.iter().filter(answered).count(),
+        stories.len()
+    );
+    for story in &stories {
+        check(&bench, story);
+    }
+    let is_open = |row: &Row| matches!(row, Row::Held { .. });
+    let open = stories.iter().filter(|story| {
+        let claim = bench.claim(&story.ask.pipeline, &story.ask.request);
+        claim.as_ref().is_some_and(is_open)
+    });
+    // Claims of killed entries stay held where the target can't be asked.
+    println!("{} claims are held", open.count());
+}
--- a/godwithinge/tests/process/common/entry.rs
+++ b/godwithinge/tests/process/common/entry.rs
@@ -86,6 +86,17 @@
         bound("links", linked).await;
     }
 
+    /// Waits until nothing is in flight or unsettled.
+    pub async fn idle(&self) {
+        loop {
+            let status = self.status().await;
+            if status["in_flight"] == 0 && status["unsettled"] == 0 {
+                return;
+            }
+            time::sleep(POLL).await;
+        }
+    }
+
     /// Returns what the daemon tells operators of itself.
     pub async fn status(&self) -> Value {
         let token = [("authorization", "Bearer operators")];
--- a/standin/src/platform/api.rs
+++ b/standin/src/platform/api.rs
@@ -37,6 +37,8 @@
     store: Store,
     objects: BTreeMap<String, Bytes>,
     lists: VecDeque<(Instant, Arc<Vec<Host>>)>,
+    /// Lists that are kept no more.
+    forgotten: u64,
     reads: Bucket,
     writes: Bucket,
     weights: Bucket,
@@ -57,7 +59,7 @@
 
 #[derive(Serialize)]
 struct List {
-    version: usize,
+    version: u64,
     hosts: Arc<Vec<Host>>,
 }
 
@@ -86,6 +88,7 @@
             store: Store::default(),
             objects: BTreeMap::new(),
             lists: VecDeque::new(),
+            forgotten: 0,
             reads: Bucket::new(),
             writes: Bucket::new(),
             weights: Bucket::new(),
@@ -123,6 +126,7 @@
         let mut state = self.state();
         if state.lists.len() == LISTS {
             state.lists.pop_front();
+            state.forgotten += 1;
         }
         state.lists.push_back((Instant::now(), Arc::new(hosts)));
     }
@@ -267,13 +271,16 @@
             .iter()
             .rposition(|(at, _)| now.duration_since(*at) >= lag);
         let at = old.unwrap_or(0);
-        let since = crate::http::query::find(uri, "since").and_then(|since| since.parse().ok());
-        if since == Some(at) {
-            return reply::bytes(StatusCode::NOT_MODIFIED, "");
+        let version = match self.lists.len() {
+            0 => 0,
+            _ => self.forgotten + at as u64 + 1,
+        };
+        if query(uri, "after") == Some(version.to_string()) {
+            return reply::bytes(StatusCode::NOT_MODIFIED, Vec::new());
         }
         let hosts = self.lists.get(at).map(|(_, hosts)| Arc::clone(hosts));
         reply::ok(&List {
-            version: at,
+            version,
             hosts: hosts.unwrap_or_default(),
         })
     }
