--- a/godwithinge/tests/process/common/entry.rs
+++ b/godwithinge/tests/process/common/entry.rs
@@ -13,6 +13,7 @@
     process::{Child, Command, ExitStatus, Stdio},
     sync::{Arc, Mutex},
     thread,
+    time::Duration,
 };
 use tokio::time;
 
@@ -107,6 +108,21 @@
         serde_json::from_slice(&body).expect("status is JSON")
     }
 
+    /// Returns the time of the first log line of `message` about a request for which `wanted`
+    /// holds, as the time since midnight UTC.
+    pub fn logged_at(
+        &self,
+        message: &str,
+        request: &str,
+        wanted: fn(&Value) -> bool,
+    ) -> Option<Duration> {
+        let lines = self.lines.lock().expect("no panic");
+        let line = lines
+            .iter()
+            .find(|line| line["message"] == message && line["request"] == request && wanted(line));
+        time_of_day(line?["timestamp"].as_str()?)
+    }
+
     /// Returns how many log lines have this message.
     pub fn logged(&self, message: &str) -> usize {
         let lines = self.lines.lock().expect("no panic");
@@ -155,3 +171,14 @@
         drop(process.wait());
     }
 }
+
+/// Reads the time of day from a timestamp, as in `2026-12-03T20:42:48.018281Z`.
+fn time_of_day(timestamp: &str) -> Option<Duration> {
+    let (_, time) = timestamp.trim_end_matches('Z').split_once('T')?;
+    let mut parts = time.split(':').map(str::parse::<f64>);
+    let mut next = || parts.next()?.ok();
+    let (hours, minutes, seconds) = (next()?, next()?, next()?);
+    Some(Duration::from_secs_f64(
+        (hours * 60.0 + minutes) * 60.0 + seconds,
+    ))
+}
