Show operators' commands and the return of a paused entry; mute a false alarm

An answer of the platform that was on its way while a peer passed on a higher revision is older without a fault; the alarm compares it with the revision that was in force before the platform was asked.

--- a/godwithinge/src/entry/peer.rs
+++ b/godwithinge/src/entry/peer.rs
@@ -2,7 +2,7 @@
 
 use super::{Daemon, Error};
 use crate::peer::{Event as PeerEvent, Links, Settings};
-use policy::{Event, Table, command::Frame, table::hold::Verdict};
+use policy::{Event, Table, command::Frame, id::Revision, table::hold::Verdict};
 use std::{net::SocketAddr, sync::Arc};
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -46,11 +46,14 @@
     }
 
     /// Takes in the table that the platform holds; a higher revision comes into force.
-    pub(super) fn offer(&self, table: Table) {
+    ///
+    /// `held` is the revision that was in force before the platform was asked; what peers passed
+    /// on since may be newer than the answer without a fault.
+    pub(super) fn offer(&self, table: Table, held: Option<Revision>) {
         match self.links().offer(&Arc::new(table)) {
             Verdict::Adopted | Verdict::Known | Verdict::Gap => {}
+            Verdict::Lower { offered } if Some(offered) >= held => {}
             Verdict::Lower { offered } => {
-                let held = self.links().revision();
                 tracing::error!(
                     offered,
                     held,
--- a/godwithinge/src/entry/poll.rs
+++ b/godwithinge/src/entry/poll.rs
@@ -36,8 +36,9 @@
     let mut poll = Poll::new(daemon.shared.platform.clone());
     loop {
         ticks.tick().await;
+        let held = daemon.links().revision();
         match poll.read().await {
-            Ok(Some(table)) => daemon.offer(table),
+            Ok(Some(table)) => daemon.offer(table, held),
             Ok(None) => {}
             Err(error) => tracing::warn!(%error, "table was not read"),
         }
--- a/godwithinge/tests/process/common/entry.rs
+++ b/godwithinge/tests/process/common/entry.rs
@@ -105,6 +105,12 @@
             .count()
     }
 
+    /// Returns all log lines so far.
+    pub fn log(&self) -> String {
+        let lines = self.lines.lock().expect("no panic");
+        lines.iter().map(ToString::to_string).collect()
+    }
+
     /// Sends a request and returns its outcome.
     pub async fn send(&self, ask: &Ask) -> Reply {
         ask.send(self.address().await).await
--- a/godwithinge/tests/process/edit.rs
+++ b/godwithinge/tests/process/edit.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::{
     fs,
+    path::PathBuf,
     process::{Command, Output},
 };
 use tokio::{task, time};
@@ -161,6 +162,68 @@
     assert_eq!(entry.status().await["revision"], 1);
 }
 
+/// An operator sees an entry's state and a request's decisions, and drains it; a wrong token is
+/// refused and shown nowhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn operator() {
+    let bench = Bench::start(1).await;
+    let entry = bench.entry("e1").await;
+    let (right, wrong) = (bench.file("right"), bench.file("wrong"));
+    fs::write(&right, "operators\n").expect("token can be written");
+    fs::write(&wrong, "not-the-token\n").expect("token can be written");
+    let flags = |file: &PathBuf| format!("--token-file {}", file.display());
+    let at = format!("--entry {}", entry.address().await);
+    entry.send(&Ask::new(SIZE, "r-1")).await;
+    let (status, state, error) = gwictl(&bench, &format!("{at} {} status", flags(&right))).await;
+    assert_eq!((status, &state["host"]), (0, &"e1".into()), "{error}");
+    let explain = format!("{at} {} explain tailors/{SIZE}/r-1", flags(&right));
+    let (status, decisions, error) = gwictl(&bench, &explain).await;
+    assert_eq!(
+        (status, &decisions[0]["pool"]),
+        (0, &"encoders".into()),
+        "{error}"
+    );
+    for command in ["status", "drain"] {
+        let words = format!("{at} {} {command}", flags(&wrong));
+        let (status, _, error) = gwictl(&bench, &words).await;
+        assert_eq!(status, 1, "{error}");
+        assert!(
+            error.contains("401") && !error.contains("not-the-token"),
+            "{error}"
+        );
+    }
+    let (status, _, error) = gwictl(&bench, &format!("{at} {} drain", flags(&right))).await;
+    assert_eq!(status, 0, "{error}");
+    until("end", || entry.ended().is_some()).await;
+    assert!(!entry.log().contains("not-the-token") && !entry.log().contains("fleetkeys"));
+}
+
+/// A paused entry is lost to the others, and one of them again once it goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused() {
+    let bench = Bench::start(1).await;
+    let entries = entries(&bench).await;
+    let presence = async |presence: &str| {
+        let wait = async {
+            loop {
+                let status = entries[0].status().await;
+                let members = status["members"].as_array().expect("it has members");
+                let paused = members.iter().find(|member| member["host"] == ALL[3]);
+                if paused.is_some_and(|member| member["presence"] == presence) {
+                    return;
+                }
+                time::sleep(POLL).await;
+            }
+        };
+        bound(presence, wait).await;
+    };
+    presence("live").await;
+    entries[3].signal("STOP");
+    presence("lost").await;
+    entries[3].signal("CONT");
+    presence("live").await;
+}
+
 /// A sheet is edited as in a spreadsheet; a stale one names the cells that differ.
 #[tokio::test(flavor = "multi_thread")]
 async fn sheet() {
