--- a/godwithinge/tests/peer.rs
+++ b/godwithinge/tests/peer.rs
@@ -14,7 +14,9 @@
     command,
     member::Presence,
     table::{
-        Table, Workspace,
+        Pipeline, Table, Workspace,
+        check::MAX_ROWS,
+        hold::Update,
         row::{Key, Kind, Row},
     },
 };
@@ -27,7 +29,7 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -443,3 +445,43 @@
         }
     }
 }
+
+#[rstest]
+#[case::planned(5_100, 16, 8)]
+#[case::longest(MAX_ROWS - 1, 64, 16)]
+fn a_whole_table_fits_in_one_frame(
+    #[case] rows: usize,
+    #[case] name: usize,
+    #[case] stages: usize,
+) {
+    let mut whole = Table {
+        revision: 7,
+        ..Table::default()
+    };
+    let ceiling = Some(1.0 / 3.0);
+    for row in 0..rows {
+        let name = format!("{row:0name$}");
+        let row = Workspace {
+            share: 2.0 / 3.0,
+            ceiling,
+            priority: 100,
+        };
+        whole.insert(name, Row::Workspace(row));
+    }
+    let pools = (0..stages).map(|stage| format!("{stage:064}"));
+    whole.insert("p", Row::Pipeline(Pipeline::new(pools)));
+    let start = Instant::now();
+    let update = Update::Snapshot {
+        table: Arc::new(whole),
+    };
+    let frame = Frame::Update(update);
+    let bytes = frame.to_vec().expect("the frame is within the limit");
+    let written = start.elapsed();
+    let read = Frame::from_slice(&bytes).expect("it is whole");
+    let taken = start.elapsed().saturating_sub(written);
+    println!(
+        "{rows} rows: {} bytes, written in {written:?}, read in {taken:?}",
+        bytes.len()
+    );
+    assert_eq!(read, frame);
+}
