Tell demand only where a ceiling is near, and let idle limits sleep

At 5,100 workspaces and 330 entries each tick would have gone through the parts of all entries for each ceiling, and each change of demand would have been told.

--- a/policy/src/ceiling/limit.rs
+++ b/policy/src/ceiling/limit.rs
@@ -1,6 +1,6 @@
 //! One ceiling and the parts of it that the entries have in use.
 
-use super::{Bucket, FLOOR_SHARE, RAISE_PERIOD};
+use super::{Bucket, FLOOR_SHARE, RAISE_PERIOD, TICK};
 use crate::id::{HostId, Time};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -22,6 +22,12 @@
 /// Offered rate that is published as none, as a share of the ceiling.
 const IDLE: f64 = 2e-3;
 
+/// Use of the ceiling by all entries below which the demand need not be known.
+const CALM: f64 = 0.5;
+
+/// Use of an entry's part below which its demand need not be known while the ceiling is calm.
+const ROOMY: f64 = 0.8;
+
 /// Smallest change of a part that is made, relative to the part.
 const PART_STEP: f64 = 0.01;
 
@@ -29,6 +35,7 @@
 #[derive(Debug)]
 pub(super) struct Limit {
     pub bucket: Bucket,
+    awake: bool,
     ceiling: f64,
     offered: u32,
     rate: f64,
@@ -52,6 +59,7 @@
     pub fn new(now: Time, ceiling: f64, members: usize) -> Self {
         Self {
             bucket: Bucket::new(now, floor(ceiling, members)),
+            awake: true,
             ceiling,
             offered: 0,
             rate: 0.0,
@@ -72,11 +80,13 @@
             self.bucket.set_rate(now, self.bucket.rate() * factor);
         }
         self.ceiling = ceiling;
+        self.wake(now);
         self
     }
 
     /// Forgets the parts of entries that are no members any more.
     pub fn keep_peers(&mut self, now: Time, members: &BTreeSet<HostId>) {
+        self.wake(now);
         self.peers.retain(|host, _| members.contains(host));
         if members.len() == 1 {
             return;
@@ -89,19 +99,54 @@
     }
 
     /// Takes in what another entry published.
-    pub fn learn(&mut self, _now: Time, from: &HostId, rate: f64, part: f64) {
+    pub fn learn(&mut self, now: Time, from: &HostId, rate: f64, part: f64) {
+        self.wake(now);
         if rate.is_finite() && part.is_finite() && rate >= 0.0 && part >= 0.0 {
             self.peers.insert(from.clone(), Demand { rate, part });
         }
     }
 
     /// Counts an offered request.
-    pub fn offered(&mut self) {
+    pub fn offered(&mut self, now: Time) {
+        self.wake(now);
         self.offered += 1;
     }
 
+    /// Moves the part towards the demand, and returns both if the others must know them.
+    ///
+    /// # Performance
+    ///
+    /// A limit without demand costs nothing until something about it changes.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        host: &HostId,
+        members: &BTreeSet<HostId>,
+        steady: bool,
+    ) -> Option<(f64, f64)> {
+        if !self.awake {
+            return None;
+        }
+        self.measure(now);
+        let moved = self.adjust(now, host, members, steady);
+        let news = self.news(now);
+        let waits = !steady || self.raised.is_some_and(|at| now < at + RAISE_PERIOD);
+        let idle = self.rounded_rate() == 0.0 && self.published.rate == 0.0;
+        self.awake = moved || news.is_some() || waits || !idle || !self.earlier.is_empty();
+        news
+    }
+
+    /// Has the limit looked at again; the time that it slept has no demand to average.
+    fn wake(&mut self, now: Time) {
+        if !self.awake {
+            self.awake = true;
+            self.rate = 0.0;
+            self.measured = now.saturating_sub(TICK);
+        }
+    }
+
     /// Averages the offered rate.
-    pub fn measure(&mut self, now: Time) {
+    fn measure(&mut self, now: Time) {
         let passed = now.saturating_sub(self.measured).as_secs_f64();
         if passed == 0.0 {
             return;
@@ -113,7 +158,15 @@
     }
 
     /// Lowers the part to what it should be, or raises it into what the others left free.
-    pub fn adjust(&mut self, now: Time, host: &HostId, members: &BTreeSet<HostId>, steady: bool) {
+    ///
+    /// Returns whether the part changed.
+    fn adjust(
+        &mut self,
+        now: Time,
+        host: &HostId,
+        members: &BTreeSet<HostId>,
+        steady: bool,
+    ) -> bool {
         let others = members.iter().filter(|member| *member != host);
         let others: Vec<_> = others
             .map(|member| self.peers.get(member).copied().unwrap_or_default())
@@ -123,30 +176,32 @@
         let target = self.own_target(&others, self.published.rate);
         if target < own - step {
             self.bucket.set_rate(now, target);
-            return;
+            return true;
         }
         let rested = self.raised.is_none_or(|at| now >= at + RAISE_PERIOD);
         let settled = self.settled_rate(now);
         let target = self.own_target(&others, settled);
         if target < own + step || !rested || !steady {
-            return;
+            return false;
         }
         let raise = self.raise(&others, target - own);
         if raise > 0.0 {
             self.bucket.set_rate(now, own + raise);
             self.raised = Some(now);
         }
+        raise > 0.0
     }
 
     /// Returns the demand and the part if the others must know them.
-    pub fn news(&mut self, now: Time) -> Option<(f64, f64)> {
+    fn news(&mut self, now: Time) -> Option<(f64, f64)> {
         let part = self.bucket.rate();
         let part_moved = (part - self.published.part).abs() > f64::EPSILON;
         let due = self
             .published_at
             .is_none_or(|at| now >= at + PUBLISH_PERIOD);
         let rate = self.rounded_rate();
-        let rate_moved = due && (rate - self.published.rate).abs() > self.publish_step();
+        let moved = (rate - self.published.rate).abs() > self.publish_step();
+        let rate_moved = due && moved && !self.is_calm(part);
         if !part_moved && !rate_moved {
             return None;
         }
@@ -159,6 +214,13 @@
         Some((self.published.rate, part))
     }
 
+    /// Returns whether neither this entry nor the fleet comes near its limit.
+    fn is_calm(&self, part: f64) -> bool {
+        let others: f64 = self.peers.values().map(|demand| demand.rate).sum();
+        let falls_idle = self.rounded_rate() == 0.0;
+        !falls_idle && self.rate < part * ROOMY && self.rate + others < self.ceiling * CALM
+    }
+
     fn rounded_rate(&self) -> f64 {
         if self.rate < self.ceiling * IDLE {
             0.0
--- a/policy/src/ceiling/mod.rs
+++ b/policy/src/ceiling/mod.rs
@@ -141,7 +141,7 @@
             let Some(limit) = self.limits.get_mut(*row) else {
                 continue;
             };
-            limit.offered();
+            limit.offered(now);
             let delay = limit.bucket.wait(now);
             if delay > patience && full.is_none() {
                 full = Some(Full {
@@ -165,9 +165,8 @@
     /// Moves all parts towards the demand and appends what the other entries must know.
     pub fn tick(&mut self, now: Time, frames: &mut Vec<Frame>) {
         for (row, limit) in &mut self.limits {
-            limit.measure(now);
-            limit.adjust(now, &self.host, &self.members, self.steady);
-            if let Some((rate, part)) = limit.news(now) {
+            let news = limit.tick(now, &self.host, &self.members, self.steady);
+            if let Some((rate, part)) = news {
                 let row = row.clone();
                 frames.push(Frame::Demand { row, rate, part });
             }
--- a/policy/tests/ceiling.rs
+++ b/policy/tests/ceiling.rs
@@ -222,7 +222,7 @@
     fleet.run(secs(60), demand);
     let (used, peak) = (fleet.used(ceiling, 20, 80), fleet.peak(ceiling));
     println!(
-        "{size} entries, ceiling {ceiling}: used {used:.3}, peak of 10 s {peak:.3}, {} frames",
+        "{size} entries, ceiling {ceiling}, demand {demand:?}: used {used:.3}, peak of 10 s {peak:.3}, {} frames",
         fleet.published
     );
     assert!(used >= 0.95, "{used} of the ceiling was used");
@@ -232,6 +232,19 @@
     );
 }
 
+#[test]
+fn calm_demand_is_admitted_and_seldom_told() {
+    let demand = [10.0, 6.0, 3.0, 1.0, 0.0, 0.0, 0.0];
+    let mut fleet = Fleet::new(7, 70.0, Duration::from_millis(800), 61);
+    fleet.run(secs(20), &demand);
+    let told = fleet.published;
+    fleet.run(secs(60), &demand);
+    let (used, told) = (fleet.used(20.0, 20, 80), fleet.published - told);
+    println!("calm demand: {used:.3} of it admitted, {told} frames in 60 s");
+    assert!(used >= 0.95, "{used} of the demand was admitted");
+    assert!(told <= 7, "{told} frames told what need not be known");
+}
+
 #[rstest]
 #[case(21)]
 #[case(22)]
