--- a/policy/src/member/gossip.rs
+++ b/policy/src/member/gossip.rs
@@ -170,6 +170,16 @@
         self.origins.keys()
     }
 
+    /// Returns how many hosts published an item.
+    pub fn len(&self) -> usize {
+        self.origins.len()
+    }
+
+    /// Returns whether no host published an item.
+    pub fn is_empty(&self) -> bool {
+        self.origins.is_empty()
+    }
+
     /// Returns the profile of a host.
     pub fn profile(&self, host: &HostId) -> Option<&Profile> {
         match self.origins.get(host)?.items.get(&Topic::Profile)? {
--- a/policy/src/member/mod.rs
+++ b/policy/src/member/mod.rs
@@ -247,7 +247,7 @@
 
     /// Returns the time between two pulses.
     pub fn period(&self) -> Duration {
-        let known = u32::try_from(self.gossip.hosts().count()).unwrap_or(u32::MAX);
+        let known = u32::try_from(self.gossip.len()).unwrap_or(u32::MAX);
         BEAT_PER_MEMBER
             .saturating_mul(known)
             .clamp(MIN_BEAT, MAX_BEAT)
