Ask for a base with an edit's name, and name it when an edit is unsettled

Asked for again under its name but on a newer base, an edit that had taken effect was not found in the log after that base, and could undo a later edit of the same cell.

--- a/godwithinge/src/bin/gwictl.rs
+++ b/godwithinge/src/bin/gwictl.rs
@@ -66,7 +66,7 @@
                     repeated cell: String
                     /// Revision that the edit is based on; the newest if not given.
                     optional --base revision: u64
-                    /// Name of the edit, to ask for it again after a lost reply.
+                    /// Name of the edit, to ask for it again after a lost reply; needs --base.
                     optional --edit name: String
                 }
                 /// Remove a row.
--- a/godwithinge/src/ctl/error.rs
+++ b/godwithinge/src/ctl/error.rs
@@ -135,7 +135,10 @@
             Self::File { file, cause } => write!(f, "file {}: {cause}", file.display()),
             Self::Settings(cause) => cause.fmt(f),
             Self::Missing { flag } => {
-                write!(f, "neither flag {flag} nor --settings is given")
+                write!(
+                    f,
+                    "flag {flag} is missing, or --settings where it may stand for it"
+                )
             }
             Self::Platform(cause) => write!(f, "platform is not available: {cause}"),
             Self::Entry(cause) => write!(f, "entry is not available: {cause}"),
--- a/godwithinge/src/ctl/mod.rs
+++ b/godwithinge/src/ctl/mod.rs
@@ -134,6 +134,8 @@
 async fn edit(store: &Store, request: Request, cells: Vec<Cell>) -> Result<View, Error> {
     let base = match request.base {
         Some(base) => base,
+        // On a newer base, an edit that took effect would not be found and take effect again.
+        None if request.id.is_some() => return Err(Error::Missing { flag: "--base" }),
         None => store.read().await?.table.revision,
     };
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/godwithinge/src/table/error.rs
+++ b/godwithinge/src/table/error.rs
@@ -2,7 +2,10 @@
 
 use crate::platform;
 use compact_str::CompactString;
-use policy::table::edit::{EditId, Refusal};
+use policy::{
+    id::Revision,
+    table::edit::{EditId, Refusal},
+};
 use std::{error, fmt};
 
 /// Failure of reading or editing the table.
@@ -30,6 +33,8 @@
     Unsettled {
         /// Name of the edit.
         edit: EditId,
+        /// Revision that the edit is based on.
+        base: Revision,
     },
 }
 
@@ -73,9 +78,10 @@
             }
             Self::Value(cause) => write!(f, "a value can't be written as JSON: {cause}"),
             Self::Refused(refusal) => write!(f, "edit was refused: {refusal}"),
-            Self::Unsettled { edit } => write!(
+            Self::Unsettled { edit, base } => write!(
                 f,
-                "edit {edit:?} may have taken effect; ask for it again under the same id"
+                "edit {edit} based on revision {base} may have taken effect; \
+                 ask for it again under the same name and base"
             ),
         }
     }
--- a/godwithinge/src/table/mod.rs
+++ b/godwithinge/src/table/mod.rs
@@ -130,6 +130,7 @@
             if Instant::now() + RETRY >= end {
                 let unsettled = Error::Unsettled {
                     edit: edit.id.clone(),
+                    base: edit.base,
                 };
                 return Err(if sent { unsettled } else { error });
             }
--- a/godwithinge/tests/table.rs
+++ b/godwithinge/tests/table.rs
@@ -12,6 +12,7 @@
 use rstest::rstest;
 use standin::platform::{self, Server, Settings};
 use std::time::Duration;
+use tokio::time;
 
 async fn start() -> (Server, Client) {
     let server = platform::start(Settings::default())
@@ -122,6 +123,30 @@
     assert_eq!(store.log(base).await.expect("the log is read").len(), 1);
 }
 
+#[tokio::test]
+async fn an_edit_that_cannot_be_settled_says_how_to_ask_again() {
+    let (server, _) = start().await;
+    let client = Client::new(server.address().to_string(), Duration::from_secs(5));
+    let store = Store::new(client).with_patience(Duration::from_secs(3));
+    server.control(|settings| (settings.lose_replies, settings.delay_ms) = (1, 500));
+    let ann = edit("e-1", 0, "workspace/tailors", "2");
+    let (unsettled, ()) = tokio::join!(store.edit(&ann, 1), async {
+        // The edit has taken effect; now the platform is out before it can be read back.
+        while server.rows("changes").is_empty() {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+        server.control(|settings| (settings.outage, settings.delay_ms) = (true, 0));
+    });
+    server.control(|settings| settings.outage = false);
+    let said = unsettled.expect_err("it was not read back").to_string();
+    assert!(
+        said.starts_with("edit e-1 based on revision 0 may have"),
+        "{said}"
+    );
+    let again = store.edit(&ann, 2).await.expect("the edit took effect");
+    assert_eq!((again.revision, again.at_ms), (1, 1));
+}
+
 #[tokio::test]
 async fn an_outage_refuses_edits_with_a_clear_error() {
     let (server, client) = start().await;
