Put a start off by at most one second under a ceiling

Starts that are put off stay when a part is lowered, while the others raise theirs. The tests now pass 10 s.

--- a/policy/src/ceiling/mod.rs
+++ b/policy/src/ceiling/mod.rs
@@ -34,6 +34,9 @@
 /// Share of a ceiling that is set aside for the floors of all entries together.
 pub const FLOOR_SHARE: f64 = 0.02;
 
+/// Longest time by which a start is put off; starts that are put off stay when a part is lowered.
+pub const MAX_WAIT: Duration = Duration::from_secs(1);
+
 /// Parts of all ceilings that one entry has in use.
 ///
 /// ```
@@ -124,17 +127,19 @@
 
     /// Admits a request of all `rows`, or refuses it and takes nothing.
     ///
-    /// Returns how long the request has to wait before it starts, at most `patience`.
+    /// Returns how long the request has to wait before it starts, at most `patience` and
+    /// [`MAX_WAIT`].
     ///
     /// # Errors
     ///
-    /// Fails if a row is at its ceiling for longer than `patience`.
+    /// Fails if a row is at its ceiling for longer.
     pub fn admit(
         &mut self,
         now: Time,
         rows: &[&Key],
         patience: Duration,
     ) -> Result<Duration, Full> {
+        let patience = patience.min(MAX_WAIT);
         let mut wait = Duration::ZERO;
         let mut full = None;
         for row in rows {
--- a/policy/tests/ceiling.rs
+++ b/policy/tests/ceiling.rs
@@ -106,7 +106,7 @@
                 .filter(|(index, _)| self.up[*index])
             {
                 for _ in 0..arrivals(&mut self.rng, rate * STEP.as_secs_f64()) {
-                    let patience = Duration::from_secs(1);
+                    let patience = Duration::from_secs(10);
                     let start = self.entries[index].admit(self.now, &[&row()], patience);
                     if let Ok(wait) = start {
                         *self.started.entry(self.now + wait).or_default() += 1;
