Measure an engine by its token rate, and count a crowded target as a wait

Causes, from the scores in the decisions: the stretch of a target was the time of whole calls over that of a longest answer, so an engine that had drawn a long answer looked slow; a target short of its last place cost next to nothing; and the load that others cause was believed for 2 s, four times as long as a call takes. Not a cause: waits in the entries' queues, of which there were none.

Tokens that have come now tell the stretch, a late first token adds its delay, the mean answer stands for the longest one, the expected wait grows with the places taken, and the others' load fades within the time of a call.

--- a/policy/src/router/choice.rs
+++ b/policy/src/router/choice.rs
@@ -156,7 +156,7 @@
             return false;
         }
         match self.rule {
-            Rule::Scored => target.has_room(now, pool.usual_others(), need.alone),
+            Rule::Scored => target.has_room(now, pool, need.alone),
             Rule::RoundRobin | Rule::LeastInFlight if need.alone => target.in_flight == 0,
             Rule::RoundRobin | Rule::LeastInFlight => f64::from(target.in_flight) < target.places(),
         }
@@ -213,7 +213,8 @@
 
     fn pick(&self, now: Time, need: &Need<'_>, pool: &Member, best: u32, roomy: &[u32]) -> Pick {
         let target = &self.targets[best as usize];
-        let time = self.expected(now, best, need) * target.stretch(now, pool.usual_stretch());
+        let time =
+            self.expected(now, best, need).seconds(0) * target.stretch(now, pool.usual_stretch());
         Pick {
             target: target.host.target.clone(),
             address: target.host.address.clone(),
--- a/policy/src/router/member.rs
+++ b/policy/src/router/member.rs
@@ -11,6 +11,15 @@
 /// Weight of one call or report in the averages of a pool.
 const GAIN: f64 = 0.05;
 
+/// Time in which the load that others cause is no longer known, before a call has ended, in seconds.
+const FIRST_FADE: f64 = 2.0;
+
+/// Shortest such time, in seconds.
+const SHORTEST_FADE: f64 = 0.1;
+
+/// Longest such time, in seconds.
+const LONGEST_FADE: f64 = 10.0;
+
 /// Smallest ratio of the time of calls to what was expected.
 const SHORTEST_STRETCH: f64 = 0.01;
 
@@ -31,6 +40,8 @@
     pub mean: Average,
     /// Mean ratio of the time of calls to what was expected.
     pub stretch: Average,
+    /// Mean number of tokens that a call generates.
+    pub tokens: Average,
     /// Mean load of a target by other entries.
     pub others: Average,
     /// Mean of the reported tokens a second of one request.
@@ -49,6 +60,7 @@
             stage: Histogram::new(),
             mean: Average::new(GAIN),
             stretch: Average::new(GAIN),
+            tokens: Average::new(GAIN),
             others: Average::new(GAIN),
             rate: Average::new(GAIN),
             last_report: Time::ZERO,
@@ -56,7 +68,10 @@
     }
 
     /// Notes a call that took `seconds`, and `stretch` times what was expected, if that is known.
-    pub fn done(&mut self, seconds: f64, stretch: Option<f64>) {
+    pub fn done(&mut self, seconds: f64, stretch: Option<f64>, tokens: u32) {
+        if tokens > 0 {
+            self.tokens.add(f64::from(tokens));
+        }
         self.service.add(Duration::from_secs_f64(seconds));
         self.mean.add(seconds);
         if let Some(stretch) = stretch {
@@ -69,6 +84,14 @@
         self.stretch.get().unwrap_or(1.0).max(SHORTEST_STRETCH)
     }
 
+    /// Returns the time in which the load that others cause at a target is no longer known.
+    ///
+    /// Calls come and go within about the time that one takes.
+    pub fn fade(&self) -> f64 {
+        let mean = self.mean.get().unwrap_or(FIRST_FADE);
+        mean.clamp(SHORTEST_FADE, LONGEST_FADE)
+    }
+
     /// Returns the mean load of a target by other entries.
     pub fn usual_others(&self) -> f64 {
         self.others.get().unwrap_or(0.0)
--- a/policy/src/router/mod.rs
+++ b/policy/src/router/mod.rs
@@ -24,7 +24,7 @@
         member::Member,
         prefix::Index,
         subset::Subset,
-        target::{End, MAX_STRETCH, Target},
+        target::{End, Expected, MAX_STRETCH, Target},
     },
     table::{self, Table},
 };
@@ -131,10 +131,8 @@
 struct Call {
     target: u32,
     started: Time,
-    /// Expected seconds, unless nothing is known of the pool yet.
-    expected: Option<f64>,
-    /// Expected seconds to the first part, of an engine that reported its rates.
-    prefill: Option<f64>,
+    /// What was expected, unless nothing is known of the pool yet.
+    expected: Option<Expected>,
     /// Tokens that have come.
     tokens: u32,
 }
@@ -309,14 +307,12 @@
         };
         let known = self.is_known(index, need);
         let expected = known.then(|| self.expected(now, index, need));
-        let prefill = self.prefill(index, need);
         self.prefixes.sent(now, index, need.prefix);
         self.targets[index as usize].started(now, attempt, expected, need.alone);
         let call = Call {
             target: index,
             started: now,
             expected,
-            prefill,
             tokens: 0,
         };
         self.running.insert(attempt, call);
@@ -328,13 +324,14 @@
             return;
         };
         let target = &mut self.targets[call.target as usize];
+        target.progressed(attempt, tokens.max(1));
         let is_first = call.tokens == 0;
         call.tokens = call.tokens.saturating_add(tokens.max(1));
         if is_first && let Some(pool) = self.pools.get_mut(&target.host.pool) {
             let took = now.saturating_sub(call.started);
             pool.first.add(took);
-            if let Some(prefill) = call.prefill {
-                let waited = took.as_secs_f64() - prefill;
+            if let Some(expected) = call.expected.filter(Expected::is_streamed) {
+                let waited = took.as_secs_f64() - expected.prefill;
                 target.waited(now, waited, pool.mean.get());
             }
         }
@@ -353,7 +350,7 @@
             return false;
         };
         let age = now.saturating_sub(call.started).as_secs_f64();
-        let generating = age - call.prefill.unwrap_or(0.0);
+        let generating = age - call.expected.map_or(0.0, |expected| expected.prefill);
         f64::from(call.tokens) * SLOW < generating * rate
     }
 
@@ -369,15 +366,15 @@
         let took = now.saturating_sub(call.started).as_secs_f64();
         let stretch = call
             .expected
-            .map(|expected| (took / expected).min(MAX_STRETCH));
+            .map(|expected| (took / expected.seconds(call.tokens)).min(MAX_STRETCH));
         if verdict == Verdict::Done {
-            pool.done(took, stretch);
+            pool.done(took, stretch, call.tokens);
         }
         let usual = pool.usual_stretch();
         let end = End {
             stretch: stretch.unwrap_or(usual),
             usual,
-            waited: call.prefill.is_some(),
+            waited: call.tokens > 0,
             verdict,
         };
         let ejected = target.ended(now, attempt, &end);
--- a/policy/src/router/score.rs
+++ b/policy/src/router/score.rs
@@ -3,7 +3,7 @@
 use crate::{
     id::Time,
     pool::Kind,
-    router::{Member, Need, Router, Target},
+    router::{Member, Need, Router, Target, target::Expected},
 };
 use std::time::Duration;
 
@@ -19,8 +19,8 @@
 /// Longest expected time of a call.
 const LONGEST: f64 = 3_600.0;
 
-/// Share of the service time that a fully loaded target is held to be worse than an idle one.
-const CROWDING: f64 = 0.1;
+/// Expected wait, in service times, at a target whose last place is about to be taken.
+const CROWDING: f64 = 0.5;
 
 /// Cost of a round trip to another failure domain, in seconds.
 const DOMAIN_COST: f64 = 0.003;
@@ -44,31 +44,34 @@
 const OVERDUE: Duration = Duration::from_secs(3);
 
 impl Router {
-    /// Returns the expected seconds of a call at a target, penalties left out.
-    pub(super) fn expected(&self, now: Time, index: u32, need: &Need<'_>) -> f64 {
+    /// Returns what is expected of a call at a target, penalties left out.
+    pub(super) fn expected(&self, now: Time, index: u32, need: &Need<'_>) -> Expected {
         let target = &self.targets[index as usize];
-        let Some(pool) = self.pools.get(&target.host.pool) else {
-            return UNKNOWN_SERVICE;
+        let mut expected = Expected {
+            wait: 0.0,
+            prefill: self.prefill(index, need).unwrap_or(0.0),
+            service: UNKNOWN_SERVICE,
+            rate: 0.0,
         };
-        let service = self.service(index, pool, need);
-        let load = target.load(now, pool.usual_others());
-        service + wait(load, target.places(), service)
+        if let Some(pool) = self.pools.get(&target.host.pool) {
+            expected.service = self.service(index, pool, need);
+            expected.wait = wait(target.load(now, pool), target.places(), expected.service);
+            if pool.settings.kind == Kind::Engine {
+                expected.rate = target.report.tokens_per_second;
+            }
+        }
+        expected
     }
 
     /// Returns the score of a target for a call; lower is better.
     pub(super) fn score(&self, now: Time, index: u32, need: &Need<'_>, pool: &Member) -> f64 {
         let target = &self.targets[index as usize];
-        let service = self.service(index, pool, need);
-        let load = target.load(now, pool.usual_others());
-        let places = target.places();
-        let crowding = service * CROWDING * (load / places).min(1.0);
-        let time = (service + wait(load, places, service))
-            * target.stretch(now, pool.usual_stretch())
-            + crowding;
+        let time = self.expected(now, index, need).seconds(0);
+        let time = time * target.stretch(now, pool.usual_stretch()) + target.lateness(now);
         (time + self.penalty(now, target, pool)) / target.weight
     }
 
-    /// Returns the expected seconds of a call that finds a free place.
+    /// Returns the expected seconds of a call that finds a free place, prefill left out.
     fn service(&self, index: u32, pool: &Member, need: &Need<'_>) -> f64 {
         self.known_service(index, pool, need)
             .unwrap_or(UNKNOWN_SERVICE)
@@ -83,20 +86,17 @@
 
     fn known_service(&self, index: u32, pool: &Member, need: &Need<'_>) -> Option<f64> {
         let generation = match pool.settings.kind {
-            Kind::Engine => self.generation(index, need),
+            Kind::Engine => self.generation(index, pool, need),
             Kind::Service => None,
         };
         generation.or_else(|| pool.mean.get())
     }
 
-    /// Returns the seconds that an engine reads and generates, if it reported its rates.
-    fn generation(&self, index: u32, need: &Need<'_>) -> Option<f64> {
-        let report = &self.targets[index as usize].report;
-        if report.tokens_per_second <= 0.0 {
-            return None;
-        }
-        let decode = f64::from(need.tokens) / report.tokens_per_second;
-        Some(decode + self.prefill(index, need).unwrap_or(0.0))
+    /// Returns the seconds that an engine generates, if it reported its rate.
+    fn generation(&self, index: u32, pool: &Member, need: &Need<'_>) -> Option<f64> {
+        let rate = self.targets[index as usize].report.tokens_per_second;
+        let tokens = pool.tokens.get().unwrap_or(f64::from(need.tokens));
+        (rate > 0.0).then(|| tokens.min(f64::from(need.tokens)) / rate)
     }
 
     /// Returns the seconds that an engine reads the prompt, if it reported its rate.
@@ -131,9 +131,13 @@
     }
 }
 
-/// Returns the seconds until one of `places` is free when `load` calls are there already.
+/// Returns the seconds until one of `places` is free when about `load` calls are there already.
+///
+/// The load is known so roughly that there may be a wait before all places are taken.
 fn wait(load: f64, places: f64, service: f64) -> f64 {
-    (load + 1.0 - places).max(0.0) / places * service
+    let taken = (load / places).clamp(0.0, 1.0);
+    let over = (load + 1.0 - places).max(0.0) / places;
+    (over + CROWDING * taken * taken) * service
 }
 
 fn is_overdue(target: &Target, pool: &Member) -> bool {
--- a/policy/src/router/target.rs
+++ b/policy/src/router/target.rs
@@ -7,7 +7,7 @@
     limit::Limit,
     pool::{Kind, Pool},
     router::{
-        Verdict,
+        Member, Verdict,
         health::{Access, Health},
     },
     table,
@@ -20,9 +20,6 @@
 /// Time in which a stretched service time fades to the e-th part when no call refreshes it.
 const STRETCH_FADE: Duration = Duration::from_secs(15);
 
-/// Time in which the load that other entries caused at one target drifts to that of any target.
-const OTHERS_FADE: Duration = Duration::from_secs(2);
-
 /// Age up to which a report decides whether a target has room.
 const FRESH: Duration = Duration::from_secs(1);
 
@@ -77,7 +74,21 @@
 struct Started {
     attempt: AttemptId,
     at: Time,
-    expected: Option<f64>,
+    expected: Option<Expected>,
+    tokens: u32,
+}
+
+/// What is expected of a call.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Expected {
+    /// Seconds until a place is free.
+    pub wait: f64,
+    /// Seconds in which an engine reads the prompt; 0 for a plain service.
+    pub prefill: f64,
+    /// Seconds of the rest.
+    pub service: f64,
+    /// Tokens a second of an engine that reported its rates, else 0.
+    pub rate: f64,
 }
 
 impl Target {
@@ -138,11 +149,12 @@
 
     /// Returns the calls at the target now.
     ///
-    /// The load that other entries cause drifts from the last report's to `usual`, the mean of
-    /// the pool, as the report ages.
-    pub fn load(&self, now: Time, usual: f64) -> f64 {
+    /// The load that other entries cause drifts from the last report's to the mean of the pool as
+    /// the report ages.
+    pub fn load(&self, now: Time, pool: &Member) -> f64 {
+        let usual = pool.usual_others();
         let age = self.report_age(now).unwrap_or(Duration::MAX);
-        let kept = (-age.as_secs_f64() / OTHERS_FADE.as_secs_f64()).exp();
+        let kept = (-age.as_secs_f64() / pool.fade()).exp();
         f64::from(self.in_flight) + usual + (self.others - usual) * kept
     }
 
@@ -151,15 +163,15 @@
         self.listed && self.host.state == State::Live && self.weight > 0.0 && self.is_warm(pool)
     }
 
-    /// Returns whether there is room for one more call, given the usual load by other entries.
-    pub fn has_room(&self, now: Time, usual: f64, alone: bool) -> bool {
+    /// Returns whether there is room for one more call.
+    pub fn has_room(&self, now: Time, pool: &Member, alone: bool) -> bool {
         let most = match self.access(now) {
             Access::Closed => 0,
             Access::Probe => 1,
             Access::Open if alone => 1,
             Access::Open => self.limit.get(),
         };
-        self.alone.is_none() && self.in_flight < most && self.has_place(now, usual)
+        self.alone.is_none() && self.in_flight < most && self.has_place(now, pool)
     }
 
     /// Returns what the target may be given now.
@@ -192,18 +204,40 @@
         faded.max(oldest).min(MAX_STRETCH)
     }
 
-    pub fn started(&mut self, now: Time, attempt: AttemptId, expected: Option<f64>, alone: bool) {
+    pub fn started(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        expected: Option<Expected>,
+        alone: bool,
+    ) {
         self.in_flight += 1;
         self.calls.push_back(Started {
             attempt,
             at: now,
             expected,
+            tokens: 0,
         });
         if alone {
             self.alone = Some(attempt);
         }
     }
 
+    /// Notes tokens of a call.
+    pub fn progressed(&mut self, attempt: AttemptId, tokens: u32) {
+        let call = self.calls.iter_mut().find(|call| call.attempt == attempt);
+        if let Some(call) = call {
+            call.tokens = call.tokens.saturating_add(tokens);
+        }
+    }
+
+    /// Returns the seconds by which the first part of some call is late, which a new call would
+    /// wait too.
+    pub fn lateness(&self, now: Time) -> f64 {
+        let late = self.calls.iter().map(|call| call.lateness(now));
+        late.fold(0.0, f64::max)
+    }
+
     /// Notes the end of a call, and returns whether that ejects the target.
     pub fn ended(&mut self, now: Time, attempt: AttemptId, end: &End) -> bool {
         let End {
@@ -263,8 +297,8 @@
             || self.report.models.contains(&pool.model)
     }
 
-    fn has_place(&self, now: Time, usual: f64) -> bool {
-        let load = self.load(now, usual);
+    fn has_place(&self, now: Time, pool: &Member) -> bool {
+        let load = self.load(now, pool);
         if self
             .ceiling
             .is_some_and(|ceiling| load >= f64::from(ceiling))
@@ -293,9 +327,43 @@
     }
 }
 
+impl Expected {
+    /// Returns whether the tokens of the call come one by one at a known rate.
+    pub fn is_streamed(&self) -> bool {
+        self.rate > 0.0
+    }
+
+    /// Returns the seconds until the call has given `tokens`, or is at its end if there are none.
+    pub fn seconds(&self, tokens: u32) -> f64 {
+        let service = if tokens > 0 && self.is_streamed() {
+            f64::from(tokens) / self.rate
+        } else {
+            self.service
+        };
+        self.wait + self.prefill + service
+    }
+}
+
 impl Started {
+    /// Returns how much longer than expected the call has taken, 0 while that can't be told.
     fn stretch(&self, now: Time) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        self.expected.map_or(0.0, |expected| age / expected)
+        match self.expected {
+            Some(expected) if self.tokens > 0 || !expected.is_streamed() => {
+                age / expected.seconds(self.tokens)
+            }
+            _ => 0.0,
+        }
+    }
+
+    /// Returns the seconds by which the first part of the call is late.
+    fn lateness(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        match self.expected {
+            Some(expected) if self.tokens == 0 && expected.is_streamed() => {
+                (age - expected.wait - expected.prefill).max(0.0)
+            }
+            _ => 0.0,
+        }
     }
 }
