--- a/godwithinge/src/ctl/grid.rs
+++ b/godwithinge/src/ctl/grid.rs
@@ -36,7 +36,10 @@
         let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
         let width = |column: usize| {
             let cells = self.rows.iter().filter_map(|row| row.get(column));
-            cells.map(|cell: &CompactString| cell.chars().count()).max().unwrap_or(0)
+            cells
+                .map(|cell: &CompactString| cell.chars().count())
+                .max()
+                .unwrap_or(0)
         };
         let widths: Vec<usize> = (0..columns).map(width).collect();
         for row in &self.rows {
--- a/standin/src/slopes/fleet.rs
+++ b/standin/src/slopes/fleet.rs
@@ -59,6 +59,16 @@
         }
     }
     let mut slopes = slopes(Name::Daemons, "daemons", &idles);
+    let doublings = peers
+        .iter()
+        .map(|point| Point::new(point.x.log2(), point.y));
+    let doublings = doublings.collect();
+    slopes.push(Slope::new(
+        Name::Daemons,
+        "log2 of daemons",
+        "peer B/s",
+        doublings,
+    ));
     slopes.push(Slope::new(Name::Daemons, "daemons", "peer B/s", peers));
     let value = "platform reads/s of the fleet";
     slopes.push(Slope::new(Name::Daemons, "daemons", value, reads));
