--- a/godwithinge/tests/process/common/bench.rs
+++ b/godwithinge/tests/process/common/bench.rs
@@ -80,22 +80,33 @@
 
     /// Starts an entry daemon.
     pub fn start_entry(&self, host: &str) -> Entry {
-        self.start_entry_with(host, "entry", "")
+        self.start_entry_with(host, "")
     }
 
-    /// Starts an entry daemon with further lines in a section of its settings.
-    pub fn start_entry_with(&self, host: &str, section: &str, lines: &str) -> Entry {
+    /// Starts an entry daemon with further lines in its section `entry`.
+    pub fn start_entry_with(&self, host: &str, lines: &str) -> Entry {
+        let section = format!("[entry]\n{lines}\n");
+        let settings = self.settings(host).replace("[entry]\n", &section);
+        self.start_entry_as(host, &settings)
+    }
+
+    /// Starts an entry daemon with addresses of some peers.
+    pub fn start_entry_with_seeds(&self, host: &str, seeds: &str) -> Entry {
+        let settings = self.settings(host) + &format!("[peers]\nseeds = {seeds}\n");
+        self.start_entry_as(host, &settings)
+    }
+
+    fn start_entry_as(&self, host: &str, settings: &str) -> Entry {
         let file = self.folder.join(format!("{host}.ini"));
-        let header = format!("[{section}]\n");
-        let mut text = self.settings(host);
-        if !text.contains(&header) {
-            text.push_str(&header);
-        }
-        let text = text.replace(&header, &format!("{header}{lines}\n"));
-        fs::write(&file, text).expect("settings can be written");
+        fs::write(&file, settings).expect("settings can be written");
         Entry::start(&file)
     }
 
+    /// Returns the path of a file in the bench's folder.
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+
     /// Returns the services of a pool.
     pub fn services(&self, pool: &str) -> Vec<Arc<service::Server>> {
         self.fleet.pool(pool).map(Node::server).collect()
