Answer the calls in the tests of ceilings

Calls that nobody answered ended at their deadline, and the router by now narrows a target on that: 4 of 12 requests began. The tests look at the ceilings alone; the bounds are the same.

--- a/policy/tests/ceilings.rs
+++ b/policy/tests/ceilings.rs
@@ -50,12 +50,25 @@
         retry: false,
         payload: "{}".into(),
     };
-    entry.on(at, event, out);
+    feed(entry, at, event, out);
 }
 
 fn run(entry: &mut Entry, until: Time, out: &mut Vec<Command>) {
     while let Some(at) = entry.wake_at().filter(|at| *at <= until) {
-        entry.on(at, Event::Wake, out);
+        feed(entry, at, Event::Wake, out);
+    }
+}
+
+/// Hands over an event and answers each call at once.
+fn feed(entry: &mut Entry, at: Time, event: Event, out: &mut Vec<Command>) {
+    let mut from = out.len();
+    entry.on(at, event, out);
+    while from < out.len() {
+        if let Command::Dispatch(call) = &out[from] {
+            let (attempt, result) = (call.attempt, "{}".into());
+            entry.on(at, Event::Done { attempt, result }, out);
+        }
+        from += 1;
     }
 }
 
@@ -67,11 +80,11 @@
     out
 }
 
-fn dispatched(commands: &[Command]) -> usize {
-    let calls = commands
-        .iter()
-        .filter(|command| matches!(command, Command::Dispatch(_)));
-    calls.count()
+/// Returns how many requests have begun their first stage.
+fn begun(commands: &[Command]) -> usize {
+    let is_first =
+        |command: &&Command| matches!(command, Command::Dispatch(call) if call.stage == 0);
+    commands.iter().filter(is_first).count()
 }
 
 /// Requests over the ceiling wait for their turn as long as their deadline allows it.
@@ -86,10 +99,10 @@
             &mut commands,
         );
         let most = (CEILING * second as f64 * 1.05) as usize + 2;
-        let begun = dispatched(&commands);
+        let begun = begun(&commands);
         assert!(begun <= most.min(BURST), "{begun} begun in {second} s");
     }
-    assert_eq!(dispatched(&commands), BURST);
+    assert_eq!(begun(&commands), BURST);
 }
 
 /// Requests that can't wait are told at once that they were not run, and when to come back.
@@ -111,7 +124,7 @@
             _ => None,
         })
         .collect();
-    assert_eq!(refusals.len() + dispatched(&commands), BURST);
+    assert_eq!(refusals.len() + begun(&commands), BURST);
     assert!(refusals.len() >= BURST - 3, "{refusals:?}");
     for (reason, retry_after) in refusals {
         assert_eq!(reason, Reason::Ceiling);
