End the entries of gwi-load when a signal ends it

A terminated gwi-load left its seven entries running, since nothing was dropped. Found by ending one: 7 processes of gwi-entry stayed. The median of an even number of repeats is now the mean of the middle two; it was the upper one.

--- a/standin/src/bin/gwi-load.rs
+++ b/standin/src/bin/gwi-load.rs
@@ -14,10 +14,14 @@
     time::Duration,
 };
 use strum::IntoEnumIterator;
+use tokio::signal::unix::{SignalKind, signal};
 
 #[global_allocator]
 static GLOBAL: MiMalloc = MiMalloc;
 
+/// Exit status after a signal.
+const STOPPED: u8 = 143;
+
 /// Exit status for a command line that can't be followed.
 const USAGE: u8 = 2;
 
@@ -157,10 +161,26 @@
     }
 }
 
+/// Waits for a signal that asks the process to end.
+async fn stopped() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => (),
+        _ = tokio::signal::ctrl_c() => (),
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let flags = flags::GwiLoad::from_env_or_exit();
-    match run(flags).await {
+    // Dropping the run ends the entries that it started.
+    let result = tokio::select! {
+        result = run(flags) => result,
+        () = stopped() => return ExitCode::from(STOPPED),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("gwi-load: {error}");
--- a/standin/src/load/summary.rs
+++ b/standin/src/load/summary.rs
@@ -96,11 +96,12 @@
 impl Spread {
     fn new(mut values: Vec<f64>) -> Self {
         values.sort_by(f64::total_cmp);
+        let last = values.len().saturating_sub(1);
         let at = |index: usize| values.get(index).copied().unwrap_or_default();
         Self {
             min: at(0),
-            median: at(values.len() / 2),
-            max: at(values.len().saturating_sub(1)),
+            median: f64::midpoint(at(last / 2), at(last.div_ceil(2))),
+            max: at(last),
         }
     }
 }
