--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -2,10 +2,12 @@
 
 mod api;
 mod chaos;
+mod checkpoint;
 mod claim;
 mod common;
 mod control;
 mod drain;
+mod edit;
 mod leaving;
 mod poison;
 mod refusal;
