--- /dev/null
+++ b/godwithinge/tests/process/checkpoint.rs
@@ -0,0 +1,93 @@
+//! Results that are dear to compute again are kept for the next entry.
+
+use crate::common::{Ask, Bench, DOSSIER, UNKEPT, bound, until};
+use godwithinge::platform::Client;
+use policy::{
+    claim::{self, Row},
+    hash,
+    id::Key,
+};
+use rstest::rstest;
+use serde_json::json;
+use standin::fleet;
+use std::time::Duration;
+use tokio::time;
+
+/// Requests whose entry is killed.
+const KILLS: usize = 4;
+/// Tokens of each draft.
+const TOKENS: u32 = 40;
+
+/// Each request's entry is killed after the draft, and its caller comes back at another one.
+#[rstest]
+#[case::kept(DOSSIER, KILLS)]
+#[case::not_kept(UNKEPT, 2 * KILLS)]
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_killed_after_a_draft(#[case] pipeline: &str, #[case] drafts: usize) {
+    let mut settings = fleet::Settings::default();
+    settings.engine.tokens_per_second = 400.0;
+    let bench = Bench::with_settings(2, settings).await;
+    let last = bench.entry("last").await;
+    let address = bench.fleet.platform().address().to_string();
+    let platform = Client::new(address, Duration::from_secs(1));
+    let hosts = bench.fleet.hosts();
+    for number in 0..KILLS {
+        // The stage after the draft has no target until the entry is dead.
+        let drafting = hosts.iter().filter(|host| host.pool != "clerks");
+        bench
+            .fleet
+            .platform()
+            .set_hosts(drafting.cloned().collect());
+        let entry = bench.entry(&format!("e{number}")).await;
+        let payload = json!({"prompt": format!("tokens={TOKENS} of draft {number}")});
+        let ask = Ask::new(pipeline, &format!("r{number}")).with_payload(payload);
+        let kill = async {
+            let before = number * drafts / KILLS;
+            until("draft", || completed(&bench) == before + 1).await;
+            if pipeline == DOSSIER {
+                bound("kept draft", kept(&platform, &ask)).await;
+            }
+            entry.kill();
+        };
+        let (reply, ()) = tokio::join!(entry.send(&ask), kill);
+        assert_eq!(reply.outcome(), "lost");
+        bench.fleet.platform().set_hosts(hosts.clone());
+        let again = last.send(&ask.again()).await;
+        assert_eq!(again.outcome(), "answered", "{again:?}");
+        bench
+            .claimed(pipeline, &ask.request, |row| {
+                matches!(row, Row::Done { .. })
+            })
+            .await;
+    }
+    let engines = bench.engines();
+    let engines = engines.iter().map(|it| it.counters().useful_seconds);
+    let seconds: f64 = engines.sum();
+    println!("{pipeline}: {seconds:.3} engine-seconds for {KILLS} answers");
+    assert_eq!(completed(&bench), drafts);
+}
+
+fn completed(bench: &Bench) -> usize {
+    let completed = bench
+        .engines()
+        .into_iter()
+        .map(|it| it.counters().completed);
+    completed.sum::<u64>() as usize
+}
+
+/// Waits until the draft of a request is in the object store.
+async fn kept(platform: &Client, ask: &Ask) {
+    let key = Key::new(
+        ask.workspace.as_str(),
+        ask.pipeline.as_str(),
+        ask.request.as_str(),
+    );
+    let prompt = ask.payload["prompt"]
+        .as_str()
+        .expect("payload has a prompt");
+    let input = hash::bytes(prompt.as_bytes());
+    let name = format!("results/{}/{input:016x}", claim::row_key(&key, 0));
+    while !matches!(platform.object(&name).await, Ok(Some(_))) {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod chaos;
+mod checkpoint;
 mod claim;
 mod common;
 mod control;
