--- a/policy/src/ceiling/bucket.rs
+++ b/policy/src/ceiling/bucket.rs
@@ -10,7 +10,7 @@
 const MIN_DEPTH: f64 = 2.0;
 
 /// Longest wait that a refusal names.
-const MAX_WAIT: Duration = Duration::from_secs(60);
+const LONGEST: Duration = Duration::from_secs(60);
 
 /// Tokens that come at a steady rate; one admits one request.
 #[derive(Debug)]
@@ -35,13 +35,23 @@
         self.rate
     }
 
-    /// Changes the rate from now on.
+    /// Changes the rate from now on; tokens that were taken ahead still come when they were due.
     pub fn set_rate(&mut self, now: Time, rate: f64) {
         self.fill(now);
+        if self.tokens < 0.0 {
+            self.tokens *= rate / self.rate;
+        }
         self.rate = rate;
         self.tokens = self.tokens.min(depth(rate));
     }
 
+    /// Returns when the last token that was taken ahead is due.
+    pub fn due(&mut self, now: Time) -> Time {
+        self.fill(now);
+        let ahead = Duration::try_from_secs_f64(-self.tokens / self.rate);
+        now + ahead.map_or(Duration::ZERO, |ahead| ahead.min(LONGEST))
+    }
+
     /// Returns how long the next token is away.
     pub fn wait(&mut self, now: Time) -> Duration {
         self.fill(now);
@@ -49,7 +59,7 @@
         if lack == 0.0 {
             return Duration::ZERO;
         }
-        Duration::try_from_secs_f64(lack / self.rate).map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT))
+        Duration::try_from_secs_f64(lack / self.rate).map_or(LONGEST, |wait| wait.min(LONGEST))
     }
 
     /// Takes the next token, which may be still to come.
--- a/policy/src/ceiling/limit.rs
+++ b/policy/src/ceiling/limit.rs
@@ -17,7 +17,7 @@
 const RATE_STEP: f64 = 0.1;
 
 /// Change of the offered rate that is published, in standard deviations of its average.
-const NOISE_STEP: f64 = 2.0;
+const NOISE_STEP: f64 = 2.5;
 
 /// Offered rate that is published as none, as a share of the ceiling.
 const IDLE: f64 = 2e-3;
@@ -41,6 +41,7 @@
     rate: f64,
     measured: Time,
     raised: Option<Time>,
+    owed: Option<Owed>,
     published: Demand,
     published_at: Option<Time>,
     earlier: VecDeque<(Time, f64)>,
@@ -54,6 +55,13 @@
     part: f64,
 }
 
+/// A higher part that is still in use by starts that were put off.
+#[derive(Clone, Copy, Debug)]
+struct Owed {
+    part: f64,
+    until: Time,
+}
+
 impl Limit {
     /// Creates a limit of which the entry has the floor in use.
     pub fn new(now: Time, ceiling: f64, members: usize) -> Self {
@@ -65,6 +73,7 @@
             rate: 0.0,
             measured: now,
             raised: None,
+            owed: None,
             published: Demand::default(),
             published_at: None,
             earlier: VecDeque::new(),
@@ -77,7 +86,7 @@
     pub fn with_ceiling(mut self, now: Time, ceiling: f64) -> Self {
         let factor = ceiling / self.ceiling;
         if factor < 1.0 {
-            self.bucket.set_rate(now, self.bucket.rate() * factor);
+            self.lower(now, self.bucket.rate() * factor);
         }
         self.ceiling = ceiling;
         self.wake(now);
@@ -94,7 +103,7 @@
         // A member that joined takes its floor at once, so the others make room for it.
         let most = self.ceiling - floor(self.ceiling, members.len()) * (members.len() - 1) as f64;
         if self.bucket.rate() > most {
-            self.bucket.set_rate(now, most);
+            self.lower(now, most);
         }
     }
 
@@ -130,7 +139,9 @@
         self.measure(now);
         let moved = self.adjust(now, host, members, steady);
         let news = self.news(now);
-        let waits = !steady || self.raised.is_some_and(|at| now < at + RAISE_PERIOD);
+        let waits = !steady
+            || self.owed.is_some_and(|owed| now < owed.until)
+            || self.raised.is_some_and(|at| now < at + RAISE_PERIOD);
         let idle = self.rounded_rate() == 0.0 && self.published.rate == 0.0;
         self.awake = moved || news.is_some() || waits || !idle || !self.earlier.is_empty();
         news
@@ -175,7 +186,7 @@
         let step = own * PART_STEP;
         let target = self.own_target(&others, self.published.rate);
         if target < own - step {
-            self.bucket.set_rate(now, target);
+            self.lower(now, target);
             return true;
         }
         let rested = self.raised.is_none_or(|at| now >= at + RAISE_PERIOD);
@@ -184,7 +195,7 @@
         if target < own + step || !rested || !steady {
             return false;
         }
-        let raise = self.raise(&others, target - own);
+        let raise = self.raise(now, &others, target - own);
         if raise > 0.0 {
             self.bucket.set_rate(now, own + raise);
             self.raised = Some(now);
@@ -192,9 +203,26 @@
         raise > 0.0
     }
 
+    /// Lowers the part for starts from now on.
+    fn lower(&mut self, now: Time, part: f64) {
+        let until = self.bucket.due(now);
+        let owed = Owed {
+            part: self.part_in_use(now),
+            until: self.owed.map_or(until, |owed| owed.until.max(until)),
+        };
+        self.owed = (owed.until > now).then_some(owed);
+        self.bucket.set_rate(now, part);
+    }
+
+    /// Returns the largest part under which starts are still to come.
+    fn part_in_use(&self, now: Time) -> f64 {
+        let owed = self.owed.filter(|owed| now < owed.until);
+        owed.map_or(0.0, |owed| owed.part).max(self.bucket.rate())
+    }
+
     /// Returns the demand and the part if the others must know them.
     fn news(&mut self, now: Time) -> Option<(f64, f64)> {
-        let part = self.bucket.rate();
+        let part = self.part_in_use(now);
         let part_moved = (part - self.published.part).abs() > f64::EPSILON;
         let due = self
             .published_at
@@ -268,11 +296,11 @@
     }
 
     /// Share of what is left free that falls to this entry, which lacks `lack`.
-    fn raise(&self, others: &[Demand], lack: f64) -> f64 {
+    fn raise(&self, now: Time, others: &[Demand], lack: f64) -> f64 {
         let members = others.len() + 1;
         // A silent entry has at least its floor in use.
         let part = |demand: &Demand| demand.part.max(floor(self.ceiling, members));
-        let used = self.bucket.rate() + others.iter().map(part).sum::<f64>();
+        let used = self.part_in_use(now) + others.iter().map(part).sum::<f64>();
         let free = (self.ceiling - used).max(0.0);
         let total = self.published.rate + others.iter().map(|demand| demand.rate).sum::<f64>();
         let lacking =
--- a/policy/src/ceiling/mod.rs
+++ b/policy/src/ceiling/mod.rs
@@ -32,10 +32,13 @@
 pub const TICK: Duration = Duration::from_millis(250);
 
 /// Share of a ceiling that is set aside for the floors of all entries together.
-pub const FLOOR_SHARE: f64 = 0.02;
+pub const FLOOR_SHARE: f64 = 0.01;
 
-/// Longest time by which a start is put off; starts that are put off stay when a part is lowered.
-pub const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Longest time by which a start is put off.
+///
+/// A part that is lowered counts as in use until the starts that were put off under it are over,
+/// so a longer wait delays the parts of the others.
+pub const MAX_WAIT: Duration = Duration::from_secs(4);
 
 /// Parts of all ceilings that one entry has in use.
 ///
