--- a/policy/src/member/mod.rs
+++ b/policy/src/member/mod.rs
@@ -34,10 +34,10 @@
 const MIN_BEAT: Duration = Duration::from_secs(1);
 
 /// Longest time between two pulses.
-const MAX_BEAT: Duration = Duration::from_secs(10);
+const MAX_BEAT: Duration = Duration::from_secs(15);
 
 /// Time between two pulses for each daemon of the fleet.
-const BEAT_PER_MEMBER: Duration = Duration::from_millis(30);
+const BEAT_PER_MEMBER: Duration = Duration::from_millis(60);
 
 /// What a daemon says of itself once.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
