--- a/policy/src/entry/feasible.rs
+++ b/policy/src/entry/feasible.rs
@@ -11,7 +11,7 @@
 const FEASIBLE_QUANTILE: f64 = 0.1;
 
 /// The same quantile when the room would go to others that may be late without it.
-const CONTENDED_QUANTILE: f64 = 0.95;
+const CONTENDED_QUANTILE: f64 = 0.8;
 
 impl Entry {
     /// Returns whether the current stage is worth a call now.
