--- a/godwithinge/src/bin/gwi-planner.rs
+++ b/godwithinge/src/bin/gwi-planner.rs
@@ -5,7 +5,7 @@
     planner::{self, Planner},
     settings::{self, Settings},
 };
-use std::{io, process::ExitCode};
+use std::{error::Error, process::ExitCode};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 #[global_allocator]
@@ -81,27 +81,26 @@
 
 #[tokio::main(flavor = "current_thread")]
 async fn run(settings: Settings) -> ExitCode {
-    let signals = signal(SignalKind::terminate())
-        .and_then(|terminate| Ok((terminate, signal(SignalKind::interrupt())?)));
-    match signals {
-        Ok((terminate, interrupt)) => {
-            Planner::new(settings)
-                .run(ended(terminate, interrupt))
-                .await;
-            ExitCode::SUCCESS
+    match plan(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            tracing::error!(%failure, "planner failed");
+            ExitCode::FAILURE
         }
-        Err(failure) => fail(&failure),
     }
 }
 
+/// Plans until a signal comes.
+async fn plan(settings: Settings) -> Result<(), Box<dyn Error>> {
+    let terminate = signal(SignalKind::terminate())?;
+    let interrupt = signal(SignalKind::interrupt())?;
+    let planner = Planner::new(settings)?;
+    Ok(planner.run(ended(terminate, interrupt)).await?)
+}
+
 async fn ended(mut terminate: Signal, mut interrupt: Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
 }
-
-fn fail(failure: &io::Error) -> ExitCode {
-    tracing::error!(%failure, "planner failed");
-    ExitCode::FAILURE
-}
--- /dev/null
+++ b/godwithinge/src/planner/metrics.rs
@@ -0,0 +1,94 @@
+//! Metrics of the planner, as Prometheus reads them.
+
+use crate::log;
+use dropshot::{
+    ApiDescription, Body, BuildError, ConfigDropshot, HttpError, HttpServer, RequestContext,
+    ServerBuilder, endpoint,
+};
+use http::{Response, header};
+use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use std::net::SocketAddr;
+
+/// Metrics of the planner.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Whether the lease is held.
+    pub held: IntGauge,
+    /// Number of the lease's holder that this planner was last.
+    pub fence: IntGauge,
+    /// Engines of the region that are to stay.
+    pub engines: IntGauge,
+    /// Orders given, by reason.
+    pub orders: IntCounterVec,
+    /// Orders ended, by answer.
+    pub answers: IntCounterVec,
+}
+
+impl Metrics {
+    /// Creates metrics that are all zero.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics have one name.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let opts = |name: &str, help: &str| Opts::new(name, help).namespace("gwi_planner");
+        let all = Self {
+            registry: Registry::new(),
+            held: IntGauge::with_opts(opts("lease_held", "Whether the lease is held"))?,
+            fence: IntGauge::with_opts(opts("fence", "Fence of the last lease held"))?,
+            engines: IntGauge::with_opts(opts("engines", "Engines of the region"))?,
+            orders: IntCounterVec::new(opts("orders_total", "Orders given"), &["reason"])?,
+            answers: IntCounterVec::new(opts("answers_total", "Orders ended"), &["answer"])?,
+        };
+        let registry = &all.registry;
+        registry.register(Box::new(all.held.clone()))?;
+        registry.register(Box::new(all.fence.clone()))?;
+        registry.register(Box::new(all.engines.clone()))?;
+        registry.register(Box::new(all.orders.clone()))?;
+        registry.register(Box::new(all.answers.clone()))?;
+        Ok(all)
+    }
+
+    fn to_text(&self) -> Result<String, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
+
+/// Gives the metrics.
+#[endpoint {
+    method = GET,
+    path = "/metrics",
+}]
+async fn metrics(context: RequestContext<Metrics>) -> Result<Response<Body>, HttpError> {
+    let text = context.context().to_text();
+    let text = text.map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    let response = Response::builder().header(header::CONTENT_TYPE, "text/plain; version=0.0.4");
+    Ok(response.body(text.into())?)
+}
+
+/// Opens the interface that gives the metrics.
+///
+/// # Errors
+///
+/// Fails if the address can't be listened on.
+///
+/// # Panics
+///
+/// Never: there is one path.
+pub(super) fn serve(
+    context: Metrics,
+    address: SocketAddr,
+) -> Result<HttpServer<Metrics>, BuildError> {
+    let mut api = ApiDescription::new();
+    api.register(metrics).expect("there is one path");
+    let config = ConfigDropshot {
+        bind_address: address,
+        ..ConfigDropshot::default()
+    };
+    ServerBuilder::new(api, context, log::logger())
+        .config(config)
+        .start()
+}
--- a/godwithinge/src/planner/mod.rs
+++ b/godwithinge/src/planner/mod.rs
@@ -5,13 +5,17 @@
 
 mod clock;
 mod engine;
+mod error;
 mod lease;
+mod metrics;
 mod order;
 mod preview;
 mod waiting;
 
 pub use self::{
+    error::Error,
     lease::TABLE,
+    metrics::Metrics,
     preview::{Planned, preview},
 };
 
@@ -71,13 +75,18 @@
     /// Orders that are under way, which a release must wait for.
     ordering: usize,
     tasks: JoinSet<()>,
+    metrics: Metrics,
     found: UnboundedSender<Found>,
     inbox: UnboundedReceiver<Found>,
 }
 
 impl Planner {
     /// Creates a planner that holds no lease.
-    pub fn new(settings: Settings) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics can't be made.
+    pub fn new(settings: Settings) -> Result<Self, Error> {
         let platform = &settings.platform;
         let incarnation: Incarnation = rand::rng().next_u64();
         let lease = Lease::new(lease_policy::Settings {
@@ -86,7 +95,7 @@
             order_timeout: settings.planner.order_timeout,
         });
         let (found, inbox) = mpsc::unbounded_channel();
-        Self {
+        Ok(Self {
             clock: Clock::new(),
             client: Client::new(platform.address.to_string(), platform.timeout),
             targets: Targets::new(),
@@ -99,14 +108,22 @@
             waiting: Waiting::default(),
             ordering: 0,
             tasks: JoinSet::new(),
+            metrics: Metrics::new()?,
             found,
             inbox,
             settings: Arc::new(settings),
-        }
+        })
     }
 
     /// Plans until `ended` is done, then gives the lease back.
-    pub async fn run(mut self, ended: impl Future<Output = ()>) {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address for metrics can't be listened on.
+    pub async fn run(mut self, ended: impl Future<Output = ()>) -> Result<(), Error> {
+        let listen = self.settings.planner.listen;
+        let server = metrics::serve(self.metrics.clone(), listen)?;
+        tracing::info!(address = %server.local_addr(), "planner started");
         tokio::pin!(ended);
         let mut ticks = time::interval(self.settings.planner.interval);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -121,6 +138,7 @@
             }
         }
         self.release().await;
+        Ok(())
     }
 
     /// Waits for the orders under way, then gives the lease back.
@@ -147,7 +165,9 @@
                 } = &event
                 {
                     self.ordering -= 1;
-                    tracing::info!(%target, order, ?answer, "order ended");
+                    let name = <&str>::from(*answer);
+                    self.metrics.answers.with_label_values(&[name]).inc();
+                    tracing::info!(%target, order, %answer, "order ended");
                 }
                 self.on_placement(event);
             }
@@ -207,9 +227,12 @@
             }
             lease_policy::Command::Gained { fence } => {
                 tracing::info!(%region, fence, "lease gained");
+                self.metrics.held.set(1);
+                self.metrics.fence.set(fence.cast_signed());
             }
             lease_policy::Command::Lost { fence } => {
                 tracing::warn!(%region, fence, "lease lost");
+                self.metrics.held.set(0);
             }
         }
     }
@@ -227,6 +250,8 @@
             return;
         };
         log(&order);
+        let reason = <&str>::from(order.reason);
+        self.metrics.orders.with_label_values(&[reason]).inc();
         let address = reached.address;
         let (connections, clock) = (self.connections.clone(), self.clock);
         let limits = Limits {
@@ -265,6 +290,8 @@
         let engines_event = Event::Engines {
             engines: known.collect(),
         };
+        let count = engines.len() as u64;
+        self.metrics.engines.set(count.cast_signed());
         self.engines = engines;
         self.on_placement(engines_event);
     }
--- a/godwithinge/src/settings/mod.rs
+++ b/godwithinge/src/settings/mod.rs
@@ -240,7 +240,7 @@
 const RULES: &str = "scored, round_robin or least_in_flight";
 
 /// Defaults: section, key, value.
-const DEFAULTS: [(&str, &str, &str); 31] = [
+const DEFAULTS: [(&str, &str, &str); 32] = [
     ("platform", "timeout", "500ms"),
     ("peers", "seeds", ""),
     ("entry", "queue", "1024"),
@@ -252,6 +252,7 @@
     ("entry", "table_poll", "2s"),
     ("entry", "load_poll", "1s"),
     ("entry", "claim_retention", "30d"),
+    ("planner", "listen", "127.0.0.1:0"),
     ("planner", "lease", "5s"),
     ("planner", "order_timeout", "1s"),
     ("planner", "interval", "1s"),
--- a/godwithinge/src/settings/planner.rs
+++ b/godwithinge/src/settings/planner.rs
@@ -9,7 +9,7 @@
     id::{AdapterId, ModelId},
     placement::Model,
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 /// What the names of model sections begin with.
 const PREFIX: &str = "model ";
@@ -21,6 +21,8 @@
 /// Limits of the planner daemon.
 #[derive(Clone, Debug)]
 pub struct Planner {
+    /// Address at which the metrics are read.
+    pub listen: SocketAddr,
     /// Duration of the lease.
     pub lease: Duration,
     /// Longest time of an order to an engine.
@@ -54,6 +56,7 @@
 pub(super) fn read(reader: &mut Reader) -> Option<Planner> {
     let models = read_models(reader);
     let mut section = reader.section("planner");
+    let listen = section.address("listen");
     let lease = time(&mut section, "lease");
     let order_timeout = time(&mut section, "order_timeout");
     let interval = time(&mut section, "interval");
@@ -69,6 +72,7 @@
     let lower_at = read_lower_at(&mut section, raise_at);
     check_lease(&mut section, lease, order_timeout);
     Some(Planner {
+        listen: listen?,
         lease: lease?,
         order_timeout: order_timeout?,
         interval: interval?,
--- a/godwithinge/tests/planner.rs
+++ b/godwithinge/tests/planner.rs
@@ -372,6 +372,23 @@
     let planner = world.planner("draft");
     world.until_held("draft").await;
     assert_eq!(planner.logged("lease gained")[0]["fence"], 1);
+    until("order's end", || !planner.logged("order ended").is_empty()).await;
+    let address = planner.logged("planner started")[0]["address"].clone();
+    let address = address.as_str().expect("text").parse().expect("an address");
+    let metrics = fetch::get(address, "/metrics").await.expect("metrics");
+    let metrics = String::from_utf8(metrics.to_vec()).expect("UTF-8");
+    for line in [
+        "gwi_planner_lease_held 1",
+        "gwi_planner_fence 1",
+        "gwi_planner_engines 1",
+        "gwi_planner_orders_total{reason=\"load\"} 1",
+        "gwi_planner_answers_total{answer=\"accepted\"} 1",
+    ] {
+        assert!(
+            metrics.lines().any(|found| found == line),
+            "{line} in {metrics}"
+        );
+    }
     assert_eq!(world.platform.settings().lose_replies, 0);
 }
 
--- a/policy/src/placement/mod.rs
+++ b/policy/src/placement/mod.rs
@@ -27,6 +27,7 @@
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
+use strum::{Display, IntoStaticStr};
 
 /// Rounds of reports for which an engine that does not report is still counted on.
 const REPORT_ROUNDS: u32 = 3;
@@ -111,8 +112,9 @@
 }
 
 /// How an order ended.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, IntoStaticStr, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
 pub enum Answer {
     /// The engine accepted the order.
     Accepted,
