--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the real daemons on loopback, before stand-ins.
 
 mod api;
+mod chaos;
 mod claim;
 mod common;
+mod control;
 mod drain;
 mod edit;
 mod leaving;
