--- a/godwithinge/src/entry/mod.rs
+++ b/godwithinge/src/entry/mod.rs
@@ -160,7 +160,7 @@
         let metrics = Metrics::new().map_err(Error::Metrics)?;
         let platform = platform::Client::new(address, settings.platform.timeout)
             .with_bytes(metrics.control_bytes.clone());
-        let (claims, settler) = claim::new(platform.clone(), metrics.clone());
+        let (claims, settler) = claim::new(platform.clone(), incarnation, metrics.clone());
         let shared = Shared {
             incarnation,
             started: Instant::now(),
