--- a/godwithinge/tests/settings.rs
+++ b/godwithinge/tests/settings.rs
@@ -2,7 +2,8 @@
 
 use godwithinge::settings::Settings;
 use rstest::rstest;
-use std::time::Duration;
+use standin::fleet::{Deployment, Name, Size};
+use std::{path::Path, time::Duration};
 
 const GOOD: &str = "
 [daemon]
@@ -137,3 +138,19 @@
     let errors = Settings::from_str("bad.ini", &text).expect_err("settings are wrong");
     assert_eq!(errors.as_slice().len(), 3, "{errors}");
 }
+
+/// The shipped settings name the pools of the deployments that the stand-ins run.
+#[rstest]
+#[case::wasfi(Name::Wasfi, "../settings/wasfi.ini")]
+#[case::addis(Name::Addis, "../settings/addis.ini")]
+fn shipped(#[case] name: Name, #[case] file: &str) {
+    let settings = Settings::from_file(Path::new(file)).expect("shipped settings are right");
+    let mut pools = Deployment::new(name, Size::Full).pools();
+    // Whether engines check fences is no matter of the stand-ins' deployment.
+    for pool in &mut pools {
+        let shipped = settings.pools.iter().find(|it| it.name == pool.name);
+        pool.fenced = shipped.is_some_and(|it| it.fenced);
+    }
+    pools.sort_by(|one, other| one.name.cmp(&other.name));
+    assert_eq!(settings.pools, pools);
+}
