--- /dev/null
+++ b/godwithinge/tests/process/ceiling.rs
@@ -0,0 +1,90 @@
+//! A ceiling over entries that are processes of their own.
+
+use crate::common::{Ask, Bench, Entry, POLL, SIZE, bound};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+
+/// Requests a second that the workspace may send.
+const CEILING: f64 = 20.0;
+/// Requests a second that are offered at the first and the second entry.
+const OFFERED: [f64; 2] = [24.0, 6.0];
+/// Time until parts have followed the demand.
+const WARM: Duration = Duration::from_secs(12);
+/// Time over which the ceiling is measured; no shorter than the stated ten seconds.
+const WINDOW: Duration = Duration::from_secs(20);
+
+/// Sends requests at a steady rate until `end`, and counts those answered after `from`.
+async fn offer(entry: Arc<Entry>, name: usize, from: Instant, end: Instant, count: Arc<AtomicU32>) {
+    let mut asks = JoinSet::new();
+    let mut ticks = time::interval(Duration::from_secs_f64(1.0 / OFFERED[name]));
+    let mut number = 0;
+    while ticks.tick().await < end {
+        number += 1;
+        let ask = Ask::new(SIZE, &format!("c{name}-{number}"));
+        let (entry, count) = (Arc::clone(&entry), Arc::clone(&count));
+        asks.spawn(async move {
+            let reply = entry.send(&ask).await;
+            let counted = (from..end).contains(&Instant::now());
+            if counted && reply.outcome() == "answered" {
+                count.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+    }
+    while asks.join_next().await.is_some() {}
+}
+
+/// Two entries with uneven demand above a workspace's ceiling stay within 5% of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn is_kept() {
+    let used = used().await;
+    assert!(used <= 1.05, "{used} of the ceiling was used");
+}
+
+/// Two entries with uneven demand above a workspace's ceiling can use 95% of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn can_be_used() {
+    let used = used().await;
+    assert!(used >= 0.95, "{used} of the ceiling was used");
+}
+
+/// Returns the share of the ceiling that two entries with uneven demand above it use.
+async fn used() -> f64 {
+    let bench = Bench::start(2).await;
+    let mut table = bench.fleet.deployment().table.clone();
+    table.revision = 2;
+    let tailors = table.workspaces.get_mut("tailors").expect("it has a row");
+    tailors.ceiling = Some(CEILING);
+    bench.fleet.platform().set_table(&table);
+    let one = Arc::new(bench.entry("e1").await);
+    let seeds = one.peer_address().await.to_string();
+    let two = Arc::new(bench.start_entry_with_seeds("e2", &seeds));
+    two.ready().await;
+    for entry in [&one, &two] {
+        entry.linked(1).await;
+        let held = async {
+            while entry.status().await["revision"] != 2 {
+                time::sleep(POLL).await;
+            }
+        };
+        bound("revision", held).await;
+    }
+    let (from, end) = (Instant::now() + WARM, Instant::now() + WARM + WINDOW);
+    let count = Arc::new(AtomicU32::new(0));
+    let offers = [one, two].into_iter().enumerate();
+    let offers: Vec<_> = offers
+        .map(|(name, entry)| tokio::spawn(offer(entry, name, from, end, Arc::clone(&count))))
+        .collect();
+    for offer in offers {
+        offer.await.expect("it does not panic");
+    }
+    f64::from(count.load(Ordering::Relaxed)) / (CEILING * WINDOW.as_secs_f64())
+}
--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the real daemons on loopback, before stand-ins.
 
 mod api;
+mod ceiling;
 mod claim;
 mod common;
 mod drain;
