--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -2,8 +2,10 @@
 
 mod api;
 mod ceiling;
+mod chaos;
 mod claim;
 mod common;
+mod control;
 mod drain;
 mod edit;
 mod leaving;
