Tell an engine's stretch from its first token on

A short answer that had waited for a place counted as twice as long as expected, which spoke against its engine for 15 s, long after the wait was over. The stretch of a stream is now the time from its first token over that of as many tokens at the reported rate; a wait shows as a late first token only while it lasts.

--- a/policy/src/router/choice.rs
+++ b/policy/src/router/choice.rs
@@ -214,7 +214,7 @@
     fn pick(&self, now: Time, need: &Need<'_>, pool: &Member, best: u32, roomy: &[u32]) -> Pick {
         let target = &self.targets[best as usize];
         let time =
-            self.expected(now, best, need).seconds(0) * target.stretch(now, pool.usual_stretch());
+            self.expected(now, best, need).seconds() * target.stretch(now, pool.usual_stretch());
         Pick {
             target: target.host.target.clone(),
             address: target.host.address.clone(),
--- a/policy/src/router/mod.rs
+++ b/policy/src/router/mod.rs
@@ -24,7 +24,7 @@
         member::Member,
         prefix::Index,
         subset::Subset,
-        target::{End, Expected, MAX_STRETCH, Target},
+        target::{End, Expected, Target},
     },
     table::{self, Table},
 };
@@ -135,6 +135,8 @@
     expected: Option<Expected>,
     /// Tokens that have come.
     tokens: u32,
+    /// When the first of them came.
+    first: Option<Time>,
 }
 
 impl Router {
@@ -314,6 +316,7 @@
             started: now,
             expected,
             tokens: 0,
+            first: None,
         };
         self.running.insert(attempt, call);
     }
@@ -324,8 +327,9 @@
             return;
         };
         let target = &mut self.targets[call.target as usize];
-        target.progressed(attempt, tokens.max(1));
-        let is_first = call.tokens == 0;
+        target.progressed(now, attempt, tokens.max(1));
+        let is_first = call.first.is_none();
+        call.first.get_or_insert(now);
         call.tokens = call.tokens.saturating_add(tokens.max(1));
         if is_first && let Some(pool) = self.pools.get_mut(&target.host.pool) {
             let took = now.saturating_sub(call.started);
@@ -366,7 +370,7 @@
         let took = now.saturating_sub(call.started).as_secs_f64();
         let stretch = call
             .expected
-            .map(|expected| (took / expected.seconds(call.tokens)).min(MAX_STRETCH));
+            .and_then(|expected| expected.stretch(now, call.started, call.first, call.tokens));
         if verdict == Verdict::Done {
             pool.done(took, stretch, call.tokens);
         }
--- a/policy/src/router/score.rs
+++ b/policy/src/router/score.rs
@@ -66,7 +66,7 @@
     /// Returns the score of a target for a call; lower is better.
     pub(super) fn score(&self, now: Time, index: u32, need: &Need<'_>, pool: &Member) -> f64 {
         let target = &self.targets[index as usize];
-        let time = self.expected(now, index, need).seconds(0);
+        let time = self.expected(now, index, need).seconds();
         let time = time * target.stretch(now, pool.usual_stretch()) + target.lateness(now);
         (time + self.penalty(now, target, pool)) / target.weight
     }
--- a/policy/src/router/target.rs
+++ b/policy/src/router/target.rs
@@ -32,8 +32,15 @@
 /// Share of the mean service time that a call may wait for its first part.
 const LONG_WAIT: f64 = 0.25;
 
+/// Tokens from which the rate of a stream can be told.
+const FEW_TOKENS: u32 = 4;
+
+/// Time without enough tokens after which the rate of a stream can be told all the same, in
+/// seconds.
+const LONG_GAP: f64 = 0.5;
+
 /// Longest stretch of a service time that is told apart.
-pub(super) const MAX_STRETCH: f64 = 100.0;
+const MAX_STRETCH: f64 = 100.0;
 
 /// What a router knows of one target.
 #[derive(Debug)]
@@ -76,6 +83,7 @@
     at: Time,
     expected: Option<Expected>,
     tokens: u32,
+    first: Option<Time>,
 }
 
 /// What is expected of a call.
@@ -217,6 +225,7 @@
             at: now,
             expected,
             tokens: 0,
+            first: None,
         });
         if alone {
             self.alone = Some(attempt);
@@ -224,10 +233,11 @@
     }
 
     /// Notes tokens of a call.
-    pub fn progressed(&mut self, attempt: AttemptId, tokens: u32) {
+    pub fn progressed(&mut self, now: Time, attempt: AttemptId, tokens: u32) {
         let call = self.calls.iter_mut().find(|call| call.attempt == attempt);
         if let Some(call) = call {
             call.tokens = call.tokens.saturating_add(tokens);
+            call.first.get_or_insert(now);
         }
     }
 
@@ -333,27 +343,41 @@
         self.rate > 0.0
     }
 
-    /// Returns the seconds until the call has given `tokens`, or is at its end if there are none.
-    pub fn seconds(&self, tokens: u32) -> f64 {
-        let service = if tokens > 0 && self.is_streamed() {
-            f64::from(tokens) / self.rate
-        } else {
-            self.service
+    /// Returns the seconds of the whole call.
+    pub fn seconds(&self) -> f64 {
+        self.wait + self.prefill + self.service
+    }
+
+    /// Returns how much longer than expected a call has taken that began at `started`.
+    ///
+    /// Of a stream only the time from its `first` token counts, which neither the length of the
+    /// answer nor a wait for a place changes. `None` if there are too few tokens.
+    pub fn stretch(
+        &self,
+        now: Time,
+        started: Time,
+        first: Option<Time>,
+        tokens: u32,
+    ) -> Option<f64> {
+        let seconds = |from: Time| now.saturating_sub(from).as_secs_f64();
+        let stretch = match first {
+            Some(first) if self.is_streamed() => {
+                let usual = f64::from(tokens) / self.rate;
+                (tokens >= FEW_TOKENS || seconds(first) > LONG_GAP).then(|| seconds(first) / usual)
+            }
+            None if self.is_streamed() => None,
+            _ => Some(seconds(started) / self.seconds()),
         };
-        self.wait + self.prefill + service
+        stretch.map(|stretch| stretch.min(MAX_STRETCH))
     }
 }
 
 impl Started {
     /// Returns how much longer than expected the call has taken, 0 while that can't be told.
     fn stretch(&self, now: Time) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        match self.expected {
-            Some(expected) if self.tokens > 0 || !expected.is_streamed() => {
-                age / expected.seconds(self.tokens)
-            }
-            _ => 0.0,
-        }
+        self.expected
+            .and_then(|expected| expected.stretch(now, self.at, self.first, self.tokens))
+            .unwrap_or(0.0)
     }
 
     /// Returns the seconds by which the first part of the call is late.
