--- a/policy/src/ceiling/mod.rs
+++ b/policy/src/ceiling/mod.rs
@@ -34,6 +34,9 @@
 /// Share of a ceiling that is set aside for the floors of all entries together.
 pub const FLOOR_SHARE: f64 = 0.02;
 
+/// Longest time by which a start is put off; starts that are put off stay when a part is lowered.
+pub const MAX_WAIT: Duration = Duration::from_secs(1);
+
 /// Parts of all ceilings that one entry has in use.
 ///
 /// ```
@@ -124,24 +127,26 @@
 
     /// Admits a request of all `rows`, or refuses it and takes nothing.
     ///
-    /// Returns how long the request has to wait before it starts, at most `patience`.
+    /// Returns how long the request has to wait before it starts, at most `patience` and
+    /// [`MAX_WAIT`].
     ///
     /// # Errors
     ///
-    /// Fails if a row is at its ceiling for longer than `patience`.
+    /// Fails if a row is at its ceiling for longer.
     pub fn admit(
         &mut self,
         now: Time,
         rows: &[&Key],
         patience: Duration,
     ) -> Result<Duration, Full> {
+        let patience = patience.min(MAX_WAIT);
         let mut wait = Duration::ZERO;
         let mut full = None;
         for row in rows {
             let Some(limit) = self.limits.get_mut(*row) else {
                 continue;
             };
-            limit.offered();
+            limit.offered(now);
             let delay = limit.bucket.wait(now);
             if delay > patience && full.is_none() {
                 full = Some(Full {
@@ -165,9 +170,8 @@
     /// Moves all parts towards the demand and appends what the other entries must know.
     pub fn tick(&mut self, now: Time, frames: &mut Vec<Frame>) {
         for (row, limit) in &mut self.limits {
-            limit.measure(now);
-            limit.adjust(now, &self.host, &self.members, self.steady);
-            if let Some((rate, part)) = limit.news(now) {
+            let news = limit.tick(now, &self.host, &self.members, self.steady);
+            if let Some((rate, part)) = news {
                 let row = row.clone();
                 frames.push(Frame::Demand { row, rate, part });
             }
