--- a/godwithinge/tests/process/common/mod.rs
+++ b/godwithinge/tests/process/common/mod.rs
@@ -5,7 +5,7 @@
 mod entry;
 
 pub use self::{
-    bench::{Bench, FILING, ORDER, SIZE, SUMMARY},
+    bench::{Bench, DOSSIER, FILING, ORDER, SIZE, SUMMARY, UNKEPT},
     caller::{Ask, Reply},
     entry::Entry,
 };
