--- a/godwithinge/tests/process/common/bench.rs
+++ b/godwithinge/tests/process/common/bench.rs
@@ -94,7 +94,7 @@
 
     /// Starts an entry daemon.
     pub fn start_entry(&self, host: &str) -> Entry {
-        self.start_entry_with(host, "")
+        self.start_entry_with(host, "entry", "")
     }
 
     /// Starts an entry daemon that polls as often as by default, and waits until it is ready.
@@ -107,17 +107,15 @@
         entry
     }
 
-    /// Starts an entry daemon with further lines in its section `entry`.
-    pub fn start_entry_with(&self, host: &str, lines: &str) -> Entry {
-        let section = format!("[entry]\n{lines}\n");
-        let settings = self.settings(host).replace("[entry]\n", &section);
-        self.start_entry_as(host, &settings)
-    }
-
-    /// Starts an entry daemon with addresses of some peers.
-    pub fn start_entry_with_seeds(&self, host: &str, seeds: &str) -> Entry {
-        let settings = self.settings(host) + &format!("[peers]\nseeds = {seeds}\n");
-        self.start_entry_as(host, &settings)
+    /// Starts an entry daemon with further lines in a section of its settings.
+    pub fn start_entry_with(&self, host: &str, section: &str, lines: &str) -> Entry {
+        let header = format!("[{section}]\n");
+        let mut text = self.settings(host);
+        if !text.contains(&header) {
+            text.push_str(&header);
+        }
+        let text = text.replace(&header, &format!("{header}{lines}\n"));
+        self.start_entry_as(host, &text)
     }
 
     fn start_entry_as(&self, host: &str, settings: &str) -> Entry {
--- a/godwithinge/tests/process/edit.rs
+++ b/godwithinge/tests/process/edit.rs
@@ -50,7 +50,7 @@
     let seeds = first.peer_address().await.to_string();
     let mut entries = vec![first];
     for host in &ALL[1..] {
-        let entry = bench.start_entry_with_seeds(host, &seeds);
+        let entry = bench.start_entry_with(host, "peers", &format!("seeds = {seeds}"));
         entry.ready().await;
         entries.push(entry);
     }
@@ -91,7 +91,7 @@
     let seeds = entries[2].peer_address().await.to_string();
     for index in [0, 1, 3] {
         entries[index].kill();
-        entries[index] = bench.start_entry_with_seeds(ALL[index], &seeds);
+        entries[index] = bench.start_entry_with(ALL[index], "peers", &format!("seeds = {seeds}"));
     }
     for entry in &entries {
         until("table", || entry.logged("table in force") > 0).await;
--- a/godwithinge/tests/process/sweep.rs
+++ b/godwithinge/tests/process/sweep.rs
@@ -9,7 +9,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn old_claims_are_deleted() {
     let bench = Bench::start(2).await;
-    let entry = bench.start_entry_with("e1", "claim_retention = 4s");
+    let entry = bench.start_entry_with("e1", "entry", "claim_retention = 4s");
     entry.ready().await;
     let began = Instant::now();
     let reply = entry.send(&Ask::new(ORDER, "r")).await;
--- a/godwithinge/tests/process/table.rs
+++ b/godwithinge/tests/process/table.rs
@@ -17,7 +17,7 @@
     let one = bench.entry("e1").await;
     bench.fleet.platform().control(|it| it.outage = true);
     let seeds = one.peer_address().await.to_string();
-    let two = bench.start_entry_with_seeds("e2", &seeds);
+    let two = bench.start_entry_with("e2", "peers", &format!("seeds = {seeds}"));
     until("table", || two.logged("table in force") == 1).await;
     let status = two.status().await;
     assert_eq!(
