Pass the host list on between daemons while the platform is out

An entry that started in an outage took the table from its peers, said that it was ready, and had no target. A daemon whose read of the host list fails now asks its links for a newer list; nothing is sent while the platform answers.

--- a/godwithinge/src/entry/peer.rs
+++ b/godwithinge/src/entry/peer.rs
@@ -35,6 +35,7 @@
                 daemon.handle(Event::Members { members, steady });
             }
             PeerEvent::Table(table) => daemon.set_table(table),
+            PeerEvent::Hosts(list) => daemon.set_hosts(list.hosts.clone()),
         }
     }
 }
--- a/godwithinge/src/entry/poll.rs
+++ b/godwithinge/src/entry/poll.rs
@@ -1,9 +1,9 @@
 //! Reads of the host list and of the table.
 
 use super::Daemon;
-use crate::table::Poll;
+use crate::{peer::List, table::Poll};
 use policy::{Event, host::Host};
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::time::{self, MissedTickBehavior};
 
 /// Time between two sweeps of what ended.
@@ -19,9 +19,14 @@
             Ok(list) if version == Some(list.version) => {}
             Ok(list) => {
                 version = Some(list.version);
+                let (version, hosts) = (list.version, list.hosts.clone());
+                daemon.links().set_list(Arc::new(List { version, hosts }));
                 daemon.set_hosts(list.hosts);
             }
-            Err(error) => tracing::warn!(%error, "host list was not read"),
+            Err(error) => {
+                tracing::warn!(%error, "host list was not read");
+                daemon.links().seek_list();
+            }
         }
     }
 }
@@ -66,7 +71,7 @@
 }
 
 impl Daemon {
-    fn set_hosts(&self, hosts: Vec<Host>) {
+    pub(super) fn set_hosts(&self, hosts: Vec<Host>) {
         let by_name = hosts.iter().map(|host| (host.target.clone(), host.clone()));
         let by_name: HashMap<_, _> = by_name.collect();
         let addresses: Vec<_> = by_name.values().map(|host| host.address.clone()).collect();
--- a/godwithinge/src/peer/frame.rs
+++ b/godwithinge/src/peer/frame.rs
@@ -1,12 +1,13 @@
 //! Frames that daemons send each other.
 
 use super::wire::Message;
-use crate::peer::Error;
+use crate::peer::{Error, List};
 use policy::{
     id::{HostId, Revision},
     member::gossip::{Digest, Item},
     table::hold::Update,
 };
+use std::sync::Arc;
 use strum::IntoStaticStr;
 
 /// Version of the protocol between daemons.
@@ -39,6 +40,10 @@
     Want(Option<Revision>),
     /// Brings a table to a higher revision.
     Update(Update),
+    /// Asks for a host list that is newer than this version.
+    Seek(Option<u64>),
+    /// The platform's host list.
+    List(Arc<List>),
 }
 
 /// Opens a link.
--- a/godwithinge/src/peer/hub.rs
+++ b/godwithinge/src/peer/hub.rs
@@ -1,7 +1,7 @@
 //! State that all links of a daemon share.
 
 use super::{
-    Error, Event,
+    Error, Event, List,
     frame::{Frame, Known},
     socket::{Identity, Traffic},
 };
@@ -54,6 +54,7 @@
     pub links: BTreeMap<LinkId, Link>,
     pub dialling: BTreeSet<HostId>,
     pub seeds: BTreeSet<SocketAddr>,
+    pub(super) list: Option<Arc<List>>,
     holder: Holder,
     events: mpsc::UnboundedSender<Event>,
     sharers: Option<(Vec<HostId>, bool)>,
@@ -104,6 +105,7 @@
             dialling: BTreeSet::new(),
             seeds: BTreeSet::new(),
             holder: Holder::new(),
+            list: None,
             events,
             sharers: None,
             load: 0.0,
@@ -300,6 +302,11 @@
                 Ok(update.into_iter().collect())
             }
             Frame::Update(update) => Ok(self.answer_update(&update)),
+            Frame::Seek(version) => Ok(self.newer_list(version).into_iter().collect()),
+            Frame::List(list) => {
+                self.learn_list(list);
+                Ok(Vec::new())
+            }
             Frame::Hello(_) | Frame::Proof(_) => Err(Error::Unexpected {
                 frame: frame.name(),
             }),
@@ -376,7 +383,7 @@
         }
     }
 
-    fn tell(&self, event: Event) {
+    pub(super) fn tell(&self, event: Event) {
         // A daemon that ends does not listen any more.
         drop(self.events.send(event));
     }
@@ -384,7 +391,7 @@
 
 impl Link {
     /// Hands a frame to the link; `false` if the link can't take it.
-    fn send(&self, frame: &Frame) -> bool {
+    pub(super) fn send(&self, frame: &Frame) -> bool {
         match frame.to_vec() {
             Ok(bytes) => self.frames.try_send(bytes).is_ok(),
             Err(error) => {
--- a/godwithinge/src/peer/mod.rs
+++ b/godwithinge/src/peer/mod.rs
@@ -9,11 +9,12 @@
 pub mod frame;
 mod hub;
 mod link;
+mod list;
 mod socket;
 mod upkeep;
 mod wire;
 
-pub use self::error::Error;
+pub use self::{error::Error, list::List};
 
 use self::{
     hub::Hub,
@@ -72,6 +73,8 @@
     },
     /// A higher revision of the table is in force.
     Table(Arc<Table>),
+    /// A peer holds a newer host list.
+    Hosts(Arc<List>),
     /// The daemons that share the ceilings changed.
     Members {
         /// Host names of all of them.
@@ -147,6 +150,16 @@
         self.hub.offer(&Update::Snapshot { table })
     }
 
+    /// Keeps the host list that the platform gave, for peers that can't ask the platform.
+    pub fn set_list(&self, list: Arc<List>) {
+        self.hub.state().set_list(list);
+    }
+
+    /// Asks the peers for a newer host list.
+    pub fn seek_list(&self) {
+        self.hub.state().seek_list();
+    }
+
     /// Returns the table in force, if there is one.
     pub fn table(&self) -> Option<Arc<Table>> {
         self.hub.table()
--- a/godwithinge/src/peer/wire.rs
+++ b/godwithinge/src/peer/wire.rs
@@ -1,12 +1,13 @@
 //! Form of the frames on the wire: CBOR arrays under short names.
 
 use super::{
-    Error,
+    Error, List,
     frame::{Frame, Hello, Known, Mac, Nonce},
 };
 use compact_str::CompactString;
 use policy::{
-    id::{BlockHash, HostId, Incarnation, Revision, TargetId},
+    host::{self, Host},
+    id::{BlockHash, DomainId, HostId, Incarnation, PoolId, RegionId, Revision, TargetId},
     member::{
         Profile, Pulse, State,
         gossip::{self, Item, Stamp, Topic},
@@ -40,8 +41,24 @@
     Want(Option<Revision>),
     #[serde(rename = "u")]
     Update(Option<Revision>, Revision, Vec<Line>),
+    #[serde(rename = "s")]
+    Seek(Option<u64>),
+    #[serde(rename = "l")]
+    List(u64, Vec<Listed>),
 }
 
+/// A target on the host list: host, target, pool, address, domain, region, and whether it leaves.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Listed(
+    HostId,
+    TargetId,
+    PoolId,
+    CompactString,
+    DomainId,
+    RegionId,
+    bool,
+);
+
 /// Items of one origin: host, epoch, and a version for each value.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct Batch(HostId, u64, Vec<(u64, Value)>);
@@ -106,6 +123,11 @@
             Frame::Items(items) => Self::Items(batches(items)),
             Frame::Have(revision) => Self::Have(*revision),
             Frame::Want(revision) => Self::Want(*revision),
+            Frame::Seek(version) => Self::Seek(*version),
+            Frame::List(list) => {
+                let hosts = list.hosts.iter().map(Listed::from);
+                Self::List(list.version, hosts.collect())
+            }
             Frame::Update(Update::Snapshot { table }) => {
                 let lines = table.keys().map(|key| Line::new(&key, table.row(&key)));
                 Self::Update(None, table.revision, lines.collect())
@@ -152,6 +174,11 @@
             }
             Message::Have(revision) => Self::Have(revision),
             Message::Want(revision) => Self::Want(revision),
+            Message::Seek(version) => Self::Seek(version),
+            Message::List(version, hosts) => {
+                let hosts = hosts.into_iter().map(Host::from).collect();
+                Self::List(Arc::new(List { version, hosts }))
+            }
             Message::Update(from, to, lines) => {
                 let rows = lines.into_iter().map(Line::into_row);
                 let rows = rows.collect::<Result<Vec<_>, _>>()?;
@@ -164,6 +191,40 @@
     }
 }
 
+impl From<&Host> for Listed {
+    fn from(host: &Host) -> Self {
+        Self(
+            host.host.clone(),
+            host.target.clone(),
+            host.pool.clone(),
+            host.address.clone(),
+            host.domain.clone(),
+            host.region.clone(),
+            host.state == host::State::Leaving,
+        )
+    }
+}
+
+impl From<Listed> for Host {
+    fn from(listed: Listed) -> Self {
+        let Listed(host, target, pool, address, domain, region, leaving) = listed;
+        let state = if leaving {
+            host::State::Leaving
+        } else {
+            host::State::Live
+        };
+        Self {
+            host,
+            target,
+            pool,
+            address,
+            domain,
+            region,
+            state,
+        }
+    }
+}
+
 fn snapshot(revision: Revision, rows: Vec<(Key, Option<Row>)>) -> Result<Update, Error> {
     let mut table = Table {
         revision,
--- a/godwithinge/tests/peer.rs
+++ b/godwithinge/tests/peer.rs
@@ -4,7 +4,7 @@
 use godwithinge::{
     metrics::Metrics,
     peer::{
-        Event, Links, Settings,
+        Event, Links, List, Settings,
         frame::{Frame, Hello, Known, MAX_FRAME, VERSION},
     },
     settings::Secret,
@@ -12,6 +12,7 @@
 use hmac::{Hmac, KeyInit, Mac};
 use policy::{
     command,
+    host::{self, Host},
     member::Presence,
     table::{
         Pipeline, Table, Workspace,
@@ -411,6 +412,20 @@
     own.visit
 }
 
+fn list() -> List {
+    let host = |state| Host {
+        host: "h1".into(),
+        target: "t1".into(),
+        pool: "encoders".into(),
+        address: "127.0.0.1:80".into(),
+        domain: "a".into(),
+        region: "r".into(),
+        state,
+    };
+    let hosts = vec![host(host::State::Live), host(host::State::Leaving)];
+    List { version: 8, hosts }
+}
+
 #[test]
 fn frames_keep_their_content_and_truncated_ones_are_refused() {
     let stamps = vec![(
@@ -432,6 +447,8 @@
         Frame::Have(None),
         Frame::Want(Some(4)),
         Frame::Update(update(3)),
+        Frame::Seek(Some(7)),
+        Frame::List(Arc::new(list())),
         profile(([127, 0, 0, 1], 80).into()),
     ];
     for frame in frames {
--- a/godwithinge/tests/process/table.rs
+++ b/godwithinge/tests/process/table.rs
@@ -10,7 +10,7 @@
     platform.set_table(&table);
 }
 
-/// An entry that starts while the platform is out takes the table from its peers.
+/// An entry that starts while the platform is out takes the table and the host list from its peers.
 #[tokio::test(flavor = "multi_thread")]
 async fn started_in_outage() {
     let bench = Bench::start(1).await;
@@ -25,6 +25,9 @@
         (&true.into(), &1.into()),
         "{status}"
     );
+    until("host list", || two.logged("hosts in force") == 1).await;
+    let reply = two.send(&Ask::new(SIZE, "r")).await;
+    assert_eq!(reply.outcome(), "answered", "{reply:?}");
 }
 
 /// The platform answers an older table; the one in force stands, and an alarm is logged.
