--- a/godwithinge/tests/process/common/bench.rs
+++ b/godwithinge/tests/process/common/bench.rs
@@ -33,6 +33,11 @@
 /// Pipeline that ends with an engine.
 pub const SUMMARY: &str = "summary";
 
+/// Pipeline of an engine whose results are kept, and a stage after it.
+pub const DOSSIER: &str = "dossier";
+/// The same without keeping.
+pub const UNKEPT: &str = "unkept";
+
 /// Benches that run at once, so that tests don't starve each other.
 const MAX_BENCHES: usize = 3;
 static BENCHES: std::sync::LazyLock<Arc<Semaphore>> =
@@ -80,31 +85,35 @@
 
     /// Starts an entry daemon.
     pub fn start_entry(&self, host: &str) -> Entry {
-        self.start_entry_with(host, "entry", "")
+        self.start_entry_with(host, "")
     }
 
     /// Starts an entry daemon that polls as often as by default, and waits until it is ready.
     pub async fn usual_entry(&self, host: &str) -> Entry {
-        let file = self.folder.join(format!("{host}.ini"));
         let settings = self.settings(host);
         let lines = settings.lines().filter(|line| !line.contains("_poll"));
         let settings: Vec<_> = lines.collect();
-        fs::write(&file, settings.join("\n")).expect("settings can be written");
-        let entry = Entry::start(&file);
+        let entry = self.start_entry_as(host, &(settings.join("\n") + "\n"));
         entry.ready().await;
         entry
     }
 
-    /// Starts an entry daemon with further lines in a section of its settings.
-    pub fn start_entry_with(&self, host: &str, section: &str, lines: &str) -> Entry {
+    /// Starts an entry daemon with further lines in its section `entry`.
+    pub fn start_entry_with(&self, host: &str, lines: &str) -> Entry {
+        let section = format!("[entry]\n{lines}\n");
+        let settings = self.settings(host).replace("[entry]\n", &section);
+        self.start_entry_as(host, &settings)
+    }
+
+    /// Starts an entry daemon with addresses of some peers.
+    pub fn start_entry_with_seeds(&self, host: &str, seeds: &str) -> Entry {
+        let settings = self.settings(host) + &format!("[peers]\nseeds = {seeds}\n");
+        self.start_entry_as(host, &settings)
+    }
+
+    fn start_entry_as(&self, host: &str, settings: &str) -> Entry {
         let file = self.folder.join(format!("{host}.ini"));
-        let header = format!("[{section}]\n");
-        let mut text = self.settings(host);
-        if !text.contains(&header) {
-            text.push_str(&header);
-        }
-        let text = text.replace(&header, &format!("{header}{lines}\n"));
-        fs::write(&file, text).expect("settings can be written");
+        fs::write(&file, settings).expect("settings can be written");
         Entry::start(&file)
     }
 
@@ -231,13 +240,19 @@
         plain("desks")
             .with_limits(limits.0, limits.0)
             .with_effects(true),
-        engine,
+        engine.clone(),
+        Pool {
+            name: "drafters".into(),
+            ..engine.with_checkpoint()
+        },
     ];
     let pipelines = [
         (SIZE, vec!["encoders"]),
         (ORDER, vec!["encoders", "clerks"]),
         (FILING, vec!["encoders", "desks"]),
         (SUMMARY, vec!["encoders", "engines"]),
+        (DOSSIER, vec!["drafters", "clerks"]),
+        (UNKEPT, vec!["engines", "clerks"]),
     ];
     let pipelines = pipelines.map(|(name, stages)| (name.into(), Pipeline::new(stages)));
     let workspaces = ["tailors", "fitters"].map(|name| (name.into(), Workspace::default()));
--- a/godwithinge/tests/process/main.rs
+++ b/godwithinge/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod ceiling;
 mod chaos;
+mod checkpoint;
 mod claim;
 mod common;
 mod control;
