--- a/godwithinge/tests/process/ceiling.rs
+++ b/godwithinge/tests/process/ceiling.rs
@@ -66,7 +66,7 @@
     bench.fleet.platform().set_table(&table);
     let one = Arc::new(bench.entry("e1").await);
     let seeds = one.peer_address().await.to_string();
-    let two = Arc::new(bench.start_entry_with("e2", "peers", &format!("seeds = {seeds}")));
+    let two = Arc::new(bench.start_entry_with_seeds("e2", &seeds));
     two.ready().await;
     for entry in [&one, &two] {
         entry.linked(1).await;
