--- a/policy/src/entry/feasible.rs
+++ b/policy/src/entry/feasible.rs
@@ -20,9 +20,9 @@
     /// that some of it will be late anyway.
     pub(super) fn is_feasible(&self, now: Time, request: &Request) -> bool {
         let backlog = self
-            .lanes
+            .backlogs
             .get(request.pool())
-            .map_or(0.0, |lane| lane.queue.backlog(request.priority));
+            .map_or(0.0, |backlog| backlog.queue.backlog(request.priority));
         let wait = self.share_out(backlog, request.pool());
         let left = request.deadline.saturating_sub(now);
         self.work_left(request, quantile(wait, left)) <= left
@@ -33,10 +33,10 @@
         let Some(work) = self.router.quantile(pool, FEASIBLE_QUANTILE) else {
             return;
         };
-        let Some(lane) = self.lanes.get_mut(pool) else {
+        let Some(backlog) = self.backlogs.get_mut(pool) else {
             return;
         };
-        for item in lane.queue.expire(turn.now + work) {
+        for item in backlog.queue.expire(turn.now + work) {
             self.with(&item.key, |entry, request| {
                 if request.state() == State::Waiting {
                     entry.give_up(turn, request, Reason::Infeasible);
@@ -81,9 +81,9 @@
     }
 
     fn wait_in(&self, pool: &PoolId, request: &Request) -> Duration {
-        let ahead = self.lanes.get(pool).map_or(0.0, |lane| {
+        let ahead = self.backlogs.get(pool).map_or(0.0, |backlog| {
             let workspace = &request.key.workspace;
-            lane.queue.ahead(workspace, request.priority)
+            backlog.queue.ahead(workspace, request.priority)
         });
         self.share_out(ahead, pool)
     }
--- a/policy/src/entry/finish.rs
+++ b/policy/src/entry/finish.rs
@@ -244,8 +244,8 @@
         }
         self.release_unsent(turn, request);
         self.cancel_others(turn, request, None);
-        if let Some(lane) = self.lanes.get_mut(request.pool()) {
-            lane.queue.remove(&request.key);
+        if let Some(backlog) = self.backlogs.get_mut(request.pool()) {
+            backlog.queue.remove(&request.key);
         }
         let (answer, unsettled) = match &outcome {
             Outcome::Answered { answer } => (Some(Payload::clone(answer)), false),
@@ -283,9 +283,9 @@
     /// Returns the first non-idempotent stage that is not done.
     fn open_claim(&self, request: &Request) -> Option<StageIndex> {
         (request.stage()..request.stages.len()).find(|stage| {
-            self.lanes
+            self.backlogs
                 .get(&request.stages[*stage])
-                .is_some_and(|lane| !lane.pool.idempotent)
+                .is_some_and(|backlog| !backlog.pool.idempotent)
         })
     }
 
--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -173,10 +173,10 @@
             cost,
         };
         let pool = request.pool().clone();
-        let Some(lane) = self.lanes.get_mut(&pool) else {
+        let Some(backlog) = self.backlogs.get_mut(&pool) else {
             return;
         };
-        match lane.queue.push(item) {
+        match backlog.queue.push(item) {
             Ok(()) => {}
             Err(refused) if refused.key == request.key => {
                 self.give_up(turn, request, Reason::QueueFull);
@@ -195,7 +195,11 @@
         self.drop_infeasible(turn, pool);
         let mut passed = Vec::new();
         while passed.len() < PASSED_OVER {
-            let Some(item) = self.lanes.get_mut(pool).and_then(|lane| lane.queue.pop()) else {
+            let Some(item) = self
+                .backlogs
+                .get_mut(pool)
+                .and_then(|backlog| backlog.queue.pop())
+            else {
                 break;
             };
             let placed = self.with(&item.key, |entry, request| {
@@ -206,9 +210,9 @@
                 passed.push(item);
             }
         }
-        if let Some(lane) = self.lanes.get_mut(pool) {
+        if let Some(backlog) = self.backlogs.get_mut(pool) {
             for item in passed.into_iter().rev() {
-                lane.queue.restore(item);
+                backlog.queue.restore(item);
             }
         }
     }
--- a/policy/src/entry/mod.rs
+++ b/policy/src/entry/mod.rs
@@ -69,7 +69,7 @@
     rng: ChaCha8Rng,
     state: Daemon,
     table: Option<Arc<Table>>,
-    lanes: BTreeMap<PoolId, Lane>,
+    backlogs: BTreeMap<PoolId, Backlog>,
     router: Router,
     requests: HashMap<Key, Request>,
     attempts: HashMap<AttemptId, Key>,
@@ -88,7 +88,7 @@
 
 /// One pool with the stages that wait for it.
 #[derive(Debug)]
-struct Lane {
+struct Backlog {
     pool: Pool,
     queue: Queue,
 }
@@ -121,14 +121,14 @@
 impl Entry {
     /// Creates an entry that holds no table and knows no target.
     pub fn new(settings: Settings) -> Self {
-        let lanes = settings
+        let backlogs = settings
             .pools
             .iter()
             .map(|pool| {
                 let queue = Queue::new(settings.queue);
                 (
                     pool.name.clone(),
-                    Lane {
+                    Backlog {
                         pool: pool.clone(),
                         queue,
                     },
@@ -139,7 +139,7 @@
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             state: DAEMON.start(),
             table: None,
-            lanes,
+            backlogs,
             router: Router::new(settings.domain.clone(), &settings.pools)
                 .with_subset(settings.host.clone(), SUBSET_SIZE),
             requests: HashMap::new(),
@@ -218,9 +218,9 @@
 
     /// Returns the stages that wait, by pool.
     pub fn queued(&self) -> impl Iterator<Item = (&PoolId, usize)> {
-        self.lanes
+        self.backlogs
             .iter()
-            .map(|(name, lane)| (name, lane.queue.len()))
+            .map(|(name, backlog)| (name, backlog.queue.len()))
     }
 
     /// Returns the knowledge of the targets.
@@ -336,7 +336,10 @@
 
     /// Has the queues looked at again in which a stage waits.
     fn mark_waiting(&mut self) {
-        let waiting = self.lanes.iter().filter(|(_, lane)| !lane.queue.is_empty());
+        let waiting = self
+            .backlogs
+            .iter()
+            .filter(|(_, backlog)| !backlog.queue.is_empty());
         self.dirty.extend(waiting.map(|(name, _)| name.clone()));
     }
 
@@ -371,7 +374,9 @@
     /// A table whose pipeline names an unknown pool is refused before it gets here, and a request
     /// keeps the stages that it began with.
     fn pool(&self, request: &Request) -> Option<&Pool> {
-        self.lanes.get(request.pool()).map(|lane| &lane.pool)
+        self.backlogs
+            .get(request.pool())
+            .map(|backlog| &backlog.pool)
     }
 
     fn decide(
