Give the reports of targets what other control traffic leaves of 11 KB/s

Reports had a fixed budget of 8 KB/s, so that with the peer links of a large fleet (5.8 KB/s at 330 daemons, extrapolated) a daemon came to 14.6 KB/s, above the 11 KB/s that it may take. They now get what the links and the platform leave of 10.5 KB/s, at least 2 and at most 8 KB/s. Weighed: a lower fixed budget, which would make reports older in small fleets, where nothing needs it.

--- a/godwithinge/src/entry/report.rs
+++ b/godwithinge/src/entry/report.rs
@@ -6,17 +6,30 @@
 use super::{Daemon, poll, state::State};
 use policy::{
     Event,
+    allowance::Allowance,
     host::Host,
     id::{TargetId, Time},
     pool::Kind,
 };
+use prometheus::{
+    core::Collector,
+    proto::{LabelPair, MetricFamily},
+};
 use std::{collections::HashMap, time::Duration};
 use tokio::sync::mpsc;
 
 /// Time between the begin of two reads.
 const SPACING: Duration = Duration::from_millis(25);
-/// Bytes of reports that are read in a second at most, out of 11 KB a second for all control.
-const BYTES_PER_SECOND: f64 = 8e3;
+/// Bytes of control traffic in a second; a twentieth is left of the 11 KB that a daemon may take.
+const CONTROL_BYTES: f64 = 10.5e3;
+/// Bytes of reports in a second at least, whatever the other control traffic takes.
+const LEAST_BYTES: f64 = 2e3;
+/// Bytes of reports in a second at most.
+const MOST_BYTES: f64 = 8e3;
+/// Time between two looks at the other control traffic.
+const LOOK: Duration = Duration::from_secs(1);
+/// Kinds of traffic that are no control beside the reports: reports, claims and kept results.
+const OTHER_THAN: [&str; 4] = ["load", "cache", "platform_transactions", "platform_objects"];
 /// Reads of a target in use for each read of an idle one.
 const IDLE_FACTOR: u32 = 10;
 /// Longest time of reading a target's report.
@@ -48,17 +61,22 @@
     let mut reads: HashMap<TargetId, Read> = HashMap::new();
     let (sender, mut ended) = mpsc::unbounded_channel::<End>();
     let mut ticks = poll::ticks(SPACING);
-    let mut budget = BYTES_PER_SECOND;
+    let mut allowance = Allowance::new(CONTROL_BYTES, LEAST_BYTES, MOST_BYTES);
+    let mut looked = Time::ZERO;
     loop {
         ticks.tick().await;
-        budget = (budget + BYTES_PER_SECOND * SPACING.as_secs_f64()).min(BYTES_PER_SECOND);
+        let now = daemon.now();
+        if now >= looked + LOOK {
+            allowance.observe(now, daemon.other_control());
+            looked = now;
+        }
         while let Ok(end) = ended.try_recv() {
-            budget -= end.bytes as f64;
+            allowance.spend(end.bytes);
             let read = reads.entry(end.target).or_default();
             read.is_running = false;
             read.sequence = end.sequence.unwrap_or(read.sequence);
         }
-        if budget > 0.0
+        if allowance.is_open(now)
             && let Some((host, engine)) = daemon.due(&mut reads)
         {
             let after = engine.then(|| reads[&host.target].sequence);
@@ -159,6 +177,19 @@
         (Some(read.sequence), bytes)
     }
 
+    /// Returns the bytes of control traffic so far but for the reports.
+    fn other_control(&self) -> u64 {
+        let families = self.metrics().control_bytes.collect();
+        let metrics = families.iter().flat_map(MetricFamily::get_metric);
+        let others = metrics.filter(|metric| {
+            let mut kinds = metric.get_label().iter().map(LabelPair::value);
+            !kinds.any(|kind| OTHER_THAN.contains(&kind))
+        });
+        others
+            .map(|metric| metric.get_counter().get_value() as u64)
+            .sum()
+    }
+
     fn count_control(&self, kind: &str, bytes: usize) {
         let counter = &self.metrics().control_bytes;
         counter.with_label_values(&[kind]).inc_by(bytes as u64);
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! random number generator, so a session is a script of events and gives the same commands on
 //! each run.
 
+pub mod allowance;
 pub mod budget;
 pub mod ceiling;
 pub mod chart;
--- /dev/null
+++ b/policy/tests/allowance.rs
@@ -0,0 +1,34 @@
+//! Bytes that are left for the reports of targets.
+
+use policy::allowance::Allowance;
+use rstest::rstest;
+use std::time::Duration;
+
+const TOTAL: f64 = 11e3;
+const LEAST: f64 = 2e3;
+const MOST: f64 = 8e3;
+
+/// Reads of 417 bytes, as often as they may be, beside other traffic for two minutes.
+#[rstest]
+#[case::small_fleet(2500, MOST)]
+#[case::large_fleet(6000, TOTAL - 6000.0)]
+#[case::too_much_else(20_000, LEAST)]
+fn reports_take_what_is_left(#[case] others: u64, #[case] expected: f64) {
+    let mut allowance = Allowance::new(TOTAL, LEAST, MOST);
+    let mut bytes = 0;
+    for tick in 0..4800_u64 {
+        let now = Duration::from_millis(tick * 25);
+        if tick % 40 == 0 {
+            allowance.observe(now, others * tick / 40);
+        }
+        if allowance.is_open(now) {
+            allowance.spend(417);
+            bytes += if tick >= 2400 { 417 } else { 0 };
+        }
+    }
+    let rate = f64::from(bytes) / 60.0;
+    assert!(
+        (rate - expected).abs() < expected * 0.05,
+        "{rate} bytes a second"
+    );
+}
