Let a suspect payload wait at the peers instead of failing at once

Ruled out: two deaths of one payload. A payload with one death now waits until the entry that saw it clears or quarantines it, or its deadline; with two deaths it fails at once as before.

--- a/policy/src/entry/flow.rs
+++ b/policy/src/entry/flow.rs
@@ -206,7 +206,7 @@
                 request.state() != State::Waiting || entry.place(turn, request)
             });
             if placed == Some(false) {
-                self.note_wait(turn, &item.key);
+                self.with(&item.key, |entry, request| entry.log_wait(turn, request));
                 passed.push(item);
             }
         }
@@ -218,13 +218,11 @@
     }
 
     /// Logs that the current stage waits, once.
-    fn note_wait(&mut self, turn: &mut Turn<'_>, key: &Key) {
-        self.with(key, |entry, request| {
-            if !request.waited {
-                request.waited = true;
-                entry.decide(turn, request, Choice::Wait, None, Vec::new());
-            }
-        });
+    fn log_wait(&self, turn: &mut Turn<'_>, request: &mut Request) {
+        if !request.waited {
+            request.waited = true;
+            self.decide(turn, request, Choice::Wait, None, Vec::new());
+        }
     }
 
     /// Sends the current stage to a target or gives it up; `false` leaves it in the queue.
@@ -237,6 +235,11 @@
             self.quarantine(turn, request);
             return true;
         }
+        if self.is_barred(request.mark()) {
+            self.log_wait(turn, request);
+            self.pause(turn, request);
+            return true;
+        }
         if self.is_suspect(request) && !self.running(request.mark()).is_empty() {
             return false;
         }
--- a/policy/src/entry/isolation.rs
+++ b/policy/src/entry/isolation.rs
@@ -1,13 +1,14 @@
 //! Payloads that end the targets that run them.
 //!
 //! After a first death only the entry that saw it may run the payload again, alone on one target.
-//! All other entries bar the payload until they hear that it is cleared. A second death
+//! At all other entries the payload waits until they hear that it is cleared. A second death
 //! quarantines it everywhere, so that a payload costs the fleet at most two targets unless it
 //! runs at several entries before its first death is known.
 
 use super::{
     Entry, Turn,
     request::{Attempt, Request},
+    state::Step,
 };
 use crate::{
     command::{Command, Frame},
@@ -24,13 +25,15 @@
         matches!(self.poison.status(request.mark()), Status::Suspect { .. })
     }
 
-    /// Returns whether a payload may not run at this entry.
+    /// Returns whether a payload may run nowhere any more.
     pub(super) fn is_quarantined(&self, mark: BlockHash) -> bool {
-        match self.poison.status(mark) {
-            Status::Clear => false,
-            Status::Suspect { .. } => self.barred.contains(&mark),
-            Status::Quarantined => true,
-        }
+        matches!(self.poison.status(mark), Status::Quarantined)
+    }
+
+    /// Returns whether a suspect payload must wait until a peer has cleared it.
+    pub(super) fn is_barred(&self, mark: BlockHash) -> bool {
+        let is_suspect = matches!(self.poison.status(mark), Status::Suspect { .. });
+        is_suspect && self.barred.contains(&mark)
     }
 
     /// Ends a request whose payload may not run.
@@ -102,15 +105,22 @@
         self.withdraw(turn, mark);
     }
 
-    /// Ends the requests that run a payload that may not run here any more.
+    /// Takes a payload back that may not run here any more; a barred one waits.
     fn withdraw(&mut self, turn: &mut Turn<'_>, mark: BlockHash) {
-        if !self.is_quarantined(mark) {
+        let is_quarantined = self.is_quarantined(mark);
+        if !is_quarantined && !self.is_barred(mark) {
             return;
         }
         for key in self.running(mark) {
             self.with(&key, |entry, request| {
-                if entry.pool(request).is_some_and(|pool| pool.idempotent) {
+                if !entry.pool(request).is_some_and(|pool| pool.idempotent) {
+                    return;
+                }
+                if is_quarantined {
                     entry.quarantine(turn, request);
+                } else if request.step(Step::Retry) {
+                    entry.cancel_others(turn, request, None);
+                    entry.pause(turn, request);
                 }
             });
         }
