--- a/godwithinge/src/http/connection.rs
+++ b/godwithinge/src/http/connection.rs
@@ -12,6 +12,9 @@
 };
 use tokio::{net::TcpStream, task::AbortHandle, time};
 
+/// Time before the other side closes an idle connection at which it is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(500); // the limit is in whole seconds
+
 /// One connection, closed when it is dropped.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -19,6 +22,8 @@
     driver: AbortHandle,
     requests: u64,
     answered: Option<Instant>,
+    /// How long the other side keeps the connection open while it is idle.
+    idle_limit: Option<Duration>,
 }
 
 /// Failed sending of a request.
@@ -50,6 +55,7 @@
             driver: driver.abort_handle(),
             requests: 0,
             answered: None,
+            idle_limit: None,
         })
     }
 
@@ -81,6 +87,20 @@
         self.answered = Some(Instant::now());
     }
 
+    /// Notes how long the other side keeps the connection open while it is idle.
+    pub(super) fn set_idle_limit(&mut self, limit: Duration) {
+        self.idle_limit = Some(limit);
+    }
+
+    /// Returns whether the connection is open and the other side has no reason to close it.
+    pub(super) fn is_usable(&self) -> bool {
+        let is_expired = match (self.idle_limit, self.answered) {
+            (Some(limit), Some(answered)) => answered.elapsed() + IDLE_MARGIN >= limit,
+            _ => false,
+        };
+        self.is_open() && !is_expired
+    }
+
     /// Returns whether the connection has answered since `time`.
     pub(super) fn answered_since(&self, time: Option<Instant>) -> bool {
         time.is_none_or(|time| self.answered > Some(time))
--- a/godwithinge/src/http/mod.rs
+++ b/godwithinge/src/http/mod.rs
@@ -123,7 +123,7 @@
             connections,
             silent_at,
         } = idle.get_mut(address)?;
-        connections.retain(Connection::is_open);
+        connections.retain(Connection::is_usable);
         match reuse {
             Reuse::Newest => connections.pop_if(|last| last.answered_since(*silent_at)),
             Reuse::Oldest if connections.is_empty() => None,
@@ -151,6 +151,9 @@
 const REQUEST_LEN: usize = "GET  HTTP/1.1\r\nhost: \r\n\r\n".len();
 
 fn set_host(request: &mut Request, address: &str) {
+    if request.headers().contains_key(header::HOST) {
+        return;
+    }
     if let Ok(host) = HeaderValue::from_str(address) {
         request.headers_mut().insert(header::HOST, host);
     }
--- a/godwithinge/src/http/response.rs
+++ b/godwithinge/src/http/response.rs
@@ -22,6 +22,7 @@
     pool: Pool,
     address: CompactString,
     reused: bool,
+    is_condemned: bool,
 }
 
 impl Response {
@@ -32,6 +33,10 @@
         address: &str,
     ) -> Self {
         let (head, body) = response.into_parts();
+        let mut connection = connection;
+        if let Some(limit) = idle_limit(&head.headers) {
+            connection.set_idle_limit(limit);
+        }
         Self {
             head,
             body,
@@ -39,6 +44,7 @@
             connection: Some(connection),
             pool,
             address: address.into(),
+            is_condemned: false,
         }
     }
 
@@ -64,6 +70,11 @@
         self.reused
     }
 
+    /// Lets the connection close once the response has been read.
+    pub fn condemn(&mut self) {
+        self.is_condemned = true;
+    }
+
     /// Returns the time of the header `retry-after`, which is in whole seconds.
     pub fn retry_after(&self) -> Option<Duration> {
         let value = self.headers().get(header::RETRY_AFTER)?;
@@ -111,8 +122,18 @@
 
     /// Returns the connection to the pool.
     fn finish(&mut self) {
-        if let Some(connection) = self.connection.take() {
+        if let Some(connection) = self.connection.take()
+            && !self.is_condemned
+        {
             self.pool.put(&self.address, connection);
         }
     }
 }
+
+/// Returns the time for which the other side keeps an idle connection, which is in whole seconds.
+fn idle_limit(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parameters = value.split(',').map(str::trim);
+    let seconds = parameters.find_map(|parameter| parameter.strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.parse().ok()?))
+}
--- a/godwithinge/src/lib.rs
+++ b/godwithinge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod peer;
 pub mod planner;
 pub mod platform;
+pub mod relay;
 pub mod settings;
 pub mod table;
 pub mod target;
--- a/godwithinge/src/log/mod.rs
+++ b/godwithinge/src/log/mod.rs
@@ -1,6 +1,7 @@
 //! Logs: one stream of JSON lines.
 
 mod bridge;
+mod ring;
 
 use slog::{Drain, Logger};
 use std::{fmt, io};
@@ -48,6 +49,29 @@
     begun.map_err(|_cause| Begun)
 }
 
+/// Begins to write JSON lines to standard output without ever waiting for its reader.
+///
+/// Lines that the reader is too slow for are dropped and counted.
+///
+/// # Errors
+///
+/// Fails if the process logs already.
+pub fn init_bounded() -> Result<(), Begun> {
+    let filter = EnvFilter::try_from_env(FILTER_VARIABLE)
+        .unwrap_or_else(|_absent| EnvFilter::new(DEFAULT_FILTER));
+    let ring = ring::Ring::start(io::stdout());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_current_span(false)
+        .with_span_list(false)
+        .with_env_filter(filter)
+        .with_writer(move || ring.clone())
+        .try_init()
+        .map_err(|_cause| Begun)
+}
+
 /// Returns a logger for dropshot whose lines join the stream.
 pub fn logger() -> Logger {
     Logger::root(bridge::Bridge.fuse(), slog::o!())
--- /dev/null
+++ b/godwithinge/src/relay/conduct.rs
@@ -0,0 +1,465 @@
+//! Has the stages of requests made through the fleet's conductor.
+//!
+//! One daemon conducts for all, named by rendezvous hashing over those that are linked. When it is
+//! lost, the orders that it held are placed with the next one; pieces may be made again.
+
+use super::{
+    dialect::Call,
+    event,
+    link::{Frame, Origin},
+    outcome::Reason,
+    state::Relay,
+};
+use crate::http::{Error, Reuse};
+use compact_str::CompactString;
+use futures::channel::oneshot;
+use http::StatusCode;
+use http_body_util::Full;
+use policy::{
+    hash,
+    id::{DomainId, HostId, RequestId, TargetId},
+    relay::{
+        board::{Board, Command, Handle, Item, Job, JobId, Need, Refusal, Reply},
+        plan::Plan,
+        roster::Change,
+    },
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::time;
+
+/// Number of the daemon itself among the origins of jobs.
+const OWN: Origin = 0;
+/// Period in which the board looks for what is overdue.
+const TICK: Duration = Duration::from_millis(25); // a tenth of a call
+/// Longest answer of a stage target in bytes.
+const MAX_ANSWER: usize = 256 << 10; // a batch of some hundred handles
+/// Longest time of freeing results; they lapse by themselves.
+const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Stages of one request, with times from now on.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct Order {
+    pub request: RequestId,
+    pub key: CompactString,
+    pub priority: u8,
+    /// Time until the first event is due for its full worth.
+    pub aim: Duration,
+    /// Time until the caller leaves.
+    pub due: Duration,
+    /// Time from the last result to the first event.
+    pub tail: Duration,
+    pub stages: Vec<Need>,
+}
+
+/// Results of all stages of a request; given back when this is dropped.
+#[derive(Debug)]
+pub(super) struct Results {
+    pub handles: Vec<Handle>,
+    /// Domain that holds large results.
+    pub domain: Option<DomainId>,
+    _lease: Lease,
+}
+
+/// Why the stages are not made.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Refused {
+    pub reason: Reason,
+    pub retry_after: Duration,
+}
+
+type Verdict = Result<(Vec<Handle>, Option<DomainId>), Refused>;
+
+/// Gives an order's job back when it is dropped.
+#[derive(Debug)]
+struct Lease {
+    relay: Rc<Relay>,
+    number: u64,
+}
+
+/// An order that was placed.
+#[derive(Debug)]
+struct Placed {
+    order: Order,
+    at: Instant,
+    place: Place,
+    verdict: Option<oneshot::Sender<Verdict>>,
+}
+
+/// Who conducts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Place {
+    Own,
+    Peer(HostId),
+}
+
+/// Orders of this daemon, and the board for when it conducts.
+#[derive(Debug)]
+pub(super) struct Conductor {
+    board: RefCell<Board>,
+    placed: RefCell<HashMap<u64, Placed>>,
+    next: Cell<u64>,
+}
+
+impl Conductor {
+    pub fn new() -> Self {
+        Self {
+            board: RefCell::new(Board::new()),
+            placed: RefCell::default(),
+            next: Cell::new(0),
+        }
+    }
+
+    pub fn set_plan(&self, relay: &Rc<Relay>, plan: &Plan) {
+        self.with_board(relay, |board, _, _| board.set_plan(plan));
+    }
+
+    pub fn change(&self, relay: &Rc<Relay>, change: &Change) {
+        self.with_board(relay, |board, now, out| {
+            board.change(change);
+            board.poll(now, out);
+        });
+    }
+
+    /// Has the board act, then does what it commands.
+    fn with_board(
+        &self,
+        relay: &Rc<Relay>,
+        act: impl FnOnce(&mut Board, Duration, &mut Vec<Command>),
+    ) {
+        let mut commands = Vec::new();
+        act(&mut self.board.borrow_mut(), relay.now(), &mut commands);
+        for command in commands {
+            relay.obey(command);
+        }
+    }
+}
+
+/// Polls the board until the process ends.
+pub(super) async fn tick(relay: Rc<Relay>) {
+    loop {
+        time::sleep(TICK).await;
+        if relay.conductor.board.borrow().unfinished() > 0 {
+            relay.conductor.with_board(&relay, Board::poll);
+        }
+    }
+}
+
+impl Relay {
+    /// Has the stages of a request made.
+    pub(super) async fn conduct(self: &Rc<Self>, order: Order) -> Result<Results, Refused> {
+        let number = self.conductor.next.get();
+        self.conductor.next.set(number + 1);
+        let (sender, verdict) = oneshot::channel();
+        let lease = Lease {
+            relay: Rc::clone(self),
+            number,
+        };
+        let placed = Placed {
+            order,
+            at: Instant::now(),
+            place: Place::Own,
+            verdict: Some(sender),
+        };
+        self.conductor.placed.borrow_mut().insert(number, placed);
+        self.place(number);
+        let lost = Refused {
+            reason: Reason::StagesFailed,
+            retry_after: Duration::ZERO,
+        };
+        let (handles, domain) = verdict.await.unwrap_or(Err(lost))?;
+        Ok(Results {
+            handles,
+            domain,
+            _lease: lease,
+        })
+    }
+
+    /// Places an order with the daemon that conducts now.
+    fn place(self: &Rc<Self>, number: u64) {
+        let mut placed = self.conductor.placed.borrow_mut();
+        let Some(entry) = placed.get_mut(&number) else {
+            return;
+        };
+        let waited = entry.at.elapsed();
+        let mut order = entry.order.clone();
+        order.aim = order.aim.saturating_sub(waited);
+        order.due = order.due.saturating_sub(waited);
+        entry.place = self.conducting();
+        if let Place::Peer(host) = &entry.place {
+            let frame = Frame::Submit {
+                number,
+                order: order.clone(),
+            };
+            if self.links.send(host, frame) {
+                return;
+            }
+            entry.place = Place::Own;
+        }
+        drop(placed);
+        self.take_order(OWN, number, order);
+    }
+
+    /// Returns who conducts: by rendezvous hashing, larger daemons more often.
+    fn conducting(&self) -> Place {
+        let settings = self.settings();
+        let own = (weight(&settings.host, settings.cpu), Place::Own);
+        let mut best = if self.is_leaving() {
+            (f64::NEG_INFINITY, Place::Own)
+        } else {
+            own
+        };
+        self.links.each(|peer| {
+            let weight = weight(&peer.profile.host, peer.profile.cpu);
+            if !peer.is_leaving && weight > best.0 {
+                best = (weight, Place::Peer(peer.profile.host.clone()));
+            }
+        });
+        best.1
+    }
+
+    /// Takes an order of this daemon or of a peer.
+    pub(super) fn take_order(self: &Rc<Self>, origin: Origin, number: u64, order: Order) {
+        let now = self.now();
+        let job = Job {
+            id: JobId { origin, number },
+            request: order.request,
+            key: order.key,
+            priority: order.priority,
+            aim: now + order.aim,
+            due: now + order.due,
+            tail: order.tail,
+            stages: order.stages,
+        };
+        self.conductor
+            .with_board(self, |board, now, out| board.submit(now, job, out));
+    }
+
+    pub(super) fn take_release(self: &Rc<Self>, origin: Origin, number: u64) {
+        let id = JobId { origin, number };
+        self.conductor
+            .with_board(self, |board, now, out| board.release(now, id, out));
+    }
+
+    pub(super) fn take_ready(
+        &self,
+        number: u64,
+        handles: Vec<Handle>,
+        domain: Option<DomainId>,
+    ) {
+        self.decide(number, Ok((handles, domain)));
+    }
+
+    pub(super) fn take_refused(&self, number: u64, reason: u8, retry_after: Duration) {
+        let reason = match reason {
+            BACKLOG => Reason::Backlog,
+            LATE => Reason::Late,
+            NO_TARGET => Reason::NoTarget,
+            _ => Reason::StagesFailed,
+        };
+        self.decide(
+            number,
+            Err(Refused {
+                reason,
+                retry_after,
+            }),
+        );
+    }
+
+    fn decide(&self, number: u64, verdict: Verdict) {
+        let mut placed = self.conductor.placed.borrow_mut();
+        let waiting = placed.get_mut(&number).and_then(|entry| entry.verdict.take());
+        if let Some(waiting) = waiting {
+            // The request may have been given up meanwhile.
+            drop(waiting.send(verdict));
+        }
+    }
+
+    /// Forgets the jobs of a link that ended, and places anew what its daemon conducted.
+    pub(super) fn lose_origin(self: &Rc<Self>, origin: Origin, host: Option<&HostId>) {
+        self.conductor
+            .with_board(self, |board, now, out| board.release_origin(now, origin, out));
+        let Some(host) = host else {
+            return;
+        };
+        let orphans: Vec<u64> = {
+            let placed = self.conductor.placed.borrow();
+            let orphans = placed.iter().filter(|(_, entry)| {
+                entry.verdict.is_some() && entry.place == Place::Peer(host.clone())
+            });
+            orphans.map(|(number, _)| *number).collect()
+        };
+        if !orphans.is_empty() {
+            tracing::info!(%host, orders = orphans.len(), "conductor lost; orders placed anew");
+        }
+        for number in orphans {
+            self.place(number);
+        }
+    }
+
+    fn obey(self: &Rc<Self>, command: Command) {
+        match command {
+            Command::Call {
+                call,
+                target,
+                address,
+                items,
+                within,
+            } => {
+                let relay = Rc::clone(self);
+                tokio::task::spawn_local(async move {
+                    let reply = relay.make(&target, &address, &items, within).await;
+                    relay.conductor.with_board(&relay, |board, now, out| {
+                        board.reply(now, call, reply, out);
+                    });
+                });
+            }
+            Command::Ready {
+                job,
+                handles,
+                domain,
+            } => match job.origin {
+                OWN => self.take_ready(job.number, handles, domain),
+                origin => self.links.reply(
+                    origin,
+                    Frame::Ready {
+                        number: job.number,
+                        handles,
+                        domain,
+                    },
+                ),
+            },
+            Command::Refuse {
+                job,
+                reason,
+                retry_after,
+            } => {
+                event::job_refused(job, reason, retry_after);
+                let reason = code(reason);
+                match job.origin {
+                    OWN => self.take_refused(job.number, reason, retry_after),
+                    origin => self.links.reply(
+                        origin,
+                        Frame::Refused {
+                            number: job.number,
+                            reason,
+                            retry_after,
+                        },
+                    ),
+                }
+            }
+            Command::Free { address, handles } => {
+                let relay = Rc::clone(self);
+                tokio::task::spawn_local(async move { relay.free(&address, &handles).await });
+            }
+        }
+    }
+
+    /// Calls a stage target.
+    async fn make(
+        &self,
+        target: &TargetId,
+        address: &str,
+        items: &[Item],
+        within: Duration,
+    ) -> Reply {
+        let begun = Instant::now();
+        let call = self.dialect.make(items);
+        let headers = self.dialect.make_headers(target);
+        let exchange = time::timeout(within, self.exchange(address, call, headers)).await;
+        let reply = match exchange.unwrap_or(Err(Error::Silent)) {
+            Ok((StatusCode::OK, _, body)) => match self.dialect.made(&body) {
+                Ok(items) => Reply::Items(items),
+                Err(fault) => {
+                    tracing::warn!(target_id = %target, %fault, "answer of a stage target");
+                    Reply::Lost
+                }
+            },
+            Ok((StatusCode::MISDIRECTED_REQUEST, ..)) => Reply::Replaced,
+            Ok((_, true, _)) => Reply::Full,
+            Ok((_, false, _)) => Reply::Lost,
+            Err(Error::Connect(_)) => Reply::Unreached,
+            Err(Error::Broken(_) | Error::Silent | Error::TooLong) => Reply::Lost,
+        };
+        let result = event::stage_call(target, items.len(), begun.elapsed(), &reply);
+        let pool = self.roster().all().find(|one| one.id == *target).map(|one| one.pool.clone());
+        let labels = [pool.as_deref().unwrap_or("gone"), result];
+        self.metrics.calls.with_label_values(&labels).inc();
+        self.metrics.pieces.inc_by(items.len() as u64);
+        reply
+    }
+
+    /// Returns the status, whether the target says that it ran nothing, and the body.
+    async fn exchange(
+        &self,
+        address: &str,
+        call: Call,
+        headers: http::HeaderMap,
+    ) -> Result<(StatusCode, bool, bytes::Bytes), Error> {
+        let mut request = http::Request::new(Full::new(call.body));
+        *request.method_mut() = call.method;
+        *request.headers_mut() = headers;
+        let uri = call.path.parse();
+        *request.uri_mut() = uri.map_err(|_malformed| Error::TooLong)?;
+        let response = self.pool.send(address, request, Reuse::Newest).await?;
+        let status = response.status();
+        let mark = self.dialect.mark(status, response.headers());
+        let body = response.bytes(MAX_ANSWER).await?;
+        Ok((status, mark.is_not_run, body))
+    }
+
+    async fn free(&self, address: &str, handles: &[Handle]) {
+        let call = self.dialect.free(handles);
+        let headers = self.dialect.free_headers();
+        let freed = time::timeout(FREE_TIMEOUT, self.exchange(address, call, headers)).await;
+        match freed {
+            Ok(Ok((StatusCode::OK, ..))) => {}
+            Ok(Ok((status, ..))) => tracing::debug!(address, %status, "results not freed"),
+            Ok(Err(fault)) => tracing::debug!(address, %fault, "results not freed"),
+            Err(_elapsed) => tracing::debug!(address, "results not freed in time"),
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let placed = self.relay.conductor.placed.borrow_mut().remove(&self.number);
+        match placed.map(|entry| entry.place) {
+            Some(Place::Own) => self.relay.take_release(OWN, self.number),
+            Some(Place::Peer(host)) => {
+                let number = self.number;
+                self.relay.links.send(&host, Frame::Release { number });
+            }
+            None => {}
+        }
+    }
+}
+
+const BACKLOG: u8 = 0;
+const LATE: u8 = 1;
+const FAILED: u8 = 2;
+const NO_TARGET: u8 = 3;
+
+/// Returns the number of a refusal in frames.
+fn code(refusal: Refusal) -> u8 {
+    match refusal {
+        Refusal::Backlog => BACKLOG,
+        Refusal::Late => LATE,
+        Refusal::Failed => FAILED,
+        Refusal::NoTarget => NO_TARGET,
+    }
+}
+
+/// Returns the weight of a daemon in weighted rendezvous hashing.
+fn weight(host: &str, cpu: f64) -> f64 {
+    const STEPS: u64 = 1 << 52;
+    let drawn = hash::texts(&["conductor", host]) % STEPS;
+    let drawn = (drawn as f64 + 1.0) / (STEPS as f64 + 1.0);
+    // Squared, since a small daemon would bind the whole fleet.
+    -(cpu * cpu) / drawn.ln()
+}
--- /dev/null
+++ b/godwithinge/src/relay/event.rs
@@ -0,0 +1,107 @@
+//! Log lines of decisions, each with what decided it.
+
+use http::StatusCode;
+use policy::{
+    id::TargetId,
+    relay::board::{JobId, Refusal, Reply},
+};
+use std::time::Duration;
+
+/// A request that got its final answer, or whose caller left.
+#[derive(Clone, Debug)]
+pub(super) struct End<'a> {
+    pub request: &'a str,
+    pub route: &'a str,
+    pub workspace: &'a str,
+    pub status: Option<StatusCode>,
+    pub reason: &'a str,
+    pub target: &'a str,
+    pub sends: u32,
+    pub stages: Duration,
+    pub first: Option<Duration>,
+    pub total: Duration,
+    pub left: Duration,
+    pub retry_after: Option<Duration>,
+    pub revision: u64,
+}
+
+/// Logs the end of a request.
+pub(super) fn request_ended(end: &End<'_>) {
+    let status = end.status.map_or(0, |status| status.as_u16());
+    tracing::info!(
+        request = end.request,
+        route = end.route,
+        workspace = end.workspace,
+        status,
+        reason = end.reason,
+        target_id = end.target,
+        sends = end.sends,
+        stages_ms = millis(end.stages),
+        first_ms = end.first.map(millis),
+        total_ms = millis(end.total),
+        left_ms = millis(end.left),
+        retry_after_ms = end.retry_after.map(millis),
+        revision = end.revision,
+        "request ended"
+    );
+}
+
+/// Logs a send that gave no answer to pass on.
+pub(super) fn send_failed(request: &str, target: &TargetId, result: &str, taken: Duration, next: &str) {
+    tracing::info!(
+        request,
+        target_id = %target,
+        result,
+        taken_ms = millis(taken),
+        next,
+        "send failed"
+    );
+}
+
+/// Logs a job that the board gave up.
+pub(super) fn job_refused(job: JobId, reason: Refusal, retry_after: Duration) {
+    tracing::info!(
+        origin = job.origin,
+        number = job.number,
+        %reason,
+        retry_after_ms = millis(retry_after),
+        "stages refused"
+    );
+}
+
+/// Logs a call to a stage target, and returns the name of its result.
+pub(super) fn stage_call(
+    target: &TargetId,
+    pieces: usize,
+    taken: Duration,
+    reply: &Reply,
+) -> &'static str {
+    let result = match reply {
+        Reply::Items(_) => "made",
+        Reply::Full => "full",
+        Reply::Unreached => "unreached",
+        Reply::Lost => "lost",
+        Reply::Replaced => "replaced",
+    };
+    let failed = match reply {
+        Reply::Items(items) => items.iter().filter(|item| item.is_err()).count(),
+        _ => pieces,
+    };
+    if failed > 0 {
+        let why = match reply {
+            Reply::Items(items) => items.iter().find_map(|item| item.as_ref().err()),
+            _ => None,
+        };
+        tracing::info!(
+            target_id = %target, pieces, failed, result, why = why.map(|why| -> &str { why.into() }),
+            taken_ms = millis(taken), "stage call"
+        );
+    } else {
+        tracing::debug!(target_id = %target, pieces, taken_ms = millis(taken), "stage call");
+    }
+    result
+}
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- /dev/null
+++ b/godwithinge/src/relay/link.rs
@@ -0,0 +1,555 @@
+//! Links between daemons.
+//!
+//! Every daemon is linked to every other one by a WebSocket that carries CBOR frames. Beats show
+//! who lives; their period grows with the number of links, so that their cost stays the same.
+
+use super::{
+    conduct::Order,
+    dialect::{Row, Table},
+    settings::Settings,
+    state::Relay,
+};
+use compact_str::CompactString;
+use futures::{SinkExt, StreamExt};
+use policy::{
+    id::{DomainId, HostId, Incarnation},
+    relay::{board::Handle, crash::Mark},
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    error, fmt, io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time,
+};
+use tokio_tungstenite::{
+    WebSocketStream, accept_async_with_config, client_async_with_config,
+    tungstenite::{self, Message, protocol::WebSocketConfig},
+};
+
+/// Shortest period of beats.
+const MIN_BEAT: Duration = Duration::from_millis(250); // a frozen conductor is missed within a second
+/// Period of beats for each link; forty beats a second in all cost some parts in a thousand of a core.
+const BEAT_PER_LINK: Duration = Duration::from_millis(25);
+/// Periods without a frame after which a link is dead.
+const DEAD_BEATS: u32 = 3;
+/// Time beside [`DEAD_BEATS`] for daemons that are given no processor time for a while.
+const DEAD_SLACK: Duration = Duration::from_millis(350);
+/// Longest time of opening a link.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(1); // rounds trips take milliseconds
+/// First pause before an address is dialled again.
+const FIRST_REDIAL: Duration = Duration::from_millis(200);
+/// Longest pause before an address is dialled again.
+const MAX_REDIAL: Duration = Duration::from_secs(3);
+/// Time for which the daemon with the higher address waits for the other one to dial.
+const YIELD: Duration = Duration::from_millis(1_000);
+/// Largest frame in bytes; a configuration of some hundred routes has 200 kB.
+const MAX_FRAME: usize = 8 << 20;
+/// Memory that a link sets aside for reading, in bytes.
+const READ_BUFFER: usize = 4 << 10;
+/// Most frames that wait for one link; a peer that reads none is dead.
+const MAX_QUEUED: usize = 4_096;
+
+/// Number of a link, never used twice in one process; 0 is the daemon itself.
+pub(super) type Origin = u64;
+
+/// What daemons tell each other of themselves.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(super) struct Profile {
+    pub host: HostId,
+    pub domain: DomainId,
+    /// Address for callers.
+    pub front: SocketAddr,
+    /// Address for daemons.
+    pub link: SocketAddr,
+    /// Share of a core.
+    pub cpu: f64,
+    pub incarnation: Incarnation,
+}
+
+/// Row of a table as daemons hand it on.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct Handed {
+    key: CompactString,
+    #[serde(with = "serde_bytes_vec")]
+    value: Vec<u8>,
+    version: u64,
+}
+
+/// What goes over a link.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) enum Frame {
+    /// First frame of each end, with the other daemons that it knows.
+    Hello {
+        profile: Profile,
+        known: Vec<SocketAddr>,
+    },
+    /// The sender lives.
+    Beat {
+        /// Version of its configuration, 0 for none.
+        plan: u64,
+        is_leaving: bool,
+    },
+    /// The sender's configuration is older than the receiver's.
+    WantPlan,
+    /// A configuration.
+    Plan(Handed),
+    /// Stages to be made.
+    Submit { number: u64, order: Order },
+    /// A job's results are no longer wanted.
+    Release { number: u64 },
+    /// All stages of a job are made.
+    Ready {
+        number: u64,
+        handles: Vec<Handle>,
+        domain: Option<DomainId>,
+    },
+    /// A job is given up.
+    Refused {
+        number: u64,
+        reason: u8,
+        retry_after: Duration,
+    },
+    /// A target died while it ran a payload.
+    Death(Mark),
+}
+
+mod serde_bytes_vec {
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(bytes)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+        let value = ciborium::Value::deserialize(deserializer)?;
+        value
+            .into_bytes()
+            .map_err(|_other| serde::de::Error::custom("not a string of bytes"))
+    }
+}
+
+/// Failure of a link.
+#[derive(Debug)]
+pub(super) enum Error {
+    /// It could not be opened.
+    Open(io::Error),
+    /// It broke.
+    Socket(Box<tungstenite::Error>),
+    /// A frame can't be read.
+    Frame,
+    /// The other end closed it.
+    Closed,
+    /// Nothing came for too long.
+    Silent,
+    /// The other end is this daemon, or is linked already.
+    Needless,
+}
+
+/// A daemon that is linked.
+#[derive(Debug)]
+pub(super) struct Peer {
+    pub profile: Profile,
+    pub origin: Origin,
+    pub is_leaving: bool,
+    sender: mpsc::Sender<Frame>,
+    heard: Instant,
+}
+
+/// Links to all daemons that are known.
+#[derive(Debug)]
+pub(super) struct Links {
+    own: SocketAddr,
+    peers: RefCell<HashMap<HostId, Peer>>,
+    /// Addresses that are known, with the time of the next dial.
+    known: RefCell<HashMap<SocketAddr, Dial>>,
+    origins: Cell<Origin>,
+}
+
+#[derive(Debug)]
+struct Dial {
+    next: Instant,
+    failures: u32,
+    is_open: bool,
+}
+
+impl Links {
+    pub fn new(settings: &Settings) -> Self {
+        let links = Self {
+            own: settings.link,
+            peers: RefCell::default(),
+            known: RefCell::default(),
+            origins: Cell::new(0),
+        };
+        links.learn(settings.seeds.iter().copied());
+        links
+    }
+
+    /// Adds addresses of daemons.
+    pub fn learn(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let mut known = self.known.borrow_mut();
+        for address in addresses {
+            if address == self.own {
+                continue;
+            }
+            let wait = if self.own < address { Duration::ZERO } else { YIELD };
+            known.entry(address).or_insert_with(|| Dial {
+                next: Instant::now() + wait,
+                failures: 0,
+                is_open: false,
+            });
+        }
+    }
+
+    /// Returns how many daemons are linked.
+    pub fn count(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
+    /// Calls `act` with each daemon that is linked.
+    pub fn each(&self, mut act: impl FnMut(&Peer)) {
+        self.peers.borrow().values().for_each(&mut act);
+    }
+
+    /// Queues a frame for a daemon and returns whether it is linked.
+    pub fn send(&self, host: &str, frame: Frame) -> bool {
+        let peers = self.peers.borrow();
+        let peer = peers.get(host);
+        peer.is_some_and(|peer| peer.sender.try_send(frame).is_ok())
+    }
+
+    /// Queues a frame for the daemon at the other end of a link.
+    pub fn reply(&self, origin: Origin, frame: Frame) {
+        let peers = self.peers.borrow();
+        let peer = peers.values().find(|peer| peer.origin == origin);
+        if let Some(peer) = peer
+            && let Err(fault) = peer.sender.try_send(frame)
+        {
+            tracing::warn!(host = %peer.profile.host, %fault, "frame for a peer dropped");
+        }
+    }
+
+    /// Queues a frame for all daemons.
+    pub fn broadcast(&self, frame: &Frame) {
+        self.each(|peer| {
+            if let Err(fault) = peer.sender.try_send(frame.clone()) {
+                tracing::warn!(host = %peer.profile.host, %fault, "frame for a peer dropped");
+            }
+        });
+    }
+
+    fn beat_period(&self) -> Duration {
+        (BEAT_PER_LINK * self.count() as u32).max(MIN_BEAT)
+    }
+
+    fn next_origin(&self) -> Origin {
+        self.origins.set(self.origins.get() + 1);
+        self.origins.get()
+    }
+
+    /// Returns addresses to be dialled now.
+    fn due(&self) -> Vec<SocketAddr> {
+        let linked: HashSet<SocketAddr> = {
+            let peers = self.peers.borrow();
+            peers.values().map(|peer| peer.profile.link).collect()
+        };
+        let now = Instant::now();
+        let mut known = self.known.borrow_mut();
+        let due = known.iter_mut().filter(|(address, dial)| {
+            dial.next <= now && !dial.is_open && !linked.contains(*address)
+        });
+        due.map(|(address, dial)| {
+            dial.is_open = true;
+            *address
+        })
+        .collect()
+    }
+
+    /// Notes the end of a dialled link.
+    fn note_end(&self, address: SocketAddr, was_open: bool) {
+        if let Some(dial) = self.known.borrow_mut().get_mut(&address) {
+            dial.failures = if was_open { 0 } else { dial.failures + 1 };
+            let pause = FIRST_REDIAL * 2_u32.saturating_pow(dial.failures.min(8));
+            dial.next = Instant::now() + pause.min(MAX_REDIAL);
+            dial.is_open = false;
+        }
+    }
+}
+
+/// Period in which addresses are looked over.
+const DIAL_PERIOD: Duration = Duration::from_millis(200); // the first pause before a dial
+
+/// Dials daemons until the process ends.
+pub(super) async fn dial(relay: Rc<Relay>) {
+    loop {
+        for address in relay.links.due() {
+            let relay = Rc::clone(&relay);
+            tokio::task::spawn_local(async move {
+                let result = open(&relay, address).await;
+                let was_open = matches!(
+                    result,
+                    Err(Error::Closed | Error::Silent | Error::Socket(_) | Error::Needless)
+                );
+                relay.links.note_end(address, was_open);
+            });
+        }
+        time::sleep(DIAL_PERIOD).await;
+    }
+}
+
+/// Takes links of other daemons until the process ends.
+pub(super) async fn listen(relay: Rc<Relay>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let relay = Rc::clone(&relay);
+                tokio::task::spawn_local(async move {
+                    let accept = accept_async_with_config(stream, Some(config()));
+                    if let Ok(Ok(socket)) = time::timeout(OPEN_TIMEOUT, accept).await {
+                        // The end of a link is logged where it is unlinked.
+                        drop(talk(&relay, socket).await);
+                    }
+                });
+            }
+            Err(fault) => {
+                tracing::warn!(%fault, "link could not be accepted");
+                time::sleep(DIAL_PERIOD).await;
+            }
+        }
+    }
+}
+
+async fn open(relay: &Rc<Relay>, address: SocketAddr) -> Result<(), Error> {
+    let connect = async {
+        let stream = TcpStream::connect(address).await.map_err(Error::Open)?;
+        stream.set_nodelay(true).map_err(Error::Open)?;
+        let url = format!("ws://{address}/");
+        let opened = client_async_with_config(url, stream, Some(config())).await;
+        let (socket, _) = opened.map_err(|cause| Error::Socket(Box::new(cause)))?;
+        Ok(socket)
+    };
+    let socket = time::timeout(OPEN_TIMEOUT, connect).await;
+    let socket = socket.unwrap_or(Err(Error::Open(io::ErrorKind::TimedOut.into())))?;
+    talk(relay, socket).await
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER)
+        .max_message_size(Some(MAX_FRAME))
+        .max_frame_size(Some(MAX_FRAME))
+}
+
+/// Exchanges frames until the link ends.
+async fn talk(relay: &Rc<Relay>, mut socket: WebSocketStream<TcpStream>) -> Result<(), Error> {
+    let mut known: Vec<SocketAddr> = relay.links.known.borrow().keys().copied().collect();
+    known.truncate(MAX_KNOWN);
+    let hello = Frame::Hello {
+        profile: relay.profile(),
+        known,
+    };
+    send(&mut socket, &hello).await?;
+    let first = time::timeout(OPEN_TIMEOUT, receive(&mut socket)).await;
+    let Frame::Hello { profile, known } = first.unwrap_or(Err(Error::Silent))? else {
+        return Err(Error::Frame);
+    };
+    relay.links.learn(known);
+    relay.links.learn([profile.link]);
+    let host = profile.host.clone();
+    let (origin, mut frames) = relay.link(profile)?;
+    let end = exchange(relay, &mut socket, &host, origin, &mut frames).await;
+    let fault = end.as_ref().err().map(ToString::to_string);
+    relay.unlink(&host, origin, fault.as_deref().unwrap_or_default());
+    end
+}
+
+/// Most addresses that a daemon tells another one.
+const MAX_KNOWN: usize = 512; // above the 330 daemons of the largest plan
+
+async fn exchange(
+    relay: &Rc<Relay>,
+    socket: &mut WebSocketStream<TcpStream>,
+    host: &HostId,
+    origin: Origin,
+    frames: &mut mpsc::Receiver<Frame>,
+) -> Result<(), Error> {
+    let mut beat = Instant::now();
+    loop {
+        let period = relay.links.beat_period();
+        let heard = relay.links.peers.borrow().get(host).map(|peer| peer.heard);
+        let heard = heard.ok_or(Error::Needless)?;
+        let dead = heard + period * DEAD_BEATS + DEAD_SLACK;
+        tokio::select! {
+            frame = receive(socket) => relay.take_frame(host, origin, frame?),
+            frame = frames.recv() => {
+                let frame = frame.ok_or(Error::Needless)?;
+                let sent = time::timeout(OPEN_TIMEOUT, send(socket, &frame)).await;
+                sent.unwrap_or(Err(Error::Silent))?;
+            }
+            () = time::sleep_until(beat.into()) => {
+                if dead < Instant::now() {
+                    return Err(Error::Silent);
+                }
+                let frame = Frame::Beat {
+                    plan: relay.plan_version(),
+                    is_leaving: relay.is_leaving(),
+                };
+                let sent = time::timeout(OPEN_TIMEOUT, send(socket, &frame)).await;
+                sent.unwrap_or(Err(Error::Silent))?;
+                beat = Instant::now() + period;
+            }
+        }
+    }
+}
+
+async fn send(socket: &mut WebSocketStream<TcpStream>, frame: &Frame) -> Result<(), Error> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(frame, &mut bytes).map_err(|_cause| Error::Frame)?;
+    let sent = socket.send(Message::binary(bytes)).await;
+    sent.map_err(|cause| Error::Socket(Box::new(cause)))
+}
+
+async fn receive(socket: &mut WebSocketStream<TcpStream>) -> Result<Frame, Error> {
+    loop {
+        let message = socket.next().await.ok_or(Error::Closed)?;
+        match message.map_err(|cause| Error::Socket(Box::new(cause)))? {
+            Message::Binary(bytes) => {
+                return ciborium::from_reader(&bytes[..]).map_err(|_cause| Error::Frame);
+            }
+            Message::Close(_) => return Err(Error::Closed),
+            Message::Ping(_) | Message::Pong(_) => {}
+            Message::Text(_) | Message::Frame(_) => return Err(Error::Frame),
+        }
+    }
+}
+
+impl Relay {
+    /// Adds a daemon that has said who it is.
+    fn link(&self, profile: Profile) -> Result<(Origin, mpsc::Receiver<Frame>), Error> {
+        let mut peers = self.links.peers.borrow_mut();
+        let known = peers.get(&profile.host);
+        let is_same = known.is_some_and(|peer| {
+            let is_heard = peer.heard.elapsed() < self.links_silence();
+            peer.profile.incarnation == profile.incarnation && is_heard
+        });
+        if is_same || profile.incarnation == self.incarnation {
+            return Err(Error::Needless);
+        }
+        let (sender, frames) = mpsc::channel(MAX_QUEUED);
+        let origin = self.links.next_origin();
+        tracing::info!(host = %profile.host, front = %profile.front, "peer linked");
+        let peer = Peer {
+            origin,
+            is_leaving: false,
+            sender,
+            heard: Instant::now(),
+            profile,
+        };
+        peers.insert(peer.profile.host.clone(), peer);
+        self.metrics.links.set(peers.len() as i64);
+        Ok((origin, frames))
+    }
+
+    fn links_silence(&self) -> Duration {
+        MIN_BEAT * DEAD_BEATS
+    }
+
+    fn unlink(self: &Rc<Self>, host: &HostId, origin: Origin, fault: &str) {
+        let mut peers = self.links.peers.borrow_mut();
+        let is_current = peers.get(host).is_some_and(|peer| peer.origin == origin);
+        if is_current {
+            peers.remove(host);
+            self.metrics.links.set(peers.len() as i64);
+        }
+        drop(peers);
+        tracing::info!(%host, fault, "peer lost");
+        self.lose_origin(origin, is_current.then_some(host));
+    }
+
+    fn take_frame(self: &Rc<Self>, host: &HostId, origin: Origin, frame: Frame) {
+        if let Some(peer) = self.links.peers.borrow_mut().get_mut(host) {
+            peer.heard = Instant::now();
+            if let Frame::Beat { is_leaving, .. } = &frame {
+                peer.is_leaving = *is_leaving;
+            }
+        }
+        match frame {
+            Frame::Hello { .. } => {}
+            Frame::Beat { plan, .. } => {
+                if plan > self.plan_version() {
+                    self.links.send(host, Frame::WantPlan);
+                }
+            }
+            Frame::WantPlan => {
+                if let Some(Row {
+                    key,
+                    value: Some(value),
+                    version,
+                }) = self.plan_row()
+                {
+                    let value = value.to_vec();
+                    let plan = Handed {
+                        key,
+                        value,
+                        version,
+                    };
+                    self.links.send(host, Frame::Plan(plan));
+                }
+            }
+            Frame::Plan(Handed {
+                key,
+                value,
+                version,
+            }) => {
+                let value = Some(value.into());
+                self.take_rows(Table::Plan, vec![Row { key, value, version }]);
+            }
+            Frame::Submit { number, order } => self.take_order(origin, number, order),
+            Frame::Release { number } => self.take_release(origin, number),
+            Frame::Ready {
+                number,
+                handles,
+                domain,
+            } => self.take_ready(number, handles, domain),
+            Frame::Refused {
+                number,
+                reason,
+                retry_after,
+            } => self.take_refused(number, reason, retry_after),
+            Frame::Death(mark) => {
+                let now = self.now();
+                self.ledger_mut().note(now, mark);
+            }
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Open(cause) => write!(f, "link could not be opened: {cause}"),
+            Self::Socket(cause) => write!(f, "link broke: {cause}"),
+            Self::Frame => f.write_str("frame is not in its form"),
+            Self::Closed => f.write_str("link was closed"),
+            Self::Silent => f.write_str("link is silent"),
+            Self::Needless => f.write_str("daemon is linked already"),
+        }
+    }
+}
+
+impl error::Error for Error {
+    fn source(&self) -> Option<&(dyn error::Error + 'static)> {
+        match self {
+            Self::Open(cause) => Some(cause),
+            Self::Socket(cause) => Some(cause),
+            Self::Frame | Self::Closed | Self::Silent | Self::Needless => None,
+        }
+    }
+}
--- /dev/null
+++ b/godwithinge/src/relay/run.rs
@@ -0,0 +1,680 @@
+//! Carries one request to its answer.
+
+use super::{
+    body::Body,
+    conduct::{Order, Refused, Results},
+    dialect::{Ask, Mark, Stamp},
+    event::{self, End},
+    outcome::{Reason, Rejection},
+    state::{Flight, Relay},
+    stream,
+};
+use crate::http::{self as pool, Reuse};
+use bytes::Bytes;
+use futures::{StreamExt, stream::FuturesUnordered};
+use http::{HeaderMap, Response, StatusCode, request::Parts};
+use http_body_util::Full;
+use policy::{
+    hash,
+    id::{PoolId, TargetId, WorkspaceId},
+    relay::{
+        board::Need,
+        choice::Wish,
+        crash::Mark as Payload,
+        plan::{Kind, Plan, Route},
+        roster::Target,
+    },
+};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::time;
+
+/// Longest answer that is read whole, in bytes; answers of the sites have some kilobytes.
+const MAX_ANSWER: usize = 4 << 20;
+/// Sends of one request that reached no target or were turned away.
+const MAX_IDLE_SENDS: u32 = 4; // the targets of the smallest pools and one more
+/// Share of the objective after which a repeatable request is sent a second time.
+const HEDGE_SHARE: f64 = 0.8;
+/// Time that a target has for the first event beside reading the prompt.
+const FIRST_EVENT: Duration = Duration::from_millis(900); // some times the usual time under load
+/// Tokens that a target reads in a second beside its other requests.
+const READ_RATE: f64 = 20_000.0; // half of what an idle engine reads
+/// Usual time from the last result to the first event.
+const TAIL: Duration = Duration::from_millis(120); // measured at the sites' engines with cached parts
+/// Time that a target is given at least; less can't be an offer.
+const MIN_LEFT: Duration = Duration::from_millis(5);
+/// When a caller comes back whose pool has no target or is full.
+const FULL_RETRY: Duration = Duration::from_millis(300); // a few times the usual work of plain requests
+/// Size from which an early answer closes its connection, since the body may not be read yet.
+const LONG_BODY: usize = 16 << 10; // more than a target's receive buffer may hold
+/// Times that stages are made anew because results were gone.
+const MAX_REMAKES: u32 = 2;
+
+/// A request on its way.
+#[derive(Debug)]
+pub(super) struct Ticket {
+    pub relay: Rc<Relay>,
+    pub head: Parts,
+    pub body: Bytes,
+    pub ask: Ask,
+    pub plan: Rc<Plan>,
+    pub route: Arc<Route>,
+    pub workspace: Option<WorkspaceId>,
+    pub priority: u8,
+    pub arrived: Instant,
+    /// When the caller or the route's timeout ends the request.
+    pub due: Instant,
+    pub payload: Payload,
+    pub story: Story,
+    pub _flight: Flight,
+}
+
+/// What is logged of a request at its end; a caller that left is logged when this is dropped.
+#[derive(Debug, Default)]
+pub(super) struct Story {
+    pub sends: Cell<u32>,
+    pub target: RefCell<TargetId>,
+    pub stages: Cell<Duration>,
+    pub first: Cell<Option<Duration>>,
+    ended: Cell<bool>,
+}
+
+/// What came of one send.
+#[derive(Debug)]
+pub(super) enum Sent {
+    /// A whole answer.
+    Whole(Answer),
+    /// The head and the first part of a stream.
+    Begun(Box<Begun>),
+    /// Nothing was sent.
+    Unreached,
+    /// The target says that it did not run the request.
+    NotRun(StatusCode),
+    /// The target may have run the request, but gave no answer to pass on.
+    Broken(&'static str),
+}
+
+/// A whole answer of a target.
+#[derive(Debug)]
+pub(super) struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// A stream that has begun.
+#[derive(Debug)]
+pub(super) struct Begun {
+    pub response: pool::Response,
+    pub first: Bytes,
+    pub target: Target,
+    pub call: InCall,
+}
+
+/// Counts a call at a target until it is dropped.
+#[derive(Debug)]
+pub(super) struct InCall {
+    relay: Rc<Relay>,
+    target: TargetId,
+}
+
+/// What earlier sends of a request came to.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    pub tried: Vec<TargetId>,
+    /// Sends that may have run.
+    pub runs: u32,
+    /// Sends that did not run.
+    pub idle: u32,
+    /// Arrivals at targets.
+    pub arrivals: u32,
+}
+
+impl Ticket {
+    /// Carries the request to its answer.
+    pub async fn run(self) -> Response<Body> {
+        let this = Rc::new(self);
+        let response = this.answer().await;
+        response.unwrap_or_else(|rejection| {
+            this.end(
+                Some(rejection.reason.status()),
+                rejection.reason.into(),
+                rejection.retry_after,
+            );
+            rejection.into_response()
+        })
+    }
+
+    async fn answer(self: &Rc<Self>) -> Result<Response<Body>, Rejection> {
+        let now = self.relay.now();
+        if self.relay.ledger_mut().is_refused(now, self.payload) {
+            return Err(Rejection::new(Reason::Crashing));
+        }
+        let mut tally = Tally::default();
+        match self.route.kind {
+            Kind::Streaming => self.answer_stream(&mut tally).await,
+            Kind::Idempotent | Kind::NonIdempotent => self.answer_whole(&mut tally).await,
+        }
+    }
+
+    /// Returns the time that is left.
+    pub fn left(&self) -> Duration {
+        self.due.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns when the caller leaves if it has not seen an event.
+    fn leaves(&self) -> Instant {
+        let patience = self.route.patience();
+        patience.map_or(self.due, |patience| self.due.min(self.arrived + patience))
+    }
+
+    /// Logs and counts the end of the request, once.
+    pub fn end(&self, status: Option<StatusCode>, reason: &str, retry_after: Option<Duration>) {
+        if self.story.ended.replace(true) {
+            return;
+        }
+        let kind: &'static str = self.route.kind.into();
+        let code = status.map_or("0".to_owned(), |status| status.as_u16().to_string());
+        let metrics = &self.relay.metrics;
+        metrics.requests.with_label_values(&[kind, &code, reason]).inc();
+        if let Some(first) = self.story.first.get() {
+            let first_byte = metrics.first_byte.with_label_values(&[kind]);
+            first_byte.observe(first.as_secs_f64());
+        }
+        event::request_ended(&End {
+            request: &self.ask.id,
+            route: &self.route.name,
+            workspace: self.workspace.as_deref().unwrap_or_default(),
+            status,
+            reason,
+            target: &self.story.target.borrow(),
+            sends: self.story.sends.get(),
+            stages: self.story.stages.get(),
+            first: self.story.first.get(),
+            total: self.arrived.elapsed(),
+            left: self.left(),
+            retry_after,
+            revision: self.plan.revision,
+        });
+    }
+
+    /// Sends a request whose answer is read whole; a slow repeatable one also a second time.
+    async fn answer_whole(
+        self: &Rc<Self>,
+        tally: &mut Tally,
+    ) -> Result<Response<Body>, Rejection> {
+        let mut flights = FuturesUnordered::new();
+        let mut failure: Option<Answer> = None;
+        let hedge = self.arrived + self.route.objective.mul_f64(HEDGE_SHARE);
+        let mut may_hedge = self.route.is_repeatable();
+        loop {
+            if flights.is_empty() {
+                let target = match self.next_target(tally, None) {
+                    Ok(target) => target,
+                    Err(rejection) => return self.settle(failure, rejection),
+                };
+                flights.push(self.send(target, None, None));
+            }
+            tokio::select! {
+                sent = flights.next() => {
+                    let Some((target, taken, sent)) = sent else {
+                        continue;
+                    };
+                    match sent {
+                        Sent::Whole(answer) if !answer.status.is_server_error()
+                            || !self.route.is_repeatable() =>
+                        {
+                            return Ok(self.pass_on(answer));
+                        }
+                        Sent::Whole(answer) => {
+                            self.note(tally, &target, "error", taken, !flights.is_empty());
+                            failure = Some(answer);
+                        }
+                        Sent::Unreached => {
+                            tally.runs -= 1;
+                            tally.idle += 1;
+                            tally.arrivals -= 1;
+                            self.note(tally, &target, "unreached", taken, !flights.is_empty());
+                        }
+                        Sent::NotRun(_) => {
+                            tally.runs -= 1;
+                            tally.idle += 1;
+                            self.note(tally, &target, "not_run", taken, !flights.is_empty());
+                        }
+                        Sent::Broken(what) => {
+                            self.note(tally, &target, what, taken, !flights.is_empty());
+                        }
+                        Sent::Begun(_) => {}
+                    }
+                }
+                () = time::sleep_until(hedge.into()), if may_hedge => {
+                    may_hedge = false;
+                    if let Ok(target) = self.next_target(tally, None) {
+                        flights.push(self.send(target, None, None));
+                    }
+                }
+                () = time::sleep_until(self.due.into()) => {
+                    return self.settle(failure, Rejection::new(Reason::Timeout));
+                }
+            }
+        }
+    }
+
+    /// Returns the failure that a target answered with, or the rejection.
+    fn settle(
+        &self,
+        failure: Option<Answer>,
+        rejection: Rejection,
+    ) -> Result<Response<Body>, Rejection> {
+        failure.map(|answer| self.pass_on(answer)).ok_or(rejection)
+    }
+
+    fn pass_on(&self, answer: Answer) -> Response<Body> {
+        self.story.first.set(Some(self.arrived.elapsed()));
+        self.end(Some(answer.status), "answered", None);
+        let mut response = Response::new(Body::new(answer.body));
+        *response.status_mut() = answer.status;
+        *response.headers_mut() = answer.headers;
+        response
+    }
+
+    /// Has the stages made and sends the request, until a stream begins.
+    async fn answer_stream(
+        self: &Rc<Self>,
+        tally: &mut Tally,
+    ) -> Result<Response<Body>, Rejection> {
+        let (begun, results) = self.begin(tally, None).await?;
+        match begun {
+            Opening::Whole(answer) => Ok(self.pass_on(answer)),
+            Opening::Stream(begun) => {
+                // The target has read the results before its first event.
+                drop(results);
+                self.story.first.set(Some(self.arrived.elapsed()));
+                let mut response = Response::new(Body::Whole(None));
+                *response.status_mut() = begun.response.status();
+                *response.headers_mut() = self.relay.dialect.answer(begun.response.headers());
+                let tally = std::mem::take(tally);
+                let parts = stream::parts(Rc::clone(self), *begun, tally);
+                *response.body_mut() = Body::with_parts(parts);
+                Ok(response)
+            }
+        }
+    }
+
+    /// Sends the request until a target begins its answer; `last_event` makes a stream go on.
+    pub async fn begin(
+        self: &Rc<Self>,
+        tally: &mut Tally,
+        last_event: Option<&str>,
+    ) -> Result<(Opening, Option<Results>), Rejection> {
+        let mut results = None;
+        let mut remakes = 0;
+        loop {
+            if results.is_none() && !self.route.stages.is_empty() {
+                results = Some(self.stages().await?);
+            }
+            let domain = results.as_ref().and_then(|results| results.domain.as_ref());
+            let target = self.next_target(tally, domain)?;
+            let handles = results.as_ref().map(|results| results.handles.as_slice());
+            let sending = self.send(target, handles, last_event);
+            let sent = time::timeout_at(self.due.into(), sending).await;
+            let Ok((target, taken, sent)) = sent else {
+                return Err(Rejection::new(Reason::Timeout));
+            };
+            match sent {
+                Sent::Whole(answer) => return Ok((Opening::Whole(answer), results)),
+                Sent::Begun(begun) => return Ok((Opening::Stream(begun), results)),
+                Sent::Unreached => {
+                    tally.runs -= 1;
+                    tally.arrivals -= 1;
+                    tally.idle += 1;
+                    self.note(tally, &target, "unreached", taken, false);
+                }
+                Sent::NotRun(status) => {
+                    tally.runs -= 1;
+                    tally.idle += 1;
+                    if status == StatusCode::CONFLICT && remakes < MAX_REMAKES {
+                        remakes += 1;
+                        results = None;
+                        tally.tried.retain(|tried| *tried != target.id);
+                    }
+                    self.note(tally, &target, "not_run", taken, false);
+                }
+                Sent::Broken(what) => self.note(tally, &target, what, taken, false),
+            }
+        }
+    }
+
+    /// Has the stages of the request made.
+    async fn stages(self: &Rc<Self>) -> Result<Results, Rejection> {
+        let begun = Instant::now();
+        let stages = self.route.stages.iter().enumerate();
+        let stages = stages.map(|(index, stage)| Need {
+            pool: stage.pool.clone(),
+            after: stage.after.clone(),
+            bytes: stage.bytes,
+            pieces: self.ask.pieces.get(index).copied().unwrap_or_default(),
+        });
+        let due = self.leaves().saturating_duration_since(begun);
+        let aim = self.arrived + self.route.objective;
+        let order = Order {
+            request: self.ask.id.clone(),
+            key: self.ask.piece_key.clone(),
+            priority: self.priority,
+            aim: aim.saturating_duration_since(begun),
+            due,
+            tail: TAIL,
+            stages: stages.collect(),
+        };
+        let made = time::timeout(due, self.relay.conduct(order)).await;
+        let late = Refused {
+            reason: Reason::Late,
+            retry_after: FULL_RETRY,
+        };
+        let made = made.unwrap_or(Err(late));
+        self.story.stages.set(self.story.stages.get() + begun.elapsed());
+        let result = if made.is_ok() { "made" } else { "refused" };
+        let times = self.relay.metrics.stages.with_label_values(&[result]);
+        times.observe(begun.elapsed().as_secs_f64());
+        made.map_err(|refused| {
+            Rejection::new(refused.reason).with_retry_after(refused.retry_after)
+        })
+    }
+
+    /// Chooses the target of the next send, if there may be one.
+    fn next_target(
+        &self,
+        tally: &mut Tally,
+        heavy: Option<&policy::id::DomainId>,
+    ) -> Result<Target, Rejection> {
+        let pool = self.pool()?;
+        let has_run = tally.runs > 0;
+        let failed = if has_run {
+            Rejection::new(Reason::Broken)
+        } else {
+            Rejection::new(Reason::Full).with_retry_after(FULL_RETRY)
+        };
+        let is_spent = has_run
+            && (!self.route.is_repeatable() || tally.runs >= self.route.max_attempts);
+        if is_spent || tally.idle >= MAX_IDLE_SENDS {
+            return Err(failed);
+        }
+        if self.left() < MIN_LEFT {
+            let reason = if has_run { Reason::Timeout } else { Reason::Late };
+            return Err(Rejection::new(reason));
+        }
+        let target = self.choose(&pool, tally, heavy);
+        let none = Rejection::new(Reason::NoTarget).with_retry_after(FULL_RETRY);
+        let target = target.ok_or(if has_run || tally.idle > 0 { failed } else { none })?;
+        if tally.arrivals == 0 {
+            self.relay.deposit(&pool);
+        } else if !self.relay.try_spend(&pool) {
+            return Err(failed);
+        }
+        tally.arrivals += 1;
+        tally.runs += 1;
+        tally.tried.push(target.id.clone());
+        Ok(target)
+    }
+
+    /// Returns the pool of the request under the configuration that is in force now.
+    fn pool(&self) -> Result<PoolId, Rejection> {
+        let plan = self.relay.plan().ok_or(Rejection::new(Reason::NoPlan))?;
+        let route = if plan.revision == self.plan.revision {
+            Arc::clone(&self.route)
+        } else {
+            let host = host(&self.head);
+            let (route, _) = plan.admit(&host, self.head.uri.path(), self.ask.key.as_deref())?;
+            Arc::clone(route)
+        };
+        let pool = route.pool_for(&self.ask.id).cloned();
+        pool.ok_or(Rejection::new(Reason::NoRoute))
+    }
+
+    fn choose(
+        &self,
+        pool: &PoolId,
+        tally: &Tally,
+        heavy: Option<&policy::id::DomainId>,
+    ) -> Option<Target> {
+        let settings = self.relay.settings();
+        let members = self.relay.links.count() as u32 + 1;
+        let plan = self.relay.plan()?;
+        let connections = plan.pool(pool).map_or(u32::MAX, |pool| pool.max_connections);
+        let wish = Wish {
+            parts: &self.ask.parts,
+            heavy,
+            domain: Some(&settings.domain),
+            tried: &tally.tried,
+            cap: (connections / members).max(1),
+        };
+        let roster = self.relay.roster();
+        let choice = self.relay.choice();
+        let target = choice.choose(self.relay.now(), roster.ready(pool), &wish);
+        target.cloned()
+    }
+
+    /// Logs a send that gave no answer to pass on, and what follows.
+    fn note(&self, tally: &Tally, target: &Target, result: &str, taken: Duration, is_flying: bool) {
+        let next = if is_flying { "wait" } else { "decide" };
+        let pool = self.relay.metrics.sends.with_label_values(&[&target.pool, result]);
+        pool.inc();
+        event::send_failed(&self.ask.id, &target.id, result, taken, next);
+        tracing::debug!(runs = tally.runs, idle = tally.idle, "sends so far");
+    }
+
+    /// Sends the request to a target.
+    async fn send(
+        self: &Rc<Self>,
+        target: Target,
+        inputs: Option<&[policy::relay::board::Handle]>,
+        last_event: Option<&str>,
+    ) -> (Target, Duration, Sent) {
+        let begun = Instant::now();
+        self.story.sends.set(self.story.sends.get() + 1);
+        *self.story.target.borrow_mut() = target.id.clone();
+        let relay = &self.relay;
+        let call = InCall::new(relay, &target, &self.ask);
+        let stamp = Stamp {
+            target: &target.id,
+            left: Some(self.left()),
+            workspace: self.workspace.as_ref(),
+            inputs,
+            last_event,
+        };
+        let mut request = http::Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = relay.dialect.headers(&self.head, &stamp);
+        let reuse = match self.route.is_repeatable() {
+            true => Reuse::Newest,
+            // A kept connection may break under a request that can't be sent again.
+            false => Reuse::Never,
+        };
+        let sent = match relay.pool.send(&target.address, request, reuse).await {
+            Ok(response) => self.receive(response, &target, call, begun).await,
+            Err(pool::Error::Connect(_)) => Sent::Unreached,
+            Err(pool::Error::Broken(_) | pool::Error::Silent | pool::Error::TooLong) => {
+                Sent::Broken("broken")
+            }
+        };
+        self.learn(&target, &sent, begun.elapsed());
+        (target, begun.elapsed(), sent)
+    }
+
+    /// Reads an answer, whole or up to the first part of a stream.
+    async fn receive(
+        &self,
+        mut response: pool::Response,
+        target: &Target,
+        call: InCall,
+        begun: Instant,
+    ) -> Sent {
+        let status = response.status();
+        let mark = self.relay.dialect.mark(status, response.headers());
+        if let Some((running, waiting)) = mark.load {
+            let now = self.relay.now();
+            let mut choice = self.relay.choice_mut();
+            choice.note_load(now, &target.id, running, waiting);
+        }
+        if !self.is_own(&mark, status, response.headers()) {
+            return Sent::Broken("foreign");
+        }
+        if mark.is_not_run {
+            // The body is of no use, and the connection may still carry ours.
+            return Sent::NotRun(status);
+        }
+        if status.is_success() && self.route.kind == Kind::Streaming {
+            let first = time::timeout_at(self.silent_at(begun).into(), response.chunk()).await;
+            return match first {
+                Ok(Ok(Some(first))) => Sent::Begun(Box::new(Begun {
+                    response,
+                    first,
+                    target: target.clone(),
+                    call,
+                })),
+                Ok(Ok(None)) => Sent::Whole(self.whole(status, &response, Bytes::new())),
+                Ok(Err(_)) => Sent::Broken("broken"),
+                Err(_elapsed) => Sent::Broken("silent"),
+            };
+        }
+        let headers = self.relay.dialect.answer(response.headers());
+        let is_early = self.body.len() > LONG_BODY && !status.is_success();
+        match read(response, is_early).await {
+            Ok(body) => Sent::Whole(Answer {
+                status,
+                headers,
+                body,
+            }),
+            Err(_) => Sent::Broken("broken"),
+        }
+    }
+
+    fn whole(&self, status: StatusCode, response: &pool::Response, body: Bytes) -> Answer {
+        Answer {
+            status,
+            headers: self.relay.dialect.answer(response.headers()),
+            body,
+        }
+    }
+
+    /// Returns whether an answer is this request's, as its target gave it.
+    fn is_own(&self, mark: &Mark, status: StatusCode, headers: &HeaderMap) -> bool {
+        let is_same = mark.id.as_ref().is_none_or(|id| *id == self.ask.id);
+        let is_whole = !status.is_success()
+            || mark.is_signed && !headers.contains_key(http::header::CONTENT_ENCODING);
+        is_same && is_whole
+    }
+
+    /// Returns when a target without a first event counts as silent.
+    fn silent_at(&self, begun: Instant) -> Instant {
+        if !self.route.is_repeatable() || self.route.max_attempts < 2 {
+            return self.due;
+        }
+        let reading = f64::from(self.ask.prompt_tokens) / READ_RATE;
+        self.due.min(begun + FIRST_EVENT + Duration::from_secs_f64(reading))
+    }
+
+    /// Takes what a send says of its target.
+    fn learn(&self, target: &Target, sent: &Sent, taken: Duration) {
+        let now = self.relay.now();
+        let mut choice = self.relay.choice_mut();
+        let reading = f64::from(self.ask.prompt_tokens) / READ_RATE;
+        let taken = taken.saturating_sub(Duration::from_secs_f64(reading));
+        match sent {
+            Sent::Whole(answer) => {
+                let is_good = !answer.status.is_server_error();
+                choice.note_answer(&target.id, is_good, taken);
+                self.relay.ledger_mut().clear(self.payload);
+            }
+            Sent::Begun(_) => choice.note_answer(&target.id, true, taken),
+            Sent::Unreached => choice.note_broken(now, &target.id),
+            Sent::NotRun(StatusCode::MISDIRECTED_REQUEST) => choice.note_broken(now, &target.id),
+            Sent::NotRun(_) => choice.note_answer(&target.id, false, taken),
+            Sent::Broken(_) => {
+                choice.note_broken(now, &target.id);
+                drop(choice);
+                self.relay.note_death(self.payload);
+            }
+        }
+    }
+}
+
+impl Ticket {
+    /// Notes that a stream broke off.
+    pub fn broke(&self, target: &Target, what: &'static str) {
+        event::send_failed(&self.ask.id, &target.id, what, self.arrived.elapsed(), "resume");
+        let now = self.relay.now();
+        self.relay.choice_mut().note_broken(now, &target.id);
+        self.relay.note_death(self.payload);
+    }
+}
+
+/// What a target's answer begins with.
+#[derive(Debug)]
+pub(super) enum Opening {
+    /// All of it.
+    Whole(Answer),
+    /// A stream.
+    Stream(Box<Begun>),
+}
+
+impl InCall {
+    fn new(relay: &Rc<Relay>, target: &Target, ask: &Ask) -> Self {
+        let now = relay.now();
+        relay.choice_mut().begin(now, &target.id, &ask.parts);
+        Self {
+            relay: Rc::clone(relay),
+            target: target.id.clone(),
+        }
+    }
+}
+
+impl Drop for InCall {
+    fn drop(&mut self) {
+        self.relay.choice_mut().end(&self.target);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.end(None, "caller_left", None);
+    }
+}
+
+impl Relay {
+    /// Notes here and at all peers that a target died while it ran a payload.
+    fn note_death(&self, payload: Payload) {
+        let now = self.now();
+        self.ledger_mut().note(now, payload);
+        self.links.broadcast(&super::link::Frame::Death(payload));
+    }
+}
+
+/// Returns the host name of a request, without a port.
+pub(super) fn host(head: &Parts) -> String {
+    let header = head.headers.get(http::header::HOST);
+    let header = header.and_then(|host| host.to_str().ok());
+    let host = header.or(head.uri.host()).unwrap_or_default();
+    let name = host.split(':').next().unwrap_or_default();
+    name.to_ascii_lowercase()
+}
+
+/// Returns what makes two requests the same work.
+pub(super) fn payload(head: &Parts, workspace: Option<&WorkspaceId>, body: &[u8]) -> Payload {
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let workspace = workspace.map_or("", |workspace| workspace.as_str());
+    hash::texts(&[head.method.as_str(), path, workspace]) ^ hash::bytes(body).rotate_left(1)
+}
+
+/// Reads the rest of an answer; an early one is read without keeping its connection.
+async fn read(mut response: pool::Response, is_early: bool) -> Result<Bytes, pool::Error> {
+    if is_early {
+        response.condemn();
+    }
+    response.bytes(MAX_ANSWER).await
+}
--- /dev/null
+++ b/godwithinge/src/relay/state.rs
@@ -0,0 +1,196 @@
+//! What all tasks of a daemon share.
+
+use super::{
+    conduct::Conductor,
+    dialect::{Dialect, Row},
+    link::Links,
+    metrics::Metrics,
+    settings::Settings,
+    store::Store,
+};
+use crate::http::Pool;
+use policy::{
+    budget::Budget,
+    id::{Incarnation, PoolId, Time},
+    relay::{choice::Choice, crash::Ledger, plan::Plan, roster::Roster},
+};
+use std::{
+    cell::{Cell, Ref, RefCell, RefMut},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// Longest time of opening a connection to a target; one that takes no SYN is as good as dark.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Share of the retry budget that daemons spend; the rest covers daemons not heard of yet.
+const BUDGET_SHARE: f64 = 0.7;
+
+/// A daemon that forwards requests.
+#[derive(Debug)]
+pub struct Relay {
+    settings: RefCell<Settings>,
+    pub(super) dialect: Rc<dyn Dialect>,
+    pub(super) incarnation: Incarnation,
+    start: Instant,
+    /// Connections to targets.
+    pub(super) pool: Pool,
+    pub(super) store: Store,
+    plan: RefCell<Option<Rc<Plan>>>,
+    plan_row: RefCell<Option<Row>>,
+    roster: RefCell<Roster>,
+    choice: RefCell<Choice>,
+    ledger: RefCell<Ledger>,
+    budgets: RefCell<HashMap<PoolId, Budget>>,
+    pub(super) links: Links,
+    pub(super) conductor: Conductor,
+    pub(super) metrics: Metrics,
+    is_leaving: Cell<bool>,
+    is_closing: Cell<bool>,
+    in_flight: Cell<usize>,
+}
+
+/// Counts a request while it has no answer.
+#[derive(Debug)]
+pub(super) struct Flight(Rc<Relay>);
+
+impl Relay {
+    /// Creates a daemon that does nothing yet.
+    pub fn new(settings: Settings, dialect: Rc<dyn Dialect>) -> Self {
+        Self {
+            links: Links::new(&settings),
+            settings: RefCell::new(settings),
+            dialect,
+            incarnation: rand::random(),
+            start: Instant::now(),
+            pool: Pool::new(CONNECT_TIMEOUT),
+            store: Store::new(),
+            plan: RefCell::default(),
+            plan_row: RefCell::default(),
+            roster: RefCell::default(),
+            choice: RefCell::default(),
+            ledger: RefCell::default(),
+            budgets: RefCell::default(),
+            conductor: Conductor::new(),
+            metrics: Metrics::new(),
+            is_leaving: Cell::new(false),
+            is_closing: Cell::new(false),
+            in_flight: Cell::new(0),
+        }
+    }
+
+    /// Returns the time since the start of the daemon.
+    pub(super) fn now(&self) -> Time {
+        self.start.elapsed()
+    }
+
+    pub(super) fn settings(&self) -> Ref<'_, Settings> {
+        self.settings.borrow()
+    }
+
+    pub(super) fn set_settings(&self, settings: Settings) {
+        *self.settings.borrow_mut() = settings;
+    }
+
+    pub(super) fn plan(&self) -> Option<Rc<Plan>> {
+        self.plan.borrow().clone()
+    }
+
+    /// Returns the version of the configuration's row, 0 before the first one.
+    pub(super) fn plan_version(&self) -> u64 {
+        let row = self.plan_row.borrow();
+        row.as_ref().map_or(0, |row| row.version)
+    }
+
+    pub(super) fn plan_row(&self) -> Option<Row> {
+        self.plan_row.borrow().clone()
+    }
+
+    pub(super) fn set_plan(self: &Rc<Self>, plan: Plan, row: Row) {
+        self.conductor.set_plan(self, &plan);
+        *self.plan.borrow_mut() = Some(Rc::new(plan));
+        *self.plan_row.borrow_mut() = Some(row);
+    }
+
+    pub(super) fn roster(&self) -> Ref<'_, Roster> {
+        self.roster.borrow()
+    }
+
+    pub(super) fn roster_mut(&self) -> RefMut<'_, Roster> {
+        self.roster.borrow_mut()
+    }
+
+    pub(super) fn choice(&self) -> Ref<'_, Choice> {
+        self.choice.borrow()
+    }
+
+    pub(super) fn choice_mut(&self) -> RefMut<'_, Choice> {
+        self.choice.borrow_mut()
+    }
+
+    pub(super) fn ledger_mut(&self) -> RefMut<'_, Ledger> {
+        self.ledger.borrow_mut()
+    }
+
+    /// Notes the first send of a request.
+    pub(super) fn deposit(&self, pool: &PoolId) {
+        self.with_budget(pool, Budget::deposit);
+    }
+
+    /// Takes one more send from the part of the fleet's budget that is this daemon's.
+    pub(super) fn try_spend(&self, pool: &PoolId) -> bool {
+        self.with_budget(pool, Budget::try_spend)
+    }
+
+    fn with_budget<T>(&self, pool: &PoolId, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(pool.clone()).or_insert_with(|| {
+            let settings = self.settings.borrow();
+            let members = self.links.count() + 1;
+            let extra = f64::from(settings.retry_extra) * BUDGET_SHARE / members as f64;
+            Budget::new(settings.retry_share * BUDGET_SHARE, extra.max(1.0) as u32)
+        });
+        act(budget)
+    }
+
+    /// Returns whether the daemon takes callers.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.is_leaving.get() && self.plan.borrow().is_some()
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
+    pub(super) fn leave(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// Returns whether no new request is taken.
+    pub(super) fn is_closing(&self) -> bool {
+        self.is_closing.get()
+    }
+
+    pub(super) fn close(&self) {
+        self.is_closing.set(true);
+    }
+
+    pub(super) fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+}
+
+impl Flight {
+    pub fn new(relay: &Rc<Relay>) -> Self {
+        relay.in_flight.set(relay.in_flight.get() + 1);
+        relay.metrics.in_flight.inc();
+        Self(Rc::clone(relay))
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.metrics.in_flight.dec();
+    }
+}
--- /dev/null
+++ b/godwithinge/src/relay/watch.rs
@@ -0,0 +1,229 @@
+//! Keeps the configuration, the targets and the daemons as the store has them.
+
+use super::{
+    dialect::{Row, Table},
+    link::Profile,
+    state::Relay,
+    store::{self, CALL_TIMEOUT},
+};
+use policy::relay::roster::{Change, Target};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::time;
+
+/// Time for which a feed waits for changes; with the call's time it bounds how long a silent
+/// connection hides a change, which has to stay under the bound of configuration.
+const WAIT: Duration = Duration::from_millis(1_500);
+/// Time for which the feed of daemons waits; links show who lives.
+const DAEMON_WAIT: Duration = Duration::from_secs(10);
+/// Shortest time between two calls of a feed; targets change their entries several times a second.
+const SPACING: Duration = Duration::from_millis(400); // a fifth of the bound of draining
+/// First pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after failed calls; a store that is back is read within half the time that
+/// entries have to return.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+
+/// Follows a table until the process ends.
+pub(super) async fn follow(relay: Rc<Relay>, table: Table) {
+    let mut after = None;
+    let mut failures = 0_u32;
+    loop {
+        let begun = Instant::now();
+        let step = step(&relay, table, &mut after).await;
+        let name: &'static str = table.into();
+        let result = if step.is_ok() { "ok" } else { "failed" };
+        relay.metrics.store.with_label_values(&[name, result]).inc();
+        match step {
+            Ok(()) => {
+                if failures > 0 {
+                    tracing::info!(table = name, failures, "store regained");
+                    if table == Table::Targets {
+                        relay.note_outage();
+                    }
+                }
+                failures = 0;
+                time::sleep(SPACING.saturating_sub(begun.elapsed())).await;
+            }
+            Err(store::Error::Compacted) => {
+                tracing::info!(table = name, after, "store forgot its history; reading all");
+                after = None;
+            }
+            Err(fault) => {
+                if failures == 0 {
+                    tracing::warn!(table = name, %fault, "store lost");
+                }
+                failures += 1;
+                if table == Table::Targets {
+                    relay.note_outage();
+                }
+                // A row that was deleted meanwhile is found by reading all.
+                if failures > FAILURES_UNTIL_REREAD {
+                    after = None;
+                }
+                let pause = FIRST_PAUSE * 2_u32.saturating_pow(failures.min(8));
+                time::sleep(pause.min(MAX_PAUSE).mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
+            }
+        }
+    }
+}
+
+/// Failed calls after which a table is read whole.
+const FAILURES_UNTIL_REREAD: u32 = 3; // some seconds, in which history may go
+
+/// Reads the table once, or waits for its next changes.
+async fn step(relay: &Rc<Relay>, table: Table, after: &mut Option<u64>) -> Result<(), store::Error> {
+    match *after {
+        None => {
+            let rows = relay.store.table(relay, table).await?;
+            *after = Some(rows.version);
+            match table {
+                Table::Targets => relay.replace_targets(&rows.rows),
+                Table::Plan | Table::Daemons => relay.take_rows(table, rows.rows),
+            }
+        }
+        Some(version) => {
+            let wait = match table {
+                Table::Plan | Table::Targets => WAIT,
+                Table::Daemons => DAEMON_WAIT,
+            };
+            let changes = relay.store.changes(relay, table, version, wait).await?;
+            *after = Some(changes.version.max(version));
+            relay.take_rows(table, changes.rows);
+        }
+    }
+    Ok(())
+}
+
+/// Writes this daemon's row until the store has it, then at long intervals.
+pub(super) async fn announce(relay: Rc<Relay>) {
+    let profile = relay.profile();
+    let value = profile.link.to_string();
+    loop {
+        let name = relay.settings().host.clone();
+        let written = relay.store.put_daemon(&relay, &name, Some(value.as_bytes()));
+        match written.await {
+            Ok(()) => return,
+            Err(fault) => {
+                tracing::warn!(%fault, "own address could not be announced");
+                time::sleep(CALL_TIMEOUT.mul_f64(0.5 + rand::random::<f64>())).await;
+            }
+        }
+    }
+}
+
+impl Relay {
+    /// Takes rows of a table.
+    pub(super) fn take_rows(self: &Rc<Self>, table: Table, rows: Vec<Row>) {
+        for row in rows {
+            match table {
+                Table::Plan => self.take_plan(row),
+                Table::Targets => self.take_target(&row),
+                Table::Daemons => self.take_daemon(&row),
+            }
+        }
+    }
+
+    /// Takes a configuration if it is newer than the one in force.
+    pub(super) fn take_plan(self: &Rc<Self>, row: Row) {
+        if self.plan_version() >= row.version {
+            return;
+        }
+        match self.dialect.plan(&row) {
+            Ok(Some(plan)) => {
+                tracing::info!(
+                    revision = plan.revision,
+                    version = row.version,
+                    routes = plan.route_count(),
+                    "configuration in force"
+                );
+                self.metrics.revision.set(plan.revision as i64);
+                self.set_plan(plan, row);
+            }
+            Ok(None) => {}
+            Err(fault) => tracing::warn!(version = row.version, %fault, "configuration left out"),
+        }
+    }
+
+    /// Takes the entry of a target.
+    pub(super) fn take_target(self: &Rc<Self>, row: &Row) {
+        let change = if row.value.is_some() {
+            match self.dialect.target(row) {
+                Ok(target) => self.roster_mut().put(target),
+                Err(fault) => {
+                    tracing::debug!(key = %row.key, %fault, "entry names no target");
+                    None
+                }
+            }
+        } else {
+            let now = self.now();
+            self.roster_mut().remove(now, &row.key)
+        };
+        self.apply(change.into_iter().collect());
+    }
+
+    /// Replaces all targets by the entries that the store holds.
+    pub(super) fn replace_targets(self: &Rc<Self>, rows: &[Row]) {
+        let targets = rows.iter().filter_map(|row| self.dialect.target(row).ok());
+        let targets: Vec<Target> = targets.collect();
+        let now = self.now();
+        let changes = self.roster_mut().replace(now, targets);
+        self.apply(changes);
+    }
+
+    /// Drops targets whose entries did not come back after an outage.
+    pub(super) fn expire_targets(self: &Rc<Self>) {
+        let now = self.now();
+        let changes = self.roster_mut().expire(now);
+        self.apply(changes);
+    }
+
+    fn take_daemon(self: &Rc<Self>, row: &Row) {
+        let Some(value) = &row.value else {
+            return;
+        };
+        let address = std::str::from_utf8(value).ok();
+        match address.and_then(|text| text.parse().ok()) {
+            Some(address) => self.links.learn([address]),
+            None => tracing::warn!(key = %row.key, "row of a daemon holds no address"),
+        }
+    }
+
+    fn apply(self: &Rc<Self>, changes: Vec<Change>) {
+        for change in changes {
+            let (what, target) = match &change {
+                Change::Added(target) => ("added", target),
+                Change::Draining(target) => ("draining", target),
+                Change::Gone(target) => ("gone", target),
+            };
+            tracing::info!(
+                target_id = %target.id, pool = %target.pool, address = %target.address,
+                change = what, "target"
+            );
+            if matches!(change, Change::Gone(_)) {
+                self.choice_mut().forget(&target.id);
+            }
+            self.conductor.change(self, &change);
+        }
+    }
+
+    fn note_outage(&self) {
+        let now = self.now();
+        self.roster_mut().note_outage(now);
+    }
+
+    /// Returns what peers and callers learn of this daemon.
+    pub(super) fn profile(&self) -> Profile {
+        let settings = self.settings();
+        Profile {
+            host: settings.host.clone(),
+            domain: settings.domain.clone(),
+            front: settings.front,
+            link: settings.link,
+            cpu: settings.cpu,
+            incarnation: self.incarnation,
+        }
+    }
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod poison;
 pub mod pool;
 pub mod queue;
+pub mod relay;
 pub mod router;
 pub mod sweep;
 pub mod table;
--- /dev/null
+++ b/policy/src/relay/board/dispatch.rs
@@ -0,0 +1,383 @@
+//! Who goes into the next call, and what can't be made any more.
+
+use super::{
+    Bench, Board, Call, Command, Item, JobId, LOST, OVERDUE, OVERDUE_SLACK, Refusal, Source,
+    job::Running,
+};
+use crate::{
+    id::{PoolId, Time},
+    relay::plan,
+};
+use std::time::Duration;
+
+/// Slack before its deadline at which a late request goes first.
+const LAST_CALL: Duration = Duration::from_millis(600); // about two calls' waits
+/// Pace from which a target is slow against the quickest of its pool.
+const SLOW: f64 = 2.0; // targets of one pool differ by a quarter
+/// Longest pause that a refused caller is told.
+const MAX_RETRY: Duration = Duration::from_secs(5); // callers come back after a third of their time
+
+/// Order of the queue: the class, the rank in it, and the time it is due.
+type Precedence = (u8, u8, Time);
+
+impl Board {
+    /// Lets the pieces of overdue calls wait again, so that another target makes them.
+    pub(super) fn mark_overdue(&mut self, now: Time) {
+        let mut has_any = false;
+        for call in self.calls.values_mut().filter(|call| !call.is_overdue) {
+            let taken = now.saturating_sub(call.started);
+            if taken < call.expected.mul_f64(OVERDUE) + OVERDUE_SLACK {
+                continue;
+            }
+            call.is_overdue = true;
+            has_any = true;
+            let ratio = taken.as_secs_f64() / call.nominal.as_secs_f64().max(0.001);
+            let presses = self.pools.get_mut(&call.pool).into_iter();
+            let mut presses = presses.flat_map(|bench| &mut bench.presses);
+            if let Some(press) = presses.find(|press| press.id == call.target) {
+                press.note_overdue(ratio);
+            }
+            for &(job, stage, piece) in &call.items {
+                if let Some(running) = self.jobs.get_mut(&job) {
+                    let piece = &mut running.stages[stage].pieces[piece];
+                    piece.calls = piece.calls.saturating_sub(1);
+                }
+            }
+        }
+        if has_any {
+            self.queue_all();
+        }
+    }
+
+    /// Refuses jobs that can't make their deadline, and forgets those whose results lapsed.
+    pub(super) fn give_up(&mut self, now: Time, out: &mut Vec<Command>) {
+        let late = self.jobs.values().filter(|running| match running.ready {
+            Some(_) => false,
+            None => now + self.least(now, running) + running.job.tail > running.job.due,
+        });
+        let late: Vec<JobId> = late.map(|running| running.job.id).collect();
+        for id in late {
+            self.refuse(id, Refusal::Late, out);
+        }
+        let lapsed = self.jobs.values();
+        let lapsed = lapsed.filter(|running| running.ready.is_some() && running.job.due < now);
+        let lapsed: Vec<JobId> = lapsed.map(|running| running.job.id).collect();
+        for id in lapsed {
+            self.drop_job(id);
+        }
+        for press in self.pools.values_mut().flat_map(|bench| &mut bench.presses) {
+            press.expire(now);
+        }
+    }
+
+    /// Fills calls for the idle targets of a pool.
+    pub(super) fn dispatch(&mut self, now: Time, pool: &PoolId, out: &mut Vec<Command>) {
+        loop {
+            let Some(bench) = self.pools.get(pool) else {
+                return;
+            };
+            let Some(limits) = bench.limits else {
+                return;
+            };
+            if bench.waiting.is_empty() {
+                return;
+            }
+            let order = self.order(now, bench);
+            let Some((press, chosen)) = self.fill(now, bench, &limits, &order) else {
+                return;
+            };
+            self.send(now, pool, press, &limits, &chosen, out);
+        }
+    }
+
+    /// Returns the waiting stages of a pool, the most urgent first.
+    fn order(&self, now: Time, bench: &Bench) -> Vec<(JobId, usize)> {
+        let waiting = bench.waiting.iter().filter_map(|&(job, stage)| {
+            let running = self.jobs.get(&job)?;
+            let is_due = !self.is_early(running, stage);
+            is_due.then(|| (self.precedence(now, running), (job, stage)))
+        });
+        let mut order: Vec<(Precedence, (JobId, usize))> = waiting.collect();
+        order.sort();
+        order.into_iter().map(|(_, entry)| entry).collect()
+    }
+
+    /// Returns whether a large final result would wait for the request's other stages.
+    fn is_early(&self, running: &Running, stage: usize) -> bool {
+        let need = &running.job.stages[stage];
+        if need.bytes < super::HEAVY_BYTES || !running.is_final(stage) {
+            return false;
+        }
+        let own = self.usual(&need.pool);
+        let others = running.path(|other| match other == stage {
+            true => Duration::ZERO,
+            false => self.usual(&running.job.stages[other].pool),
+        });
+        others > own
+    }
+
+    fn precedence(&self, now: Time, running: &Running) -> Precedence {
+        let job = &running.job;
+        let rest = running.path(|stage| self.usual(&job.stages[stage].pool)) + job.tail;
+        if now + rest <= job.aim {
+            (1, job.priority, job.aim)
+        } else if now + rest + LAST_CALL > job.due {
+            (0, 0, job.due)
+        } else {
+            (2, 0, job.due)
+        }
+    }
+
+    /// Chooses a target and the pieces of its call.
+    fn fill(
+        &self,
+        now: Time,
+        bench: &Bench,
+        limits: &plan::Press,
+        order: &[(JobId, usize)],
+    ) -> Option<(usize, Vec<(JobId, usize, usize)>)> {
+        let mut idle: Vec<usize> = (0..bench.presses.len())
+            .filter(|&index| bench.presses[index].is_idle(now))
+            .collect();
+        idle.sort_by(|&a, &b| {
+            let (a, b) = (&bench.presses[a], &bench.presses[b]);
+            let by_room = b.room(limits).cmp(&a.room(limits));
+            (a.pace > b.pace * 1.2)
+                .cmp(&(b.pace > a.pace * 1.2))
+                .then(by_room)
+        });
+        let quickest = bench.presses.iter().map(|press| press.pace);
+        let quickest = quickest.fold(f64::INFINITY, f64::min);
+        for index in idle {
+            let press = &bench.presses[index];
+            if press.pace > quickest * SLOW && !self.is_worth(bench, limits, press.pace) {
+                continue;
+            }
+            let chosen = self.pick(order, limits.batch, press.room(limits));
+            if !chosen.is_empty() {
+                return Some((index, chosen));
+            }
+        }
+        None
+    }
+
+    /// Returns whether a slow target ends a call before the others would have drained the queue.
+    fn is_worth(&self, bench: &Bench, limits: &plan::Press, pace: f64) -> bool {
+        let waiting = bench.waiting.iter();
+        let waiting: usize = waiting.map(|&(job, stage)| self.waiting(job, stage)).sum();
+        let drain = waiting as f64 / bench.rate(limits, SLOW);
+        drain > limits.full().as_secs_f64() * (pace - 1.0)
+    }
+
+    /// Takes whole stages in order while they fit, then fills what is left with parts of stages.
+    fn pick(
+        &self,
+        order: &[(JobId, usize)],
+        batch: usize,
+        mut room: u64,
+    ) -> Vec<(JobId, usize, usize)> {
+        let mut chosen = Vec::with_capacity(batch);
+        for whole in [true, false] {
+            for &(job, stage) in order {
+                let Some(running) = self.jobs.get(&job) else {
+                    continue;
+                };
+                let bytes = running.job.stages[stage].bytes;
+                let waiting = running.stages[stage].waiting();
+                let waiting: Vec<usize> = waiting
+                    .filter(|&piece| !chosen.contains(&(job, stage, piece)))
+                    .collect();
+                let fits = (batch - chosen.len()).min((room / bytes.max(1)) as usize);
+                let is_split = fits < waiting.len();
+                // Parts of large results would hold room until the rest is made.
+                let may_split = bytes < super::HEAVY_BYTES || waiting.len() > batch / 2;
+                if is_split && (whole || !may_split) {
+                    continue;
+                }
+                let taken = waiting.into_iter().take(fits);
+                for piece in taken {
+                    room -= bytes;
+                    chosen.push((job, stage, piece));
+                }
+            }
+        }
+        chosen
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        pool: &PoolId,
+        press: usize,
+        limits: &plan::Press,
+        chosen: &[(JobId, usize, usize)],
+        out: &mut Vec<Command>,
+    ) {
+        let items = chosen.iter().filter_map(|&entry| self.item(now, entry));
+        let items: Vec<Item> = items.collect();
+        let mut bytes = Vec::with_capacity(chosen.len());
+        for &(job, stage, piece) in chosen {
+            if let Some(running) = self.jobs.get_mut(&job) {
+                running.stages[stage].pieces[piece].calls += 1;
+                bytes.push(running.job.stages[stage].bytes);
+            }
+        }
+        let id = self.next_call;
+        self.next_call += 1;
+        let jobs = &self.jobs;
+        let bench = self.pools.get_mut(pool).expect("a pool that is dispatched");
+        bench.waiting.retain(|&(job, stage)| {
+            let running = jobs.get(&job);
+            running.is_some_and(|running| running.stages[stage].waiting().next().is_some())
+        });
+        let press = &mut bench.presses[press];
+        press.call = Some(id);
+        let nominal = limits.call + limits.item * chosen.len() as u32;
+        let expected = nominal.mul_f64(press.pace.max(MIN_PACE));
+        out.push(Command::Call {
+            call: id,
+            target: press.id.clone(),
+            address: press.address.clone(),
+            items,
+            within: expected.mul_f64(LOST) + OVERDUE_SLACK,
+        });
+        let call = Call {
+            pool: pool.clone(),
+            target: press.id.clone(),
+            items: chosen.to_vec(),
+            bytes,
+            started: now,
+            nominal,
+            expected,
+            is_overdue: false,
+        };
+        self.calls.insert(id, call);
+    }
+
+    fn item(&self, now: Time, (job, stage, piece): (JobId, usize, usize)) -> Option<Item> {
+        let running = self.jobs.get(&job)?;
+        let need = &running.job.stages[stage];
+        let source = if need.after.is_empty() {
+            Source::Key(running.job.key.clone())
+        } else {
+            Source::Inputs(running.results(need.after.iter().copied()))
+        };
+        Some(Item {
+            request: running.job.request.clone(),
+            stage,
+            piece,
+            left: running.job.due.saturating_sub(now),
+            source,
+        })
+    }
+
+    /// Sends away the results that nobody wants.
+    pub(super) fn flush(&mut self, out: &mut Vec<Command>) {
+        let presses = self.pools.values_mut().flat_map(|bench| &mut bench.presses);
+        for press in presses.filter(|press| !press.unwanted.is_empty()) {
+            out.push(Command::Free {
+                address: press.address.clone(),
+                handles: std::mem::take(&mut press.unwanted),
+            });
+        }
+    }
+
+    /// Returns the usual time of a pool's calls.
+    fn usual(&self, pool: &str) -> Duration {
+        let Some(bench) = self.pools.get(pool) else {
+            return Duration::ZERO;
+        };
+        let limits = bench.limits.as_ref();
+        let guess = limits.map_or(Duration::ZERO, |limits| {
+            limits.call + limits.item * (limits.batch as u32 / 2)
+        });
+        bench.usual.map_or(guess, Duration::from_secs_f64)
+    }
+
+    /// Returns the time that a stage takes when what is ahead in its queue goes first.
+    pub(super) fn likely(&self, running: &Running, stage: usize) -> Duration {
+        let pool = &running.job.stages[stage].pool;
+        let Some(bench) = self.pools.get(pool) else {
+            return Duration::ZERO;
+        };
+        let ahead = bench.waiting.iter().filter(|(job, _)| {
+            let other = self.jobs.get(job);
+            other.is_some_and(|other| other.job.priority <= running.job.priority)
+        });
+        let ahead: usize = ahead.map(|&(job, stage)| self.waiting(job, stage)).sum();
+        self.usual(pool) + bench.drain(ahead)
+    }
+
+    /// Returns the shortest time in which a job's missing results can be made.
+    fn least(&self, now: Time, running: &Running) -> Duration {
+        running.path(|stage| {
+            let need = &running.job.stages[stage];
+            let limits = self.pools.get(&need.pool).and_then(|bench| bench.limits);
+            let Some(limits) = limits else {
+                return Duration::ZERO;
+            };
+            let waiting = running.stages[stage].waiting().count();
+            if waiting == 0 {
+                return self.rest_of_calls(now, running.job.id, stage);
+            }
+            let pieces = (need.pieces as usize).min(limits.batch) as u32;
+            (limits.call + limits.item * pieces).mul_f64(MIN_PACE)
+        })
+    }
+
+    fn rest_of_calls(&self, now: Time, job: JobId, stage: usize) -> Duration {
+        let calls = self.calls.values().filter(|call| {
+            let mut items = call.items.iter();
+            items.any(|&(of, at, _)| of == job && at == stage)
+        });
+        let rest = calls.map(|call| (call.started + call.expected).saturating_sub(now));
+        rest.max().unwrap_or_default()
+    }
+
+    /// Returns when the queues of a job's pools will have drained.
+    pub(super) fn drain_time(&self, running: &Running) -> Duration {
+        let pools = running.job.stages.iter();
+        let pools = pools.filter_map(|need| self.pools.get(&need.pool));
+        let drains = pools.map(|bench| {
+            let waiting = bench.waiting.iter();
+            let waiting = waiting.map(|&(job, stage)| self.waiting(job, stage));
+            bench.drain(waiting.sum())
+        });
+        let longest = drains.max().unwrap_or_default();
+        longest.clamp(MIN_RETRY, MAX_RETRY)
+    }
+}
+
+/// Shortest pause that a refused caller is told.
+const MIN_RETRY: Duration = Duration::from_millis(250); // about one call
+/// Pace of the quickest stages; some take a third of their pool's time for a piece.
+const MIN_PACE: f64 = 0.6;
+
+impl Bench {
+    /// Returns the pieces a second that full calls carry, without targets slower than `slow`.
+    fn rate(&self, limits: &plan::Press, slow: f64) -> f64 {
+        let presses = self.presses.iter().filter(|press| press.pace < slow);
+        let paces: f64 = presses.map(|press| 1.0 / press.pace.max(0.1)).sum();
+        (paces * limits.batch as f64 / limits.full().as_secs_f64()).max(MIN_RATE)
+    }
+
+    fn drain(&self, pieces: usize) -> Duration {
+        let Some(limits) = &self.limits else {
+            return Duration::ZERO;
+        };
+        let seconds = pieces as f64 / self.rate(limits, f64::INFINITY);
+        Duration::from_secs_f64(seconds.min(MAX_DRAIN))
+    }
+}
+
+/// Least rate of a pool in pieces a second, against division by zero.
+const MIN_RATE: f64 = 0.1;
+/// Longest time of draining that is worked out, in seconds.
+const MAX_DRAIN: f64 = 60.0;
+
+impl plan::Press {
+    /// Returns the time of a full call.
+    pub fn full(&self) -> Duration {
+        self.call + self.item * self.batch as u32
+    }
+}
--- /dev/null
+++ b/policy/src/relay/board/job.rs
@@ -0,0 +1,178 @@
+//! What a request needs from its stages, and how far it has come.
+
+use crate::id::{DomainId, PoolId, RequestId, TargetId, Time};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Names a result at the target that made it.
+pub type Handle = CompactString;
+
+/// Names a job on one board.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct JobId {
+    /// Daemon that asked for the job, by a number that the board's owner gives it.
+    pub origin: u64,
+    /// Number that the daemon gave the job.
+    pub number: u64,
+}
+
+/// Pieces of one stage that a request needs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Need {
+    /// Pool that makes the pieces.
+    pub pool: PoolId,
+    /// Stages whose results each piece reads.
+    pub after: Vec<usize>,
+    /// Approximate size of one result in bytes.
+    pub bytes: u64,
+    /// Number of pieces; 0 leaves the stage out.
+    pub pieces: u32,
+}
+
+/// All stages of one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// Name of the job.
+    pub id: JobId,
+    /// Identifier of the request.
+    pub request: RequestId,
+    /// Key of the pieces that read no results.
+    pub key: CompactString,
+    /// Rank, 0 first.
+    pub priority: u8,
+    /// When the request's first event is due for its full worth.
+    pub aim: Time,
+    /// When the caller leaves.
+    pub due: Time,
+    /// Time from the last result to the first event.
+    pub tail: Duration,
+    /// The stages, each after those that it reads.
+    pub stages: Vec<Need>,
+}
+
+/// Where the results of a job are.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Made {
+    pub handle: Handle,
+    pub target: TargetId,
+    pub domain: DomainId,
+}
+
+/// One piece on its way.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Piece {
+    pub made: Option<Made>,
+    /// Calls that carry the piece and are not overdue.
+    pub calls: u32,
+}
+
+/// One stage on its way.
+#[derive(Clone, Debug)]
+pub(super) struct Progress {
+    pub pieces: Vec<Piece>,
+    pub is_freed: bool,
+}
+
+/// A job on its way.
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    pub job: Job,
+    pub stages: Vec<Progress>,
+    /// When all results were made.
+    pub ready: Option<Time>,
+    /// Pieces that failed so far.
+    pub failures: u32,
+}
+
+impl Piece {
+    pub fn is_waiting(&self) -> bool {
+        self.made.is_none() && self.calls == 0
+    }
+}
+
+impl Progress {
+    pub fn is_made(&self) -> bool {
+        self.pieces.iter().all(|piece| piece.made.is_some())
+    }
+
+    pub fn waiting(&self) -> impl Iterator<Item = usize> {
+        let pieces = self.pieces.iter().enumerate();
+        pieces.filter_map(|(index, piece)| piece.is_waiting().then_some(index))
+    }
+}
+
+impl Running {
+    pub fn new(job: Job) -> Self {
+        let stages = job.stages.iter().map(|need| Progress {
+            pieces: vec![Piece::default(); need.pieces as usize],
+            is_freed: false,
+        });
+        Self {
+            stages: stages.collect(),
+            job,
+            ready: None,
+            failures: 0,
+        }
+    }
+
+    /// Returns whether no stage reads the results of `stage`.
+    pub fn is_final(&self, stage: usize) -> bool {
+        let mut needs = self.job.stages.iter();
+        !needs.any(|need| need.pieces > 0 && need.after.contains(&stage))
+    }
+
+    /// Returns whether all inputs of `stage` are made.
+    pub fn has_inputs(&self, stage: usize) -> bool {
+        let after = self.job.stages[stage].after.iter();
+        after.copied().all(|from| self.stages[from].is_made())
+    }
+
+    /// Returns the results of several stages in order.
+    pub fn results(&self, stages: impl Iterator<Item = usize>) -> Vec<Handle> {
+        stages
+            .flat_map(|stage| self.stages[stage].pieces.iter())
+            .filter_map(|piece| piece.made.as_ref().map(|made| made.handle.clone()))
+            .collect()
+    }
+
+    /// Returns all final results in order.
+    pub fn final_results(&self) -> Vec<Handle> {
+        let stages = 0..self.stages.len();
+        self.results(stages.filter(|&stage| self.is_final(stage)))
+    }
+
+    /// Returns the domain that holds most bytes of the final results, if these are large.
+    pub fn heavy_domain(&self) -> Option<DomainId> {
+        let stages = (0..self.stages.len()).filter(|&stage| self.is_final(stage));
+        let heavy = stages.filter(|&stage| self.job.stages[stage].bytes >= super::HEAVY_BYTES);
+        let mut sums: Vec<(DomainId, usize)> = Vec::new();
+        for made in heavy
+            .flat_map(|stage| &self.stages[stage].pieces)
+            .filter_map(|piece| piece.made.as_ref())
+        {
+            match sums.iter_mut().find(|(domain, _)| *domain == made.domain) {
+                Some((_, count)) => *count += 1,
+                None => sums.push((made.domain.clone(), 1)),
+            }
+        }
+        let most = sums.into_iter().max_by_key(|&(_, count)| count);
+        most.map(|(domain, _)| domain)
+    }
+
+    /// Returns the time to the last result, with `time` giving that of each stage that is not made.
+    pub fn path(&self, time: impl Fn(usize) -> Duration) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.stages.len());
+        for (stage, need) in self.job.stages.iter().enumerate() {
+            let before = need.after.iter().filter_map(|&from| ends.get(from).copied());
+            let before = before.max().unwrap_or_default();
+            let own = if self.stages[stage].is_made() {
+                Duration::ZERO
+            } else {
+                time(stage)
+            };
+            ends.push(before + own);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/policy/src/relay/board/mod.rs
@@ -0,0 +1,592 @@
+//! Pieces of all daemons, gathered into calls for the targets of stages.
+//!
+//! Load pattern: a stage target runs one call at a time, and a call costs far more than a piece. Many
+//! daemons that each fill calls with their own pieces leave calls four fifths empty, so one
+//! daemon conducts: it holds the queue of each pool, fills a call when a target falls idle, and
+//! counts the room for results. In a burst of one kind of request the queue decides who is served:
+//! requests that can still be on time by rank, then late ones by deadline, except that a request
+//! about to miss its deadline goes first while it can still make it. What can't be made any more
+//! is refused at once.
+
+mod dispatch;
+mod job;
+mod press;
+
+pub use self::job::{Handle, Job, JobId, Need};
+
+use self::{
+    job::{Made, Running},
+    press::Press,
+};
+use crate::{
+    id::{DomainId, PoolId, RequestId, TargetId, Time},
+    relay::{
+        plan,
+        roster::{Change, Target},
+    },
+};
+use compact_str::CompactString;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+use strum::{Display, IntoStaticStr};
+
+/// Number of a call to a stage target.
+pub type CallId = u64;
+
+/// Size from which a result is made late and read in its own domain.
+const HEAVY_BYTES: u64 = 500_000; // between the stages of 60 kB and of 1.5 MB that sites have
+/// Failed pieces after which a job is given up.
+const MAX_FAILURES: u32 = 12; // three calls' worth of a usual request's pieces
+/// Calls' times after which a call is overdue.
+const OVERDUE: f64 = 1.7; // times vary by a quarter between targets and stages
+/// Time beside [`OVERDUE`] for the network and a busy daemon.
+const OVERDUE_SLACK: Duration = Duration::from_millis(100);
+/// Calls' times after which a call is given up.
+const LOST: f64 = 6.0; // slow targets take four to five times as long
+/// Weight of the latest call in a pool's usual time.
+const TIME_WEIGHT: f64 = 0.1;
+
+/// Work for a stage target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Item {
+    /// Identifier of the request.
+    pub request: RequestId,
+    /// Position of the stage.
+    pub stage: usize,
+    /// Number of the piece in its stage.
+    pub piece: usize,
+    /// Time that is left for the piece.
+    pub left: Duration,
+    /// What the piece is made from.
+    pub source: Source,
+}
+
+/// What a piece is made from.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Source {
+    /// The request's own key.
+    Key(CompactString),
+    /// Results of other stages.
+    Inputs(Vec<Handle>),
+}
+
+/// Why a target did not make a piece.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Why {
+    /// Its time had passed when its turn came.
+    Late,
+    /// An input is gone.
+    Gone,
+    /// There was no room for the result.
+    Room,
+    /// The target failed.
+    Failed,
+}
+
+/// What came of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// One outcome for each item, in order.
+    Items(Vec<Result<Handle, Why>>),
+    /// The target is full and ran nothing.
+    Full,
+    /// Nothing was sent.
+    Unreached,
+    /// The connection broke or went silent; the call may have run.
+    Lost,
+    /// Another target has the address.
+    Replaced,
+}
+
+/// Why a job is refused.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Refusal {
+    /// The queues are too long for its deadline.
+    Backlog,
+    /// Its deadline can't be met any more.
+    Late,
+    /// Its pieces failed too often.
+    Failed,
+    /// A pool of its stages has no target.
+    NoTarget,
+}
+
+/// What the owner of a board has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Call a stage target.
+    Call {
+        /// Number to give back with the reply.
+        call: CallId,
+        /// The target.
+        target: TargetId,
+        /// Its address.
+        address: CompactString,
+        /// What it makes.
+        items: Vec<Item>,
+        /// Time after which the call is given up.
+        within: Duration,
+    },
+    /// All results of a job are made.
+    Ready {
+        /// The job.
+        job: JobId,
+        /// Its final results in order.
+        handles: Vec<Handle>,
+        /// Domain of large results.
+        domain: Option<DomainId>,
+    },
+    /// A job is given up.
+    Refuse {
+        /// The job.
+        job: JobId,
+        /// Why.
+        reason: Refusal,
+        /// When the queues will have drained.
+        retry_after: Duration,
+    },
+    /// Results are no longer wanted.
+    Free {
+        /// Address of their target.
+        address: CompactString,
+        /// The results.
+        handles: Vec<Handle>,
+    },
+}
+
+/// Queues and targets of all stages.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    jobs: BTreeMap<JobId, Running>,
+    pools: HashMap<PoolId, Bench>,
+    calls: HashMap<CallId, Call>,
+    next_call: CallId,
+}
+
+/// Targets of one pool and the stages that wait for them.
+#[derive(Clone, Debug)]
+struct Bench {
+    limits: Option<plan::Press>,
+    presses: Vec<Press>,
+    waiting: Vec<(JobId, usize)>,
+    /// Usual time of a call in seconds.
+    usual: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    pool: PoolId,
+    target: TargetId,
+    items: Vec<(JobId, usize, usize)>,
+    bytes: Vec<u64>,
+    started: Time,
+    nominal: Duration,
+    expected: Duration,
+    is_overdue: bool,
+}
+
+impl Board {
+    /// Creates a board without pools.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the limits of a plan's stage pools.
+    pub fn set_plan(&mut self, plan: &plan::Plan) {
+        for pool in plan.pools() {
+            self.bench(&pool.name).limits = pool.press;
+        }
+    }
+
+    /// Takes in a change of the targets.
+    pub fn change(&mut self, change: &Change) {
+        match change {
+            Change::Added(target) => self.add(target),
+            Change::Draining(target) => self.retire(target, false),
+            Change::Gone(target) => self.retire(target, true),
+        }
+    }
+
+    /// Takes a job, or refuses it at once if its deadline can't be met.
+    pub fn submit(&mut self, now: Time, job: Job, out: &mut Vec<Command>) {
+        let id = job.id;
+        let running = Running::new(job);
+        let unserved = running.job.stages.iter();
+        let mut unserved = unserved.filter(|need| need.pieces > 0);
+        if unserved.any(|need| !self.is_served(&need.pool)) {
+            return out.push(Command::Refuse {
+                job: id,
+                reason: Refusal::NoTarget,
+                retry_after: NO_TARGET_PAUSE,
+            });
+        }
+        let likely = running.path(|stage| self.likely(&running, stage));
+        if now + likely + running.job.tail > running.job.due {
+            return out.push(Command::Refuse {
+                job: id,
+                reason: Refusal::Backlog,
+                retry_after: self.drain_time(&running),
+            });
+        }
+        self.jobs.insert(id, running);
+        self.advance(now, id, out);
+        self.poll(now, out);
+    }
+
+    /// Forgets a job, whether its caller left or its results were read.
+    pub fn release(&mut self, now: Time, id: JobId, out: &mut Vec<Command>) {
+        self.drop_job(id);
+        self.poll(now, out);
+    }
+
+    /// Forgets all jobs of one daemon that are not ready.
+    pub fn release_origin(&mut self, now: Time, origin: u64, out: &mut Vec<Command>) {
+        let jobs = self.jobs.iter();
+        let jobs = jobs.filter(|(id, running)| id.origin == origin && running.ready.is_none());
+        let jobs: Vec<JobId> = jobs.map(|(id, _)| *id).collect();
+        for id in jobs {
+            self.drop_job(id);
+        }
+        self.poll(now, out);
+    }
+
+    /// Takes in what came of a call.
+    pub fn reply(&mut self, now: Time, id: CallId, reply: Reply, out: &mut Vec<Command>) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        for &(job, stage, piece) in &call.items {
+            if let Some(running) = self.jobs.get_mut(&job) {
+                let piece = &mut running.stages[stage].pieces[piece];
+                if !call.is_overdue {
+                    piece.calls = piece.calls.saturating_sub(1);
+                }
+            }
+        }
+        match reply {
+            Reply::Items(items) if items.len() == call.items.len() => {
+                self.take_items(now, &call, items, out);
+            }
+            Reply::Items(_) | Reply::Lost => self.fail(now, &call, true),
+            Reply::Full | Reply::Unreached => self.fail(now, &call, false),
+            Reply::Replaced => {
+                let bench = self.bench(&call.pool);
+                bench.presses.retain(|press| press.id != call.target);
+            }
+        }
+        for job in call.jobs() {
+            self.advance(now, job, out);
+        }
+        self.poll(now, out);
+    }
+
+    /// Does what the time asks for: gives up, sends calls, frees results.
+    pub fn poll(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.mark_overdue(now);
+        self.give_up(now, out);
+        let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
+        for pool in pools {
+            self.dispatch(now, &pool, out);
+        }
+        self.flush(out);
+    }
+
+    /// Returns how many pieces wait in a pool.
+    pub fn backlog(&self, pool: &str) -> usize {
+        let waiting = self.pools.get(pool).into_iter();
+        let waiting = waiting.flat_map(|bench| &bench.waiting);
+        waiting.map(|&(job, stage)| self.waiting(job, stage)).sum()
+    }
+
+    /// Returns how many jobs are neither ready nor given up.
+    pub fn unfinished(&self) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|running| running.ready.is_none()).count()
+    }
+
+    fn bench(&mut self, pool: &PoolId) -> &mut Bench {
+        self.pools.entry(pool.clone()).or_insert_with(|| Bench {
+            limits: None,
+            presses: Vec::new(),
+            waiting: Vec::new(),
+            usual: None,
+        })
+    }
+
+    fn is_served(&self, pool: &str) -> bool {
+        let bench = self.pools.get(pool);
+        bench.is_some_and(|bench| bench.limits.is_some() && !bench.presses.is_empty())
+    }
+
+    fn add(&mut self, target: &Target) {
+        let bench = self.bench(&target.pool);
+        let known = bench.presses.iter_mut();
+        match known.into_iter().find(|press| press.id == target.id) {
+            Some(press) if press.address == target.address => {}
+            Some(press) => *press = Press::new(target),
+            None => bench.presses.push(Press::new(target)),
+        }
+    }
+
+    /// Takes a target out; if it has ended, its results are made again.
+    fn retire(&mut self, target: &Target, has_ended: bool) {
+        let bench = self.bench(&target.pool);
+        bench.presses.retain(|press| press.id != target.id);
+        if has_ended {
+            self.lose_results(&target.id);
+        }
+    }
+
+    /// Lets the pieces wait again whose results ended with their target.
+    fn lose_results(&mut self, target: &TargetId) {
+        let unready = self.jobs.values_mut();
+        for running in unready.filter(|running| running.ready.is_none()) {
+            let freed = running.stages.iter_mut().filter(|stage| !stage.is_freed);
+            for piece in freed.flat_map(|stage| &mut stage.pieces) {
+                if piece.made.as_ref().is_some_and(|made| made.target == *target) {
+                    piece.made = None;
+                }
+            }
+        }
+        self.queue_all();
+    }
+
+    fn waiting(&self, job: JobId, stage: usize) -> usize {
+        let running = self.jobs.get(&job);
+        running.map_or(0, |running| running.stages[stage].waiting().count())
+    }
+
+    /// Puts each stage that has inputs and waiting pieces into its pool's queue.
+    fn queue_all(&mut self) {
+        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
+        for job in jobs {
+            self.queue(job);
+        }
+    }
+
+    fn queue(&mut self, id: JobId) {
+        let Some(running) = self.jobs.get(&id) else {
+            return;
+        };
+        if running.ready.is_some() {
+            return;
+        }
+        for stage in 0..running.stages.len() {
+            let is_open = running.has_inputs(stage) && running.stages[stage].waiting().next().is_some();
+            let pool = &running.job.stages[stage].pool;
+            if let Some(bench) = self.pools.get_mut(pool)
+                && is_open
+                && !bench.waiting.contains(&(id, stage))
+            {
+                bench.waiting.push((id, stage));
+            }
+        }
+    }
+
+    /// Queues what a job can do next, or hands it back if all is made.
+    fn advance(&mut self, now: Time, id: JobId, out: &mut Vec<Command>) {
+        let Some(running) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if running.ready.is_some() {
+            return;
+        }
+        if running.failures > MAX_FAILURES {
+            return self.refuse(id, Refusal::Failed, out);
+        }
+        if running.stages.iter().all(job::Progress::is_made) {
+            running.ready = Some(now);
+            out.push(Command::Ready {
+                job: id,
+                handles: running.final_results(),
+                domain: running.heavy_domain(),
+            });
+        }
+        self.free_inputs(id);
+        self.queue(id);
+    }
+
+    /// Frees the results of stages that all of their readers have read.
+    fn free_inputs(&mut self, id: JobId) {
+        let Some(running) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let mut unwanted = Vec::new();
+        for stage in 0..running.stages.len() {
+            let needs = running.job.stages.iter().enumerate();
+            let mut readers = needs.filter(|(_, need)| need.after.contains(&stage));
+            let is_read = !running.is_final(stage)
+                && readers.all(|(reader, _)| running.stages[reader].is_made());
+            if is_read && !running.stages[stage].is_freed {
+                running.stages[stage].is_freed = true;
+                let pool = running.job.stages[stage].pool.clone();
+                let pieces = running.stages[stage].pieces.iter();
+                let made = pieces.filter_map(|piece| piece.made.clone());
+                unwanted.extend(made.map(|made| (pool.clone(), made)));
+            }
+        }
+        self.free(unwanted);
+    }
+
+    fn free(&mut self, unwanted: Vec<(PoolId, Made)>) {
+        for (pool, made) in unwanted {
+            let presses = self.pools.get_mut(&pool).into_iter();
+            let mut presses = presses.flat_map(|bench| &mut bench.presses);
+            if let Some(press) = presses.find(|press| press.id == made.target) {
+                press.free(&made.handle);
+            }
+        }
+    }
+
+    fn drop_job(&mut self, id: JobId) {
+        let Some(running) = self.jobs.remove(&id) else {
+            return;
+        };
+        let stages = running.job.stages.iter().zip(&running.stages);
+        let unwanted = stages.filter(|(_, stage)| !stage.is_freed).flat_map(|(need, stage)| {
+            let made = stage.pieces.iter().filter_map(|piece| piece.made.clone());
+            made.map(|made| (need.pool.clone(), made))
+        });
+        let unwanted = unwanted.collect();
+        self.free(unwanted);
+        for bench in self.pools.values_mut() {
+            bench.waiting.retain(|&(job, _)| job != id);
+        }
+    }
+
+    fn refuse(&mut self, id: JobId, reason: Refusal, out: &mut Vec<Command>) {
+        let Some(running) = self.jobs.get(&id) else {
+            return;
+        };
+        let retry_after = self.drain_time(running);
+        self.drop_job(id);
+        out.push(Command::Refuse {
+            job: id,
+            reason,
+            retry_after,
+        });
+    }
+
+    /// Takes the outcomes of a call's items.
+    fn take_items(
+        &mut self,
+        now: Time,
+        call: &Call,
+        items: Vec<Result<Handle, Why>>,
+        out: &mut Vec<Command>,
+    ) {
+        let bench = self.bench(&call.pool);
+        let keep = bench.limits.map_or(Duration::ZERO, |limits| limits.keep);
+        let taken = now.saturating_sub(call.started).as_secs_f64();
+        let usual = bench.usual.get_or_insert(taken);
+        *usual += TIME_WEIGHT * (taken - *usual);
+        let mut domain = DomainId::default();
+        if let Some(press) = bench.press(&call.target) {
+            press.call = None;
+            press.note_done(taken / call.nominal.as_secs_f64().max(0.001));
+            domain = press.domain.clone();
+        }
+        let outcomes = call.items.iter().zip(&call.bytes).zip(items);
+        for ((&(job, stage, piece), &bytes), outcome) in outcomes {
+            match outcome {
+                Ok(handle) => {
+                    let made = Made {
+                        handle,
+                        target: call.target.clone(),
+                        domain: domain.clone(),
+                    };
+                    self.take_result(call, (job, stage, piece), made, bytes, now + keep);
+                }
+                Err(why) => self.take_failure(now, call, (job, stage), why, bytes, out),
+            }
+        }
+    }
+
+    fn take_result(
+        &mut self,
+        call: &Call,
+        (job, stage, piece): (JobId, usize, usize),
+        made: Made,
+        bytes: u64,
+        until: Time,
+    ) {
+        let bench = self.bench(&call.pool);
+        if let Some(press) = bench.press(&call.target) {
+            press.hold(made.handle.clone(), bytes, until);
+        }
+        let running = self.jobs.get_mut(&job);
+        match running.map(|running| &mut running.stages[stage].pieces[piece]) {
+            Some(piece) if piece.made.is_none() => piece.made = Some(made),
+            Some(_) | None => self.free(vec![(call.pool.clone(), made)]),
+        }
+    }
+
+    fn take_failure(
+        &mut self,
+        now: Time,
+        call: &Call,
+        (job, stage): (JobId, usize),
+        why: Why,
+        bytes: u64,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(running) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        running.failures += 1;
+        match why {
+            Why::Late => self.refuse(job, Refusal::Late, out),
+            Why::Gone => {
+                for from in running.job.stages[stage].after.clone() {
+                    let stage = &mut running.stages[from];
+                    stage.is_freed = false;
+                    for piece in &mut stage.pieces {
+                        piece.made = None;
+                    }
+                }
+            }
+            Why::Room => {
+                if let Some(press) = self.bench(&call.pool).press(&call.target) {
+                    press.hold_unnamed(bytes, now + ROOM_PAUSE);
+                }
+            }
+            Why::Failed => {}
+        }
+    }
+
+    /// Lets the pieces of a failed call wait again.
+    fn fail(&mut self, now: Time, call: &Call, may_have_run: bool) {
+        let bench = self.bench(&call.pool);
+        let keep = bench.limits.map_or(Duration::ZERO, |limits| limits.keep);
+        if let Some(press) = bench.press(&call.target) {
+            press.call = None;
+            press.note_failed(now);
+            if may_have_run {
+                press.hold_unnamed(call.bytes.iter().sum(), now + keep);
+            }
+        }
+    }
+}
+
+/// Retry time where a pool has no target.
+const NO_TARGET_PAUSE: Duration = Duration::from_secs(1); // a replaced target registers within about a second
+/// Time for which room that a target lacked counts as taken.
+const ROOM_PAUSE: Duration = Duration::from_millis(500); // results are read within about this time
+
+impl Bench {
+    fn press(&mut self, target: &TargetId) -> Option<&mut Press> {
+        self.presses.iter_mut().find(|press| press.id == *target)
+    }
+}
+
+impl Call {
+    fn jobs(&self) -> Vec<JobId> {
+        let mut jobs: Vec<JobId> = self.items.iter().map(|&(job, _, _)| job).collect();
+        jobs.dedup();
+        jobs
+    }
+}
--- /dev/null
+++ b/policy/src/relay/choice.rs
@@ -0,0 +1,249 @@
+//! Which target a request goes to.
+//!
+//! Load pattern: many daemons choose among the same targets with reports that are already old, a
+//! few prompt parts are shared by many requests, and some targets fail or are slow while they look
+//! healthy. The expected time to the first event decides: prompt tokens that the target has
+//! not read, its load, and a distance where large results would cross domains. A part that this daemon
+//! has not sent anywhere is expected at the target that rendezvous hashing names, so that daemons
+//! agree without a word. Targets that failed are left alone for a while that doubles.
+
+use crate::{
+    hash,
+    id::{DomainId, TargetId, Time},
+    relay::roster::Target,
+};
+use compact_str::CompactString;
+use std::{collections::HashMap, time::Duration};
+
+/// Identifies a part of a prompt.
+pub type PartId = CompactString;
+
+/// A part of a prompt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// Identifier, the same in all requests that share the part.
+    pub id: PartId,
+    /// Length in tokens.
+    pub tokens: u32,
+}
+
+/// What the choice depends on.
+#[derive(Clone, Debug, Default)]
+pub struct Wish<'a> {
+    /// Parts of the prompt in order; the last belongs to the request alone.
+    pub parts: &'a [Part],
+    /// Domain that holds large results which the target reads.
+    pub heavy: Option<&'a DomainId>,
+    /// Domain of this daemon.
+    pub domain: Option<&'a DomainId>,
+    /// Targets that were tried before.
+    pub tried: &'a [TargetId],
+    /// Most calls of this daemon at one target.
+    pub cap: u32,
+}
+
+/// What is known of one target.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    /// Calls of this daemon in flight.
+    pub in_flight: u32,
+    running: f64,
+    waiting: f64,
+    reported: Option<Time>,
+    /// Share of failures, the latest weighing most.
+    errors: f64,
+    failures: u32,
+    paused_until: Time,
+    /// Usual time to the answer in seconds.
+    time: Option<f64>,
+}
+
+/// Targets' records and the parts they were sent.
+#[derive(Clone, Debug, Default)]
+pub struct Choice {
+    records: HashMap<TargetId, Record>,
+    parts: HashMap<(TargetId, PartId), Time>,
+}
+
+/// Tokens that a target reads in a second; engines of the sites read 38,000 to 43,000.
+const READ_RATE: f64 = 40_000.0;
+/// Time for which a part counts as kept; targets hold some hundred prompts.
+const KEPT: Duration = Duration::from_secs(30);
+/// Share of a part's reading time that is expected saved at its rendezvous target.
+const HOPE: f64 = 0.5;
+/// Seconds that each request at a target adds.
+const LOAD_COST: f64 = 0.004; // a batch slows by some parts in a hundred for each request
+/// Seconds that each waiting request at a target adds.
+const WAIT_COST: f64 = 0.03; // the usual work of a plain request
+/// Seconds that large results take to another domain.
+const HEAVY_COST: f64 = 0.15; // set above the reading time that a cached part saves
+/// Seconds that another domain adds.
+const DISTANCE_COST: f64 = 0.003; // a round trip between domains
+/// Seconds that a target adds when all its answers fail.
+const ERROR_COST: f64 = 0.5; // an objective of the plain requests, several times over
+/// Weight of the latest answer in the share of failures.
+const ERROR_WEIGHT: f64 = 0.2;
+/// Weight of the latest answer in the usual time.
+const TIME_WEIGHT: f64 = 0.2;
+/// Age at which a report is worth half.
+const REPORT_HALF_LIFE: f64 = 0.5; // seconds; requests last about this long
+/// First pause of a target that could not be reached or went silent.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause.
+const MAX_PAUSE: Duration = Duration::from_secs(4); // crashed targets are back after some seconds
+/// Most parts that are remembered.
+const MAX_PARTS: usize = 20_000; // about 100 bytes each keep it under 2 MB
+
+impl Choice {
+    /// Chooses a target among those that take work.
+    pub fn choose<'a>(
+        &self,
+        now: Time,
+        targets: impl Iterator<Item = &'a Target>,
+        wish: &Wish<'_>,
+    ) -> Option<&'a Target> {
+        let targets: Vec<&Target> = targets
+            .filter(|target| !wish.tried.contains(&target.id))
+            .collect();
+        let owner = wish.shared().and_then(|part| {
+            let weight = |target: &&&Target| hash::texts(&[&part.id, &target.id]);
+            targets.iter().max_by_key(weight).copied()
+        });
+        let scored = targets.iter().map(|target| {
+            let record = self.records.get(&target.id);
+            let is_owner = owner.is_some_and(|owner| owner.id == target.id);
+            let is_full = record.is_some_and(|record| record.in_flight >= wish.cap);
+            let is_paused = record.is_some_and(|record| now < record.paused_until);
+            let score = self.score(now, target, wish, is_owner);
+            ((is_full, is_paused), score, *target)
+        });
+        let best = scored.min_by(|(bars, score, _), (others, other, _)| {
+            bars.cmp(others).then(score.total_cmp(other))
+        });
+        match best {
+            Some(((true, _), ..)) | None => None,
+            Some((_, _, target)) => Some(target),
+        }
+    }
+
+    /// Notes a call that is sent, and the prompt that the target reads.
+    pub fn begin(&mut self, now: Time, target: &TargetId, parts: &[Part]) {
+        self.record(target).in_flight += 1;
+        if self.parts.len() > MAX_PARTS {
+            self.parts.retain(|_, sent| now < *sent + KEPT);
+        }
+        for part in parts {
+            self.parts.insert((target.clone(), part.id.clone()), now);
+        }
+    }
+
+    /// Notes that a call has ended.
+    pub fn end(&mut self, target: &TargetId) {
+        let record = self.record(target);
+        record.in_flight = record.in_flight.saturating_sub(1);
+    }
+
+    /// Notes an answer and the time it took.
+    pub fn note_answer(&mut self, target: &TargetId, is_good: bool, time: Duration) {
+        let record = self.record(target);
+        let error = if is_good { 0.0 } else { 1.0 };
+        record.errors += ERROR_WEIGHT * (error - record.errors);
+        let time = time.as_secs_f64();
+        let usual = record.time.get_or_insert(time);
+        *usual += TIME_WEIGHT * (time - *usual);
+        if is_good {
+            record.failures = 0;
+            record.paused_until = Time::ZERO;
+        }
+    }
+
+    /// Notes that a target broke off, went silent or could not be reached.
+    pub fn note_broken(&mut self, now: Time, target: &TargetId) {
+        let record = self.record(target);
+        record.errors += ERROR_WEIGHT * (1.0 - record.errors);
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(record.failures.min(8));
+        record.paused_until = now + pause.min(MAX_PAUSE);
+        record.failures += 1;
+    }
+
+    /// Notes the load that a target reported.
+    pub fn note_load(&mut self, now: Time, target: &TargetId, running: u32, waiting: u32) {
+        let record = self.record(target);
+        record.running = f64::from(running);
+        record.waiting = f64::from(waiting);
+        record.reported = Some(now);
+    }
+
+    /// Forgets a target that has ended.
+    pub fn forget(&mut self, target: &TargetId) {
+        self.records.remove(target);
+        self.parts.retain(|(of, _), _| of != target);
+    }
+
+    /// Returns what is known of a target.
+    pub fn get(&self, target: &TargetId) -> Option<&Record> {
+        self.records.get(target)
+    }
+
+    fn record(&mut self, target: &TargetId) -> &mut Record {
+        self.records.entry(target.clone()).or_default()
+    }
+
+    fn score(&self, now: Time, target: &Target, wish: &Wish<'_>, is_owner: bool) -> f64 {
+        let distance = match wish.domain {
+            Some(domain) if *domain != target.domain => DISTANCE_COST,
+            Some(_) | None => 0.0,
+        };
+        let heavy = match wish.heavy {
+            Some(domain) if *domain != target.domain => HEAVY_COST,
+            Some(_) | None => 0.0,
+        };
+        let load = self.records.get(&target.id).map_or(0.0, |record| record.cost(now, target));
+        self.reading(now, target, wish, is_owner) + load + distance + heavy
+    }
+
+    /// Returns the seconds in which the target reads what it has not kept of the prompt.
+    fn reading(&self, now: Time, target: &Target, wish: &Wish<'_>, is_owner: bool) -> f64 {
+        let mut tokens = 0.0;
+        let mut is_kept = true;
+        let shared = wish.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        for part in shared {
+            let sent = self.parts.get(&(target.id.clone(), part.id.clone()));
+            is_kept &= sent.is_some_and(|sent| now < *sent + KEPT);
+            if !is_kept {
+                tokens += f64::from(part.tokens);
+            }
+        }
+        if !is_kept && is_owner {
+            tokens *= HOPE;
+        }
+        tokens / READ_RATE
+    }
+}
+
+impl Record {
+    fn cost(&self, now: Time, target: &Target) -> f64 {
+        let own = f64::from(self.in_flight);
+        let age = self.reported.map_or(f64::INFINITY, |at| {
+            now.saturating_sub(at).as_secs_f64()
+        });
+        let weight = 0.5_f64.powf(age / REPORT_HALF_LIFE);
+        let running = own.max(self.running * weight);
+        let over = (running + 1.0 - f64::from(target.slots)).max(0.0);
+        let waiting = self.waiting * weight + over;
+        running * LOAD_COST
+            + waiting * WAIT_COST
+            + self.errors * ERROR_COST
+            + self.time.unwrap_or_default().min(1.0) * TIME_COST
+    }
+}
+
+/// Share of a target's usual time that counts, so that slow targets get less.
+const TIME_COST: f64 = 0.3;
+
+impl Wish<'_> {
+    /// Returns the last part that other requests share.
+    fn shared(&self) -> Option<&Part> {
+        self.parts.len().checked_sub(2).map(|index| &self.parts[index])
+    }
+}
