--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -94,7 +94,8 @@
     fn order(&self, now: Time, bench: &Bench) -> Vec<(JobId, usize)> {
         let waiting = bench.waiting.iter().filter_map(|&(job, stage)| {
             let running = self.jobs.get(&job)?;
-            let is_due = !self.is_early(running, stage);
+            // Inputs may have been lost since the stage was queued.
+            let is_due = running.has_inputs(stage) && !self.is_early(running, stage);
             is_due.then(|| (self.precedence(now, running), (job, stage)))
         });
         let mut order: Vec<(Precedence, (JobId, usize))> = waiting.collect();
