--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -37,6 +37,8 @@
 const OWN: Origin = 0;
 /// Period in which the board looks for what is overdue.
 const TICK: Duration = Duration::from_millis(25); // a tenth of a call
+/// Period in which the queues are logged.
+const LOG_PERIOD: Duration = Duration::from_secs(1); // some lines a second from one daemon of the fleet
 /// Longest answer of a stage target in bytes.
 const MAX_ANSWER: usize = 256 << 10; // a batch of some hundred handles
 /// Longest time of freeing results; they lapse by themselves.
@@ -126,6 +128,17 @@
         });
     }
 
+    /// Logs the queues while something waits in them.
+    fn log(&self, relay: &Relay) {
+        let board = self.board.borrow();
+        if board.unfinished() == 0 {
+            return;
+        }
+        for view in board.views(relay.now()) {
+            event::pool_seen(&view, board.unfinished());
+        }
+    }
+
     /// Has the board act, then does what it commands.
     fn with_board(
         &self,
@@ -142,8 +155,13 @@
 
 /// Polls the board until the process ends.
 pub(super) async fn tick(relay: Rc<Relay>) {
+    let mut logged = Instant::now();
     loop {
         time::sleep(TICK).await;
+        if logged.elapsed() >= LOG_PERIOD {
+            logged = Instant::now();
+            relay.conductor.log(&relay);
+        }
         if relay.conductor.board.borrow().unfinished() > 0 {
             relay.conductor.with_board(&relay, Board::poll);
         }
@@ -353,9 +371,19 @@
                     ),
                 }
             }
-            Command::Free { address, handles } => {
+            Command::Free {
+                target,
+                address,
+                handles,
+            } => {
                 let relay = Rc::clone(self);
-                tokio::task::spawn_local(async move { relay.free(&address, &handles).await });
+                tokio::task::spawn_local(async move {
+                    if relay.free(&address, &handles).await {
+                        relay.conductor.with_board(&relay, |board, now, out| {
+                            board.freed(now, &target, &handles, out);
+                        });
+                    }
+                });
             }
         }
     }
@@ -413,16 +441,18 @@
         Ok((status, mark.is_not_run, body))
     }
 
-    async fn free(&self, address: &str, handles: &[Handle]) {
+    /// Frees results and returns whether the target has done so; else they lapse.
+    async fn free(&self, address: &str, handles: &[Handle]) -> bool {
         let call = self.dialect.free(handles);
         let headers = self.dialect.free_headers();
         let freed = time::timeout(FREE_TIMEOUT, self.exchange(address, call, headers)).await;
         match freed {
-            Ok(Ok((StatusCode::OK, ..))) => {}
+            Ok(Ok((StatusCode::OK, ..))) => return true,
             Ok(Ok((status, ..))) => tracing::debug!(address, %status, "results not freed"),
             Ok(Err(fault)) => tracing::debug!(address, %fault, "results not freed"),
             Err(_elapsed) => tracing::debug!(address, "results not freed in time"),
         }
+        false
     }
 }
 
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -3,7 +3,7 @@
 use http::StatusCode;
 use policy::{
     id::TargetId,
-    relay::board::{JobId, Refusal, Reply},
+    relay::board::{JobId, Refusal, Reply, View},
 };
 use std::time::Duration;
 
@@ -69,6 +69,21 @@
     );
 }
 
+/// Logs the state of one pool of the conductor's board.
+pub(super) fn pool_seen(view: &View, jobs: usize) {
+    tracing::info!(
+        pool = %view.pool,
+        waiting = view.waiting,
+        targets = view.targets,
+        busy = view.busy,
+        paused = view.paused,
+        room_bytes = view.room,
+        usual_ms = millis(view.usual),
+        jobs,
+        "stage queue"
+    );
+}
+
 /// Logs a call to a stage target, and returns the name of its result.
 pub(super) fn stage_call(
     target: &TargetId,
--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -17,6 +17,11 @@
 /// Longest pause that a refused caller is told.
 const MAX_RETRY: Duration = Duration::from_secs(5); // callers come back after a third of their time
 
+/// Longest time that results are expected to wait for their readers.
+const MAX_IDLE_RESULT: Duration = Duration::from_millis(400); // about one call
+/// Share of the rate of full calls that a pool reaches, since room and deaths leave gaps.
+const REACHED: f64 = 0.85;
+
 /// Order of the queue: the class, the rank in it, and the time it is due.
 type Precedence = (u8, u8, Time);
 
@@ -95,8 +100,11 @@
         let waiting = bench.waiting.iter().filter_map(|&(job, stage)| {
             let running = self.jobs.get(&job)?;
             // Inputs may have been lost since the stage was queued.
-            let is_due = running.has_inputs(stage) && !self.is_early(running, stage);
-            is_due.then(|| (self.precedence(now, running), (job, stage)))
+            let precedence = self.precedence(now, running);
+            let is_due = running.has_inputs(stage)
+                && !self.is_early(running, stage)
+                && !self.is_ahead(now, running, stage, precedence);
+            is_due.then_some((precedence, (job, stage)))
         });
         let mut order: Vec<(Precedence, (JobId, usize))> = waiting.collect();
         order.sort();
@@ -110,16 +118,43 @@
             return false;
         }
         let own = self.usual(&need.pool);
-        let others = running.path(|other| match other == stage {
-            true => Duration::ZERO,
-            false => self.usual(&running.job.stages[other].pool),
+        let others = running.path(|other, before| match other == stage {
+            true => before,
+            false => before + self.usual(&running.job.stages[other].pool),
         });
         others > own
     }
 
+    /// Returns whether the results of a stage would wait in the queue of their readers, where they
+    /// take room and lapse.
+    fn is_ahead(
+        &self,
+        now: Time,
+        running: &Running,
+        stage: usize,
+        precedence: Precedence,
+    ) -> bool {
+        let own = self.usual(&running.job.stages[stage].pool);
+        let needs = running.job.stages.iter();
+        let mut readers = needs.filter(|need| need.pieces > 0 && need.after.contains(&stage));
+        readers.any(|need| {
+            let Some(bench) = self.pools.get(&need.pool) else {
+                return false;
+            };
+            let ahead = bench.waiting.iter().map(|&(job, stage)| {
+                let other = self.jobs.get(&job);
+                let is_before =
+                    other.is_some_and(|other| self.precedence(now, other) < precedence);
+                if is_before { self.waiting(job, stage) } else { 0 }
+            });
+            bench.drain(ahead.sum()) > own + MAX_IDLE_RESULT
+        })
+    }
+
     fn precedence(&self, now: Time, running: &Running) -> Precedence {
         let job = &running.job;
-        let rest = running.path(|stage| self.usual(&job.stages[stage].pool)) + job.tail;
+        let rest = running.path(|stage, before| before + self.usual(&job.stages[stage].pool));
+        let rest = rest + job.tail;
         if now + rest <= job.aim {
             (1, job.priority, job.aim)
         } else if now + rest + LAST_CALL > job.due {
@@ -277,6 +312,7 @@
         let presses = self.pools.values_mut().flat_map(|bench| &mut bench.presses);
         for press in presses.filter(|press| !press.unwanted.is_empty()) {
             out.push(Command::Free {
+                target: press.id.clone(),
                 address: press.address.clone(),
                 handles: std::mem::take(&mut press.unwanted),
             });
@@ -295,34 +331,33 @@
         bench.usual.map_or(guess, Duration::from_secs_f64)
     }
 
-    /// Returns the time that a stage takes when what is ahead in its queue goes first.
-    pub(super) fn likely(&self, running: &Running, stage: usize) -> Duration {
+    /// Returns when a stage ends if all that goes before it in its pool is made first.
+    pub(super) fn likely(&self, running: &Running, stage: usize, before: Duration) -> Duration {
         let pool = &running.job.stages[stage].pool;
         let Some(bench) = self.pools.get(pool) else {
-            return Duration::ZERO;
+            return before;
         };
-        let ahead = bench.waiting.iter().filter(|(job, _)| {
-            let other = self.jobs.get(job);
-            other.is_some_and(|other| other.job.priority <= running.job.priority)
+        let ahead = self.jobs.values().filter(|other| {
+            other.ready.is_none() && other.job.priority <= running.job.priority
         });
-        let ahead: usize = ahead.map(|&(job, stage)| self.waiting(job, stage)).sum();
-        self.usual(pool) + bench.drain(ahead)
+        let ahead: usize = ahead.map(|other| other.missing(pool)).sum();
+        before.max(bench.drain(ahead)) + self.usual(pool)
     }
 
     /// Returns the shortest time in which a job's missing results can be made.
     fn least(&self, now: Time, running: &Running) -> Duration {
-        running.path(|stage| {
+        running.path(|stage, before| {
             let need = &running.job.stages[stage];
             let limits = self.pools.get(&need.pool).and_then(|bench| bench.limits);
             let Some(limits) = limits else {
-                return Duration::ZERO;
+                return before;
             };
             let waiting = running.stages[stage].waiting().count();
             if waiting == 0 {
-                return self.rest_of_calls(now, running.job.id, stage);
+                return before + self.rest_of_calls(now, running.job.id, stage);
             }
             let pieces = (need.pieces as usize).min(limits.batch) as u32;
-            (limits.call + limits.item * pieces).mul_f64(MIN_PACE)
+            before + (limits.call + limits.item * pieces).mul_f64(MIN_PACE)
         })
     }
 
@@ -337,12 +372,10 @@
 
     /// Returns when the queues of a job's pools will have drained.
     pub(super) fn drain_time(&self, running: &Running) -> Duration {
-        let pools = running.job.stages.iter();
-        let pools = pools.filter_map(|need| self.pools.get(&need.pool));
-        let drains = pools.map(|bench| {
-            let waiting = bench.waiting.iter();
-            let waiting = waiting.map(|&(job, stage)| self.waiting(job, stage));
-            bench.drain(waiting.sum())
+        let drains = running.job.stages.iter().filter_map(|need| {
+            let bench = self.pools.get(&need.pool)?;
+            let unready = self.jobs.values().filter(|other| other.ready.is_none());
+            Some(bench.drain(unready.map(|other| other.missing(&need.pool)).sum()))
         });
         let longest = drains.max().unwrap_or_default();
         longest.clamp(MIN_RETRY, MAX_RETRY)
@@ -366,7 +399,7 @@
         let Some(limits) = &self.limits else {
             return Duration::ZERO;
         };
-        let seconds = pieces as f64 / self.rate(limits, f64::INFINITY);
+        let seconds = pieces as f64 / (self.rate(limits, f64::INFINITY) * REACHED);
         Duration::from_secs_f64(seconds.min(MAX_DRAIN))
     }
 }
--- a/policy/src/relay/board/job.rs
+++ b/policy/src/relay/board/job.rs
@@ -57,6 +57,8 @@
     pub handle: Handle,
     pub target: TargetId,
     pub domain: DomainId,
+    /// When the target drops the result.
+    pub until: Time,
 }
 
 /// One piece on its way.
@@ -116,6 +118,14 @@
         }
     }
 
+    /// Returns how many pieces of a pool are not made.
+    pub fn missing(&self, pool: &PoolId) -> usize {
+        let stages = self.job.stages.iter().zip(&self.stages);
+        let stages = stages.filter(|(need, _)| need.pool == *pool);
+        let pieces = stages.flat_map(|(_, stage)| &stage.pieces);
+        pieces.filter(|piece| piece.made.is_none()).count()
+    }
+
     /// Returns whether no stage reads the results of `stage`.
     pub fn is_final(&self, stage: usize) -> bool {
         let mut needs = self.job.stages.iter();
@@ -160,18 +170,18 @@
         most.map(|(domain, _)| domain)
     }
 
-    /// Returns the time to the last result, with `time` giving that of each stage that is not made.
-    pub fn path(&self, time: impl Fn(usize) -> Duration) -> Duration {
+    /// Returns the time to the last result; `end` gives when a stage that is not made ends, from
+    /// when its inputs are.
+    pub fn path(&self, end: impl Fn(usize, Duration) -> Duration) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.stages.len());
         for (stage, need) in self.job.stages.iter().enumerate() {
             let before = need.after.iter().filter_map(|&from| ends.get(from).copied());
             let before = before.max().unwrap_or_default();
-            let own = if self.stages[stage].is_made() {
-                Duration::ZERO
+            ends.push(if self.stages[stage].is_made() {
+                before
             } else {
-                time(stage)
-            };
-            ends.push(before + own);
+                end(stage, before)
+            });
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -151,6 +151,8 @@
     },
     /// Results are no longer wanted.
     Free {
+        /// Their target.
+        target: TargetId,
         /// Address of their target.
         address: CompactString,
         /// The results.
@@ -158,6 +160,25 @@
     },
 }
 
+/// State of one pool, for logs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct View {
+    /// The pool.
+    pub pool: PoolId,
+    /// Pieces that wait.
+    pub waiting: usize,
+    /// Targets that take work.
+    pub targets: usize,
+    /// Targets that run a call.
+    pub busy: usize,
+    /// Targets that pause after a failure.
+    pub paused: usize,
+    /// Bytes that are free for results.
+    pub room: u64,
+    /// Usual time of a call.
+    pub usual: Duration,
+}
+
 /// Queues and targets of all stages.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
@@ -224,7 +245,7 @@
                 retry_after: NO_TARGET_PAUSE,
             });
         }
-        let likely = running.path(|stage| self.likely(&running, stage));
+        let likely = running.path(|stage, before| self.likely(&running, stage, before));
         if now + likely + running.job.tail > running.job.due {
             return out.push(Command::Refuse {
                 job: id,
@@ -284,9 +305,25 @@
         self.poll(now, out);
     }
 
+    /// Notes that a target has freed results.
+    pub fn freed(
+        &mut self,
+        now: Time,
+        target: &TargetId,
+        handles: &[Handle],
+        out: &mut Vec<Command>,
+    ) {
+        let presses = self.pools.values_mut().flat_map(|bench| &mut bench.presses);
+        for press in presses.filter(|press| press.id == *target) {
+            press.note_freed(handles);
+        }
+        self.poll(now, out);
+    }
+
     /// Does what the time asks for: gives up, sends calls, frees results.
     pub fn poll(&mut self, now: Time, out: &mut Vec<Command>) {
         self.mark_overdue(now);
+        self.drop_lapsed(now);
         self.give_up(now, out);
         let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
         for pool in pools {
@@ -302,6 +339,27 @@
         waiting.map(|&(job, stage)| self.waiting(job, stage)).sum()
     }
 
+    /// Returns the state of each pool that has targets or waiting pieces.
+    pub fn views(&self, now: Time) -> Vec<View> {
+        let views = self.pools.iter().filter_map(|(pool, bench)| {
+            let limits = bench.limits?;
+            let busy = bench.presses.iter().filter(|press| press.call.is_some());
+            let paused = bench.presses.iter();
+            let paused = paused.filter(|press| press.call.is_none() && !press.is_idle(now));
+            let room = bench.presses.iter().map(|press| press.room(&limits));
+            Some(View {
+                pool: pool.clone(),
+                waiting: self.backlog(pool),
+                targets: bench.presses.len(),
+                busy: busy.count(),
+                paused: paused.count(),
+                room: room.sum(),
+                usual: Duration::from_secs_f64(bench.usual.unwrap_or_default()),
+            })
+        });
+        views.collect()
+    }
+
     /// Returns how many jobs are neither ready nor given up.
     pub fn unfinished(&self) -> usize {
         let jobs = self.jobs.values();
@@ -355,6 +413,24 @@
         self.queue_all();
     }
 
+    /// Lets the pieces wait again whose results have lapsed before they were read.
+    fn drop_lapsed(&mut self, now: Time) {
+        let mut has_any = false;
+        let unready = self.jobs.values_mut();
+        for running in unready.filter(|running| running.ready.is_none()) {
+            let unread = running.stages.iter_mut().filter(|stage| !stage.is_freed);
+            for piece in unread.flat_map(|stage| &mut stage.pieces) {
+                if piece.made.as_ref().is_some_and(|made| made.until <= now + FETCH) {
+                    piece.made = None;
+                    has_any = true;
+                }
+            }
+        }
+        if has_any {
+            self.queue_all();
+        }
+    }
+
     fn waiting(&self, job: JobId, stage: usize) -> usize {
         let running = self.jobs.get(&job);
         running.map_or(0, |running| running.stages[stage].waiting().count())
@@ -498,8 +574,9 @@
                         handle,
                         target: call.target.clone(),
                         domain: domain.clone(),
+                        until: now + keep,
                     };
-                    self.take_result(call, (job, stage, piece), made, bytes, now + keep);
+                    self.take_result(call, (job, stage, piece), made, bytes);
                 }
                 Err(why) => self.take_failure(now, call, (job, stage), why, bytes, out),
             }
@@ -512,11 +589,10 @@
         (job, stage, piece): (JobId, usize, usize),
         made: Made,
         bytes: u64,
-        until: Time,
     ) {
         let bench = self.bench(&call.pool);
         if let Some(press) = bench.press(&call.target) {
-            press.hold(made.handle.clone(), bytes, until);
+            press.hold(made.handle.clone(), bytes, made.until);
         }
         let running = self.jobs.get_mut(&job);
         match running.map(|running| &mut running.stages[stage].pieces[piece]) {
@@ -574,6 +650,8 @@
 
 /// Retry time where a pool has no target.
 const NO_TARGET_PAUSE: Duration = Duration::from_secs(1); // a replaced target registers within about a second
+/// Time in which a target reads its inputs.
+const FETCH: Duration = Duration::from_millis(50); // the largest take some milliseconds on its link
 /// Time for which room that a target lacked counts as taken.
 const ROOM_PAUSE: Duration = Duration::from_millis(500); // results are read within about this time
 
--- a/policy/src/relay/board/press.rs
+++ b/policy/src/relay/board/press.rs
@@ -77,13 +77,20 @@
         self.unnamed.push(Held { bytes, until });
     }
 
-    /// Gives up a result.
+    /// Gives up a result; its room is taken until the target has freed it.
     pub fn free(&mut self, handle: &Handle) {
-        if self.held.remove(handle).is_some() {
+        if self.held.contains_key(handle) {
             self.unwanted.push(handle.clone());
         }
     }
 
+    /// Notes that the target has freed results.
+    pub fn note_freed(&mut self, handles: &[Handle]) {
+        for handle in handles {
+            self.held.remove(handle);
+        }
+    }
+
     /// Forgets results that have lapsed.
     pub fn expire(&mut self, now: Time) {
         self.held.retain(|_, held| now < held.until);
