--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -10,8 +10,6 @@
 };
 use std::time::Duration;
 
-/// Slack before its deadline at which a late request goes first.
-const LAST_CALL: Duration = Duration::from_millis(600); // about two calls' waits
 /// Pace from which a target is slow against the quickest of its pool.
 const SLOW: f64 = 2.0; // targets of one pool differ by a quarter
 /// Longest pause that a refused caller is told.
@@ -75,6 +73,39 @@
         }
     }
 
+    /// Refuses late jobs that what goes before them in a queue keeps from their deadline.
+    pub(super) fn give_up_hopeless(&mut self, now: Time, pool: &PoolId, out: &mut Vec<Command>) {
+        let Some(bench) = self.pools.get(pool) else {
+            return;
+        };
+        let mut queue: Vec<(Precedence, JobId, usize)> = bench
+            .waiting
+            .iter()
+            .filter_map(|&(job, stage)| {
+                let running = self.jobs.get(&job)?;
+                Some((self.precedence(now, running), job, self.waiting(job, stage)))
+            })
+            .collect();
+        queue.sort();
+        let mut ahead = 0;
+        let mut hopeless = Vec::new();
+        for ((class, ..), job, pieces) in queue {
+            let Some(running) = self.jobs.get(&job) else {
+                continue;
+            };
+            let least = self.least(now, running) + running.job.tail;
+            let ends = now + bench.drain(ahead) + least;
+            if class > 0 && ends > running.job.due {
+                hopeless.push(job);
+            } else {
+                ahead += pieces;
+            }
+        }
+        for job in hopeless {
+            self.refuse(job, Refusal::Backlog, out);
+        }
+    }
+
     /// Fills calls for the idle targets of a pool.
     pub(super) fn dispatch(&mut self, now: Time, pool: &PoolId, out: &mut Vec<Command>) {
         loop {
@@ -156,11 +187,9 @@
         let rest = running.path(|stage, before| before + self.usual(&job.stages[stage].pool));
         let rest = rest + job.tail;
         if now + rest <= job.aim {
-            (1, job.priority, job.aim)
-        } else if now + rest + LAST_CALL > job.due {
-            (0, 0, job.due)
+            (0, job.priority, job.aim)
         } else {
-            (2, 0, job.due)
+            (1, 0, job.due)
         }
     }
 
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -4,9 +4,8 @@
 //! daemons that each fill calls with their own pieces leave calls four fifths empty, so one
 //! daemon conducts: it holds the queue of each pool, fills a call when a target falls idle, and
 //! counts the room for results. In a burst of one kind of request the queue decides who is served:
-//! requests that can still be on time by rank, then late ones by deadline, except that a request
-//! about to miss its deadline goes first while it can still make it. What can't be made any more
-//! is refused at once.
+//! requests that can still be on time by rank, then late ones by deadline. What can't be made any
+//! more, or waits behind too much to be, is refused at once.
 
 mod dispatch;
 mod job;
@@ -327,6 +326,7 @@
         self.give_up(now, out);
         let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
         for pool in pools {
+            self.give_up_hopeless(now, &pool, out);
             self.dispatch(now, &pool, out);
         }
         self.flush(out);
