--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -8,13 +8,15 @@
     id::{PoolId, Time},
     relay::plan,
 };
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 /// Pace from which a target is slow against the quickest of its pool.
 const SLOW: f64 = 2.0; // targets of one pool differ by a quarter
 /// Longest pause that a refused caller is told.
 const MAX_RETRY: Duration = Duration::from_secs(5); // callers come back after a third of their time
 
+/// Period in which late jobs are looked over.
+const REVIEW_PERIOD: Duration = Duration::from_millis(100); // a third of a call
 /// Longest time that results are expected to wait for their readers.
 const MAX_IDLE_RESULT: Duration = Duration::from_millis(400); // about one call
 /// Share of the rate of full calls that a pool reaches, since room and deaths leave gaps.
@@ -22,6 +24,8 @@
 
 /// Order of the queue: the class, the rank in it, and the time it is due.
 type Precedence = (u8, u8, Time);
+/// Waiting jobs of a pool in order, each with the pieces up to its own.
+type Queue = Vec<(Precedence, usize)>;
 
 impl Board {
     /// Lets the pieces of overdue calls wait again, so that another target makes them.
@@ -73,32 +77,25 @@
         }
     }
 
-    /// Refuses late jobs that what goes before them in a queue keeps from their deadline.
-    pub(super) fn give_up_hopeless(&mut self, now: Time, pool: &PoolId, out: &mut Vec<Command>) {
-        let Some(bench) = self.pools.get(pool) else {
+    /// Refuses late jobs that what goes before them in the queues keeps from their deadline.
+    pub(super) fn review(&mut self, now: Time, out: &mut Vec<Command>) {
+        if now < self.reviewed + REVIEW_PERIOD {
             return;
-        };
-        let mut queue: Vec<(Precedence, JobId, usize)> = bench
-            .waiting
-            .iter()
-            .filter_map(|&(job, stage)| {
-                let running = self.jobs.get(&job)?;
-                Some((self.precedence(now, running), job, self.waiting(job, stage)))
-            })
+        }
+        self.reviewed = now;
+        let unready = self.jobs.values().filter(|running| running.ready.is_none());
+        let mut queue: Vec<(Precedence, JobId)> = unready
+            .map(|running| (self.precedence(now, running), running.job.id))
             .collect();
         queue.sort();
-        let mut ahead = 0;
+        let mut ahead = HashMap::new();
         let mut hopeless = Vec::new();
-        for ((class, ..), job, pieces) in queue {
-            let Some(running) = self.jobs.get(&job) else {
-                continue;
-            };
-            let least = self.least(now, running) + running.job.tail;
-            let ends = now + bench.drain(ahead) + least;
-            if class > 0 && ends > running.job.due {
+        for ((class, ..), job) in queue {
+            let running = &self.jobs[&job];
+            if class > 0 && now + self.behind(running, &ahead) > running.job.due {
                 hopeless.push(job);
             } else {
-                ahead += pieces;
+                running.add_missing(&mut ahead);
             }
         }
         for job in hopeless {
@@ -106,6 +103,28 @@
         }
     }
 
+    /// Returns the time to a job's first event if all that has precedence is made before it.
+    pub(super) fn likely(&self, now: Time, running: &Running) -> Duration {
+        let precedence = self.precedence(now, running);
+        let unready = self.jobs.values().filter(|other| other.ready.is_none());
+        let mut ahead = HashMap::new();
+        for other in unready.filter(|other| self.precedence(now, other) <= precedence) {
+            other.add_missing(&mut ahead);
+        }
+        self.behind(running, &ahead)
+    }
+
+    /// Returns the time to a job's first event behind a number of pieces in each pool.
+    fn behind(&self, running: &Running, ahead: &HashMap<PoolId, usize>) -> Duration {
+        let end = running.path(|stage, before| {
+            let pool = &running.job.stages[stage].pool;
+            let pieces = ahead.get(pool).copied().unwrap_or_default();
+            let wait = self.pools.get(pool).map_or(Duration::ZERO, |bench| bench.drain(pieces));
+            before.max(wait) + self.usual(pool)
+        });
+        end + running.job.tail
+    }
+
     /// Fills calls for the idle targets of a pool.
     pub(super) fn dispatch(&mut self, now: Time, pool: &PoolId, out: &mut Vec<Command>) {
         loop {
@@ -128,16 +147,21 @@
 
     /// Returns the waiting stages of a pool, the most urgent first.
     fn order(&self, now: Time, bench: &Bench) -> Vec<(JobId, usize)> {
-        let waiting = bench.waiting.iter().filter_map(|&(job, stage)| {
-            let running = self.jobs.get(&job)?;
+        let mut queues = HashMap::new();
+        let mut order: Vec<(Precedence, (JobId, usize))> = Vec::new();
+        for &(job, stage) in &bench.waiting {
+            let Some(running) = self.jobs.get(&job) else {
+                continue;
+            };
             // Inputs may have been lost since the stage was queued.
+            if !running.has_inputs(stage) || self.is_early(running, stage) {
+                continue;
+            }
             let precedence = self.precedence(now, running);
-            let is_due = running.has_inputs(stage)
-                && !self.is_early(running, stage)
-                && !self.is_ahead(now, running, stage, precedence);
-            is_due.then_some((precedence, (job, stage)))
-        });
-        let mut order: Vec<(Precedence, (JobId, usize))> = waiting.collect();
+            if !self.is_ahead(now, running, stage, precedence, &mut queues) {
+                order.push((precedence, (job, stage)));
+            }
+        }
         order.sort();
         order.into_iter().map(|(_, entry)| entry).collect()
     }
@@ -164,24 +188,50 @@
         running: &Running,
         stage: usize,
         precedence: Precedence,
+        queues: &mut HashMap<PoolId, Queue>,
     ) -> bool {
-        let own = self.usual(&running.job.stages[stage].pool);
-        let needs = running.job.stages.iter();
-        let mut readers = needs.filter(|need| need.pieces > 0 && need.after.contains(&stage));
-        readers.any(|need| {
-            let Some(bench) = self.pools.get(&need.pool) else {
-                return false;
+        let mut wait = |pool: &PoolId| {
+            let Some(bench) = self.pools.get(pool) else {
+                return Duration::ZERO;
             };
-            let ahead = bench.waiting.iter().map(|&(job, stage)| {
-                let other = self.jobs.get(&job);
-                let is_before =
-                    other.is_some_and(|other| self.precedence(now, other) < precedence);
-                if is_before { self.waiting(job, stage) } else { 0 }
-            });
-            bench.drain(ahead.sum()) > own + MAX_IDLE_RESULT
+            let queue = queues.entry(pool.clone());
+            let queue = queue.or_insert_with(|| self.queue_of(now, bench));
+            let before = queue.partition_point(|(other, _)| *other < precedence);
+            let ahead = before.checked_sub(1).map_or(0, |last| queue[last].1);
+            bench.drain(ahead)
+        };
+        let own = self.usual(&running.job.stages[stage].pool);
+        let rest = running.path(|stage, before| {
+            before + self.usual(&running.job.stages[stage].pool)
+        });
+        let needs = running.job.stages.iter().enumerate();
+        let mut needs = needs.filter(|&(other, need)| {
+            other != stage && need.pieces > 0 && !running.stages[other].is_made()
+        });
+        needs.any(|(other, need)| {
+            let is_reader = need.after.contains(&stage);
+            let is_sibling = need.bytes >= super::HEAVY_BYTES && running.is_final(other);
+            is_reader && wait(&need.pool) > own + MAX_IDLE_RESULT
+                || is_sibling && wait(&need.pool) > rest + MAX_IDLE_RESULT
         })
     }
 
+    /// Returns the waiting jobs of a pool in order, each with the pieces up to its own.
+    fn queue_of(&self, now: Time, bench: &Bench) -> Queue {
+        let waiting = bench.waiting.iter().filter_map(|&(job, stage)| {
+            let running = self.jobs.get(&job)?;
+            Some((self.precedence(now, running), running.stages[stage].waiting().count()))
+        });
+        let mut queue: Queue = waiting.collect();
+        queue.sort();
+        let mut sum = 0;
+        for (_, pieces) in &mut queue {
+            sum += *pieces;
+            *pieces = sum;
+        }
+        queue
+    }
+
     fn precedence(&self, now: Time, running: &Running) -> Precedence {
         let job = &running.job;
         let rest = running.path(|stage, before| before + self.usual(&job.stages[stage].pool));
@@ -242,12 +292,17 @@
         mut room: u64,
     ) -> Vec<(JobId, usize, usize)> {
         let mut chosen = Vec::with_capacity(batch);
+        // A large result that does not fit yet keeps its room from those behind it.
+        let mut is_blocked = false;
         for whole in [true, false] {
             for &(job, stage) in order {
                 let Some(running) = self.jobs.get(&job) else {
                     continue;
                 };
                 let bytes = running.job.stages[stage].bytes;
+                if is_blocked && bytes >= super::HEAVY_BYTES {
+                    continue;
+                }
                 let waiting = running.stages[stage].waiting();
                 let waiting: Vec<usize> = waiting
                     .filter(|&piece| !chosen.contains(&(job, stage, piece)))
@@ -257,6 +312,7 @@
                 // Parts of large results would hold room until the rest is made.
                 let may_split = bytes < super::HEAVY_BYTES || waiting.len() > batch / 2;
                 if is_split && (whole || !may_split) {
+                    is_blocked |= bytes >= super::HEAVY_BYTES && !may_split;
                     continue;
                 }
                 let taken = waiting.into_iter().take(fits);
@@ -360,19 +416,6 @@
         bench.usual.map_or(guess, Duration::from_secs_f64)
     }
 
-    /// Returns when a stage ends if all that goes before it in its pool is made first.
-    pub(super) fn likely(&self, running: &Running, stage: usize, before: Duration) -> Duration {
-        let pool = &running.job.stages[stage].pool;
-        let Some(bench) = self.pools.get(pool) else {
-            return before;
-        };
-        let ahead = self.jobs.values().filter(|other| {
-            other.ready.is_none() && other.job.priority <= running.job.priority
-        });
-        let ahead: usize = ahead.map(|other| other.missing(pool)).sum();
-        before.max(bench.drain(ahead)) + self.usual(pool)
-    }
-
     /// Returns the shortest time in which a job's missing results can be made.
     fn least(&self, now: Time, running: &Running) -> Duration {
         running.path(|stage, before| {
--- a/policy/src/relay/board/job.rs
+++ b/policy/src/relay/board/job.rs
@@ -3,7 +3,7 @@
 use crate::id::{DomainId, PoolId, RequestId, TargetId, Time};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 /// Names a result at the target that made it.
 pub type Handle = CompactString;
@@ -126,6 +126,50 @@
         pieces.filter(|piece| piece.made.is_none()).count()
     }
 
+    /// Adds the pieces that are not made to those of each pool.
+    pub fn add_missing(&self, sums: &mut HashMap<PoolId, usize>) {
+        for (need, stage) in self.job.stages.iter().zip(&self.stages) {
+            let missing = stage.pieces.iter().filter(|piece| piece.made.is_none());
+            match sums.get_mut(&need.pool) {
+                Some(sum) => *sum += missing.count(),
+                None => drop(sums.insert(need.pool.clone(), missing.count())),
+            }
+        }
+    }
+
+    /// Lets the pieces wait again whose results are lost, with the freed inputs that they need.
+    pub fn forget(&mut self, is_lost: impl Fn(&Made) -> bool) -> bool {
+        let mut has_any = false;
+        for stage in (0..self.stages.len()).rev() {
+            if self.stages[stage].is_freed {
+                continue;
+            }
+            for piece in &mut self.stages[stage].pieces {
+                if piece.made.as_ref().is_some_and(&is_lost) {
+                    piece.made = None;
+                    has_any = true;
+                }
+            }
+            if !self.stages[stage].is_made() {
+                for from in self.job.stages[stage].after.clone() {
+                    if self.stages[from].is_freed {
+                        self.forget_stage(from);
+                    }
+                }
+            }
+        }
+        has_any
+    }
+
+    /// Lets all pieces of a stage wait again.
+    pub fn forget_stage(&mut self, stage: usize) {
+        let stage = &mut self.stages[stage];
+        stage.is_freed = false;
+        for piece in &mut stage.pieces {
+            piece.made = None;
+        }
+    }
+
     /// Returns whether no stage reads the results of `stage`.
     pub fn is_final(&self, stage: usize) -> bool {
         let mut needs = self.job.stages.iter();
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -185,6 +185,8 @@
     pools: HashMap<PoolId, Bench>,
     calls: HashMap<CallId, Call>,
     next_call: CallId,
+    /// When late jobs were looked over.
+    reviewed: Time,
 }
 
 /// Targets of one pool and the stages that wait for them.
@@ -244,8 +246,7 @@
                 retry_after: NO_TARGET_PAUSE,
             });
         }
-        let likely = running.path(|stage, before| self.likely(&running, stage, before));
-        if now + likely + running.job.tail > running.job.due {
+        if now + self.likely(now, &running) > running.job.due {
             return out.push(Command::Refuse {
                 job: id,
                 reason: Refusal::Backlog,
@@ -324,9 +325,9 @@
         self.mark_overdue(now);
         self.drop_lapsed(now);
         self.give_up(now, out);
+        self.review(now, out);
         let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
         for pool in pools {
-            self.give_up_hopeless(now, &pool, out);
             self.dispatch(now, &pool, out);
         }
         self.flush(out);
@@ -403,12 +404,7 @@
     fn lose_results(&mut self, target: &TargetId) {
         let unready = self.jobs.values_mut();
         for running in unready.filter(|running| running.ready.is_none()) {
-            let freed = running.stages.iter_mut().filter(|stage| !stage.is_freed);
-            for piece in freed.flat_map(|stage| &mut stage.pieces) {
-                if piece.made.as_ref().is_some_and(|made| made.target == *target) {
-                    piece.made = None;
-                }
-            }
+            running.forget(|made| made.target == *target);
         }
         self.queue_all();
     }
@@ -418,13 +414,7 @@
         let mut has_any = false;
         let unready = self.jobs.values_mut();
         for running in unready.filter(|running| running.ready.is_none()) {
-            let unread = running.stages.iter_mut().filter(|stage| !stage.is_freed);
-            for piece in unread.flat_map(|stage| &mut stage.pieces) {
-                if piece.made.as_ref().is_some_and(|made| made.until <= now + FETCH) {
-                    piece.made = None;
-                    has_any = true;
-                }
-            }
+            has_any |= running.forget(|made| made.until <= now + FETCH);
         }
         if has_any {
             self.queue_all();
@@ -618,11 +608,7 @@
             Why::Late => self.refuse(job, Refusal::Late, out),
             Why::Gone => {
                 for from in running.job.stages[stage].after.clone() {
-                    let stage = &mut running.stages[from];
-                    stage.is_freed = false;
-                    for piece in &mut stage.pieces {
-                        piece.made = None;
-                    }
+                    running.forget_stage(from);
                 }
             }
             Why::Room => {
