--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -56,6 +56,8 @@
     pub due: Duration,
     /// Time from the last result to the first event.
     pub tail: Duration,
+    /// Domain that the request's target is expected in.
+    pub hint: Option<DomainId>,
     pub stages: Vec<Need>,
 }
 
@@ -223,22 +225,33 @@
         self.take_order(OWN, number, order);
     }
 
-    /// Returns who conducts: by rendezvous hashing, larger daemons more often.
+    /// Returns who conducts: one of the largest daemons, by rendezvous hashing.
     fn conducting(&self) -> Place {
         let settings = self.settings();
-        let own = (weight(&settings.host, settings.cpu), Place::Own);
-        let mut best = if self.is_leaving() {
-            (f64::NEG_INFINITY, Place::Own)
-        } else {
-            own
-        };
+        let mut best = (false, 0, Place::Own);
+        let mut largest = if self.is_leaving() { 0.0 } else { settings.cpu };
+        self.links.each(|peer| {
+            if !peer.is_leaving {
+                largest = largest.max(peer.profile.cpu);
+            }
+        });
+        if !self.is_leaving() {
+            let is_large = settings.cpu >= largest * LARGE_SHARE;
+            best = (is_large, weight(&settings.host), Place::Own);
+        }
         self.links.each(|peer| {
-            let weight = weight(&peer.profile.host, peer.profile.cpu);
-            if !peer.is_leaving && weight > best.0 {
-                best = (weight, Place::Peer(peer.profile.host.clone()));
+            let is_large = peer.profile.cpu >= largest * LARGE_SHARE;
+            let weight = weight(&peer.profile.host);
+            if !peer.is_leaving && (is_large, weight) > (best.0, best.1) {
+                best = (is_large, weight, Place::Peer(peer.profile.host.clone()));
             }
         });
-        best.1
+        best.2
+    }
+
+    /// Returns whether this daemon conducts for the fleet.
+    pub(super) fn is_conducting(&self) -> bool {
+        !self.is_leaving() && self.conducting() == Place::Own
     }
 
     /// Takes an order of this daemon or of a peer.
@@ -252,6 +265,7 @@
             aim: now + order.aim,
             due: now + order.due,
             tail: order.tail,
+            hint: order.hint,
             stages: order.stages,
         };
         self.conductor
@@ -485,11 +499,11 @@
     }
 }
 
-/// Returns the weight of a daemon in weighted rendezvous hashing.
-fn weight(host: &str, cpu: f64) -> f64 {
-    const STEPS: u64 = 1 << 52;
-    let drawn = hash::texts(&["conductor", host]) % STEPS;
-    let drawn = (drawn as f64 + 1.0) / (STEPS as f64 + 1.0);
-    // Squared, since a small daemon would bind the whole fleet.
-    -(cpu * cpu) / drawn.ln()
+/// Returns the weight of a daemon in rendezvous hashing.
+fn weight(host: &str) -> u64 {
+    hash::texts(&["conductor", host])
 }
+
+/// Share of the largest daemon's processor time from which a daemon may conduct; a small one would
+/// bind the whole fleet.
+const LARGE_SHARE: f64 = 0.8;
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -76,6 +76,7 @@
         waiting = view.waiting,
         targets = view.targets,
         busy = view.busy,
+        carried = view.carried,
         paused = view.paused,
         room_bytes = view.room,
         usual_ms = millis(view.usual),
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -38,6 +38,8 @@
 const MIN_BEAT: Duration = Duration::from_millis(250); // a frozen conductor is missed within a second
 /// Period of beats for each link; forty beats a second in all cost some parts in a thousand of a core.
 const BEAT_PER_LINK: Duration = Duration::from_millis(25);
+/// Period for each link of the beats of a daemon that others depend on.
+const LEADING_BEAT_PER_LINK: Duration = Duration::from_millis(4); // a fleet of 90 misses it within 1.5 s
 /// Periods without a frame after which a link is dead.
 const DEAD_BEATS: u32 = 3;
 /// Time beside [`DEAD_BEATS`] for daemons that are given no processor time for a while.
@@ -96,6 +98,8 @@
         /// Version of its configuration, 0 for none.
         plan: u64,
         is_leaving: bool,
+        /// Time until its next beat.
+        period: Duration,
     },
     /// The sender's configuration is older than the receiver's.
     WantPlan,
@@ -161,6 +165,8 @@
     pub is_leaving: bool,
     sender: mpsc::Sender<Frame>,
     heard: Instant,
+    /// Time between its beats.
+    period: Duration,
 }
 
 /// Links to all daemons that are known.
@@ -245,10 +251,6 @@
         });
     }
 
-    fn beat_period(&self) -> Duration {
-        (BEAT_PER_LINK * self.count() as u32).max(MIN_BEAT)
-    }
-
     fn next_origin(&self) -> Origin {
         self.origins.set(self.origins.get() + 1);
         self.origins.get()
@@ -382,10 +384,12 @@
 ) -> Result<(), Error> {
     let mut beat = Instant::now();
     loop {
-        let period = relay.links.beat_period();
-        let heard = relay.links.peers.borrow().get(host).map(|peer| peer.heard);
-        let heard = heard.ok_or(Error::Needless)?;
-        let dead = heard + period * DEAD_BEATS + DEAD_SLACK;
+        let dead = {
+            let peers = relay.links.peers.borrow();
+            let peer = peers.get(host).ok_or(Error::Needless)?;
+            peer.heard + peer.period * DEAD_BEATS + DEAD_SLACK
+        };
+        let wake = dead.min(beat).max(Instant::now());
         tokio::select! {
             frame = receive(socket) => relay.take_frame(host, origin, frame?),
             frame = frames.recv() => {
@@ -393,13 +397,19 @@
                 let sent = time::timeout(OPEN_TIMEOUT, send(socket, &frame)).await;
                 sent.unwrap_or(Err(Error::Silent))?;
             }
-            () = time::sleep_until(beat.into()) => {
-                if dead < Instant::now() {
+            () = time::sleep_until(wake.into()) => {
+                let now = Instant::now();
+                if dead <= now {
                     return Err(Error::Silent);
                 }
+                if now < beat {
+                    continue;
+                }
+                let period = relay.beat_period();
                 let frame = Frame::Beat {
                     plan: relay.plan_version(),
                     is_leaving: relay.is_leaving(),
+                    period,
                 };
                 let sent = time::timeout(OPEN_TIMEOUT, send(socket, &frame)).await;
                 sent.unwrap_or(Err(Error::Silent))?;
@@ -436,7 +446,7 @@
         let mut peers = self.links.peers.borrow_mut();
         let known = peers.get(&profile.host);
         let is_same = known.is_some_and(|peer| {
-            let is_heard = peer.heard.elapsed() < self.links_silence();
+            let is_heard = peer.heard.elapsed() < peer.period * DEAD_BEATS;
             peer.profile.incarnation == profile.incarnation && is_heard
         });
         if is_same || profile.incarnation == self.incarnation {
@@ -450,6 +460,7 @@
             is_leaving: false,
             sender,
             heard: Instant::now(),
+            period: relay_period(peers.len() + 1, BEAT_PER_LINK),
             profile,
         };
         peers.insert(peer.profile.host.clone(), peer);
@@ -457,8 +468,13 @@
         Ok((origin, frames))
     }
 
-    fn links_silence(&self) -> Duration {
-        MIN_BEAT * DEAD_BEATS
+    /// Returns the time between two beats of this daemon.
+    fn beat_period(&self) -> Duration {
+        let per_link = match self.is_conducting() {
+            true => LEADING_BEAT_PER_LINK,
+            false => BEAT_PER_LINK,
+        };
+        relay_period(self.links.count(), per_link)
     }
 
     fn unlink(self: &Rc<Self>, host: &HostId, origin: Origin, fault: &str) {
@@ -476,8 +492,12 @@
     fn take_frame(self: &Rc<Self>, host: &HostId, origin: Origin, frame: Frame) {
         if let Some(peer) = self.links.peers.borrow_mut().get_mut(host) {
             peer.heard = Instant::now();
-            if let Frame::Beat { is_leaving, .. } = &frame {
+            if let Frame::Beat {
+                is_leaving, period, ..
+            } = &frame
+            {
                 peer.is_leaving = *is_leaving;
+                peer.period = *period;
             }
         }
         match frame {
@@ -531,6 +551,10 @@
     }
 }
 
+fn relay_period(links: usize, per_link: Duration) -> Duration {
+    (per_link * links as u32).max(MIN_BEAT)
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -16,7 +16,7 @@
 use http_body_util::Full;
 use policy::{
     hash,
-    id::{PoolId, TargetId, WorkspaceId},
+    id::{DomainId, PoolId, TargetId, WorkspaceId},
     relay::{
         board::Need,
         choice::Wish,
@@ -51,6 +51,8 @@
 const FULL_RETRY: Duration = Duration::from_millis(300); // a few times the usual work of plain requests
 /// Size from which an early answer closes its connection, since the body may not be read yet.
 const LONG_BODY: usize = 16 << 10; // more than a target's receive buffer may hold
+/// Tokens of shared parts from which the target that keeps them decides where stages are made.
+const LONG_PROMPT: u32 = 1_000; // reading fewer takes less than a tenth of a call
 /// Times that stages are made anew because results were gone.
 const MAX_REMAKES: u32 = 2;
 
@@ -368,6 +370,7 @@
             aim: aim.saturating_duration_since(begun),
             due,
             tail: TAIL,
+            hint: self.expected_domain(),
             stages: stages.collect(),
         };
         let made = time::timeout(due, self.relay.conduct(order)).await;
@@ -389,7 +392,7 @@
     fn next_target(
         &self,
         tally: &mut Tally,
-        heavy: Option<&policy::id::DomainId>,
+        heavy: Option<&DomainId>,
     ) -> Result<Target, Rejection> {
         let pool = self.pool()?;
         let has_run = tally.runs > 0;
@@ -435,11 +438,23 @@
         pool.ok_or(Rejection::new(Reason::NoRoute))
     }
 
+    /// Returns the domain of the target that keeps most of the prompt, if that is much.
+    fn expected_domain(&self) -> Option<DomainId> {
+        let shared = self.ask.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+        if tokens < LONG_PROMPT {
+            return None;
+        }
+        let pool = self.pool().ok()?;
+        let target = self.choose(&pool, &Tally::default(), None)?;
+        Some(target.domain)
+    }
+
     fn choose(
         &self,
         pool: &PoolId,
         tally: &Tally,
-        heavy: Option<&policy::id::DomainId>,
+        heavy: Option<&DomainId>,
     ) -> Option<Target> {
         let settings = self.relay.settings();
         let members = self.relay.links.count() as u32 + 1;
@@ -447,7 +462,7 @@
         let connections = plan.pool(pool).map_or(u32::MAX, |pool| pool.max_connections);
         let wish = Wish {
             parts: &self.ask.parts,
-            heavy,
+            heavy: heavy.map(|domain| (domain, self.heavy_bytes())),
             domain: Some(&settings.domain),
             tried: &tally.tried,
             cap: (connections / members).max(1),
@@ -458,6 +473,13 @@
         target.cloned()
     }
 
+    /// Returns the bytes of the request's largest stage.
+    fn heavy_bytes(&self) -> u64 {
+        let stages = self.route.stages.iter().zip(&self.ask.pieces);
+        let bytes = stages.map(|(stage, &pieces)| stage.bytes * u64::from(pieces));
+        bytes.max().unwrap_or_default()
+    }
+
     /// Logs a send that gave no answer to pass on, and what follows.
     fn note(&self, tally: &Tally, target: &Target, result: &str, taken: Duration, is_flying: bool) {
         let next = if is_flying { "wait" } else { "decide" };
--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -27,6 +27,13 @@
 /// Waiting jobs of a pool in order, each with the pieces up to its own.
 type Queue = Vec<(Precedence, usize)>;
 
+/// Whether a call may carry some of a stage's pieces.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Split {
+    Allowed,
+    Refused,
+}
+
 impl Board {
     /// Lets the pieces of overdue calls wait again, so that another target makes them.
     pub(super) fn mark_overdue(&mut self, now: Time) {
@@ -52,7 +59,7 @@
             }
         }
         if has_any {
-            self.queue_all();
+            self.queue_all(now);
         }
     }
 
@@ -83,6 +90,7 @@
             return;
         }
         self.reviewed = now;
+        self.count_load();
         let unready = self.jobs.values().filter(|running| running.ready.is_none());
         let mut queue: Vec<(Precedence, JobId)> = unready
             .map(|running| (self.precedence(now, running), running.job.id))
@@ -134,7 +142,7 @@
             let Some(limits) = bench.limits else {
                 return;
             };
-            if bench.waiting.is_empty() {
+            if bench.waiting.is_empty() || !bench.presses.iter().any(|press| press.is_idle(now)) {
                 return;
             }
             let order = self.order(now, bench);
@@ -268,7 +276,20 @@
             if press.pace > quickest * SLOW && !self.is_worth(bench, limits, press.pace) {
                 continue;
             }
-            let chosen = self.pick(order, limits.batch, press.room(limits));
+            let room = press.room(limits);
+            let (own, others): (Vec<_>, Vec<_>) = order.iter().copied().partition(|(job, _)| {
+                let running = self.jobs.get(job);
+                running.is_some_and(|running| running.home == press.domain)
+            });
+            let mut chosen = self.pick(&own, limits.batch, room, Split::Allowed);
+            if chosen.is_empty() {
+                let others = others.into_iter().filter(|&(job, stage)| {
+                    let running = self.jobs.get(&job);
+                    running.is_some_and(|running| self.may_move(now, running, stage))
+                });
+                let others: Vec<(JobId, usize)> = others.collect();
+                chosen = self.pick(&others, limits.batch, room, Split::Refused);
+            }
             if !chosen.is_empty() {
                 return Some((index, chosen));
             }
@@ -290,11 +311,16 @@
         order: &[(JobId, usize)],
         batch: usize,
         mut room: u64,
+        split: Split,
     ) -> Vec<(JobId, usize, usize)> {
         let mut chosen = Vec::with_capacity(batch);
         // A large result that does not fit yet keeps its room from those behind it.
         let mut is_blocked = false;
-        for whole in [true, false] {
+        let passes: &[bool] = match split {
+            Split::Allowed => &[true, false],
+            Split::Refused => &[true],
+        };
+        for &whole in passes {
             for &(job, stage) in order {
                 let Some(running) = self.jobs.get(&job) else {
                     continue;
@@ -337,9 +363,14 @@
         let items = chosen.iter().filter_map(|&entry| self.item(now, entry));
         let items: Vec<Item> = items.collect();
         let mut bytes = Vec::with_capacity(chosen.len());
+        let bench = self.pools.get(pool);
+        let domain = bench.map(|bench| bench.presses[press].domain.clone());
+        let domain = domain.unwrap_or_default();
         for &(job, stage, piece) in chosen {
             if let Some(running) = self.jobs.get_mut(&job) {
                 running.stages[stage].pieces[piece].calls += 1;
+                // What reads the results goes where they are.
+                running.home.clone_from(&domain);
                 bytes.push(running.job.stages[stage].bytes);
             }
         }
--- a/policy/src/relay/board/job.rs
+++ b/policy/src/relay/board/job.rs
@@ -47,6 +47,8 @@
     pub due: Time,
     /// Time from the last result to the first event.
     pub tail: Duration,
+    /// Domain that the request's target is expected in.
+    pub hint: Option<DomainId>,
     /// The stages, each after those that it reads.
     pub stages: Vec<Need>,
 }
@@ -74,6 +76,8 @@
 pub(super) struct Progress {
     pub pieces: Vec<Piece>,
     pub is_freed: bool,
+    /// When the stage came into its pool's queue.
+    pub since: Time,
 }
 
 /// A job on its way.
@@ -81,6 +85,8 @@
 pub(super) struct Running {
     pub job: Job,
     pub stages: Vec<Progress>,
+    /// Domain whose targets make the pieces, unless others are idle.
+    pub home: DomainId,
     /// When all results were made.
     pub ready: Option<Time>,
     /// Pieces that failed so far.
@@ -105,12 +111,14 @@
 }
 
 impl Running {
-    pub fn new(job: Job) -> Self {
+    pub fn new(job: Job, home: DomainId) -> Self {
         let stages = job.stages.iter().map(|need| Progress {
             pieces: vec![Piece::default(); need.pieces as usize],
             is_freed: false,
+            since: Time::ZERO,
         });
         Self {
+            home,
             stages: stages.collect(),
             job,
             ready: None,
@@ -182,6 +190,16 @@
         after.copied().all(|from| self.stages[from].is_made())
     }
 
+    /// Returns the bytes that all pieces of a stage read.
+    pub fn read_bytes(&self, stage: usize) -> u64 {
+        let need = &self.job.stages[stage];
+        let inputs = need.after.iter().map(|&from| {
+            let from = &self.job.stages[from];
+            from.bytes * u64::from(from.pieces)
+        });
+        inputs.sum::<u64>() * u64::from(need.pieces)
+    }
+
     /// Returns the results of several stages in order.
     pub fn results(&self, stages: impl Iterator<Item = usize>) -> Vec<Handle> {
         stages
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -8,6 +8,7 @@
 //! more, or waits behind too much to be, is refused at once.
 
 mod dispatch;
+mod home;
 mod job;
 mod press;
 
@@ -26,7 +27,7 @@
 };
 use compact_str::CompactString;
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 use strum::{Display, IntoStaticStr};
@@ -170,6 +171,8 @@
     pub targets: usize,
     /// Targets that run a call.
     pub busy: usize,
+    /// Pieces in the calls that run.
+    pub carried: usize,
     /// Targets that pause after a failure.
     pub paused: usize,
     /// Bytes that are free for results.
@@ -187,6 +190,12 @@
     next_call: CallId,
     /// When late jobs were looked over.
     reviewed: Time,
+    /// Pools for which a call may be filled now.
+    touched: BTreeSet<PoolId>,
+    /// Whether results were lost whose pieces do not wait again yet.
+    has_lost: bool,
+    /// Pieces of each pool that the jobs at home in each domain still need.
+    load: HashMap<(PoolId, DomainId), usize>,
 }
 
 /// Targets of one pool and the stages that wait for them.
@@ -236,7 +245,8 @@
     /// Takes a job, or refuses it at once if its deadline can't be met.
     pub fn submit(&mut self, now: Time, job: Job, out: &mut Vec<Command>) {
         let id = job.id;
-        let running = Running::new(job);
+        let home = self.choose_home(&job);
+        let running = Running::new(job, home);
         let unserved = running.job.stages.iter();
         let mut unserved = unserved.filter(|need| need.pieces > 0);
         if unserved.any(|need| !self.is_served(&need.pool)) {
@@ -253,15 +263,16 @@
                 retry_after: self.drain_time(&running),
             });
         }
+        self.add_load(&running);
         self.jobs.insert(id, running);
         self.advance(now, id, out);
-        self.poll(now, out);
+        self.settle(now, out);
     }
 
     /// Forgets a job, whether its caller left or its results were read.
     pub fn release(&mut self, now: Time, id: JobId, out: &mut Vec<Command>) {
         self.drop_job(id);
-        self.poll(now, out);
+        self.settle(now, out);
     }
 
     /// Forgets all jobs of one daemon that are not ready.
@@ -272,7 +283,7 @@
         for id in jobs {
             self.drop_job(id);
         }
-        self.poll(now, out);
+        self.settle(now, out);
     }
 
     /// Takes in what came of a call.
@@ -302,7 +313,8 @@
         for job in call.jobs() {
             self.advance(now, job, out);
         }
-        self.poll(now, out);
+        self.touched.insert(call.pool);
+        self.settle(now, out);
     }
 
     /// Notes that a target has freed results.
@@ -313,11 +325,13 @@
         handles: &[Handle],
         out: &mut Vec<Command>,
     ) {
-        let presses = self.pools.values_mut().flat_map(|bench| &mut bench.presses);
-        for press in presses.filter(|press| press.id == *target) {
-            press.note_freed(handles);
+        for (pool, bench) in &mut self.pools {
+            if let Some(press) = bench.press(target) {
+                press.note_freed(handles);
+                self.touched.insert(pool.clone());
+            }
         }
-        self.poll(now, out);
+        self.settle(now, out);
     }
 
     /// Does what the time asks for: gives up, sends calls, frees results.
@@ -326,8 +340,13 @@
         self.drop_lapsed(now);
         self.give_up(now, out);
         self.review(now, out);
-        let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
-        for pool in pools {
+        self.touched.extend(self.pools.keys().cloned());
+        self.settle(now, out);
+    }
+
+    /// Fills calls where something changed, and sends away what is to be freed.
+    fn settle(&mut self, now: Time, out: &mut Vec<Command>) {
+        for pool in std::mem::take(&mut self.touched) {
             self.dispatch(now, &pool, out);
         }
         self.flush(out);
@@ -348,11 +367,14 @@
             let paused = bench.presses.iter();
             let paused = paused.filter(|press| press.call.is_none() && !press.is_idle(now));
             let room = bench.presses.iter().map(|press| press.room(&limits));
+            let calls = bench.presses.iter().filter_map(|press| press.call);
+            let carried = calls.filter_map(|call| Some(self.calls.get(&call)?.items.len()));
             Some(View {
                 pool: pool.clone(),
                 waiting: self.backlog(pool),
                 targets: bench.presses.len(),
                 busy: busy.count(),
+                carried: carried.sum(),
                 paused: paused.count(),
                 room: room.sum(),
                 usual: Duration::from_secs_f64(bench.usual.unwrap_or_default()),
@@ -404,20 +426,19 @@
     fn lose_results(&mut self, target: &TargetId) {
         let unready = self.jobs.values_mut();
         for running in unready.filter(|running| running.ready.is_none()) {
-            running.forget(|made| made.target == *target);
+            self.has_lost |= running.forget(|made| made.target == *target);
         }
-        self.queue_all();
     }
 
     /// Lets the pieces wait again whose results have lapsed before they were read.
     fn drop_lapsed(&mut self, now: Time) {
-        let mut has_any = false;
+        let mut has_any = std::mem::take(&mut self.has_lost);
         let unready = self.jobs.values_mut();
         for running in unready.filter(|running| running.ready.is_none()) {
             has_any |= running.forget(|made| made.until <= now + FETCH);
         }
         if has_any {
-            self.queue_all();
+            self.queue_all(now);
         }
     }
 
@@ -427,15 +448,15 @@
     }
 
     /// Puts each stage that has inputs and waiting pieces into its pool's queue.
-    fn queue_all(&mut self) {
+    fn queue_all(&mut self, now: Time) {
         let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
         for job in jobs {
-            self.queue(job);
+            self.queue(now, job);
         }
     }
 
-    fn queue(&mut self, id: JobId) {
-        let Some(running) = self.jobs.get(&id) else {
+    fn queue(&mut self, now: Time, id: JobId) {
+        let Some(running) = self.jobs.get_mut(&id) else {
             return;
         };
         if running.ready.is_some() {
@@ -443,12 +464,14 @@
         }
         for stage in 0..running.stages.len() {
             let is_open = running.has_inputs(stage) && running.stages[stage].waiting().next().is_some();
-            let pool = &running.job.stages[stage].pool;
-            if let Some(bench) = self.pools.get_mut(pool)
+            let pool = running.job.stages[stage].pool.clone();
+            if let Some(bench) = self.pools.get_mut(&pool)
                 && is_open
                 && !bench.waiting.contains(&(id, stage))
             {
+                running.stages[stage].since = now;
                 bench.waiting.push((id, stage));
+                self.touched.insert(pool);
             }
         }
     }
@@ -473,7 +496,7 @@
             });
         }
         self.free_inputs(id);
-        self.queue(id);
+        self.queue(now, id);
     }
 
     /// Frees the results of stages that all of their readers have read.
--- a/policy/src/relay/choice.rs
+++ b/policy/src/relay/choice.rs
@@ -32,8 +32,8 @@
 pub struct Wish<'a> {
     /// Parts of the prompt in order; the last belongs to the request alone.
     pub parts: &'a [Part],
-    /// Domain that holds large results which the target reads.
-    pub heavy: Option<&'a DomainId>,
+    /// Domain that holds large results which the target reads, and their bytes.
+    pub heavy: Option<(&'a DomainId, u64)>,
     /// Domain of this daemon.
     pub domain: Option<&'a DomainId>,
     /// Targets that were tried before.
@@ -69,14 +69,15 @@
 const READ_RATE: f64 = 40_000.0;
 /// Time for which a part counts as kept; targets hold some hundred prompts.
 const KEPT: Duration = Duration::from_secs(30);
-/// Share of a part's reading time that is expected saved at its rendezvous target.
-const HOPE: f64 = 0.5;
+/// Shares of the reading time that is expected at the first targets that rendezvous hashing names;
+/// the next one takes over as those before it fill up.
+const HOPES: [f64; 3] = [0.2, 0.5, 0.8];
 /// Seconds that each request at a target adds.
 const LOAD_COST: f64 = 0.004; // a batch slows by some parts in a hundred for each request
 /// Seconds that each waiting request at a target adds.
 const WAIT_COST: f64 = 0.03; // the usual work of a plain request
-/// Seconds that large results take to another domain.
-const HEAVY_COST: f64 = 0.15; // set above the reading time that a cached part saves
+/// Seconds that a byte of large results counts for in another domain.
+const HEAVY_COST: f64 = 1.0e-8; // the sites price 1 MB there as reading 400 tokens anew
 /// Seconds that another domain adds.
 const DISTANCE_COST: f64 = 0.003; // a round trip between domains
 /// Seconds that a target adds when all its answers fail.
@@ -105,16 +106,14 @@
         let targets: Vec<&Target> = targets
             .filter(|target| !wish.tried.contains(&target.id))
             .collect();
-        let owner = wish.shared().and_then(|part| {
-            let weight = |target: &&&Target| hash::texts(&[&part.id, &target.id]);
-            targets.iter().max_by_key(weight).copied()
-        });
+        let owners = wish.shared().map(|part| owners(part, &targets));
+        let owners = owners.unwrap_or_default();
         let scored = targets.iter().map(|target| {
             let record = self.records.get(&target.id);
-            let is_owner = owner.is_some_and(|owner| owner.id == target.id);
+            let rank = owners.iter().position(|owner| *owner == Some(&target.id));
             let is_full = record.is_some_and(|record| record.in_flight >= wish.cap);
             let is_paused = record.is_some_and(|record| now < record.paused_until);
-            let score = self.score(now, target, wish, is_owner);
+            let score = self.score(now, target, wish, rank);
             ((is_full, is_paused), score, *target)
         });
         let best = scored.min_by(|(bars, score, _), (others, other, _)| {
@@ -189,21 +188,21 @@
         self.records.entry(target.clone()).or_default()
     }
 
-    fn score(&self, now: Time, target: &Target, wish: &Wish<'_>, is_owner: bool) -> f64 {
+    fn score(&self, now: Time, target: &Target, wish: &Wish<'_>, rank: Option<usize>) -> f64 {
         let distance = match wish.domain {
             Some(domain) if *domain != target.domain => DISTANCE_COST,
             Some(_) | None => 0.0,
         };
         let heavy = match wish.heavy {
-            Some(domain) if *domain != target.domain => HEAVY_COST,
+            Some((domain, bytes)) if *domain != target.domain => HEAVY_COST * bytes as f64,
             Some(_) | None => 0.0,
         };
         let load = self.records.get(&target.id).map_or(0.0, |record| record.cost(now, target));
-        self.reading(now, target, wish, is_owner) + load + distance + heavy
+        self.reading(now, target, wish, rank) + load + distance + heavy
     }
 
     /// Returns the seconds in which the target reads what it has not kept of the prompt.
-    fn reading(&self, now: Time, target: &Target, wish: &Wish<'_>, is_owner: bool) -> f64 {
+    fn reading(&self, now: Time, target: &Target, wish: &Wish<'_>, rank: Option<usize>) -> f64 {
         let mut tokens = 0.0;
         let mut is_kept = true;
         let shared = wish.parts.split_last().map_or(&[][..], |(_, shared)| shared);
@@ -214,13 +213,28 @@
                 tokens += f64::from(part.tokens);
             }
         }
-        if !is_kept && is_owner {
-            tokens *= HOPE;
+        if let Some(rank) = rank
+            && !is_kept
+        {
+            tokens *= HOPES[rank];
         }
         tokens / READ_RATE
     }
 }
 
+/// Returns the first targets of a part by rendezvous hashing.
+fn owners<'a>(part: &Part, targets: &[&'a Target]) -> [Option<&'a TargetId>; HOPES.len()] {
+    let mut best: [Option<(u64, &TargetId)>; HOPES.len()] = [None; HOPES.len()];
+    for target in targets {
+        let entry = Some((hash::texts(&[&part.id, &target.id]), &target.id));
+        if let Some(rank) = best.iter().position(|other| *other < entry) {
+            best[rank..].rotate_right(1);
+            best[rank] = entry;
+        }
+    }
+    best.map(|entry| entry.map(|(_, id)| id))
+}
+
 impl Record {
     fn cost(&self, now: Time, target: &Target) -> f64 {
         let own = f64::from(self.in_flight);
--- a/policy/tests/yard/mod.rs
+++ b/policy/tests/yard/mod.rs
@@ -382,6 +382,7 @@
             aim: now + Duration::from_secs_f64(aim),
             due: now + Duration::from_secs_f64(due),
             tail: TAIL,
+            hint: None,
             stages,
         }
     }
