--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -19,6 +19,8 @@
 const REVIEW_PERIOD: Duration = Duration::from_millis(100); // a third of a call
 /// Longest time that results are expected to wait for their readers.
 const MAX_IDLE_RESULT: Duration = Duration::from_millis(400); // about one call
+/// Time by which a large result is made before the request's other stages.
+const EARLY_SLACK: Duration = Duration::from_millis(200); // its own wait for a target
 /// Share of the rate of full calls that a pool reaches, since room and deaths leave gaps.
 const REACHED: f64 = 0.85;
 
@@ -185,7 +187,7 @@
             true => before,
             false => before + self.usual(&running.job.stages[other].pool),
         });
-        others > own
+        others > own + EARLY_SLACK
     }
 
     /// Returns whether the results of a stage would wait in the queue of their readers, where they
--- a/policy/src/relay/board/home.rs
+++ b/policy/src/relay/board/home.rs
@@ -12,7 +12,7 @@
 /// Bytes up to which a stage is made in another domain at once.
 const CHEAP_BYTES: u64 = 200_000; // the results of a small stage, some times over
 /// Time for which a stage waits for the targets of its home.
-const HOME_WAIT: Duration = Duration::from_millis(300); // about one call
+const HOME_WAIT: Duration = Duration::from_millis(200); // most of a call
 /// Time for which a large result waits for the targets of its home.
 const HEAVY_WAIT: Duration = Duration::from_millis(150); // moving it costs less than a chain
 /// Advantage of the domain that the request's target is expected in.
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -185,8 +185,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     jobs: BTreeMap<JobId, Running>,
-    pools: HashMap<PoolId, Bench>,
-    calls: HashMap<CallId, Call>,
+    pools: BTreeMap<PoolId, Bench>,
+    calls: BTreeMap<CallId, Call>,
     next_call: CallId,
     /// When late jobs were looked over.
     reviewed: Time,
