--- a/godwithinge/src/log/ring.rs
+++ b/godwithinge/src/log/ring.rs
@@ -61,7 +61,10 @@
     loop {
         let mut lines = shared.lines.lock().unwrap_or_else(PoisonError::into_inner);
         while lines.bytes.is_empty() {
-            lines = shared.filled.wait(lines).unwrap_or_else(PoisonError::into_inner);
+            lines = shared
+                .filled
+                .wait(lines)
+                .unwrap_or_else(PoisonError::into_inner);
         }
         drop(lines);
         thread::sleep(GATHER);
@@ -71,7 +74,9 @@
         drop(lines);
         let note = match dropped {
             0 => String::new(),
-            _ => format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n"),
+            _ => format!(
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n"
+            ),
         };
         let written = sink.write_all(&bytes);
         let written = written.and_then(|()| sink.write_all(note.as_bytes()));
--- a/godwithinge/src/relay/body.rs
+++ b/godwithinge/src/relay/body.rs
@@ -62,9 +62,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
-            }
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
             Self::Parts(_) => SizeHint::default(),
         }
     }
--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -278,12 +278,7 @@
             .with_board(self, |board, now, out| board.release(now, id, out));
     }
 
-    pub(super) fn take_ready(
-        &self,
-        number: u64,
-        handles: Vec<Handle>,
-        domain: Option<DomainId>,
-    ) {
+    pub(super) fn take_ready(&self, number: u64, handles: Vec<Handle>, domain: Option<DomainId>) {
         self.decide(number, Ok((handles, domain)));
     }
 
@@ -305,7 +300,9 @@
 
     fn decide(&self, number: u64, verdict: Verdict) {
         let mut placed = self.conductor.placed.borrow_mut();
-        let waiting = placed.get_mut(&number).and_then(|entry| entry.verdict.take());
+        let waiting = placed
+            .get_mut(&number)
+            .and_then(|entry| entry.verdict.take());
         if let Some(waiting) = waiting {
             // The request may have been given up meanwhile.
             drop(waiting.send(verdict));
@@ -314,8 +311,9 @@
 
     /// Forgets the jobs of a link that ended, and places anew what its daemon conducted.
     pub(super) fn lose_origin(self: &Rc<Self>, origin: Origin, host: Option<&HostId>) {
-        self.conductor
-            .with_board(self, |board, now, out| board.release_origin(now, origin, out));
+        self.conductor.with_board(self, |board, now, out| {
+            board.release_origin(now, origin, out)
+        });
         let Some(host) = host else {
             return;
         };
@@ -429,7 +427,11 @@
             Err(Error::Broken(_) | Error::Silent | Error::TooLong) => Reply::Lost,
         };
         let result = event::stage_call(target, items.len(), begun.elapsed(), &reply);
-        let pool = self.roster().all().find(|one| one.id == *target).map(|one| one.pool.clone());
+        let pool = self
+            .roster()
+            .all()
+            .find(|one| one.id == *target)
+            .map(|one| one.pool.clone());
         let labels = [pool.as_deref().unwrap_or("gone"), result];
         self.metrics.calls.with_label_values(&labels).inc();
         self.metrics.pieces.inc_by(items.len() as u64);
@@ -472,7 +474,12 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        let placed = self.relay.conductor.placed.borrow_mut().remove(&self.number);
+        let placed = self
+            .relay
+            .conductor
+            .placed
+            .borrow_mut()
+            .remove(&self.number);
         match placed.map(|entry| entry.place) {
             Some(Place::Own) => self.relay.take_release(OWN, self.number),
             Some(Place::Peer(host)) => {
--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -1,14 +1,6 @@
 //! Starts a daemon, and ends it without losing a request.
 
-use super::{
-    conduct,
-    dialect::Table,
-    front, link,
-    settings::Settings,
-    side,
-    state::Relay,
-    watch,
-};
+use super::{conduct, dialect::Table, front, link, settings::Settings, side, state::Relay, watch};
 use std::{
     error, io,
     net::SocketAddr,
@@ -106,7 +98,11 @@
 async fn leave(relay: &Rc<Relay>) {
     let begun = Instant::now();
     let grace = relay.settings().grace;
-    tracing::info!(in_flight = relay.in_flight(), grace_ms = grace.as_millis() as u64, "leaving");
+    tracing::info!(
+        in_flight = relay.in_flight(),
+        grace_ms = grace.as_millis() as u64,
+        "leaving"
+    );
     relay.leave();
     let host = relay.settings().host.clone();
     let removed = relay.store.put_daemon(relay, &host, None);
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -47,7 +47,13 @@
 }
 
 /// Logs a send that gave no answer to pass on.
-pub(super) fn send_failed(request: &str, target: &TargetId, result: &str, taken: Duration, next: &str) {
+pub(super) fn send_failed(
+    request: &str,
+    target: &TargetId,
+    result: &str,
+    taken: Duration,
+    next: &str,
+) {
     tracing::info!(
         request,
         target_id = %target,
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -108,7 +108,11 @@
 fn limits(relay: &Relay) -> (usize, Duration, Duration) {
     relay.plan().map_or(FIRST_LIMITS, |plan| {
         let limits = plan.limits;
-        (limits.header_bytes, limits.header_timeout, limits.idle_timeout)
+        (
+            limits.header_bytes,
+            limits.header_timeout,
+            limits.idle_timeout,
+        )
     })
 }
 
@@ -155,7 +159,12 @@
     let flight = Flight::new(relay);
     let reject = |rejection: Rejection, id: &str| {
         let reason: &'static str = rejection.reason.into();
-        tracing::info!(request = id, reason, path = head.uri.path(), "request rejected");
+        tracing::info!(
+            request = id,
+            reason,
+            path = head.uri.path(),
+            "request rejected"
+        );
         let status = rejection.reason.status();
         let labels = ["unknown", status.as_str(), reason];
         relay.metrics.requests.with_label_values(&labels).inc();
@@ -163,7 +172,10 @@
     };
     let plan = relay.plan();
     let plan = plan.ok_or_else(|| {
-        reject(Rejection::new(Reason::NoPlan).with_retry_after(NO_PLAN_RETRY), "")
+        reject(
+            Rejection::new(Reason::NoPlan).with_retry_after(NO_PLAN_RETRY),
+            "",
+        )
     })?;
     let is_known = matches!(head.version, Version::HTTP_11 | Version::HTTP_10);
     let ask = relay.dialect.ask(&head).ok().filter(|_| is_known);
@@ -176,7 +188,10 @@
         return Err(reject(leaving, &ask.id));
     }
     let timeout = route.timeout;
-    let due = arrived + ask.deadline.map_or(timeout, |deadline| deadline.min(timeout));
+    let due = arrived
+        + ask
+            .deadline
+            .map_or(timeout, |deadline| deadline.min(timeout));
     let body = read(body, plan.limits.body_bytes, due).await;
     let body = body.map_err(|reason| reject(Rejection::new(reason), &ask.id))?;
     let name = workspace.map(|workspace| workspace.name.clone());
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -3,12 +3,7 @@
 //! Every daemon is linked to every other one by a WebSocket that carries CBOR frames. Beats show
 //! who lives; their period grows with the number of links, so that their cost stays the same.
 
-use super::{
-    conduct::Order,
-    dialect::{Row, Table},
-    settings::Settings,
-    state::Relay,
-};
+use super::{conduct::Order, dialect::Row, settings::Settings, state::Relay};
 use compact_str::CompactString;
 use futures::{SinkExt, StreamExt};
 use policy::{
@@ -80,8 +75,8 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct Handed {
     key: CompactString,
-    #[serde(with = "serde_bytes_vec")]
-    value: Vec<u8>,
+    #[serde(with = "optional_bytes")]
+    value: Option<Vec<u8>>,
     version: u64,
 }
 
@@ -100,6 +95,16 @@
         is_leaving: bool,
         /// Time until its next beat.
         period: Duration,
+        /// Age of its tables, if it keeps its peers fresh.
+        age: Option<Duration>,
+    },
+    /// The sender wants all entries of targets.
+    WantTargets,
+    /// Entries of targets.
+    Targets {
+        rows: Vec<Handed>,
+        /// Whether deleted entries may come back.
+        is_lenient: bool,
     },
     /// The sender's configuration is older than the receiver's.
     WantPlan,
@@ -125,18 +130,47 @@
     Death(Mark),
 }
 
-mod serde_bytes_vec {
+mod optional_bytes {
     use serde::{Deserialize, Deserializer, Serializer};
 
-    pub fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_bytes(bytes)
+    pub fn serialize<S: Serializer>(
+        bytes: &Option<Vec<u8>>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        match bytes {
+            Some(bytes) => serializer.serialize_bytes(bytes),
+            None => serializer.serialize_none(),
+        }
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<Vec<u8>>, D::Error> {
+        match ciborium::Value::deserialize(deserializer)? {
+            ciborium::Value::Bytes(bytes) => Ok(Some(bytes)),
+            ciborium::Value::Null => Ok(None),
+            _ => Err(serde::de::Error::custom("not a string of bytes")),
+        }
+    }
+}
+
+impl From<Row> for Handed {
+    fn from(row: Row) -> Self {
+        Self {
+            key: row.key,
+            value: row.value.map(|value| value.to_vec()),
+            version: row.version,
+        }
     }
+}
 
-    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
-        let value = ciborium::Value::deserialize(deserializer)?;
-        value
-            .into_bytes()
-            .map_err(|_other| serde::de::Error::custom("not a string of bytes"))
+impl From<Handed> for Row {
+    fn from(handed: Handed) -> Self {
+        Self {
+            key: handed.key,
+            value: handed.value.map(Into::into),
+            version: handed.version,
+        }
     }
 }
 
@@ -167,6 +201,18 @@
     heard: Instant,
     /// Time between its beats.
     period: Duration,
+    /// Age of its tables at a moment, if it keeps its peers fresh.
+    age: Option<(Duration, Instant)>,
+    /// Whether its tables were asked for.
+    is_asked: bool,
+}
+
+impl Peer {
+    /// Returns the age of its tables, if it keeps its peers fresh.
+    pub fn age(&self) -> Option<Duration> {
+        let (age, at) = self.age?;
+        Some(age + at.elapsed())
+    }
 }
 
 /// Links to all daemons that are known.
@@ -205,7 +251,11 @@
             if address == self.own {
                 continue;
             }
-            let wait = if self.own < address { Duration::ZERO } else { YIELD };
+            let wait = if self.own < address {
+                Duration::ZERO
+            } else {
+                YIELD
+            };
             known.entry(address).or_insert_with(|| Dial {
                 next: Instant::now() + wait,
                 failures: 0,
@@ -406,11 +456,7 @@
                     continue;
                 }
                 let period = relay.beat_period();
-                let frame = Frame::Beat {
-                    plan: relay.plan_version(),
-                    is_leaving: relay.is_leaving(),
-                    period,
-                };
+                let frame = relay.beat(period);
                 let sent = time::timeout(OPEN_TIMEOUT, send(socket, &frame)).await;
                 sent.unwrap_or(Err(Error::Silent))?;
                 beat = Instant::now() + period;
@@ -441,6 +487,28 @@
 }
 
 impl Relay {
+    fn beat(&self, period: Duration) -> Frame {
+        Frame::Beat {
+            plan: self.plan_version(),
+            is_leaving: self.is_leaving(),
+            period,
+            age: self.reader_age(),
+        }
+    }
+
+    /// Tells all peers of a new configuration at once, so that they ask for it.
+    pub(super) fn announce_plan(&self) {
+        self.links.broadcast(&self.beat(self.beat_period()));
+    }
+
+    /// Hands the entry of a target on to all peers.
+    pub(super) fn hand_on(&self, row: &Row, is_lenient: bool) {
+        self.links.broadcast(&Frame::Targets {
+            rows: vec![row.clone().into()],
+            is_lenient,
+        });
+    }
+
     /// Adds a daemon that has said who it is.
     fn link(&self, profile: Profile) -> Result<(Origin, mpsc::Receiver<Frame>), Error> {
         let mut peers = self.links.peers.borrow_mut();
@@ -461,6 +529,8 @@
             sender,
             heard: Instant::now(),
             period: relay_period(peers.len() + 1, BEAT_PER_LINK),
+            age: None,
+            is_asked: false,
             profile,
         };
         peers.insert(peer.profile.host.clone(), peer);
@@ -470,7 +540,7 @@
 
     /// Returns the time between two beats of this daemon.
     fn beat_period(&self) -> Duration {
-        let per_link = match self.is_conducting() {
+        let per_link = match self.is_conducting() || self.is_reader() {
             true => LEADING_BEAT_PER_LINK,
             false => BEAT_PER_LINK,
         };
@@ -493,11 +563,20 @@
         if let Some(peer) = self.links.peers.borrow_mut().get_mut(host) {
             peer.heard = Instant::now();
             if let Frame::Beat {
-                is_leaving, period, ..
+                plan,
+                is_leaving,
+                period,
+                age,
             } = &frame
             {
                 peer.is_leaving = *is_leaving;
                 peer.period = *period;
+                peer.age = age.map(|age| (age, Instant::now()));
+                // Before its first read, a daemon asks any peer that may know the targets.
+                let is_source = peer.age.is_some() || *plan > 0 && self.tables.age().is_none();
+                if is_source && !peer.is_asked {
+                    peer.is_asked = peer.sender.try_send(Frame::WantTargets).is_ok();
+                }
             }
         }
         match frame {
@@ -508,28 +587,23 @@
                 }
             }
             Frame::WantPlan => {
-                if let Some(Row {
-                    key,
-                    value: Some(value),
-                    version,
-                }) = self.plan_row()
-                {
-                    let value = value.to_vec();
-                    let plan = Handed {
-                        key,
-                        value,
-                        version,
-                    };
-                    self.links.send(host, Frame::Plan(plan));
+                if let Some(row) = self.plan_row() {
+                    self.links.send(host, Frame::Plan(row.into()));
                 }
             }
-            Frame::Plan(Handed {
-                key,
-                value,
-                version,
-            }) => {
-                let value = Some(value.into());
-                self.take_rows(Table::Plan, vec![Row { key, value, version }]);
+            Frame::Plan(row) => self.take_plan(row.into()),
+            Frame::WantTargets => {
+                let rows = self.tables.targets().into_iter().map(Handed::from);
+                let frame = Frame::Targets {
+                    rows: rows.collect(),
+                    is_lenient: self.roster().is_lenient(self.now()),
+                };
+                self.links.send(host, frame);
+            }
+            Frame::Targets { rows, is_lenient } => {
+                for row in rows {
+                    self.take_target(row.into(), is_lenient);
+                }
             }
             Frame::Submit { number, order } => self.take_order(origin, number, order),
             Frame::Release { number } => self.take_release(origin, number),
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -79,7 +79,11 @@
             sends: counter("sends_total", "Sends to targets", &["pool", "result"]),
             calls: counter("calls_total", "Calls to stage targets", &["pool", "result"]),
             pieces,
-            store: counter("store_calls_total", "Calls of the store", &["table", "result"]),
+            store: counter(
+                "store_calls_total",
+                "Calls of the store",
+                &["table", "result"],
+            ),
             links: gauge("links", "Daemons that are linked"),
             revision: gauge("revision", "Revision of the configuration"),
             in_flight: gauge("in_flight", "Requests without an answer"),
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -182,7 +182,10 @@
         let kind: &'static str = self.route.kind.into();
         let code = status.map_or("0".to_owned(), |status| status.as_u16().to_string());
         let metrics = &self.relay.metrics;
-        metrics.requests.with_label_values(&[kind, &code, reason]).inc();
+        metrics
+            .requests
+            .with_label_values(&[kind, &code, reason])
+            .inc();
         if let Some(first) = self.story.first.get() {
             let first_byte = metrics.first_byte.with_label_values(&[kind]);
             first_byte.observe(first.as_secs_f64());
@@ -205,10 +208,7 @@
     }
 
     /// Sends a request whose answer is read whole; a slow repeatable one also a second time.
-    async fn answer_whole(
-        self: &Rc<Self>,
-        tally: &mut Tally,
-    ) -> Result<Response<Body>, Rejection> {
+    async fn answer_whole(self: &Rc<Self>, tally: &mut Tally) -> Result<Response<Body>, Rejection> {
         let mut flights = FuturesUnordered::new();
         let mut failure: Option<Answer> = None;
         let hedge = self.arrived + self.route.objective.mul_f64(HEDGE_SHARE);
@@ -379,13 +379,13 @@
             retry_after: FULL_RETRY,
         };
         let made = made.unwrap_or(Err(late));
-        self.story.stages.set(self.story.stages.get() + begun.elapsed());
+        self.story
+            .stages
+            .set(self.story.stages.get() + begun.elapsed());
         let result = if made.is_ok() { "made" } else { "refused" };
         let times = self.relay.metrics.stages.with_label_values(&[result]);
         times.observe(begun.elapsed().as_secs_f64());
-        made.map_err(|refused| {
-            Rejection::new(refused.reason).with_retry_after(refused.retry_after)
-        })
+        made.map_err(|refused| Rejection::new(refused.reason).with_retry_after(refused.retry_after))
     }
 
     /// Chooses the target of the next send, if there may be one.
@@ -401,18 +401,26 @@
         } else {
             Rejection::new(Reason::Full).with_retry_after(FULL_RETRY)
         };
-        let is_spent = has_run
-            && (!self.route.is_repeatable() || tally.runs >= self.route.max_attempts);
+        let is_spent =
+            has_run && (!self.route.is_repeatable() || tally.runs >= self.route.max_attempts);
         if is_spent || tally.idle >= MAX_IDLE_SENDS {
             return Err(failed);
         }
         if self.left() < MIN_LEFT {
-            let reason = if has_run { Reason::Timeout } else { Reason::Late };
+            let reason = if has_run {
+                Reason::Timeout
+            } else {
+                Reason::Late
+            };
             return Err(Rejection::new(reason));
         }
         let target = self.choose(&pool, tally, heavy);
         let none = Rejection::new(Reason::NoTarget).with_retry_after(FULL_RETRY);
-        let target = target.ok_or(if has_run || tally.idle > 0 { failed } else { none })?;
+        let target = target.ok_or(if has_run || tally.idle > 0 {
+            failed
+        } else {
+            none
+        })?;
         if tally.arrivals == 0 {
             self.relay.deposit(&pool);
         } else if !self.relay.try_spend(&pool) {
@@ -440,7 +448,11 @@
 
     /// Returns the domain of the target that keeps most of the prompt, if that is much.
     fn expected_domain(&self) -> Option<DomainId> {
-        let shared = self.ask.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared = self
+            .ask
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
         let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
         if tokens < LONG_PROMPT {
             return None;
@@ -450,16 +462,13 @@
         Some(target.domain)
     }
 
-    fn choose(
-        &self,
-        pool: &PoolId,
-        tally: &Tally,
-        heavy: Option<&DomainId>,
-    ) -> Option<Target> {
+    fn choose(&self, pool: &PoolId, tally: &Tally, heavy: Option<&DomainId>) -> Option<Target> {
         let settings = self.relay.settings();
         let members = self.relay.links.count() as u32 + 1;
         let plan = self.relay.plan()?;
-        let connections = plan.pool(pool).map_or(u32::MAX, |pool| pool.max_connections);
+        let connections = plan
+            .pool(pool)
+            .map_or(u32::MAX, |pool| pool.max_connections);
         let wish = Wish {
             parts: &self.ask.parts,
             heavy: heavy.map(|domain| (domain, self.heavy_bytes())),
@@ -483,7 +492,11 @@
     /// Logs a send that gave no answer to pass on, and what follows.
     fn note(&self, tally: &Tally, target: &Target, result: &str, taken: Duration, is_flying: bool) {
         let next = if is_flying { "wait" } else { "decide" };
-        let pool = self.relay.metrics.sends.with_label_values(&[&target.pool, result]);
+        let pool = self
+            .relay
+            .metrics
+            .sends
+            .with_label_values(&[&target.pool, result]);
         pool.inc();
         event::send_failed(&self.ask.id, &target.id, result, taken, next);
         tracing::debug!(runs = tally.runs, idle = tally.idle, "sends so far");
@@ -598,7 +611,8 @@
             return self.due;
         }
         let reading = f64::from(self.ask.prompt_tokens) / READ_RATE;
-        self.due.min(begun + FIRST_EVENT + Duration::from_secs_f64(reading))
+        self.due
+            .min(begun + FIRST_EVENT + Duration::from_secs_f64(reading))
     }
 
     /// Takes what a send says of its target.
@@ -629,7 +643,13 @@
 impl Ticket {
     /// Notes that a stream broke off.
     pub fn broke(&self, target: &Target, what: &'static str) {
-        event::send_failed(&self.ask.id, &target.id, what, self.arrived.elapsed(), "resume");
+        event::send_failed(
+            &self.ask.id,
+            &target.id,
+            what,
+            self.arrived.elapsed(),
+            "resume",
+        );
         let now = self.relay.now();
         self.relay.choice_mut().note_broken(now, &target.id);
         self.relay.note_death(self.payload);
--- a/godwithinge/src/relay/side.rs
+++ b/godwithinge/src/relay/side.rs
@@ -55,7 +55,11 @@
         let path = request.uri().path();
         if self.dialect.is_ready_path(path) {
             let is_ready = self.is_ready();
-            let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            let status = if is_ready {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            };
             return with_status(status);
         }
         if path == METRICS_PATH {
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -7,6 +7,7 @@
     metrics::Metrics,
     settings::Settings,
     store::Store,
+    watch::Tables,
 };
 use crate::http::Pool;
 use policy::{
@@ -43,6 +44,7 @@
     ledger: RefCell<Ledger>,
     budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
+    pub(super) tables: Tables,
     pub(super) conductor: Conductor,
     pub(super) metrics: Metrics,
     is_leaving: Cell<bool>,
@@ -72,6 +74,7 @@
             ledger: RefCell::default(),
             budgets: RefCell::default(),
             conductor: Conductor::new(),
+            tables: Tables::default(),
             metrics: Metrics::new(),
             is_leaving: Cell::new(false),
             is_closing: Cell::new(false),
--- a/godwithinge/src/relay/store.rs
+++ b/godwithinge/src/relay/store.rs
@@ -49,9 +49,10 @@
     async fn call(&self, relay: &Relay, call: Call, timeout: Duration) -> Result<Bytes, Error> {
         let mut request = http::Request::new(Full::new(call.body));
         *request.method_mut() = call.method;
-        *request.uri_mut() = call.path.parse().map_err(|_malformed| {
-            Error::Body(dialect::Error::Field("path"))
-        })?;
+        *request.uri_mut() = call
+            .path
+            .parse()
+            .map_err(|_malformed| Error::Body(dialect::Error::Field("path")))?;
         let address = relay.settings().store.clone();
         let exchange = async {
             let response = self.pool.send(&address, request, Reuse::Newest).await?;
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -6,8 +6,11 @@
     state::Relay,
     store::{self, CALL_TIMEOUT},
 };
-use policy::relay::roster::{Change, Target};
+use compact_str::CompactString;
+use policy::{hash, relay::roster::Change};
 use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -15,22 +18,46 @@
 
 /// Time for which a feed waits for changes; with the call's time it bounds how long a silent
 /// connection hides a change, which has to stay under the bound of configuration.
-const WAIT: Duration = Duration::from_millis(1_500);
+const WAIT: Duration = Duration::from_millis(700);
 /// Time for which the feed of daemons waits; links show who lives.
 const DAEMON_WAIT: Duration = Duration::from_secs(10);
 /// Shortest time between two calls of a feed; targets change their entries several times a second.
-const SPACING: Duration = Duration::from_millis(400); // a fifth of the bound of draining
+const SPACING: Duration = Duration::from_millis(300); // a seventh of the bound of draining
+/// Age of a reader's tables from which they no longer serve its peers; two turns of its feeds.
+const STALE: Duration = Duration::from_millis(1_700);
+/// Period in which a daemon that reads nothing looks whether it has to.
+const IDLE_PERIOD: Duration = Duration::from_millis(150); // a tenth of the age of stale tables
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls; a store that is back is read within half the time that
 /// entries have to return.
-const MAX_PAUSE: Duration = Duration::from_millis(800);
+const MAX_PAUSE: Duration = Duration::from_millis(900);
+/// Failed calls after which a table is read whole.
+const FAILURES_UNTIL_REREAD: u32 = 3; // some seconds, in which history may go
+
+/// Tables as this daemon holds them, and when it last read them.
+#[derive(Debug, Default)]
+pub(super) struct Tables {
+    /// Entries of targets as they were read, to be handed on.
+    targets: RefCell<HashMap<CompactString, Row>>,
+    read: Cell<Option<Instant>>,
+    plan_read: Cell<Option<Instant>>,
+}
 
 /// Follows a table until the process ends.
+///
+/// A few readers, one in each domain, follow the store's feeds and hand changes on over their links;
+/// a daemon that none of them keeps fresh reads for itself.
 pub(super) async fn follow(relay: Rc<Relay>, table: Table) {
     let mut after = None;
     let mut failures = 0_u32;
+    let mut has_read = false;
     loop {
+        if has_read && !relay.has_to_read(table) {
+            after = None;
+            time::sleep(IDLE_PERIOD).await;
+            continue;
+        }
         let begun = Instant::now();
         let step = step(&relay, table, &mut after).await;
         let name: &'static str = table.into();
@@ -38,6 +65,8 @@
         relay.metrics.store.with_label_values(&[name, result]).inc();
         match step {
             Ok(()) => {
+                has_read = true;
+                relay.tables.note_read(table);
                 if failures > 0 {
                     tracing::info!(table = name, failures, "store regained");
                     if table == Table::Targets {
@@ -64,23 +93,29 @@
                     after = None;
                 }
                 let pause = FIRST_PAUSE * 2_u32.saturating_pow(failures.min(8));
-                time::sleep(pause.min(MAX_PAUSE).mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
+                time::sleep(
+                    pause
+                        .min(MAX_PAUSE)
+                        .mul_f64(0.5 + rand::random::<f64>() / 2.0),
+                )
+                .await;
             }
         }
     }
 }
 
-/// Failed calls after which a table is read whole.
-const FAILURES_UNTIL_REREAD: u32 = 3; // some seconds, in which history may go
-
 /// Reads the table once, or waits for its next changes.
-async fn step(relay: &Rc<Relay>, table: Table, after: &mut Option<u64>) -> Result<(), store::Error> {
+async fn step(
+    relay: &Rc<Relay>,
+    table: Table,
+    after: &mut Option<u64>,
+) -> Result<(), store::Error> {
     match *after {
         None => {
             let rows = relay.store.table(relay, table).await?;
             *after = Some(rows.version);
             match table {
-                Table::Targets => relay.replace_targets(&rows.rows),
+                Table::Targets => relay.replace_targets(rows.rows, rows.version),
                 Table::Plan | Table::Daemons => relay.take_rows(table, rows.rows),
             }
         }
@@ -97,13 +132,37 @@
     Ok(())
 }
 
+impl Tables {
+    fn note_read(&self, table: Table) {
+        let now = Some(Instant::now());
+        match table {
+            Table::Plan => self.plan_read.set(now),
+            Table::Targets => self.read.set(now),
+            Table::Daemons => {}
+        }
+    }
+
+    /// Returns the age of the older of the two tables, if both were read.
+    pub fn age(&self) -> Option<Duration> {
+        let older = self.read.get()?.min(self.plan_read.get()?);
+        Some(older.elapsed())
+    }
+
+    /// Returns all entries of targets, to be handed on.
+    pub fn targets(&self) -> Vec<Row> {
+        self.targets.borrow().values().cloned().collect()
+    }
+}
+
 /// Writes this daemon's row until the store has it, then at long intervals.
 pub(super) async fn announce(relay: Rc<Relay>) {
     let profile = relay.profile();
     let value = profile.link.to_string();
     loop {
         let name = relay.settings().host.clone();
-        let written = relay.store.put_daemon(&relay, &name, Some(value.as_bytes()));
+        let written = relay
+            .store
+            .put_daemon(&relay, &name, Some(value.as_bytes()));
         match written.await {
             Ok(()) => return,
             Err(fault) => {
@@ -115,12 +174,46 @@
 }
 
 impl Relay {
-    /// Takes rows of a table.
-    pub(super) fn take_rows(self: &Rc<Self>, table: Table, rows: Vec<Row>) {
+    /// Returns the age of the tables if this daemon keeps its peers fresh.
+    pub(super) fn reader_age(&self) -> Option<Duration> {
+        if self.is_reader() {
+            self.tables.age()
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether this daemon follows the store's feeds for its peers.
+    pub(super) fn is_reader(&self) -> bool {
+        let settings = self.settings();
+        let own = (settings.cpu, reader_weight(&settings.host));
+        let mut is_first = !self.is_leaving();
+        self.links.each(|peer| {
+            let profile = &peer.profile;
+            let other = (profile.cpu, reader_weight(&profile.host));
+            is_first &= peer.is_leaving || profile.domain != settings.domain || other < own;
+        });
+        is_first
+    }
+
+    /// Returns whether this daemon has to read a table for itself.
+    fn has_to_read(&self, table: Table) -> bool {
+        if self.is_reader() {
+            return true;
+        }
+        let mut is_fresh = false;
+        self.links
+            .each(|peer| is_fresh |= peer.age().is_some_and(|age| age < STALE));
+        !is_fresh && table != Table::Daemons
+    }
+
+    /// Takes rows of a table that this daemon has read.
+    fn take_rows(self: &Rc<Self>, table: Table, rows: Vec<Row>) {
+        let is_lenient = self.roster().is_lenient(self.now());
         for row in rows {
             match table {
                 Table::Plan => self.take_plan(row),
-                Table::Targets => self.take_target(&row),
+                Table::Targets => self.take_target(row, is_lenient),
                 Table::Daemons => self.take_daemon(&row),
             }
         }
@@ -141,16 +234,30 @@
                 );
                 self.metrics.revision.set(plan.revision as i64);
                 self.set_plan(plan, row);
+                if self.is_reader() {
+                    self.announce_plan();
+                }
             }
             Ok(None) => {}
             Err(fault) => tracing::warn!(version = row.version, %fault, "configuration left out"),
         }
     }
 
-    /// Takes the entry of a target.
-    pub(super) fn take_target(self: &Rc<Self>, row: &Row) {
+    /// Takes the entry of a target if it is newer than the one that is held, and hands it on.
+    pub(super) fn take_target(self: &Rc<Self>, row: Row, is_lenient: bool) {
+        {
+            let mut held = self.tables.targets.borrow_mut();
+            let before = held.get(&row.key);
+            if before.is_some_and(|before| before.version >= row.version) {
+                return;
+            }
+            held.insert(row.key.clone(), row.clone());
+        }
+        if self.is_reader() {
+            self.hand_on(&row, is_lenient);
+        }
         let change = if row.value.is_some() {
-            match self.dialect.target(row) {
+            match self.dialect.target(&row) {
                 Ok(target) => self.roster_mut().put(target),
                 Err(fault) => {
                     tracing::debug!(key = %row.key, %fault, "entry names no target");
@@ -159,18 +266,26 @@
             }
         } else {
             let now = self.now();
-            self.roster_mut().remove(now, &row.key)
+            self.roster_mut().remove(now, &row.key, is_lenient)
         };
         self.apply(change.into_iter().collect());
     }
 
-    /// Replaces all targets by the entries that the store holds.
-    pub(super) fn replace_targets(self: &Rc<Self>, rows: &[Row]) {
-        let targets = rows.iter().filter_map(|row| self.dialect.target(row).ok());
-        let targets: Vec<Target> = targets.collect();
-        let now = self.now();
-        let changes = self.roster_mut().replace(now, targets);
-        self.apply(changes);
+    /// Replaces all targets by the entries that the store holds at a version.
+    fn replace_targets(self: &Rc<Self>, rows: Vec<Row>, version: u64) {
+        let held = self.tables.targets();
+        let gone = held
+            .into_iter()
+            .filter(|held| held.value.is_some() && !rows.iter().any(|row| row.key == held.key));
+        let gone: Vec<Row> = gone
+            .map(|row| Row {
+                key: row.key,
+                value: None,
+                version,
+            })
+            .collect();
+        self.take_rows(Table::Targets, gone);
+        self.take_rows(Table::Targets, rows);
     }
 
     /// Drops targets whose entries did not come back after an outage.
@@ -227,3 +342,8 @@
         }
     }
 }
+
+/// Returns the weight of a daemon in the choice of readers.
+fn reader_weight(host: &str) -> u64 {
+    hash::texts(&["reader", host])
+}
--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -129,7 +129,10 @@
         let end = running.path(|stage, before| {
             let pool = &running.job.stages[stage].pool;
             let pieces = ahead.get(pool).copied().unwrap_or_default();
-            let wait = self.pools.get(pool).map_or(Duration::ZERO, |bench| bench.drain(pieces));
+            let wait = self
+                .pools
+                .get(pool)
+                .map_or(Duration::ZERO, |bench| bench.drain(pieces));
             before.max(wait) + self.usual(pool)
         });
         end + running.job.tail
@@ -211,9 +214,8 @@
             bench.drain(ahead)
         };
         let own = self.usual(&running.job.stages[stage].pool);
-        let rest = running.path(|stage, before| {
-            before + self.usual(&running.job.stages[stage].pool)
-        });
+        let rest =
+            running.path(|stage, before| before + self.usual(&running.job.stages[stage].pool));
         let needs = running.job.stages.iter().enumerate();
         let mut needs = needs.filter(|&(other, need)| {
             other != stage && need.pieces > 0 && !running.stages[other].is_made()
@@ -230,7 +232,10 @@
     fn queue_of(&self, now: Time, bench: &Bench) -> Queue {
         let waiting = bench.waiting.iter().filter_map(|&(job, stage)| {
             let running = self.jobs.get(&job)?;
-            Some((self.precedence(now, running), running.stages[stage].waiting().count()))
+            Some((
+                self.precedence(now, running),
+                running.stages[stage].waiting().count(),
+            ))
         });
         let mut queue: Queue = waiting.collect();
         queue.sort();
--- a/policy/src/relay/board/home.rs
+++ b/policy/src/relay/board/home.rs
@@ -5,7 +5,10 @@
 //! shortest, and an idle target elsewhere takes a stage of it only if that moves little, or the
 //! stage has waited for about a call.
 
-use super::{Board, HEAVY_BYTES, job::{Job, Running}};
+use super::{
+    Board, HEAVY_BYTES,
+    job::{Job, Running},
+};
 use crate::id::{DomainId, PoolId, Time};
 use std::{collections::HashMap, time::Duration};
 
@@ -38,9 +41,9 @@
                 *cost -= HINT_ADVANTAGE;
             }
         }
-        let best = costs.into_iter().min_by(|(a, cost), (b, other)| {
-            cost.total_cmp(other).then(a.cmp(b))
-        });
+        let best = costs
+            .into_iter()
+            .min_by(|(a, cost), (b, other)| cost.total_cmp(other).then(a.cmp(b)));
         best.map(|(domain, _)| domain.clone()).unwrap_or_default()
     }
 
--- a/policy/src/relay/board/job.rs
+++ b/policy/src/relay/board/job.rs
@@ -237,7 +237,10 @@
     pub fn path(&self, end: impl Fn(usize, Duration) -> Duration) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.stages.len());
         for (stage, need) in self.job.stages.iter().enumerate() {
-            let before = need.after.iter().filter_map(|&from| ends.get(from).copied());
+            let before = need
+                .after
+                .iter()
+                .filter_map(|&from| ends.get(from).copied());
             let before = before.max().unwrap_or_default();
             ends.push(if self.stages[stage].is_made() {
                 before
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -463,7 +463,8 @@
             return;
         }
         for stage in 0..running.stages.len() {
-            let is_open = running.has_inputs(stage) && running.stages[stage].waiting().next().is_some();
+            let is_open =
+                running.has_inputs(stage) && running.stages[stage].waiting().next().is_some();
             let pool = running.job.stages[stage].pool.clone();
             if let Some(bench) = self.pools.get_mut(&pool)
                 && is_open
@@ -536,10 +537,12 @@
             return;
         };
         let stages = running.job.stages.iter().zip(&running.stages);
-        let unwanted = stages.filter(|(_, stage)| !stage.is_freed).flat_map(|(need, stage)| {
-            let made = stage.pieces.iter().filter_map(|piece| piece.made.clone());
-            made.map(|made| (need.pool.clone(), made))
-        });
+        let unwanted = stages
+            .filter(|(_, stage)| !stage.is_freed)
+            .flat_map(|(need, stage)| {
+                let made = stage.pieces.iter().filter_map(|piece| piece.made.clone());
+                made.map(|made| (need.pool.clone(), made))
+            });
         let unwanted = unwanted.collect();
         self.free(unwanted);
         for bench in self.pools.values_mut() {
--- a/policy/src/relay/choice.rs
+++ b/policy/src/relay/choice.rs
@@ -197,7 +197,10 @@
             Some((domain, bytes)) if *domain != target.domain => HEAVY_COST * bytes as f64,
             Some(_) | None => 0.0,
         };
-        let load = self.records.get(&target.id).map_or(0.0, |record| record.cost(now, target));
+        let load = self
+            .records
+            .get(&target.id)
+            .map_or(0.0, |record| record.cost(now, target));
         self.reading(now, target, wish, rank) + load + distance + heavy
     }
 
@@ -205,7 +208,10 @@
     fn reading(&self, now: Time, target: &Target, wish: &Wish<'_>, rank: Option<usize>) -> f64 {
         let mut tokens = 0.0;
         let mut is_kept = true;
-        let shared = wish.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared = wish
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
         for part in shared {
             let sent = self.parts.get(&(target.id.clone(), part.id.clone()));
             is_kept &= sent.is_some_and(|sent| now < *sent + KEPT);
@@ -238,9 +244,9 @@
 impl Record {
     fn cost(&self, now: Time, target: &Target) -> f64 {
         let own = f64::from(self.in_flight);
-        let age = self.reported.map_or(f64::INFINITY, |at| {
-            now.saturating_sub(at).as_secs_f64()
-        });
+        let age = self
+            .reported
+            .map_or(f64::INFINITY, |at| now.saturating_sub(at).as_secs_f64());
         let weight = 0.5_f64.powf(age / REPORT_HALF_LIFE);
         let running = own.max(self.running * weight);
         let over = (running + 1.0 - f64::from(target.slots)).max(0.0);
@@ -258,6 +264,9 @@
 impl Wish<'_> {
     /// Returns the last part that other requests share.
     fn shared(&self) -> Option<&Part> {
-        self.parts.len().checked_sub(2).map(|index| &self.parts[index])
+        self.parts
+            .len()
+            .checked_sub(2)
+            .map(|index| &self.parts[index])
     }
 }
--- a/policy/src/relay/plan.rs
+++ b/policy/src/relay/plan.rs
@@ -161,10 +161,13 @@
         for indices in by_host.values_mut() {
             indices.sort_by_key(|&index| std::cmp::Reverse(routes[index].prefix.len()));
         }
-        let keys = workspaces.iter().enumerate().flat_map(|(index, workspace)| {
-            let keys = workspace.keys.iter();
-            keys.map(move |key| (key.clone(), index))
-        });
+        let keys = workspaces
+            .iter()
+            .enumerate()
+            .flat_map(|(index, workspace)| {
+                let keys = workspace.keys.iter();
+                keys.map(move |key| (key.clone(), index))
+            });
         Self {
             revision,
             limits,
--- a/policy/src/relay/roster.rs
+++ b/policy/src/relay/roster.rs
@@ -75,9 +75,9 @@
         change
     }
 
-    /// Notes that the entry of a target is gone from the store.
-    pub fn remove(&mut self, now: Time, id: &str) -> Option<Change> {
-        if now < self.lenient_until {
+    /// Notes that the entry of a target is gone from the store; a lenient roster waits for it.
+    pub fn remove(&mut self, now: Time, id: &str, is_lenient: bool) -> Option<Change> {
+        if is_lenient {
             let entry = self.targets.get_mut(id)?;
             entry.missing.get_or_insert(now);
             return None;
@@ -86,27 +86,19 @@
         Some(Change::Gone(entry.target))
     }
 
-    /// Replaces all entries by those that the store holds now.
-    pub fn replace(&mut self, now: Time, targets: Vec<Target>) -> Vec<Change> {
-        let held: Vec<TargetId> = self.targets.keys().cloned().collect();
-        let missing = held
-            .into_iter()
-            .filter(|id| !targets.iter().any(|target| target.id == *id));
-        let mut changes: Vec<Change> = missing
-            .filter_map(|id| self.remove(now, &id))
-            .collect();
-        changes.extend(targets.into_iter().filter_map(|target| self.put(target)));
-        changes
-    }
-
     /// Notes that the store can't be read, or has come back just now.
     pub fn note_outage(&mut self, now: Time) {
         self.lenient_until = now + RETURN;
     }
 
+    /// Returns whether entries that lapsed in an outage may still come back.
+    pub fn is_lenient(&self, now: Time) -> bool {
+        now < self.lenient_until
+    }
+
     /// Drops entries that did not come back in time after an outage.
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
-        if now < self.lenient_until {
+        if self.is_lenient(now) {
             return Vec::new();
         }
         let late = self.targets.values();
--- a/policy/tests/board.rs
+++ b/policy/tests/board.rs
@@ -18,7 +18,11 @@
 fn calm_day_is_on_time(#[values(1, 2, 3)] seed: u64) {
     let day = Yard::new(seed).run(&Pattern::of_site(), DAY);
     for kind in [BRIEF, NOTE, CHAT] {
-        assert!(day.on_time(kind) >= 0.9, "kind {kind}: {:?}", day.tally[kind]);
+        assert!(
+            day.on_time(kind) >= 0.9,
+            "kind {kind}: {:?}",
+            day.tally[kind]
+        );
     }
     assert_eq!(day.refused(), 0);
 }
@@ -37,7 +41,10 @@
 fn burst_is_over_soon_after_its_end(#[values(1, 2, 3)] seed: u64) {
     let day = Yard::new(seed).run(&burst(NOTE, 2.5), DAY);
     let late = day.late_after(Duration::from_secs(16));
-    assert!(late <= 0.1, "{late} of the requests after the burst are late");
+    assert!(
+        late <= 0.1,
+        "{late} of the requests after the burst are late"
+    );
 }
 
 /// Results wait for no reader until they lapse, and room is never promised twice.
@@ -69,10 +76,17 @@
 #[rstest]
 fn refusals_come_early(#[values(1, 2, 3)] seed: u64) {
     let day = Yard::new(seed).run(&burst(NOTE, 5.0), DAY);
-    let early = day.refusals.iter().filter(|refusal| refusal.left > Duration::from_secs(1));
+    let early = day
+        .refusals
+        .iter()
+        .filter(|refusal| refusal.left > Duration::from_secs(1));
     let share = early.count() as f64 / day.refusals.len().max(1) as f64;
     assert!(day.refusals.len() > 10, "the burst is too small to refuse");
-    assert!(share >= 0.5, "{share} of {} refusals are early", day.refusals.len());
+    assert!(
+        share >= 0.5,
+        "{share} of {} refusals are early",
+        day.refusals.len()
+    );
 }
 
 #[test]
--- a/policy/tests/yard/mod.rs
+++ b/policy/tests/yard/mod.rs
@@ -3,7 +3,9 @@
 use policy::{
     id::{PoolId, TargetId, Time},
     relay::{
-        board::{Board, CallId, Command, Handle, Item, Job, JobId, Need, Refusal, Reply, Source, Why},
+        board::{
+            Board, CallId, Command, Handle, Item, Job, JobId, Need, Refusal, Reply, Source, Why,
+        },
         plan::{Limits, Plan, Pool, Press},
         roster::{Change, Target},
     },
@@ -192,7 +194,11 @@
             next: 0,
             day: Day::default(),
         };
-        let pools = [(3, 8, 21.0, 18e6), (5, 18, 9.5, 2.3e6), (5, 28, 6.1, 0.38e6)];
+        let pools = [
+            (3, 8, 21.0, 18e6),
+            (5, 18, 9.5, 2.3e6),
+            (5, 28, 6.1, 0.38e6),
+        ];
         let mut plan = Vec::new();
         for (index, (count, batch, item, room)) in pools.into_iter().enumerate() {
             let press = Press {
@@ -243,7 +249,10 @@
 
     /// Takes all targets of a pool away.
     pub fn remove_targets(&mut self, index: usize) {
-        let gone = self.targets.values().filter(|machine| machine.target.pool == pool(index));
+        let gone = self
+            .targets
+            .values()
+            .filter(|machine| machine.target.pool == pool(index));
         let gone: Vec<Target> = gone.map(|machine| machine.target.clone()).collect();
         for target in gone {
             self.board.change(&Change::Gone(target));
@@ -352,7 +361,11 @@
             pieces,
         };
         let large = |random: &mut ChaCha8Rng, share: f64, most: u32| {
-            if random.random_bool(share) { random.random_range(1..=most) } else { 0 }
+            if random.random_bool(share) {
+                random.random_range(1..=most)
+            } else {
+                0
+            }
         };
         let last = self.random.random_range(6..=14);
         let stages = match kind {
@@ -399,7 +412,11 @@
         if machine.is_dead {
             return self.board.reply(now, call, Reply::Unreached, out);
         }
-        assert!(items.len() <= machine.press.batch, "a call of {} pieces", items.len());
+        assert!(
+            items.len() <= machine.press.batch,
+            "a call of {} pieces",
+            items.len()
+        );
         self.results.retain(|_, (_, _, until)| *until > now);
         let held = self.results.values().filter(|(of, ..)| of == id);
         let mut used: u64 = held.map(|(_, bytes, _)| bytes).sum();
@@ -427,11 +444,15 @@
         let until = end + machine.press.keep;
         let outcomes = outcomes.into_iter().map(|(outcome, bytes)| {
             let handle = outcome?;
-            self.results.insert(handle.clone(), (id.clone(), bytes, until));
+            self.results
+                .insert(handle.clone(), (id.clone(), bytes, until));
             Ok(handle)
         });
         let outcomes = outcomes.collect();
-        self.at(end + TRIP, Event::End(call, id.clone(), machine.life, outcomes));
+        self.at(
+            end + TRIP,
+            Event::End(call, id.clone(), machine.life, outcomes),
+        );
     }
 
     /// Returns what an item is one of, and how many inputs it needs.
@@ -441,7 +462,10 @@
             .find(|(_, _, job)| job.request == item.request)
             .expect("a request that was asked for");
         let need = job.stages[item.stage].clone();
-        let inputs = need.after.iter().map(|&from| job.stages[from].pieces as usize);
+        let inputs = need
+            .after
+            .iter()
+            .map(|&from| job.stages[from].pieces as usize);
         let inputs = inputs.sum();
         (need, inputs)
     }
@@ -494,14 +518,24 @@
 
     fn take_ready(&mut self, now: Time, id: JobId, handles: &[Handle]) {
         let (kind, _, job) = &self.jobs[&id];
-        let finals = job.stages.iter().enumerate().filter(|(stage, _)| {
-            !job.stages.iter().any(|need| need.after.contains(stage))
-        });
+        let finals = job
+            .stages
+            .iter()
+            .enumerate()
+            .filter(|(stage, _)| !job.stages.iter().any(|need| need.after.contains(stage)));
         let expected: u32 = finals.map(|(_, need)| need.pieces).sum();
-        assert_eq!(handles.len(), expected as usize, "final results of a request");
+        assert_eq!(
+            handles.len(),
+            expected as usize,
+            "final results of a request"
+        );
         let is_late = now + TAIL > job.aim;
         let tally = &mut self.day.tally[*kind];
-        if is_late { tally.late += 1 } else { tally.on_time += 1 }
+        if is_late {
+            tally.late += 1
+        } else {
+            tally.on_time += 1
+        }
         self.day.ends.push((now, is_late));
         self.at(now + TAIL, Event::Read(id));
     }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod rate;
 pub mod run;
 pub mod service;
+pub mod site;
 pub mod slopes;
--- /dev/null
+++ b/standin/src/site/store.rs
@@ -0,0 +1,238 @@
+//! Fake of the platform's store: rows of the operator, of engines and of daemons.
+
+use crate::http::{Gate, Handler, Hangup, Listener, Reply, query, reply};
+use bytes::Bytes;
+use hyper::{Method, Request, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{sync::watch, time};
+
+/// Table of the operator's rows.
+pub const OPERATOR: &str = "op";
+/// Table of the engines' rows.
+pub const ENGINES: &str = "servers";
+
+/// Fake of the platform's store.
+#[derive(Debug)]
+pub struct Server {
+    state: Arc<State>,
+    listener: Listener,
+}
+
+#[derive(Debug)]
+struct State {
+    rows: Mutex<BTreeMap<(String, String), Row>>,
+    version: watch::Sender<u64>,
+    /// Version up to which the history is gone.
+    forgotten: AtomicU64,
+    is_busy: AtomicBool,
+    calls: AtomicU64,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    value: Option<String>,
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    puts: Vec<Put>,
+    remove: Vec<Name>,
+}
+
+#[derive(Deserialize)]
+struct Put {
+    table: String,
+    key: String,
+    value: String,
+}
+
+#[derive(Deserialize)]
+struct Name {
+    table: String,
+    key: String,
+}
+
+impl Server {
+    /// Starts an empty store on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn start() -> io::Result<Self> {
+        let state = Arc::new(State {
+            rows: Mutex::default(),
+            version: watch::Sender::new(1),
+            forgotten: AtomicU64::new(0),
+            is_busy: AtomicBool::new(false),
+            calls: AtomicU64::new(0),
+        });
+        let listener = Listener::bind(0).await?.serve(Arc::clone(&state));
+        Ok(Self { state, listener })
+    }
+
+    /// Returns the address of the store.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Returns the switch of the store's connections.
+    pub fn gate(&self) -> &Arc<Gate> {
+        self.listener.gate()
+    }
+
+    /// Writes a row of the operator or of an engine.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.state
+            .set(table, key, Some(encode(value.to_string().as_bytes())));
+    }
+
+    /// Writes a row whose value is not JSON.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        self.state.set(table, key, Some(encode(value)));
+    }
+
+    /// Deletes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.state.set(table, key, None);
+    }
+
+    /// Answers 503 to all calls while `is_busy` holds.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.state.is_busy.store(is_busy, Ordering::Relaxed);
+    }
+
+    /// Forgets the history up to now.
+    pub fn forget_history(&self) {
+        let version = *self.state.version.borrow();
+        self.state.forgotten.store(version, Ordering::Relaxed);
+        self.state.version.send_modify(|version| *version += 1);
+    }
+
+    /// Returns how many calls came.
+    pub fn calls(&self) -> u64 {
+        self.state.calls.load(Ordering::Relaxed)
+    }
+}
+
+impl State {
+    fn set(&self, table: &str, key: &str, value: Option<String>) {
+        let version = *self.version.borrow() + 1;
+        let row = Row { value, version };
+        self.rows().insert((table.into(), key.into()), row);
+        self.version.send_replace(version);
+    }
+
+    fn rows(&self) -> std::sync::MutexGuard<'_, BTreeMap<(String, String), Row>> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the rows of a table that changed after a version, with deleted ones.
+    fn after(&self, table: &str, after: u64, with_deleted: bool) -> Vec<Value> {
+        let rows = self.rows();
+        let rows = rows.iter().filter(|((of, _), row)| {
+            of == table && row.version > after && (with_deleted || row.value.is_some())
+        });
+        let mut rows: Vec<(u64, Value)> = rows
+            .map(|((_, key), row)| {
+                let value = json!({
+                    "table": table, "part": "", "key": key, "value": row.value, "ver": row.version,
+                    "removed": row.value.is_none(),
+                });
+                (row.version, value)
+            })
+            .collect();
+        if with_deleted {
+            rows.sort_by_key(|(version, _)| *version);
+        }
+        rows.into_iter().map(|(_, value)| value).collect()
+    }
+
+    fn page(&self, rows: Vec<Value>) -> Reply {
+        let version = *self.version.borrow();
+        reply::ok(&json!({ "rows": rows, "more-pages": false, "ver": version, "now-ms": 1 }))
+    }
+
+    async fn feed(&self, table: &str, after: u64, wait: Duration) -> Reply {
+        if after < self.forgotten.load(Ordering::Relaxed) {
+            return reply::bytes(StatusCode::GONE, Bytes::new());
+        }
+        let mut version = self.version.subscribe();
+        let changed = async {
+            loop {
+                let rows = self.after(table, after, true);
+                if !rows.is_empty() || version.changed().await.is_err() {
+                    return rows;
+                }
+            }
+        };
+        let rows = time::timeout(wait, changed).await.unwrap_or_default();
+        self.page(rows)
+    }
+
+    fn write(&self, body: &[u8]) -> Reply {
+        let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
+            return reply::bytes(StatusCode::BAD_REQUEST, Bytes::new());
+        };
+        for put in transaction.puts {
+            self.set(&put.table, &put.key, Some(put.value));
+        }
+        for name in transaction.remove {
+            self.set(&name.table, &name.key, None);
+        }
+        self.page(Vec::new())
+    }
+}
+
+impl Handler for State {
+    async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Result<Reply, Hangup> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        if self.is_busy.load(Ordering::Relaxed) {
+            return Ok(reply::bytes(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
+        }
+        let uri = request.uri();
+        let table = query::find(uri, "table").unwrap_or_default();
+        Ok(match (request.method(), uri.path()) {
+            (&Method::GET, "/rows-get") => self.page(self.after(&table, 0, false)),
+            (&Method::GET, "/rows-feed") => {
+                let number = |name| query::find(uri, name).and_then(|text| text.parse().ok());
+                let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
+                self.feed(&table, number("after").unwrap_or(0), wait).await
+            }
+            (&Method::POST, "/rows-tx") => self.write(request.body()),
+            _ => reply::not_found(),
+        })
+    }
+}
+
+/// Returns bytes in base64.
+fn encode(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for group in bytes.chunks(3) {
+        let bits = group
+            .iter()
+            .fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte));
+        let bits = bits << (8 * (3 - group.len()));
+        for index in 0..4 {
+            if index <= group.len() {
+                let digit = bits >> (18 - 6 * index) & 63;
+                text.push(char::from(DIGITS[digit as usize]));
+            } else {
+                text.push('=');
+            }
+        }
+    }
+    text
+}
