--- a/godwithinge/src/log/ring.rs
+++ b/godwithinge/src/log/ring.rs
@@ -39,17 +39,17 @@
 }
 
 impl Write for Ring {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         let mut lines = self.0.lines.lock().unwrap_or_else(PoisonError::into_inner);
-        if lines.bytes.len() + line.len() > MAX_BYTES {
+        if lines.bytes.len() + buf.len() > MAX_BYTES {
             lines.dropped += 1;
         } else {
             if lines.bytes.is_empty() {
                 self.0.filled.notify_one();
             }
-            lines.bytes.extend_from_slice(line);
+            lines.bytes.extend_from_slice(buf);
         }
-        Ok(line.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/godwithinge/src/relay/body.rs
+++ b/godwithinge/src/relay/body.rs
@@ -39,7 +39,7 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match &mut *self {
             Self::Whole(bytes) => {
@@ -47,7 +47,7 @@
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
             Self::Parts(parts) => {
-                let part = parts.as_mut().poll_next(context);
+                let part = parts.as_mut().poll_next(cx);
                 part.map(|part| part.map(|part| part.map(Frame::data)))
             }
         }
--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -312,7 +312,7 @@
     /// Forgets the jobs of a link that ended, and places anew what its daemon conducted.
     pub(super) fn lose_origin(self: &Rc<Self>, origin: Origin, host: Option<&HostId>) {
         self.conductor.with_board(self, |board, now, out| {
-            board.release_origin(now, origin, out)
+            board.release_origin(now, origin, out);
         });
         let Some(host) = host else {
             return;
@@ -422,9 +422,10 @@
             },
             Ok((StatusCode::MISDIRECTED_REQUEST, ..)) => Reply::Replaced,
             Ok((_, true, _)) => Reply::Full,
-            Ok((_, false, _)) => Reply::Lost,
             Err(Error::Connect(_)) => Reply::Unreached,
-            Err(Error::Broken(_) | Error::Silent | Error::TooLong) => Reply::Lost,
+            Ok((_, false, _)) | Err(Error::Broken(_) | Error::Silent | Error::TooLong) => {
+                Reply::Lost
+            }
         };
         let result = event::stage_call(target, items.len(), begun.elapsed(), &reply);
         let pool = self
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -15,6 +15,7 @@
     cell::Cell,
     convert::Infallible,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::{
@@ -199,7 +200,7 @@
     Ok(Ticket {
         payload: run::payload(&head, name.as_ref(), &body),
         priority: priority.unwrap_or(route.priority),
-        route: route.clone(),
+        route: Arc::clone(route),
         relay: Rc::clone(relay),
         workspace: name,
         story: Story::default(),
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -10,7 +10,7 @@
     id::{DomainId, HostId, Incarnation},
     relay::{board::Handle, crash::Mark},
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
@@ -46,7 +46,7 @@
 /// Longest pause before an address is dialled again.
 const MAX_REDIAL: Duration = Duration::from_secs(3);
 /// Time for which the daemon with the higher address waits for the other one to dial.
-const YIELD: Duration = Duration::from_millis(1_000);
+const YIELD: Duration = Duration::from_secs(1);
 /// Largest frame in bytes; a configuration of some hundred routes has 200 kB.
 const MAX_FRAME: usize = 8 << 20;
 /// Memory that a link sets aside for reading, in bytes.
@@ -75,8 +75,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct Handed {
     key: CompactString,
-    #[serde(with = "optional_bytes")]
-    value: Option<Vec<u8>>,
+    value: Option<Octets>,
     version: u64,
 }
 
@@ -130,27 +129,23 @@
     Death(Mark),
 }
 
-mod optional_bytes {
-    use serde::{Deserialize, Deserializer, Serializer};
+/// Bytes that go over a link as one string.
+#[derive(Clone, Debug)]
+struct Octets(Vec<u8>);
 
-    pub fn serialize<S: Serializer>(
-        bytes: &Option<Vec<u8>>,
-        serializer: S,
-    ) -> Result<S::Ok, S::Error> {
-        match bytes {
-            Some(bytes) => serializer.serialize_bytes(bytes),
-            None => serializer.serialize_none(),
-        }
+impl Serialize for Octets {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.0)
     }
+}
 
-    pub fn deserialize<'de, D: Deserializer<'de>>(
-        deserializer: D,
-    ) -> Result<Option<Vec<u8>>, D::Error> {
-        match ciborium::Value::deserialize(deserializer)? {
-            ciborium::Value::Bytes(bytes) => Ok(Some(bytes)),
-            ciborium::Value::Null => Ok(None),
-            _ => Err(serde::de::Error::custom("not a string of bytes")),
-        }
+impl<'de> Deserialize<'de> for Octets {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let value = ciborium::Value::deserialize(deserializer)?;
+        let bytes = value.into_bytes();
+        bytes
+            .map(Self)
+            .map_err(|_other| de::Error::custom("not a string of bytes"))
     }
 }
 
@@ -158,7 +153,7 @@
     fn from(row: Row) -> Self {
         Self {
             key: row.key,
-            value: row.value.map(|value| value.to_vec()),
+            value: row.value.map(|value| Octets(value.to_vec())),
             version: row.version,
         }
     }
@@ -168,7 +163,7 @@
     fn from(handed: Handed) -> Self {
         Self {
             key: handed.key,
-            value: handed.value.map(Into::into),
+            value: handed.value.map(|Octets(value)| value.into()),
             version: handed.version,
         }
     }
@@ -477,7 +472,7 @@
         let message = socket.next().await.ok_or(Error::Closed)?;
         match message.map_err(|cause| Error::Socket(Box::new(cause)))? {
             Message::Binary(bytes) => {
-                return ciborium::from_reader(&bytes[..]).map_err(|_cause| Error::Frame);
+                return ciborium::from_reader(bytes.as_ref()).map_err(|_cause| Error::Frame);
             }
             Message::Close(_) => return Err(Error::Closed),
             Message::Ping(_) | Message::Pong(_) => {}
@@ -534,15 +529,17 @@
             profile,
         };
         peers.insert(peer.profile.host.clone(), peer);
-        self.metrics.links.set(peers.len() as i64);
+        self.metrics.set_links(peers.len());
         Ok((origin, frames))
     }
 
     /// Returns the time between two beats of this daemon.
     fn beat_period(&self) -> Duration {
-        let per_link = match self.is_conducting() || self.is_reader() {
-            true => LEADING_BEAT_PER_LINK,
-            false => BEAT_PER_LINK,
+        let is_leading = self.is_conducting() || self.is_reader();
+        let per_link = if is_leading {
+            LEADING_BEAT_PER_LINK
+        } else {
+            BEAT_PER_LINK
         };
         relay_period(self.links.count(), per_link)
     }
@@ -552,7 +549,7 @@
         let is_current = peers.get(host).is_some_and(|peer| peer.origin == origin);
         if is_current {
             peers.remove(host);
-            self.metrics.links.set(peers.len() as i64);
+            self.metrics.set_links(peers.len());
         }
         drop(peers);
         tracing::info!(%host, fault, "peer lost");
@@ -602,7 +599,7 @@
             }
             Frame::Targets { rows, is_lenient } => {
                 for row in rows {
-                    self.take_target(row.into(), is_lenient);
+                    self.take_target(&row.into(), is_lenient);
                 }
             }
             Frame::Submit { number, order } => self.take_order(origin, number, order),
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -28,10 +28,8 @@
     pub pieces: IntCounter,
     /// Calls of the store by table and result.
     pub store: IntCounterVec,
-    /// Daemons that are linked.
-    pub links: IntGauge,
-    /// Revision of the configuration.
-    pub revision: IntGauge,
+    links: IntGauge,
+    revision: IntGauge,
     /// Requests without an answer.
     pub in_flight: IntGauge,
 }
@@ -91,6 +89,17 @@
         }
     }
 
+    /// Sets how many daemons are linked.
+    pub fn set_links(&self, count: usize) {
+        self.links.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the revision of the configuration.
+    pub fn set_revision(&self, revision: u64) {
+        self.revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
     /// Returns all metrics in the text format of Prometheus.
     pub fn to_text(&self) -> String {
         let mut text = Vec::new();
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -511,7 +511,7 @@
     ) -> (Target, Duration, Sent) {
         let begun = Instant::now();
         self.story.sends.set(self.story.sends.get() + 1);
-        *self.story.target.borrow_mut() = target.id.clone();
+        self.story.target.borrow_mut().clone_from(&target.id);
         let relay = &self.relay;
         let call = InCall::new(relay, &target, &self.ask);
         let stamp = Stamp {
@@ -525,10 +525,11 @@
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         *request.headers_mut() = relay.dialect.headers(&self.head, &stamp);
-        let reuse = match self.route.is_repeatable() {
-            true => Reuse::Newest,
-            // A kept connection may break under a request that can't be sent again.
-            false => Reuse::Never,
+        // A kept connection may break under a request that can't be sent again.
+        let reuse = if self.route.is_repeatable() {
+            Reuse::Newest
+        } else {
+            Reuse::Never
         };
         let sent = match relay.pool.send(&target.address, request, reuse).await {
             Ok(response) => self.receive(response, &target, call, begun).await,
@@ -628,8 +629,9 @@
                 self.relay.ledger_mut().clear(self.payload);
             }
             Sent::Begun(_) => choice.note_answer(&target.id, true, taken),
-            Sent::Unreached => choice.note_broken(now, &target.id),
-            Sent::NotRun(StatusCode::MISDIRECTED_REQUEST) => choice.note_broken(now, &target.id),
+            Sent::Unreached | Sent::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
+                choice.note_broken(now, &target.id);
+            }
             Sent::NotRun(_) => choice.note_answer(&target.id, false, taken),
             Sent::Broken(_) => {
                 choice.note_broken(now, &target.id);
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -148,6 +148,17 @@
         Some(older.elapsed())
     }
 
+    /// Keeps an entry if it is newer than the one that is held, and returns whether it is.
+    fn keep(&self, row: &Row) -> bool {
+        let mut held = self.targets.borrow_mut();
+        let before = held.get(&row.key);
+        if before.is_some_and(|before| before.version >= row.version) {
+            return false;
+        }
+        held.insert(row.key.clone(), row.clone());
+        true
+    }
+
     /// Returns all entries of targets, to be handed on.
     pub fn targets(&self) -> Vec<Row> {
         self.targets.borrow().values().cloned().collect()
@@ -213,7 +224,7 @@
         for row in rows {
             match table {
                 Table::Plan => self.take_plan(row),
-                Table::Targets => self.take_target(row, is_lenient),
+                Table::Targets => self.take_target(&row, is_lenient),
                 Table::Daemons => self.take_daemon(&row),
             }
         }
@@ -232,7 +243,7 @@
                     routes = plan.route_count(),
                     "configuration in force"
                 );
-                self.metrics.revision.set(plan.revision as i64);
+                self.metrics.set_revision(plan.revision);
                 self.set_plan(plan, row);
                 if self.is_reader() {
                     self.announce_plan();
@@ -244,20 +255,15 @@
     }
 
     /// Takes the entry of a target if it is newer than the one that is held, and hands it on.
-    pub(super) fn take_target(self: &Rc<Self>, row: Row, is_lenient: bool) {
-        {
-            let mut held = self.tables.targets.borrow_mut();
-            let before = held.get(&row.key);
-            if before.is_some_and(|before| before.version >= row.version) {
-                return;
-            }
-            held.insert(row.key.clone(), row.clone());
+    pub(super) fn take_target(self: &Rc<Self>, row: &Row, is_lenient: bool) {
+        if !self.tables.keep(row) {
+            return;
         }
         if self.is_reader() {
-            self.hand_on(&row, is_lenient);
+            self.hand_on(row, is_lenient);
         }
         let change = if row.value.is_some() {
-            match self.dialect.target(&row) {
+            match self.dialect.target(row) {
                 Ok(target) => self.roster_mut().put(target),
                 Err(fault) => {
                     tracing::debug!(key = %row.key, %fault, "entry names no target");
@@ -300,9 +306,10 @@
             return;
         };
         let address = std::str::from_utf8(value).ok();
-        match address.and_then(|text| text.parse().ok()) {
-            Some(address) => self.links.learn([address]),
-            None => tracing::warn!(key = %row.key, "row of a daemon holds no address"),
+        if let Some(address) = address.and_then(|text| text.parse().ok()) {
+            self.links.learn([address]);
+        } else {
+            tracing::warn!(key = %row.key, "row of a daemon holds no address");
         }
     }
 
--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Bench, Board, Call, Command, Item, JobId, LOST, OVERDUE, OVERDUE_SLACK, Refusal, Source,
-    job::Running,
+    home::may_move, job::Running,
 };
 use crate::{
     id::{PoolId, Time},
@@ -29,6 +29,9 @@
 /// Waiting jobs of a pool in order, each with the pieces up to its own.
 type Queue = Vec<(Precedence, usize)>;
 
+/// A piece of a call: its job, its stage, and its number there.
+type Entry = (JobId, usize, usize);
+
 /// Whether a call may carry some of a stage's pieces.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Split {
@@ -186,9 +189,12 @@
             return false;
         }
         let own = self.usual(&need.pool);
-        let others = running.path(|other, before| match other == stage {
-            true => before,
-            false => before + self.usual(&running.job.stages[other].pool),
+        let others = running.path(|other, before| {
+            if other == stage {
+                before
+            } else {
+                before + self.usual(&running.job.stages[other].pool)
+            }
         });
         others > own + EARLY_SLACK
     }
@@ -265,7 +271,7 @@
         bench: &Bench,
         limits: &plan::Press,
         order: &[(JobId, usize)],
-    ) -> Option<(usize, Vec<(JobId, usize, usize)>)> {
+    ) -> Option<(usize, Vec<Entry>)> {
         let mut idle: Vec<usize> = (0..bench.presses.len())
             .filter(|&index| bench.presses[index].is_idle(now))
             .collect();
@@ -292,7 +298,7 @@
             if chosen.is_empty() {
                 let others = others.into_iter().filter(|&(job, stage)| {
                     let running = self.jobs.get(&job);
-                    running.is_some_and(|running| self.may_move(now, running, stage))
+                    running.is_some_and(|running| may_move(now, running, stage))
                 });
                 let others: Vec<(JobId, usize)> = others.collect();
                 chosen = self.pick(&others, limits.batch, room, Split::Refused);
@@ -319,7 +325,7 @@
         batch: usize,
         mut room: u64,
         split: Split,
-    ) -> Vec<(JobId, usize, usize)> {
+    ) -> Vec<Entry> {
         let mut chosen = Vec::with_capacity(batch);
         // A large result that does not fit yet keeps its room from those behind it.
         let mut is_blocked = false;
@@ -364,7 +370,7 @@
         pool: &PoolId,
         press: usize,
         limits: &plan::Press,
-        chosen: &[(JobId, usize, usize)],
+        chosen: &[Entry],
         out: &mut Vec<Command>,
     ) {
         let items = chosen.iter().filter_map(|&entry| self.item(now, entry));
@@ -413,7 +419,7 @@
         self.calls.insert(id, call);
     }
 
-    fn item(&self, now: Time, (job, stage, piece): (JobId, usize, usize)) -> Option<Item> {
+    fn item(&self, now: Time, (job, stage, piece): Entry) -> Option<Item> {
         let running = self.jobs.get(&job)?;
         let need = &running.job.stages[stage];
         let source = if need.after.is_empty() {
--- a/policy/src/relay/board/home.rs
+++ b/policy/src/relay/board/home.rs
@@ -84,14 +84,14 @@
             *self.load.entry(key).or_default() += need.pieces as usize;
         }
     }
+}
 
-    /// Returns whether a target of `domain` may make a stage of a job that is at home elsewhere.
-    pub(super) fn may_move(&self, now: Time, running: &Running, stage: usize) -> bool {
-        let waited = now.saturating_sub(running.stages[stage].since);
-        if running.job.stages[stage].bytes >= HEAVY_BYTES {
-            waited >= HEAVY_WAIT
-        } else {
-            running.read_bytes(stage) <= CHEAP_BYTES || waited >= HOME_WAIT
-        }
+/// Returns whether a target may make a stage of a job that is at home elsewhere.
+pub(super) fn may_move(now: Time, running: &Running, stage: usize) -> bool {
+    let waited = now.saturating_sub(running.stages[stage].since);
+    if running.job.stages[stage].bytes >= HEAVY_BYTES {
+        waited >= HEAVY_WAIT
+    } else {
+        running.read_bytes(stage) <= CHEAP_BYTES || waited >= HOME_WAIT
     }
 }
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -580,7 +580,7 @@
         if let Some(press) = bench.press(&call.target) {
             press.call = None;
             press.note_done(taken / call.nominal.as_secs_f64().max(0.001));
-            domain = press.domain.clone();
+            domain.clone_from(&press.domain);
         }
         let outcomes = call.items.iter().zip(&call.bytes).zip(items);
         for ((&(job, stage, piece), &bytes), outcome) in outcomes {
--- a/policy/tests/yard/mod.rs
+++ b/policy/tests/yard/mod.rs
@@ -224,11 +224,11 @@
                     is_ready: true,
                     born: 1,
                 };
-                let speed = yard.random.random_range(0.9..1.15);
+                let pace = yard.random.random_range(0.9..1.15);
                 let machine = Machine {
                     target: target.clone(),
                     press,
-                    speed,
+                    speed: pace,
                     is_dead: false,
                     life: 0,
                 };
@@ -316,9 +316,10 @@
             Event::Start(call, id, items) => self.start(now, call, &id, &items, out),
             Event::End(call, id, life, items) => {
                 let machine = &self.targets[&id];
-                let reply = match machine.life == life && !machine.is_dead {
-                    true => Reply::Items(items),
-                    false => Reply::Lost,
+                let reply = if machine.life == life && !machine.is_dead {
+                    Reply::Items(items)
+                } else {
+                    Reply::Lost
                 };
                 self.board.reply(now, call, reply, out);
             }
@@ -532,9 +533,9 @@
         let is_late = now + TAIL > job.aim;
         let tally = &mut self.day.tally[*kind];
         if is_late {
-            tally.late += 1
+            tally.late += 1;
         } else {
-            tally.on_time += 1
+            tally.on_time += 1;
         }
         self.day.ends.push((now, is_late));
         self.at(now + TAIL, Event::Read(id));
--- a/standin/src/site/store.rs
+++ b/standin/src/site/store.rs
@@ -159,7 +159,7 @@
         rows.into_iter().map(|(_, value)| value).collect()
     }
 
-    fn page(&self, rows: Vec<Value>) -> Reply {
+    fn page(&self, rows: &[Value]) -> Reply {
         let version = *self.version.borrow();
         reply::ok(&json!({ "rows": rows, "more-pages": false, "ver": version, "now-ms": 1 }))
     }
@@ -178,7 +178,7 @@
             }
         };
         let rows = time::timeout(wait, changed).await.unwrap_or_default();
-        self.page(rows)
+        self.page(&rows)
     }
 
     fn write(&self, body: &[u8]) -> Reply {
@@ -191,7 +191,7 @@
         for name in transaction.remove {
             self.set(&name.table, &name.key, None);
         }
-        self.page(Vec::new())
+        self.page(&[])
     }
 }
 
@@ -204,7 +204,7 @@
         let uri = request.uri();
         let table = query::find(uri, "table").unwrap_or_default();
         Ok(match (request.method(), uri.path()) {
-            (&Method::GET, "/rows-get") => self.page(self.after(&table, 0, false)),
+            (&Method::GET, "/rows-get") => self.page(&self.after(&table, 0, false)),
             (&Method::GET, "/rows-feed") => {
                 let number = |name| query::find(uri, name).and_then(|text| text.parse().ok());
                 let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
