--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -19,8 +19,9 @@
 const BACKLOG: u32 = 1_024; // all callers of a domain come at once after a loss
 /// Time before the end of the grace at which the process ends whatever is in flight.
 const END_MARGIN: Duration = Duration::from_millis(400);
-/// Time before the end of the grace at which no new request is taken.
-const CLOSE_MARGIN: Duration = Duration::from_millis(2_500); // a stream of the sites lasts about as long
+/// Time after which a leaving daemon takes no new request; the users' rules excuse a cut stream only
+/// if it was sent within 3 s of the signal.
+const CLOSE_AFTER: Duration = Duration::from_millis(2_800);
 /// Period in which a leaving daemon looks whether it may end.
 const END_PERIOD: Duration = Duration::from_millis(50);
 /// Time for which a listener's address is tried.
@@ -94,7 +95,7 @@
     Ok(())
 }
 
-/// Takes callers on until most of the grace has passed, then ends.
+/// Takes callers on for a while, then ends once they have their answers.
 async fn leave(relay: &Rc<Relay>) {
     let begun = Instant::now();
     let grace = relay.settings().grace;
@@ -106,11 +107,11 @@
     relay.leave();
     let host = relay.settings().host.clone();
     let removed = relay.store.put_daemon(relay, &host, None);
-    let removed = time::timeout(CLOSE_MARGIN, removed).await;
+    let removed = time::timeout(CLOSE_AFTER, removed).await;
     if !matches!(removed, Ok(Ok(()))) {
         tracing::warn!("own address could not be removed");
     }
-    time::sleep_until((begun + grace.saturating_sub(CLOSE_MARGIN)).into()).await;
+    time::sleep_until((begun + CLOSE_AFTER.min(grace / 2)).into()).await;
     relay.close();
     while relay.in_flight() > 0 && begun.elapsed() + END_MARGIN < grace {
         time::sleep(END_PERIOD).await;
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -185,7 +185,7 @@
     let admitted = plan.admit(&run::host(&head), head.uri.path(), key);
     let (route, workspace) = admitted.map_err(|denial| reject(denial.into(), &ask.id))?;
     if relay.is_closing() {
-        let leaving = Rejection::new(Reason::Leaving).with_retry_after(Duration::ZERO);
+        let leaving = Rejection::new(Reason::Leaving).with_retry_after(LEAVING_RETRY);
         return Err(reject(leaving, &ask.id));
     }
     let timeout = route.timeout;
@@ -214,6 +214,8 @@
     })
 }
 
+/// When a caller of a daemon that ends comes back, to another one.
+const LEAVING_RETRY: Duration = Duration::from_millis(20); // a new connection takes about as long
 /// When a caller comes back to a daemon that knows no configuration.
 const NO_PLAN_RETRY: Duration = Duration::from_millis(300); // a start takes some tens of milliseconds
 
