Let calls take along what has waited for its own domain; tail of a request by its prompt

Cause: at the height of a burst calls left a third of their places empty, because they carried only stages at home in the target's domain; requests counted as on time whose prompt alone took too long. Ruled out: room.

--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -43,8 +43,10 @@
 const FIRST_EVENT: Duration = Duration::from_millis(900); // some times the usual time under load
 /// Tokens that a target reads in a second beside its other requests.
 const READ_RATE: f64 = 20_000.0; // half of what an idle engine reads
-/// Usual time from the last result to the first event.
-const TAIL: Duration = Duration::from_millis(120); // measured at the sites' engines with cached parts
+/// Time from the last result to the first event beside reading the prompt.
+const TAIL: Duration = Duration::from_millis(50); // round trips, and the fetch of the results
+/// Tokens of a prompt that a target reads in a second, with some of them kept.
+const TAIL_RATE: f64 = 50_000.0; // gives the median of 70 to 180 ms that the sites' prompts take
 /// Time that a target is given at least; less can't be an offer.
 const MIN_LEFT: Duration = Duration::from_millis(5);
 /// When a caller comes back whose pool has no target or is full.
@@ -369,7 +371,7 @@
             priority: self.priority,
             aim: aim.saturating_duration_since(begun),
             due,
-            tail: TAIL,
+            tail: TAIL + Duration::from_secs_f64(f64::from(self.ask.prompt_tokens) / TAIL_RATE),
             hint: self.expected_domain(),
             stages: stages.collect(),
         };
--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -2,7 +2,8 @@
 
 use super::{
     Bench, Board, Call, Command, Item, JobId, LOST, OVERDUE, OVERDUE_SLACK, Refusal, Source,
-    home::may_move, job::Running,
+    home::{has_waited, may_move},
+    job::Running,
 };
 use crate::{
     id::{PoolId, Time},
@@ -289,20 +290,29 @@
             if press.pace > quickest * SLOW && !self.is_worth(bench, limits, press.pace) {
                 continue;
             }
-            let room = press.room(limits);
             let (own, others): (Vec<_>, Vec<_>) = order.iter().copied().partition(|(job, _)| {
                 let running = self.jobs.get(job);
                 running.is_some_and(|running| running.home == press.domain)
             });
-            let mut chosen = self.pick(&own, limits.batch, room, Split::Allowed);
-            if chosen.is_empty() {
-                let others = others.into_iter().filter(|&(job, stage)| {
-                    let running = self.jobs.get(&job);
-                    running.is_some_and(|running| may_move(now, running, stage))
-                });
-                let others: Vec<(JobId, usize)> = others.collect();
-                chosen = self.pick(&others, limits.batch, room, Split::Refused);
-            }
+            let mut room = press.room(limits);
+            let mut chosen = Vec::with_capacity(limits.batch);
+            self.pick(&own, limits.batch, &mut room, Split::Allowed, &mut chosen);
+            let is_empty = chosen.is_empty();
+            let others = others.into_iter().filter(|&(job, stage)| {
+                let running = self.jobs.get(&job);
+                // A call that goes anyway takes along what has waited for its own domain.
+                running.is_some_and(|running| {
+                    may_move(now, running, stage) && (is_empty || has_waited(now, running, stage))
+                })
+            });
+            let others: Vec<(JobId, usize)> = others.collect();
+            self.pick(
+                &others,
+                limits.batch,
+                &mut room,
+                Split::Refused,
+                &mut chosen,
+            );
             if !chosen.is_empty() {
                 return Some((index, chosen));
             }
@@ -323,10 +333,10 @@
         &self,
         order: &[(JobId, usize)],
         batch: usize,
-        mut room: u64,
+        room: &mut u64,
         split: Split,
-    ) -> Vec<Entry> {
-        let mut chosen = Vec::with_capacity(batch);
+        chosen: &mut Vec<Entry>,
+    ) {
         // A large result that does not fit yet keeps its room from those behind it.
         let mut is_blocked = false;
         let passes: &[bool] = match split {
@@ -346,7 +356,7 @@
                 let waiting: Vec<usize> = waiting
                     .filter(|&piece| !chosen.contains(&(job, stage, piece)))
                     .collect();
-                let fits = (batch - chosen.len()).min((room / bytes.max(1)) as usize);
+                let fits = (batch - chosen.len()).min((*room / bytes.max(1)) as usize);
                 let is_split = fits < waiting.len();
                 // Parts of large results would hold room until the rest is made.
                 let may_split = bytes < super::HEAVY_BYTES || waiting.len() > batch / 2;
@@ -356,12 +366,11 @@
                 }
                 let taken = waiting.into_iter().take(fits);
                 for piece in taken {
-                    room -= bytes;
+                    *room -= bytes;
                     chosen.push((job, stage, piece));
                 }
             }
         }
-        chosen
     }
 
     fn send(
--- a/policy/src/relay/board/home.rs
+++ b/policy/src/relay/board/home.rs
@@ -88,10 +88,14 @@
 
 /// Returns whether a target may make a stage of a job that is at home elsewhere.
 pub(super) fn may_move(now: Time, running: &Running, stage: usize) -> bool {
-    let waited = now.saturating_sub(running.stages[stage].since);
-    if running.job.stages[stage].bytes >= HEAVY_BYTES {
-        waited >= HEAVY_WAIT
-    } else {
-        running.read_bytes(stage) <= CHEAP_BYTES || waited >= HOME_WAIT
-    }
+    let is_cheap =
+        running.job.stages[stage].bytes < HEAVY_BYTES && running.read_bytes(stage) <= CHEAP_BYTES;
+    is_cheap || has_waited(now, running, stage)
+}
+
+/// Returns whether a stage has waited for the targets of its home long enough.
+pub(super) fn has_waited(now: Time, running: &Running, stage: usize) -> bool {
+    let is_heavy = running.job.stages[stage].bytes >= HEAVY_BYTES;
+    let wait = if is_heavy { HEAVY_WAIT } else { HOME_WAIT };
+    now.saturating_sub(running.stages[stage].since) >= wait
 }
