--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -20,6 +20,9 @@
 const REVIEW_PERIOD: Duration = Duration::from_millis(100); // a third of a call
 /// Longest time that results are expected to wait for their readers.
 const MAX_IDLE_RESULT: Duration = Duration::from_millis(400); // about one call
+/// Time by which a request has to be early to count as on time; with none, a queue of requests that
+/// are all just in time makes each a little late.
+const ON_TIME_MARGIN: Duration = Duration::from_millis(200); // stages' times vary by about as much
 /// Time by which a large result is made before the request's other stages.
 const EARLY_SLACK: Duration = Duration::from_millis(200); // its own wait for a target
 /// Share of the rate of full calls that a pool reaches, since room and deaths leave gaps.
@@ -258,7 +261,7 @@
         let job = &running.job;
         let rest = running.path(|stage, before| before + self.usual(&job.stages[stage].pool));
         let rest = rest + job.tail;
-        if now + rest <= job.aim {
+        if now + rest + ON_TIME_MARGIN <= job.aim {
             (0, job.priority, job.aim)
         } else {
             (1, 0, job.due)
