--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -99,7 +99,8 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Place {
     Own,
-    Peer(HostId),
+    /// A peer, and the link that the order went over.
+    Peer(HostId, Origin),
 }
 
 /// Orders of this daemon, and the board for when it conducts.
@@ -211,7 +212,7 @@
         order.aim = order.aim.saturating_sub(waited);
         order.due = order.due.saturating_sub(waited);
         entry.place = self.conducting();
-        if let Place::Peer(host) = &entry.place {
+        if let Place::Peer(host, _) = &entry.place {
             let frame = Frame::Submit {
                 number,
                 order: order.clone(),
@@ -228,7 +229,7 @@
     /// Returns who conducts: one of the largest daemons, by rendezvous hashing.
     fn conducting(&self) -> Place {
         let settings = self.settings();
-        let mut best = (false, 0, Place::Own);
+        let mut best = ((false, false, 0), Place::Own);
         let mut largest = if self.is_leaving() { 0.0 } else { settings.cpu };
         self.links.each(|peer| {
             if !peer.is_leaving {
@@ -237,16 +238,20 @@
         });
         if !self.is_leaving() {
             let is_large = settings.cpu >= largest * LARGE_SHARE;
-            best = (is_large, weight(&settings.host), Place::Own);
+            // A daemon that has just started names itself only if it knows no other.
+            let is_settled = self.links.count() == 0 || self.now() >= SETTLED * 2;
+            best = ((is_settled, is_large, weight(&settings.host)), Place::Own);
         }
         self.links.each(|peer| {
             let is_large = peer.profile.cpu >= largest * LARGE_SHARE;
-            let weight = weight(&peer.profile.host);
-            if !peer.is_leaving && (is_large, weight) > (best.0, best.1) {
-                best = (is_large, weight, Place::Peer(peer.profile.host.clone()));
+            let is_settled = peer.since.elapsed() >= SETTLED;
+            let rank = (is_settled, is_large, weight(&peer.profile.host));
+            if !peer.is_leaving && rank > best.0 {
+                let place = Place::Peer(peer.profile.host.clone(), peer.origin);
+                best = (rank, place);
             }
         });
-        best.2
+        best.1
     }
 
     /// Returns whether this daemon conducts for the fleet.
@@ -310,22 +315,20 @@
     }
 
     /// Forgets the jobs of a link that ended, and places anew what its daemon conducted.
-    pub(super) fn lose_origin(self: &Rc<Self>, origin: Origin, host: Option<&HostId>) {
+    pub(super) fn lose_origin(self: &Rc<Self>, origin: Origin) {
         self.conductor.with_board(self, |board, now, out| {
             board.release_origin(now, origin, out);
         });
-        let Some(host) = host else {
-            return;
-        };
         let orphans: Vec<u64> = {
             let placed = self.conductor.placed.borrow();
             let orphans = placed.iter().filter(|(_, entry)| {
-                entry.verdict.is_some() && entry.place == Place::Peer(host.clone())
+                let is_over = matches!(entry.place, Place::Peer(_, over) if over == origin);
+                entry.verdict.is_some() && is_over
             });
             orphans.map(|(number, _)| *number).collect()
         };
         if !orphans.is_empty() {
-            tracing::info!(%host, orders = orphans.len(), "conductor lost; orders placed anew");
+            tracing::info!(orders = orphans.len(), "conductor lost; orders placed anew");
         }
         for number in orphans {
             self.place(number);
@@ -483,7 +486,7 @@
             .remove(&self.number);
         match placed.map(|entry| entry.place) {
             Some(Place::Own) => self.relay.take_release(OWN, self.number),
-            Some(Place::Peer(host)) => {
+            Some(Place::Peer(host, _)) => {
                 let number = self.number;
                 self.relay.links.send(&host, Frame::Release { number });
             }
@@ -512,6 +515,8 @@
     hash::texts(&["conductor", host])
 }
 
+/// Time after which a daemon is linked to all others; before, each would name another conductor.
+const SETTLED: Duration = Duration::from_millis(2_500); // a dial after the other end has yielded, twice over
 /// Share of the largest daemon's processor time from which a daemon may conduct; a small one would
 /// bind the whole fleet.
 const LARGE_SHARE: f64 = 0.8;
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -192,6 +192,8 @@
     pub profile: Profile,
     pub origin: Origin,
     pub is_leaving: bool,
+    /// When it was linked.
+    pub since: Instant,
     sender: mpsc::Sender<Frame>,
     heard: Instant,
     /// Time between its beats.
@@ -319,12 +321,24 @@
         .collect()
     }
 
+    /// Notes that the link to a daemon was lost; one end waits, so that they do not dial each other.
+    fn note_lost(&self, address: SocketAddr) {
+        let wait = if self.own < address {
+            FIRST_REDIAL
+        } else {
+            YIELD
+        };
+        if let Some(dial) = self.known.borrow_mut().get_mut(&address) {
+            dial.next = dial.next.max(Instant::now() + wait);
+        }
+    }
+
     /// Notes the end of a dialled link.
     fn note_end(&self, address: SocketAddr, was_open: bool) {
         if let Some(dial) = self.known.borrow_mut().get_mut(&address) {
             dial.failures = if was_open { 0 } else { dial.failures + 1 };
             let pause = FIRST_REDIAL * 2_u32.saturating_pow(dial.failures.min(8));
-            dial.next = Instant::now() + pause.min(MAX_REDIAL);
+            dial.next = dial.next.max(Instant::now() + pause.min(MAX_REDIAL));
             dial.is_open = false;
         }
     }
@@ -521,6 +535,7 @@
         let peer = Peer {
             origin,
             is_leaving: false,
+            since: Instant::now(),
             sender,
             heard: Instant::now(),
             period: relay_period(peers.len() + 1, BEAT_PER_LINK),
@@ -547,13 +562,13 @@
     fn unlink(self: &Rc<Self>, host: &HostId, origin: Origin, fault: &str) {
         let mut peers = self.links.peers.borrow_mut();
         let is_current = peers.get(host).is_some_and(|peer| peer.origin == origin);
-        if is_current {
-            peers.remove(host);
+        if is_current && let Some(peer) = peers.remove(host) {
+            self.links.note_lost(peer.profile.link);
             self.metrics.set_links(peers.len());
         }
         drop(peers);
         tracing::info!(%host, fault, "peer lost");
-        self.lose_origin(origin, is_current.then_some(host));
+        self.lose_origin(origin);
     }
 
     fn take_frame(self: &Rc<Self>, host: &HostId, origin: Origin, frame: Frame) {
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -27,11 +27,12 @@
 };
 use std::{
     cell::{Cell, RefCell},
+    io,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::time;
+use tokio::{net::TcpStream, time};
 
 /// Longest answer that is read whole, in bytes; answers of the sites have some kilobytes.
 const MAX_ANSWER: usize = 4 << 20;
@@ -55,6 +56,13 @@
 const LONG_BODY: usize = 16 << 10; // more than a target's receive buffer may hold
 /// Tokens of shared parts from which the target that keeps them decides where stages are made.
 const LONG_PROMPT: u32 = 1_000; // reading fewer takes less than a tenth of a call
+/// Pause before a target whose answer broke is looked at; a process ends within this time.
+const DEATH_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time of that look.
+const DEATH_CONNECT: Duration = Duration::from_millis(300); // some round trips
+/// Connections for each daemon below which none is kept idle; idle ones of some daemons would have a
+/// target reset those that others open.
+const MIN_KEPT: u32 = 5; // daemons were seen to keep up to three idle ones to a target
 /// Times that stages are made anew because results were gone.
 const MAX_REMAKES: u32 = 2;
 
@@ -466,17 +474,12 @@
 
     fn choose(&self, pool: &PoolId, tally: &Tally, heavy: Option<&DomainId>) -> Option<Target> {
         let settings = self.relay.settings();
-        let members = self.relay.links.count() as u32 + 1;
-        let plan = self.relay.plan()?;
-        let connections = plan
-            .pool(pool)
-            .map_or(u32::MAX, |pool| pool.max_connections);
         let wish = Wish {
             parts: &self.ask.parts,
             heavy: heavy.map(|domain| (domain, self.heavy_bytes())),
             domain: Some(&settings.domain),
             tried: &tally.tried,
-            cap: (connections / members).max(1),
+            cap: self.connections(pool).max(1),
         };
         let roster = self.relay.roster();
         let choice = self.relay.choice();
@@ -484,6 +487,14 @@
         target.cloned()
     }
 
+    /// Returns this daemon's part of the connections that a target of a pool takes.
+    fn connections(&self, pool: &PoolId) -> u32 {
+        let members = self.relay.links.count() as u32 + 1;
+        let plan = self.relay.plan();
+        let pool = plan.as_ref().and_then(|plan| plan.pool(pool));
+        pool.map_or(u32::MAX, |pool| pool.max_connections) / members
+    }
+
     /// Returns the bytes of the request's largest stage.
     fn heavy_bytes(&self) -> u64 {
         let stages = self.route.stages.iter().zip(&self.ask.pieces);
@@ -567,6 +578,9 @@
             return Sent::NotRun(status);
         }
         if status.is_success() && self.route.kind == Kind::Streaming {
+            if self.connections(&target.pool) < MIN_KEPT {
+                response.condemn();
+            }
             let first = time::timeout_at(self.silent_at(begun).into(), response.chunk()).await;
             return match first {
                 Ok(Ok(Some(first))) => Sent::Begun(Box::new(Begun {
@@ -580,6 +594,9 @@
                 Err(_elapsed) => Sent::Broken("silent"),
             };
         }
+        if self.connections(&target.pool) < MIN_KEPT {
+            response.condemn();
+        }
         let headers = self.relay.dialect.answer(response.headers());
         let is_early = self.body.len() > LONG_BODY && !status.is_success();
         match read(response, is_early).await {
@@ -638,7 +655,7 @@
             Sent::Broken(_) => {
                 choice.note_broken(now, &target.id);
                 drop(choice);
-                self.relay.note_death(self.payload);
+                self.relay.look_for_death(target, self.payload);
             }
         }
     }
@@ -656,7 +673,7 @@
         );
         let now = self.relay.now();
         self.relay.choice_mut().note_broken(now, &target.id);
-        self.relay.note_death(self.payload);
+        self.relay.look_for_death(target, self.payload);
     }
 }
 
@@ -693,8 +710,27 @@
 }
 
 impl Relay {
+    /// Looks whether a target whose answer broke has died; only then is it laid to the payload.
+    fn look_for_death(self: &Rc<Self>, target: &Target, payload: Payload) {
+        let (relay, target) = (Rc::clone(self), target.clone());
+        tokio::task::spawn_local(async move {
+            time::sleep(DEATH_PAUSE).await;
+            let connect = TcpStream::connect(target.address.as_str());
+            let is_dead = match time::timeout(DEATH_CONNECT, connect).await {
+                Ok(Ok(_)) => false,
+                Ok(Err(fault)) => fault.kind() == io::ErrorKind::ConnectionRefused,
+                // A partition is silent too.
+                Err(_elapsed) => false,
+            };
+            if is_dead {
+                relay.note_death(&target, payload);
+            }
+        });
+    }
+
     /// Notes here and at all peers that a target died while it ran a payload.
-    fn note_death(&self, payload: Payload) {
+    fn note_death(&self, target: &Target, payload: Payload) {
+        tracing::info!(target_id = %target.id, payload, "target died");
         let now = self.now();
         self.ledger_mut().note(now, payload);
         self.links.broadcast(&super::link::Frame::Death(payload));
--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -17,7 +17,13 @@
 const MAX_RETRY: Duration = Duration::from_secs(5); // callers come back after a third of their time
 
 /// Period in which late jobs are looked over.
-const REVIEW_PERIOD: Duration = Duration::from_millis(100); // a third of a call
+pub(super) const REVIEW_PERIOD: Duration = Duration::from_millis(100); // a third of a call
+/// Waiting stages from which a queue is not sorted for each call.
+const LONG_QUEUE: usize = 100; // some calls' worth; sorting them takes a tenth of a millisecond
+/// Time for which the front of a long queue stands.
+const FRONT_PERIOD: Duration = Duration::from_millis(30); // a tenth of a call
+/// Most stages of that front.
+const MAX_FRONT: usize = 500; // what all targets of the largest pools take in one call each
 /// Longest time that results are expected to wait for their readers.
 const MAX_IDLE_RESULT: Duration = Duration::from_millis(400); // about one call
 /// Time by which a request has to be early to count as on time; with none, a queue of requests that
@@ -95,20 +101,22 @@
 
     /// Refuses late jobs that what goes before them in the queues keeps from their deadline.
     pub(super) fn review(&mut self, now: Time, out: &mut Vec<Command>) {
-        if now < self.reviewed + REVIEW_PERIOD {
-            return;
-        }
-        self.reviewed = now;
         self.count_load();
+        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
+        for id in jobs {
+            self.refresh(id);
+        }
         let unready = self.jobs.values().filter(|running| running.ready.is_none());
         let mut queue: Vec<(Precedence, JobId)> = unready
-            .map(|running| (self.precedence(now, running), running.job.id))
+            .map(|running| (precedence(now, running), running.job.id))
             .collect();
         queue.sort();
+        self.ranks.clear();
         let mut ahead = HashMap::new();
         let mut hopeless = Vec::new();
-        for ((class, ..), job) in queue {
+        for ((class, rank, _), job) in queue {
             let running = &self.jobs[&job];
+            running.add_missing(self.ranks.entry((class, rank)).or_default());
             if class > 0 && now + self.behind(running, &ahead) > running.job.due {
                 hopeless.push(job);
             } else {
@@ -120,17 +128,25 @@
         }
     }
 
-    /// Returns the time to a job's first event if all that has precedence is made before it.
+    /// Returns the time to a new job's first event if all of its rank and before is made first.
+    ///
+    /// The sums are those of the last review, and of the jobs that came since.
     pub(super) fn likely(&self, now: Time, running: &Running) -> Duration {
-        let precedence = self.precedence(now, running);
-        let unready = self.jobs.values().filter(|other| other.ready.is_none());
+        let (class, rank, _) = precedence(now, running);
+        let before = self.ranks.range(..=(class, rank));
         let mut ahead = HashMap::new();
-        for other in unready.filter(|other| self.precedence(now, other) <= precedence) {
-            other.add_missing(&mut ahead);
+        for (pool, pieces) in before.flat_map(|(_, sums)| sums) {
+            *ahead.entry(pool.clone()).or_default() += pieces;
         }
         self.behind(running, &ahead)
     }
 
+    /// Adds a new job to the sums of its rank.
+    pub(super) fn add_rank(&mut self, now: Time, running: &Running) {
+        let (class, rank, _) = precedence(now, running);
+        running.add_missing(self.ranks.entry((class, rank)).or_default());
+    }
+
     /// Returns the time to a job's first event behind a number of pieces in each pool.
     fn behind(&self, running: &Running, ahead: &HashMap<PoolId, usize>) -> Duration {
         let end = running.path(|stage, before| {
@@ -157,8 +173,23 @@
             if bench.waiting.is_empty() || !bench.presses.iter().any(|press| press.is_idle(now)) {
                 return;
             }
-            let order = self.order(now, bench);
-            let Some((press, chosen)) = self.fill(now, bench, &limits, &order) else {
+            let is_long = bench.waiting.len() >= LONG_QUEUE;
+            let is_stale = bench
+                .front
+                .as_ref()
+                .is_none_or(|(at, _)| now >= *at + FRONT_PERIOD);
+            if !is_long || is_stale {
+                let mut order = self.order(now, bench);
+                order.truncate(MAX_FRONT);
+                if let Some(bench) = self.pools.get_mut(pool) {
+                    bench.front = Some((now, order));
+                }
+            }
+            let Some(bench) = self.pools.get(pool) else {
+                return;
+            };
+            let order = bench.front.as_ref().map_or(&[][..], |(_, order)| order);
+            let Some((press, chosen)) = self.fill(now, bench, &limits, order) else {
                 return;
             };
             self.send(now, pool, press, &limits, &chosen, out);
@@ -177,7 +208,7 @@
             if !running.has_inputs(stage) || self.is_early(running, stage) {
                 continue;
             }
-            let precedence = self.precedence(now, running);
+            let precedence = precedence(now, running);
             if !self.is_ahead(now, running, stage, precedence, &mut queues) {
                 order.push((precedence, (job, stage)));
             }
@@ -189,7 +220,8 @@
     /// Returns whether a large final result would wait for the request's other stages.
     fn is_early(&self, running: &Running, stage: usize) -> bool {
         let need = &running.job.stages[stage];
-        if need.bytes < super::HEAVY_BYTES || !running.is_final(stage) {
+        let is_alone = running.job.stages.len() == 1;
+        if is_alone || need.bytes < super::HEAVY_BYTES || !running.is_final(stage) {
             return false;
         }
         let own = self.usual(&need.pool);
@@ -224,8 +256,7 @@
             bench.drain(ahead)
         };
         let own = self.usual(&running.job.stages[stage].pool);
-        let rest =
-            running.path(|stage, before| before + self.usual(&running.job.stages[stage].pool));
+        let rest = running.rest;
         let needs = running.job.stages.iter().enumerate();
         let mut needs = needs.filter(|&(other, need)| {
             other != stage && need.pieces > 0 && !running.stages[other].is_made()
@@ -243,7 +274,7 @@
         let waiting = bench.waiting.iter().filter_map(|&(job, stage)| {
             let running = self.jobs.get(&job)?;
             Some((
-                self.precedence(now, running),
+                precedence(now, running),
                 running.stages[stage].waiting().count(),
             ))
         });
@@ -257,17 +288,20 @@
         queue
     }
 
-    fn precedence(&self, now: Time, running: &Running) -> Precedence {
-        let job = &running.job;
-        let rest = running.path(|stage, before| before + self.usual(&job.stages[stage].pool));
-        let rest = rest + job.tail;
-        if now + rest + ON_TIME_MARGIN <= job.aim {
-            (0, job.priority, job.aim)
-        } else {
-            (1, 0, job.due)
+    /// Works out anew how much of a job is left.
+    pub(super) fn refresh(&mut self, id: JobId) {
+        let rest = self.jobs.get(&id).map(|running| self.rest(running));
+        if let Some(running) = self.jobs.get_mut(&id) {
+            running.rest = rest.unwrap_or_default();
         }
     }
 
+    /// Returns the usual time to a job's first event.
+    pub(super) fn rest(&self, running: &Running) -> Duration {
+        let stages = &running.job.stages;
+        running.path(|stage, before| before + self.usual(&stages[stage].pool)) + running.job.tail
+    }
+
     /// Chooses a target and the pieces of its call.
     fn fill(
         &self,
@@ -348,18 +382,27 @@
         };
         for &whole in passes {
             for &(job, stage) in order {
+                if chosen.len() >= batch {
+                    return;
+                }
                 let Some(running) = self.jobs.get(&job) else {
                     continue;
                 };
                 let bytes = running.job.stages[stage].bytes;
-                if is_blocked && bytes >= super::HEAVY_BYTES {
+                let is_kept_back = is_blocked && bytes >= super::HEAVY_BYTES;
+                // Inputs may have been lost since the queue was sorted.
+                if is_kept_back || !running.has_inputs(stage) {
+                    continue;
+                }
+                let fits = (batch - chosen.len()).min((*room / bytes.max(1)) as usize);
+                if fits == 0 {
+                    is_blocked |= bytes >= super::HEAVY_BYTES;
                     continue;
                 }
                 let waiting = running.stages[stage].waiting();
                 let waiting: Vec<usize> = waiting
                     .filter(|&piece| !chosen.contains(&(job, stage, piece)))
                     .collect();
-                let fits = (batch - chosen.len()).min((*room / bytes.max(1)) as usize);
                 let is_split = fits < waiting.len();
                 // Parts of large results would hold room until the rest is made.
                 let may_split = bytes < super::HEAVY_BYTES || waiting.len() > batch / 2;
@@ -543,3 +586,13 @@
         self.call + self.item * self.batch as u32
     }
 }
+
+/// Returns where a job stands in every queue.
+fn precedence(now: Time, running: &Running) -> Precedence {
+    let job = &running.job;
+    if now + running.rest + ON_TIME_MARGIN <= job.aim {
+        (0, job.priority, job.aim)
+    } else {
+        (1, 0, job.due)
+    }
+}
--- a/policy/src/relay/board/job.rs
+++ b/policy/src/relay/board/job.rs
@@ -87,6 +87,8 @@
     pub stages: Vec<Progress>,
     /// Domain whose targets make the pieces, unless others are idle.
     pub home: DomainId,
+    /// Usual time to the first event, as of the last change or look.
+    pub rest: Duration,
     /// When all results were made.
     pub ready: Option<Time>,
     /// Pieces that failed so far.
@@ -119,6 +121,7 @@
         });
         Self {
             home,
+            rest: Duration::ZERO,
             stages: stages.collect(),
             job,
             ready: None,
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -192,6 +192,8 @@
     reviewed: Time,
     /// Pools for which a call may be filled now.
     touched: BTreeSet<PoolId>,
+    /// Pieces of each pool that the jobs of each class and rank still need.
+    ranks: BTreeMap<(u8, u8), HashMap<PoolId, usize>>,
     /// Whether results were lost whose pieces do not wait again yet.
     has_lost: bool,
     /// Pieces of each pool that the jobs at home in each domain still need.
@@ -206,6 +208,8 @@
     waiting: Vec<(JobId, usize)>,
     /// Usual time of a call in seconds.
     usual: Option<f64>,
+    /// The front of a long queue, and when it was sorted.
+    front: Option<(Time, Vec<(JobId, usize)>)>,
 }
 
 #[derive(Clone, Debug)]
@@ -246,7 +250,7 @@
     pub fn submit(&mut self, now: Time, job: Job, out: &mut Vec<Command>) {
         let id = job.id;
         let home = self.choose_home(&job);
-        let running = Running::new(job, home);
+        let mut running = Running::new(job, home);
         let unserved = running.job.stages.iter();
         let mut unserved = unserved.filter(|need| need.pieces > 0);
         if unserved.any(|need| !self.is_served(&need.pool)) {
@@ -256,6 +260,7 @@
                 retry_after: NO_TARGET_PAUSE,
             });
         }
+        running.rest = self.rest(&running);
         if now + self.likely(now, &running) > running.job.due {
             return out.push(Command::Refuse {
                 job: id,
@@ -264,6 +269,7 @@
             });
         }
         self.add_load(&running);
+        self.add_rank(now, &running);
         self.jobs.insert(id, running);
         self.advance(now, id, out);
         self.settle(now, out);
@@ -337,9 +343,12 @@
     /// Does what the time asks for: gives up, sends calls, frees results.
     pub fn poll(&mut self, now: Time, out: &mut Vec<Command>) {
         self.mark_overdue(now);
-        self.drop_lapsed(now);
-        self.give_up(now, out);
-        self.review(now, out);
+        if now >= self.reviewed + dispatch::REVIEW_PERIOD {
+            self.reviewed = now;
+            self.drop_lapsed(now);
+            self.give_up(now, out);
+            self.review(now, out);
+        }
         self.touched.extend(self.pools.keys().cloned());
         self.settle(now, out);
     }
@@ -395,6 +404,7 @@
             presses: Vec::new(),
             waiting: Vec::new(),
             usual: None,
+            front: None,
         })
     }
 
@@ -497,6 +507,7 @@
             });
         }
         self.free_inputs(id);
+        self.refresh(id);
         self.queue(now, id);
     }
 
