--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -6,7 +6,7 @@
 use super::{
     dialect::Call,
     event,
-    link::{Frame, Origin},
+    frame::{Frame, Origin},
     outcome::Reason,
     state::Relay,
 };
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -3,17 +3,16 @@
 use super::{
     body::Body,
     conduct::{Order, Refused, Results},
-    dialect::{Ask, Mark, Stamp},
+    dialect::Ask,
     event::{self, End},
     outcome::{Reason, Rejection},
+    send::{Answer, Begun, Sent},
     state::{Flight, Relay},
     stream,
 };
-use crate::http::{self as pool, Reuse};
 use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
-use http::{HeaderMap, Response, StatusCode, request::Parts};
-use http_body_util::Full;
+use http::{Response, StatusCode, request::Parts};
 use policy::{
     hash,
     id::{DomainId, PoolId, TargetId, WorkspaceId},
@@ -27,23 +26,16 @@
 };
 use std::{
     cell::{Cell, RefCell},
-    io,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::{net::TcpStream, time};
+use tokio::time;
 
-/// Longest answer that is read whole, in bytes; answers of the sites have some kilobytes.
-const MAX_ANSWER: usize = 4 << 20;
 /// Sends of one request that reached no target or were turned away.
 const MAX_IDLE_SENDS: u32 = 4; // the targets of the smallest pools and one more
 /// Share of the objective after which a repeatable request is sent a second time.
 const HEDGE_SHARE: f64 = 0.8;
-/// Time that a target has for the first event beside reading the prompt.
-const FIRST_EVENT: Duration = Duration::from_millis(900); // some times the usual time under load
-/// Tokens that a target reads in a second beside its other requests.
-const READ_RATE: f64 = 20_000.0; // half of what an idle engine reads
 /// Time from the last result to the first event beside reading the prompt.
 const TAIL: Duration = Duration::from_millis(50); // round trips, and the fetch of the results
 /// Tokens of a prompt that a target reads in a second, with some of them kept.
@@ -52,17 +44,8 @@
 const MIN_LEFT: Duration = Duration::from_millis(5);
 /// When a caller comes back whose pool has no target or is full.
 const FULL_RETRY: Duration = Duration::from_millis(300); // a few times the usual work of plain requests
-/// Size from which an early answer closes its connection, since the body may not be read yet.
-const LONG_BODY: usize = 16 << 10; // more than a target's receive buffer may hold
 /// Tokens of shared parts from which the target that keeps them decides where stages are made.
 const LONG_PROMPT: u32 = 1_000; // reading fewer takes less than a tenth of a call
-/// Pause before a target whose answer broke is looked at; a process ends within this time.
-const DEATH_PAUSE: Duration = Duration::from_millis(50);
-/// Longest time of that look.
-const DEATH_CONNECT: Duration = Duration::from_millis(300); // some round trips
-/// Connections for each daemon below which none is kept idle; idle ones of some daemons would have a
-/// target reset those that others open.
-const MIN_KEPT: u32 = 5; // daemons were seen to keep up to three idle ones to a target
 /// Times that stages are made anew because results were gone.
 const MAX_REMAKES: u32 = 2;
 
@@ -95,45 +78,6 @@
     ended: Cell<bool>,
 }
 
-/// What came of one send.
-#[derive(Debug)]
-pub(super) enum Sent {
-    /// A whole answer.
-    Whole(Answer),
-    /// The head and the first part of a stream.
-    Begun(Box<Begun>),
-    /// Nothing was sent.
-    Unreached,
-    /// The target says that it did not run the request.
-    NotRun(StatusCode),
-    /// The target may have run the request, but gave no answer to pass on.
-    Broken(&'static str),
-}
-
-/// A whole answer of a target.
-#[derive(Debug)]
-pub(super) struct Answer {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-/// A stream that has begun.
-#[derive(Debug)]
-pub(super) struct Begun {
-    pub response: pool::Response,
-    pub first: Bytes,
-    pub target: Target,
-    pub call: InCall,
-}
-
-/// Counts a call at a target until it is dropped.
-#[derive(Debug)]
-pub(super) struct InCall {
-    relay: Rc<Relay>,
-    target: TargetId,
-}
-
 /// What earlier sends of a request came to.
 #[derive(Debug, Default)]
 pub(super) struct Tally {
@@ -488,7 +432,7 @@
     }
 
     /// Returns this daemon's part of the connections that a target of a pool takes.
-    fn connections(&self, pool: &PoolId) -> u32 {
+    pub(super) fn connections(&self, pool: &PoolId) -> u32 {
         let members = self.relay.links.count() as u32 + 1;
         let plan = self.relay.plan();
         let pool = plan.as_ref().and_then(|plan| plan.pool(pool));
@@ -514,151 +458,6 @@
         event::send_failed(&self.ask.id, &target.id, result, taken, next);
         tracing::debug!(runs = tally.runs, idle = tally.idle, "sends so far");
     }
-
-    /// Sends the request to a target.
-    async fn send(
-        self: &Rc<Self>,
-        target: Target,
-        inputs: Option<&[policy::relay::board::Handle]>,
-        last_event: Option<&str>,
-    ) -> (Target, Duration, Sent) {
-        let begun = Instant::now();
-        self.story.sends.set(self.story.sends.get() + 1);
-        self.story.target.borrow_mut().clone_from(&target.id);
-        let relay = &self.relay;
-        let call = InCall::new(relay, &target, &self.ask);
-        let stamp = Stamp {
-            target: &target.id,
-            left: Some(self.left()),
-            workspace: self.workspace.as_ref(),
-            inputs,
-            last_event,
-        };
-        let mut request = http::Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.head.method.clone();
-        *request.uri_mut() = self.head.uri.clone();
-        *request.headers_mut() = relay.dialect.headers(&self.head, &stamp);
-        // A kept connection may break under a request that can't be sent again.
-        let reuse = if self.route.is_repeatable() {
-            Reuse::Newest
-        } else {
-            Reuse::Never
-        };
-        let sent = match relay.pool.send(&target.address, request, reuse).await {
-            Ok(response) => self.receive(response, &target, call, begun).await,
-            Err(pool::Error::Connect(_)) => Sent::Unreached,
-            Err(pool::Error::Broken(_) | pool::Error::Silent | pool::Error::TooLong) => {
-                Sent::Broken("broken")
-            }
-        };
-        self.learn(&target, &sent, begun.elapsed());
-        (target, begun.elapsed(), sent)
-    }
-
-    /// Reads an answer, whole or up to the first part of a stream.
-    async fn receive(
-        &self,
-        mut response: pool::Response,
-        target: &Target,
-        call: InCall,
-        begun: Instant,
-    ) -> Sent {
-        let status = response.status();
-        let mark = self.relay.dialect.mark(status, response.headers());
-        if let Some((running, waiting)) = mark.load {
-            let now = self.relay.now();
-            let mut choice = self.relay.choice_mut();
-            choice.note_load(now, &target.id, running, waiting);
-        }
-        if !self.is_own(&mark, status, response.headers()) {
-            return Sent::Broken("foreign");
-        }
-        if mark.is_not_run {
-            // The body is of no use, and the connection may still carry ours.
-            return Sent::NotRun(status);
-        }
-        if status.is_success() && self.route.kind == Kind::Streaming {
-            if self.connections(&target.pool) < MIN_KEPT {
-                response.condemn();
-            }
-            let first = time::timeout_at(self.silent_at(begun).into(), response.chunk()).await;
-            return match first {
-                Ok(Ok(Some(first))) => Sent::Begun(Box::new(Begun {
-                    response,
-                    first,
-                    target: target.clone(),
-                    call,
-                })),
-                Ok(Ok(None)) => Sent::Whole(self.whole(status, &response, Bytes::new())),
-                Ok(Err(_)) => Sent::Broken("broken"),
-                Err(_elapsed) => Sent::Broken("silent"),
-            };
-        }
-        if self.connections(&target.pool) < MIN_KEPT {
-            response.condemn();
-        }
-        let headers = self.relay.dialect.answer(response.headers());
-        let is_early = self.body.len() > LONG_BODY && !status.is_success();
-        match read(response, is_early).await {
-            Ok(body) => Sent::Whole(Answer {
-                status,
-                headers,
-                body,
-            }),
-            Err(_) => Sent::Broken("broken"),
-        }
-    }
-
-    fn whole(&self, status: StatusCode, response: &pool::Response, body: Bytes) -> Answer {
-        Answer {
-            status,
-            headers: self.relay.dialect.answer(response.headers()),
-            body,
-        }
-    }
-
-    /// Returns whether an answer is this request's, as its target gave it.
-    fn is_own(&self, mark: &Mark, status: StatusCode, headers: &HeaderMap) -> bool {
-        let is_same = mark.id.as_ref().is_none_or(|id| *id == self.ask.id);
-        let is_whole = !status.is_success()
-            || mark.is_signed && !headers.contains_key(http::header::CONTENT_ENCODING);
-        is_same && is_whole
-    }
-
-    /// Returns when a target without a first event counts as silent.
-    fn silent_at(&self, begun: Instant) -> Instant {
-        if !self.route.is_repeatable() || self.route.max_attempts < 2 {
-            return self.due;
-        }
-        let reading = f64::from(self.ask.prompt_tokens) / READ_RATE;
-        self.due
-            .min(begun + FIRST_EVENT + Duration::from_secs_f64(reading))
-    }
-
-    /// Takes what a send says of its target.
-    fn learn(&self, target: &Target, sent: &Sent, taken: Duration) {
-        let now = self.relay.now();
-        let mut choice = self.relay.choice_mut();
-        let reading = f64::from(self.ask.prompt_tokens) / READ_RATE;
-        let taken = taken.saturating_sub(Duration::from_secs_f64(reading));
-        match sent {
-            Sent::Whole(answer) => {
-                let is_good = !answer.status.is_server_error();
-                choice.note_answer(&target.id, is_good, taken);
-                self.relay.ledger_mut().clear(self.payload);
-            }
-            Sent::Begun(_) => choice.note_answer(&target.id, true, taken),
-            Sent::Unreached | Sent::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
-                choice.note_broken(now, &target.id);
-            }
-            Sent::NotRun(_) => choice.note_answer(&target.id, false, taken),
-            Sent::Broken(_) => {
-                choice.note_broken(now, &target.id);
-                drop(choice);
-                self.relay.look_for_death(target, self.payload);
-            }
-        }
-    }
 }
 
 impl Ticket {
@@ -686,57 +485,12 @@
     Stream(Box<Begun>),
 }
 
-impl InCall {
-    fn new(relay: &Rc<Relay>, target: &Target, ask: &Ask) -> Self {
-        let now = relay.now();
-        relay.choice_mut().begin(now, &target.id, &ask.parts);
-        Self {
-            relay: Rc::clone(relay),
-            target: target.id.clone(),
-        }
-    }
-}
-
-impl Drop for InCall {
-    fn drop(&mut self) {
-        self.relay.choice_mut().end(&self.target);
-    }
-}
-
 impl Drop for Ticket {
     fn drop(&mut self) {
         self.end(None, "caller_left", None);
     }
 }
 
-impl Relay {
-    /// Looks whether a target whose answer broke has died; only then is it laid to the payload.
-    fn look_for_death(self: &Rc<Self>, target: &Target, payload: Payload) {
-        let (relay, target) = (Rc::clone(self), target.clone());
-        tokio::task::spawn_local(async move {
-            time::sleep(DEATH_PAUSE).await;
-            let connect = TcpStream::connect(target.address.as_str());
-            let is_dead = match time::timeout(DEATH_CONNECT, connect).await {
-                Ok(Ok(_)) => false,
-                Ok(Err(fault)) => fault.kind() == io::ErrorKind::ConnectionRefused,
-                // A partition is silent too.
-                Err(_elapsed) => false,
-            };
-            if is_dead {
-                relay.note_death(&target, payload);
-            }
-        });
-    }
-
-    /// Notes here and at all peers that a target died while it ran a payload.
-    fn note_death(&self, target: &Target, payload: Payload) {
-        tracing::info!(target_id = %target.id, payload, "target died");
-        let now = self.now();
-        self.ledger_mut().note(now, payload);
-        self.links.broadcast(&super::link::Frame::Death(payload));
-    }
-}
-
 /// Returns the host name of a request, without a port.
 pub(super) fn host(head: &Parts) -> String {
     let header = head.headers.get(http::header::HOST);
@@ -752,11 +506,3 @@
     let workspace = workspace.map_or("", |workspace| workspace.as_str());
     hash::texts(&[head.method.as_str(), path, workspace]) ^ hash::bytes(body).rotate_left(1)
 }
-
-/// Reads the rest of an answer; an early one is read without keeping its connection.
-async fn read(mut response: pool::Response, is_early: bool) -> Result<Bytes, pool::Error> {
-    if is_early {
-        response.condemn();
-    }
-    response.bytes(MAX_ANSWER).await
-}
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -2,7 +2,8 @@
 
 use super::{
     body::BrokenOff,
-    run::{Begun, Opening, Tally, Ticket},
+    run::{Opening, Tally, Ticket},
+    send::Begun,
 };
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -2,7 +2,7 @@
 
 use super::{
     dialect::{Row, Table},
-    link::Profile,
+    frame::Profile,
     state::Relay,
     store::{self, CALL_TIMEOUT},
 };
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -10,27 +10,30 @@
 mod dispatch;
 mod home;
 mod job;
+mod message;
 mod press;
+mod result;
 
-pub use self::job::{Handle, Job, JobId, Need};
+pub use self::{
+    job::{Handle, Job, JobId, Need},
+    message::{Command, Item, Refusal, Reply, Source, View, Why},
+};
 
 use self::{
     job::{Made, Running},
     press::Press,
 };
 use crate::{
-    id::{DomainId, PoolId, RequestId, TargetId, Time},
+    id::{DomainId, PoolId, TargetId, Time},
     relay::{
         plan,
         roster::{Change, Target},
     },
 };
-use compact_str::CompactString;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
-use strum::{Display, IntoStaticStr};
 
 /// Number of a call to a stage target.
 pub type CallId = u64;
@@ -48,139 +51,6 @@
 /// Weight of the latest call in a pool's usual time.
 const TIME_WEIGHT: f64 = 0.1;
 
-/// Work for a stage target.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Item {
-    /// Identifier of the request.
-    pub request: RequestId,
-    /// Position of the stage.
-    pub stage: usize,
-    /// Number of the piece in its stage.
-    pub piece: usize,
-    /// Time that is left for the piece.
-    pub left: Duration,
-    /// What the piece is made from.
-    pub source: Source,
-}
-
-/// What a piece is made from.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Source {
-    /// The request's own key.
-    Key(CompactString),
-    /// Results of other stages.
-    Inputs(Vec<Handle>),
-}
-
-/// Why a target did not make a piece.
-#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub enum Why {
-    /// Its time had passed when its turn came.
-    Late,
-    /// An input is gone.
-    Gone,
-    /// There was no room for the result.
-    Room,
-    /// The target failed.
-    Failed,
-}
-
-/// What came of a call.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Reply {
-    /// One outcome for each item, in order.
-    Items(Vec<Result<Handle, Why>>),
-    /// The target is full and ran nothing.
-    Full,
-    /// Nothing was sent.
-    Unreached,
-    /// The connection broke or went silent; the call may have run.
-    Lost,
-    /// Another target has the address.
-    Replaced,
-}
-
-/// Why a job is refused.
-#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub enum Refusal {
-    /// The queues are too long for its deadline.
-    Backlog,
-    /// Its deadline can't be met any more.
-    Late,
-    /// Its pieces failed too often.
-    Failed,
-    /// A pool of its stages has no target.
-    NoTarget,
-}
-
-/// What the owner of a board has to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Command {
-    /// Call a stage target.
-    Call {
-        /// Number to give back with the reply.
-        call: CallId,
-        /// The target.
-        target: TargetId,
-        /// Its address.
-        address: CompactString,
-        /// What it makes.
-        items: Vec<Item>,
-        /// Time after which the call is given up.
-        within: Duration,
-    },
-    /// All results of a job are made.
-    Ready {
-        /// The job.
-        job: JobId,
-        /// Its final results in order.
-        handles: Vec<Handle>,
-        /// Domain of large results.
-        domain: Option<DomainId>,
-    },
-    /// A job is given up.
-    Refuse {
-        /// The job.
-        job: JobId,
-        /// Why.
-        reason: Refusal,
-        /// When the queues will have drained.
-        retry_after: Duration,
-    },
-    /// Results are no longer wanted.
-    Free {
-        /// Their target.
-        target: TargetId,
-        /// Address of their target.
-        address: CompactString,
-        /// The results.
-        handles: Vec<Handle>,
-    },
-}
-
-/// State of one pool, for logs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct View {
-    /// The pool.
-    pub pool: PoolId,
-    /// Pieces that wait.
-    pub waiting: usize,
-    /// Targets that take work.
-    pub targets: usize,
-    /// Targets that run a call.
-    pub busy: usize,
-    /// Pieces in the calls that run.
-    pub carried: usize,
-    /// Targets that pause after a failure.
-    pub paused: usize,
-    /// Bytes that are free for results.
-    pub room: u64,
-    /// Usual time of a call.
-    pub usual: Duration,
-}
-
 /// Queues and targets of all stages.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
@@ -573,102 +443,6 @@
             retry_after,
         });
     }
-
-    /// Takes the outcomes of a call's items.
-    fn take_items(
-        &mut self,
-        now: Time,
-        call: &Call,
-        items: Vec<Result<Handle, Why>>,
-        out: &mut Vec<Command>,
-    ) {
-        let bench = self.bench(&call.pool);
-        let keep = bench.limits.map_or(Duration::ZERO, |limits| limits.keep);
-        let taken = now.saturating_sub(call.started).as_secs_f64();
-        let usual = bench.usual.get_or_insert(taken);
-        *usual += TIME_WEIGHT * (taken - *usual);
-        let mut domain = DomainId::default();
-        if let Some(press) = bench.press(&call.target) {
-            press.call = None;
-            press.note_done(taken / call.nominal.as_secs_f64().max(0.001));
-            domain.clone_from(&press.domain);
-        }
-        let outcomes = call.items.iter().zip(&call.bytes).zip(items);
-        for ((&(job, stage, piece), &bytes), outcome) in outcomes {
-            match outcome {
-                Ok(handle) => {
-                    let made = Made {
-                        handle,
-                        target: call.target.clone(),
-                        domain: domain.clone(),
-                        until: now + keep,
-                    };
-                    self.take_result(call, (job, stage, piece), made, bytes);
-                }
-                Err(why) => self.take_failure(now, call, (job, stage), why, bytes, out),
-            }
-        }
-    }
-
-    fn take_result(
-        &mut self,
-        call: &Call,
-        (job, stage, piece): (JobId, usize, usize),
-        made: Made,
-        bytes: u64,
-    ) {
-        let bench = self.bench(&call.pool);
-        if let Some(press) = bench.press(&call.target) {
-            press.hold(made.handle.clone(), bytes, made.until);
-        }
-        let running = self.jobs.get_mut(&job);
-        match running.map(|running| &mut running.stages[stage].pieces[piece]) {
-            Some(piece) if piece.made.is_none() => piece.made = Some(made),
-            Some(_) | None => self.free(vec![(call.pool.clone(), made)]),
-        }
-    }
-
-    fn take_failure(
-        &mut self,
-        now: Time,
-        call: &Call,
-        (job, stage): (JobId, usize),
-        why: Why,
-        bytes: u64,
-        out: &mut Vec<Command>,
-    ) {
-        let Some(running) = self.jobs.get_mut(&job) else {
-            return;
-        };
-        running.failures += 1;
-        match why {
-            Why::Late => self.refuse(job, Refusal::Late, out),
-            Why::Gone => {
-                for from in running.job.stages[stage].after.clone() {
-                    running.forget_stage(from);
-                }
-            }
-            Why::Room => {
-                if let Some(press) = self.bench(&call.pool).press(&call.target) {
-                    press.hold_unnamed(bytes, now + ROOM_PAUSE);
-                }
-            }
-            Why::Failed => {}
-        }
-    }
-
-    /// Lets the pieces of a failed call wait again.
-    fn fail(&mut self, now: Time, call: &Call, may_have_run: bool) {
-        let bench = self.bench(&call.pool);
-        let keep = bench.limits.map_or(Duration::ZERO, |limits| limits.keep);
-        if let Some(press) = bench.press(&call.target) {
-            press.call = None;
-            press.note_failed(now);
-            if may_have_run {
-                press.hold_unnamed(call.bytes.iter().sum(), now + keep);
-            }
-        }
-    }
 }
 
 /// Retry time where a pool has no target.
