Answer 502, not 503, when stages are refused after a send that may have run

Cause: a resumable stream whose first send broke, and whose results were gone at the second, took the stages' refusal as its answer, which says that the request has not run. Found by reading.

--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -271,7 +271,12 @@
         let mut remakes = 0;
         loop {
             if results.is_none() && !self.route.stages.is_empty() {
-                results = Some(self.stages().await?);
+                let made = self.stages().await;
+                // After a send that may have run, a refusal would say that it has not.
+                results = Some(made.map_err(|refused| match tally.runs {
+                    0 => refused,
+                    _ => Rejection::new(Reason::Broken),
+                })?);
             }
             let domain = results.as_ref().and_then(|results| results.domain.as_ref());
             let target = self.next_target(tally, domain)?;
