Keep the conductor while it is linked, and watch those that follow

Started daemons conducted for themselves beside it until they were linked. At 8 s the former conductor was back and took over by rank, and two boards filled the same targets until 13 s. A board of 1,700 jobs took the processor time of its daemon: each refusal summed all jobs, and each look at late jobs all calls.

Change: who conducts is decided in policy::relay::lead. One that conducts says so and keeps on while it is linked; the two next ones are watched as closely; a started daemon waits up to a second for the conductor's link. Ends of calls are looked up once, the pause of a refusal comes from the sums of the last review, and queued stages are marked.

Ruled out: a stalled loop (lines of the daemon come each 0.1 s); silent detection itself (80 links missed the conductor within 1.2 to 1.5 s).

--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -1,7 +1,7 @@
 //! Has the stages of requests made through the fleet's conductor.
 //!
-//! One daemon conducts for all, named by rendezvous hashing over those that are linked. When it is
-//! lost, the orders that it held are placed with the next one; pieces may be made again.
+//! One daemon conducts for all. When it is lost, the orders that it held are placed with the next
+//! one; pieces may be made again.
 
 use super::{
     dialect::Call,
@@ -16,10 +16,10 @@
 use http::StatusCode;
 use http_body_util::Full;
 use policy::{
-    hash,
     id::{DomainId, HostId, RequestId, TargetId},
     relay::{
         board::{Board, Command, Handle, Item, Job, JobId, Need, Refusal, Reply},
+        lead::{self, Candidate, Lead},
         plan::Plan,
         roster::Change,
     },
@@ -91,7 +91,8 @@
 struct Placed {
     order: Order,
     at: Instant,
-    place: Place,
+    /// Where it was placed; nowhere while no conductor is known.
+    place: Option<Place>,
     verdict: Option<oneshot::Sender<Verdict>>,
 }
 
@@ -109,11 +110,17 @@
     board: RefCell<Board>,
     placed: RefCell<HashMap<u64, Placed>>,
     next: Cell<u64>,
+    /// Since when this daemon conducts for others.
+    since: Cell<Option<Instant>>,
+    /// This daemon's weight among the candidates.
+    weight: u64,
 }
 
 impl Conductor {
-    pub fn new() -> Self {
+    pub fn new(host: &str) -> Self {
         Self {
+            since: Cell::new(None),
+            weight: lead::weight(host),
             board: RefCell::new(Board::new()),
             placed: RefCell::default(),
             next: Cell::new(0),
@@ -161,6 +168,7 @@
     let mut logged = Instant::now();
     loop {
         time::sleep(TICK).await;
+        relay.review_lead();
         if logged.elapsed() >= LOG_PERIOD {
             logged = Instant::now();
             relay.conductor.log(&relay);
@@ -184,7 +192,7 @@
         let placed = Placed {
             order,
             at: Instant::now(),
-            place: Place::Own,
+            place: None,
             verdict: Some(sender),
         };
         self.conductor.placed.borrow_mut().insert(number, placed);
@@ -212,51 +220,84 @@
         order.aim = order.aim.saturating_sub(waited);
         order.due = order.due.saturating_sub(waited);
         entry.place = self.conducting();
-        if let Place::Peer(host, _) = &entry.place {
-            let frame = Frame::Submit {
-                number,
-                order: order.clone(),
-            };
-            if self.links.send(host, frame) {
-                return;
+        match &entry.place {
+            None => return,
+            Some(Place::Own) => {}
+            Some(Place::Peer(host, _)) => {
+                let frame = Frame::Submit {
+                    number,
+                    order: order.clone(),
+                };
+                if self.links.send(host, frame) {
+                    return;
+                }
+                entry.place = Some(Place::Own);
             }
-            entry.place = Place::Own;
         }
         drop(placed);
         self.take_order(OWN, number, order);
     }
 
-    /// Returns who conducts: one of the largest daemons, by rendezvous hashing.
-    fn conducting(&self) -> Place {
-        let settings = self.settings();
-        let mut best = ((false, false, 0), Place::Own);
-        let mut largest = if self.is_leaving() { 0.0 } else { settings.cpu };
-        self.links.each(|peer| {
-            if !peer.is_leaving {
-                largest = largest.max(peer.profile.cpu);
+    /// Returns who conducts, and the link to it.
+    fn conducting(&self) -> Option<Place> {
+        let (own, peers) = self.candidates();
+        match lead::choose(&own, &peers, self.links.is_alone()) {
+            Lead::Own => Some(Place::Own),
+            Lead::Peer(host) => {
+                let origin = self.links.origin(&host)?;
+                Some(Place::Peer(host, origin))
             }
-        });
-        if !self.is_leaving() {
-            let is_large = settings.cpu >= largest * LARGE_SHARE;
-            // A daemon that has just started names itself only if it knows no other.
-            let is_settled = self.links.count() == 0 || self.now() >= SETTLED * 2;
-            best = ((is_settled, is_large, weight(&settings.host)), Place::Own);
+            Lead::Unknown => None,
         }
-        self.links.each(|peer| {
-            let is_large = peer.profile.cpu >= largest * LARGE_SHARE;
-            let is_settled = peer.since.elapsed() >= SETTLED;
-            let rank = (is_settled, is_large, weight(&peer.profile.host));
-            if !peer.is_leaving && rank > best.0 {
-                let place = Place::Peer(peer.profile.host.clone(), peer.origin);
-                best = (rank, place);
-            }
-        });
-        best.1
     }
 
-    /// Returns whether this daemon conducts for the fleet.
-    pub(super) fn is_conducting(&self) -> bool {
-        !self.is_leaving() && self.conducting() == Place::Own
+    fn candidates(&self) -> (Candidate, Vec<Candidate>) {
+        let settings = self.settings();
+        let own = Candidate {
+            host: settings.host.clone(),
+            cpu: settings.cpu,
+            is_leaving: self.is_leaving(),
+            linked: self.now(),
+            tenure: self.tenure(),
+            weight: self.conductor.weight,
+        };
+        let mut peers = Vec::with_capacity(self.links.count());
+        self.links.each(|peer| peers.push(peer.candidate()));
+        (own, peers)
+    }
+
+    /// Returns for how long this daemon has conducted, if it does.
+    pub(super) fn tenure(&self) -> Option<Duration> {
+        let since = self.conductor.since.get()?;
+        Some(since.elapsed())
+    }
+
+    /// Returns whether this daemon conducts for the fleet or may have to do so next.
+    pub(super) fn is_watched(&self) -> bool {
+        let (own, peers) = self.candidates();
+        lead::is_watched(&own, &peers)
+    }
+
+    /// Notes whether this daemon conducts, and places orders that waited for a conductor.
+    fn review_lead(self: &Rc<Self>) {
+        let place = self.conducting();
+        let conducts = self.links.count() > 0 && place == Some(Place::Own);
+        let since = self.conductor.since.get();
+        if conducts != since.is_some() {
+            let since = conducts.then(Instant::now);
+            self.conductor.since.set(since);
+            event::lead_changed(conducts, self.links.count());
+        }
+        if place.is_some() {
+            let waiting: Vec<u64> = {
+                let placed = self.conductor.placed.borrow();
+                let waiting = placed.iter().filter(|(_, entry)| entry.place.is_none());
+                waiting.map(|(number, _)| *number).collect()
+            };
+            for number in waiting {
+                self.place(number);
+            }
+        }
     }
 
     /// Takes an order of this daemon or of a peer.
@@ -322,7 +363,7 @@
         let orphans: Vec<u64> = {
             let placed = self.conductor.placed.borrow();
             let orphans = placed.iter().filter(|(_, entry)| {
-                let is_over = matches!(entry.place, Place::Peer(_, over) if over == origin);
+                let is_over = matches!(entry.place, Some(Place::Peer(_, over)) if over == origin);
                 entry.verdict.is_some() && is_over
             });
             orphans.map(|(number, _)| *number).collect()
@@ -484,7 +525,7 @@
             .placed
             .borrow_mut()
             .remove(&self.number);
-        match placed.map(|entry| entry.place) {
+        match placed.and_then(|entry| entry.place) {
             Some(Place::Own) => self.relay.take_release(OWN, self.number),
             Some(Place::Peer(host, _)) => {
                 let number = self.number;
@@ -509,14 +550,3 @@
         Refusal::NoTarget => NO_TARGET,
     }
 }
-
-/// Returns the weight of a daemon in rendezvous hashing.
-fn weight(host: &str) -> u64 {
-    hash::texts(&["conductor", host])
-}
-
-/// Time after which a daemon is linked to all others; before, each would name another conductor.
-const SETTLED: Duration = Duration::from_millis(2_500); // a dial after the other end has yielded, twice over
-/// Share of the largest daemon's processor time from which a daemon may conduct; a small one would
-/// bind the whole fleet.
-const LARGE_SHARE: f64 = 0.8;
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -46,6 +46,16 @@
     );
 }
 
+/// Logs that this daemon conducts for others from now on, or no longer.
+pub(super) fn lead_changed(conducts: bool, links: usize) {
+    let message = if conducts {
+        "this daemon conducts"
+    } else {
+        "this daemon conducts no longer"
+    };
+    tracing::info!(links, "{message}");
+}
+
 /// Logs a send that gave no answer to pass on.
 pub(super) fn send_failed(
     request: &str,
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -24,6 +24,8 @@
     /// Share of a core.
     pub cpu: f64,
     pub incarnation: Incarnation,
+    /// Time for which it has conducted, if it does.
+    pub tenure: Option<Duration>,
 }
 
 /// Row of a table as daemons hand it on.
@@ -51,6 +53,8 @@
         period: Duration,
         /// Age of its tables, if it keeps its peers fresh.
         age: Option<Duration>,
+        /// Time for which it has conducted, if it does.
+        tenure: Option<Duration>,
     },
     /// The sender wants all entries of targets.
     WantTargets,
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -10,8 +10,10 @@
     state::Relay,
 };
 use futures::{SinkExt, StreamExt};
-use policy::id::HostId;
-
+use policy::{
+    id::HostId,
+    relay::lead::{self, Candidate},
+};
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
@@ -34,7 +36,7 @@
 const MIN_BEAT: Duration = Duration::from_millis(250); // a frozen conductor is missed within a second
 /// Period of beats for each link; forty beats a second in all cost some parts in a thousand of a core.
 const BEAT_PER_LINK: Duration = Duration::from_millis(25);
-/// Period for each link of the beats of a daemon that others depend on.
+/// Period for each link of the beats of a daemon that others depend on, or will if another is lost.
 const LEADING_BEAT_PER_LINK: Duration = Duration::from_millis(4); // a fleet of 90 misses it within 1.5 s
 /// Periods without a frame after which a link is dead.
 const DEAD_BEATS: u32 = 3;
@@ -88,6 +90,10 @@
     age: Option<(Duration, Instant)>,
     /// Whether its tables were asked for.
     is_asked: bool,
+    /// Time for which it had conducted at a moment, if it does.
+    tenure: Option<(Duration, Instant)>,
+    /// Its weight among those that may conduct.
+    weight: u64,
 }
 
 impl Peer {
@@ -96,6 +102,18 @@
         let (age, at) = self.age?;
         Some(age + at.elapsed())
     }
+
+    /// Returns what decides whether it conducts.
+    pub fn candidate(&self) -> Candidate {
+        Candidate {
+            host: self.profile.host.clone(),
+            cpu: self.profile.cpu,
+            is_leaving: self.is_leaving,
+            linked: self.since.elapsed(),
+            tenure: self.tenure.map(|(tenure, at)| tenure + at.elapsed()),
+            weight: self.weight,
+        }
+    }
 }
 
 /// Links to all daemons that are known.
@@ -152,6 +170,17 @@
         self.peers.borrow().len()
     }
 
+    /// Returns whether no other daemon is known.
+    pub fn is_alone(&self) -> bool {
+        self.known.borrow().is_empty()
+    }
+
+    /// Returns the number of the link to a daemon.
+    pub fn origin(&self, host: &str) -> Option<Origin> {
+        let peers = self.peers.borrow();
+        peers.get(host).map(|peer| peer.origin)
+    }
+
     /// Calls `act` with each daemon that is linked.
     pub fn each(&self, mut act: impl FnMut(&Peer)) {
         self.peers.borrow().values().for_each(&mut act);
@@ -388,6 +417,7 @@
             is_leaving: self.is_leaving(),
             period,
             age: self.reader_age(),
+            tenure: self.tenure(),
         }
     }
 
@@ -427,6 +457,8 @@
             period: relay_period(peers.len() + 1, BEAT_PER_LINK),
             age: None,
             is_asked: false,
+            tenure: profile.tenure.map(|tenure| (tenure, Instant::now())),
+            weight: lead::weight(&profile.host),
             profile,
         };
         peers.insert(peer.profile.host.clone(), peer);
@@ -436,7 +468,7 @@
 
     /// Returns the time between two beats of this daemon.
     fn beat_period(&self) -> Duration {
-        let is_leading = self.is_conducting() || self.is_reader();
+        let is_leading = self.is_watched() || self.is_reader();
         let per_link = if is_leading {
             LEADING_BEAT_PER_LINK
         } else {
@@ -465,11 +497,13 @@
                 is_leaving,
                 period,
                 age,
+                tenure,
             } = &frame
             {
                 peer.is_leaving = *is_leaving;
                 peer.period = *period;
                 peer.age = age.map(|age| (age, Instant::now()));
+                peer.tenure = tenure.map(|tenure| (tenure, Instant::now()));
                 // Before its first read, a daemon asks any peer that may know the targets.
                 let is_source = peer.age.is_some() || *plan > 0 && self.tables.age().is_none();
                 if is_source && !peer.is_asked {
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -61,7 +61,6 @@
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>) -> Self {
         Self {
             links: Links::new(&settings),
-            settings: RefCell::new(settings),
             dialect,
             incarnation: rand::random(),
             start: Instant::now(),
@@ -73,12 +72,13 @@
             choice: RefCell::default(),
             ledger: RefCell::default(),
             budgets: RefCell::default(),
-            conductor: Conductor::new(),
+            conductor: Conductor::new(&settings.host),
             tables: Tables::default(),
             metrics: Metrics::new(),
             is_leaving: Cell::new(false),
             is_closing: Cell::new(false),
             in_flight: Cell::new(0),
+            settings: RefCell::new(settings),
         }
     }
 
--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -80,9 +80,10 @@
 
     /// Refuses jobs that can't make their deadline, and forgets those whose results lapsed.
     pub(super) fn give_up(&mut self, now: Time, out: &mut Vec<Command>) {
+        let ends = self.ends();
         let late = self.jobs.values().filter(|running| match running.ready {
             Some(_) => false,
-            None => now + self.least(now, running) + running.job.tail > running.job.due,
+            None => now + self.least(now, running, &ends) + running.job.tail > running.job.due,
         });
         let late: Vec<JobId> = late.map(|running| running.job.id).collect();
         for id in late {
@@ -444,11 +445,16 @@
         }
         let id = self.next_call;
         self.next_call += 1;
-        let jobs = &self.jobs;
+        let jobs = &mut self.jobs;
         let bench = self.pools.get_mut(pool).expect("a pool that is dispatched");
         bench.waiting.retain(|&(job, stage)| {
-            let running = jobs.get(&job);
-            running.is_some_and(|running| running.stages[stage].waiting().next().is_some())
+            let running = jobs.get_mut(&job);
+            running.is_some_and(|running| {
+                let stage = &mut running.stages[stage];
+                let is_queued = stage.waiting().next().is_some();
+                stage.is_queued = is_queued;
+                is_queued
+            })
         });
         let press = &mut bench.presses[press];
         press.call = Some(id);
@@ -516,7 +522,12 @@
     }
 
     /// Returns the shortest time in which a job's missing results can be made.
-    fn least(&self, now: Time, running: &Running) -> Duration {
+    fn least(
+        &self,
+        now: Time,
+        running: &Running,
+        ends: &HashMap<(JobId, usize), Time>,
+    ) -> Duration {
         running.path(|stage, before| {
             let need = &running.job.stages[stage];
             let limits = self.pools.get(&need.pool).and_then(|bench| bench.limits);
@@ -525,28 +536,34 @@
             };
             let waiting = running.stages[stage].waiting().count();
             if waiting == 0 {
-                return before + self.rest_of_calls(now, running.job.id, stage);
+                let end = ends.get(&(running.job.id, stage));
+                return before + end.map_or(Duration::ZERO, |end| end.saturating_sub(now));
             }
             let pieces = (need.pieces as usize).min(limits.batch) as u32;
             before + (limits.call + limits.item * pieces).mul_f64(MIN_PACE)
         })
     }
 
-    fn rest_of_calls(&self, now: Time, job: JobId, stage: usize) -> Duration {
-        let calls = self.calls.values().filter(|call| {
-            let mut items = call.items.iter();
-            items.any(|&(of, at, _)| of == job && at == stage)
-        });
-        let rest = calls.map(|call| (call.started + call.expected).saturating_sub(now));
-        rest.max().unwrap_or_default()
+    /// Returns when the calls that carry pieces of a stage are expected to end, the last one for
+    /// each.
+    fn ends(&self) -> HashMap<(JobId, usize), Time> {
+        let mut ends: HashMap<(JobId, usize), Time> = HashMap::new();
+        for call in self.calls.values() {
+            let end = call.started + call.expected;
+            for &(job, stage, _) in &call.items {
+                let last = ends.entry((job, stage)).or_default();
+                *last = end.max(*last);
+            }
+        }
+        ends
     }
 
-    /// Returns when the queues of a job's pools will have drained.
+    /// Returns when the queues of a job's pools will have drained, as of the last review.
     pub(super) fn drain_time(&self, running: &Running) -> Duration {
         let drains = running.job.stages.iter().filter_map(|need| {
             let bench = self.pools.get(&need.pool)?;
-            let unready = self.jobs.values().filter(|other| other.ready.is_none());
-            Some(bench.drain(unready.map(|other| other.missing(&need.pool)).sum()))
+            let missing = self.ranks.values().filter_map(|sums| sums.get(&need.pool));
+            Some(bench.drain(missing.sum()))
         });
         let longest = drains.max().unwrap_or_default();
         longest.clamp(MIN_RETRY, MAX_RETRY)
--- a/policy/src/relay/board/job.rs
+++ b/policy/src/relay/board/job.rs
@@ -76,6 +76,8 @@
 pub(super) struct Progress {
     pub pieces: Vec<Piece>,
     pub is_freed: bool,
+    /// Whether the stage is in its pool's queue.
+    pub is_queued: bool,
     /// When the stage came into its pool's queue.
     pub since: Time,
 }
@@ -117,6 +119,7 @@
         let stages = job.stages.iter().map(|need| Progress {
             pieces: vec![Piece::default(); need.pieces as usize],
             is_freed: false,
+            is_queued: false,
             since: Time::ZERO,
         });
         Self {
@@ -129,14 +132,6 @@
         }
     }
 
-    /// Returns how many pieces of a pool are not made.
-    pub fn missing(&self, pool: &PoolId) -> usize {
-        let stages = self.job.stages.iter().zip(&self.stages);
-        let stages = stages.filter(|(need, _)| need.pool == *pool);
-        let pieces = stages.flat_map(|(_, stage)| &stage.pieces);
-        pieces.filter(|piece| piece.made.is_none()).count()
-    }
-
     /// Adds the pieces that are not made to those of each pool.
     pub fn add_missing(&self, sums: &mut HashMap<PoolId, usize>) {
         for (need, stage) in self.job.stages.iter().zip(&self.stages) {
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -346,10 +346,11 @@
             let is_open =
                 running.has_inputs(stage) && running.stages[stage].waiting().next().is_some();
             let pool = running.job.stages[stage].pool.clone();
-            if let Some(bench) = self.pools.get_mut(&pool)
-                && is_open
-                && !bench.waiting.contains(&(id, stage))
+            if is_open
+                && let Some(bench) = self.pools.get_mut(&pool)
+                && !running.stages[stage].is_queued
             {
+                running.stages[stage].is_queued = true;
                 running.stages[stage].since = now;
                 bench.waiting.push((id, stage));
                 self.touched.insert(pool);
--- /dev/null
+++ b/policy/src/relay/lead.rs
@@ -0,0 +1,102 @@
+//! Which daemon conducts.
+//!
+//! Load pattern: the daemon that conducts dies in a burst, some others with it, and all of them
+//! are back within seconds. Each change of the conductor costs the fleet what the former one knew,
+//! and two at once fill the same stage targets. So a daemon that conducts keeps on as long as it is
+//! linked, one that has just started joins the conductor that its peers have, and those that would
+//! follow are watched as closely as the conductor itself.
+
+use crate::{hash, id::HostId};
+use std::time::Duration;
+
+/// Time after which a daemon is linked to all others; before, each would name another conductor.
+const SETTLED: Duration = Duration::from_millis(2_500); // a dial after the other end has yielded, twice over
+/// Time for which a daemon that has just started waits for a link to the conductor.
+const JOIN_WAIT: Duration = Duration::from_secs(1); // others dial it within 200 ms, or it dials them
+/// Share of the largest daemon's processor time from which a daemon may conduct; a small one would
+/// bind the whole fleet.
+const LARGE_SHARE: f64 = 0.8;
+/// Daemons that are watched: the conductor, and two that follow if it dies together with the next.
+const WATCHED: usize = 3;
+
+/// A daemon that may conduct.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Its host.
+    pub host: HostId,
+    /// Share of a core.
+    pub cpu: f64,
+    /// Whether it ends soon.
+    pub is_leaving: bool,
+    /// Time since it was linked, or since the start of the daemon that asks.
+    pub linked: Duration,
+    /// Time for which it has conducted, if it does.
+    pub tenure: Option<Duration>,
+    /// Weight in rendezvous hashing, from [`weight`].
+    pub weight: u64,
+}
+
+/// Who conducts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Lead {
+    /// The daemon that asks.
+    Own,
+    /// A peer.
+    Peer(HostId),
+    /// It is not known yet.
+    Unknown,
+}
+
+/// Returns who conducts, as a daemon sees it that is linked to `peers`.
+///
+/// `is_alone` says that it knows of no other daemon.
+pub fn choose(own: &Candidate, peers: &[Candidate], is_alone: bool) -> Lead {
+    let has_conductor = peers.iter().any(Candidate::conducts);
+    if !is_alone && !has_conductor && own.linked < JOIN_WAIT {
+        return Lead::Unknown;
+    }
+    let largest = largest(own, peers);
+    let own_rank = own.rank(largest, peers.is_empty() || own.linked >= SETTLED * 2);
+    let others = peers.iter().filter(|peer| !peer.is_leaving);
+    let ranks = others.map(|peer| (peer.rank(largest, peer.linked >= SETTLED), &peer.host));
+    match ranks.max() {
+        Some((rank, host)) if own.is_leaving || rank > own_rank => Lead::Peer(host.clone()),
+        _ => Lead::Own,
+    }
+}
+
+/// Returns whether a daemon conducts or is among the next to do so.
+pub fn is_watched(own: &Candidate, peers: &[Candidate]) -> bool {
+    if own.is_leaving {
+        return false;
+    }
+    let largest = largest(own, peers);
+    let others = peers.iter().filter(|peer| !peer.is_leaving);
+    let rank = own.rank(largest, true);
+    let before = others.filter(|peer| peer.rank(largest, true) > rank);
+    before.count() < WATCHED
+}
+
+/// Returns a host's weight in rendezvous hashing.
+pub fn weight(host: &str) -> u64 {
+    hash::texts(&["conductor", host])
+}
+
+impl Candidate {
+    fn conducts(&self) -> bool {
+        !self.is_leaving && self.tenure.is_some()
+    }
+
+    /// Returns what orders the candidates, the conductor last.
+    fn rank(&self, largest: f64, is_settled: bool) -> (bool, bool, Option<Duration>, u64) {
+        let is_settled = is_settled || self.conducts();
+        let is_large = self.cpu >= largest * LARGE_SHARE;
+        (is_settled, is_large, self.tenure, self.weight)
+    }
+}
+
+fn largest(own: &Candidate, peers: &[Candidate]) -> f64 {
+    let all = peers.iter().chain([own]);
+    let staying = all.filter(|candidate| !candidate.is_leaving);
+    staying.fold(0.0, |largest, candidate| largest.max(candidate.cpu))
+}
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -1,11 +1,13 @@
 //! Decisions about requests that are forwarded unchanged.
 //!
 //! A request names its route by host and path ([`plan`]). Pieces of its stages are gathered into
-//! calls by one conductor for the whole fleet ([`board`]), and the request itself goes to a
-//! target that [`choice`] names. [`roster`] holds the targets, [`crash`] the payloads that kill them.
+//! calls by one conductor for the whole fleet ([`board`]), which [`lead`] names, and the request
+//! itself goes to a target that [`choice`] names. [`roster`] holds the targets, [`crash`] the
+//! payloads that kill them.
 
 pub mod board;
 pub mod choice;
 pub mod crash;
+pub mod lead;
 pub mod plan;
 pub mod roster;
