Tell what became of a request from the daemons' logs, and log what decided each send

gwictl explain ID FILE... reads the logs of several daemons, finds the request's own lines and those around it that bear on it (its targets, what its daemon lost, the queues of the conductor), names a cause, and prints both as text or JSON. Clocks may differ by a second.

A line "target chosen" says where a request goes, at what expected time, by a report of what age, and what the next best was. "stages refused" names the request, the time that was expected and the time left; "request ended" has the objective. Before, a refusal of the conductor could not be joined with its request.

The retry budget of a daemon follows the number of linked daemons and a reload of the settings: it was fixed at the first request, when a started daemon may know no other (policy budget::resized_budget_gains_nothing fails before).

--- a/godwithinge/src/bin/gwictl.rs
+++ b/godwithinge/src/bin/gwictl.rs
@@ -1,7 +1,7 @@
 //! Command line of operators.
 
 use godwithinge::{
-    ctl::{self, Error, Operator, Request, Status, View},
+    ctl::{self, Error, Operator, Request, Status, View, story},
     planner,
     platform::Client,
     settings::{Secret, Settings},
@@ -91,9 +91,12 @@
             cmd status {}
             /// Drain an entry; again, have it log what is in flight.
             cmd drain {}
-            /// Show the decisions about a request, named tailors/fitting/fit-17.
+            /// Show the decisions about a request, named tailors/fitting/fit-17, or tell from the
+            /// logs of daemons what became of the request with an identifier.
             cmd explain {
                 required request: String
+                /// Log of one daemon, or of several with their names before each line.
+                repeated file: PathBuf
             }
             /// Show the orders that the planner would give in the next hour.
             cmd plan {}
@@ -139,6 +142,14 @@
         GwictlCmd::Table(table) => options.table(&table.subcommand).await,
         GwictlCmd::Status(_) => options.operator()?.status().await,
         GwictlCmd::Drain(_) => options.operator()?.drain().await,
+        GwictlCmd::Explain(explain) if !explain.file.is_empty() => {
+            let mut lines = Vec::new();
+            for file in &explain.file {
+                let name = file.file_stem().unwrap_or_default().to_string_lossy();
+                lines.extend(story::parse(&name, &read(file)?));
+            }
+            ctl::explain(&explain.request, &lines)
+        }
         GwictlCmd::Explain(explain) => {
             let key = parse_request(&explain.request)?;
             options.operator()?.explain(&key).await
--- a/godwithinge/src/ctl/error.rs
+++ b/godwithinge/src/ctl/error.rs
@@ -45,6 +45,11 @@
         /// What was written.
         word: CompactString,
     },
+    /// No line of the logs names the request.
+    Unlogged {
+        /// The request.
+        request: CompactString,
+    },
     /// A file can't be read.
     File {
         /// The file.
@@ -93,6 +98,7 @@
             Self::Cell { .. }
             | Self::Key(_)
             | Self::Request { .. }
+            | Self::Unlogged { .. }
             | Self::File { .. }
             | Self::Settings(_)
             | Self::Missing { .. } => Status::Usage,
@@ -132,6 +138,7 @@
             Self::Request { word } => {
                 write!(f, "{word:?} is no request such as tailors/fitting/fit-17")
             }
+            Self::Unlogged { request } => write!(f, "no line of the logs names request {request}"),
             Self::File { file, cause } => write!(f, "file {}: {cause}", file.display()),
             Self::Settings(cause) => cause.fmt(f),
             Self::Missing { flag } => {
--- a/godwithinge/src/ctl/mod.rs
+++ b/godwithinge/src/ctl/mod.rs
@@ -3,12 +3,14 @@
 mod error;
 mod grid;
 mod operator;
+pub mod story;
 mod view;
 
 pub use self::{
     error::{Error, Status},
     grid::Grid,
     operator::Operator,
+    story::Story,
     view::View,
 };
 
@@ -37,6 +39,18 @@
     pub id: Option<EditId>,
 }
 
+/// Tells what became of a request, from logs that were read.
+///
+/// # Errors
+///
+/// Fails if no line names the request.
+pub fn explain(request: &str, lines: &[story::Line]) -> Result<View, Error> {
+    let story = Story::new(request, lines);
+    story.map(View::Story).ok_or_else(|| Error::Unlogged {
+        request: request.into(),
+    })
+}
+
 /// Shows the table.
 ///
 /// # Errors
--- a/godwithinge/src/ctl/view.rs
+++ b/godwithinge/src/ctl/view.rs
@@ -1,6 +1,6 @@
 //! What an operator gets to see, as text or as JSON.
 
-use super::Grid;
+use super::{Grid, Story};
 use crate::planner::Planned;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use policy::{
@@ -45,6 +45,8 @@
     },
     /// Decisions about a request.
     Decisions(Vec<Decision>),
+    /// What became of a request.
+    Story(Story),
     /// Orders of a dry run of the planner.
     Plan(Vec<Planned>),
 }
@@ -93,6 +95,7 @@
             Self::Status(state) => serde_json::to_value(state),
             Self::Draining { entry } => Ok(json!({"draining": entry})),
             Self::Decisions(decisions) => serde_json::to_value(decisions),
+            Self::Story(story) => serde_json::to_value(story),
             Self::Plan(plan) => serde_json::to_value(plan),
         }
     }
@@ -116,6 +119,7 @@
             Self::Status(state) => state.fmt(f),
             Self::Draining { entry } => writeln!(f, "entry at {entry} drains"),
             Self::Decisions(decisions) => decision_grid(decisions).fmt(f),
+            Self::Story(story) => story.fmt(f),
             Self::Plan(plan) => plan_grid(plan).fmt(f),
         }
     }
--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -241,7 +241,7 @@
     /// Returns who conducts, and the link to it.
     fn conducting(&self) -> Option<Place> {
         let (own, peers) = self.candidates();
-        match lead::choose(&own, &peers, self.links.is_alone()) {
+        match lead::choose(&own, &peers, self.links.known() == 0) {
             Lead::Own => Some(Place::Own),
             Lead::Peer(host) => {
                 let origin = self.links.origin(&host)?;
@@ -410,10 +410,13 @@
             },
             Command::Refuse {
                 job,
+                request,
                 reason,
+                expected,
+                left,
                 retry_after,
             } => {
-                event::job_refused(job, reason, retry_after);
+                event::job_refused(&request, reason, expected, left, retry_after);
                 let reason = code(reason);
                 match job.origin {
                     OWN => self.take_refused(job.number, reason, retry_after),
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -3,7 +3,10 @@
 use http::StatusCode;
 use policy::{
     id::TargetId,
-    relay::board::{JobId, Refusal, Reply, View},
+    relay::{
+        board::{Refusal, Reply, View},
+        choice::Pick,
+    },
 };
 use std::time::Duration;
 
@@ -19,6 +22,7 @@
     pub sends: u32,
     pub stages: Duration,
     pub first: Option<Duration>,
+    pub objective: Duration,
     pub total: Duration,
     pub left: Duration,
     pub retry_after: Option<Duration>,
@@ -38,6 +42,7 @@
         sends = end.sends,
         stages_ms = millis(end.stages),
         first_ms = end.first.map(millis),
+        objective_ms = millis(end.objective),
         total_ms = millis(end.total),
         left_ms = millis(end.left),
         retry_after_ms = end.retry_after.map(millis),
@@ -74,17 +79,37 @@
     );
 }
 
-/// Logs a job that the board gave up.
-pub(super) fn job_refused(job: JobId, reason: Refusal, retry_after: Duration) {
+/// Logs a job that the board gave up, with the times that decided it.
+pub(super) fn job_refused(
+    request: &str,
+    reason: Refusal,
+    expected: Duration,
+    left: Duration,
+    retry_after: Duration,
+) {
     tracing::info!(
-        origin = job.origin,
-        number = job.number,
+        request,
         %reason,
+        expected_ms = millis(expected),
+        left_ms = millis(left),
         retry_after_ms = millis(retry_after),
         "stages refused"
     );
 }
 
+/// Logs which target a request is sent to, and why not the next best.
+pub(super) fn target_chosen(request: &str, pick: &Pick<'_>) {
+    tracing::info!(
+        request,
+        target_id = %pick.target.id,
+        expected_ms = (pick.cost * 1e3) as u64,
+        report_age_ms = pick.report_age.map(millis),
+        runner_up = pick.runner_up.map(|(target, _)| target.id.as_str()),
+        runner_up_ms = pick.runner_up.map(|(_, cost)| (cost * 1e3) as u64),
+        "target chosen"
+    );
+}
+
 /// Logs the state of one pool of the conductor's board.
 pub(super) fn pool_seen(view: &View, jobs: usize) {
     tracing::info!(
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -170,9 +170,9 @@
         self.peers.borrow().len()
     }
 
-    /// Returns whether no other daemon is known.
-    pub fn is_alone(&self) -> bool {
-        self.known.borrow().is_empty()
+    /// Returns how many addresses of other daemons are known.
+    pub fn known(&self) -> usize {
+        self.known.borrow().len()
     }
 
     /// Returns the number of the link to a daemon.
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -18,7 +18,7 @@
     id::{DomainId, PoolId, TargetId, WorkspaceId},
     relay::{
         board::Need,
-        choice::Wish,
+        choice::{Pick, Wish},
         crash::Mark as Payload,
         plan::{Kind, Plan, Route},
         roster::Target,
@@ -154,6 +154,7 @@
             sends: self.story.sends.get(),
             stages: self.story.stages.get(),
             first: self.story.first.get(),
+            objective: self.route.objective,
             total: self.arrived.elapsed(),
             left: self.left(),
             retry_after,
@@ -373,7 +374,10 @@
             };
             return Err(Rejection::new(reason));
         }
-        let target = self.choose(&pool, tally, heavy);
+        let target = self.choose(&pool, tally, heavy, |pick| {
+            event::target_chosen(&self.ask.id, pick);
+            pick.target.clone()
+        });
         let none = Rejection::new(Reason::NoTarget).with_retry_after(FULL_RETRY);
         let target = target.ok_or(if has_run || tally.idle > 0 {
             failed
@@ -417,11 +421,19 @@
             return None;
         }
         let pool = self.pool().ok()?;
-        let target = self.choose(&pool, &Tally::default(), None)?;
-        Some(target.domain)
+        self.choose(&pool, &Tally::default(), None, |pick| {
+            pick.target.domain.clone()
+        })
     }
 
-    fn choose(&self, pool: &PoolId, tally: &Tally, heavy: Option<&DomainId>) -> Option<Target> {
+    /// Chooses a target and returns what `take` takes of the choice.
+    fn choose<T>(
+        &self,
+        pool: &PoolId,
+        tally: &Tally,
+        heavy: Option<&DomainId>,
+        take: impl FnOnce(&Pick<'_>) -> T,
+    ) -> Option<T> {
         let settings = self.relay.settings();
         let wish = Wish {
             parts: &self.ask.parts,
@@ -432,8 +444,8 @@
         };
         let roster = self.relay.roster();
         let choice = self.relay.choice();
-        let target = choice.choose(self.relay.now(), roster.ready(pool), &wish);
-        target.cloned()
+        let pick = choice.choose(self.relay.now(), roster.ready(pool), &wish);
+        pick.as_ref().map(take)
     }
 
     /// Returns this daemon's part of the connections that a target of a pool takes.
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -13,7 +13,7 @@
 use policy::{
     budget::Budget,
     id::{Incarnation, PoolId, Time},
-    relay::{choice::Choice, crash::Ledger, plan::Plan, roster::Roster},
+    relay::{choice::Choice, crash::Ledger, lead, plan::Plan, roster::Roster},
 };
 use std::{
     cell::{Cell, Ref, RefCell, RefMut},
@@ -146,16 +146,26 @@
     }
 
     fn with_budget<T>(&self, pool: &PoolId, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let settings = self.settings.borrow();
+        let extra = f64::from(settings.retry_extra) * BUDGET_SHARE / self.members() as f64;
+        let (share, extra) = (settings.retry_share * BUDGET_SHARE, extra.max(1.0) as u32);
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(pool.clone()).or_insert_with(|| {
-            let settings = self.settings.borrow();
-            let members = self.links.count() + 1;
-            let extra = f64::from(settings.retry_extra) * BUDGET_SHARE / members as f64;
-            Budget::new(settings.retry_share * BUDGET_SHARE, extra.max(1.0) as u32)
-        });
+        let budget = budgets.entry(pool.clone());
+        let budget = budget.or_insert_with(|| Budget::new(share, extra));
+        budget.resize(share, extra);
         act(budget)
     }
 
+    /// Returns how many daemons share the fleet's budgets.
+    fn members(&self) -> usize {
+        let linked = self.links.count();
+        let others = match self.now() < lead::JOIN_WAIT {
+            true => linked.max(self.links.known()),
+            false => linked,
+        };
+        others + 1
+    }
+
     /// Returns whether the daemon takes callers.
     pub(super) fn is_ready(&self) -> bool {
         !self.is_leaving.get() && self.plan.borrow().is_some()
--- a/policy/src/budget.rs
+++ b/policy/src/budget.rs
@@ -36,6 +36,14 @@
         }
     }
 
+    /// Changes the share and the burst; a larger burst fills by first attempts only.
+    pub fn resize(&mut self, share: f64, burst: u32) {
+        let full = Self::new(share, burst);
+        self.share = full.share;
+        self.capacity = full.capacity;
+        self.level = self.level.min(full.capacity);
+    }
+
     /// Notes a first attempt.
     pub fn deposit(&mut self) {
         self.level = self.capacity.min(self.level + self.share);
--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -87,7 +87,7 @@
         });
         let late: Vec<JobId> = late.map(|running| running.job.id).collect();
         for id in late {
-            self.refuse(id, Refusal::Late, out);
+            self.refuse(now, id, Refusal::Late, out);
         }
         let lapsed = self.jobs.values();
         let lapsed = lapsed.filter(|running| running.ready.is_some() && running.job.due < now);
@@ -125,7 +125,7 @@
             }
         }
         for job in hopeless {
-            self.refuse(job, Refusal::Backlog, out);
+            self.refuse(now, job, Refusal::Backlog, out);
         }
     }
 
--- a/policy/src/relay/board/message.rs
+++ b/policy/src/relay/board/message.rs
@@ -105,6 +105,12 @@
     Refuse {
         /// The job.
         job: JobId,
+        /// Identifier of the request.
+        request: RequestId,
+        /// Time to its first event behind what goes before it, as expected now.
+        expected: Duration,
+        /// Time that its caller had left.
+        left: Duration,
         /// Why.
         reason: Refusal,
         /// When the queues will have drained.
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -124,19 +124,13 @@
         let unserved = running.job.stages.iter();
         let mut unserved = unserved.filter(|need| need.pieces > 0);
         if unserved.any(|need| !self.is_served(&need.pool)) {
-            return out.push(Command::Refuse {
-                job: id,
-                reason: Refusal::NoTarget,
-                retry_after: NO_TARGET_PAUSE,
-            });
+            let refusal = self.refusal(now, &running, Refusal::NoTarget);
+            return out.push(refusal);
         }
         running.rest = self.rest(&running);
         if now + self.likely(now, &running) > running.job.due {
-            return out.push(Command::Refuse {
-                job: id,
-                reason: Refusal::Backlog,
-                retry_after: self.drain_time(&running),
-            });
+            let refusal = self.refusal(now, &running, Refusal::Backlog);
+            return out.push(refusal);
         }
         self.add_load(&running);
         self.add_rank(now, &running);
@@ -367,7 +361,7 @@
             return;
         }
         if running.failures > MAX_FAILURES {
-            return self.refuse(id, Refusal::Failed, out);
+            return self.refuse(now, id, Refusal::Failed, out);
         }
         if running.stages.iter().all(job::Progress::is_made) {
             running.ready = Some(now);
@@ -432,17 +426,29 @@
         }
     }
 
-    fn refuse(&mut self, id: JobId, reason: Refusal, out: &mut Vec<Command>) {
+    fn refuse(&mut self, now: Time, id: JobId, reason: Refusal, out: &mut Vec<Command>) {
         let Some(running) = self.jobs.get(&id) else {
             return;
         };
-        let retry_after = self.drain_time(running);
+        let refusal = self.refusal(now, running, reason);
         self.drop_job(id);
-        out.push(Command::Refuse {
-            job: id,
+        out.push(refusal);
+    }
+
+    /// Returns the refusal of a job with the times that speak for it.
+    fn refusal(&self, now: Time, running: &Running, reason: Refusal) -> Command {
+        let retry_after = match reason {
+            Refusal::NoTarget => NO_TARGET_PAUSE,
+            Refusal::Backlog | Refusal::Late | Refusal::Failed => self.drain_time(running),
+        };
+        Command::Refuse {
+            job: running.job.id,
+            request: running.job.request.clone(),
             reason,
+            expected: self.likely(now, running),
+            left: running.job.due.saturating_sub(now),
             retry_after,
-        });
+        }
     }
 }
 
--- a/policy/src/relay/board/result.rs
+++ b/policy/src/relay/board/result.rs
@@ -76,7 +76,7 @@
         };
         running.failures += 1;
         match why {
-            Why::Late => self.refuse(job, Refusal::Late, out),
+            Why::Late => self.refuse(now, job, Refusal::Late, out),
             Why::Gone => {
                 for from in running.job.stages[stage].after.clone() {
                     running.forget_stage(from);
--- a/policy/src/relay/choice.rs
+++ b/policy/src/relay/choice.rs
@@ -58,6 +58,22 @@
     time: Option<f64>,
 }
 
+/// A target that was chosen, with what decided it.
+#[derive(Clone, Copy, Debug)]
+pub struct Pick<'a> {
+    /// The target.
+    pub target: &'a Target,
+    /// Seconds to the first event that are expected there.
+    pub cost: f64,
+    /// Age of the target's last report of its load.
+    pub report_age: Option<Duration>,
+    /// The next best target, and its seconds.
+    pub runner_up: Option<(&'a Target, f64)>,
+}
+
+/// What bars a target (that it is full, that it is paused), its cost, and the target.
+type Scored<'a> = ((bool, bool), f64, &'a Target);
+
 /// Targets' records and the parts they were sent.
 #[derive(Clone, Debug, Default)]
 pub struct Choice {
@@ -102,7 +118,7 @@
         now: Time,
         targets: impl Iterator<Item = &'a Target>,
         wish: &Wish<'_>,
-    ) -> Option<&'a Target> {
+    ) -> Option<Pick<'a>> {
         let targets: Vec<&Target> = targets
             .filter(|target| !wish.tried.contains(&target.id))
             .collect();
@@ -116,13 +132,24 @@
             let score = self.score(now, target, wish, rank);
             ((is_full, is_paused), score, *target)
         });
-        let best = scored.min_by(|(bars, score, _), (others, other, _)| {
-            bars.cmp(others).then(score.total_cmp(other))
-        });
-        match best {
-            Some(((true, _), ..)) | None => None,
-            Some((_, _, target)) => Some(target),
+        let mut best: Option<Scored<'_>> = None;
+        let mut second: Option<Scored<'_>> = None;
+        for scored in scored {
+            if best.is_none_or(|best| goes_before(&scored, &best)) {
+                second = best.replace(scored);
+            } else if second.is_none_or(|second| goes_before(&scored, &second)) {
+                second = Some(scored);
+            }
         }
+        let ((is_full, _), cost, target) = best?;
+        let record = self.records.get(&target.id);
+        let reported = record.and_then(|record| record.reported);
+        (!is_full).then(|| Pick {
+            target,
+            cost,
+            report_age: reported.map(|at| now.saturating_sub(at)),
+            runner_up: second.map(|(_, cost, target)| (target, cost)),
+        })
     }
 
     /// Notes a call that is sent, and the prompt that the target reads.
@@ -179,11 +206,6 @@
         self.parts.retain(|(of, _), _| of != target);
     }
 
-    /// Returns what is known of a target.
-    pub fn get(&self, target: &TargetId) -> Option<&Record> {
-        self.records.get(target)
-    }
-
     fn record(&mut self, target: &TargetId) -> &mut Record {
         self.records.entry(target.clone()).or_default()
     }
@@ -228,6 +250,11 @@
     }
 }
 
+/// Returns whether a target is better than another one.
+fn goes_before((bars, cost, _): &Scored<'_>, (others, other, _): &Scored<'_>) -> bool {
+    bars.cmp(others).then(cost.total_cmp(other)).is_lt()
+}
+
 /// Returns the first targets of a part by rendezvous hashing.
 fn owners<'a>(part: &Part, targets: &[&'a Target]) -> [Option<&'a TargetId>; HOPES.len()] {
     let mut best: [Option<(u64, &TargetId)>; HOPES.len()] = [None; HOPES.len()];
--- a/policy/src/relay/lead.rs
+++ b/policy/src/relay/lead.rs
@@ -12,7 +12,7 @@
 /// Time after which a daemon is linked to all others; before, each would name another conductor.
 const SETTLED: Duration = Duration::from_millis(2_500); // a dial after the other end has yielded, twice over
 /// Time for which a daemon that has just started waits for a link to the conductor.
-const JOIN_WAIT: Duration = Duration::from_secs(1); // others dial it within 200 ms, or it dials them
+pub const JOIN_WAIT: Duration = Duration::from_secs(1); // others dial it within 200 ms, or it dials them
 /// Share of the largest daemon's processor time from which a daemon may conduct; a small one would
 /// bind the whole fleet.
 const LARGE_SHARE: f64 = 0.8;
--- a/policy/tests/budget.rs
+++ b/policy/tests/budget.rs
@@ -60,3 +60,16 @@
         }
     }
 }
+
+/// A burst that others take a part of is lowered at once, and a larger one has to be earned.
+#[test]
+fn resized_budget_gains_nothing() {
+    let mut budget = Budget::new(0.5, 10);
+    budget.resize(0.5, 4);
+    assert_eq!(budget.available(), 4);
+    budget.resize(0.5, 10);
+    assert_eq!(budget.available(), 4);
+    budget.deposit();
+    budget.deposit();
+    assert_eq!(budget.available(), 5);
+}
