Learn no time from calls that lacked room, and count a target as full only then

In ordinary bursts one or two pieces of a call lack room since a result was freed late, and the target stood idle. And a call that ends in 2 ms for lack of room lowered the usual time of its pool and the pace of its target.

Change: only when most of a call lacked room is the target full, and then its time is not learnt.

--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -31,9 +31,6 @@
 const ON_TIME_MARGIN: Duration = Duration::from_millis(200); // stages' times vary by about as much
 /// Time by which a large result is made before the request's other stages.
 const EARLY_SLACK: Duration = Duration::from_millis(200); // its own wait for a target
-/// Share of the rate of full calls that a pool reaches, since room and deaths leave gaps.
-const REACHED: f64 = 0.85;
-
 /// Order of the queue: the class, the rank in it, and the time it is due.
 type Precedence = (u8, u8, Time);
 /// Waiting jobs of a pool in order, each with the pieces up to its own.
@@ -360,9 +357,7 @@
 
     /// Returns whether a slow target ends a call before the others would have drained the queue.
     fn is_worth(&self, bench: &Bench, limits: &plan::Press, pace: f64) -> bool {
-        let waiting = bench.waiting.iter();
-        let waiting: usize = waiting.map(|&(job, stage)| self.waiting(job, stage)).sum();
-        let drain = waiting as f64 / bench.rate(limits, SLOW);
+        let drain = self.count_waiting(bench) as f64 / bench.rate(limits, SLOW);
         drain > limits.full().as_secs_f64() * (pace - 1.0)
     }
 
@@ -575,35 +570,6 @@
 /// Pace of the quickest stages; some take a third of their pool's time for a piece.
 const MIN_PACE: f64 = 0.6;
 
-impl Bench {
-    /// Returns the pieces a second that full calls carry, without targets slower than `slow`.
-    fn rate(&self, limits: &plan::Press, slow: f64) -> f64 {
-        let presses = self.presses.iter().filter(|press| press.pace < slow);
-        let paces: f64 = presses.map(|press| 1.0 / press.pace.max(0.1)).sum();
-        (paces * limits.batch as f64 / limits.full().as_secs_f64()).max(MIN_RATE)
-    }
-
-    fn drain(&self, pieces: usize) -> Duration {
-        let Some(limits) = &self.limits else {
-            return Duration::ZERO;
-        };
-        let seconds = pieces as f64 / (self.rate(limits, f64::INFINITY) * REACHED);
-        Duration::from_secs_f64(seconds.min(MAX_DRAIN))
-    }
-}
-
-/// Least rate of a pool in pieces a second, against division by zero.
-const MIN_RATE: f64 = 0.1;
-/// Longest time of draining that is worked out, in seconds.
-const MAX_DRAIN: f64 = 60.0;
-
-impl plan::Press {
-    /// Returns the time of a full call.
-    pub fn full(&self) -> Duration {
-        self.call + self.item * self.batch as u32
-    }
-}
-
 /// Returns where a job stands in every queue.
 fn precedence(now: Time, running: &Running) -> Precedence {
     let job = &running.job;
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -7,6 +7,7 @@
 //! requests that can still be on time by rank, then late ones by deadline. What can't be made any
 //! more, or waits behind too much to be, is refused at once.
 
+mod bench;
 mod dispatch;
 mod home;
 mod job;
@@ -20,6 +21,7 @@
 };
 
 use self::{
+    bench::Bench,
     job::{Made, Running},
     press::Press,
 };
@@ -70,18 +72,6 @@
     load: HashMap<(PoolId, DomainId), usize>,
 }
 
-/// Targets of one pool and the stages that wait for them.
-#[derive(Clone, Debug)]
-struct Bench {
-    limits: Option<plan::Press>,
-    presses: Vec<Press>,
-    waiting: Vec<(JobId, usize)>,
-    /// Usual time of a call in seconds.
-    usual: Option<f64>,
-    /// The front of a long queue, and when it was sorted.
-    front: Option<(Time, Vec<(JobId, usize)>)>,
-}
-
 #[derive(Clone, Debug)]
 struct Call {
     pool: PoolId,
@@ -227,8 +217,12 @@
 
     /// Returns how many pieces wait in a pool.
     pub fn backlog(&self, pool: &str) -> usize {
-        let waiting = self.pools.get(pool).into_iter();
-        let waiting = waiting.flat_map(|bench| &bench.waiting);
+        let bench = self.pools.get(pool);
+        bench.map_or(0, |bench| self.count_waiting(bench))
+    }
+
+    fn count_waiting(&self, bench: &Bench) -> usize {
+        let waiting = bench.waiting.iter();
         waiting.map(|&(job, stage)| self.waiting(job, stage)).sum()
     }
 
@@ -263,13 +257,7 @@
     }
 
     fn bench(&mut self, pool: &PoolId) -> &mut Bench {
-        self.pools.entry(pool.clone()).or_insert_with(|| Bench {
-            limits: None,
-            presses: Vec::new(),
-            waiting: Vec::new(),
-            usual: None,
-            front: None,
-        })
+        self.pools.entry(pool.clone()).or_default()
     }
 
     fn is_served(&self, pool: &str) -> bool {
@@ -459,12 +447,6 @@
 /// Time for which room that a target lacked counts as taken.
 const ROOM_PAUSE: Duration = Duration::from_millis(500); // results are read within about this time
 
-impl Bench {
-    fn press(&mut self, target: &TargetId) -> Option<&mut Press> {
-        self.presses.iter_mut().find(|press| press.id == *target)
-    }
-}
-
 impl Call {
     fn jobs(&self) -> Vec<JobId> {
         let mut jobs: Vec<JobId> = self.items.iter().map(|&(job, _, _)| job).collect();
--- a/policy/src/relay/board/result.rs
+++ b/policy/src/relay/board/result.rs
@@ -16,16 +16,28 @@
         items: Vec<Result<Handle, Why>>,
         out: &mut Vec<Command>,
     ) {
+        let without_room = items.iter().filter(|item| **item == Err(Why::Room));
+        let is_full = without_room.count() * 2 > items.len();
         let bench = self.bench(&call.pool);
-        let keep = bench.limits.map_or(Duration::ZERO, |limits| limits.keep);
+        let limits = bench.limits;
+        let keep = limits.map_or(Duration::ZERO, |limits| limits.keep);
         let taken = now.saturating_sub(call.started).as_secs_f64();
-        let usual = bench.usual.get_or_insert(taken);
-        *usual += TIME_WEIGHT * (taken - *usual);
+        // A call that made next to nothing says nothing of the time that calls take.
+        if !is_full {
+            let usual = bench.usual.get_or_insert(taken);
+            *usual += TIME_WEIGHT * (taken - *usual);
+        }
         let mut domain = DomainId::default();
         if let Some(press) = bench.press(&call.target) {
             press.call = None;
-            press.note_done(taken / call.nominal.as_secs_f64().max(0.001));
             domain.clone_from(&press.domain);
+            match limits {
+                // It holds results that this board has not heard of.
+                Some(limits) if is_full => {
+                    press.hold_unnamed(press.room(&limits), now + ROOM_PAUSE);
+                }
+                _ => press.note_done(taken / call.nominal.as_secs_f64().max(0.001)),
+            }
         }
         let outcomes = call.items.iter().zip(&call.bytes).zip(items);
         for ((&(job, stage, piece), &bytes), outcome) in outcomes {
@@ -82,13 +94,10 @@
                     running.forget_stage(from);
                 }
             }
-            // The piece was not made; the target holds results that this board has not heard of.
+            // The piece was not made, for no fault of the job's.
             Why::Room => {
-                let bench = self.bench(&call.pool);
-                let limits = bench.limits;
-                if let Some(press) = bench.press(&call.target) {
-                    let left = limits.map_or(bytes, |limits| press.room(&limits));
-                    press.hold_unnamed(left, now + ROOM_PAUSE);
+                if let Some(press) = self.bench(&call.pool).press(&call.target) {
+                    press.hold_unnamed(bytes, now + ROOM_PAUSE);
                 }
             }
             Why::Failed => running.failures += 1,
