--- a/godwithinge/src/log/mod.rs
+++ b/godwithinge/src/log/mod.rs
@@ -3,10 +3,12 @@
 mod bridge;
 mod ring;
 
+pub use self::ring::{ORDINARY, Ring};
+
 use slog::{Drain, Logger};
 use std::{fmt, io};
 use strum::{Display, EnumString};
-use tracing_subscriber::EnvFilter;
+use tracing_subscriber::{EnvFilter, fmt::MakeWriter};
 
 /// Stream that log lines go to.
 #[derive(Clone, Copy, Debug, Default, Display, EnumString, Eq, PartialEq)]
@@ -34,42 +36,39 @@
 ///
 /// Fails if the process logs already.
 pub fn init(stream: Stream) -> Result<(), Begun> {
-    let filter = EnvFilter::try_from_env(FILTER_VARIABLE)
-        .unwrap_or_else(|_absent| EnvFilter::new(DEFAULT_FILTER));
-    let lines = tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_current_span(false)
-        .with_span_list(false)
-        .with_env_filter(filter);
-    let begun = match stream {
-        Stream::Stdout => lines.with_writer(io::stdout).try_init(),
-        Stream::Stderr => lines.with_writer(io::stderr).try_init(),
-    };
-    begun.map_err(|_cause| Begun)
+    match stream {
+        Stream::Stdout => begin(io::stdout, true),
+        Stream::Stderr => begin(io::stderr, true),
+    }
 }
 
 /// Begins to write JSON lines to standard output without ever waiting for its reader.
 ///
-/// Lines that the reader is too slow for are dropped and counted.
+/// Lines that the reader is too slow for are dropped and counted, those of [`ORDINARY`] events first.
 ///
 /// # Errors
 ///
 /// Fails if the process logs already.
 pub fn init_bounded() -> Result<(), Begun> {
+    begin(Ring::start(io::stdout()), false)
+}
+
+/// Begins to write JSON lines to `writer`, with the module that each comes from if `has_module`.
+fn begin<W>(writer: W, has_module: bool) -> Result<(), Begun>
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
     let filter = EnvFilter::try_from_env(FILTER_VARIABLE)
         .unwrap_or_else(|_absent| EnvFilter::new(DEFAULT_FILTER));
-    let ring = ring::Ring::start(io::stdout());
-    tracing_subscriber::fmt()
+    let lines = tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
-        .with_target(false)
+        .with_target(has_module)
         .with_current_span(false)
         .with_span_list(false)
         .with_env_filter(filter)
-        .with_writer(move || ring.clone())
-        .try_init()
-        .map_err(|_cause| Begun)
+        .with_writer(writer);
+    lines.try_init().map_err(|_cause| Begun)
 }
 
 /// Returns a logger for dropshot whose lines join the stream.
--- a/godwithinge/src/log/ring.rs
+++ b/godwithinge/src/log/ring.rs
@@ -6,9 +6,15 @@
     thread,
     time::Duration,
 };
+use tracing::Metadata;
+use tracing_subscriber::fmt::MakeWriter;
 
+/// Target of the lines of ordinary events, which are dropped before others.
+pub const ORDINARY: &str = "ordinary";
 /// Most bytes that wait for the reader.
 const MAX_BYTES: usize = 1 << 20; // some thousand lines, under a hundredth of the smallest memory
+/// Most bytes that wait for the reader when an ordinary line comes.
+const MAX_ORDINARY_BYTES: usize = MAX_BYTES / 2; // leaves room for as many lines of failures
 /// Time for which lines are gathered before they are written.
 const GATHER: Duration = Duration::from_millis(100);
 
@@ -16,6 +22,13 @@
 #[derive(Clone, Debug)]
 pub struct Ring(Arc<Shared>);
 
+/// Writer of one line.
+#[derive(Debug)]
+pub struct Entry<'a> {
+    ring: &'a Ring,
+    is_ordinary: bool,
+}
+
 #[derive(Debug, Default)]
 struct Shared {
     lines: Mutex<Lines>,
@@ -26,6 +39,8 @@
 struct Lines {
     bytes: Vec<u8>,
     dropped: u64,
+    /// Ordinary lines among those dropped.
+    dropped_ordinary: u64,
 }
 
 impl Ring {
@@ -36,16 +51,43 @@
         thread::spawn(move || drain(&shared, sink));
         ring
     }
+
+    /// Returns a writer of one line.
+    pub fn entry(&self, is_ordinary: bool) -> Entry<'_> {
+        Entry {
+            ring: self,
+            is_ordinary,
+        }
+    }
 }
 
-impl Write for Ring {
+impl<'a> MakeWriter<'a> for Ring {
+    type Writer = Entry<'a>;
+
+    fn make_writer(&'a self) -> Entry<'a> {
+        self.entry(false)
+    }
+
+    fn make_writer_for(&'a self, meta: &Metadata<'_>) -> Entry<'a> {
+        self.entry(meta.target() == ORDINARY)
+    }
+}
+
+impl Write for Entry<'_> {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        let mut lines = self.0.lines.lock().unwrap_or_else(PoisonError::into_inner);
-        if lines.bytes.len() + buf.len() > MAX_BYTES {
+        let Shared { lines, filled } = &*self.ring.0;
+        let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let most = if self.is_ordinary {
+            MAX_ORDINARY_BYTES
+        } else {
+            MAX_BYTES
+        };
+        if lines.bytes.len() + buf.len() > most {
             lines.dropped += 1;
+            lines.dropped_ordinary += u64::from(self.is_ordinary);
         } else {
             if lines.bytes.is_empty() {
-                self.0.filled.notify_one();
+                filled.notify_one();
             }
             lines.bytes.extend_from_slice(buf);
         }
@@ -69,13 +111,17 @@
         drop(lines);
         thread::sleep(GATHER);
         let mut lines = shared.lines.lock().unwrap_or_else(PoisonError::into_inner);
-        let bytes = std::mem::take(&mut lines.bytes);
-        let dropped = std::mem::take(&mut lines.dropped);
+        let Lines {
+            bytes,
+            dropped,
+            dropped_ordinary,
+        } = std::mem::take(&mut *lines);
         drop(lines);
         let note = match dropped {
             0 => String::new(),
             _ => format!(
-                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped}}}\n"
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{dropped},\
+                 \"ordinary\":{dropped_ordinary}}}\n"
             ),
         };
         let written = sink.write_all(&bytes);
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -1,5 +1,6 @@
 //! Log lines of decisions, each with what decided it.
 
+use crate::log::ORDINARY;
 use http::StatusCode;
 use policy::{
     id::TargetId,
@@ -29,26 +30,38 @@
     pub revision: u64,
 }
 
-/// Logs the end of a request.
+/// Writes the line of a request's end; tracing takes only constant targets.
+macro_rules! log_end {
+    ($target:expr, $end:ident) => {
+        tracing::info!(
+            target: $target,
+            request = $end.request,
+            route = $end.route,
+            workspace = $end.workspace,
+            status = $end.status.map_or(0, |status| status.as_u16()),
+            reason = $end.reason,
+            target_id = $end.target,
+            sends = $end.sends,
+            stages_ms = millis($end.stages),
+            first_ms = $end.first.map(millis),
+            objective_ms = millis($end.objective),
+            total_ms = millis($end.total),
+            left_ms = millis($end.left),
+            retry_after_ms = $end.retry_after.map(millis),
+            revision = $end.revision,
+            "request ended"
+        )
+    };
+}
+
+/// Logs the end of a request; one that was answered in time is an ordinary event.
 pub(super) fn request_ended(end: &End<'_>) {
-    let status = end.status.map_or(0, |status| status.as_u16());
-    tracing::info!(
-        request = end.request,
-        route = end.route,
-        workspace = end.workspace,
-        status,
-        reason = end.reason,
-        target_id = end.target,
-        sends = end.sends,
-        stages_ms = millis(end.stages),
-        first_ms = end.first.map(millis),
-        objective_ms = millis(end.objective),
-        total_ms = millis(end.total),
-        left_ms = millis(end.left),
-        retry_after_ms = end.retry_after.map(millis),
-        revision = end.revision,
-        "request ended"
-    );
+    let is_in_time = end.first.is_some_and(|first| first <= end.objective);
+    if is_in_time && end.reason == "answered" {
+        log_end!(ORDINARY, end);
+    } else {
+        log_end!(module_path!(), end);
+    }
 }
 
 /// Logs that this daemon conducts for others from now on, or no longer.
@@ -100,6 +113,7 @@
 /// Logs which target a request is sent to, and why not the next best.
 pub(super) fn target_chosen(request: &str, pick: &Pick<'_>) {
     tracing::info!(
+        target: ORDINARY,
         request,
         target_id = %pick.target.id,
         expected_ms = (pick.cost * 1e3) as u64,
