Take connections in one place, and count sends in one

The loops of the callers' address, the side addresses and the links were three copies; what a failed send means for the counts of its request was in two.

--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -1,6 +1,7 @@
 //! Takes callers' requests.
 
 use super::{
+    accept,
     body::Body,
     outcome::{Reason, Rejection},
     run::{self, Story, Ticket},
@@ -30,8 +31,6 @@
     (16_384, Duration::from_secs(3), Duration::from_secs(15));
 /// Period in which idle connections are looked over.
 const IDLE_PERIOD: Duration = Duration::from_secs(1);
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50); // descriptors free up as answers end
 /// Smallest buffer that the server library takes for heads, in bytes.
 const MIN_BUFFER: usize = 8_192;
 
@@ -44,18 +43,7 @@
 
 /// Takes connections until the process ends.
 pub(super) async fn listen(relay: Rc<Relay>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let relay = Rc::clone(&relay);
-                tokio::task::spawn_local(async move { serve(relay, stream).await });
-            }
-            Err(fault) => {
-                tracing::warn!(%fault, "connection could not be accepted");
-                time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept::each(listener, move |stream| serve(Rc::clone(&relay), stream)).await;
 }
 
 /// Serves one connection until either side closes it.
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -4,6 +4,7 @@
 //! who lives; their period grows with the number of links, so that their cost stays the same.
 
 use super::{
+    accept,
     dialect::Row,
     frame::{Frame, Handed, Origin, Profile},
     settings::Settings,
@@ -282,23 +283,14 @@
 
 /// Takes links of other daemons until the process ends.
 pub(super) async fn listen(relay: Rc<Relay>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let relay = Rc::clone(&relay);
-                tokio::task::spawn_local(async move {
-                    let accept = accept_async_with_config(stream, Some(config()));
-                    if let Ok(Ok(socket)) = time::timeout(OPEN_TIMEOUT, accept).await {
-                        // The end of a link is logged where it is unlinked.
-                        drop(talk(&relay, socket).await);
-                    }
-                });
-            }
-            Err(fault) => {
-                tracing::warn!(%fault, "link could not be accepted");
-                time::sleep(DIAL_PERIOD).await;
-            }
-        }
+    accept::each(listener, move |stream| answer(Rc::clone(&relay), stream)).await;
+}
+
+async fn answer(relay: Rc<Relay>, stream: TcpStream) {
+    let accept = accept_async_with_config(stream, Some(config()));
+    if let Ok(Ok(socket)) = time::timeout(OPEN_TIMEOUT, accept).await {
+        // The end of a link is logged where it is unlinked.
+        drop(talk(&relay, socket).await);
     }
 }
 
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! daemons, and [`watch`] keeps the configuration and the targets. What crosses the edge goes
 //! through a [`Dialect`].
 
+mod accept;
 mod body;
 mod conduct;
 pub mod dialect;
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -90,6 +90,27 @@
     pub arrivals: u32,
 }
 
+impl Tally {
+    /// Takes in what came of a send that counted as one that may have run, and returns its name.
+    fn take(&mut self, sent: &Sent) -> &'static str {
+        match sent {
+            Sent::Unreached => {
+                self.runs -= 1;
+                self.idle += 1;
+                self.arrivals -= 1;
+                "unreached"
+            }
+            Sent::NotRun(_) => {
+                self.runs -= 1;
+                self.idle += 1;
+                "not_run"
+            }
+            Sent::Broken(what) => what,
+            Sent::Whole(_) | Sent::Begun(_) => "answered",
+        }
+    }
+}
+
 impl Ticket {
     /// Carries the request to its answer.
     pub async fn run(self) -> Response<Body> {
@@ -191,21 +212,11 @@
                             self.note(tally, &target, "error", taken, !flights.is_empty());
                             failure = Some(answer);
                         }
-                        Sent::Unreached => {
-                            tally.runs -= 1;
-                            tally.idle += 1;
-                            tally.arrivals -= 1;
-                            self.note(tally, &target, "unreached", taken, !flights.is_empty());
-                        }
-                        Sent::NotRun(_) => {
-                            tally.runs -= 1;
-                            tally.idle += 1;
-                            self.note(tally, &target, "not_run", taken, !flights.is_empty());
-                        }
-                        Sent::Broken(what) => {
-                            self.note(tally, &target, what, taken, !flights.is_empty());
-                        }
                         Sent::Begun(_) => {}
+                        failed => {
+                            let result = tally.take(&failed);
+                            self.note(tally, &target, result, taken, !flights.is_empty());
+                        }
                     }
                 }
                 () = time::sleep_until(hedge.into()), if may_hedge => {
@@ -290,23 +301,16 @@
             match sent {
                 Sent::Whole(answer) => return Ok((Opening::Whole(answer), results)),
                 Sent::Begun(begun) => return Ok((Opening::Stream(begun), results)),
-                Sent::Unreached => {
-                    tally.runs -= 1;
-                    tally.arrivals -= 1;
-                    tally.idle += 1;
-                    self.note(tally, &target, "unreached", taken, false);
-                }
-                Sent::NotRun(status) => {
-                    tally.runs -= 1;
-                    tally.idle += 1;
-                    if status == StatusCode::CONFLICT && remakes < MAX_REMAKES {
+                failed => {
+                    let is_gone = matches!(failed, Sent::NotRun(StatusCode::CONFLICT));
+                    if is_gone && remakes < MAX_REMAKES {
                         remakes += 1;
                         results = None;
                         tally.tried.retain(|tried| *tried != target.id);
                     }
-                    self.note(tally, &target, "not_run", taken, false);
+                    let result = tally.take(&failed);
+                    self.note(tally, &target, result, taken, false);
                 }
-                Sent::Broken(what) => self.note(tally, &target, what, taken, false),
             }
         }
     }
--- a/godwithinge/src/relay/side.rs
+++ b/godwithinge/src/relay/side.rs
@@ -1,13 +1,13 @@
 //! Answers questions of readiness, of addresses and of metrics.
 
-use super::{body::Body, state::Relay};
+use super::{accept, body::Body, state::Relay};
 use compact_str::CompactString;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use policy::id::DomainId;
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
-use tokio::{net::TcpListener, time};
+use tokio::net::{TcpListener, TcpStream};
 
 /// Longest time of a request head.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10); // probes come every second
@@ -19,34 +19,23 @@
 const MAX_ADDRESSES: usize = 64;
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50); // descriptors free up as answers end
 
 /// Takes connections until the process ends.
 pub(super) async fn listen(relay: Rc<Relay>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(fault) => {
-                tracing::warn!(%fault, "connection could not be accepted");
-                time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let relay = Rc::clone(&relay);
-        tokio::task::spawn_local(async move {
-            let handler = service::service_fn(move |request| {
-                let response = relay.answer_question(&request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), handler);
-            if let Err(fault) = connection.await {
-                tracing::debug!(%fault, "connection broke");
-            }
-        });
+    accept::each(listener, move |stream| serve(Rc::clone(&relay), stream)).await;
+}
+
+async fn serve(relay: Rc<Relay>, stream: TcpStream) {
+    let handler = service::service_fn(move |request| {
+        let response = relay.answer_question(&request);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), handler);
+    if let Err(fault) = connection.await {
+        tracing::debug!(%fault, "connection broke");
     }
 }
 
