Have a daemon that was restarted follow a leaving conductor

Load pattern: all machines are restarted in turn, each 2 s or so, in a burst. The next conductor by rendezvous hashing may be the next to leave, and each change costs what the former one knew.

Change: of the largest daemons the one that started last follows, by the start that it tells, so that all views agree. Replay: policy/tests/lead.rs restarts_in_turn_change_the_conductor_twice_at_most.

--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -112,15 +112,12 @@
     next: Cell<u64>,
     /// Since when this daemon conducts for others.
     since: Cell<Option<Instant>>,
-    /// This daemon's weight among the candidates.
-    weight: u64,
 }
 
 impl Conductor {
-    pub fn new(host: &str) -> Self {
+    pub fn new() -> Self {
         Self {
             since: Cell::new(None),
-            weight: lead::weight(host),
             board: RefCell::new(Board::new()),
             placed: RefCell::default(),
             next: Cell::new(0),
@@ -259,7 +256,7 @@
             is_leaving: self.is_leaving(),
             linked: self.now(),
             tenure: self.tenure(),
-            weight: self.conductor.weight,
+            started: self.started,
         };
         let mut peers = Vec::with_capacity(self.links.count());
         self.links.each(|peer| peers.push(peer.candidate()));
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use policy::{
     id::{DomainId, HostId, Incarnation},
-    relay::{board::Handle, crash::Mark},
+    relay::{board::Handle, crash::Mark, lead::Started},
 };
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use std::{net::SocketAddr, time::Duration};
@@ -24,6 +24,8 @@
     /// Share of a core.
     pub cpu: f64,
     pub incarnation: Incarnation,
+    /// Start of its process by its own clock.
+    pub started: Started,
     /// Time for which it has conducted, if it does.
     pub tenure: Option<Duration>,
 }
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -11,10 +11,7 @@
     state::Relay,
 };
 use futures::{SinkExt, StreamExt};
-use policy::{
-    id::HostId,
-    relay::lead::{self, Candidate},
-};
+use policy::{id::HostId, relay::lead::Candidate};
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
@@ -93,8 +90,6 @@
     is_asked: bool,
     /// Time for which it had conducted at a moment, if it does.
     tenure: Option<(Duration, Instant)>,
-    /// Its weight among those that may conduct.
-    weight: u64,
 }
 
 impl Peer {
@@ -112,7 +107,7 @@
             is_leaving: self.is_leaving,
             linked: self.since.elapsed(),
             tenure: self.tenure.map(|(tenure, at)| tenure + at.elapsed()),
-            weight: self.weight,
+            started: self.profile.started,
         }
     }
 }
@@ -450,7 +445,6 @@
             age: None,
             is_asked: false,
             tenure: profile.tenure.map(|tenure| (tenure, Instant::now())),
-            weight: lead::weight(&profile.host),
             profile,
         };
         peers.insert(peer.profile.host.clone(), peer);
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -13,13 +13,19 @@
 use policy::{
     budget::Budget,
     id::{Incarnation, PoolId, Time},
-    relay::{choice::Choice, crash::Ledger, lead, plan::Plan, roster::Roster},
+    relay::{
+        choice::Choice,
+        crash::Ledger,
+        lead::{self, Started},
+        plan::Plan,
+        roster::Roster,
+    },
 };
 use std::{
     cell::{Cell, Ref, RefCell, RefMut},
     collections::HashMap,
     rc::Rc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// Longest time of opening a connection to a target; one that takes no SYN is as good as dark.
@@ -33,6 +39,8 @@
     settings: RefCell<Settings>,
     pub(super) dialect: Rc<dyn Dialect>,
     pub(super) incarnation: Incarnation,
+    /// Start of the process by the clock of its machine.
+    pub(super) started: Started,
     start: Instant,
     /// Connections to targets.
     pub(super) pool: Pool,
@@ -63,6 +71,7 @@
             links: Links::new(&settings),
             dialect,
             incarnation: rand::random(),
+            started: since_1970(),
             start: Instant::now(),
             pool: Pool::new(CONNECT_TIMEOUT),
             store: Store::new(),
@@ -72,7 +81,7 @@
             choice: RefCell::default(),
             ledger: RefCell::default(),
             budgets: RefCell::default(),
-            conductor: Conductor::new(&settings.host),
+            conductor: Conductor::new(),
             tables: Tables::default(),
             metrics: Metrics::new(),
             is_leaving: Cell::new(false),
@@ -208,3 +217,9 @@
         self.0.metrics.in_flight.dec();
     }
 }
+
+/// Returns the time of the machine's clock; one that stands before 1970 counts as 0.
+fn since_1970() -> Started {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.map_or(0, |time| time.as_millis() as Started)
+}
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -346,6 +346,7 @@
             link: settings.link,
             cpu: settings.cpu,
             incarnation: self.incarnation,
+            started: self.started,
             tenure: self.tenure(),
         }
     }
--- a/policy/src/relay/lead.rs
+++ b/policy/src/relay/lead.rs
@@ -4,9 +4,10 @@
 //! are back within seconds. Each change of the conductor costs the fleet what the former one knew,
 //! and two at once fill the same stage targets. So a daemon that conducts keeps on as long as it is
 //! linked, one that has just started joins the conductor that its peers have, and those that would
-//! follow are watched as closely as the conductor itself.
+//! follow are watched as closely as the conductor itself. When daemons are restarted in turn, the
+//! last one that was follows, as its own turn is over.
 
-use crate::{hash, id::HostId};
+use crate::id::HostId;
 use std::time::Duration;
 
 /// Time after which a daemon is linked to all others; before, each would name another conductor.
@@ -19,6 +20,9 @@
 /// Daemons that are watched: the conductor, and two that follow if it dies together with the next.
 const WATCHED: usize = 3;
 
+/// Start of a process in milliseconds since 1970.
+pub type Started = u64;
+
 /// A daemon that may conduct.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -32,8 +36,8 @@
     pub linked: Duration,
     /// Time for which it has conducted, if it does.
     pub tenure: Option<Duration>,
-    /// Weight in rendezvous hashing, from [`weight`].
-    pub weight: u64,
+    /// Start of its process by its own clock, the same in all views.
+    pub started: Started,
 }
 
 /// Who conducts.
@@ -77,10 +81,8 @@
     before.count() < WATCHED
 }
 
-/// Returns a host's weight in rendezvous hashing.
-pub fn weight(host: &str) -> u64 {
-    hash::texts(&["conductor", host])
-}
+/// What orders the candidates: settled, large, the longest tenure, the last start, and the name.
+type Rank<'a> = (bool, bool, Option<Duration>, Started, &'a str);
 
 impl Candidate {
     fn conducts(&self) -> bool {
@@ -88,10 +90,10 @@
     }
 
     /// Returns what orders the candidates, the conductor last.
-    fn rank(&self, largest: f64, is_settled: bool) -> (bool, bool, Option<Duration>, u64) {
+    fn rank(&self, largest: f64, is_settled: bool) -> Rank<'_> {
         let is_settled = is_settled || self.conducts();
         let is_large = self.cpu >= largest * LARGE_SHARE;
-        (is_settled, is_large, self.tenure, self.weight)
+        (is_settled, is_large, self.tenure, self.started, &self.host)
     }
 }
 
--- a/policy/tests/lead.rs
+++ b/policy/tests/lead.rs
@@ -1,6 +1,6 @@
 //! Which daemon conducts, replayed over losses and returns.
 
-use policy::relay::lead::{Candidate, Lead, choose, is_watched, weight};
+use policy::relay::lead::{Candidate, Lead, choose, is_watched};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -12,10 +12,9 @@
 const ALL: usize = 90;
 
 fn candidate(index: usize) -> Candidate {
-    let host = format!("h{index}");
     Candidate {
-        weight: weight(&host),
-        host: host.into(),
+        host: format!("h{index}").into(),
+        started: 1_000,
         cpu: if index < LARGE { 0.5 } else { 0.12 },
         is_leaving: false,
         linked: LONG,
@@ -72,6 +71,32 @@
     assert_eq!(fleet[conductor(&fleet)].host, successor);
 }
 
+/// Daemons are restarted in turn, the conductor first. Of those that follow it, one that was
+/// restarted goes before those whose turn is still to come.
+#[test]
+fn restarts_in_turn_change_the_conductor_twice_at_most() {
+    let mut fleet = fleet();
+    let mut changes = 0;
+    let mut last = 0;
+    fleet[last].tenure = Some(LONG);
+    for index in 0..ALL {
+        fleet[index].is_leaving = true;
+        let next = conductor(&fleet);
+        changes += usize::from(next != last);
+        for candidate in &mut fleet {
+            candidate.tenure = None;
+        }
+        fleet[next].tenure = Some(LONG);
+        last = next;
+        fleet[index] = Candidate {
+            started: 2_000 + index as u64,
+            tenure: fleet[index].tenure,
+            ..candidate(index)
+        };
+    }
+    assert!(changes <= 2, "{changes} changes");
+}
+
 /// A conductor that leaves hands over at once, however long it has conducted.
 #[test]
 fn leaving_conductor_is_followed() {
