Tell since when a daemon conducts by its own clock, and not before it is linked

Change: the claim is a moment by the clock of the daemon that makes it, the same in all views, and the first one counts; nobody claims in its first five seconds (lead nobody_claims_to_conduct_before_it_is_linked).

--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -8,7 +8,7 @@
     event,
     frame::{Frame, Origin},
     outcome::Reason,
-    state::Relay,
+    state::{self, Relay},
 };
 use crate::http::{Error, Reuse};
 use compact_str::CompactString;
@@ -19,7 +19,7 @@
     id::{DomainId, HostId, RequestId, TargetId},
     relay::{
         board::{Board, Command, Handle, Item, Job, JobId, Need, Refusal, Reply},
-        lead::{self, Candidate, Lead},
+        lead::{self, Candidate, Lead, Moment},
         plan::Plan,
         roster::Change,
     },
@@ -111,7 +111,7 @@
     placed: RefCell<HashMap<u64, Placed>>,
     next: Cell<u64>,
     /// Since when this daemon conducts for others.
-    since: Cell<Option<Instant>>,
+    since: Cell<Option<Moment>>,
 }
 
 impl Conductor {
@@ -255,7 +255,7 @@
             cpu: settings.cpu,
             is_leaving: self.is_leaving(),
             linked: self.now(),
-            tenure: self.tenure(),
+            conducts_since: self.conducts_since(),
             started: self.started,
         };
         let mut peers = Vec::with_capacity(self.links.count());
@@ -263,10 +263,9 @@
         (own, peers)
     }
 
-    /// Returns for how long this daemon has conducted, if it does.
-    pub(super) fn tenure(&self) -> Option<Duration> {
-        let since = self.conductor.since.get()?;
-        Some(since.elapsed())
+    /// Returns since when this daemon has conducted, if it does.
+    pub(super) fn conducts_since(&self) -> Option<Moment> {
+        self.conductor.since.get()
     }
 
     /// Returns whether this daemon conducts for the fleet or may have to do so next.
@@ -278,11 +277,10 @@
     /// Notes whether this daemon conducts, and places orders that waited for a conductor.
     fn review_lead(self: &Rc<Self>) {
         let place = self.conducting();
-        let conducts = self.links.count() > 0 && place == Some(Place::Own);
-        let since = self.conductor.since.get();
-        if conducts != since.is_some() {
-            let since = conducts.then(Instant::now);
-            self.conductor.since.set(since);
+        let (own, peers) = self.candidates();
+        let conducts = place == Some(Place::Own) && lead::may_claim(&own, &peers);
+        if conducts != self.conducts_since().is_some() {
+            self.conductor.since.set(conducts.then(state::since_1970));
             event::lead_changed(conducts, self.links.count());
         }
         if place.is_some() {
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use policy::{
     id::{DomainId, HostId, Incarnation},
-    relay::{board::Handle, crash::Mark, lead::Started},
+    relay::{board::Handle, crash::Mark, lead::Moment},
 };
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use std::{net::SocketAddr, time::Duration};
@@ -24,10 +24,10 @@
     /// Share of a core.
     pub cpu: f64,
     pub incarnation: Incarnation,
-    /// Start of its process by its own clock.
-    pub started: Started,
-    /// Time for which it has conducted, if it does.
-    pub tenure: Option<Duration>,
+    /// Start of its process.
+    pub started: Moment,
+    /// Since when it has conducted, if it does.
+    pub conducts_since: Option<Moment>,
 }
 
 /// Row of a table as daemons hand it on.
@@ -55,8 +55,8 @@
         period: Duration,
         /// Age of its tables, if it keeps its peers fresh.
         age: Option<Duration>,
-        /// Time for which it has conducted, if it does.
-        tenure: Option<Duration>,
+        /// Since when it has conducted, if it does.
+        conducts_since: Option<Moment>,
     },
     /// The sender wants all entries of targets.
     WantTargets,
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -11,7 +11,10 @@
     state::Relay,
 };
 use futures::{SinkExt, StreamExt};
-use policy::{id::HostId, relay::lead::Candidate};
+use policy::{
+    id::HostId,
+    relay::lead::{Candidate, Moment},
+};
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
@@ -88,8 +91,8 @@
     age: Option<(Duration, Instant)>,
     /// Whether its tables were asked for.
     is_asked: bool,
-    /// Time for which it had conducted at a moment, if it does.
-    tenure: Option<(Duration, Instant)>,
+    /// Since when it has conducted, if it does.
+    conducts_since: Option<Moment>,
 }
 
 impl Peer {
@@ -106,7 +109,7 @@
             cpu: self.profile.cpu,
             is_leaving: self.is_leaving,
             linked: self.since.elapsed(),
-            tenure: self.tenure.map(|(tenure, at)| tenure + at.elapsed()),
+            conducts_since: self.conducts_since,
             started: self.profile.started,
         }
     }
@@ -404,7 +407,7 @@
             is_leaving: self.is_leaving(),
             period,
             age: self.reader_age(),
-            tenure: self.tenure(),
+            conducts_since: self.conducts_since(),
         }
     }
 
@@ -444,7 +447,7 @@
             period: relay_period(peers.len() + 1, BEAT_PER_LINK),
             age: None,
             is_asked: false,
-            tenure: profile.tenure.map(|tenure| (tenure, Instant::now())),
+            conducts_since: profile.conducts_since,
             profile,
         };
         peers.insert(peer.profile.host.clone(), peer);
@@ -483,13 +486,13 @@
                 is_leaving,
                 period,
                 age,
-                tenure,
+                conducts_since,
             } = &frame
             {
                 peer.is_leaving = *is_leaving;
                 peer.period = *period;
                 peer.age = age.map(|age| (age, Instant::now()));
-                peer.tenure = tenure.map(|tenure| (tenure, Instant::now()));
+                peer.conducts_since = *conducts_since;
                 // Before its first read, a daemon asks any peer that may know the targets.
                 let is_source = peer.age.is_some() || *plan > 0 && self.tables.age().is_none();
                 if is_source && !peer.is_asked {
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -16,7 +16,7 @@
     relay::{
         choice::Choice,
         crash::Ledger,
-        lead::{self, Started},
+        lead::{self, Moment},
         plan::Plan,
         roster::Roster,
     },
@@ -40,7 +40,7 @@
     pub(super) dialect: Rc<dyn Dialect>,
     pub(super) incarnation: Incarnation,
     /// Start of the process by the clock of its machine.
-    pub(super) started: Started,
+    pub(super) started: Moment,
     start: Instant,
     /// Connections to targets.
     pub(super) pool: Pool,
@@ -219,7 +219,7 @@
 }
 
 /// Returns the time of the machine's clock; one that stands before 1970 counts as 0.
-fn since_1970() -> Started {
+pub(super) fn since_1970() -> Moment {
     let time = SystemTime::now().duration_since(UNIX_EPOCH);
-    time.map_or(0, |time| time.as_millis() as Started)
+    time.map_or(0, |time| time.as_millis() as Moment)
 }
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -347,7 +347,7 @@
             cpu: settings.cpu,
             incarnation: self.incarnation,
             started: self.started,
-            tenure: self.tenure(),
+            conducts_since: self.conducts_since(),
         }
     }
 }
--- a/policy/src/relay/lead.rs
+++ b/policy/src/relay/lead.rs
@@ -8,7 +8,7 @@
 //! last one that was follows, as its own turn is over.
 
 use crate::id::HostId;
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 /// Time after which a daemon is linked to all others; before, each would name another conductor.
 const SETTLED: Duration = Duration::from_millis(2_500); // a dial after the other end has yielded, twice over
@@ -20,8 +20,9 @@
 /// Daemons that are watched: the conductor, and two that follow if it dies together with the next.
 const WATCHED: usize = 3;
 
-/// Start of a process in milliseconds since 1970.
-pub type Started = u64;
+/// Time in milliseconds since 1970 by the clock of the daemon that tells it, so that it is the
+/// same in all views however long a message took.
+pub type Moment = u64;
 
 /// A daemon that may conduct.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,10 +35,10 @@
     pub is_leaving: bool,
     /// Time since it was linked, or since the start of the daemon that asks.
     pub linked: Duration,
-    /// Time for which it has conducted, if it does.
-    pub tenure: Option<Duration>,
-    /// Start of its process by its own clock, the same in all views.
-    pub started: Started,
+    /// Since when it has conducted, if it does.
+    pub conducts_since: Option<Moment>,
+    /// Start of its process.
+    pub started: Moment,
 }
 
 /// Who conducts.
@@ -69,6 +70,13 @@
     }
 }
 
+/// Returns whether a daemon that names itself tells its peers that it conducts.
+///
+/// Before it is linked to all others, two daemons would say so of themselves.
+pub fn may_claim(own: &Candidate, peers: &[Candidate]) -> bool {
+    !peers.is_empty() && own.linked >= SETTLED * 2
+}
+
 /// Returns whether a daemon conducts or is among the next to do so.
 pub fn is_watched(own: &Candidate, peers: &[Candidate]) -> bool {
     if own.is_leaving {
@@ -81,19 +89,20 @@
     before.count() < WATCHED
 }
 
-/// What orders the candidates: settled, large, the longest tenure, the last start, and the name.
-type Rank<'a> = (bool, bool, Option<Duration>, Started, &'a str);
+/// What orders the candidates: settled, large, the first to conduct, the last start, and the name.
+type Rank<'a> = (bool, bool, Option<Reverse<Moment>>, Moment, &'a str);
 
 impl Candidate {
     fn conducts(&self) -> bool {
-        !self.is_leaving && self.tenure.is_some()
+        !self.is_leaving && self.conducts_since.is_some()
     }
 
     /// Returns what orders the candidates, the conductor last.
     fn rank(&self, largest: f64, is_settled: bool) -> Rank<'_> {
         let is_settled = is_settled || self.conducts();
         let is_large = self.cpu >= largest * LARGE_SHARE;
-        (is_settled, is_large, self.tenure, self.started, &self.host)
+        let since = self.conducts_since.map(Reverse);
+        (is_settled, is_large, since, self.started, &self.host)
     }
 }
 
--- a/policy/tests/lead.rs
+++ b/policy/tests/lead.rs
@@ -1,6 +1,6 @@
 //! Which daemon conducts, replayed over losses and returns.
 
-use policy::relay::lead::{Candidate, Lead, choose, is_watched};
+use policy::relay::lead::{Candidate, Lead, choose, is_watched, may_claim};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
         cpu: if index < LARGE { 0.5 } else { 0.12 },
         is_leaving: false,
         linked: LONG,
-        tenure: None,
+        conducts_since: None,
     }
 }
 
@@ -64,7 +64,7 @@
     let first = conductor(&fleet);
     let mut returned = fleet.remove(first);
     let second = conductor(&fleet);
-    fleet[second].tenure = Some(Duration::from_secs(3));
+    fleet[second].conducts_since = Some(57_000);
     let successor = fleet[second].host.clone();
     returned.linked = Duration::from_secs(5);
     fleet.insert(first, returned);
@@ -78,19 +78,19 @@
     let mut fleet = fleet();
     let mut changes = 0;
     let mut last = 0;
-    fleet[last].tenure = Some(LONG);
+    fleet[last].conducts_since = Some(2_000);
     for index in 0..ALL {
         fleet[index].is_leaving = true;
         let next = conductor(&fleet);
         changes += usize::from(next != last);
         for candidate in &mut fleet {
-            candidate.tenure = None;
+            candidate.conducts_since = None;
         }
-        fleet[next].tenure = Some(LONG);
+        fleet[next].conducts_since = Some(2_000);
         last = next;
         fleet[index] = Candidate {
             started: 2_000 + index as u64,
-            tenure: fleet[index].tenure,
+            conducts_since: fleet[index].conducts_since,
             ..candidate(index)
         };
     }
@@ -102,7 +102,7 @@
 fn leaving_conductor_is_followed() {
     let mut fleet = fleet();
     let first = conductor(&fleet);
-    fleet[first].tenure = Some(LONG);
+    fleet[first].conducts_since = Some(2_000);
     fleet[first].is_leaving = true;
     assert_ne!(conductor(&fleet), first);
 }
@@ -111,8 +111,8 @@
 #[test]
 fn elder_conductor_wins_after_a_cut() {
     let mut fleet = fleet();
-    fleet[2].tenure = Some(Duration::from_secs(9));
-    fleet[5].tenure = Some(Duration::from_secs(4));
+    fleet[2].conducts_since = Some(9_000);
+    fleet[5].conducts_since = Some(14_000);
     assert_eq!(conductor(&fleet), 2);
 }
 
@@ -120,7 +120,7 @@
 #[test]
 fn large_daemon_goes_before_a_small_conductor() {
     let mut fleet = fleet();
-    fleet[LARGE + 1].tenure = Some(LONG);
+    fleet[LARGE + 1].conducts_since = Some(2_000);
     assert!(conductor(&fleet) < LARGE);
 }
 
@@ -143,7 +143,7 @@
         peer.linked = Duration::from_millis(50);
     }
     if let Some(conductor) = conductor {
-        peers[conductor].tenure = Some(LONG);
+        peers[conductor].conducts_since = Some(2_000);
     }
     assert_eq!(choose(&own, &peers, false), lead);
 }
@@ -177,3 +177,16 @@
     chain.sort();
     assert_eq!(watched, chain);
 }
+
+/// Daemons that start together say nothing before they are linked to each other; two that did would
+/// both be believed.
+#[test]
+fn nobody_claims_to_conduct_before_it_is_linked() {
+    let peers = fleet();
+    let mut own = candidate(ALL);
+    own.linked = Duration::from_secs(1);
+    assert!(!may_claim(&own, &peers));
+    own.linked = LONG;
+    assert!(may_claim(&own, &peers));
+    assert!(!may_claim(&own, &[]));
+}
