Claim to conduct after 1.5 s and tell it at once

Claims are moments since the last commit, so that several soon leave one.

Change: a daemon that names itself claims after 1.5 s and tells all peers at once.

--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -282,6 +282,7 @@
         if conducts != self.conducts_since().is_some() {
             self.conductor.since.set(conducts.then(state::since_1970));
             event::lead_changed(conducts, self.links.count());
+            self.announce();
         }
         if place.is_some() {
             let waiting: Vec<u64> = {
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -411,8 +411,8 @@
         }
     }
 
-    /// Tells all peers of a new configuration at once, so that they ask for it.
-    pub(super) fn announce_plan(&self) {
+    /// Tells all peers at once of a new configuration, so that they ask for it, or who conducts.
+    pub(super) fn announce(&self) {
         self.links.broadcast(&self.beat(self.beat_period()));
     }
 
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -246,7 +246,7 @@
                 self.metrics.set_revision(plan.revision);
                 self.set_plan(plan, row);
                 if self.is_reader() {
-                    self.announce_plan();
+                    self.announce();
                 }
             }
             Ok(None) => {}
--- a/policy/src/relay/lead.rs
+++ b/policy/src/relay/lead.rs
@@ -14,6 +14,8 @@
 const SETTLED: Duration = Duration::from_millis(2_500); // a dial after the other end has yielded, twice over
 /// Time for which a daemon that has just started waits for a link to the conductor.
 pub const JOIN_WAIT: Duration = Duration::from_secs(1); // others dial it within 200 ms, or it dials them
+/// Time after which a daemon that has just started may say that it conducts.
+const CLAIM_AFTER: Duration = Duration::from_millis(1_500); // a dial after the other end has yielded
 /// Share of the largest daemon's processor time from which a daemon may conduct; a small one would
 /// bind the whole fleet.
 const LARGE_SHARE: f64 = 0.8;
@@ -72,9 +74,10 @@
 
 /// Returns whether a daemon that names itself tells its peers that it conducts.
 ///
-/// Before it is linked to all others, two daemons would say so of themselves.
+/// Before it is linked to most others, many daemons would say so of themselves. Two that do are
+/// told apart by the moments that they name.
 pub fn may_claim(own: &Candidate, peers: &[Candidate]) -> bool {
-    !peers.is_empty() && own.linked >= SETTLED * 2
+    !peers.is_empty() && own.linked >= CLAIM_AFTER
 }
 
 /// Returns whether a daemon conducts or is among the next to do so.
