--- a/policy/tests/yard/mod.rs
+++ b/policy/tests/yard/mod.rs
@@ -1,5 +1,9 @@
 //! Stage targets and callers of a site in virtual time.
 
+mod pattern;
+
+pub use self::pattern::Pattern;
+
 use policy::{
     id::{PoolId, TargetId, Time},
     relay::{
@@ -48,15 +52,6 @@
 /// Share of pieces that fail.
 const FAILED_SHARE: f64 = 0.002;
 
-/// What comes when.
-#[derive(Clone, Debug)]
-pub struct Pattern {
-    burst: Option<(usize, f64, f64, f64)>,
-    deaths: Option<(f64, f64)>,
-    slow: Option<(f64, f64)>,
-    lost: Option<f64>,
-}
-
 /// Counts of one kind.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tally {
@@ -133,52 +128,6 @@
     Tick,
 }
 
-impl Pattern {
-    /// Creates the mean load of a site.
-    pub fn of_site() -> Self {
-        Self {
-            burst: None,
-            deaths: None,
-            slow: None,
-            lost: None,
-        }
-    }
-
-    /// Sets a burst of `times` the rate of one kind, from `begin` to `end` in seconds.
-    pub fn with_burst(mut self, kind: usize, times: f64, begin: f64, end: f64) -> Self {
-        self.burst = Some((kind, times, begin, end));
-        self
-    }
-
-    /// Sets that a target of each pool is dead from `begin` to `end` in seconds.
-    pub fn with_deaths(mut self, begin: f64, end: f64) -> Self {
-        self.deaths = Some((begin, end));
-        self
-    }
-
-    /// Sets that a target of the second pool takes `times` as long from `begin` on.
-    pub fn with_slow_target(mut self, times: f64, begin: f64) -> Self {
-        self.slow = Some((times, begin));
-        self
-    }
-
-    /// Sets that the board is lost at `at` in seconds, with all that it knew.
-    pub fn with_lost_board(mut self, at: f64) -> Self {
-        self.lost = Some(at);
-        self
-    }
-
-    fn rate(&self, kind: usize, at: Time) -> f64 {
-        let at = at.as_secs_f64();
-        match self.burst {
-            Some((of, times, begin, end)) if of == kind && (begin..end).contains(&at) => {
-                RATES[kind] * times
-            }
-            _ => RATES[kind],
-        }
-    }
-}
-
 impl Day {
     /// Returns the share of a kind's requests that are on time.
     pub fn on_time(&self, kind: usize) -> f64 {
