--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -238,7 +238,11 @@
     /// Returns who conducts, and the link to it.
     fn conducting(&self) -> Option<Place> {
         let (own, peers) = self.candidates();
-        match lead::choose(&own, &peers, self.links.known() == 0) {
+        self.conducting_among(&own, &peers)
+    }
+
+    fn conducting_among(&self, own: &Candidate, peers: &[Candidate]) -> Option<Place> {
+        match lead::choose(own, peers, self.links.known() == 0) {
             Lead::Own => Some(Place::Own),
             Lead::Peer(host) => {
                 let origin = self.links.origin(&host)?;
@@ -276,8 +280,8 @@
 
     /// Notes whether this daemon conducts, and places orders that waited for a conductor.
     fn review_lead(self: &Rc<Self>) {
-        let place = self.conducting();
         let (own, peers) = self.candidates();
+        let place = self.conducting_among(&own, &peers);
         let conducts = place == Some(Place::Own) && lead::may_claim(&own, &peers);
         if conducts != self.conducts_since().is_some() {
             self.conductor.since.set(conducts.then(state::since_1970));
--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -31,6 +31,7 @@
 const ON_TIME_MARGIN: Duration = Duration::from_millis(200); // stages' times vary by about as much
 /// Time by which a large result is made before the request's other stages.
 const EARLY_SLACK: Duration = Duration::from_millis(200); // its own wait for a target
+
 /// Order of the queue: the class, the rank in it, and the time it is due.
 type Precedence = (u8, u8, Time);
 /// Waiting jobs of a pool in order, each with the pieces up to its own.
