Find a target of a pool in one place

The look at overdue calls and the freeing of results each searched the pool's targets by hand, as Bench::press does.

--- a/policy/src/relay/board/dispatch.rs
+++ b/policy/src/relay/board/dispatch.rs
@@ -59,9 +59,8 @@
             call.is_overdue = true;
             has_any = true;
             let ratio = taken.as_secs_f64() / call.nominal.as_secs_f64().max(0.001);
-            let presses = self.pools.get_mut(&call.pool).into_iter();
-            let mut presses = presses.flat_map(|bench| &mut bench.presses);
-            if let Some(press) = presses.find(|press| press.id == call.target) {
+            let bench = self.pools.get_mut(&call.pool);
+            if let Some(press) = bench.and_then(|bench| bench.press(&call.target)) {
                 press.note_overdue(ratio);
             }
             for &(job, stage, piece) in &call.items {
--- a/policy/src/relay/board/mod.rs
+++ b/policy/src/relay/board/mod.rs
@@ -388,9 +388,8 @@
 
     fn free(&mut self, unwanted: Vec<(PoolId, Made)>) {
         for (pool, made) in unwanted {
-            let presses = self.pools.get_mut(&pool).into_iter();
-            let mut presses = presses.flat_map(|bench| &mut bench.presses);
-            if let Some(press) = presses.find(|press| press.id == made.target) {
+            let bench = self.pools.get_mut(&pool);
+            if let Some(press) = bench.and_then(|bench| bench.press(&made.target)) {
                 press.free(&made.handle);
             }
         }
