Count frames on links by kind, and log who requests and sends the configuration

After a large configuration the links of a fleet were full for minutes. Neither logs nor metrics said with what, so that a slow store and copies between daemons could not be told apart: the log only had lost links, and the metrics of the network only bytes. The counters by kind of frame and the two log lines tell which daemon asks whom and how often.

--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -15,6 +15,7 @@
 };
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use std::{net::SocketAddr, time::Duration};
+use strum::IntoStaticStr;
 
 /// Identifies a link within a process; never reused. 0 stands for the local daemon.
 pub(super) type LinkId = u64;
@@ -52,7 +53,8 @@
 }
 
 /// Message between two daemons.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, IntoStaticStr, Serialize)]
+#[strum(serialize_all = "snake_case")]
 pub(super) enum Frame {
     /// First frame of each end, with the addresses of the other daemons that it knows.
     Hello {
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -8,9 +8,11 @@
     accept,
     dialect::Row,
     frame::{Frame, LinkId, Profile, WireRow},
+    metrics::{Direction, Metrics},
     settings::Settings,
     state::Relay,
 };
+use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use policy::{
     id::HostId,
@@ -347,8 +349,9 @@
         profile: relay.profile(),
         known,
     };
-    send_frame(&mut socket, &hello).await?;
-    let first = time::timeout(IO_TIMEOUT, receive_frame(&mut socket)).await;
+    let metrics = &relay.metrics;
+    send_frame(metrics, &mut socket, &hello).await?;
+    let first = time::timeout(IO_TIMEOUT, receive_frame(metrics, &mut socket)).await;
     let Frame::Hello { profile, known } = first.unwrap_or(Err(Error::TimedOut))? else {
         return Err(Error::MalformedFrame);
     };
@@ -373,6 +376,7 @@
     link_id: LinkId,
     frames: &mut mpsc::Receiver<Frame>,
 ) -> Result<(), Error> {
+    let metrics = &relay.metrics;
     let mut next_heartbeat = Instant::now();
     loop {
         let dead_at = {
@@ -382,10 +386,10 @@
         };
         let wake_at = dead_at.min(next_heartbeat).max(Instant::now());
         tokio::select! {
-            frame = receive_frame(socket) => relay.handle_frame(host, link_id, frame?),
+            frame = receive_frame(metrics, socket) => relay.handle_frame(host, link_id, frame?),
             frame = frames.recv() => {
                 let frame = frame.ok_or(Error::Redundant)?;
-                let sent = time::timeout(IO_TIMEOUT, send_frame(socket, &frame)).await;
+                let sent = time::timeout(IO_TIMEOUT, send_frame(metrics, socket, &frame)).await;
                 sent.unwrap_or(Err(Error::TimedOut))?;
             }
             () = time::sleep_until(wake_at.into()) => {
@@ -398,7 +402,7 @@
                 }
                 let interval = relay.heartbeat_interval();
                 let frame = relay.heartbeat(interval);
-                let sent = time::timeout(IO_TIMEOUT, send_frame(socket, &frame)).await;
+                let sent = time::timeout(IO_TIMEOUT, send_frame(metrics, socket, &frame)).await;
                 sent.unwrap_or(Err(Error::TimedOut))?;
                 next_heartbeat = Instant::now() + interval;
             }
@@ -406,20 +410,30 @@
     }
 }
 
-async fn send_frame(socket: &mut WebSocketStream<TcpStream>, frame: &Frame) -> Result<(), Error> {
+async fn send_frame(
+    metrics: &Metrics,
+    socket: &mut WebSocketStream<TcpStream>,
+    frame: &Frame,
+) -> Result<(), Error> {
     let mut bytes = Vec::new();
     ciborium::into_writer(frame, &mut bytes).map_err(|_cause| Error::MalformedFrame)?;
+    metrics.record_frame(frame, Direction::Sent, bytes.len());
     let sent = socket.send(Message::binary(bytes)).await;
     sent.map_err(|cause| Error::Socket(Box::new(cause)))
 }
 
-async fn receive_frame(socket: &mut WebSocketStream<TcpStream>) -> Result<Frame, Error> {
+async fn receive_frame(
+    metrics: &Metrics,
+    socket: &mut WebSocketStream<TcpStream>,
+) -> Result<Frame, Error> {
     loop {
         let message = socket.next().await.ok_or(Error::Closed)?;
         match message.map_err(|cause| Error::Socket(Box::new(cause)))? {
             Message::Binary(bytes) => {
-                return ciborium::from_reader(bytes.as_ref())
-                    .map_err(|_cause| Error::MalformedFrame);
+                let frame: Frame = ciborium::from_reader(bytes.as_ref())
+                    .map_err(|_cause| Error::MalformedFrame)?;
+                metrics.record_frame(&frame, Direction::Received, bytes.len());
+                return Ok(frame);
             }
             Message::Close(_) => return Err(Error::Closed),
             Message::Ping(_) | Message::Pong(_) => {}
@@ -565,11 +579,14 @@
                 let current = self.plan_edition();
                 let is_newer = current.is_none_or(|current| offered.supersedes(&current));
                 if plan_version > 0 && is_newer {
+                    tracing::info!(%host, revision = plan_revision, "configuration requested");
                     self.links.send_to_host(host, Frame::RequestPlan);
                 }
             }
             Frame::RequestPlan => {
                 if let Some(row) = self.plan_row() {
+                    let bytes = row.value.as_ref().map_or(0, Bytes::len);
+                    tracing::info!(%host, bytes, "configuration sent");
                     self.links.send_to_host(host, Frame::Plan(row.into()));
                 }
             }
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -1,9 +1,11 @@
 //! Prometheus metrics of the relay.
 
+use super::frame::Frame;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
+use strum::IntoStaticStr;
 
 /// Upper bounds of the histogram buckets in seconds, spread around the objectives of the sites'
 /// requests.
@@ -11,6 +13,16 @@
     0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.8, 1.1, 1.8, 2.5, 4.0, 6.0, 20.0,
 ];
 
+/// Direction of a frame on a link.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum Direction {
+    /// From the peer to this daemon.
+    Received,
+    /// From this daemon to the peer.
+    Sent,
+}
+
 /// Registry of the metrics.
 #[derive(Clone, Debug)]
 pub(super) struct Metrics {
@@ -29,6 +41,10 @@
     pub pieces: IntCounter,
     /// Reads of the store by table and result.
     pub store_calls: IntCounterVec,
+    /// Frames on links by kind and direction.
+    link_frames: IntCounterVec,
+    /// Encoded size of frames on links by kind and direction.
+    link_bytes: IntCounterVec,
     links: IntGauge,
     revision: IntGauge,
     /// Requests that are not finished.
@@ -83,6 +99,16 @@
                 "Calls of the store",
                 &["table", "result"],
             ),
+            link_frames: counter(
+                "link_frames_total",
+                "Frames on links between daemons",
+                &["frame", "direction"],
+            ),
+            link_bytes: counter(
+                "link_bytes_total",
+                "Bytes of frames on links between daemons",
+                &["frame", "direction"],
+            ),
             links: gauge("links", "Daemons that are linked"),
             revision: gauge("revision", "Revision of the configuration"),
             in_flight: gauge("in_flight", "Requests without an answer"),
@@ -95,6 +121,15 @@
         self.links.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a frame that was received or will be sent, and its encoded size.
+    pub fn record_frame(&self, frame: &Frame, direction: Direction, bytes: usize) {
+        let labels: [&str; 2] = [frame.into(), direction.into()];
+        self.link_frames.with_label_values(&labels).inc();
+        self.link_bytes
+            .with_label_values(&labels)
+            .inc_by(bytes as u64);
+    }
+
     /// Sets the revision of the current configuration.
     pub fn set_revision(&self, revision: u64) {
         self.revision
