--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -29,6 +29,11 @@
     None,
     /// Forwards each chunk, and the end of the stream, after this delay.
     Delay(Duration),
+    /// Forwards bytes no faster than this in each direction of a connection.
+    Throttle {
+        /// Rate in bytes per second.
+        bytes_per_second: u32,
+    },
     /// Drops bytes that the client sends; the connection stays open.
     DropToServer,
     /// Drops bytes that the server sends; the connection stays open.
@@ -113,7 +118,7 @@
 impl Fault {
     fn drops(self, direction: Direction) -> bool {
         match self {
-            Self::None | Self::Delay(_) => false,
+            Self::None | Self::Delay(_) | Self::Throttle { .. } => false,
             Self::DropToServer => direction == Direction::ToServer,
             Self::DropToClient => direction == Direction::ToClient,
             Self::DropAll => true,
@@ -166,8 +171,13 @@
     let mut buffer = vec![0; BUFFER_SIZE];
     while let Ok(size) = from.read(&mut buffer).await {
         let fault = *state.lock();
-        if let Fault::Delay(delay) = fault {
-            time::sleep(delay).await;
+        match fault {
+            Fault::Delay(delay) => time::sleep(delay).await,
+            Fault::Throttle { bytes_per_second } => {
+                let seconds = size as f64 / f64::from(bytes_per_second);
+                time::sleep(Duration::from_secs_f64(seconds)).await;
+            }
+            Fault::None | Fault::DropToServer | Fault::DropToClient | Fault::DropAll => {}
         }
         if size == 0 {
             break;
