Let responses of the store take as long as they keep arriving

Callers saw requests on added routes handled by an older configuration, on machines with 10 Mbit/s. A daemon whose peers do not send it the configuration reads the row itself, and every call had to end within 0.9 s. A row of 1.1 MB needs that long on such a link alone, so each read was broken off and begun anew (77 times 'store lost: exchange timed out' in the 11 s of the record), which filled the link without bringing the row closer. The timeout now applies until the response begins and to each further part, and a second one of 5 s bounds the transfer of a response of the largest size. A silent connection is noticed as fast as before. store_sends_it_over_a_slow_link failed before and passes.

--- a/godwithinge/src/http/error.rs
+++ b/godwithinge/src/http/error.rs
@@ -9,8 +9,8 @@
     Connect(io::Error),
     /// The connection failed after part of the request may have been sent.
     Broken(hyper::Error),
-    /// The exchange exceeded its time limit. Set by callers; the pool itself only times out while
-    /// connecting, which is [`Error::Connect`].
+    /// The exchange, or the idle timeout of a response, exceeded its time limit. A timeout while
+    /// connecting is [`Error::Connect`].
     Timeout,
     /// The response body is longer than the caller's limit.
     TooLong,
--- a/godwithinge/src/http/response.rs
+++ b/godwithinge/src/http/response.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::time::Duration;
+use tokio::time;
 
 /// Length in bytes of the status line `HTTP/1.1 200 OK` and of the empty line that ends the head.
 /// Other reason phrases differ in length, so the length of a head is approximate.
@@ -27,6 +28,7 @@
     address: CompactString,
     reused: bool,
     reuse_disabled: bool,
+    idle_timeout: Option<Duration>,
 }
 
 impl Response {
@@ -49,6 +51,7 @@
             pool,
             address: address.into(),
             reuse_disabled: false,
+            idle_timeout: None,
         }
     }
 
@@ -87,14 +90,29 @@
         Some(Duration::from_secs(seconds))
     }
 
+    /// Limits the time until the next part of the body arrives, without limiting the total time.
+    #[must_use]
+    pub fn with_idle_timeout(mut self, timeout: Duration) -> Self {
+        self.idle_timeout = Some(timeout);
+        self
+    }
+
     /// Reads the next chunk of the body; `None` at its end. Trailers are skipped.
     ///
     /// # Errors
     ///
-    /// Fails with [`Error::Broken`] if the connection fails before the end of the body.
+    /// Fails with [`Error::Broken`] if the connection fails before the end of the body, and with
+    /// [`Error::Timeout`] if nothing arrives within the idle timeout.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
-            match self.body.frame().await {
+            let frame = self.body.frame();
+            let frame = match self.idle_timeout {
+                Some(timeout) => time::timeout(timeout, frame)
+                    .await
+                    .map_err(|_elapsed| Error::Timeout)?,
+                None => frame.await,
+            };
+            match frame {
                 None => {
                     self.finish();
                     return Ok(None);
@@ -113,8 +131,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Error::Broken`] if the connection fails before the end of the body and with
-    /// [`Error::TooLong`] if the body is longer than `limit` bytes.
+    /// Fails like [`chunk`](Self::chunk), and with [`Error::TooLong`] if the body is longer than
+    /// `limit` bytes.
     pub async fn bytes(mut self, limit: usize) -> Result<Bytes, Error> {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.chunk().await? {
--- a/godwithinge/src/relay/store.rs
+++ b/godwithinge/src/relay/store.rs
@@ -14,9 +14,11 @@
 
 /// Connect timeout for the store; below the second that a call may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Timeout of a call, in addition to the time for which it waits for changes. A healthy store
-/// answers within 10 ms.
+/// Timeout of a call until its response begins, in addition to the time for which it waits for
+/// changes, and then for each further part of the response. A healthy store answers within 10 ms.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Timeout for receiving a response, whose size is limited by [`MAX_RESPONSE_BYTES`].
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5); // 4 MB at 10 Mbit/s take 3.4 s
 /// Maximum size of a response. The store limits pages to 1 MB, to which base64 and field names add.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -81,7 +83,7 @@
         true
     }
 
-    /// Makes a call to the store, with a timeout for the whole exchange. Returns the body of the
+    /// Makes a call to the store, with a timeout until the response begins. Returns the body of the
     /// response and the era in which it was sent.
     async fn call(
         &self,
@@ -96,16 +98,14 @@
             .parse()
             .map_err(|_malformed| Error::Body(dialect::Error::Field("path")))?;
         let address = relay.settings().store_address.clone();
-        let response = async {
-            let response = self.pool.send(&address, request, Reuse::Newest).await?;
-            let status = response.status();
-            let era = relay.dialect.parse_store_era(response.headers());
-            Ok((status, era, response.bytes(MAX_RESPONSE_BYTES).await?))
-        };
-        let response = time::timeout(timeout, response).await;
-        let (status, era, body) = response
-            .unwrap_or(Err(client::Error::Timeout))
-            .map_err(Error::Transport)?;
+        let response = self.pool.send(&address, request, Reuse::Newest);
+        let response = within(timeout, response).await?;
+        let status = response.status();
+        let era = relay.dialect.parse_store_era(response.headers());
+        let body = response
+            .with_idle_timeout(CALL_TIMEOUT)
+            .bytes(MAX_RESPONSE_BYTES);
+        let body = within(TRANSFER_TIMEOUT, body).await?;
         let era = era.unwrap_or_else(|| self.era());
         if !self.record_era(era) {
             return Err(Error::Outdated);
@@ -185,6 +185,17 @@
     }
 }
 
+/// Limits the duration of a part of an exchange.
+async fn within<T>(
+    timeout: Duration,
+    exchange: impl Future<Output = Result<T, client::Error>>,
+) -> Result<T, Error> {
+    let result = time::timeout(timeout, exchange).await;
+    result
+        .unwrap_or(Err(client::Error::Timeout))
+        .map_err(Error::Transport)
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
