Apply the timeouts of links to progress, and let both directions proceed

A frame had to be sent within a second as a whole, and the receiver closed a link on which no whole frame had arrived for three heartbeats. A frame of 0.85 MB needs 0.7 s of a 10 Mbit/s link that it has to itself, and longer beside requests or other copies. Each timeout discarded what had arrived and the next link began with the same frame, so that the load never fell: a congestion collapse that feeds itself.

Any byte that moves now counts as a sign of life, at both ends. A link also read nothing while it sent a frame, so that two ends with large frames waited for each other; the directions are separate tasks of one select now. peer_sends_it_over_a_slow_link failed before and passes.

--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -8,12 +8,11 @@
     accept,
     dialect::Row,
     frame::{Frame, LinkId, Profile, WireRow},
-    metrics::{Direction, Metrics},
     settings::Settings,
     state::Relay,
+    transport::{self, FrameReceiver, FrameSender, Progress},
 };
 use bytes::Bytes;
-use futures::{SinkExt, StreamExt};
 use policy::{
     id::HostId,
     relay::{
@@ -34,10 +33,7 @@
     sync::mpsc,
     time,
 };
-use tokio_tungstenite::{
-    WebSocketStream, accept_async_with_config, client_async_with_config,
-    tungstenite::{self, Message, protocol::WebSocketConfig},
-};
+use tokio_tungstenite::tungstenite;
 
 /// Minimum interval between two heartbeats on a link. A frozen leader is detected within about a
 /// second.
@@ -52,8 +48,8 @@
 const MAX_MISSED_HEARTBEATS: u32 = 3;
 /// Allowance in addition to [`MAX_MISSED_HEARTBEATS`] for daemons that get no CPU time for a while.
 const SCHEDULING_SLACK: Duration = Duration::from_millis(350);
-/// Timeout for each step of opening a link and for sending a frame.
-const IO_TIMEOUT: Duration = Duration::from_secs(1); // round trips take milliseconds
+/// Timeout for the first frame of a peer.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(1); // round trips take milliseconds
 /// Initial delay before an address is dialled again; doubles with each failure.
 const INITIAL_REDIAL_DELAY: Duration = Duration::from_millis(200);
 /// Maximum delay before an address is dialled again.
@@ -61,10 +57,6 @@
 /// Time for which the daemon with the higher address waits for the other one to dial, so that the
 /// two do not dial each other at the same time.
 const YIELD_DELAY: Duration = Duration::from_secs(1);
-/// Maximum size of a frame. A configuration with a few hundred routes takes 200 kB.
-const MAX_FRAME_BYTES: usize = 8 << 20;
-/// Size of a link's read buffer.
-const READ_BUFFER_BYTES: usize = 4 << 10;
 /// Capacity of a link's send queue. Frames beyond it are dropped, since a peer that does not read
 /// its frames has failed.
 const MAX_QUEUED_FRAMES: usize = 4_096;
@@ -95,7 +87,7 @@
     /// When the link was established.
     pub linked_at: Instant,
     sender: mpsc::Sender<Frame>,
-    last_frame_at: Instant,
+    progress: Rc<Progress>,
     /// Interval until its next heartbeat, as announced in the last one.
     heartbeat_interval: Duration,
     /// Age of its tables and when that age was reported; absent if it is not a reader.
@@ -113,6 +105,11 @@
         Some(age + at.elapsed())
     }
 
+    /// Returns how long it may send nothing before its link is closed.
+    fn max_silence(&self) -> Duration {
+        self.heartbeat_interval * MAX_MISSED_HEARTBEATS + SCHEDULING_SLACK
+    }
+
     /// Returns the peer as a candidate in the election of the leader.
     pub fn candidate(&self) -> Candidate {
         Candidate {
@@ -227,6 +224,13 @@
         });
     }
 
+    /// Returns how long a daemon may send nothing before its link is closed; zero if it is not
+    /// linked.
+    fn max_silence(&self, host: &HostId) -> Duration {
+        let peers = self.peers.borrow();
+        peers.get(host).map_or(Duration::ZERO, Peer::max_silence)
+    }
+
     fn next_link_id(&self) -> LinkId {
         self.last_link_id.set(self.last_link_id.get() + 1);
         self.last_link_id.get()
@@ -307,36 +311,23 @@
 }
 
 async fn accept_link(relay: Rc<Relay>, stream: TcpStream) {
-    let accept = accept_async_with_config(stream, Some(websocket_config()));
-    if let Ok(Ok(socket)) = time::timeout(IO_TIMEOUT, accept).await {
+    if let Ok((sender, receiver)) = transport::accept(stream).await {
         // The end of a link is logged when its peer is removed.
-        drop(run_link(&relay, socket).await);
+        drop(run_link(&relay, sender, receiver).await);
     }
 }
 
 async fn open_link(relay: &Rc<Relay>, address: SocketAddr) -> Result<(), Error> {
-    let connect = async {
-        let stream = TcpStream::connect(address).await.map_err(Error::Connect)?;
-        stream.set_nodelay(true).map_err(Error::Connect)?;
-        let url = format!("ws://{address}/");
-        let opened = client_async_with_config(url, stream, Some(websocket_config())).await;
-        let (socket, _) = opened.map_err(|cause| Error::Socket(Box::new(cause)))?;
-        Ok(socket)
-    };
-    let socket = time::timeout(IO_TIMEOUT, connect).await;
-    let socket = socket.unwrap_or(Err(Error::Connect(io::ErrorKind::TimedOut.into())))?;
-    run_link(relay, socket).await
-}
-
-fn websocket_config() -> WebSocketConfig {
-    WebSocketConfig::default()
-        .read_buffer_size(READ_BUFFER_BYTES)
-        .max_message_size(Some(MAX_FRAME_BYTES))
-        .max_frame_size(Some(MAX_FRAME_BYTES))
+    let (sender, receiver) = transport::connect(address).await?;
+    run_link(relay, sender, receiver).await
 }
 
 /// Exchanges hellos, then runs the link until it ends.
-async fn run_link(relay: &Rc<Relay>, mut socket: WebSocketStream<TcpStream>) -> Result<(), Error> {
+async fn run_link(
+    relay: &Rc<Relay>,
+    mut sender: FrameSender,
+    mut receiver: FrameReceiver,
+) -> Result<(), Error> {
     let mut known: Vec<SocketAddr> = relay
         .links
         .known_addresses
@@ -349,17 +340,19 @@
         profile: relay.profile(),
         known,
     };
-    let metrics = &relay.metrics;
-    send_frame(metrics, &mut socket, &hello).await?;
-    let first = time::timeout(IO_TIMEOUT, receive_frame(metrics, &mut socket)).await;
-    let Frame::Hello { profile, known } = first.unwrap_or(Err(Error::TimedOut))? else {
+    sender.send(&relay.metrics, &hello).await?;
+    let first = receiver.receive(&relay.metrics, || HELLO_TIMEOUT).await?;
+    let Frame::Hello { profile, known } = first else {
         return Err(Error::MalformedFrame);
     };
     relay.links.add_addresses(known);
     relay.links.add_addresses([profile.link]);
     let host = profile.host.clone();
-    let (link_id, mut frames) = relay.add_peer(profile)?;
-    let end = exchange_frames(relay, &mut socket, &host, link_id, &mut frames).await;
+    let (link_id, queue) = relay.add_peer(profile, receiver.progress())?;
+    let end = tokio::select! {
+        end = receive_frames(relay, &host, link_id, receiver) => end,
+        end = send_frames(relay, sender, queue) => end,
+    };
     let fault = end.as_ref().err().map(ToString::to_string);
     relay.remove_peer(&host, link_id, fault.as_deref().unwrap_or_default());
     end
@@ -368,80 +361,42 @@
 /// Maximum number of known addresses in a hello.
 const MAX_HELLO_ADDRESSES: usize = 512; // more than the 330 daemons of the largest configuration
 
-/// Sends queued frames and heartbeats, and handles received frames, until the link fails.
-async fn exchange_frames(
+/// Handles received frames until the link fails.
+async fn receive_frames(
     relay: &Rc<Relay>,
-    socket: &mut WebSocketStream<TcpStream>,
     host: &HostId,
     link_id: LinkId,
-    frames: &mut mpsc::Receiver<Frame>,
+    mut receiver: FrameReceiver,
+) -> Result<(), Error> {
+    loop {
+        let max_silence = || relay.links.max_silence(host);
+        let frame = receiver.receive(&relay.metrics, max_silence).await?;
+        relay.handle_frame(host, link_id, frame);
+    }
+}
+
+/// Sends queued frames and heartbeats until the link fails or is replaced.
+async fn send_frames(
+    relay: &Rc<Relay>,
+    mut sender: FrameSender,
+    mut queue: mpsc::Receiver<Frame>,
 ) -> Result<(), Error> {
-    let metrics = &relay.metrics;
     let mut next_heartbeat = Instant::now();
     loop {
-        let dead_at = {
-            let peers = relay.links.peers.borrow();
-            let peer = peers.get(host).ok_or(Error::Redundant)?;
-            peer.last_frame_at + peer.heartbeat_interval * MAX_MISSED_HEARTBEATS + SCHEDULING_SLACK
-        };
-        let wake_at = dead_at.min(next_heartbeat).max(Instant::now());
         tokio::select! {
-            frame = receive_frame(metrics, socket) => relay.handle_frame(host, link_id, frame?),
-            frame = frames.recv() => {
+            frame = queue.recv() => {
                 let frame = frame.ok_or(Error::Redundant)?;
-                let sent = time::timeout(IO_TIMEOUT, send_frame(metrics, socket, &frame)).await;
-                sent.unwrap_or(Err(Error::TimedOut))?;
+                sender.send(&relay.metrics, &frame).await?;
             }
-            () = time::sleep_until(wake_at.into()) => {
-                let now = Instant::now();
-                if dead_at <= now {
-                    return Err(Error::TimedOut);
-                }
-                if now < next_heartbeat {
-                    continue;
-                }
+            () = time::sleep_until(next_heartbeat.into()) => {
                 let interval = relay.heartbeat_interval();
-                let frame = relay.heartbeat(interval);
-                let sent = time::timeout(IO_TIMEOUT, send_frame(metrics, socket, &frame)).await;
-                sent.unwrap_or(Err(Error::TimedOut))?;
+                sender.send(&relay.metrics, &relay.heartbeat(interval)).await?;
                 next_heartbeat = Instant::now() + interval;
             }
         }
     }
 }
 
-async fn send_frame(
-    metrics: &Metrics,
-    socket: &mut WebSocketStream<TcpStream>,
-    frame: &Frame,
-) -> Result<(), Error> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(frame, &mut bytes).map_err(|_cause| Error::MalformedFrame)?;
-    metrics.record_frame(frame, Direction::Sent, bytes.len());
-    let sent = socket.send(Message::binary(bytes)).await;
-    sent.map_err(|cause| Error::Socket(Box::new(cause)))
-}
-
-async fn receive_frame(
-    metrics: &Metrics,
-    socket: &mut WebSocketStream<TcpStream>,
-) -> Result<Frame, Error> {
-    loop {
-        let message = socket.next().await.ok_or(Error::Closed)?;
-        match message.map_err(|cause| Error::Socket(Box::new(cause)))? {
-            Message::Binary(bytes) => {
-                let frame: Frame = ciborium::from_reader(bytes.as_ref())
-                    .map_err(|_cause| Error::MalformedFrame)?;
-                metrics.record_frame(&frame, Direction::Received, bytes.len());
-                return Ok(frame);
-            }
-            Message::Close(_) => return Err(Error::Closed),
-            Message::Ping(_) | Message::Pong(_) => {}
-            Message::Text(_) | Message::Frame(_) => return Err(Error::MalformedFrame),
-        }
-    }
-}
-
 impl Relay {
     fn heartbeat(&self, interval: Duration) -> Frame {
         let plan = self.plan_edition();
@@ -479,12 +434,16 @@
     /// # Errors
     ///
     /// Fails with [`Error::Redundant`] if the peer is this daemon or is linked already.
-    fn add_peer(&self, profile: Profile) -> Result<(LinkId, mpsc::Receiver<Frame>), Error> {
+    fn add_peer(
+        &self,
+        profile: Profile,
+        progress: &Rc<Progress>,
+    ) -> Result<(LinkId, mpsc::Receiver<Frame>), Error> {
         let mut peers = self.links.peers.borrow_mut();
         let known = peers.get(&profile.host);
         let is_same = known.is_some_and(|peer| {
             let is_alive =
-                peer.last_frame_at.elapsed() < peer.heartbeat_interval * MAX_MISSED_HEARTBEATS;
+                peer.progress.silence() < peer.heartbeat_interval * MAX_MISSED_HEARTBEATS;
             peer.profile.incarnation == profile.incarnation && is_alive
         });
         if is_same || profile.incarnation == self.incarnation {
@@ -498,7 +457,7 @@
             is_leaving: false,
             linked_at: Instant::now(),
             sender,
-            last_frame_at: Instant::now(),
+            progress: Rc::clone(progress),
             heartbeat_interval: interval_for(peers.len() + 1, HEARTBEAT_INTERVAL_PER_LINK),
             table_age: None,
             has_requested_targets: false,
@@ -534,9 +493,8 @@
     }
 
     fn handle_frame(self: &Rc<Self>, host: &HostId, link_id: LinkId, frame: Frame) {
-        if let Some(peer) = self.links.peers.borrow_mut().get_mut(host) {
-            peer.last_frame_at = Instant::now();
-            if let Frame::Heartbeat {
+        if let Some(peer) = self.links.peers.borrow_mut().get_mut(host)
+            && let Frame::Heartbeat {
                 plan_version,
                 is_leaving,
                 interval,
@@ -544,19 +502,17 @@
                 leads_since,
                 ..
             } = &frame
-            {
-                peer.is_leaving = *is_leaving;
-                peer.heartbeat_interval = *interval;
-                peer.table_age = table_age.map(|age| (age, Instant::now()));
-                peer.leads_since = *leads_since;
-                // Before the first read of its tables, a daemon requests the targets from every
-                // peer that has a configuration, not only from readers.
-                let has_targets =
-                    peer.table_age.is_some() || *plan_version > 0 && self.tables.age().is_none();
-                if has_targets && !peer.has_requested_targets {
-                    peer.has_requested_targets =
-                        peer.sender.try_send(Frame::RequestTargets).is_ok();
-                }
+        {
+            peer.is_leaving = *is_leaving;
+            peer.heartbeat_interval = *interval;
+            peer.table_age = table_age.map(|age| (age, Instant::now()));
+            peer.leads_since = *leads_since;
+            // Before the first read of its tables, a daemon requests the targets from every peer
+            // that has a configuration, not only from readers.
+            let has_targets =
+                peer.table_age.is_some() || *plan_version > 0 && self.tables.age().is_none();
+            if has_targets && !peer.has_requested_targets {
+                peer.has_requested_targets = peer.sender.try_send(Frame::RequestTargets).is_ok();
             }
         }
         match frame {
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod state;
 mod store;
 mod stream;
+mod transport;
 mod watch;
 
 pub use self::{dialect::Dialect, drain::run, settings::Settings, state::Relay};
