Bring the configuration to each daemon once, compressed, from sources that have room

Cause: each daemon requested the configuration from every peer that announced it, on every heartbeat, and each source answered all at once.

A daemon now asks one source at a time, its own domain first; a source serves as many as its network link can carry and declines the rest, who ask those that were served before. The copies are compressed and shared, so that a source holds one instead of one for each peer. Builds that don't know the new frames get and send what they did before.

--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -38,6 +38,10 @@
     /// When it became the leader; absent if it is not.
     #[serde(rename = "conducts_since")]
     pub leads_since: Option<UnixMillis>,
+    /// Whether it can decode [`Frame::PackedPlan`] and [`Frame::DeclinePlan`]; false in frames of
+    /// daemons that don't know them.
+    #[serde(default)]
+    pub accepts_packed_plan: bool,
 }
 
 /// Row of a table as encoded in frames.
@@ -101,6 +105,11 @@
     RequestPlan,
     /// A configuration.
     Plan(WireRow),
+    /// A configuration whose value is compressed with zlib.
+    PackedPlan(WireRow),
+    /// The sender serves other peers, so that the receiver has to request its configuration
+    /// elsewhere or later.
+    DeclinePlan,
     /// Submits a job to the receiver's scheduler.
     Submit {
         number: u64,
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -8,13 +8,13 @@
     accept,
     dialect::Row,
     frame::{Frame, LinkId, Profile, WireRow},
+    replication::UploadGuard,
     settings::Settings,
     state::Relay,
     transport::{self, FrameReceiver, FrameSender, Progress},
 };
-use bytes::Bytes;
 use policy::{
-    id::HostId,
+    id::{DomainId, HostId},
     relay::{
         history::{Edition, Version},
         leader::{Candidate, UnixMillis},
@@ -86,7 +86,7 @@
     pub is_leaving: bool,
     /// When the link was established.
     pub linked_at: Instant,
-    sender: mpsc::Sender<Frame>,
+    queue: mpsc::Sender<Outgoing>,
     progress: Rc<Progress>,
     /// Interval until its next heartbeat, as announced in the last one.
     heartbeat_interval: Duration,
@@ -105,6 +105,19 @@
         Some(age + at.elapsed())
     }
 
+    /// Queues a frame. Returns `false` if the queue is full.
+    fn send(&self, frame: Frame) -> bool {
+        self.enqueue(Outgoing::Frame(frame))
+    }
+
+    fn enqueue(&self, outgoing: Outgoing) -> bool {
+        let queued = self.queue.try_send(outgoing);
+        if let Err(fault) = &queued {
+            tracing::warn!(host = %self.profile.host, %fault, "frame to peer dropped");
+        }
+        queued.is_ok()
+    }
+
     /// Returns how long it may send nothing before its link is closed.
     fn max_silence(&self) -> Duration {
         self.heartbeat_interval * MAX_MISSED_HEARTBEATS + SCHEDULING_SLACK
@@ -123,10 +136,22 @@
     }
 }
 
+/// Entry of a link's send queue.
+#[derive(Debug)]
+enum Outgoing {
+    Frame(Frame),
+    /// The configuration that is in force when the entry is sent.
+    Plan {
+        is_packed: bool,
+        _upload: UploadGuard,
+    },
+}
+
 /// Links to all known daemons.
 #[derive(Debug)]
 pub(super) struct Links {
     own_address: SocketAddr,
+    own_domain: DomainId,
     peers: RefCell<HashMap<HostId, Peer>>,
     /// Known addresses of other daemons, also of those that are not linked.
     known_addresses: RefCell<HashMap<SocketAddr, DialState>>,
@@ -148,6 +173,7 @@
     pub fn new(settings: &Settings) -> Self {
         let links = Self {
             own_address: settings.link_address,
+            own_domain: settings.domain.clone(),
             peers: RefCell::default(),
             known_addresses: RefCell::default(),
             last_link_id: Cell::new(0),
@@ -186,6 +212,13 @@
         self.known_addresses.borrow().len()
     }
 
+    /// Returns whether a linked daemon is in the own domain.
+    fn is_local(&self, host: &HostId) -> bool {
+        let peers = self.peers.borrow();
+        let peer = peers.get(host);
+        peer.is_some_and(|peer| peer.profile.domain == self.own_domain)
+    }
+
     /// Returns the identifier of the link to a daemon; absent if it is not linked.
     pub fn link_id(&self, host: &str) -> Option<LinkId> {
         let peers = self.peers.borrow();
@@ -201,26 +234,45 @@
     pub fn send_to_host(&self, host: &str, frame: Frame) -> bool {
         let peers = self.peers.borrow();
         let peer = peers.get(host);
-        peer.is_some_and(|peer| peer.sender.try_send(frame).is_ok())
+        peer.is_some_and(|peer| peer.send(frame))
     }
 
     /// Queues a frame on a link; it is dropped if the link has ended.
     pub fn send_on_link(&self, link_id: LinkId, frame: Frame) {
         let peers = self.peers.borrow();
         let peer = peers.values().find(|peer| peer.link_id == link_id);
-        if let Some(peer) = peer
-            && let Err(fault) = peer.sender.try_send(frame)
-        {
-            tracing::warn!(host = %peer.profile.host, %fault, "frame to peer dropped");
+        if let Some(peer) = peer {
+            peer.send(frame);
+        }
+    }
+
+    /// Queues the configuration for a daemon, or a frame that declines its request if `upload` is
+    /// `None`.
+    pub fn send_plan(&self, host: &HostId, upload: Option<UploadGuard>) {
+        let peers = self.peers.borrow();
+        let Some(peer) = peers.get(host) else {
+            return;
+        };
+        let is_packed = peer.profile.accepts_packed_plan;
+        match upload {
+            Some(upload) => {
+                peer.enqueue(Outgoing::Plan {
+                    is_packed,
+                    _upload: upload,
+                });
+            }
+            // Other daemons repeat their requests with each heartbeat.
+            None if is_packed => {
+                peer.send(Frame::DeclinePlan);
+            }
+            None => {}
         }
     }
 
     /// Queues a frame for all linked daemons.
     pub fn broadcast(&self, frame: &Frame) {
         self.for_each_peer(|peer| {
-            if let Err(fault) = peer.sender.try_send(frame.clone()) {
-                tracing::warn!(host = %peer.profile.host, %fault, "frame to peer dropped");
-            }
+            peer.send(frame.clone());
         });
     }
 
@@ -351,7 +403,7 @@
     let (link_id, queue) = relay.add_peer(profile, receiver.progress())?;
     let end = tokio::select! {
         end = receive_frames(relay, &host, link_id, receiver) => end,
-        end = send_frames(relay, sender, queue) => end,
+        end = send_frames(relay, &host, sender, queue) => end,
     };
     let fault = end.as_ref().err().map(ToString::to_string);
     relay.remove_peer(&host, link_id, fault.as_deref().unwrap_or_default());
@@ -378,15 +430,26 @@
 /// Sends queued frames and heartbeats until the link fails or is replaced.
 async fn send_frames(
     relay: &Rc<Relay>,
+    host: &HostId,
     mut sender: FrameSender,
-    mut queue: mpsc::Receiver<Frame>,
+    mut queue: mpsc::Receiver<Outgoing>,
 ) -> Result<(), Error> {
     let mut next_heartbeat = Instant::now();
     loop {
         tokio::select! {
-            frame = queue.recv() => {
-                let frame = frame.ok_or(Error::Redundant)?;
-                sender.send(&relay.metrics, &frame).await?;
+            outgoing = queue.recv() => {
+                match outgoing.ok_or(Error::Redundant)? {
+                    Outgoing::Frame(frame) => sender.send(&relay.metrics, &frame).await?,
+                    Outgoing::Plan { is_packed, _upload } => {
+                        if let Some(frame) = relay.plan_frame(is_packed) {
+                            let started_at = Instant::now();
+                            sender.send(&relay.metrics, &frame).await?;
+                            let elapsed = started_at.elapsed();
+                            let taken_ms = elapsed.as_millis() as u64;
+                            tracing::info!(%host, taken_ms, "configuration sent");
+                        }
+                    }
+                }
             }
             () = time::sleep_until(next_heartbeat.into()) => {
                 let interval = relay.heartbeat_interval();
@@ -438,7 +501,7 @@
         &self,
         profile: Profile,
         progress: &Rc<Progress>,
-    ) -> Result<(LinkId, mpsc::Receiver<Frame>), Error> {
+    ) -> Result<(LinkId, mpsc::Receiver<Outgoing>), Error> {
         let mut peers = self.links.peers.borrow_mut();
         let known = peers.get(&profile.host);
         let is_same = known.is_some_and(|peer| {
@@ -449,14 +512,14 @@
         if is_same || profile.incarnation == self.incarnation {
             return Err(Error::Redundant);
         }
-        let (sender, frames) = mpsc::channel(MAX_QUEUED_FRAMES);
+        let (queue, outgoing) = mpsc::channel(MAX_QUEUED_FRAMES);
         let link_id = self.links.next_link_id();
         tracing::info!(host = %profile.host, front = %profile.front, "peer linked");
         let peer = Peer {
             link_id,
             is_leaving: false,
             linked_at: Instant::now(),
-            sender,
+            queue,
             progress: Rc::clone(progress),
             heartbeat_interval: interval_for(peers.len() + 1, HEARTBEAT_INTERVAL_PER_LINK),
             table_age: None,
@@ -466,7 +529,7 @@
         };
         peers.insert(peer.profile.host.clone(), peer);
         self.metrics.set_links(peers.len());
-        Ok((link_id, frames))
+        Ok((link_id, outgoing))
     }
 
     /// Returns the current interval between two heartbeats of this daemon on a link.
@@ -489,6 +552,10 @@
         }
         drop(peers);
         tracing::info!(%host, fault, "peer lost");
+        if is_current {
+            self.replication.fetcher.borrow_mut().remove(host);
+            self.request_plan();
+        }
         self.handle_link_lost(link_id);
     }
 
@@ -512,7 +579,7 @@
             let has_targets =
                 peer.table_age.is_some() || *plan_version > 0 && self.tables.age().is_none();
             if has_targets && !peer.has_requested_targets {
-                peer.has_requested_targets = peer.sender.try_send(Frame::RequestTargets).is_ok();
+                peer.has_requested_targets = peer.send(Frame::RequestTargets);
             }
         }
         match frame {
@@ -532,21 +599,17 @@
                     },
                     revision: plan_revision,
                 };
-                let current = self.plan_edition();
-                let is_newer = current.is_none_or(|current| offered.supersedes(&current));
-                if plan_version > 0 && is_newer {
-                    tracing::info!(%host, revision = plan_revision, "configuration requested");
-                    self.links.send_to_host(host, Frame::RequestPlan);
-                }
-            }
-            Frame::RequestPlan => {
-                if let Some(row) = self.plan_row() {
-                    let bytes = row.value.as_ref().map_or(0, Bytes::len);
-                    tracing::info!(%host, bytes, "configuration sent");
-                    self.links.send_to_host(host, Frame::Plan(row.into()));
+                if plan_version > 0 {
+                    let (now, is_local) = (self.now(), self.links.is_local(host));
+                    let mut fetcher = self.replication.fetcher.borrow_mut();
+                    fetcher.announce(now, host, offered, is_local);
                 }
+                self.request_plan();
             }
-            Frame::Plan(row) => self.apply_plan(row.into()),
+            Frame::RequestPlan => self.serve_plan(host),
+            Frame::Plan(row) => self.receive_plan(host, row),
+            Frame::PackedPlan(row) => self.receive_packed_plan(host, row),
+            Frame::DeclinePlan => self.end_plan_request(host),
             Frame::RequestTargets => {
                 let rows = self.tables.targets().into_iter().map(WireRow::from);
                 let frame = Frame::Targets {
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod link;
 mod metrics;
 mod outcome;
+mod replication;
 mod run;
 mod send;
 mod settings;
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -5,6 +5,7 @@
     dialect::{Dialect, Row},
     link::Links,
     metrics::Metrics,
+    replication::Replication,
     settings::Settings,
     store::Store,
     watch::TableCache,
@@ -55,6 +56,7 @@
     crash_history: RefCell<CrashHistory>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
+    pub(super) replication: Replication,
     pub(super) tables: TableCache,
     pub(super) dispatcher: JobDispatcher,
     pub(super) metrics: Metrics,
@@ -72,6 +74,7 @@
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>) -> Self {
         Self {
             links: Links::new(&settings),
+            replication: Replication::new(settings.host.clone()),
             dialect,
             incarnation: rand::random(),
             started_unix_ms: unix_millis_now(),
@@ -126,6 +129,7 @@
         self.dispatcher.set_plan(self, &plan);
         *self.plan.borrow_mut() = Some(Rc::new(plan));
         *self.plan_row.borrow_mut() = Some(row);
+        self.replication.clear_packed();
     }
 
     pub(super) fn registry(&self) -> Ref<'_, Registry> {
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -330,9 +330,7 @@
                 );
                 self.metrics.set_revision(plan.revision);
                 self.set_plan(plan, row);
-                if self.is_reader() {
-                    self.broadcast_heartbeat();
-                }
+                self.broadcast_heartbeat();
             }
             Ok(None) => {}
             Err(fault) => {
@@ -444,6 +442,7 @@
             incarnation: self.incarnation,
             started: self.started_unix_ms,
             leads_since: self.leads_since(),
+            accepts_packed_plan: true,
         }
     }
 }
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -3,10 +3,11 @@
 //! [`plan`] maps the host and path of a request to a route. One daemon of the fleet, elected by
 //! [`leader`], combines the pieces of the request's stages with those of other requests into calls
 //! ([`scheduler`]). [`selection`] chooses the target of the request itself. [`registry`] holds the
-//! known targets, [`history`] orders their entries when the store loses writes, and [`crash`] holds
-//! the payloads that crash targets.
+//! known targets, [`history`] orders their entries when the store loses writes, [`distribution`]
+//! brings a new configuration to all daemons, and [`crash`] holds the payloads that crash targets.
 
 pub mod crash;
+pub mod distribution;
 pub mod history;
 pub mod leader;
 pub mod plan;
