Request all targets from a few peers only while the store is away

The same cause elsewhere: a daemon that starts while it can't read the store requested all entries of targets from every peer.

--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -574,11 +574,12 @@
             peer.heartbeat_interval = *interval;
             peer.table_age = table_age.map(|age| (age, Instant::now()));
             peer.leads_since = *leads_since;
-            // Before the first read of its tables, a daemon requests the targets from every peer
-            // that has a configuration, not only from readers.
-            let has_targets =
-                peer.table_age.is_some() || *plan_version > 0 && self.tables.age().is_none();
-            if has_targets && !peer.has_requested_targets {
+            // Before the first read of its tables, a daemon requests the targets also from some
+            // peers that have a configuration but are not readers.
+            if !peer.has_requested_targets
+                && (peer.table_age.is_some()
+                    || *plan_version > 0 && self.tables.begin_peer_request())
+            {
                 peer.has_requested_targets = peer.send(Frame::RequestTargets);
             }
         }
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -47,6 +47,12 @@
 /// seconds, in which the store may drop its history.
 const MAX_FAILURES_BEFORE_REREAD: u32 = 3;
 
+/// Number of peers that do not read the store from which a daemon requests all targets, as long as
+/// it has read none itself. Several, since an entry may have passed one of them by.
+const MAX_PEER_REQUESTS: u32 = 3;
+/// Time after which another peer is asked if none of them knew a target.
+const PEER_REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Cached entries of targets, and when this daemon last read its tables.
 #[derive(Debug, Default)]
 pub(super) struct TableCache {
@@ -56,6 +62,9 @@
     plan_read_at: Cell<Option<Instant>>,
     /// Era of the store in which the targets were last read; `None` before the first read.
     targets_era: Cell<Option<Era>>,
+    /// Number of requests for all targets to peers that do not read the store.
+    peer_requests: Cell<u32>,
+    last_peer_request: Cell<Option<Instant>>,
 }
 
 /// Keeps a table up to date; never returns.
@@ -189,6 +198,21 @@
         Some(older.elapsed())
     }
 
+    /// Returns whether to request all targets from one more peer that does not read the store, and
+    /// counts the request.
+    pub fn begin_peer_request(&self) -> bool {
+        let last = self.last_peer_request.get();
+        let is_overdue = last.is_some_and(|last| last.elapsed() >= PEER_REPLY_TIMEOUT);
+        let is_needed = self.peer_requests.get() < MAX_PEER_REQUESTS
+            || is_overdue && self.targets.borrow().is_empty();
+        let is_begun = self.age().is_none() && is_needed;
+        if is_begun {
+            self.peer_requests.set(self.peer_requests.get() + 1);
+            self.last_peer_request.set(Some(Instant::now()));
+        }
+        is_begun
+    }
+
     /// Records the era in which the targets were read. Returns whether the store came back from an
     /// older copy since they were last read.
     fn record_era(&self, era: Era) -> bool {
