Log the build of the target that a request is sent to

The entry's version is decoded as the target's build, which the line 'target chosen' names for each send of a request.

--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -124,6 +124,7 @@
         target: ORDINARY_TARGET,
         request,
         target_id = %selection.target.id,
+        build = %selection.target.build,
         expected_ms = (selection.cost * 1e3) as u64,
         report_age_ms = selection.report_age.map(millis),
         runner_up = selection.runner_up.map(|(target, _)| target.id.as_str()),
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -19,6 +19,9 @@
 /// from is some seconds old.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
 
+/// Version of the software of a target.
+pub type Build = CompactString;
+
 /// Entry of a target in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Registration {
@@ -41,6 +44,8 @@
     pub address: CompactString,
     /// Failure domain.
     pub domain: DomainId,
+    /// Version of the target's software, not of the model that it serves.
+    pub build: Build,
     /// Number of calls that the target processes concurrently.
     pub slots: u32,
     /// Whether the target accepts new work; false while it drains.
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -22,6 +22,7 @@
             domain: "a".into(),
             slots: 1,
             is_ready,
+            build: "v1".into(),
             started_unix_ms: started,
         },
         sequence,
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -210,6 +210,7 @@
                     domain: format!("domain-{}", number % domains).into(),
                     slots: 1,
                     is_ready: true,
+                    build: "v1".into(),
                     started_unix_ms: 1,
                 };
                 let slowdown = simulation.rng.random_range(0.9..1.15);
