--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -69,6 +69,7 @@
 #[derive(Debug)]
 struct State {
     id: String,
+    build: String,
     behavior: Mutex<Behavior>,
     executed_requests: Mutex<Vec<ExecutedRequest>>,
     /// Shared by all engines of a test, so that one can read the results of another.
@@ -83,14 +84,28 @@
 pub type StoredResults = Arc<Mutex<HashSet<String>>>;
 
 impl Server {
-    /// Starts an engine on a free port.
+    /// Starts an engine with the software version `v1` on a free port.
     ///
     /// # Errors
     ///
     /// Fails if no port is free.
     pub async fn start(id: &str, stored_results: &StoredResults) -> io::Result<Self> {
+        Self::start_with_build(id, "v1", stored_results).await
+    }
+
+    /// Starts an engine with the software version `build` on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn start_with_build(
+        id: &str,
+        build: &str,
+        stored_results: &StoredResults,
+    ) -> io::Result<Self> {
         let state = Arc::new(State {
             id: id.into(),
+            build: build.into(),
             behavior: Mutex::default(),
             executed_requests: Mutex::default(),
             stored_results: Arc::clone(stored_results),
@@ -116,8 +131,9 @@
     /// Returns the row that announces the engine in [`ENGINE_TABLE`](super::store::ENGINE_TABLE).
     pub fn store_row(&self, pool: &str, state: &str) -> Value {
         json!({
-            "service": pool, "address": self.address().to_string(), "zone": "z-a", "version": "v1",
-            "slots": 8, "state": state, "cold-remaining-ms": 0, "sequence": 1, "born": 1,
+            "service": pool, "address": self.address().to_string(), "zone": "z-a",
+            "version": self.state.build, "slots": 8, "state": state, "cold-remaining-ms": 0,
+            "sequence": 1, "born": 1,
         })
     }
 
@@ -206,7 +222,7 @@
             reply::bytes(StatusCode::INTERNAL_SERVER_ERROR, "failed")
         } else if is_stream {
             let last = header("last-event-id").parse().unwrap_or(0);
-            event_stream(last, behavior == Behavior::TruncateStream)
+            event_stream(&self.build, last, behavior == Behavior::TruncateStream)
         } else {
             reply::bytes(StatusCode::OK, format!("answer to {id}"))
         };
@@ -247,11 +263,13 @@
     }
 }
 
-/// Returns a stream of the events after id `last`; a truncated one breaks off within event 3.
-fn event_stream(last: u64, is_truncated: bool) -> Reply {
+/// Returns a stream of the events after id `last`, whose data names the build; a truncated one
+/// breaks off within event 3.
+fn event_stream(build: &str, last: u64, is_truncated: bool) -> Reply {
+    let build = build.to_owned();
     reply::event_stream(async_stream::stream! {
         for number in last + 1..=STREAM_EVENTS {
-            let event = format!("id: {number}\ndata: part-{number}\n\n");
+            let event = format!("id: {number}\ndata: {build}-part-{number}\n\n");
             if is_truncated && number == 3 {
                 yield Ok(Bytes::copy_from_slice(&event.as_bytes()[..8]));
                 yield Err(ConnectionClosed);
