State the version of the protocol between daemons

One number in the hello tells which frames a peer can decode, in place of a flag for each new frame; a frame that the peer does not know is not sent. No change of behaviour.

--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -38,12 +38,14 @@
     /// When it became the leader; absent if it is not.
     #[serde(rename = "conducts_since")]
     pub leads_since: Option<UnixMillis>,
-    /// Whether it can decode [`Frame::PackedPlan`] and [`Frame::DeclinePlan`]; false in frames of
-    /// daemons that don't know them.
+    /// Version of the protocol that it speaks; 0 in frames of daemons that don't state it.
     #[serde(default)]
-    pub accepts_packed_plan: bool,
+    pub protocol: u32,
 }
 
+/// Version of the protocol between daemons that this build speaks.
+pub(super) const PROTOCOL: u32 = 1;
+
 /// Row of a table as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireRow {
@@ -135,6 +137,26 @@
     TargetCrash(PayloadHash),
 }
 
+impl Frame {
+    /// Returns the version of the protocol from which daemons can decode this frame.
+    pub fn protocol(&self) -> u32 {
+        match self {
+            Self::PackedPlan(_) | Self::DeclinePlan => 1,
+            Self::Hello { .. }
+            | Self::Heartbeat { .. }
+            | Self::RequestTargets
+            | Self::Targets { .. }
+            | Self::RequestPlan
+            | Self::Plan(_)
+            | Self::Submit { .. }
+            | Self::Release { .. }
+            | Self::Ready { .. }
+            | Self::Refused { .. }
+            | Self::TargetCrash(_) => 0,
+        }
+    }
+}
+
 /// Bytes that are encoded as a CBOR byte string rather than an array.
 #[derive(Clone, Debug)]
 struct ByteString(Vec<u8>);
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -105,9 +105,9 @@
         Some(age + at.elapsed())
     }
 
-    /// Queues a frame. Returns `false` if the queue is full.
+    /// Queues a frame. Returns `false` if the peer can't decode it or the queue is full.
     fn send(&self, frame: Frame) -> bool {
-        self.enqueue(Outgoing::Frame(frame))
+        frame.protocol() <= self.profile.protocol && self.enqueue(Outgoing::Frame(frame))
     }
 
     fn enqueue(&self, outgoing: Outgoing) -> bool {
@@ -142,7 +142,8 @@
     Frame(Frame),
     /// The configuration that is in force when the entry is sent.
     Plan {
-        is_packed: bool,
+        /// Version of the protocol that the peer speaks.
+        protocol: u32,
         _upload: UploadGuard,
     },
 }
@@ -253,20 +254,14 @@
         let Some(peer) = peers.get(host) else {
             return;
         };
-        let is_packed = peer.profile.accepts_packed_plan;
         match upload {
-            Some(upload) => {
-                peer.enqueue(Outgoing::Plan {
-                    is_packed,
-                    _upload: upload,
-                });
-            }
-            // Other daemons repeat their requests with each heartbeat.
-            None if is_packed => {
-                peer.send(Frame::DeclinePlan);
-            }
-            None => {}
-        }
+            Some(upload) => peer.enqueue(Outgoing::Plan {
+                protocol: peer.profile.protocol,
+                _upload: upload,
+            }),
+            // A daemon that does not know this frame repeats its request with each heartbeat.
+            None => peer.send(Frame::DeclinePlan),
+        };
     }
 
     /// Queues a frame for all linked daemons.
@@ -440,8 +435,8 @@
             outgoing = queue.recv() => {
                 match outgoing.ok_or(Error::Redundant)? {
                     Outgoing::Frame(frame) => sender.send(&relay.metrics, &frame).await?,
-                    Outgoing::Plan { is_packed, _upload } => {
-                        if let Some(frame) = relay.plan_frame(is_packed) {
+                    Outgoing::Plan { protocol, _upload } => {
+                        if let Some(frame) = relay.plan_frame(protocol) {
                             let started_at = Instant::now();
                             sender.send(&relay.metrics, &frame).await?;
                             let elapsed = started_at.elapsed();
--- a/godwithinge/src/relay/replication.rs
+++ b/godwithinge/src/relay/replication.rs
@@ -85,11 +85,11 @@
         self.links.send_plan(host, upload);
     }
 
-    /// Returns the frame with the configuration in force, compressed if the receiver accepts that;
-    /// `None` if there is no configuration.
-    pub(super) fn plan_frame(&self, is_packed: bool) -> Option<Frame> {
+    /// Returns the frame with the configuration in force, compressed if a daemon that speaks
+    /// `protocol` can decode that; `None` if there is no configuration.
+    pub(super) fn plan_frame(&self, protocol: u32) -> Option<Frame> {
         let row = self.plan_row()?;
-        if !is_packed {
+        if protocol == 0 {
             return Some(Frame::Plan(row.into()));
         }
         let mut packed = self.replication.packed.borrow_mut();
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -2,7 +2,7 @@
 
 use super::{
     dialect::{Row, Table},
-    frame::Profile,
+    frame::{PROTOCOL, Profile},
     state::Relay,
     store::{self, CALL_TIMEOUT},
 };
@@ -466,7 +466,7 @@
             incarnation: self.incarnation,
             started: self.started_unix_ms,
             leads_since: self.leads_since(),
-            accepts_packed_plan: true,
+            protocol: PROTOCOL,
         }
     }
 }
