Let similar host names choose different sources of the configuration

The order of sources came from FNV-1a over both names, whose last bytes hardly change the upper bits, so that hosts whose names differ in a digit asked the same source first. The finalizer that the subset of targets already uses moves to the hash module, as rendezvous_weight, and orders the sources.

--- a/policy/src/relay/distribution.rs
+++ b/policy/src/relay/distribution.rs
@@ -98,9 +98,9 @@
         let due = self.sources.iter();
         let due = due.filter(|(_, source)| source.next_request <= now);
         // Daemons choose different sources so that these share the load.
-        let (host, _) = due.min_by_key(|(host, source)| {
-            let order = hash::texts(&[&self.own_host, host]);
-            (!source.is_local, order)
+        let (host, _) = due.max_by_key(|(host, source)| {
+            let weight = hash::rendezvous_weight(&self.own_host, host);
+            (source.is_local, weight)
         })?;
         let host = host.clone();
         self.pending = Some((host.clone(), now));
--- a/policy/src/router/subset.rs
+++ b/policy/src/router/subset.rs
@@ -97,7 +97,7 @@
 /// Adding or removing a target only shifts the lower-ranked targets of its own domain.
 pub(super) fn rank(members: &mut [u32], targets: &[TargetState], identity: &HostId) {
     let host = |index: &u32| &targets[*index as usize].host;
-    let weight = |index: &u32| rendezvous_weight(identity, &host(index).target);
+    let weight = |index: &u32| hash::rendezvous_weight(identity, &host(index).target);
     members.sort_by_cached_key(|index| (Reverse(weight(index)), *index));
     let mut domain_counts: HashMap<&DomainId, usize> = HashMap::new();
     let mut rank_in_domain = HashMap::new();
@@ -108,12 +108,3 @@
     }
     members.sort_by_key(|index| rank_in_domain[index]);
 }
-
-/// Returns the rendezvous weight of a target for an entry; higher weights are preferred.
-fn rendezvous_weight(identity: &HostId, target: &str) -> u64 {
-    let mut x = hash::texts(&[identity, target]);
-    // MurmurHash3 finalizer: FNV-1a alone does not mix its last bytes well enough for an order.
-    x = (x ^ (x >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    x = (x ^ (x >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    x ^ (x >> 33)
-}
