Keep a stream at the build that began it

Cause: nothing in the selection of a target knew of builds. A daemon resumed an interrupted stream at the target with the lowest expected time, and a daemon at which a caller took a stream up did the same. The class of fault: continuing work elsewhere without the identity of the state that it continues from.

A request has a build now from its first event on, and only targets of that build are selected. For streams that callers take up, the build is recorded under the request that brought the first event, at the daemon that forwards the stream and at two peers; a daemon that does not know it asks four peers, of which these are two unless several daemons are lost. If nobody knows it, the stream goes on only if the pool can't have had another build in its lifetime, and is rejected otherwise, as it is when its build is gone: 503 with Retry-After, since it has not run and will not.

--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -33,6 +33,15 @@
     pub piece_counts: Vec<u32>,
     /// Key of the pieces that read no results of other stages.
     pub piece_key: CompactString,
+    /// Stream that the request takes up; absent if it begins a new one.
+    pub resumption: Option<Resumption>,
+}
+
+/// A stream that its caller takes up after events that it has received.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Resumption {
+    /// Request that brought the first event, if stated.
+    pub stream: Option<RequestId>,
 }
 
 /// Metadata that the relay sets on a request to a target.
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -3,8 +3,9 @@
 use crate::log::ORDINARY_TARGET;
 use http::StatusCode;
 use policy::{
-    id::TargetId,
+    id::{RequestId, TargetId},
     relay::{
+        registry::Build,
         scheduler::{PoolStats, Refusal, Reply},
         selection::Selection,
     },
@@ -149,6 +150,22 @@
     );
 }
 
+/// Logs a request that takes up a stream, with the build at which the stream has to go on.
+pub(super) fn stream_taken_up(
+    request: &RequestId,
+    stream: Option<&RequestId>,
+    build: Option<&Build>,
+    source: &str,
+) {
+    tracing::info!(
+        request = request.as_str(),
+        stream = stream.map(RequestId::as_str),
+        build = build.map(Build::as_str),
+        source,
+        "stream taken up"
+    );
+}
+
 /// Logs a call to a stage target, and returns its result as a metric label.
 pub(super) fn stage_call(
     target: &TargetId,
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -5,11 +5,12 @@
 use super::{conduct::JobRequest, dialect::Row};
 use compact_str::CompactString;
 use policy::{
-    id::{DomainId, HostId, Incarnation},
+    id::{DomainId, HostId, Incarnation, RequestId},
     relay::{
         crash::PayloadHash,
         history::{Era, Version},
         leader::UnixMillis,
+        registry::Build,
         scheduler::Handle,
     },
 };
@@ -132,6 +133,12 @@
         reason: u8,
         retry_after: Duration,
     },
+    /// Build at which a stream began, for the receiver to keep.
+    StreamOrigin { stream: RequestId, build: Build },
+    /// Requests the build at which a stream began.
+    FindOrigin { number: u64, stream: RequestId },
+    /// Answer to a request for the build of a stream; absent if it is not known.
+    Origin { number: u64, build: Option<Build> },
     /// A target crashed while it ran the payload with this hash.
     #[serde(rename = "Death")]
     TargetCrash(PayloadHash),
@@ -141,7 +148,11 @@
     /// Returns the version of the protocol from which daemons can decode this frame.
     pub fn protocol(&self) -> u32 {
         match self {
-            Self::PackedPlan(_) | Self::DeclinePlan => 1,
+            Self::PackedPlan(_)
+            | Self::DeclinePlan
+            | Self::StreamOrigin { .. }
+            | Self::FindOrigin { .. }
+            | Self::Origin { .. } => 1,
             Self::Hello { .. }
             | Self::Heartbeat { .. }
             | Self::RequestTargets
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -13,7 +13,7 @@
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
-    cell::Cell,
+    cell::{Cell, OnceCell},
     convert::Infallible,
     rc::Rc,
     sync::Arc,
@@ -214,6 +214,7 @@
         relay: Rc::clone(relay),
         workspace: name,
         stats: RequestStats::default(),
+        build: OnceCell::new(),
         _flight: flight,
         plan: Rc::clone(&plan),
         head,
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -631,6 +631,11 @@
                 reason,
                 retry_after,
             } => self.refuse_job(number, reason, retry_after),
+            Frame::StreamOrigin { stream, build } => self.keep_origin(stream, build),
+            Frame::FindOrigin { number, stream } => {
+                self.answer_origin_query(link_id, number, &stream);
+            }
+            Frame::Origin { number, build } => self.receive_origin(number, build),
             Frame::TargetCrash(payload) => {
                 let now = self.now();
                 self.crash_history_mut().record(now, payload);
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -41,6 +41,8 @@
     pub pieces: IntCounter,
     /// Reads of the store by table and result.
     pub store_calls: IntCounterVec,
+    /// Streams that callers take up, by the source of their build.
+    pub resumptions: IntCounterVec,
     /// Frames on links by kind and direction.
     link_frames: IntCounterVec,
     /// Encoded size of frames on links by kind and direction.
@@ -99,6 +101,11 @@
                 "Calls of the store",
                 &["table", "result"],
             ),
+            resumptions: counter(
+                "resumptions_total",
+                "Streams that callers take up",
+                &["source"],
+            ),
             link_frames: counter(
                 "link_frames_total",
                 "Frames on links between daemons",
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod front;
 mod link;
 mod metrics;
+mod origin;
 mod outcome;
 mod replication;
 mod run;
--- /dev/null
+++ b/godwithinge/src/relay/origin.rs
@@ -0,0 +1,181 @@
+//! Builds at which streams began, exchanged with peers.
+
+use super::{
+    event,
+    frame::{Frame, LinkId},
+    state::{self, Relay},
+};
+use futures::channel::oneshot;
+use policy::{
+    id::{HostId, PoolId, RequestId},
+    relay::{
+        origin::{self, Origins},
+        registry::Build,
+    },
+};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+use strum::IntoStaticStr;
+use tokio::time;
+
+/// Time for which the answers of peers are awaited; several round trips between domains.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// How a daemon learned the build of a stream that a caller takes up.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum Source {
+    /// It forwarded the stream, or kept its build for a peer.
+    Own,
+    /// A peer answered.
+    Peer,
+    /// The pool has had a single build.
+    SingleBuild,
+}
+
+/// Known origins of streams, and queries to peers in progress.
+#[derive(Debug, Default)]
+pub(super) struct OriginTable {
+    origins: RefCell<Origins>,
+    queries: RefCell<HashMap<u64, Query>>,
+    next_number: Cell<u64>,
+}
+
+/// A query to several peers.
+#[derive(Debug)]
+struct Query {
+    /// Number of peers that have not answered.
+    unanswered: usize,
+    sender: oneshot::Sender<Build>,
+}
+
+/// Ends a query when dropped.
+#[derive(Debug)]
+struct QueryGuard {
+    relay: Rc<Relay>,
+    number: u64,
+}
+
+impl Drop for QueryGuard {
+    fn drop(&mut self) {
+        let mut queries = self.relay.origins.queries.borrow_mut();
+        queries.remove(&self.number);
+    }
+}
+
+impl Relay {
+    /// Records the build at which a stream began, here and at the peers that keep it.
+    pub(super) fn record_origin(&self, stream: &RequestId, build: &Build) {
+        self.keep_origin(stream.clone(), build.clone());
+        for keeper in origin::keepers(stream, self.origin_peers()) {
+            let frame = Frame::StreamOrigin {
+                stream: stream.clone(),
+                build: build.clone(),
+            };
+            self.links.send_to_host(&keeper, frame);
+        }
+    }
+
+    /// Keeps the build of a stream that this daemon or a peer forwards.
+    pub(super) fn keep_origin(&self, stream: RequestId, build: Build) {
+        let now = self.now();
+        self.origins.origins.borrow_mut().insert(now, stream, build);
+    }
+
+    /// Returns the build at which a stream of `pool` began, if it is known or no other is possible.
+    /// The stream began at most `max_age` ago. Without `stream`, the caller did not name it.
+    pub(super) async fn find_origin(
+        self: &Rc<Self>,
+        request: &RequestId,
+        stream: Option<&RequestId>,
+        pool: &PoolId,
+        max_age: Duration,
+    ) -> Option<Build> {
+        let mut found = None;
+        if let Some(stream) = stream {
+            let known = self.origins.origins.borrow().get(stream).cloned();
+            found = known.map(|build| (build, Source::Own));
+            if found.is_none() {
+                let answer = self.query_origin(stream).await;
+                found = answer.map(|build| (build, Source::Peer));
+            }
+        }
+        let found = found.or_else(|| {
+            let registry = self.registry();
+            let unix_now = state::unix_millis_now();
+            let build = registry.single_build(self.now(), unix_now, pool, max_age);
+            build.map(|build| (build.clone(), Source::SingleBuild))
+        });
+        let source: &str = found
+            .as_ref()
+            .map_or("unknown", |(_, source)| source.into());
+        let resumptions = &self.metrics.resumptions;
+        resumptions.with_label_values(&[source]).inc();
+        let build = found.map(|(build, _)| build);
+        event::stream_taken_up(request, stream, build.as_ref(), source);
+        build
+    }
+
+    /// Asks peers for the build at which a stream began.
+    async fn query_origin(self: &Rc<Self>, stream: &RequestId) -> Option<Build> {
+        let number = self.origins.next_number.get();
+        self.origins.next_number.set(number + 1);
+        let asked = origin::asked_daemons(stream, self.origin_peers());
+        let sent = asked.iter().filter(|host| {
+            let stream = stream.clone();
+            let frame = Frame::FindOrigin { number, stream };
+            self.links.send_to_host(host, frame)
+        });
+        let unanswered = sent.count();
+        if unanswered == 0 {
+            return None;
+        }
+        let (sender, answer) = oneshot::channel();
+        let query = Query { unanswered, sender };
+        self.origins.queries.borrow_mut().insert(number, query);
+        let _guard = QueryGuard {
+            relay: Rc::clone(self),
+            number,
+        };
+        // The channel closes when all peers have answered that they don't know.
+        time::timeout(QUERY_TIMEOUT, answer).await.ok()?.ok()
+    }
+
+    /// Answers the query of a peer.
+    pub(super) fn answer_origin_query(&self, link_id: LinkId, number: u64, stream: &RequestId) {
+        let build = self.origins.origins.borrow().get(stream).cloned();
+        let frame = Frame::Origin { number, build };
+        self.links.send_on_link(link_id, frame);
+    }
+
+    /// Handles the answer of a peer to an own query.
+    pub(super) fn receive_origin(&self, number: u64, build: Option<Build>) {
+        let mut queries = self.origins.queries.borrow_mut();
+        let Some(query) = queries.get_mut(&number) else {
+            return;
+        };
+        query.unanswered -= 1;
+        if (build.is_some() || query.unanswered == 0)
+            && let Some(query) = queries.remove(&number)
+            && let Some(build) = build
+        {
+            // Fails if the caller has left.
+            drop(query.sender.send(build));
+        }
+    }
+
+    /// Returns the peers that can keep origins of streams.
+    fn origin_peers(&self) -> Vec<HostId> {
+        let mut hosts = Vec::with_capacity(self.links.count());
+        self.links.for_each_peer(|peer| {
+            if !peer.is_leaving {
+                hosts.push(peer.profile.host.clone());
+            }
+        });
+        hosts
+    }
+}
--- a/godwithinge/src/relay/outcome.rs
+++ b/godwithinge/src/relay/outcome.rs
@@ -30,6 +30,10 @@
     StagesFailed,
     /// The pool has no available target.
     NoTarget,
+    /// The stream has to go on at a build that is not known.
+    UnknownBuild,
+    /// The pool has no available target of the build that began the stream.
+    NoBuild,
     /// All targets that were tried are full or unreachable.
     Full,
     /// The payload crashed targets that executed it.
@@ -66,6 +70,8 @@
             | Self::Late
             | Self::StagesFailed
             | Self::NoTarget
+            | Self::UnknownBuild
+            | Self::NoBuild
             | Self::Full
             | Self::Crashing
             | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -3,7 +3,7 @@
 use super::{
     body::Body,
     conduct::{JobRefusal, JobRequest, StageResults},
-    dialect::RequestMetadata,
+    dialect::{RequestMetadata, Resumption},
     event::{self, RequestSummary},
     outcome::{Reason, Rejection},
     send::{BufferedResponse, SendOutcome, StreamingResponse},
@@ -19,13 +19,13 @@
     relay::{
         crash::PayloadHash,
         plan::{Kind, Plan, Route},
-        registry::Target,
+        registry::{Build, Target},
         scheduler::StageSpec,
         selection::{Criteria, Selection},
     },
 };
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -44,6 +44,11 @@
 const MIN_REMAINING: Duration = Duration::from_millis(5);
 /// `retry-after` if the pool has no target or is full, or if the stages did not finish in time.
 const POOL_RETRY_AFTER: Duration = Duration::from_millis(300); // a few typical plain requests
+/// `retry-after` if no target of a stream's build is left. One that crashed is back in seconds.
+const BUILD_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Maximum age of a stream that a caller takes up, in timeouts of its route: that of the attempt that
+/// began it and of the one that takes it up.
+const MAX_STREAM_TIMEOUTS: u32 = 2;
 /// Minimum number of shared prompt tokens for which stages run preferably in the domain of the
 /// target that caches them.
 const MIN_SHARED_TOKENS: u32 = 1_000; // prefill of fewer takes less than a tenth of a stage call
@@ -65,6 +70,8 @@
     /// Earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
     pub payload_hash: PayloadHash,
+    /// Build at which the stream began and has to go on; empty before its first event.
+    pub build: OnceCell<Build>,
     pub stats: RequestStats,
     pub _flight: InFlightGuard,
 }
@@ -274,6 +281,9 @@
         self: &Rc<Self>,
         attempts: &mut Attempts,
     ) -> Result<Response<Body>, Rejection> {
+        if let Some(resumption) = &self.metadata.resumption {
+            self.find_build(resumption).await?;
+        }
         let (target_response, results) = self.start_response(attempts, None).await?;
         match target_response {
             TargetResponse::Buffered(response) => Ok(self.forward(response)),
@@ -281,6 +291,7 @@
                 // The results can be released: the target has read them before its first event.
                 drop(results);
                 self.stats.first_byte.set(Some(self.arrived.elapsed()));
+                self.record_build(&stream.target);
                 let mut response = Response::new(Body::Whole(None));
                 *response.status_mut() = stream.response.status();
                 *response.headers_mut() = self
@@ -295,6 +306,34 @@
         }
     }
 
+    /// Determines the build at which a stream that the caller takes up has to go on.
+    ///
+    /// Fails if it is not known.
+    async fn find_build(&self, resumption: &Resumption) -> Result<(), Rejection> {
+        let pool = self.pool()?;
+        let max_age = self.route.timeout * MAX_STREAM_TIMEOUTS;
+        let stream = resumption.stream.as_ref();
+        let found = self
+            .relay
+            .find_origin(&self.metadata.id, stream, &pool, max_age)
+            .await;
+        let unknown = Rejection::new(Reason::UnknownBuild).with_retry_after(POOL_RETRY_AFTER);
+        let build = found.ok_or(unknown)?;
+        self.build.get_or_init(|| build);
+        Ok(())
+    }
+
+    /// Records the build of the target that has sent the first event to this caller.
+    fn record_build(&self, target: &Target) {
+        let build = self.build.get_or_init(|| target.build.clone());
+        if self.route.is_resumable {
+            let resumption = self.metadata.resumption.as_ref();
+            let stream = resumption.and_then(|resumption| resumption.stream.as_ref());
+            let stream = stream.unwrap_or(&self.metadata.id);
+            self.relay.record_origin(stream, build);
+        }
+    }
+
     /// Runs the stages and sends the request until a target starts its response.
     ///
     /// If `last_event_id` is set, the target resumes a stream after that event.
@@ -428,7 +467,10 @@
             event::target_chosen(&self.metadata.id, selection);
             selection.target.clone()
         });
-        let none = Rejection::new(Reason::NoTarget).with_retry_after(POOL_RETRY_AFTER);
+        let none = match self.build.get() {
+            Some(_) => Rejection::new(Reason::NoBuild).with_retry_after(BUILD_RETRY_AFTER),
+            None => Rejection::new(Reason::NoTarget).with_retry_after(POOL_RETRY_AFTER),
+        };
         let target = target.ok_or(if may_have_executed || attempts.not_executed > 0 {
             failed
         } else {
@@ -497,7 +539,11 @@
         };
         let registry = self.relay.registry();
         let selector = self.relay.target_selector();
-        let selection = selector.choose(self.relay.now(), registry.ready(pool), &criteria);
+        let build = self.build.get();
+        let targets = registry
+            .ready(pool)
+            .filter(|target| build.is_none_or(|build| target.build == *build));
+        let selection = selector.choose(self.relay.now(), targets, &criteria);
         selection.as_ref().map(read)
     }
 
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -5,6 +5,7 @@
     dialect::{Dialect, Row},
     link::Links,
     metrics::Metrics,
+    origin::OriginTable,
     replication::Replication,
     settings::Settings,
     store::Store,
@@ -57,6 +58,7 @@
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
     pub(super) replication: Replication,
+    pub(super) origins: OriginTable,
     pub(super) tables: TableCache,
     pub(super) dispatcher: JobDispatcher,
     pub(super) metrics: Metrics,
@@ -75,6 +77,7 @@
         Self {
             links: Links::new(&settings),
             replication: Replication::new(settings.host.clone()),
+            origins: OriginTable::default(),
             dialect,
             incarnation: rand::random(),
             started_unix_ms: unix_millis_now(),
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -381,7 +381,10 @@
             self.broadcast_target(row, is_lenient);
         }
         let change = match parsed {
-            Some(Ok(registration)) => self.registry_mut().upsert(registration),
+            Some(Ok(registration)) => {
+                let now = self.now();
+                self.registry_mut().upsert(now, registration)
+            }
             Some(Err(fault)) => {
                 tracing::debug!(key = %row.key, %fault, "entry of a target ignored");
                 None
--- /dev/null
+++ b/policy/src/relay/origin.rs
@@ -0,0 +1,68 @@
+//! Builds at which streams began.
+//!
+//! Targets of several builds may serve a pool side by side, and what two builds write does not fit
+//! together: a stream may go on only at the build that began it. Its caller may take it up at any
+//! daemon, usually because the one before has failed. So the build of each stream that may be resumed
+//! is kept by the daemon that forwards it and by a few others, and a daemon that does not know it
+//! asks those. If nobody knows, the stream goes on only if its pool has had a
+//! [single build](super::registry::Registry::single_build) for as long as the stream may have lasted.
+
+use super::registry::Build;
+use crate::{
+    hash,
+    id::{HostId, RequestId, Time},
+};
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
+
+/// Number of daemons, besides the one that forwards a stream, that keep its build. The daemon that
+/// forwards it may fail together with another one.
+const KEEPERS: usize = 2;
+/// Number of daemons that are asked for the build of a stream. More than keep it, since daemons that
+/// have joined or failed since change the order.
+const ASKED_DAEMONS: usize = 4;
+/// Time for which the build of a stream is kept; a few times the longest timeouts of routes.
+const KEEP_TIME: Duration = Duration::from_secs(60);
+/// Number of streams from which expired ones are dropped.
+const MAX_STREAMS: usize = 16_384; // at about 100 bytes each, less than 2 MB
+
+/// Builds of recent streams, by the identifier of the request that brought their first event.
+#[derive(Clone, Debug, Default)]
+pub struct Origins {
+    builds: HashMap<RequestId, (Build, Time)>,
+}
+
+impl Origins {
+    /// Records the build at which a stream began.
+    pub fn insert(&mut self, now: Time, stream: RequestId, build: Build) {
+        if self.builds.len() >= MAX_STREAMS {
+            self.builds
+                .retain(|_, (_, recorded)| now < *recorded + KEEP_TIME);
+        }
+        if self.builds.len() < MAX_STREAMS || self.builds.contains_key(&stream) {
+            self.builds.insert(stream, (build, now));
+        }
+    }
+
+    /// Returns the build at which a stream began, if it is known.
+    pub fn get(&self, stream: &str) -> Option<&Build> {
+        self.builds.get(stream).map(|(build, _)| build)
+    }
+}
+
+/// Returns the daemons that keep the build of a stream for the daemon that forwards it and is linked
+/// to `peers`.
+pub fn keepers(stream: &str, peers: Vec<HostId>) -> Vec<HostId> {
+    nearest(stream, peers, KEEPERS)
+}
+
+/// Returns the daemons to ask for the build of a stream.
+pub fn asked_daemons(stream: &str, peers: Vec<HostId>) -> Vec<HostId> {
+    nearest(stream, peers, ASKED_DAEMONS)
+}
+
+/// Returns the first `count` daemons in the order of rendezvous hashing, on which all daemons agree.
+fn nearest(stream: &str, mut peers: Vec<HostId>, count: usize) -> Vec<HostId> {
+    peers.sort_by_cached_key(|host| Reverse(hash::rendezvous_weight(stream, host)));
+    peers.truncate(count);
+    peers
+}
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -6,7 +6,7 @@
 //! available for [`REGISTRATION_GRACE`]. A store that comes back from an older copy shows entries
 //! of targets as they were then; these are ignored until the target writes its entry again.
 
-use super::history::Version;
+use super::{history::Version, leader::UnixMillis};
 use crate::id::{DomainId, PoolId, TargetId, Time};
 use compact_str::CompactString;
 use std::{collections::BTreeMap, time::Duration};
@@ -51,7 +51,7 @@
     /// Whether the target accepts new work; false while it drains.
     pub is_ready: bool,
     /// Start time of the target in milliseconds since the Unix epoch.
-    pub started_unix_ms: u64,
+    pub started_unix_ms: UnixMillis,
 }
 
 /// A change to the targets in use.
@@ -73,6 +73,10 @@
     removed: BTreeMap<TargetId, (Registration, Time)>,
     /// Until when missing entries may be registered again.
     lenient_until: Time,
+    /// When a target of this pool and build was last removed or replaced.
+    former_builds: BTreeMap<(PoolId, Build), Time>,
+    /// Since when targets are known.
+    known_since: Option<Time>,
 }
 
 #[derive(Clone, Debug)]
@@ -110,10 +114,11 @@
 
     /// Adds or updates a target and returns the resulting change, if any. An entry that
     /// [is outdated](Self::is_outdated) is ignored.
-    pub fn upsert(&mut self, registration: Registration) -> Option<TargetChange> {
+    pub fn upsert(&mut self, now: Time, registration: Registration) -> Option<TargetChange> {
         if self.is_outdated(&registration) {
             return None;
         }
+        self.known_since.get_or_insert(now);
         let target = &registration.target;
         let change = match self.targets.get(&target.id) {
             Some(known)
@@ -131,7 +136,12 @@
             registration,
             missing_since: None,
         };
-        self.targets.insert(id, entry);
+        let build = entry.registration.target.build.clone();
+        if let Some(replaced) = self.targets.insert(id, entry)
+            && replaced.registration.target.build != build
+        {
+            self.record_former_build(now, &replaced.registration.target);
+        }
         change
     }
 
@@ -153,10 +163,44 @@
     fn forget(&mut self, now: Time, id: &str) -> Option<TargetChange> {
         let Entry { registration, .. } = self.targets.remove(id)?;
         let target = registration.target.clone();
+        self.record_former_build(now, &target);
         self.removed.insert(target.id.clone(), (registration, now));
         Some(TargetChange::Gone(target))
     }
 
+    fn record_former_build(&mut self, now: Time, target: &Target) {
+        let key = (target.pool.clone(), target.build.clone());
+        self.former_builds.insert(key, now);
+    }
+
+    /// Returns the build of a pool if all of its targets had the same one during the last `period`.
+    ///
+    /// A daemon that has started since then relies on the start times of the present targets by the
+    /// clock `unix_now`, since a former build was replaced by targets that started.
+    pub fn single_build(
+        &self,
+        now: Time,
+        unix_now: UnixMillis,
+        pool: &str,
+        period: Duration,
+    ) -> Option<&Build> {
+        let present = || self.all().filter(|target| target.pool == pool);
+        let build = &present().next()?.build;
+        let is_recent = |last: Time| now.saturating_sub(last) <= period;
+        let has_other = present().any(|target| target.build != *build)
+            || self
+                .former_builds
+                .iter()
+                .any(|((of, former), last)| of == pool && former != build && is_recent(*last));
+        let is_known_for_period = self.known_since.is_some_and(|since| !is_recent(since));
+        let has_started_before = |target: &Target| {
+            let age = unix_now.saturating_sub(target.started_unix_ms);
+            Duration::from_millis(age) > period
+        };
+        let is_settled = is_known_for_period || present().all(has_started_before);
+        (!has_other && is_settled).then_some(build)
+    }
+
     /// Starts the grace period anew because the store is unavailable or has just become available.
     pub fn record_outage(&mut self, now: Time) {
         self.lenient_until = now + REGISTRATION_GRACE;
--- /dev/null
+++ b/policy/tests/origin.rs
@@ -0,0 +1,81 @@
+//! Builds at which streams began, as daemons come and go.
+
+use policy::{
+    id::HostId,
+    relay::origin::{Origins, asked_daemons, keepers},
+};
+use rstest::rstest;
+use std::time::Duration;
+
+const STREAMS: usize = 200;
+
+fn fleet(size: usize) -> Vec<HostId> {
+    (0..size).map(|index| format!("h{index}").into()).collect()
+}
+
+fn without(fleet: &[HostId], excluded: &[&HostId]) -> Vec<HostId> {
+    let others = fleet.iter().filter(|host| !excluded.contains(host));
+    others.cloned().collect()
+}
+
+/// A caller takes its stream up at any other daemon after the one that forwarded it has failed alone
+/// or together with another one. That daemon is a keeper itself or asks one.
+#[rstest]
+#[case::small_fleet(7, STREAMS)]
+#[case::large_fleet(90, 10)]
+fn build_is_found_after_failures(#[case] size: usize, #[case] streams: usize) {
+    let fleet = fleet(size);
+    for number in 0..streams {
+        let stream = format!("s{number}");
+        let forwarder = &fleet[number % size];
+        let keepers = keepers(&stream, without(&fleet, &[forwarder]));
+        for second in &fleet {
+            let failed = [forwarder, second];
+            for asking in without(&fleet, &failed) {
+                let peers = without(&fleet, &[forwarder, second, &asking]);
+                let asked = asked_daemons(&stream, peers);
+                let is_found = keepers.contains(&asking)
+                    || keepers.iter().any(|keeper| asked.contains(keeper));
+                assert!(
+                    is_found,
+                    "{stream} at {asking} after the loss of {failed:?}"
+                );
+            }
+        }
+    }
+}
+
+/// The keepers are spread over the fleet.
+#[test]
+fn keepers_share_the_load() {
+    let fleet = fleet(10);
+    for host in &fleet {
+        let kept = (0..STREAMS).filter(|number| {
+            let keepers = keepers(&format!("s{number}"), fleet.clone());
+            keepers.contains(host)
+        });
+        let kept = kept.count();
+        assert!(
+            (20..=60).contains(&kept),
+            "{host} keeps {kept} of {STREAMS}"
+        );
+    }
+}
+
+/// Old entries make room for new ones.
+#[test]
+fn number_of_streams_is_bounded() {
+    let mut origins = Origins::default();
+    let insert = |origins: &mut Origins, at: u64, number: usize| {
+        let stream = format!("s{number}").into();
+        origins.insert(Duration::from_secs(at), stream, "v1".into());
+    };
+    for number in 0..20_000 {
+        insert(&mut origins, 0, number);
+    }
+    assert!(origins.get("s0").is_some());
+    assert!(origins.get("s19999").is_none());
+    insert(&mut origins, 61, 20_000);
+    assert!(origins.get("s0").is_none());
+    assert!(origins.get("s20000").is_some());
+}
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -5,7 +5,7 @@
     id::Time,
     relay::{
         history::{Edition, Version},
-        registry::{REGISTRATION_GRACE, Registration, Registry, Target, TargetChange},
+        registry::{Build, REGISTRATION_GRACE, Registration, Registry, Target, TargetChange},
     },
 };
 use rstest::rstest;
@@ -48,9 +48,9 @@
     #[case] is_ready: bool,
 ) {
     let mut registry = Registry::default();
-    registry.upsert(entry(1, 1, 1, true));
-    registry.upsert(known);
-    registry.upsert(offered);
+    registry.upsert(NOW, entry(1, 1, 1, true));
+    registry.upsert(NOW, known);
+    registry.upsert(NOW, offered);
     assert_eq!(has_ready_target(&registry), is_ready);
 }
 
@@ -65,10 +65,10 @@
     #[case] is_ready: bool,
 ) {
     let mut registry = Registry::default();
-    registry.upsert(entry(1, 5, 7, true));
+    registry.upsert(NOW, entry(1, 5, 7, true));
     let change = registry.remove(NOW, "i-1", false);
     assert!(matches!(change, Some(TargetChange::Gone(_))));
-    registry.upsert(offered);
+    registry.upsert(NOW, offered);
     assert_eq!(has_ready_target(&registry), is_ready);
 }
 
@@ -76,7 +76,7 @@
 #[test]
 fn target_missing_from_the_copy_is_kept_until_it_may_have_registered_again() {
     let mut registry = Registry::default();
-    registry.upsert(entry(1, 5, 7, true));
+    registry.upsert(NOW, entry(1, 5, 7, true));
     registry.remove(NOW, "i-1", true);
     assert!(registry.expire(NOW + REGISTRATION_GRACE / 2).is_empty());
     assert!(has_ready_target(&registry));
@@ -103,3 +103,53 @@
     };
     assert_eq!(edition(offered).supersedes(&edition(current)), is_replaced);
 }
+
+/// Period in which a stream of unknown origin may have begun.
+const PERIOD: Duration = Duration::from_secs(40);
+/// Present time by the system clock, in milliseconds since the Unix epoch.
+const UNIX_NOW: u64 = 1_000_000;
+/// A start before that period.
+const EARLY_START: u64 = 900_000;
+/// A start within that period.
+const LATE_START: u64 = 980_000;
+
+fn target(id: &str, build: &str, started: u64) -> Registration {
+    let mut registration = entry(1, started, 1, true);
+    registration.target.id = id.into();
+    registration.target.build = build.into();
+    registration
+}
+
+#[rstest]
+#[case::one_build(&[("i-1", "v1", EARLY_START), ("i-2", "v1", EARLY_START)], Some("v1"))]
+#[case::two_builds(&[("i-1", "v1", EARLY_START), ("i-2", "v2", EARLY_START)], None)]
+#[case::target_may_have_replaced_another_build(&[("i-1", "v1", EARLY_START), ("i-2", "v1", LATE_START)], None)]
+#[case::same_id_with_another_build(&[("i-1", "v1", EARLY_START), ("i-1", "v2", EARLY_START + 1)], None)]
+#[case::no_target(&[], None)]
+fn daemon_that_has_just_started_finds_a_single_build(
+    #[case] targets: &[(&str, &str, u64)],
+    #[case] expected: Option<&str>,
+) {
+    let mut registry = Registry::default();
+    for (id, build, started) in targets {
+        registry.upsert(NOW, target(id, build, *started));
+    }
+    let found = registry.single_build(NOW, UNIX_NOW, "stage", PERIOD);
+    assert_eq!(found.map(Build::as_str), expected);
+}
+
+/// A build that was removed counts for the period, whatever has started since.
+#[test]
+fn removed_build_counts_for_the_period() {
+    let mut registry = Registry::default();
+    registry.upsert(Duration::ZERO, target("i-1", "v1", EARLY_START));
+    registry.upsert(NOW, target("i-2", "v2", LATE_START));
+    registry.remove(NOW, "i-1", false);
+    let single = |registry: &Registry, now| {
+        let build = registry.single_build(now, UNIX_NOW, "stage", PERIOD);
+        build.map(ToString::to_string)
+    };
+    assert_eq!(single(&registry, NOW + PERIOD), None);
+    let after = NOW + PERIOD + Duration::from_millis(1);
+    assert_eq!(single(&registry, after).as_deref(), Some("v2"));
+}
