Do not request the configuration again while it arrives

The timeout now waits while bytes of the source arrive, and a source ignores a repeated request of a peer that it is already serving. arriving_answer_is_not_requested_again covers the decision.

--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -50,6 +50,9 @@
 const SCHEDULING_SLACK: Duration = Duration::from_millis(350);
 /// Timeout for the first frame of a peer.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1); // round trips take milliseconds
+/// Time since the last byte for which a frame counts as arriving; shorter than the intervals of
+/// heartbeats.
+const RECEIVING_PERIOD: Duration = Duration::from_millis(200);
 /// Initial delay before an address is dialled again; doubles with each failure.
 const INITIAL_REDIAL_DELAY: Duration = Duration::from_millis(200);
 /// Maximum delay before an address is dialled again.
@@ -220,6 +223,13 @@
         peer.is_some_and(|peer| peer.profile.domain == self.own_domain)
     }
 
+    /// Returns whether bytes of a daemon have arrived within [`RECEIVING_PERIOD`].
+    pub fn is_receiving(&self, host: &HostId) -> bool {
+        let peers = self.peers.borrow();
+        let peer = peers.get(host);
+        peer.is_some_and(|peer| peer.progress.silence() < RECEIVING_PERIOD)
+    }
+
     /// Returns the identifier of the link to a daemon; absent if it is not linked.
     pub fn link_id(&self, host: &str) -> Option<LinkId> {
         let peers = self.peers.borrow();
--- a/godwithinge/src/relay/replication.rs
+++ b/godwithinge/src/relay/replication.rs
@@ -12,7 +12,8 @@
     relay::distribution::{self, Fetcher},
 };
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
+    collections::HashSet,
     io::{self, Read, Write},
     rc::Rc,
 };
@@ -26,12 +27,18 @@
     pub fetcher: RefCell<Fetcher>,
     /// Compressed value of the configuration in force; absent until it is requested.
     packed: RefCell<Option<Bytes>>,
-    uploads: Rc<Cell<usize>>,
+    uploads: Uploads,
 }
 
-/// Counts a transfer to a peer until dropped.
+/// Peers to which the configuration is being sent.
+type Uploads = Rc<RefCell<HashSet<HostId>>>;
+
+/// Marks a transfer to a peer as in progress until dropped.
 #[derive(Debug)]
-pub(super) struct UploadGuard(Rc<Cell<usize>>);
+pub(super) struct UploadGuard {
+    uploads: Uploads,
+    host: HostId,
+}
 
 impl Replication {
     pub fn new(own_host: HostId) -> Self {
@@ -47,18 +54,22 @@
         *self.packed.borrow_mut() = None;
     }
 
-    /// Counts a transfer; `None` if there are `max` already.
-    fn begin_upload(&self, max: usize) -> Option<UploadGuard> {
-        (self.uploads.get() < max).then(|| {
-            self.uploads.set(self.uploads.get() + 1);
-            UploadGuard(Rc::clone(&self.uploads))
+    /// Marks a transfer as in progress; `None` if there are `max` already.
+    fn begin_upload(&self, host: &HostId, max: usize) -> Option<UploadGuard> {
+        let mut uploads = self.uploads.borrow_mut();
+        (uploads.len() < max).then(|| {
+            uploads.insert(host.clone());
+            UploadGuard {
+                uploads: Rc::clone(&self.uploads),
+                host: host.clone(),
+            }
         })
     }
 }
 
 impl Drop for UploadGuard {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.uploads.borrow_mut().remove(&self.host);
     }
 }
 
@@ -68,7 +79,8 @@
     pub(super) fn request_plan(&self) {
         let current = self.plan_edition();
         let mut fetcher = self.replication.fetcher.borrow_mut();
-        if let Some(host) = fetcher.next_request(self.now(), current.as_ref()) {
+        let is_receiving = |host: &HostId| self.links.is_receiving(host);
+        if let Some(host) = fetcher.next_request(self.now(), current.as_ref(), is_receiving) {
             tracing::info!(%host, "configuration requested");
             if !self.links.send_to_host(&host, Frame::RequestPlan) {
                 fetcher.end_request(self.now(), &host);
@@ -77,11 +89,14 @@
     }
 
     /// Starts a transfer of the configuration to a peer, or declines if the own network link is
-    /// occupied by others.
+    /// occupied by others. A repeated request is ignored while a transfer is in progress.
     pub(super) fn serve_plan(&self, host: &HostId) {
+        if self.replication.uploads.borrow().contains(host) {
+            return;
+        }
         let link_rate = self.settings().link_bytes_per_second;
         let max_uploads = distribution::max_uploads(link_rate);
-        let upload = self.replication.begin_upload(max_uploads);
+        let upload = self.replication.begin_upload(host, max_uploads);
         self.links.send_plan(host, upload);
     }
 
--- a/policy/src/relay/distribution.rs
+++ b/policy/src/relay/distribution.rs
@@ -14,7 +14,7 @@
 };
 use std::{collections::BTreeMap, time::Duration};
 
-/// Time after which an unanswered request is repeated at another source.
+/// Time after which a request is repeated at another source if no answer is arriving.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1); // half of the shortest bound of the sites
 /// Time for which a source that declined, or did not answer in time, is not asked again.
 const RETRY_DELAY: Duration = Duration::from_millis(200); // about the duration of a transfer
@@ -84,12 +84,17 @@
     }
 
     /// Returns the source to ask now, if one is due, and records the request. `current` is the
-    /// edition in force.
-    pub fn next_request(&mut self, now: Time, current: Option<&Edition>) -> Option<HostId> {
+    /// edition in force, and `is_receiving` tells whether bytes of a source are arriving.
+    pub fn next_request(
+        &mut self,
+        now: Time,
+        current: Option<&Edition>,
+        is_receiving: impl Fn(&HostId) -> bool,
+    ) -> Option<HostId> {
         self.sources
             .retain(|_, source| current.is_none_or(|current| source.edition.supersedes(current)));
         if let Some((host, asked_at)) = &self.pending {
-            if now < *asked_at + REQUEST_TIMEOUT {
+            if now < *asked_at + REQUEST_TIMEOUT || is_receiving(host) {
                 return None;
             }
             let host = host.clone();
--- a/policy/tests/distribution.rs
+++ b/policy/tests/distribution.rs
@@ -1,8 +1,11 @@
 //! Distribution of a large configuration in fleets with slow network links, in virtual time.
 
-use policy::relay::{
-    distribution::{Fetcher, max_uploads},
-    history::{Edition, Version},
+use policy::{
+    id::HostId,
+    relay::{
+        distribution::{Fetcher, max_uploads},
+        history::{Edition, Version},
+    },
 };
 use rstest::rstest;
 use std::time::Duration;
@@ -47,7 +50,7 @@
     }
 }
 
-fn host(index: usize) -> policy::id::HostId {
+fn host(index: usize) -> HostId {
     format!("h{index}").into()
 }
 
@@ -79,7 +82,10 @@
 fn send_requests(fleet: &mut [Daemon], now: Duration, transfers: &mut Vec<Transfer>) {
     for to in 0..fleet.len() {
         let current = edition(fleet[to].revision);
-        let Some(source) = fleet[to].fetcher.next_request(now, Some(&current)) else {
+        let Some(source) = fleet[to]
+            .fetcher
+            .next_request(now, Some(&current), |_| false)
+        else {
             continue;
         };
         let from: usize = source[1..].parse().expect("host names end with an index");
@@ -157,18 +163,37 @@
     for source in [1, 2] {
         fetcher.announce(now, &host(source), edition(2), true);
     }
-    let first = fetcher.next_request(now, Some(&current));
+    let first = fetcher.next_request(now, Some(&current), |_| false);
     let first = first.expect("a source is due");
-    assert_eq!(fetcher.next_request(now, Some(&current)), None);
+    assert_eq!(fetcher.next_request(now, Some(&current), |_| false), None);
     if is_lost {
         fetcher.remove(&first);
     } else {
         now += Duration::from_secs(1);
     }
-    let second = fetcher.next_request(now, Some(&current));
+    let second = fetcher.next_request(now, Some(&current), |_| false);
     assert!(second.is_some_and(|second| second != first));
 }
 
+/// A source whose answer takes long is not replaced while its bytes arrive.
+#[test]
+fn arriving_answer_is_not_requested_again() {
+    let mut fetcher = Fetcher::new(host(0));
+    let current = edition(1);
+    for source in [1, 2] {
+        fetcher.announce(Duration::ZERO, &host(source), edition(2), true);
+    }
+    let first = fetcher.next_request(Duration::ZERO, Some(&current), |_| false);
+    let later = Duration::from_secs(5);
+    let is_receiving = |source: &HostId| Some(source) == first.as_ref();
+    assert_eq!(
+        fetcher.next_request(later, Some(&current), is_receiving),
+        None
+    );
+    let second = fetcher.next_request(later, Some(&current), |_| false);
+    assert!(second.is_some() && second != first);
+}
+
 /// Sources in other domains are asked only if the own domain does not have the configuration.
 #[test]
 fn sources_in_the_own_domain_come_first() {
@@ -176,12 +201,18 @@
     let current = edition(1);
     let mut now = Duration::ZERO;
     fetcher.announce(now, &host(1), edition(2), false);
-    assert_eq!(fetcher.next_request(now, Some(&current)), None);
+    assert_eq!(fetcher.next_request(now, Some(&current), |_| false), None);
     now += Duration::from_millis(300);
     fetcher.announce(now, &host(2), edition(2), true);
-    assert_eq!(fetcher.next_request(now, Some(&current)), Some(host(2)));
+    assert_eq!(
+        fetcher.next_request(now, Some(&current), |_| false),
+        Some(host(2))
+    );
     fetcher.end_request(now, &host(2));
-    assert_eq!(fetcher.next_request(now, Some(&current)), Some(host(1)));
+    assert_eq!(
+        fetcher.next_request(now, Some(&current), |_| false),
+        Some(host(1))
+    );
 }
 
 /// Announcements of the edition in force, or of an older one, lead to no request.
@@ -192,7 +223,7 @@
     let mut fetcher = Fetcher::new(host(0));
     fetcher.announce(Duration::ZERO, &host(1), edition(announced), true);
     assert_eq!(
-        fetcher.next_request(Duration::ZERO, Some(&edition(2))),
+        fetcher.next_request(Duration::ZERO, Some(&edition(2)), |_| false),
         None
     );
 }
