Record builds in the store, so that streams go on after a start of all daemons

What must outlive the daemons lies on the platform: a reader records the builds of a pool once there are two, and when the last target of one has left; a daemon that has just started reads the records. A pool that always had one build has none.

--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -82,6 +82,8 @@
     Targets,
     /// Link addresses of the daemons, each written by the daemon itself.
     Daemons,
+    /// Builds of pools that have had more than one, written by daemons.
+    Builds,
 }
 
 /// A row of the store.
@@ -185,8 +187,9 @@
     /// none, the store waits for up to `wait`.
     fn watch_table_call(&self, table: Table, after: u64, wait: Duration) -> Call;
 
-    /// Returns the call that writes the row of a daemon, or deletes it if `value` is absent.
-    fn write_daemon_call(&self, name: &str, value: Option<&[u8]>) -> Call;
+    /// Returns the call that writes a row of the daemons' own tables, or deletes it if `value` is
+    /// absent.
+    fn write_row_call(&self, table: Table, key: &str, value: Option<&[u8]>) -> Call;
 
     /// Decodes the era of the store from the headers of its response; `None` if it is not stated.
     fn parse_store_era(&self, headers: &HeaderMap) -> Option<Era>;
--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -1,6 +1,8 @@
 //! Startup of a daemon, and shutdown without losing requests.
 
-use super::{conduct, dialect::Table, front, link, settings::Settings, side, state::Relay, watch};
+use super::{
+    builds, conduct, dialect::Table, front, link, settings::Settings, side, state::Relay, watch,
+};
 use std::{
     error, io,
     net::SocketAddr,
@@ -92,10 +94,12 @@
         bind(settings.link_address).await?,
     ));
     spawn_local(link::dial_peers(Rc::clone(relay)));
-    for table in [Table::Plan, Table::Targets, Table::Daemons] {
+    let tables = [Table::Plan, Table::Targets, Table::Daemons, Table::Builds];
+    for table in tables {
         spawn_local(watch::follow_table(Rc::clone(relay), table));
     }
     spawn_local(watch::register_daemon(Rc::clone(relay)));
+    spawn_local(builds::record_builds(Rc::clone(relay)));
     spawn_local(conduct::poll_scheduler(Rc::clone(relay)));
     let relay = Rc::clone(relay);
     spawn_local(async move {
@@ -119,7 +123,7 @@
     );
     relay.set_leaving();
     let host = relay.settings().host.clone();
-    let removal = relay.store.put_daemon(relay, &host, None);
+    let removal = relay.store.put_row(relay, Table::Daemons, &host, None);
     let removal = time::timeout(CLOSE_DELAY, removal).await;
     if !matches!(removal, Ok(Ok(_))) {
         tracing::warn!("failed to remove own address from the store");
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -7,6 +7,7 @@
 
 mod accept;
 mod body;
+mod builds;
 mod conduct;
 pub mod dialect;
 mod drain;
--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -17,7 +17,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 use strum::IntoStaticStr;
 use tokio::time;
@@ -25,6 +25,11 @@
 /// Time for which the answers of peers are awaited; several round trips between domains.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time for which a daemon that has just started waits for its tables. The store answers in
+/// milliseconds, and a caller whose stream was interrupted by the start may have no further attempt.
+const START_TIMEOUT: Duration = Duration::from_millis(300);
+const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How a daemon learned the build of a stream that a caller takes up.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -104,10 +109,14 @@
                 found = answer.map(|build| (build, Source::Peer));
             }
         }
+        if found.is_none() {
+            self.wait_for_tables().await;
+        }
         let found = found.or_else(|| {
             let registry = self.registry();
+            let records = self.build_records();
             let unix_now = state::unix_millis_now();
-            let build = registry.single_build(self.now(), unix_now, pool, max_age);
+            let build = registry.single_build(self.now(), unix_now, pool, max_age, &records);
             build.map(|build| (build.clone(), Source::SingleBuild))
         });
         let source: &str = found
@@ -120,6 +129,15 @@
         build
     }
 
+    /// Waits until a daemon that has just started has read its targets and the records of builds.
+    async fn wait_for_tables(&self) {
+        let end = Instant::now() + START_TIMEOUT;
+        let is_ready = || self.tables.age().is_some() && self.build_records().is_loaded();
+        while !is_ready() && Instant::now() < end {
+            time::sleep(START_POLL_INTERVAL).await;
+        }
+    }
+
     /// Asks peers for the build at which a stream began.
     async fn query_origin(self: &Rc<Self>, stream: &RequestId) -> Option<Build> {
         let number = self.origins.next_number.get();
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -16,6 +16,7 @@
     budget::Budget,
     id::{Incarnation, PoolId, Time},
     relay::{
+        builds::BuildRecords,
         crash::CrashHistory,
         history::Edition,
         leader::{self, UnixMillis},
@@ -53,6 +54,7 @@
     plan: RefCell<Option<Rc<Plan>>>,
     plan_row: RefCell<Option<Row>>,
     registry: RefCell<Registry>,
+    build_records: RefCell<BuildRecords>,
     target_selector: RefCell<TargetSelector>,
     crash_history: RefCell<CrashHistory>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
@@ -87,6 +89,7 @@
             plan: RefCell::default(),
             plan_row: RefCell::default(),
             registry: RefCell::default(),
+            build_records: RefCell::default(),
             target_selector: RefCell::default(),
             crash_history: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -143,6 +146,14 @@
         self.registry.borrow_mut()
     }
 
+    pub(super) fn build_records(&self) -> Ref<'_, BuildRecords> {
+        self.build_records.borrow()
+    }
+
+    pub(super) fn build_records_mut(&self) -> RefMut<'_, BuildRecords> {
+        self.build_records.borrow_mut()
+    }
+
     pub(super) fn target_selector(&self) -> Ref<'_, TargetSelector> {
         self.target_selector.borrow()
     }
--- a/godwithinge/src/relay/store.rs
+++ b/godwithinge/src/relay/store.rs
@@ -167,19 +167,20 @@
         relay.dialect.parse_rows(&body, era).map_err(Error::Body)
     }
 
-    /// Writes this daemon's row, or deletes it if `value` is `None`. Returns the era in which the
-    /// store confirmed it.
+    /// Writes a row of the daemons' own tables, or deletes it if `value` is `None`. Returns the era in
+    /// which the store confirmed it.
     ///
     /// # Errors
     ///
     /// Fails if the call fails; the row may have been written nevertheless.
-    pub async fn put_daemon(
+    pub async fn put_row(
         &self,
         relay: &Relay,
-        name: &str,
+        table: Table,
+        key: &str,
         value: Option<&[u8]>,
     ) -> Result<Era, Error> {
-        let call = relay.dialect.write_daemon_call(name, value);
+        let call = relay.dialect.write_row_call(table, key, value);
         let (_, era) = self.call(relay, call, CALL_TIMEOUT).await?;
         Ok(era)
     }
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -26,9 +26,9 @@
 /// [`CALL_TIMEOUT`], it bounds how long a silent connection hides a change, which has to be shorter
 /// than the time within which a new configuration must be in force.
 const FEED_WAIT: Duration = Duration::from_millis(700);
-/// Same as [`FEED_WAIT`] for the table of daemons, which is less urgent, since links detect failed
-/// daemons.
-const DAEMON_FEED_WAIT: Duration = Duration::from_secs(10);
+/// Same as [`FEED_WAIT`] for the daemons' own tables, which are less urgent: links detect failed
+/// daemons, and builds matter after a start.
+const OWN_FEED_WAIT: Duration = Duration::from_secs(10);
 /// Minimum interval between two calls of a feed, since targets change their entries several times a
 /// second. A seventh of the time within which a draining target must receive no more requests.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(300);
@@ -162,13 +162,14 @@
             }
             match table {
                 Table::Targets => relay.replace_targets(rows.rows, rows.version),
+                Table::Builds => relay.load_builds(&rows.rows),
                 Table::Plan | Table::Daemons => relay.apply_rows(table, rows.rows),
             }
         }
         Some(version) => {
             let wait = match table {
                 Table::Plan | Table::Targets => FEED_WAIT,
-                Table::Daemons => DAEMON_FEED_WAIT,
+                Table::Daemons | Table::Builds => OWN_FEED_WAIT,
             };
             let changes = relay
                 .store
@@ -187,7 +188,7 @@
         match table {
             Table::Plan => self.plan_read_at.set(now),
             Table::Targets => self.targets_read_at.set(now),
-            Table::Daemons => {}
+            Table::Daemons | Table::Builds => {}
         }
     }
 
@@ -252,7 +253,7 @@
         let name = relay.settings().host.clone();
         let written = relay
             .store
-            .put_daemon(&relay, &name, Some(value.as_bytes()));
+            .put_row(&relay, Table::Daemons, &name, Some(value.as_bytes()));
         match written.await {
             Ok(era) => {
                 relay.store.wait_for_era_after(era).await;
@@ -295,7 +296,7 @@
     }
 
     /// Returns whether this daemon has to read a table from the store, as a reader or because no
-    /// reader among its peers has recent tables. Only readers read the table of daemons again.
+    /// reader among its peers has recent tables. Only readers read the daemons' own tables again.
     fn must_read(&self, table: Table) -> bool {
         if self.is_reader() {
             return true;
@@ -304,7 +305,7 @@
         self.links.for_each_peer(|peer| {
             is_fresh |= peer.table_age().is_some_and(|age| age < MAX_TABLE_AGE);
         });
-        !is_fresh && table != Table::Daemons
+        !is_fresh && !matches!(table, Table::Daemons | Table::Builds)
     }
 
     /// Applies rows that this daemon has read from the store.
@@ -315,6 +316,7 @@
                 Table::Plan => self.apply_plan(row),
                 Table::Targets => self.apply_target(&row, is_lenient),
                 Table::Daemons => self.learn_daemon_address(&row),
+                Table::Builds => self.apply_build_record(&row),
             }
         }
     }
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -7,6 +7,7 @@
 //! brings a new configuration to all daemons, [`origin`] holds where streams began, and [`crash`] the
 //! payloads that crash targets.
 
+pub mod builds;
 pub mod crash;
 pub mod distribution;
 pub mod history;
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -6,7 +6,7 @@
 //! available for [`REGISTRATION_GRACE`]. A store that comes back from an older copy shows entries
 //! of targets as they were then; these are ignored until the target writes its entry again.
 
-use super::{history::Version, leader::UnixMillis};
+use super::{builds::BuildRecords, history::Version, leader::UnixMillis};
 use crate::id::{DomainId, PoolId, TargetId, Time};
 use compact_str::CompactString;
 use std::{collections::BTreeMap, time::Duration};
@@ -175,14 +175,16 @@
 
     /// Returns the build of a pool if all of its targets had the same one during the last `period`.
     ///
-    /// A daemon that has started since then relies on the start times of the present targets by the
-    /// clock `unix_now`, since a former build was replaced by targets that started.
+    /// A daemon that has started since then relies on the records of the store. Without them, it
+    /// relies on the start times of the present targets by the clock `unix_now`, since a former build
+    /// was replaced by targets that started.
     pub fn single_build(
         &self,
         now: Time,
         unix_now: UnixMillis,
         pool: &str,
         period: Duration,
+        records: &BuildRecords,
     ) -> Option<&Build> {
         let present = || self.all().filter(|target| target.pool == pool);
         let build = &present().next()?.build;
@@ -197,8 +199,13 @@
             let age = unix_now.saturating_sub(target.started_unix_ms);
             Duration::from_millis(age) > period
         };
-        let is_settled = is_known_for_period || present().all(has_started_before);
-        (!has_other && is_settled).then_some(build)
+        let is_excluded = is_known_for_period
+            || if records.is_loaded() {
+                !records.has_other(unix_now, pool, build, period)
+            } else {
+                present().all(has_started_before)
+            };
+        (!has_other && is_excluded).then_some(build)
     }
 
     /// Starts the grace period anew because the store is unavailable or has just become available.
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -4,6 +4,7 @@
 use policy::{
     id::Time,
     relay::{
+        builds::BuildRecords,
         history::{Edition, Version},
         registry::{Build, REGISTRATION_GRACE, Registration, Registry, Target, TargetChange},
     },
@@ -134,7 +135,7 @@
     for (id, build, started) in targets {
         registry.upsert(NOW, target(id, build, *started));
     }
-    let found = registry.single_build(NOW, UNIX_NOW, "stage", PERIOD);
+    let found = registry.single_build(NOW, UNIX_NOW, "stage", PERIOD, &BuildRecords::default());
     assert_eq!(found.map(Build::as_str), expected);
 }
 
@@ -146,7 +147,7 @@
     registry.upsert(NOW, target("i-2", "v2", LATE_START));
     registry.remove(NOW, "i-1", false);
     let single = |registry: &Registry, now| {
-        let build = registry.single_build(now, UNIX_NOW, "stage", PERIOD);
+        let build = registry.single_build(now, UNIX_NOW, "stage", PERIOD, &BuildRecords::default());
         build.map(ToString::to_string)
     };
     assert_eq!(single(&registry, NOW + PERIOD), None);
