Hand over the builds of streams when a daemon leaves

The same cause elsewhere: in a rolling restart the daemon that forwarded a stream and both that keep its build end one after the other, within the time in which its caller may take it up. A daemon that leaves sends what it keeps, with its age, to the two daemons that come first without it. origins_survive_a_rolling_restart fails without that (503 for 200) and passes.

--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -122,6 +122,7 @@
         "leaving"
     );
     relay.set_leaving();
+    relay.hand_over_origins();
     let host = relay.settings().host.clone();
     let removal = relay.store.put_row(relay, Table::Daemons, &host, None);
     let removal = time::timeout(CLOSE_DELAY, removal).await;
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -134,7 +134,12 @@
         retry_after: Duration,
     },
     /// Build at which a stream began, for the receiver to keep.
-    StreamOrigin { stream: RequestId, build: Build },
+    StreamOrigin {
+        stream: RequestId,
+        build: Build,
+        /// Time since it was recorded.
+        age: Duration,
+    },
     /// Requests the build at which a stream began.
     FindOrigin { number: u64, stream: RequestId },
     /// Answer to a request for the build of a stream; absent if it is not known.
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -641,7 +641,7 @@
                 reason,
                 retry_after,
             } => self.refuse_job(number, reason, retry_after),
-            Frame::StreamOrigin { stream, build } => self.keep_origin(stream, build),
+            Frame::StreamOrigin { stream, build, age } => self.keep_origin(stream, build, age),
             Frame::FindOrigin { number, stream } => {
                 self.answer_origin_query(link_id, number, &stream);
             }
--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -3,6 +3,7 @@
 use super::{
     event,
     frame::{Frame, LinkId},
+    link::Peer,
     state::{self, Relay},
 };
 use futures::channel::oneshot;
@@ -75,22 +76,42 @@
 impl Relay {
     /// Records the build at which a stream began, here and at the peers that keep it.
     pub(super) fn record_origin(&self, stream: &RequestId, build: &Build) {
-        self.keep_origin(stream.clone(), build.clone());
-        for keeper in origin::keepers(stream, self.origin_peers()) {
+        self.keep_origin(stream.clone(), build.clone(), Duration::ZERO);
+        let peers = self.keeping_peers();
+        self.send_origin(stream, build, Duration::ZERO, peers);
+    }
+
+    /// Keeps the build of a stream, which this daemon or a peer recorded at that age.
+    pub(super) fn keep_origin(&self, stream: RequestId, build: Build, age: Duration) {
+        let recorded = self.now().saturating_sub(age);
+        let mut origins = self.origins.origins.borrow_mut();
+        origins.insert(recorded, stream, build);
+    }
+
+    /// Hands the builds of recent streams over to peers before this daemon ends, since in a rolling
+    /// restart all others that keep them may end as well.
+    pub(super) fn hand_over_origins(&self) {
+        let peers = self.keeping_peers();
+        let origins = self.origins.origins.borrow();
+        let mut count = 0;
+        for (stream, build, age) in origins.recent(self.now()) {
+            self.send_origin(stream, build, age, peers.clone());
+            count += 1;
+        }
+        tracing::info!(count, "origins of streams handed over");
+    }
+
+    fn send_origin(&self, stream: &RequestId, build: &Build, age: Duration, peers: Vec<HostId>) {
+        for keeper in origin::keepers(stream, peers) {
             let frame = Frame::StreamOrigin {
                 stream: stream.clone(),
                 build: build.clone(),
+                age,
             };
             self.links.send_to_host(&keeper, frame);
         }
     }
 
-    /// Keeps the build of a stream that this daemon or a peer forwards.
-    pub(super) fn keep_origin(&self, stream: RequestId, build: Build) {
-        let now = self.now();
-        self.origins.origins.borrow_mut().insert(now, stream, build);
-    }
-
     /// Returns the build at which a stream of `pool` began, if it is known or no other is possible.
     /// The stream began at most `max_age` ago. Without `stream`, the caller did not name it.
     pub(super) async fn find_origin(
@@ -142,7 +163,7 @@
     async fn query_origin(self: &Rc<Self>, stream: &RequestId) -> Option<Build> {
         let number = self.origins.next_number.get();
         self.origins.next_number.set(number + 1);
-        let asked = origin::asked_daemons(stream, self.origin_peers());
+        let asked = origin::asked_daemons(stream, self.peer_hosts(|_| true));
         let sent = asked.iter().filter(|host| {
             let stream = stream.clone();
             let frame = Frame::FindOrigin { number, stream };
@@ -187,10 +208,14 @@
     }
 
     /// Returns the peers that can keep origins of streams.
-    fn origin_peers(&self) -> Vec<HostId> {
+    fn keeping_peers(&self) -> Vec<HostId> {
+        self.peer_hosts(|peer| !peer.is_leaving)
+    }
+
+    fn peer_hosts(&self, is_included: impl Fn(&Peer) -> bool) -> Vec<HostId> {
         let mut hosts = Vec::with_capacity(self.links.count());
         self.links.for_each_peer(|peer| {
-            if !peer.is_leaving {
+            if is_included(peer) {
                 hosts.push(peer.profile.host.clone());
             }
         });
--- a/policy/src/relay/origin.rs
+++ b/policy/src/relay/origin.rs
@@ -32,17 +32,27 @@
 }
 
 impl Origins {
-    /// Records the build at which a stream began.
-    pub fn insert(&mut self, now: Time, stream: RequestId, build: Build) {
+    /// Records the build at which a stream began. `recorded` is the present time, or earlier if
+    /// another daemon has recorded it before.
+    pub fn insert(&mut self, recorded: Time, stream: RequestId, build: Build) {
         if self.builds.len() >= MAX_STREAMS {
             self.builds
-                .retain(|_, (_, recorded)| now < *recorded + KEEP_TIME);
+                .retain(|_, (_, earlier)| recorded < *earlier + KEEP_TIME);
         }
         if self.builds.len() < MAX_STREAMS || self.builds.contains_key(&stream) {
-            self.builds.insert(stream, (build, now));
+            self.builds.insert(stream, (build, recorded));
         }
     }
 
+    /// Returns the recent streams, their builds and how long ago these were recorded.
+    pub fn recent(&self, now: Time) -> impl Iterator<Item = (&RequestId, &Build, Duration)> {
+        let streams = self.builds.iter().map(move |(stream, (build, recorded))| {
+            let age = now.saturating_sub(*recorded);
+            (stream, build, age)
+        });
+        streams.filter(|(_, _, age)| *age < KEEP_TIME)
+    }
+
     /// Returns the build at which a stream began, if it is known.
     pub fn get(&self, stream: &str) -> Option<&Build> {
         self.builds.get(stream).map(|(build, _)| build)
