--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -1,7 +1,8 @@
 //! Startup of a daemon, and shutdown without losing requests.
 
 use super::{
-    builds, conduct, dialect::Table, front, link, settings::Settings, side, state::Relay, watch,
+    address, builds, conduct, dialect::Table, front, link, settings::Settings, side, state::Relay,
+    watch,
 };
 use std::{
     error, io,
@@ -93,7 +94,7 @@
         Rc::clone(relay),
         bind(settings.link_address).await?,
     ));
-    spawn_local(link::dial_peers(Rc::clone(relay)));
+    spawn_local(address::dial_peers(Rc::clone(relay)));
     let tables = [Table::Plan, Table::Targets, Table::Daemons, Table::Builds];
     for table in tables {
         spawn_local(watch::follow_table(Rc::clone(relay), table));
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -6,6 +6,7 @@
 
 use super::{
     accept,
+    address::AddressBook,
     dialect::Row,
     frame::{Frame, LinkId, Profile, WireRow},
     replication::UploadGuard,
@@ -53,13 +54,6 @@
 /// Time since the last byte for which a frame counts as arriving; shorter than the intervals of
 /// heartbeats.
 const RECEIVING_PERIOD: Duration = Duration::from_millis(200);
-/// Initial delay before an address is dialled again; doubles with each failure.
-const INITIAL_REDIAL_DELAY: Duration = Duration::from_millis(200);
-/// Maximum delay before an address is dialled again.
-const MAX_REDIAL_DELAY: Duration = Duration::from_secs(3);
-/// Time for which the daemon with the higher address waits for the other one to dial, so that the
-/// two do not dial each other at the same time.
-const YIELD_DELAY: Duration = Duration::from_secs(1);
 /// Capacity of a link's send queue. Frames beyond it are dropped, since a peer that does not read
 /// its frames has failed.
 const MAX_QUEUED_FRAMES: usize = 4_096;
@@ -154,55 +148,22 @@
 /// Links to all known daemons.
 #[derive(Debug)]
 pub(super) struct Links {
-    own_address: SocketAddr,
     own_domain: DomainId,
     peers: RefCell<HashMap<HostId, Peer>>,
     /// Known addresses of other daemons, also of those that are not linked.
-    known_addresses: RefCell<HashMap<SocketAddr, DialState>>,
+    pub addresses: AddressBook,
     last_link_id: Cell<LinkId>,
 }
 
-/// State of the attempts to dial an address.
-#[derive(Debug)]
-struct DialState {
-    /// Earliest time of the next attempt.
-    next_attempt: Instant,
-    /// Number of consecutive failures.
-    failures: u32,
-    /// Whether a dial is in progress or the dialled link is open.
-    in_progress: bool,
-}
-
 impl Links {
     pub fn new(settings: &Settings) -> Self {
-        let links = Self {
-            own_address: settings.link_address,
+        let addresses = AddressBook::new(settings.link_address);
+        addresses.add(settings.seeds.iter().copied());
+        Self {
             own_domain: settings.domain.clone(),
             peers: RefCell::default(),
-            known_addresses: RefCell::default(),
+            addresses,
             last_link_id: Cell::new(0),
-        };
-        links.add_addresses(settings.seeds.iter().copied());
-        links
-    }
-
-    /// Adds addresses of daemons to dial. Known ones keep their state, and the own one is ignored.
-    pub fn add_addresses(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
-        let mut known = self.known_addresses.borrow_mut();
-        for address in addresses {
-            if address == self.own_address {
-                continue;
-            }
-            let wait = if self.own_address < address {
-                Duration::ZERO
-            } else {
-                YIELD_DELAY
-            };
-            known.entry(address).or_insert_with(|| DialState {
-                next_attempt: Instant::now() + wait,
-                failures: 0,
-                in_progress: false,
-            });
         }
     }
 
@@ -211,11 +172,6 @@
         self.peers.borrow().len()
     }
 
-    /// Returns the number of known addresses of other daemons, linked or not.
-    pub fn known_count(&self) -> usize {
-        self.known_addresses.borrow().len()
-    }
-
     /// Returns whether a linked daemon is in the own domain.
     fn is_local(&self, host: &HostId) -> bool {
         let peers = self.peers.borrow();
@@ -241,6 +197,12 @@
         self.peers.borrow().values().for_each(&mut visit);
     }
 
+    /// Returns the addresses of the linked daemons.
+    pub fn linked_addresses(&self) -> HashSet<SocketAddr> {
+        let peers = self.peers.borrow();
+        peers.values().map(|peer| peer.profile.link).collect()
+    }
+
     /// Queues a frame for a daemon. Returns `false` if it is not linked or its queue is full.
     pub fn send_to_host(&self, host: &str, frame: Frame) -> bool {
         let peers = self.peers.borrow();
@@ -292,71 +254,6 @@
         self.last_link_id.set(self.last_link_id.get() + 1);
         self.last_link_id.get()
     }
-
-    /// Returns the addresses to dial now, and marks them as in progress.
-    fn take_due_addresses(&self) -> Vec<SocketAddr> {
-        let linked: HashSet<SocketAddr> = {
-            let peers = self.peers.borrow();
-            peers.values().map(|peer| peer.profile.link).collect()
-        };
-        let now = Instant::now();
-        let mut known = self.known_addresses.borrow_mut();
-        let due = known.iter_mut().filter(|(address, dial)| {
-            dial.next_attempt <= now && !dial.in_progress && !linked.contains(*address)
-        });
-        due.map(|(address, dial)| {
-            dial.in_progress = true;
-            *address
-        })
-        .collect()
-    }
-
-    /// Schedules the redial of a lost daemon. The end with the higher address waits longer, so that
-    /// the two do not dial each other at the same time.
-    fn record_link_lost(&self, address: SocketAddr) {
-        let wait = if self.own_address < address {
-            INITIAL_REDIAL_DELAY
-        } else {
-            YIELD_DELAY
-        };
-        if let Some(dial) = self.known_addresses.borrow_mut().get_mut(&address) {
-            dial.next_attempt = dial.next_attempt.max(Instant::now() + wait);
-        }
-    }
-
-    /// Schedules the next dial after a dialled link has ended or a dial has failed. `was_open`
-    /// tells whether the address was reachable, which resets the delay.
-    fn record_dial_end(&self, address: SocketAddr, was_open: bool) {
-        if let Some(dial) = self.known_addresses.borrow_mut().get_mut(&address) {
-            dial.failures = if was_open { 0 } else { dial.failures + 1 };
-            let delay = INITIAL_REDIAL_DELAY * 2_u32.saturating_pow(dial.failures.min(8));
-            dial.next_attempt = dial
-                .next_attempt
-                .max(Instant::now() + delay.min(MAX_REDIAL_DELAY));
-            dial.in_progress = false;
-        }
-    }
-}
-
-/// Interval at which the known addresses are checked for due dials.
-const DIAL_INTERVAL: Duration = Duration::from_millis(200); // as long as the initial redial delay
-
-/// Dials known daemons that are not linked; never returns.
-pub(super) async fn dial_peers(relay: Rc<Relay>) {
-    loop {
-        for address in relay.links.take_due_addresses() {
-            let relay = Rc::clone(&relay);
-            tokio::task::spawn_local(async move {
-                let result = open_link(&relay, address).await;
-                let was_open = matches!(
-                    result,
-                    Err(Error::Closed | Error::TimedOut | Error::Socket(_) | Error::Redundant)
-                );
-                relay.links.record_dial_end(address, was_open);
-            });
-        }
-        time::sleep(DIAL_INTERVAL).await;
-    }
 }
 
 /// Accepts links from other daemons; never returns.
@@ -374,7 +271,12 @@
     }
 }
 
-async fn open_link(relay: &Rc<Relay>, address: SocketAddr) -> Result<(), Error> {
+/// Opens a link to a daemon and runs it until it ends.
+///
+/// # Errors
+///
+/// Always fails, with the reason why the link could not be opened or has ended.
+pub(super) async fn open_link(relay: &Rc<Relay>, address: SocketAddr) -> Result<(), Error> {
     let (sender, receiver) = transport::connect(address).await?;
     run_link(relay, sender, receiver).await
 }
@@ -385,13 +287,7 @@
     mut sender: FrameSender,
     mut receiver: FrameReceiver,
 ) -> Result<(), Error> {
-    let mut known: Vec<SocketAddr> = relay
-        .links
-        .known_addresses
-        .borrow()
-        .keys()
-        .copied()
-        .collect();
+    let mut known = relay.links.addresses.all();
     known.truncate(MAX_HELLO_ADDRESSES);
     let hello = Frame::Hello {
         profile: relay.profile(),
@@ -402,8 +298,8 @@
     let Frame::Hello { profile, known } = first else {
         return Err(Error::MalformedFrame);
     };
-    relay.links.add_addresses(known);
-    relay.links.add_addresses([profile.link]);
+    relay.links.addresses.add(known);
+    relay.links.addresses.add([profile.link]);
     let host = profile.host.clone();
     let (link_id, queue) = relay.add_peer(profile, receiver.progress())?;
     let end = tokio::select! {
@@ -552,7 +448,7 @@
         let mut peers = self.links.peers.borrow_mut();
         let is_current = peers.get(host).is_some_and(|peer| peer.link_id == link_id);
         if is_current && let Some(peer) = peers.remove(host) {
-            self.links.record_link_lost(peer.profile.link);
+            self.links.addresses.record_link_lost(peer.profile.link);
             self.metrics.set_links(peers.len());
         }
         drop(peers);
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! External formats are read and written by a [`Dialect`].
 
 mod accept;
+mod address;
 mod body;
 mod builds;
 mod conduct;
--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -1,9 +1,12 @@
 //! Builds at which streams began, exchanged with peers.
 
 use super::{
+    dialect::Resumption,
     event,
     frame::{Frame, LinkId},
     link::Peer,
+    outcome::{Reason, Rejection},
+    run::{ActiveRequest, POOL_RETRY_AFTER},
     state::{self, Relay},
 };
 use futures::channel::oneshot;
@@ -11,7 +14,7 @@
     id::{HostId, PoolId, RequestId},
     relay::{
         origin::{self, Origins},
-        registry::Build,
+        registry::{Build, Target},
     },
 };
 use std::{
@@ -31,6 +34,10 @@
 const START_TIMEOUT: Duration = Duration::from_millis(300);
 const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Maximum age of a stream that a caller takes up, in timeouts of its route: that of the attempt that
+/// began it and of the one that takes it up.
+const MAX_STREAM_TIMEOUTS: u32 = 2;
+
 /// How a daemon learned the build of a stream that a caller takes up.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -222,3 +229,33 @@
         hosts
     }
 }
+
+impl ActiveRequest {
+    /// Determines the build at which a stream that the caller takes up has to go on.
+    ///
+    /// Fails if it is not known.
+    pub(super) async fn find_build(&self, resumption: &Resumption) -> Result<(), Rejection> {
+        let pool = self.pool()?;
+        let max_age = self.route.timeout * MAX_STREAM_TIMEOUTS;
+        let stream = resumption.stream.as_ref();
+        let found = self
+            .relay
+            .find_origin(&self.metadata.id, stream, &pool, max_age)
+            .await;
+        let unknown = Rejection::new(Reason::UnknownBuild).with_retry_after(POOL_RETRY_AFTER);
+        let build = found.ok_or(unknown)?;
+        self.build.get_or_init(|| build);
+        Ok(())
+    }
+
+    /// Records the build of the target that has sent the first event to this caller.
+    pub(super) fn record_build(&self, target: &Target) {
+        let build = self.build.get_or_init(|| target.build.clone());
+        if self.route.is_resumable {
+            let resumption = self.metadata.resumption.as_ref();
+            let stream = resumption.and_then(|resumption| resumption.stream.as_ref());
+            let stream = stream.unwrap_or(&self.metadata.id);
+            self.relay.record_origin(stream, build);
+        }
+    }
+}
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -3,7 +3,7 @@
 use super::{
     body::Body,
     conduct::{JobRefusal, JobRequest, StageResults},
-    dialect::{RequestMetadata, Resumption},
+    dialect::RequestMetadata,
     event::{self, RequestSummary},
     outcome::{Reason, Rejection},
     send::{BufferedResponse, SendOutcome, StreamingResponse},
@@ -43,12 +43,9 @@
 /// Minimum remaining time for a send; with less, a target has no chance to respond.
 const MIN_REMAINING: Duration = Duration::from_millis(5);
 /// `retry-after` if the pool has no target or is full, or if the stages did not finish in time.
-const POOL_RETRY_AFTER: Duration = Duration::from_millis(300); // a few typical plain requests
+pub(super) const POOL_RETRY_AFTER: Duration = Duration::from_millis(300); // a few typical plain requests
 /// `retry-after` if no target of a stream's build is left. One that crashed is back in seconds.
 const BUILD_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// Maximum age of a stream that a caller takes up, in timeouts of its route: that of the attempt that
-/// began it and of the one that takes it up.
-const MAX_STREAM_TIMEOUTS: u32 = 2;
 /// Minimum number of shared prompt tokens for which stages run preferably in the domain of the
 /// target that caches them.
 const MIN_SHARED_TOKENS: u32 = 1_000; // prefill of fewer takes less than a tenth of a stage call
@@ -306,34 +303,6 @@
         }
     }
 
-    /// Determines the build at which a stream that the caller takes up has to go on.
-    ///
-    /// Fails if it is not known.
-    async fn find_build(&self, resumption: &Resumption) -> Result<(), Rejection> {
-        let pool = self.pool()?;
-        let max_age = self.route.timeout * MAX_STREAM_TIMEOUTS;
-        let stream = resumption.stream.as_ref();
-        let found = self
-            .relay
-            .find_origin(&self.metadata.id, stream, &pool, max_age)
-            .await;
-        let unknown = Rejection::new(Reason::UnknownBuild).with_retry_after(POOL_RETRY_AFTER);
-        let build = found.ok_or(unknown)?;
-        self.build.get_or_init(|| build);
-        Ok(())
-    }
-
-    /// Records the build of the target that has sent the first event to this caller.
-    fn record_build(&self, target: &Target) {
-        let build = self.build.get_or_init(|| target.build.clone());
-        if self.route.is_resumable {
-            let resumption = self.metadata.resumption.as_ref();
-            let stream = resumption.and_then(|resumption| resumption.stream.as_ref());
-            let stream = stream.unwrap_or(&self.metadata.id);
-            self.relay.record_origin(stream, build);
-        }
-    }
-
     /// Runs the stages and sends the request until a target starts its response.
     ///
     /// If `last_event_id` is set, the target resumes a stream after that event.
@@ -489,7 +458,7 @@
 
     /// Returns the pool of the request in the current configuration, which may be newer than the
     /// one that admitted the request.
-    fn pool(&self) -> Result<PoolId, Rejection> {
+    pub(super) fn pool(&self) -> Result<PoolId, Rejection> {
         let plan = self.relay.plan().ok_or(Rejection::new(Reason::NoPlan))?;
         let route = if plan.revision == self.plan.revision {
             Arc::clone(&self.route)
@@ -587,24 +556,6 @@
     }
 }
 
-impl ActiveRequest {
-    /// Records the interruption of a stream as a failure of its target.
-    pub fn record_interrupted_stream(&self, target: &Target, result: &'static str) {
-        event::send_failed(
-            &self.metadata.id,
-            &target.id,
-            result,
-            self.arrived.elapsed(),
-            "resume",
-        );
-        let now = self.relay.now();
-        self.relay
-            .target_selector_mut()
-            .record_failure(now, &target.id);
-        self.relay.check_for_crash(target, self.payload_hash);
-    }
-}
-
 /// A response that a target has started.
 #[derive(Debug)]
 pub(super) enum TargetResponse {
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -196,7 +196,7 @@
     fn fleet_size(&self) -> usize {
         let linked = self.links.count();
         let others = if self.now() < leader::JOIN_TIMEOUT {
-            linked.max(self.links.known_count())
+            linked.max(self.links.addresses.count())
         } else {
             linked
         };
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -2,12 +2,14 @@
 
 use super::{
     body::TruncatedResponse,
+    event,
     run::{ActiveRequest, Attempts, TargetResponse},
     send::StreamingResponse,
 };
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use futures::Stream;
+use policy::relay::registry::Target;
 use std::{rc::Rc, time::Instant};
 use tokio::time;
 
@@ -150,3 +152,21 @@
         _ => request.deadline,
     }
 }
+
+impl ActiveRequest {
+    /// Records the interruption of a stream as a failure of its target.
+    pub fn record_interrupted_stream(&self, target: &Target, result: &'static str) {
+        event::send_failed(
+            &self.metadata.id,
+            &target.id,
+            result,
+            self.arrived.elapsed(),
+            "resume",
+        );
+        let now = self.relay.now();
+        self.relay
+            .target_selector_mut()
+            .record_failure(now, &target.id);
+        self.relay.check_for_crash(target, self.payload_hash);
+    }
+}
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -430,7 +430,7 @@
         };
         let address = std::str::from_utf8(value).ok();
         if let Some(address) = address.and_then(|text| text.parse().ok()) {
-            self.links.add_addresses([address]);
+            self.links.addresses.add([address]);
         } else {
             tracing::warn!(key = %row.key, "row of a daemon is not a valid address");
         }
