--- a/policy/src/relay/distribution.rs
+++ b/policy/src/relay/distribution.rs
@@ -15,14 +15,14 @@
 use std::{collections::BTreeMap, time::Duration};
 
 /// Time after which a request is repeated at another source if no answer is arriving.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(1); // half of the shortest bound of the sites
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(1); // a source that has room sends within milliseconds
 /// Time for which a source that declined, or did not answer in time, is not asked again.
-const RETRY_DELAY: Duration = Duration::from_millis(200); // about the duration of a transfer
+const RETRY_DELAY: Duration = Duration::from_millis(200); // transfers take about as long
 /// Time for which sources in other domains are not asked. Usually the configuration is available in
 /// the own domain by then, and bytes between domains are expensive.
 const REMOTE_DELAY: Duration = Duration::from_millis(300);
 /// Minimum rate that a source grants each transfer, in bytes per second.
-const MIN_TRANSFER_RATE: u64 = 312_500; // 2.5 Mbit/s, a quarter of the slowest links
+const MIN_TRANSFER_RATE: u64 = 312_500; // 2.5 Mbit/s; a few transfers share a link of 10 Mbit/s
 
 /// Sources of a configuration newer than the one in force, and the request in progress.
 #[derive(Clone, Debug)]
