Log and count how streams of targets end

The logs of the incident could not tell whether a stream that ended wrongly was delimited by the end of its connection and cut off inside an event, or reset and reported as ended by the HTTP client. The line "stream ended" and gwi_relay_stream_ends_total say how the body was delimited, and how many bytes were left after the last event. No decision changes.

--- /dev/null
+++ b/godwithinge/src/http/framing.rs
@@ -0,0 +1,33 @@
+//! Delimitation of message bodies.
+
+use http::{HeaderMap, header};
+use hyper::body::{Body, Incoming};
+use strum::IntoStaticStr;
+
+/// What marks the end of a response body.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Framing {
+    /// The number of bytes, which the head states or which is 0 by the status.
+    Length,
+    /// The last chunk.
+    Chunked,
+    /// The end of the connection, which does not show whether the body is complete.
+    Close,
+}
+
+impl Framing {
+    /// Determines the framing of a response that has not been read yet.
+    pub(super) fn new(headers: &HeaderMap, body: &Incoming) -> Self {
+        if body.size_hint().exact().is_some() {
+            return Self::Length;
+        }
+        let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+        let codings = codings.filter_map(|value| value.to_str().ok());
+        let last = codings.flat_map(|value| value.split(',')).last();
+        match last {
+            Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => Self::Chunked,
+            _ => Self::Close,
+        }
+    }
+}
--- a/godwithinge/src/http/mod.rs
+++ b/godwithinge/src/http/mod.rs
@@ -2,9 +2,10 @@
 
 mod connection;
 mod error;
+mod framing;
 mod response;
 
-pub use self::{error::Error, response::Response};
+pub use self::{error::Error, framing::Framing, response::Response};
 
 use self::connection::Connection;
 use bytes::Bytes;
--- a/godwithinge/src/http/response.rs
+++ b/godwithinge/src/http/response.rs
@@ -1,6 +1,6 @@
 //! HTTP response with a streamed body.
 
-use super::{Connection, Error, Pool};
+use super::{Connection, Error, Framing, Pool};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use http::{HeaderMap, StatusCode, header, response::Parts};
@@ -23,6 +23,7 @@
 pub struct Response {
     head: Parts,
     body: Incoming,
+    framing: Framing,
     connection: Option<Connection>,
     pool: Pool,
     address: CompactString,
@@ -44,6 +45,7 @@
             connection.set_idle_timeout(timeout);
         }
         Self {
+            framing: Framing::new(&head.headers, &body),
             head,
             body,
             reused: connection.is_reused(),
@@ -65,6 +67,11 @@
         &self.head.headers
     }
 
+    /// Returns what marks the end of the body.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Returns the approximate length of the response head in bytes.
     pub fn head_len(&self) -> usize {
         let fields = self.headers().iter();
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -1,6 +1,6 @@
 //! Log lines about decisions, each with the values that the decision is based on.
 
-use crate::log::ORDINARY_TARGET;
+use crate::{http::Framing, log::ORDINARY_TARGET};
 use http::StatusCode;
 use policy::{
     id::{RequestId, TargetId},
@@ -101,6 +101,28 @@
     );
 }
 
+/// Logs how the stream of a target ended: how its body was delimited, the last complete event, and
+/// the number of bytes after it.
+pub(super) fn stream_ended(
+    request: &str,
+    target: &TargetId,
+    result: &str,
+    framing: Framing,
+    last_event: Option<&str>,
+    partial_bytes: usize,
+) {
+    let framing: &'static str = framing.into();
+    tracing::info!(
+        request,
+        target_id = %target,
+        result,
+        framing,
+        last_event,
+        partial_bytes,
+        "stream ended"
+    );
+}
+
 /// Logs a job that the scheduler refused, with the times that the refusal is based on.
 pub(super) fn job_refused(
     request: &str,
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -35,6 +35,8 @@
     pub stage_seconds: HistogramVec,
     /// Failed sends to targets by pool and result.
     pub sends: IntCounterVec,
+    /// Ends of streams of targets by framing and result.
+    pub stream_ends: IntCounterVec,
     /// Calls to stage targets by pool and result.
     pub stage_calls: IntCounterVec,
     /// Pieces in calls to stage targets.
@@ -94,6 +96,11 @@
             first_byte_seconds: histogram("first_byte_seconds", "Time to the first byte", "kind"),
             stage_seconds: histogram("stages_seconds", "Time in stages", "result"),
             sends: counter("sends_total", "Sends to targets", &["pool", "result"]),
+            stream_ends: counter(
+                "stream_ends_total",
+                "Ends of streams of targets",
+                &["framing", "result"],
+            ),
             stage_calls: counter("calls_total", "Calls to stage targets", &["pool", "result"]),
             pieces,
             store_calls: counter(
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -6,6 +6,7 @@
     run::{ActiveRequest, Attempts, TargetResponse},
     send::StreamingResponse,
 };
+use crate::http::Framing;
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use futures::Stream;
@@ -103,6 +104,7 @@
                     }
                 }
                 Ok(Ok(None)) => {
+                    request.record_stream_end(&target, "complete", response.framing(), &splitter);
                     if !splitter.partial().is_empty() {
                         yield Ok(Bytes::copy_from_slice(splitter.partial()));
                     }
@@ -112,6 +114,7 @@
                 Ok(Err(_)) => "broken",
                 Err(_elapsed) => "silent",
             };
+            request.record_stream_end(&target, result, response.framing(), &splitter);
             request.record_interrupted_stream(&target, result);
             drop(response);
             drop(call);
@@ -154,6 +157,31 @@
 }
 
 impl ActiveRequest {
+    /// Counts the end of a target's stream, and logs it unless the target declared the end.
+    fn record_stream_end(
+        &self,
+        target: &Target,
+        result: &'static str,
+        framing: Framing,
+        splitter: &EventSplitter,
+    ) {
+        let labels = [framing.into(), result];
+        let ends = &self.relay.metrics.stream_ends;
+        ends.with_label_values(&labels).inc();
+        let is_declared = result == "complete" && framing != Framing::Close;
+        if !is_declared {
+            let (last, partial) = (splitter.last_id(), splitter.partial().len());
+            event::stream_ended(
+                &self.metadata.id,
+                &target.id,
+                result,
+                framing,
+                last,
+                partial,
+            );
+        }
+    }
+
     /// Records the interruption of a stream as a failure of its target.
     pub fn record_interrupted_stream(&self, target: &Target, result: &'static str) {
         event::send_failed(
