Let the test proxy pass resets on, and nothing after a gap

The proxy turned a reset of one end into an orderly end of the other, so that a broken answer without a length would look complete through it. It also delivered what followed bytes that it had dropped, and the end of the connection, which TCP never does; a body without a length then has a gap that nobody can see. Now both ends are reset, and a direction that has lost bytes stays silent, so that the daemons have to find such connections by their own timers.

--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -138,19 +138,20 @@
     }
 }
 
-/// Forwards bytes in both directions until both ends have closed, or until the proxy is reset.
+/// Forwards bytes in both directions until both ends have closed. If one end or the proxy is reset,
+/// both ends are.
 async fn forward(client: TcpStream, server: TcpStream, state: &State) {
     let mut reset_count = state.reset_count.subscribe();
     let (mut client_reader, mut client_writer) = client.into_split();
     let (mut server_reader, mut server_writer) = server.into_split();
     let is_reset = tokio::select! {
         _ = reset_count.changed() => true,
-        _ = async {
-            tokio::join!(
+        copied = async {
+            tokio::try_join!(
                 copy_bytes(&mut client_reader, &mut server_writer, Direction::ToServer, state),
                 copy_bytes(&mut server_reader, &mut client_writer, Direction::ToClient, state),
             )
-        } => false,
+        } => copied.is_err(),
     };
     if is_reset {
         for end in [&client_writer, &server_writer] {
@@ -162,14 +163,19 @@
 }
 
 /// Forwards bytes in one direction until the end of the stream or an error.
+///
+/// Once bytes were dropped, neither later ones nor the end of the stream arrive: TCP does not deliver
+/// what follows a gap.
 async fn copy_bytes(
     from: &mut OwnedReadHalf,
     to: &mut OwnedWriteHalf,
     direction: Direction,
     state: &State,
-) {
+) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_SIZE];
-    while let Ok(size) = from.read(&mut buffer).await {
+    let mut has_gap = false;
+    loop {
+        let size = from.read(&mut buffer).await?;
         let fault = *state.lock();
         match fault {
             Fault::Delay(delay) => time::sleep(delay).await,
@@ -179,13 +185,12 @@
             }
             Fault::None | Fault::DropToServer | Fault::DropToClient | Fault::DropAll => {}
         }
-        if size == 0 {
-            break;
-        }
-        if !fault.drops(direction) && to.write_all(&buffer[..size]).await.is_err() {
-            break;
+        has_gap |= fault.drops(direction);
+        match (size, has_gap) {
+            (0, true) => return Ok(()),
+            (0, false) => return to.shutdown().await,
+            (_, true) => {}
+            (_, false) => to.write_all(&buffer[..size]).await?,
         }
     }
-    // Fails if the peer has already closed the connection.
-    drop(to.shutdown().await);
 }
