--- a/standin/src/http/mod.rs
+++ b/standin/src/http/mod.rs
@@ -1,11 +1,12 @@
 //! HTTP/1.1 server whose open connections can be silenced or closed.
 
 pub mod query;
+mod raw_connection;
 pub mod reply;
 mod server_handle;
 mod silenceable_stream;
 
-pub use self::{reply::Reply, server_handle::ServerHandle};
+pub use self::{raw_connection::RawConnection, reply::Reply, server_handle::ServerHandle};
 
 use self::silenceable_stream::SilenceableStream;
 use bytes::Bytes;
@@ -137,7 +138,11 @@
 }
 
 async fn serve_connection<H: Handler>(stream: SilenceableStream, handler: Arc<H>) {
-    let service = service_fn(move |request| handle_request(Arc::clone(&handler), request));
+    let raw = stream.raw();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(raw.clone());
+        handle_request(Arc::clone(&handler), request)
+    });
     let served = http1::Builder::new()
         .header_read_timeout(None)
         .serve_connection(TokioIo::new(stream), service)
--- /dev/null
+++ b/standin/src/http/raw_connection.rs
@@ -0,0 +1,56 @@
+//! Answers that are not HTTP responses, or not complete ones.
+
+use std::{
+    io,
+    sync::{Arc, Weak},
+};
+use tokio::net::TcpStream;
+
+/// Handle in the extensions of a request by which its handler writes to the connection itself.
+///
+/// The handler then returns [`ConnectionClosed`](super::ConnectionClosed), which closes the
+/// connection.
+#[derive(Clone, Debug)]
+pub struct RawConnection {
+    stream: Weak<TcpStream>,
+}
+
+impl RawConnection {
+    pub(super) fn new(stream: &Arc<TcpStream>) -> Self {
+        Self {
+            stream: Arc::downgrade(stream),
+        }
+    }
+
+    /// Writes all bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is closed.
+    pub async fn write(&self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let stream = self.stream()?;
+            stream.writable().await?;
+            match stream.try_write(bytes) {
+                Ok(size) => bytes = &bytes[size..],
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// Makes the connection end with a TCP reset (RST) when it is closed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is closed.
+    pub fn reset_on_close(&self) -> io::Result<()> {
+        self.stream()?.set_zero_linger()
+    }
+
+    fn stream(&self) -> io::Result<Arc<TcpStream>> {
+        let stream = self.stream.upgrade();
+        stream.ok_or_else(|| io::ErrorKind::NotConnected.into())
+    }
+}
--- a/standin/src/http/silenceable_stream.rs
+++ b/standin/src/http/silenceable_stream.rs
@@ -1,5 +1,6 @@
 //! TCP stream that can be silenced.
 
+use super::RawConnection;
 use std::{
     io,
     pin::Pin,
@@ -7,7 +8,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -15,17 +16,17 @@
 };
 
 /// TCP stream that, once silenced, stays open but never reads, and discards all writes while
-/// reporting success.
+/// reporting success. It is closed on drop.
 #[derive(Debug)]
 pub(super) struct SilenceableStream {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     silent: Arc<AtomicBool>,
 }
 
 impl SilenceableStream {
     pub(super) fn new(stream: TcpStream) -> Self {
         Self {
-            stream,
+            stream: Arc::new(stream),
             silent: Arc::default(),
         }
     }
@@ -34,6 +35,11 @@
         Arc::clone(&self.silent)
     }
 
+    /// Returns a handle that writes to the stream directly.
+    pub(super) fn raw(&self) -> RawConnection {
+        RawConnection::new(&self.stream)
+    }
+
     fn is_silent(&self) -> bool {
         self.silent.load(Ordering::Relaxed)
     }
@@ -41,37 +47,53 @@
 
 impl AsyncRead for SilenceableStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.is_silent() {
             return Poll::Pending;
         }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(size) => {
+                    buf.advance(size);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
     }
 }
 
 impl AsyncWrite for SilenceableStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         if self.is_silent() {
             return Poll::Ready(Ok(buf.len()));
         }
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.is_silent() {
             return Poll::Pending;
         }
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        Poll::Ready(Ok(()))
     }
 }
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -1,7 +1,7 @@
 //! Fake of the platform's engines: plain engines, model engines that stream server-sent events, and
 //! stage engines.
 
-use crate::http::{ConnectionClosed, Handler, Listener, Reply, ServerHandle, reply};
+use crate::http::{ConnectionClosed, Handler, Listener, RawConnection, Reply, ServerHandle, reply};
 use bytes::Bytes;
 use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
 use serde_json::{Value, json};
@@ -11,7 +11,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -20,6 +20,10 @@
 /// Number of events in a complete stream; their ids run from 1.
 pub const STREAM_EVENTS: u64 = 6;
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
+/// Number of events before a stream is broken off.
+const EVENTS_BEFORE_CUT: u64 = 2;
+/// Bytes that an endless response repeats, with the interval between two writes.
+const ENDLESS_WRITE: (usize, Duration) = (4 << 10, Duration::from_millis(1));
 /// Time that a stage call takes, whatever the number of its items.
 const STAGE_CALL_DURATION: Duration = Duration::from_millis(20);
 
@@ -44,6 +48,36 @@
     WrongAttemptId,
     /// Returns a response without the `godwithinge-server-stamp` header.
     MissingStamp,
+    /// Returns a response with neither a length nor chunks, which ends with its connection.
+    Unframed(Cut),
+    /// Sends bytes without end, until the caller closes the connection.
+    Endless(Section),
+}
+
+/// Where an engine breaks off a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// The response is complete.
+    Never,
+    /// The connection is closed after the head of a stream; plain responses are complete.
+    BeforeFirstEvent,
+    /// The connection is closed in the middle of the third event of a stream; plain responses are
+    /// complete.
+    InsideEvent,
+    /// The connection is reset after the second event of a stream, or in the middle of a plain
+    /// response.
+    Reset,
+}
+
+/// Section of a response in which an engine sends bytes without end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Section {
+    /// Header fields.
+    Head,
+    /// Body, which contains no line break.
+    Body,
+    /// Body that consists of lines and blank lines but of no event with an identifier.
+    Lines,
 }
 
 /// Request that an engine accepted and began to execute.
@@ -77,6 +111,8 @@
     address: Mutex<String>,
     next_result: AtomicU64,
     stage_calls: Mutex<Vec<Value>>,
+    /// Endless responses that their callers have not closed.
+    endless_responses: AtomicUsize,
 }
 
 /// Handles of the results that the stage engines of a test hold. An input that is missing here is
@@ -112,6 +148,7 @@
             address: Mutex::default(),
             next_result: AtomicU64::new(0),
             stage_calls: Mutex::default(),
+            endless_responses: AtomicUsize::default(),
         });
         let listener = Listener::bind(0).await?.serve(Arc::clone(&state));
         *lock(&state.address) = listener.address().to_string();
@@ -148,6 +185,11 @@
         lock(&self.state.executed_requests).clone()
     }
 
+    /// Returns the number of endless responses that the engine is sending.
+    pub fn endless_responses(&self) -> usize {
+        self.state.endless_responses.load(Ordering::Relaxed)
+    }
+
     /// Returns the bodies of the stage calls, earliest first.
     pub fn stage_calls(&self) -> Vec<Value> {
         lock(&self.state.stage_calls).clone()
@@ -218,13 +260,27 @@
             _ => {}
         }
         let is_stream = headers.contains_key("godwithinge-token-counts");
+        let last = header("last-event-id").parse().unwrap_or(0);
+        let raw = request.extensions().get::<RawConnection>();
+        match (behavior, raw) {
+            (Behavior::Unframed(cut), Some(raw)) => {
+                let events = is_stream.then(|| self.events_after(last));
+                return self.send_unframed(raw, &id, events, cut).await;
+            }
+            (Behavior::Endless(section), Some(raw)) => {
+                return self.send_endless(raw, &id, section).await;
+            }
+            _ => {}
+        }
         let mut reply = if behavior == Behavior::ServerError {
             reply::bytes(StatusCode::INTERNAL_SERVER_ERROR, "failed")
         } else if is_stream {
-            let last = header("last-event-id").parse().unwrap_or(0);
-            event_stream(&self.build, last, behavior == Behavior::TruncateStream)
+            event_stream(
+                self.events_after(last),
+                behavior == Behavior::TruncateStream,
+            )
         } else {
-            reply::bytes(StatusCode::OK, format!("answer to {id}"))
+            reply::bytes(StatusCode::OK, plain_answer(&id))
         };
         let id = if behavior == Behavior::WrongAttemptId {
             "another".to_owned()
@@ -242,6 +298,83 @@
         Ok(reply)
     }
 
+    /// Returns the events of a stream after the event `last`. Their data names the build.
+    fn events_after(&self, last: u64) -> impl Iterator<Item = (u64, String)> + use<> {
+        let build = self.build.clone();
+        (last + 1..=STREAM_EVENTS).map(move |number| {
+            (
+                number,
+                format!("id: {number}\ndata: {build}-part-{number}\n\n"),
+            )
+        })
+    }
+
+    /// Sends a response that ends with its connection: a stream of `events`, or a plain response.
+    async fn send_unframed(
+        &self,
+        raw: &RawConnection,
+        id: &str,
+        events: Option<impl Iterator<Item = (u64, String)>>,
+        cut: Cut,
+    ) -> Result<Reply, ConnectionClosed> {
+        send(raw, &self.unframed_head(id)).await?;
+        let Some(events) = events else {
+            let mut answer = plain_answer(id);
+            if cut == Cut::Reset {
+                answer.truncate(answer.len() / 2);
+            }
+            send(raw, &answer).await?;
+            return close(raw, cut);
+        };
+        for (number, event) in events {
+            let is_cut = number > EVENTS_BEFORE_CUT;
+            match cut {
+                Cut::BeforeFirstEvent => break,
+                Cut::Reset if is_cut => break,
+                Cut::InsideEvent if is_cut => {
+                    send(raw, &event[..8]).await?;
+                    break;
+                }
+                Cut::Never | Cut::InsideEvent | Cut::Reset => send(raw, &event).await?,
+            }
+            time::sleep(EVENT_INTERVAL).await;
+        }
+        close(raw, cut)
+    }
+
+    /// Sends bytes until the connection is closed.
+    async fn send_endless(
+        &self,
+        raw: &RawConnection,
+        id: &str,
+        section: Section,
+    ) -> Result<Reply, ConnectionClosed> {
+        self.endless_responses.fetch_add(1, Ordering::Relaxed);
+        let _guard = EndlessGuard(self);
+        let head = self.unframed_head(id);
+        let (start, unit) = match section {
+            Section::Head => (head.trim_end(), "\r\nx-filler: 0123456789abcdef"),
+            Section::Body => (head.as_str(), "0123456789abcdef"),
+            Section::Lines => (head.as_str(), "0123456789: abcdef\n\n"),
+        };
+        send(raw, start).await?;
+        let (size, interval) = ENDLESS_WRITE;
+        let units = unit.repeat(size / unit.len());
+        loop {
+            send(raw, &units).await?;
+            time::sleep(interval).await;
+        }
+    }
+
+    /// Returns the head of a response without a length.
+    fn unframed_head(&self, id: &str) -> String {
+        format!(
+            "HTTP/1.1 200 OK\r\ngodwithinge-attempt-id: {id}\r\n\
+             godwithinge-server-stamp: stamp-{}\r\n\r\n",
+            self.id
+        )
+    }
+
     fn refusal(&self, status: StatusCode) -> Reply {
         let mut reply = reply::bytes(status, Bytes::new());
         set_header(&mut reply, "godwithinge-not-executed", "1");
@@ -263,14 +396,23 @@
     }
 }
 
-/// Returns a stream of the events after id `last`, whose data names the build; a truncated one
-/// breaks off within event 3.
-fn event_stream(build: &str, last: u64, is_truncated: bool) -> Reply {
-    let build = build.to_owned();
+/// Counts an endless response until dropped.
+struct EndlessGuard<'a>(&'a State);
+
+impl Drop for EndlessGuard<'_> {
+    fn drop(&mut self) {
+        self.0.endless_responses.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Returns a stream of events; a truncated one breaks off within event 3.
+fn event_stream(
+    events: impl Iterator<Item = (u64, String)> + Send + 'static,
+    is_truncated: bool,
+) -> Reply {
     reply::event_stream(async_stream::stream! {
-        for number in last + 1..=STREAM_EVENTS {
-            let event = format!("id: {number}\ndata: {build}-part-{number}\n\n");
-            if is_truncated && number == 3 {
+        for (number, event) in events {
+            if is_truncated && number == EVENTS_BEFORE_CUT + 1 {
                 yield Ok(Bytes::copy_from_slice(&event.as_bytes()[..8]));
                 yield Err(ConnectionClosed);
                 return;
@@ -281,6 +423,23 @@
     })
 }
 
+fn plain_answer(id: &str) -> String {
+    format!("answer to {id}")
+}
+
+async fn send(raw: &RawConnection, text: &str) -> Result<(), ConnectionClosed> {
+    let sent = raw.write(text.as_bytes()).await;
+    sent.map_err(|_closed| ConnectionClosed)
+}
+
+/// Ends an unframed response.
+fn close(raw: &RawConnection, cut: Cut) -> Result<Reply, ConnectionClosed> {
+    if cut == Cut::Reset {
+        raw.reset_on_close().map_err(|_closed| ConnectionClosed)?;
+    }
+    Err(ConnectionClosed)
+}
+
 fn set_header(reply: &mut Reply, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         reply.headers_mut().insert(name, value);
