Do not take a connection's end inside an event for the end of a stream

Cause: a response may have neither a length nor chunks and end with its connection. The HTTP client reports that end like any other, and the relay took every reported end for the stream's. It sent the caller what was left of an event and the last chunk of its own response. Streams that can't be resumed were not split into events at all, and one without any event was answered with an empty body.

Now sse::Reader judges the end, from the framing of the response and from what was read: a body that ends inside an event, or that ends with its connection before the first event, was cut off. It is handled like a broken connection: resumed, sent elsewhere, answered 502, or visibly broken off. A stream is answered once its first event is whole, so that one that is cut off before can still be tried at another target.

--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -24,6 +24,7 @@
 mod send;
 mod settings;
 mod side;
+mod sse;
 mod state;
 mod store;
 mod stream;
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -290,11 +290,9 @@
                 self.stats.first_byte.set(Some(self.arrived.elapsed()));
                 self.record_build(&stream.target);
                 let mut response = Response::new(Body::Whole(None));
-                *response.status_mut() = stream.response.status();
-                *response.headers_mut() = self
-                    .relay
-                    .dialect
-                    .response_headers(stream.response.headers());
+                let head = stream.reader.response();
+                *response.status_mut() = head.status();
+                *response.headers_mut() = self.relay.dialect.response_headers(head.headers());
                 let attempts = std::mem::take(attempts);
                 let chunks = stream::body_stream(Rc::clone(self), *stream, attempts);
                 *response.body_mut() = Body::from_stream(chunks);
@@ -561,7 +559,7 @@
 pub(super) enum TargetResponse {
     /// The response was received completely.
     Buffered(BufferedResponse),
-    /// The response is a stream whose first chunk was received.
+    /// The response is a stream whose first events were received.
     Streaming(Box<StreamingResponse>),
 }
 
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -4,6 +4,7 @@
     dialect::{ForwardingMetadata, RequestMetadata, ResponseMetadata},
     frame::Frame,
     run::ActiveRequest,
+    sse,
     state::Relay,
 };
 use crate::http::{self as pool, Reuse};
@@ -45,7 +46,7 @@
 pub(super) enum SendOutcome {
     /// The complete response was received.
     Buffered(BufferedResponse),
-    /// The head and the first chunk of a stream were received.
+    /// The head and the first events of a stream were received.
     Streaming(Box<StreamingResponse>),
     /// No connection could be established.
     Unreached,
@@ -64,10 +65,12 @@
     pub body: Bytes,
 }
 
-/// A stream whose first chunk was received.
+/// A stream whose first events were received.
 #[derive(Debug)]
 pub(super) struct StreamingResponse {
-    pub response: pool::Response,
+    /// Reads the events after the first ones.
+    pub reader: sse::Reader,
+    /// The first events.
     pub first: Bytes,
     pub target: Target,
     pub call: CallGuard,
@@ -121,7 +124,7 @@
         (target, started.elapsed(), outcome)
     }
 
-    /// Receives a complete response, or a stream up to its first chunk.
+    /// Receives a complete response, or a stream up to its first event.
     async fn receive(
         &self,
         mut response: pool::Response,
@@ -151,24 +154,7 @@
             if self.max_target_connections(&target.pool) < MIN_CONNECTIONS_FOR_REUSE {
                 response.disable_reuse();
             }
-            let first = time::timeout_at(
-                self.first_event_timeout_at(started).into(),
-                response.chunk(),
-            )
-            .await;
-            return match first {
-                Ok(Ok(Some(first))) => SendOutcome::Streaming(Box::new(StreamingResponse {
-                    response,
-                    first,
-                    target: target.clone(),
-                    call,
-                })),
-                Ok(Ok(None)) => {
-                    SendOutcome::Buffered(self.buffered(status, &response, Bytes::new()))
-                }
-                Ok(Err(_)) => SendOutcome::Failed("broken"),
-                Err(_elapsed) => SendOutcome::Failed("silent"),
-            };
+            return self.receive_stream(response, target, call, started).await;
         }
         if self.max_target_connections(&target.pool) < MIN_CONNECTIONS_FOR_REUSE {
             response.disable_reuse();
@@ -185,16 +171,39 @@
         }
     }
 
-    fn buffered(
+    /// Receives a stream up to its first event, or to its end if it has none.
+    async fn receive_stream(
         &self,
-        status: StatusCode,
-        response: &pool::Response,
-        body: Bytes,
-    ) -> BufferedResponse {
-        BufferedResponse {
-            status,
-            headers: self.relay.dialect.response_headers(response.headers()),
-            body,
+        response: pool::Response,
+        target: &Target,
+        call: CallGuard,
+        started: Instant,
+    ) -> SendOutcome {
+        let mut reader = sse::Reader::new(response);
+        let timeout = sse::Timeout {
+            deadline: self.first_event_timeout_at(started),
+            gap: None,
+        };
+        match reader.next(timeout).await {
+            Ok(Some(first)) => SendOutcome::Streaming(Box::new(StreamingResponse {
+                reader,
+                first,
+                target: target.clone(),
+                call,
+            })),
+            Ok(None) => {
+                let response = reader.response();
+                SendOutcome::Buffered(BufferedResponse {
+                    status: response.status(),
+                    headers: self.relay.dialect.response_headers(response.headers()),
+                    body: Bytes::new(),
+                })
+            }
+            Err(interruption) => {
+                let result = interruption.into();
+                self.record_stream_end(target, result, &reader);
+                SendOutcome::Failed(result)
+            }
         }
     }
 
