Limit the head of a target's response to 64 KiB

Bytes that are no answer may come without end in a head. The HTTP client reads up to 400 KiB of one before it gives up, for each connection: with 50 connections to a target in trouble that is 20 MB of the 160 MB that a daemon has on large sites. The heads of the sites have less than 1 KiB.

--- a/godwithinge/src/http/connection.rs
+++ b/godwithinge/src/http/connection.rs
@@ -16,6 +16,9 @@
 /// does not race with the close. The server announces the timeout in whole seconds only.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Maximum size of a response head in bytes; also the most that is buffered of a body.
+const MAX_HEAD_BYTES: usize = 64 << 10; // the heads of the sites have less than one KiB
+
 /// HTTP/1.1 connection, closed on drop.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -44,7 +47,10 @@
             .map_err(|_elapsed| Error::Connect(io::ErrorKind::TimedOut.into()))?
             .map_err(Error::Connect)?;
         stream.set_nodelay(true).map_err(Error::Connect)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake
             .await
             .map_err(|cause| Error::Connect(io::Error::other(cause)))?;
         let driver = tokio::spawn(async move {
