--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -2,7 +2,7 @@
 //! connection resets.
 
 use std::{
-    io,
+    future, io,
     net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -164,8 +164,8 @@
 
 /// Forwards bytes in one direction until the end of the stream or an error.
 ///
-/// Once bytes were dropped, neither later ones nor the end of the stream arrive: TCP does not deliver
-/// what follows a gap.
+/// TCP does not deliver what follows lost bytes, so once some were dropped, nothing is read any more
+/// and the sender's window fills up.
 async fn copy_bytes(
     from: &mut OwnedReadHalf,
     to: &mut OwnedWriteHalf,
@@ -173,7 +173,6 @@
     state: &State,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_SIZE];
-    let mut has_gap = false;
     loop {
         let size = from.read(&mut buffer).await?;
         let fault = *state.lock();
@@ -183,14 +182,16 @@
                 let seconds = size as f64 / f64::from(bytes_per_second);
                 time::sleep(Duration::from_secs_f64(seconds)).await;
             }
-            Fault::None | Fault::DropToServer | Fault::DropToClient | Fault::DropAll => {}
+            Fault::None => {}
+            Fault::DropToServer | Fault::DropToClient | Fault::DropAll => {
+                if fault.drops(direction) {
+                    future::pending::<()>().await;
+                }
+            }
         }
-        has_gap |= fault.drops(direction);
-        match (size, has_gap) {
-            (0, true) => return Ok(()),
-            (0, false) => return to.shutdown().await,
-            (_, true) => {}
-            (_, false) => to.write_all(&buffer[..size]).await?,
+        if size == 0 {
+            return to.shutdown().await;
         }
+        to.write_all(&buffer[..size]).await?;
     }
 }
