--- a/godwithinge/src/target/engine.rs
+++ b/godwithinge/src/target/engine.rs
@@ -8,6 +8,8 @@
 
 /// Data of the last event of a stream.
 const DONE_MARKER: &str = "[DONE]";
+/// Maximum size of an event in bytes; an event holds the text of one token.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 /// Header that contains the call's idempotency key.
 const IDEMPOTENCY_KEY_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
@@ -30,12 +32,12 @@
         )
     };
     let mut response = client.send(call, pool.idempotent, request).await?;
-    let mut decoder = Decoder::new();
+    let mut decoder = Decoder::new(MAX_EVENT_BYTES);
     let mut text = CompactString::from(&*call.streamed_text);
     loop {
         let bytes = with_idle_timeout(call.idle_timeout, response.chunk()).await?;
         decoder.push(&bytes.ok_or(Fault::Broken)?);
-        while let Some(event) = decoder.next_event() {
+        while let Some(event) = decoder.next_event().map_err(|_too_long| Fault::Error)? {
             let data = event.data;
             if data == DONE_MARKER {
                 // The connection can be reused only if the body is read to its end.
--- a/godwithinge/src/target/mod.rs
+++ b/godwithinge/src/target/mod.rs
@@ -8,7 +8,7 @@
 
 pub use self::{
     error::Error,
-    sse::{Decoder, Event},
+    sse::{Decoder, Event, EventTooLong},
     wire::CacheChanges,
 };
 
--- a/godwithinge/tests/process/common/caller.rs
+++ b/godwithinge/tests/process/common/caller.rs
@@ -15,6 +15,9 @@
     },
 };
 
+/// Maximum size of an event in bytes; the outcome holds the whole answer.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// A request to a pipeline, as sent by a caller.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
@@ -117,11 +120,11 @@
     }
 
     async fn read(&self, mut body: Incoming, limit: usize) -> StreamOutput {
-        let mut decoder = Decoder::new();
+        let mut decoder = Decoder::new(MAX_EVENT_BYTES);
         let mut parts = Vec::new();
         while let Some(Ok(frame)) = body.frame().await {
             decoder.push(frame.data_ref().map_or(&[], |data| data.as_ref()));
-            while let Some(event) = decoder.next_event() {
+            while let Some(event) = decoder.next_event().expect("event is short") {
                 let data: Value = serde_json::from_str(&event.data).expect("data is JSON");
                 if event.name == "outcome" {
                     return (parts, Some(data));
