Send streams whole to callers over HTTP/1.0

Such a caller now gets the stream with its length once it is complete, else 502. The users' callers speak HTTP/1.1; nothing changes for them.

--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -12,7 +12,7 @@
 };
 use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
-use http::{Response, StatusCode, request::Parts};
+use http::{Response, StatusCode, Version, request::Parts};
 use policy::{
     hash,
     id::{DomainId, PoolId, TargetId, WorkspaceId},
@@ -295,7 +295,10 @@
                 *response.headers_mut() = self.relay.dialect.response_headers(head.headers());
                 let attempts = std::mem::take(attempts);
                 let chunks = stream::body_stream(Rc::clone(self), *stream, attempts);
-                *response.body_mut() = Body::from_stream(chunks);
+                *response.body_mut() = match self.head.version {
+                    Version::HTTP_10 => stream::whole_body(chunks).await?,
+                    _ => Body::from_stream(chunks),
+                };
                 Ok(response)
             }
         }
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -23,7 +23,7 @@
 use tokio::{net::TcpStream, time};
 
 /// Maximum size of a buffered response in bytes; responses of the sites have a few kilobytes.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Time limit for the first event in addition to the prefill time; a few times the usual time under
 /// load.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(900);
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -1,17 +1,18 @@
 //! Forwarding of a stream, which is resumed at another target if it is interrupted.
 
 use super::{
-    body::TruncatedResponse,
+    body::{Body, TruncatedResponse},
     event,
+    outcome::{Reason, Rejection},
     run::{ActiveRequest, Attempts, TargetResponse},
-    send::StreamingResponse,
+    send::{MAX_RESPONSE_BYTES, StreamingResponse},
     sse::Reader,
 };
 use crate::http::Framing;
-use bytes::Bytes;
-use futures::Stream;
+use bytes::{Bytes, BytesMut};
+use futures::{Stream, StreamExt};
 use policy::relay::registry::Target;
-use std::{rc::Rc, time::Instant};
+use std::{pin::pin, rc::Rc, time::Instant};
 
 /// Multiple of the maximum event gap after which a stream is resumed at another target.
 const EVENT_TIMEOUT_GAPS: u32 = 4; // callers give up after eight
@@ -69,6 +70,27 @@
     }
 }
 
+/// Reads a stream to its end, for callers whose version of HTTP has no chunks and so does not tell a
+/// stream that was broken off from a complete one.
+///
+/// # Errors
+///
+/// Fails if the stream is interrupted or too long.
+pub(super) async fn whole_body(
+    chunks: impl Stream<Item = Result<Bytes, TruncatedResponse>>,
+) -> Result<Body, Rejection> {
+    let broken = Rejection::new(Reason::Broken);
+    let mut body = BytesMut::new();
+    let mut chunks = pin!(chunks);
+    while let Some(chunk) = chunks.next().await {
+        body.extend_from_slice(&chunk.map_err(|_truncated| broken)?);
+        if body.len() > MAX_RESPONSE_BYTES {
+            return Err(broken);
+        }
+    }
+    Ok(Body::new(body))
+}
+
 /// Returns when a stream without another event is considered unresponsive.
 fn next_event_deadline(request: &ActiveRequest) -> Instant {
     match request.route.gap {
