--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -11,13 +11,11 @@
         registry::Registration,
         scheduler::{Handle, Item, ItemError},
         selection::Part,
+        sse::EventId,
     },
 };
 use std::{error, fmt, time::Duration};
 
-/// Identifier of an event; identifiers increase within a stream.
-pub type EventId = u64;
-
 /// Metadata in the head of a caller's request.
 #[derive(Clone, Debug, Default)]
 pub struct RequestMetadata {
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -3,7 +3,7 @@
 use super::{
     body::Body,
     conduct::{JobRefusal, JobRequest, StageResults},
-    dialect::{EventId, RequestMetadata},
+    dialect::RequestMetadata,
     event::{self, RequestSummary},
     outcome::{Reason, Rejection},
     send::{BufferedResponse, SendOutcome, StreamingResponse},
@@ -22,6 +22,7 @@
         registry::{Build, Target},
         scheduler::StageSpec,
         selection::{Criteria, Selection},
+        sse::EventId,
     },
 };
 use std::{
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -1,7 +1,7 @@
 //! Sending of a request to a target, and evaluation of the outcome.
 
 use super::{
-    dialect::{EventId, ForwardingMetadata, RequestMetadata, ResponseMetadata},
+    dialect::{ForwardingMetadata, RequestMetadata, ResponseMetadata},
     frame::Frame,
     run::ActiveRequest,
     sse,
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use policy::{
     id::TargetId,
-    relay::{crash::PayloadHash, plan::Kind, registry::Target, scheduler::Handle},
+    relay::{crash::PayloadHash, plan::Kind, registry::Target, scheduler::Handle, sse::EventId},
 };
 use std::{
     io,
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -4,8 +4,8 @@
 //! [`leader`], combines the pieces of the request's stages with those of other requests into calls
 //! ([`scheduler`]). [`selection`] chooses the target of the request itself. [`registry`] holds the
 //! known targets, [`history`] orders their entries when the store loses writes, [`distribution`]
-//! brings a new configuration to all daemons, [`origin`] holds where streams began, and [`crash`] the
-//! payloads that crash targets.
+//! brings a new configuration to all daemons, [`origin`] holds where streams began, [`sse`] judges
+//! whether a stream is complete, and [`crash`] holds the payloads that crash targets.
 
 pub mod builds;
 pub mod crash;
@@ -17,3 +17,4 @@
 pub mod registry;
 pub mod scheduler;
 pub mod selection;
+pub mod sse;
--- /dev/null
+++ b/policy/src/relay/sse.rs
@@ -0,0 +1,120 @@
+//! Judgement of a target's stream of server-sent events.
+//!
+//! A target in trouble ends its stream early or sends other bytes, at times without end. Only complete
+//! events in order are forwarded, and only an end after such an event is the end of the stream.
+
+use strum::IntoStaticStr;
+
+/// Maximum size of an event in bytes; events of the sites have a few hundred.
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
+/// Sequences that end an event.
+const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
+/// Length in bytes of the longest of [`EVENT_ENDS`].
+const MAX_END_LEN: usize = 4;
+
+/// Identifier of an event; identifiers increase within a stream.
+pub type EventId = u64;
+
+/// Why the bytes of a stream are not accepted; the name is a label value.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Fault {
+    /// An event exceeds [`MAX_EVENT_BYTES`].
+    LongEvent,
+    /// An event has no identifier, or none that is greater than that of the event before.
+    Foreign,
+}
+
+/// Splits a stream into events and checks their order.
+#[derive(Clone, Debug, Default)]
+pub struct Parser {
+    /// Bytes after the last complete event.
+    partial: Vec<u8>,
+    last_id: Option<EventId>,
+    has_events: bool,
+}
+
+impl Parser {
+    /// Creates a parser of a stream whose events follow the event `last_id`, if given.
+    pub fn new(last_id: Option<EventId>) -> Self {
+        Self {
+            last_id,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the identifier of the last event that was accepted, or that the stream follows.
+    pub fn last_id(&self) -> Option<EventId> {
+        self.last_id
+    }
+
+    /// Returns the number of bytes after the last complete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Appends bytes and returns all events that are complete.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event is too long or not in order. The parser must not be used afterwards.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Fault> {
+        let searched = self.partial.len().saturating_sub(MAX_END_LEN);
+        self.partial.extend_from_slice(bytes);
+        let end = end_of_events(&self.partial[searched..]).map_or(0, |end| searched + end);
+        if self.partial.len() - end > MAX_EVENT_BYTES {
+            return Err(Fault::LongEvent);
+        }
+        if end == 0 {
+            return Ok(Vec::new());
+        }
+        let rest = self.partial.split_off(end);
+        let events = std::mem::replace(&mut self.partial, rest);
+        self.last_id = last_event_id(&events, self.last_id)?;
+        self.has_events = true;
+        Ok(events)
+    }
+
+    /// Returns whether a stream that ends here is complete.
+    ///
+    /// `is_declared` states whether the target declared the end, by a length or a last chunk. The end
+    /// of the connection alone is taken for the end of the stream only after an event.
+    pub fn is_complete(&self, is_declared: bool) -> bool {
+        self.partial.is_empty() && (is_declared || self.has_events)
+    }
+}
+
+/// Returns the offset of the end of the last complete event, if there is one.
+fn end_of_events(bytes: &[u8]) -> Option<usize> {
+    let mut offsets = (1..=bytes.len()).rev();
+    offsets.find(|&offset| EVENT_ENDS.iter().any(|end| bytes[..offset].ends_with(end)))
+}
+
+/// Returns the identifier of the last of the complete events that follow the event `last`.
+fn last_event_id(events: &[u8], mut last: Option<EventId>) -> Result<Option<EventId>, Fault> {
+    let mut has_fields = false;
+    let mut has_id = false;
+    for line in events.split(|&byte| byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() {
+            if has_fields && !has_id {
+                return Err(Fault::Foreign);
+            }
+            (has_fields, has_id) = (false, false);
+        } else if let Some(id) = line.strip_prefix(b"id:") {
+            let id = parse_id(id).ok_or(Fault::Foreign)?;
+            if last.is_some_and(|last| id <= last) {
+                return Err(Fault::Foreign);
+            }
+            last = Some(id);
+            has_id = true;
+        } else if !line.starts_with(b":") {
+            has_fields = true;
+        }
+    }
+    Ok(last)
+}
+
+fn parse_id(text: &[u8]) -> Option<EventId> {
+    std::str::from_utf8(text).ok()?.trim().parse().ok()
+}
