Limit the memory that large responses take together

Bytes that are no answer may come without end, and on each connection to a target in trouble. The relay read up to 4 MiB of each body, in buffers of up to twice that: 50 such responses at once brought it to 240 MB, where a daemon of the users' large sites is killed at 160. The memory limit in the settings was read but not used.

Responses up to 64 KiB always have room now. Beyond that they share an eighth of the daemon's memory limit, and fail at once when it is used up (result too_large).

--- a/godwithinge/src/http/connection.rs
+++ b/godwithinge/src/http/connection.rs
@@ -17,7 +17,7 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Maximum size of a response head in bytes; also the most that is buffered of a body.
-const MAX_HEAD_BYTES: usize = 64 << 10; // the heads of the sites have less than one KiB
+const MAX_HEAD_BYTES: usize = 64 << 10; // usual heads have less than one KiB
 
 /// HTTP/1.1 connection, closed on drop.
 #[derive(Debug)]
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod accept;
 mod address;
 mod body;
+mod buffer;
 mod builds;
 mod conduct;
 pub mod dialect;
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -297,7 +297,7 @@
                 let attempts = std::mem::take(attempts);
                 let chunks = stream::body_stream(Rc::clone(self), *stream, attempts);
                 *response.body_mut() = match self.head.version {
-                    Version::HTTP_10 => stream::whole_body(chunks).await?,
+                    Version::HTTP_10 => stream::whole_body(&self.relay, chunks).await?,
                     _ => Body::from_stream(chunks),
                 };
                 Ok(response)
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -1,6 +1,7 @@
 //! Sending of a request to a target, and evaluation of the outcome.
 
 use super::{
+    buffer::{Buffer, TooLarge},
     dialect::{ForwardingMetadata, RequestMetadata, ResponseMetadata},
     frame::Frame,
     run::ActiveRequest,
@@ -22,8 +23,6 @@
 };
 use tokio::{net::TcpStream, time};
 
-/// Maximum size of a buffered response in bytes; responses of the sites have a few kilobytes.
-pub(super) const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Time limit for the first event in addition to the prefill time; a few times the usual time under
 /// load.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -167,14 +166,26 @@
         }
         let headers = self.relay.dialect.response_headers(response.headers());
         let is_early_response = self.body.len() > LARGE_BODY_BYTES && !status.is_success();
-        match read_body(response, is_early_response).await {
+        if is_early_response {
+            response.disable_reuse();
+        }
+        match self.receive_body(response).await {
             Ok(body) => SendOutcome::Buffered(BufferedResponse {
                 status,
                 headers,
                 body,
             }),
-            Err(_) => SendOutcome::Failed("broken"),
+            Err(result) => SendOutcome::Failed(result),
+        }
+    }
+
+    /// Receives the body of a response; fails with the label of the cause.
+    async fn receive_body(&self, mut response: pool::Response) -> Result<Bytes, &'static str> {
+        let mut buffer = Buffer::new(&self.relay);
+        while let Some(chunk) = response.chunk().await.map_err(|_broken| "broken")? {
+            buffer.push(&chunk).map_err(|TooLarge| "too_large")?;
         }
+        Ok(buffer.into_bytes())
     }
 
     /// Receives a stream up to its first event, or to its end if it has none.
@@ -310,14 +321,3 @@
         self.links.broadcast(&Frame::TargetCrash(payload_hash));
     }
 }
-
-/// Reads the rest of a response; the connection of an early response is not reused.
-async fn read_body(
-    mut response: pool::Response,
-    is_early_response: bool,
-) -> Result<Bytes, pool::Error> {
-    if is_early_response {
-        response.disable_reuse();
-    }
-    response.bytes(MAX_RESPONSE_BYTES).await
-}
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -20,6 +20,7 @@
         crash::CrashHistory,
         history::Edition,
         leader::{self, UnixMillis},
+        memory,
         plan::Plan,
         registry::Registry,
         selection::TargetSelector,
@@ -57,6 +58,7 @@
     build_records: RefCell<BuildRecords>,
     target_selector: RefCell<TargetSelector>,
     crash_history: RefCell<CrashHistory>,
+    response_memory: RefCell<memory::Usage>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
     pub(super) replication: Replication,
@@ -92,6 +94,7 @@
             build_records: RefCell::default(),
             target_selector: RefCell::default(),
             crash_history: RefCell::default(),
+            response_memory: RefCell::default(),
             retry_budgets: RefCell::default(),
             dispatcher: JobDispatcher::new(),
             tables: TableCache::default(),
@@ -162,6 +165,11 @@
         self.target_selector.borrow_mut()
     }
 
+    /// Returns the memory that large responses take.
+    pub(super) fn response_memory_mut(&self) -> RefMut<'_, memory::Usage> {
+        self.response_memory.borrow_mut()
+    }
+
     pub(super) fn crash_history_mut(&self) -> RefMut<'_, CrashHistory> {
         self.crash_history.borrow_mut()
     }
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -2,14 +2,16 @@
 
 use super::{
     body::{Body, TruncatedResponse},
+    buffer::Buffer,
     event,
     outcome::{Reason, Rejection},
     run::{ActiveRequest, Attempts, TargetResponse},
-    send::{MAX_RESPONSE_BYTES, StreamingResponse},
+    send::StreamingResponse,
     sse::Reader,
+    state::Relay,
 };
 use crate::http::Framing;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::{Stream, StreamExt};
 use policy::relay::registry::Target;
 use std::{pin::pin, rc::Rc, time::Instant};
@@ -77,18 +79,17 @@
 ///
 /// Fails if the stream is interrupted or too long.
 pub(super) async fn whole_body(
+    relay: &Rc<Relay>,
     chunks: impl Stream<Item = Result<Bytes, TruncatedResponse>>,
 ) -> Result<Body, Rejection> {
     let broken = Rejection::new(Reason::Broken);
-    let mut body = BytesMut::new();
+    let mut buffer = Buffer::new(relay);
     let mut chunks = pin!(chunks);
     while let Some(chunk) = chunks.next().await {
-        body.extend_from_slice(&chunk.map_err(|_truncated| broken)?);
-        if body.len() > MAX_RESPONSE_BYTES {
-            return Err(broken);
-        }
+        let chunk = chunk.map_err(|_truncated| broken)?;
+        buffer.push(&chunk).map_err(|_too_large| broken)?;
     }
-    Ok(Body::new(body))
+    Ok(Body::new(buffer.into_bytes()))
 }
 
 /// Returns when a stream without another event is considered unresponsive.
--- a/policy/src/relay/sse.rs
+++ b/policy/src/relay/sse.rs
@@ -5,7 +5,7 @@
 
 use strum::IntoStaticStr;
 
-/// Maximum size of an event in bytes; events of the sites have a few hundred.
+/// Maximum size of an event in bytes; usual ones hold the text of a few tokens.
 pub const MAX_EVENT_BYTES: usize = 64 << 10;
 /// Sequences that end an event.
 const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
