--- a/godwithinge/src/http/connection.rs
+++ b/godwithinge/src/http/connection.rs
@@ -16,8 +16,8 @@
 /// does not race with the close. The server announces the timeout in whole seconds only.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Maximum size of a response head in bytes; also the most that is buffered of a body.
-const MAX_HEAD_BYTES: usize = 64 << 10; // usual heads have less than one KiB
+/// Size of the read buffer in bytes, which also limits the size of a response head.
+const READ_BUFFER_BYTES: usize = 64 << 10; // usual heads have less than one KiB
 
 /// HTTP/1.1 connection, closed on drop.
 #[derive(Debug)]
@@ -48,7 +48,7 @@
             .map_err(Error::Connect)?;
         stream.set_nodelay(true).map_err(Error::Connect)?;
         let handshake = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
+            .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
         let (sender, connection) = handshake
             .await
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -8,6 +8,7 @@
         registry::Build,
         scheduler::{PoolStats, Refusal, Reply},
         selection::Selection,
+        sse::EventId,
     },
 };
 use std::time::Duration;
@@ -108,7 +109,7 @@
     target: &TargetId,
     result: &str,
     framing: Framing,
-    last_event: Option<u64>,
+    last_event: Option<EventId>,
     partial_bytes: usize,
 ) {
     let framing: &'static str = framing.into();
