Do not end a connection of the test proxy in order before it is reset

Its engine answered without a length and reset the connection after event 2. The proxy passed that on as an orderly end (FIN) followed by a reset: dropping the write half of a connection shuts it down. An orderly end between two events is one that the relay has to believe.

standin/tests/proxy.rs, where a server resets 100 connections behind the proxy, failed at the first (the client read an end, Ok(0)) and passes now.

--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -154,10 +154,11 @@
         } => copied.is_err(),
     };
     if is_reset {
-        for end in [&client_writer, &server_writer] {
+        for end in [client_writer, server_writer] {
             // With zero linger, closing the socket sends a RST. An error means that this end is
-            // already closed.
+            // already closed. Dropping the write half would send a FIN first.
             drop(end.as_ref().set_zero_linger());
+            end.forget();
         }
     }
 }
