--- a/godwithinge/src/ctl/diagnosis.rs
+++ b/godwithinge/src/ctl/diagnosis.rs
@@ -79,7 +79,7 @@
         /// Pool with the most waiting pieces per target; `None` if no log line shows a queue.
         pool: Option<CompactString>,
     },
-    /// A send failed and the request could not be retried.
+    /// A send failed, or a stream was interrupted, and the request could not be retried.
     #[serde(rename = "send")]
     SendFailed {
         /// Target of the last send.
@@ -261,7 +261,8 @@
             reason: reason.into(),
             pool: longest_queue(lines),
         },
-        reason @ ("broken" | "timeout" | "full") => {
+        reason @ ("broken" | "timeout" | "full" | "cut_off" | "foreign" | "long_event"
+        | "silent") => {
             let failed = own.iter().rfind(|line| line.message() == "send failed");
             Cause::SendFailed {
                 target: end.text("target_id").into(),
--- a/godwithinge/tests/explain.rs
+++ b/godwithinge/tests/explain.rs
@@ -10,6 +10,9 @@
 {"timestamp":"2026-04-25T10:00:06.900000Z","level":"INFO","message":"peer lost","host":"h9","fault":"link is silent"}
 {"timestamp":"2026-04-25T10:00:07.030000Z","level":"INFO","message":"send failed","request":"order","target_id":"t-1","result":"broken","taken_ms":31,"next":"decide"}
 {"timestamp":"2026-04-25T10:00:07.031000Z","level":"INFO","message":"request ended","request":"order","status":502,"reason":"broken","target_id":"t-1","sends":1,"stages_ms":0,"total_ms":33,"left_ms":1467,"revision":3}
+{"timestamp":"2026-04-25T10:00:08.100000Z","level":"INFO","message":"stream ended","request":"stream","target_id":"t-1","result":"cut_off","framing":"close","last_event":4,"partial_bytes":17}
+{"timestamp":"2026-04-25T10:00:08.101000Z","level":"INFO","message":"send failed","request":"stream","target_id":"t-1","result":"cut_off","taken_ms":900,"next":"resume"}
+{"timestamp":"2026-04-25T10:00:08.102000Z","level":"INFO","message":"request ended","request":"stream","status":0,"reason":"cut_off","target_id":"t-1","sends":1,"stages_ms":0,"total_ms":902,"left_ms":1467,"revision":3}
 {"timestamp":"2026-04-25T10:00:09.400000Z","level":"INFO","message":"request ended","request":"slow-stages","status":200,"reason":"answered","target_id":"t-2","sends":1,"stages_ms":2100,"first_ms":2300,"total_ms":2400,"objective_ms":1800,"left_ms":3600,"revision":3}
 {"timestamp":"2026-04-25T10:00:09.500000Z","level":"INFO","message":"request ended","request":"slow-target","status":200,"reason":"answered","target_id":"t-2","sends":2,"stages_ms":900,"first_ms":2300,"total_ms":2400,"objective_ms":1800,"left_ms":3600,"revision":3}
 {"timestamp":"2026-04-25T10:00:09.600000Z","level":"INFO","message":"request ended","request":"fine","status":200,"reason":"answered","target_id":"t-2","sends":1,"stages_ms":900,"first_ms":1100,"total_ms":1200,"objective_ms":1800,"left_ms":3600,"revision":3}
@@ -52,6 +55,7 @@
 #[rstest]
 #[case("refused", Cause::Queue { reason: "backlog".into(), pool: Some("slots".into()) })]
 #[case("order", Cause::SendFailed { target: "t-1".into(), result: "broken".into() })]
+#[case("stream", Cause::SendFailed { target: "t-1".into(), result: "cut_off".into() })]
 #[case("slow-stages", Cause::SlowStages { stages_ms: 2100, first_ms: 2300 })]
 #[case("slow-target", Cause::SlowTarget { target: "t-2".into(), sends: 2, target_ms: 1400 })]
 #[case("fine", Cause::Answered)]
