Play results of stages without a length

Whole ones are used; those that are closed or reset in the middle do not parse and were refused already, so that no request gets part of its inputs.

--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -54,7 +54,7 @@
     Endless(Section),
 }
 
-/// Where an engine breaks off a response.
+/// Where an engine breaks off a response; the results of stage calls are broken off in the middle.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Cut {
     /// The response is complete.
@@ -201,10 +201,9 @@
 }
 
 impl State {
-    fn stage_run(&self, body: &[u8]) -> Reply {
-        let Ok(call) = serde_json::from_slice::<Value>(body) else {
-            return reply::bytes(StatusCode::BAD_REQUEST, Bytes::new());
-        };
+    /// Returns the results of a stage call; `None` if the call is malformed.
+    fn stage_run(&self, body: &[u8]) -> Option<Value> {
+        let call: Value = serde_json::from_slice(body).ok()?;
         let items = call["items"].as_array().cloned().unwrap_or_default();
         lock(&self.stage_calls).push(call);
         let items = items.iter().map(|item| {
@@ -219,7 +218,29 @@
             json!({ "handle": handle })
         });
         let items: Vec<Value> = items.collect();
-        reply::ok(&json!({ "items": items }))
+        Some(json!({ "items": items }))
+    }
+
+    async fn answer_stage_call(&self, request: Request<Bytes>) -> Result<Reply, ConnectionClosed> {
+        let behavior = *lock(&self.behavior);
+        let raw = request.extensions().get::<RawConnection>();
+        if let (Behavior::Endless(section), Some(raw)) = (behavior, raw) {
+            return self.send_endless(raw, "", section).await;
+        }
+        time::sleep(STAGE_CALL_DURATION).await;
+        let Some(results) = self.stage_run(request.body()) else {
+            return Ok(reply::bytes(StatusCode::BAD_REQUEST, Bytes::new()));
+        };
+        match (behavior, raw) {
+            (Behavior::Unframed(cut), Some(raw)) => {
+                let mut results = results.to_string();
+                if cut != Cut::Never {
+                    results.truncate(results.len() / 2);
+                }
+                self.send_unframed(raw, "", &results, cut).await
+            }
+            _ => Ok(reply::ok(&results)),
+        }
     }
 
     fn stage_free(&self, body: &[u8]) -> Reply {
@@ -267,9 +288,16 @@
         let last = header("last-event-id").parse().unwrap_or(0);
         let raw = request.extensions().get::<RawConnection>();
         match (behavior, raw) {
+            (Behavior::Unframed(cut), Some(raw)) if is_stream => {
+                let events = self.events_after(last);
+                return self.send_unframed_stream(raw, &id, events, cut).await;
+            }
             (Behavior::Unframed(cut), Some(raw)) => {
-                let events = is_stream.then(|| self.events_after(last));
-                return self.send_unframed(raw, &id, events, cut).await;
+                let mut answer = plain_answer(&id);
+                if cut == Cut::Reset {
+                    answer.truncate(answer.len() / 2);
+                }
+                return self.send_unframed(raw, &id, &answer, cut).await;
             }
             (Behavior::Endless(section), Some(raw)) => {
                 return self.send_endless(raw, &id, section).await;
@@ -313,23 +341,28 @@
         })
     }
 
-    /// Sends a response that ends with its connection: a stream of `events`, or a plain response.
+    /// Sends a response that ends with its connection, whose body may be cut already.
     async fn send_unframed(
         &self,
         raw: &RawConnection,
         id: &str,
-        events: Option<impl Iterator<Item = (u64, String)>>,
+        body: &str,
+        cut: Cut,
+    ) -> Result<Reply, ConnectionClosed> {
+        send(raw, &self.unframed_head(id)).await?;
+        send(raw, body).await?;
+        close(raw, cut)
+    }
+
+    /// Sends a stream that ends with its connection.
+    async fn send_unframed_stream(
+        &self,
+        raw: &RawConnection,
+        id: &str,
+        events: impl Iterator<Item = (u64, String)>,
         cut: Cut,
     ) -> Result<Reply, ConnectionClosed> {
         send(raw, &self.unframed_head(id)).await?;
-        let Some(events) = events else {
-            let mut answer = plain_answer(id);
-            if cut == Cut::Reset {
-                answer.truncate(answer.len() / 2);
-            }
-            send(raw, &answer).await?;
-            return close(raw, cut);
-        };
         for (number, event) in events {
             let is_cut = number > EVENTS_BEFORE_CUT;
             match cut {
@@ -402,15 +435,7 @@
 impl Handler for State {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Result<Reply, ConnectionClosed> {
         match request.uri().path() {
-            "/stage-run" => {
-                let behavior = *lock(&self.behavior);
-                let raw = request.extensions().get::<RawConnection>();
-                if let (Behavior::Endless(section), Some(raw)) = (behavior, raw) {
-                    return self.send_endless(raw, "", section).await;
-                }
-                time::sleep(STAGE_CALL_DURATION).await;
-                Ok(self.stage_run(request.body()))
-            }
+            "/stage-run" => self.answer_stage_call(request).await,
             "/stage-free" => Ok(self.stage_free(request.body())),
             _ => self.run(request).await,
         }
