Log the prompt parts of requests whose target crashed, and count them

The hash of a payload cannot show whether requests that crash targets share a part of their prompts, which is the first hypothesis of the incident. Lines `target died` name the request, its shared parts, and whether its caller had received events; gwi_relay_target_crashes_total counts them by pool.

--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -38,6 +38,13 @@
     pub resumption: Option<Resumption>,
 }
 
+impl RequestMetadata {
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// A stream that its caller takes up after events that it has received.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Resumption {
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -1,10 +1,12 @@
 //! Log lines about decisions, each with the values that the decision is based on.
 
+use super::dialect::RequestMetadata;
 use crate::{http::Framing, log::ORDINARY_TARGET};
 use http::StatusCode;
 use policy::{
     id::{RequestId, TargetId},
     relay::{
+        crash::PayloadHash,
         registry::Build,
         scheduler::{PoolStats, Refusal, Reply},
         selection::Selection,
@@ -102,6 +104,29 @@
     );
 }
 
+/// Logs that a target crashed while it executed a request, with the parts of its prompt that other
+/// requests may share, and whether the caller had received a part of the response.
+pub(super) fn target_crashed(
+    target: &TargetId,
+    request: &RequestMetadata,
+    payload: PayloadHash,
+    has_begun: bool,
+) {
+    let shared = request.shared_parts().iter().take(MAX_LOGGED_PARTS);
+    let parts: Vec<&str> = shared.map(|part| part.id.as_str()).collect();
+    tracing::info!(
+        target_id = %target,
+        payload,
+        request = request.id.as_str(),
+        parts = parts.join(","),
+        has_begun,
+        "target died"
+    );
+}
+
+/// Maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// Logs how the stream of a target ended: how its body was delimited, the last complete event, and
 /// the number of bytes after it.
 pub(super) fn stream_ended(
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -35,6 +35,8 @@
     pub stage_seconds: HistogramVec,
     /// Failed sends to targets by pool and result.
     pub sends: IntCounterVec,
+    /// Requests whose target crashed while it executed them, by pool.
+    pub target_crashes: IntCounterVec,
     /// Ends of streams of targets by framing and result.
     pub stream_ends: IntCounterVec,
     /// Calls to stage targets by pool and result.
@@ -96,6 +98,11 @@
             first_byte_seconds: histogram("first_byte_seconds", "Time to the first byte", "kind"),
             stage_seconds: histogram("stages_seconds", "Time in stages", "result"),
             sends: counter("sends_total", "Sends to targets", &["pool", "result"]),
+            target_crashes: counter(
+                "target_crashes_total",
+                "Requests whose target crashed",
+                &["pool"],
+            ),
             stream_ends: counter(
                 "stream_ends_total",
                 "Ends of streams of targets",
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -477,12 +477,8 @@
     /// Returns the domain of the target that the request would be sent to now, if its prompt has at
     /// least [`MIN_SHARED_TOKENS`] shared tokens.
     fn expected_domain(&self) -> Option<DomainId> {
-        let shared = self
-            .metadata
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_, shared)| shared);
-        let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+        let shared = self.metadata.shared_parts().iter();
+        let tokens: u32 = shared.map(|part| part.tokens).sum();
         if tokens < MIN_SHARED_TOKENS {
             return None;
         }
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -3,6 +3,7 @@
 use super::{
     buffer::{Buffer, TooLarge},
     dialect::{ForwardingMetadata, RequestMetadata, ResponseMetadata},
+    event,
     frame::Frame,
     run::ActiveRequest,
     sse,
@@ -14,7 +15,7 @@
 use http_body_util::Full;
 use policy::{
     id::TargetId,
-    relay::{crash::PayloadHash, plan::Kind, registry::Target, scheduler::Handle, sse::EventId},
+    relay::{plan::Kind, registry::Target, scheduler::Handle, sse::EventId},
 };
 use std::{
     io,
@@ -249,7 +250,7 @@
     }
 
     /// Updates the statistics of a target with the outcome of a send.
-    fn record_outcome(&self, target: &Target, outcome: &SendOutcome, elapsed: Duration) {
+    fn record_outcome(self: &Rc<Self>, target: &Target, outcome: &SendOutcome, elapsed: Duration) {
         let now = self.relay.now();
         let mut selector = self.relay.target_selector_mut();
         let prefill = f64::from(self.metadata.prompt_tokens) / MIN_PREFILL_RATE;
@@ -268,10 +269,45 @@
             SendOutcome::Failed(_) => {
                 selector.record_failure(now, &target.id);
                 drop(selector);
-                self.relay.check_for_crash(target, self.payload_hash);
+                self.check_for_crash(target);
             }
         }
     }
+
+    /// Checks whether a target whose response was interrupted has crashed; only a crash is
+    /// attributed to the payload.
+    pub(super) fn check_for_crash(self: &Rc<Self>, target: &Target) {
+        let (request, target) = (Rc::clone(self), target.clone());
+        tokio::task::spawn_local(async move {
+            time::sleep(CRASH_CHECK_DELAY).await;
+            let connect = TcpStream::connect(target.address.as_str());
+            let has_crashed = match time::timeout(CRASH_CHECK_TIMEOUT, connect).await {
+                Ok(Ok(_)) => false,
+                Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+                // A network partition times out, too.
+                Err(_elapsed) => false,
+            };
+            if has_crashed {
+                request.record_crash(&target);
+            }
+        });
+    }
+
+    /// Records on this daemon and all peers that a target crashed while it executed this request.
+    fn record_crash(&self, target: &Target) {
+        let relay = &self.relay;
+        let has_begun = self.stats.first_byte.get().is_some();
+        event::target_crashed(&target.id, &self.metadata, self.payload_hash, has_begun);
+        let crashes = relay
+            .metrics
+            .target_crashes
+            .with_label_values(&[&target.pool]);
+        crashes.inc();
+        let now = relay.now();
+        relay.crash_history_mut().record(now, self.payload_hash);
+        let frame = Frame::TargetCrash(self.payload_hash);
+        relay.links.broadcast(&frame);
+    }
 }
 
 impl CallGuard {
@@ -292,32 +328,3 @@
         self.relay.target_selector_mut().end_call(&self.target);
     }
 }
-
-impl Relay {
-    /// Checks whether a target whose response was interrupted has crashed; only a crash is
-    /// attributed to the payload.
-    pub(super) fn check_for_crash(self: &Rc<Self>, target: &Target, payload_hash: PayloadHash) {
-        let (relay, target) = (Rc::clone(self), target.clone());
-        tokio::task::spawn_local(async move {
-            time::sleep(CRASH_CHECK_DELAY).await;
-            let connect = TcpStream::connect(target.address.as_str());
-            let has_crashed = match time::timeout(CRASH_CHECK_TIMEOUT, connect).await {
-                Ok(Ok(_)) => false,
-                Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-                // A network partition times out, too.
-                Err(_elapsed) => false,
-            };
-            if has_crashed {
-                relay.record_crash(&target, payload_hash);
-            }
-        });
-    }
-
-    /// Records on this daemon and all peers that a target crashed while it executed a payload.
-    fn record_crash(&self, target: &Target, payload_hash: PayloadHash) {
-        tracing::info!(target_id = %target.id, payload = payload_hash, "target died");
-        let now = self.now();
-        self.crash_history_mut().record(now, payload_hash);
-        self.links.broadcast(&Frame::TargetCrash(payload_hash));
-    }
-}
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -123,7 +123,7 @@
     }
 
     /// Records the interruption of a stream as a failure of its target.
-    pub fn record_interrupted_stream(&self, target: &Target, result: &'static str) {
+    pub fn record_interrupted_stream(self: &Rc<Self>, target: &Target, result: &'static str) {
         event::send_failed(
             &self.metadata.id,
             &target.id,
@@ -135,6 +135,6 @@
         self.relay
             .target_selector_mut()
             .record_failure(now, &target.id);
-        self.relay.check_for_crash(target, self.payload_hash);
+        self.check_for_crash(target);
     }
 }
