Let engines of the stand-in crash on a part of a prompt

An engine that begins to respond to a prompt with this part closes its connections and refuses new ones for a while, as does a proxy in front of it.

--- a/standin/src/http/mod.rs
+++ b/standin/src/http/mod.rs
@@ -19,7 +19,10 @@
     sync::Arc,
     time::Duration,
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 /// Delay before accepting again after an error, such as a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -115,15 +118,48 @@
 }
 
 async fn accept_connections<H: Handler>(
-    socket: TcpListener,
+    mut socket: TcpListener,
     server_handle: Arc<ServerHandle>,
     handler: Arc<H>,
 ) {
+    let mut refusing = server_handle.refusing();
+    loop {
+        tokio::select! {
+            () = until(&mut refusing, true) => {
+                server_handle.close_connections();
+                socket = reopen(socket, &mut refusing).await;
+            }
+            accepted = socket.accept() => match accepted {
+                Ok((stream, _)) => spawn_connection(stream, &server_handle, &handler),
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            }
+        }
+    }
+}
+
+/// Waits until `value` has the value `expected`.
+pub(crate) async fn until(value: &mut watch::Receiver<bool>, expected: bool) {
+    if value.wait_for(|value| *value == expected).await.is_err() {
+        // The sender is gone, so that the value does not change any more.
+        std::future::pending().await
+    }
+}
+
+/// Closes a listening socket and opens it again when connections are no longer refused.
+pub(crate) async fn reopen(
+    socket: TcpListener,
+    refusing: &mut watch::Receiver<bool>,
+) -> TcpListener {
+    let address = socket.local_addr();
+    drop(socket);
+    until(refusing, false).await;
     loop {
-        match socket.accept().await {
-            Ok((stream, _)) => spawn_connection(stream, &server_handle, &handler),
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        if let Ok(address) = &address
+            && let Ok(socket) = TcpListener::bind(address).await
+        {
+            return socket;
         }
+        tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
     }
 }
 
--- a/standin/src/http/server_handle.rs
+++ b/standin/src/http/server_handle.rs
@@ -14,6 +14,7 @@
 pub struct ServerHandle {
     down: AtomicBool,
     terminated: watch::Sender<bool>,
+    refusing: watch::Sender<bool>,
     accept_task: Mutex<Option<JoinHandle<()>>>,
     tasks: Mutex<Vec<Task>>,
 }
@@ -29,6 +30,7 @@
         Self {
             down: AtomicBool::new(false),
             terminated: watch::Sender::new(false),
+            refusing: watch::Sender::new(false),
             accept_task: Mutex::new(None),
             tasks: Mutex::default(),
         }
@@ -53,6 +55,17 @@
         }
     }
 
+    /// If `refusing`, closes the listening socket and all connections, so that new ones are refused
+    /// as by a process that has crashed, until this is called with false.
+    pub fn set_refusing(&self, refusing: bool) {
+        self.refusing.send_replace(refusing);
+    }
+
+    /// Returns whether new connections are refused, and its changes.
+    pub fn refusing(&self) -> watch::Receiver<bool> {
+        self.refusing.subscribe()
+    }
+
     /// Makes the open connections stop reading and sending for good, without closing them. New
     /// connections work.
     pub fn silence(&self) {
--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -1,6 +1,7 @@
 //! TCP proxy on 127.0.0.1 that injects network faults: delay, loss in one or both directions, and
 //! connection resets.
 
+use crate::http::{self, ServerHandle};
 use std::{
     future, io,
     net::{Ipv4Addr, SocketAddr},
@@ -71,6 +72,22 @@
     ///
     /// Fails if no port is free.
     pub async fn start(server_address: SocketAddr) -> io::Result<Self> {
+        Self::start_with(server_address, watch::Sender::new(false).subscribe()).await
+    }
+
+    /// Starts a proxy in front of a server. It refuses connections while the server does.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn start_for(server: SocketAddr, server_handle: &ServerHandle) -> io::Result<Self> {
+        Self::start_with(server, server_handle.refusing()).await
+    }
+
+    async fn start_with(
+        server_address: SocketAddr,
+        refusing: watch::Receiver<bool>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let state = Arc::new(State {
             server_address,
@@ -79,7 +96,7 @@
         });
         Ok(Self {
             address: listener.local_addr()?,
-            accept_task: tokio::spawn(accept(listener, Arc::clone(&state))),
+            accept_task: tokio::spawn(accept(listener, Arc::clone(&state), refusing)),
             state,
         })
     }
@@ -126,15 +143,25 @@
     }
 }
 
-async fn accept(listener: TcpListener, state: Arc<State>) {
-    while let Ok((client, _)) = listener.accept().await {
-        let state = Arc::clone(&state);
-        tokio::spawn(async move {
-            // If the server refuses the connection, the client's is closed at once.
-            if let Ok(server) = TcpStream::connect(state.server_address).await {
-                forward(client, server, &state).await;
+async fn accept(mut listener: TcpListener, state: Arc<State>, mut refusing: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            () = http::until(&mut refusing, true) => {
+                listener = http::reopen(listener, &mut refusing).await;
             }
-        });
+            accepted = listener.accept() => {
+                let Ok((client, _)) = accepted else {
+                    return;
+                };
+                let state = Arc::clone(&state);
+                tokio::spawn(async move {
+                    // If the server refuses the connection, the client's is closed at once.
+                    if let Ok(server) = TcpStream::connect(state.server_address).await {
+                        forward(client, server, &state).await;
+                    }
+                });
+            }
+        }
     }
 }
 
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -22,6 +22,10 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of events before a stream is broken off.
 const EVENTS_BEFORE_CUT: u64 = 2;
+/// Part of a prompt that crashes each engine that begins to write a response to it.
+pub const CRASHING_PART: &str = "dead";
+/// Time after which an engine that crashed accepts connections again.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(700);
 /// Bytes that an endless response repeats, with the interval between two writes.
 const ENDLESS_WRITE: (usize, Duration) = (4 << 10, Duration::from_millis(1));
 /// Time that a stage call takes, whatever the number of its items.
@@ -97,6 +101,16 @@
     pub body: Bytes,
 }
 
+impl ExecutedRequest {
+    /// Returns whether its prompt contains the part that crashes engines.
+    pub fn has_crashing_part(&self) -> bool {
+        let parts = self.headers.get("godwithinge-prompt-prefix");
+        let parts = parts.and_then(|parts| parts.to_str().ok());
+        let mut parts = parts.unwrap_or_default().split(',');
+        parts.any(|part| part.split(':').next() == Some(CRASHING_PART))
+    }
+}
+
 /// Fake of one engine.
 #[derive(Debug)]
 pub struct Server {
@@ -117,6 +131,7 @@
     stage_calls: Mutex<Vec<Value>>,
     /// Endless responses that their callers have not closed.
     endless_responses: AtomicUsize,
+    server_handle: Arc<ServerHandle>,
 }
 
 /// Handles of the results that the stage engines of a test hold. An input that is missing here is
@@ -143,6 +158,7 @@
         build: &str,
         stored_results: &StoredResults,
     ) -> io::Result<Self> {
+        let listener = Listener::bind(0).await?;
         let state = Arc::new(State {
             id: id.into(),
             build: build.into(),
@@ -153,8 +169,9 @@
             next_result: AtomicU64::new(0),
             stage_calls: Mutex::default(),
             endless_responses: AtomicUsize::default(),
+            server_handle: Arc::clone(listener.server_handle()),
         });
-        let listener = Listener::bind(0).await?.serve(Arc::clone(&state));
+        let listener = listener.serve(Arc::clone(&state));
         *lock(&state.address) = listener.address().to_string();
         Ok(Self { state, listener })
     }
@@ -278,7 +295,12 @@
             headers: headers.clone(),
             body: request.body().clone(),
         };
+        let is_crashing = run.has_crashing_part();
         lock(&self.executed_requests).push(run);
+        if is_crashing {
+            self.crash();
+            std::future::pending::<()>().await;
+        }
         match behavior {
             Behavior::Disconnect => return Err(ConnectionClosed),
             Behavior::Hang => std::future::pending().await,
@@ -330,6 +352,16 @@
         Ok(reply)
     }
 
+    /// Closes all connections, and refuses new ones for [`CRASH_DOWNTIME`].
+    fn crash(&self) {
+        let server_handle = Arc::clone(&self.server_handle);
+        server_handle.set_refusing(true);
+        tokio::spawn(async move {
+            time::sleep(CRASH_DOWNTIME).await;
+            server_handle.set_refusing(false);
+        });
+    }
+
     /// Returns the events of a stream after the event `last`. Their data names the build.
     fn events_after(&self, last: u64) -> impl Iterator<Item = (u64, String)> + use<> {
         let build = self.build.clone();
