Quarantine prompt parts that crash targets, not only whole payloads

Callers saw model engines crash one after the other: requests of one route shared a part of their prompts, and each engine that began to answer one of them ended, with all that ran there. After five such crashes 29 and 17 more requests with the part reached engines.

Cause: crashes were counted by a hash of the whole request (method, path, workspace, body). These requests differ in all of it, so that no count reached three. The class of fault: a cause is looked for under an identity that is finer than the cause. Besides, the count was looked up on arrival only, while requests wait for their stages for a second; it was forgotten after a minute, and in a start of all daemons; and a stream that was served did not clear it.

A crash is now charged to the payload and to each shared part of the prompts that the target had not begun to answer, whichever daemon sent them. A feature that is charged with three crashes, and of which no request was served since, is quarantined, unless another one was present in all of its crashes. What is served is cleared on all daemons. One request is tried after 30 s, so that a part that was in the crashes of others by chance is not refused for good. Requests are judged before each send, and while they wait. Daemons report crashes and quarantines to each other and to those that join, and readers record quarantines in the store.

--- /dev/null
+++ b/godwithinge/src/relay/crash.rs
@@ -0,0 +1,344 @@
+//! Attribution of targets' crashes to features of requests, together with all peers.
+
+use super::{
+    event,
+    frame::{CRASH_PROTOCOL, Frame, WireCrash, WireQuarantine},
+    outcome::{Reason, Rejection},
+    run::ActiveRequest,
+    state::Relay,
+};
+use policy::{
+    hash,
+    id::{HostId, RequestId, TargetId},
+    relay::{
+        crash::{
+            Change, CrashTracker, Feature, MAX_QUARANTINED, MAX_SUSPECTS, PayloadHash, Quarantine,
+            QuarantineRecords, Report, Verdict,
+        },
+        registry::Target,
+        selection::{Part, PartId},
+    },
+};
+use std::{
+    cell::{Ref, RefCell, RefMut},
+    collections::HashMap,
+    io,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{net::TcpStream, sync::Notify, time};
+
+/// Time from the first event within which a request may still turn out to crash its target.
+pub(super) const CRASH_PERIOD: Duration = Duration::from_secs(1);
+/// Delay before a target whose response was interrupted is checked for a crash; a crashing process
+/// has exited by then.
+const CHECK_DELAY: Duration = Duration::from_millis(50);
+/// Connect timeout of the crash check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300); // several round trips
+/// Maximum number of requests that one check is about.
+const MAX_CHECKED_REQUESTS: usize = 256;
+/// Maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
+/// Time after which all peers should know of a quarantine.
+const SPREADING_TIME: Duration = Duration::from_secs(2);
+
+/// What this daemon knows of crashes, and its checks in progress.
+#[derive(Debug, Default)]
+pub(super) struct CrashWatch {
+    tracker: RefCell<CrashTracker>,
+    records: RefCell<QuarantineRecords>,
+    /// Requests whose response was interrupted, by the target that is being checked.
+    checks: RefCell<HashMap<TargetId, Vec<InterruptedRequest>>>,
+    /// Notified of each crash, which may lead to the refusal of a request that waits.
+    crashes: Notify,
+}
+
+/// A request whose response was interrupted.
+#[derive(Debug)]
+struct InterruptedRequest {
+    id: RequestId,
+    payload: PayloadHash,
+    parts: Vec<PartId>,
+    features: Vec<Feature>,
+    /// Whether the target had been answering it for [`CRASH_PERIOD`].
+    has_begun: bool,
+}
+
+impl CrashWatch {
+    pub fn tracker(&self) -> Ref<'_, CrashTracker> {
+        self.tracker.borrow()
+    }
+
+    pub fn records(&self) -> Ref<'_, QuarantineRecords> {
+        self.records.borrow()
+    }
+
+    pub fn records_mut(&self) -> RefMut<'_, QuarantineRecords> {
+        self.records.borrow_mut()
+    }
+}
+
+/// Returns the features of a request: the hash of its payload, followed by those of the shared parts of
+/// its prompt.
+pub(super) fn features(payload: PayloadHash, parts: &[Part]) -> Vec<Feature> {
+    let parts = parts.iter().map(part_feature);
+    std::iter::once(payload).chain(parts).collect()
+}
+
+fn part_feature(part: &Part) -> Feature {
+    hash::texts(&["part", &part.id])
+}
+
+impl ActiveRequest {
+    /// Returns an error if the request would crash its target.
+    pub(super) fn check_features(&self) -> Result<(), Rejection> {
+        if self.is_tried.get() {
+            return Ok(());
+        }
+        let (relay, now) = (&self.relay, self.relay.now());
+        let mut tracker = relay.crash_watch.tracker.borrow_mut();
+        let is_tester = |feature| relay.is_tester(feature);
+        let verdict = tracker.judge(now, &self.features, is_tester);
+        drop(tracker);
+        let feature = match verdict {
+            Verdict::Allowed => return Ok(()),
+            Verdict::Tried(feature) => {
+                self.is_tried.set(true);
+                event::request_tried(&self.metadata.id, feature);
+                return Ok(());
+            }
+            Verdict::Refused(feature) => feature,
+            Verdict::Extended(quarantine) => {
+                relay.broadcast_quarantine([quarantine]);
+                quarantine.feature
+            }
+        };
+        let parts = self.metadata.shared_parts();
+        let part = parts.iter().find(|part| part_feature(part) == feature);
+        event::request_crashing(&self.metadata.id, feature, part);
+        Err(Rejection::new(Reason::Crashing))
+    }
+
+    /// Waits until the request is found to crash its target.
+    pub(super) async fn wait_until_crashing(&self) -> Rejection {
+        loop {
+            self.relay.crash_watch.crashes.notified().await;
+            if let Err(rejection) = self.check_features() {
+                return rejection;
+            }
+        }
+    }
+
+    /// Records that a target has answered the request and not crashed.
+    pub(super) fn record_served(&self) {
+        let relay = &self.relay;
+        let mut tracker = relay.crash_watch.tracker.borrow_mut();
+        let change = tracker.record_served(relay.now(), &self.features);
+        drop(tracker);
+        if !change.cleared.is_empty() {
+            relay
+                .links
+                .broadcast(&Frame::Served(change.cleared.clone()));
+        }
+        relay.announce(&change, "request served");
+    }
+
+    /// Checks whether a target that interrupted its response has crashed. Interruptions that arrive
+    /// until then are about the same crash.
+    pub(super) fn check_for_crash(&self, target: &Target, has_begun: bool) {
+        let parts = self.metadata.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        let request = InterruptedRequest {
+            id: self.metadata.id.clone(),
+            payload: self.features[0],
+            parts: parts.map(|part| part.id.clone()).collect(),
+            features: self.features.clone(),
+            has_begun,
+        };
+        self.relay.check_for_crash(target, request);
+    }
+}
+
+impl Relay {
+    fn check_for_crash(self: &Rc<Self>, target: &Target, request: InterruptedRequest) {
+        let mut checks = self.crash_watch.checks.borrow_mut();
+        if let Some(requests) = checks.get_mut(&target.id) {
+            if requests.len() < MAX_CHECKED_REQUESTS {
+                requests.push(request);
+            }
+            return;
+        }
+        checks.insert(target.id.clone(), vec![request]);
+        let (relay, target) = (Rc::clone(self), target.clone());
+        tokio::task::spawn_local(async move {
+            time::sleep(CHECK_DELAY).await;
+            let connect = TcpStream::connect(target.address.as_str());
+            let has_crashed = match time::timeout(CHECK_TIMEOUT, connect).await {
+                Ok(Ok(_)) => false,
+                Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+                // A network partition times out, too.
+                Err(_elapsed) => false,
+            };
+            let requests = relay.crash_watch.checks.borrow_mut().remove(&target.id);
+            if has_crashed {
+                relay.record_crash(&target, &requests.unwrap_or_default());
+            }
+        });
+    }
+
+    /// Records on this daemon and all peers that a target crashed while it executed these requests.
+    fn record_crash(&self, target: &Target, requests: &[InterruptedRequest]) {
+        for request in requests {
+            event::target_crashed(
+                &target.id,
+                &request.id,
+                request.payload,
+                &request.parts,
+                request.has_begun,
+            );
+            let crashes = &self.metrics.target_crashes;
+            crashes.with_label_values(&[&target.pool]).inc();
+        }
+        let suspects = requests.iter().filter(|request| !request.has_begun);
+        for request in suspects.clone() {
+            let frame = Frame::TargetCrash(request.payload);
+            self.links.broadcast_before(CRASH_PROTOCOL, &frame);
+        }
+        let mut features: Vec<Feature> = suspects
+            .flat_map(|request| request.features.iter().copied())
+            .collect();
+        features.sort_unstable();
+        features.dedup();
+        features.truncate(MAX_SUSPECTS);
+        let tracker = self.crash_watch.tracker();
+        let served = features.iter().copied();
+        let served = served.filter(|&feature| tracker.is_served(feature));
+        let report = Report {
+            target: target.id.clone(),
+            served: served.collect(),
+            suspects: features,
+        };
+        drop(tracker);
+        let change = self.apply_crash(&report, Duration::ZERO);
+        let crash = WireCrash::from((report, Duration::ZERO));
+        self.links.broadcast(&Frame::Crashes(vec![crash]));
+        self.announce(&change, "crash");
+    }
+
+    fn apply_crash(&self, report: &Report, age: Duration) -> Change {
+        let mut tracker = self.crash_watch.tracker.borrow_mut();
+        let change = tracker.record_crash(self.now(), age, report);
+        drop(tracker);
+        self.crash_watch.crashes.notify_waiters();
+        change
+    }
+
+    /// Logs a change that this daemon has found, and sends new quarantines to all peers.
+    fn announce(&self, change: &Change, source: &str) {
+        self.record_change(change, source);
+        let features = change.quarantined.iter();
+        self.broadcast_quarantine(features.map(|&feature| Quarantine {
+            feature,
+            age: Duration::ZERO,
+            is_confirmed: false,
+        }));
+    }
+
+    /// Returns whether this daemon is the one that tries requests with a quarantined feature.
+    fn is_tester(&self, feature: Feature) -> bool {
+        let key = feature.to_string();
+        let own = hash::rendezvous_weight(&key, &self.settings().host);
+        let mut is_tester = !self.is_leaving();
+        self.links.for_each_peer(|peer| {
+            is_tester &= peer.is_leaving || hash::rendezvous_weight(&key, &peer.profile.host) < own;
+        });
+        is_tester
+    }
+
+    fn record_change(&self, change: &Change, source: &str) {
+        for &feature in &change.quarantined {
+            event::quarantine_changed(feature, true, source);
+        }
+        for &feature in &change.released {
+            event::quarantine_changed(feature, false, source);
+        }
+        let quarantined = self.crash_watch.tracker().quarantined(self.now()).count();
+        self.metrics.set_quarantined(quarantined);
+    }
+
+    fn broadcast_quarantine(&self, features: impl IntoIterator<Item = Quarantine>) {
+        let features = features.into_iter().map(WireQuarantine::from);
+        let features: Vec<WireQuarantine> = features.collect();
+        if !features.is_empty() {
+            self.links.broadcast(&Frame::Quarantine(features));
+        }
+    }
+
+    /// Sends what this daemon knows of crashes to a peer that has just been linked.
+    pub(super) fn send_crash_state(&self, host: &HostId) {
+        let (now, tracker) = (self.now(), self.crash_watch.tracker());
+        let features = tracker.quarantined(now).map(WireQuarantine::from);
+        let features: Vec<WireQuarantine> = features.collect();
+        if !features.is_empty() {
+            self.links.send_to_host(host, Frame::Quarantine(features));
+        }
+        let crashes = tracker.reports(now).into_iter().map(WireCrash::from);
+        let crashes: Vec<WireCrash> = crashes.collect();
+        if !crashes.is_empty() {
+            self.links.send_to_host(host, Frame::Crashes(crashes));
+        }
+    }
+
+    /// Handles the report of a peer that does not know features.
+    pub(super) fn receive_crash_of_payload(&self, host: &HostId, payload: PayloadHash) {
+        let report = Report {
+            target: TargetId::from(host.as_str()),
+            suspects: vec![payload],
+            served: Vec::new(),
+        };
+        let change = self.apply_crash(&report, Duration::ZERO);
+        self.announce(&change, "peer");
+    }
+
+    /// Handles the crashes that a peer reports. It is told of features that are quarantined here for
+    /// some time already.
+    pub(super) fn receive_crashes(&self, host: &HostId, crashes: Vec<WireCrash>) {
+        for crash in crashes {
+            let (report, age) = crash.into();
+            let tracker = self.crash_watch.tracker();
+            let unknown = tracker.quarantined(self.now());
+            let unknown = unknown.filter(|known| {
+                known.age >= SPREADING_TIME && report.suspects.contains(&known.feature)
+            });
+            let unknown: Vec<WireQuarantine> = unknown.map(WireQuarantine::from).collect();
+            drop(tracker);
+            if !unknown.is_empty() {
+                self.links.send_to_host(host, Frame::Quarantine(unknown));
+            }
+            let change = self.apply_crash(&report, age);
+            self.record_change(&change, "crash");
+        }
+    }
+
+    /// Handles features that a peer has seen in served requests.
+    pub(super) fn receive_served(&self, features: &[Feature]) {
+        let features = &features[..features.len().min(MAX_SUSPECTS)];
+        let mut tracker = self.crash_watch.tracker.borrow_mut();
+        let change = tracker.record_served(self.now(), features);
+        drop(tracker);
+        self.record_change(&change, "peer");
+    }
+
+    /// Handles features that a peer, or the store, says are quarantined.
+    pub(super) fn receive_quarantine(&self, features: impl Iterator<Item = Quarantine>) {
+        let mut change = Change::default();
+        let mut tracker = self.crash_watch.tracker.borrow_mut();
+        for quarantine in features.take(MAX_QUARANTINED) {
+            if tracker.record_quarantine(self.now(), quarantine) {
+                change.quarantined.push(quarantine.feature);
+            }
+        }
+        drop(tracker);
+        self.record_change(&change, "peer");
+        self.crash_watch.crashes.notify_waiters();
+    }
+}
--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -92,6 +92,8 @@
     Daemons,
     /// Builds of pools that have had more than one, written by daemons.
     Builds,
+    /// Features of requests that crash targets, written by daemons.
+    Quarantine,
 }
 
 /// A row of the store.
--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -1,8 +1,8 @@
 //! Startup of a daemon, and shutdown without losing requests.
 
 use super::{
-    address, builds, conduct, dialect::Table, front, link, settings::Settings, side, state::Relay,
-    watch,
+    address, builds, conduct, dialect::Table, front, link, quarantine, settings::Settings, side,
+    state::Relay, watch,
 };
 use std::{
     error, io,
@@ -95,12 +95,19 @@
         bind(settings.link_address).await?,
     ));
     spawn_local(address::dial_peers(Rc::clone(relay)));
-    let tables = [Table::Plan, Table::Targets, Table::Daemons, Table::Builds];
+    let tables = [
+        Table::Plan,
+        Table::Targets,
+        Table::Daemons,
+        Table::Builds,
+        Table::Quarantine,
+    ];
     for table in tables {
         spawn_local(watch::follow_table(Rc::clone(relay), table));
     }
     spawn_local(watch::register_daemon(Rc::clone(relay)));
     spawn_local(builds::record_builds(Rc::clone(relay)));
+    spawn_local(quarantine::record_quarantine(Rc::clone(relay)));
     spawn_local(conduct::poll_scheduler(Rc::clone(relay)));
     let relay = Rc::clone(relay);
     spawn_local(async move {
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -1,15 +1,14 @@
 //! Log lines about decisions, each with the values that the decision is based on.
 
-use super::dialect::RequestMetadata;
 use crate::{http::Framing, log::ORDINARY_TARGET};
 use http::StatusCode;
 use policy::{
     id::{RequestId, TargetId},
     relay::{
-        crash::PayloadHash,
+        crash::{Feature, PayloadHash},
         registry::Build,
         scheduler::{PoolStats, Refusal, Reply},
-        selection::Selection,
+        selection::{Part, PartId, Selection},
         sse::EventId,
     },
 };
@@ -105,27 +104,59 @@
 }
 
 /// Logs that a target crashed while it executed a request, with the parts of its prompt that other
-/// requests may share, and whether the caller had received a part of the response.
+/// requests may share, and whether the target had been answering it for a while.
 pub(super) fn target_crashed(
     target: &TargetId,
-    request: &RequestMetadata,
+    request: &str,
     payload: PayloadHash,
+    parts: &[PartId],
     has_begun: bool,
 ) {
-    let shared = request.shared_parts().iter().take(MAX_LOGGED_PARTS);
-    let parts: Vec<&str> = shared.map(|part| part.id.as_str()).collect();
+    let parts = parts.join(",");
     tracing::info!(
         target_id = %target,
         payload,
-        request = request.id.as_str(),
-        parts = parts.join(","),
+        request,
+        parts,
         has_begun,
         "target died"
     );
 }
 
-/// Maximum number of parts of a prompt in a log line.
-const MAX_LOGGED_PARTS: usize = 16;
+/// Logs that a request is not sent, because targets crash that execute requests with this part of its
+/// prompt, or with its payload if `part` is absent.
+pub(super) fn request_crashing(request: &str, feature: Feature, part: Option<&Part>) {
+    let part = part.map(|part| part.id.as_str());
+    tracing::info!(
+        request,
+        feature = format_args!("{feature:016x}"),
+        part,
+        "request would crash its target"
+    );
+}
+
+/// Logs that a request is sent to find out whether a quarantined feature crashes its target.
+pub(super) fn request_tried(request: &str, feature: Feature) {
+    tracing::info!(
+        request,
+        feature = format_args!("{feature:016x}"),
+        "request tried"
+    );
+}
+
+/// Logs that requests with a feature are refused, or no longer are.
+pub(super) fn quarantine_changed(feature: Feature, is_quarantined: bool, source: &str) {
+    let message = if is_quarantined {
+        "feature quarantined"
+    } else {
+        "feature released"
+    };
+    tracing::warn!(
+        feature = format_args!("{feature:016x}"),
+        source,
+        "{message}"
+    );
+}
 
 /// Logs how the stream of a target ended: how its body was delimited, the last complete event, and
 /// the number of bytes after it.
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -5,9 +5,9 @@
 use super::{conduct::JobRequest, dialect::Row};
 use compact_str::CompactString;
 use policy::{
-    id::{DomainId, HostId, Incarnation, RequestId},
+    id::{DomainId, HostId, Incarnation, RequestId, TargetId},
     relay::{
-        crash::PayloadHash,
+        crash::{Feature, PayloadHash, Quarantine, Report},
         history::{Era, Version},
         leader::UnixMillis,
         registry::Build,
@@ -45,7 +45,10 @@
 }
 
 /// Version of the protocol between daemons that this build speaks.
-pub(super) const PROTOCOL: u32 = 1;
+pub(super) const PROTOCOL: u32 = 2;
+
+/// Version of the protocol from which daemons exchange the features of requests whose targets crash.
+pub(super) const CRASH_PROTOCOL: u32 = 2;
 
 /// Row of a table as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -144,15 +147,84 @@
     FindOrigin { number: u64, stream: RequestId },
     /// Answer to a request for the build of a stream; absent if it is not known.
     Origin { number: u64, build: Option<Build> },
-    /// A target crashed while it ran the payload with this hash.
+    /// A target crashed while it ran the payload with this hash; in place of
+    /// [`Crashes`](Self::Crashes) to and from daemons that do not know those.
     #[serde(rename = "Death")]
     TargetCrash(PayloadHash),
+    /// Targets crashed.
+    Crashes(Vec<WireCrash>),
+    /// Requests with these features were served although targets crashed that had them.
+    Served(Vec<Feature>),
+    /// Features that crash targets.
+    Quarantine(Vec<WireQuarantine>),
+}
+
+/// Quarantined feature as encoded in frames.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub(super) struct WireQuarantine {
+    feature: Feature,
+    /// Time since the quarantine began or was last extended.
+    age: Duration,
+    is_confirmed: bool,
+}
+
+impl From<Quarantine> for WireQuarantine {
+    fn from(quarantine: Quarantine) -> Self {
+        Self {
+            feature: quarantine.feature,
+            age: quarantine.age,
+            is_confirmed: quarantine.is_confirmed,
+        }
+    }
+}
+
+impl From<WireQuarantine> for Quarantine {
+    fn from(quarantine: WireQuarantine) -> Self {
+        Self {
+            feature: quarantine.feature,
+            age: quarantine.age,
+            is_confirmed: quarantine.is_confirmed,
+        }
+    }
+}
+
+/// Crash of a target as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireCrash {
+    target: TargetId,
+    suspects: Vec<Feature>,
+    served: Vec<Feature>,
+    /// Time since the crash.
+    age: Duration,
+}
+
+impl From<(Report, Duration)> for WireCrash {
+    fn from((report, age): (Report, Duration)) -> Self {
+        Self {
+            target: report.target,
+            suspects: report.suspects,
+            served: report.served,
+            age,
+        }
+    }
+}
+
+impl From<WireCrash> for (Report, Duration) {
+    fn from(crash: WireCrash) -> Self {
+        let report = Report {
+            target: crash.target,
+            suspects: crash.suspects,
+            served: crash.served,
+        };
+        (report, crash.age)
+    }
 }
 
 impl Frame {
     /// Returns the version of the protocol from which daemons can decode this frame.
     pub fn protocol(&self) -> u32 {
         match self {
+            Self::Crashes(_) | Self::Served(_) | Self::Quarantine(_) => CRASH_PROTOCOL,
             Self::PackedPlan(_)
             | Self::DeclinePlan
             | Self::StreamOrigin { .. }
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -3,6 +3,7 @@
 use super::{
     accept,
     body::Body,
+    crash,
     outcome::{Reason, Rejection},
     run::{self, ActiveRequest, RequestStats},
     state::{InFlightGuard, Relay},
@@ -207,13 +208,15 @@
     let body = body.map_err(|reason| reject(Rejection::new(reason), &metadata.id))?;
     let name = workspace.map(|workspace| workspace.name.clone());
     let priority = workspace.and_then(|workspace| workspace.priority);
+    let payload = run::payload_hash(&head, name.as_ref(), &body);
     Ok(ActiveRequest {
-        payload_hash: run::payload_hash(&head, name.as_ref(), &body),
+        features: crash::features(payload, metadata.shared_parts()),
         priority: priority.unwrap_or(route.priority),
         route: Arc::clone(route),
         relay: Rc::clone(relay),
         workspace: name,
         stats: RequestStats::default(),
+        is_tried: Cell::new(false),
         build: OnceCell::new(),
         _flight: flight,
         plan: Rc::clone(&plan),
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -236,6 +236,15 @@
         };
     }
 
+    /// Queues a frame for all linked daemons that can't decode frames of the protocol `protocol`.
+    pub fn broadcast_before(&self, protocol: u32, frame: &Frame) {
+        self.for_each_peer(|peer| {
+            if peer.profile.protocol < protocol {
+                peer.send(frame.clone());
+            }
+        });
+    }
+
     /// Queues a frame for all linked daemons.
     pub fn broadcast(&self, frame: &Frame) {
         self.for_each_peer(|peer| {
@@ -302,6 +311,7 @@
     relay.links.addresses.add([profile.link]);
     let host = profile.host.clone();
     let (link_id, queue) = relay.add_peer(profile, receiver.progress())?;
+    relay.send_crash_state(&host);
     let end = tokio::select! {
         end = receive_frames(relay, &host, link_id, receiver) => end,
         end = send_frames(relay, &host, sender, queue) => end,
@@ -542,9 +552,11 @@
                 self.answer_origin_query(link_id, number, &stream);
             }
             Frame::Origin { number, build } => self.receive_origin(number, build),
-            Frame::TargetCrash(payload) => {
-                let now = self.now();
-                self.crash_history_mut().record(now, payload);
+            Frame::TargetCrash(payload) => self.receive_crash_of_payload(host, payload),
+            Frame::Crashes(crashes) => self.receive_crashes(host, crashes),
+            Frame::Served(features) => self.receive_served(&features),
+            Frame::Quarantine(features) => {
+                self.receive_quarantine(features.into_iter().map(Into::into));
             }
         }
     }
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -51,6 +51,7 @@
     link_frames: IntCounterVec,
     /// Encoded size of frames on links by kind and direction.
     link_bytes: IntCounterVec,
+    quarantined: IntGauge,
     links: IntGauge,
     revision: IntGauge,
     /// Requests that are not finished.
@@ -130,6 +131,7 @@
                 "Bytes of frames on links between daemons",
                 &["frame", "direction"],
             ),
+            quarantined: gauge("quarantined", "Features of requests that are refused"),
             links: gauge("links", "Daemons that are linked"),
             revision: gauge("revision", "Revision of the configuration"),
             in_flight: gauge("in_flight", "Requests without an answer"),
@@ -142,6 +144,12 @@
         self.links.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of features whose requests are refused.
+    pub fn set_quarantined(&self, count: usize) {
+        self.quarantined
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a frame that was received or will be sent, and its encoded size.
     pub fn record_frame(&self, frame: &Frame, direction: Direction, bytes: usize) {
         let labels: [&str; 2] = [frame.into(), direction.into()];
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -17,7 +17,7 @@
     hash,
     id::{DomainId, PoolId, TargetId, WorkspaceId},
     relay::{
-        crash::PayloadHash,
+        crash::{Feature, PayloadHash},
         plan::{Kind, Plan, Route},
         registry::{Build, Target},
         scheduler::StageSpec,
@@ -67,7 +67,10 @@
     pub arrived: Instant,
     /// Earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
-    pub payload_hash: PayloadHash,
+    /// Hash of the payload, followed by those of the shared parts of the prompt.
+    pub features: Vec<Feature>,
+    /// Whether it is sent to find out whether it crashes its target.
+    pub is_tried: Cell<bool>,
     /// Build at which the stream began and has to go on; empty before its first event.
     pub build: OnceCell<Build>,
     pub stats: RequestStats,
@@ -137,14 +140,7 @@
     }
 
     async fn respond(self: &Rc<Self>) -> Result<Response<Body>, Rejection> {
-        let now = self.relay.now();
-        if self
-            .relay
-            .crash_history_mut()
-            .is_refused(now, self.payload_hash)
-        {
-            return Err(Rejection::new(Reason::Crashing));
-        }
+        self.check_features()?;
         let mut attempts = Attempts::default();
         match self.route.kind {
             Kind::Streaming => self.respond_streaming(&mut attempts).await,
@@ -385,7 +381,10 @@
             preferred_domain: self.expected_domain(),
             stages: stages.collect(),
         };
-        let made = time::timeout(due, self.relay.run_stages(request)).await;
+        let made = tokio::select! {
+            made = time::timeout(due, self.relay.run_stages(request)) => made,
+            rejection = self.wait_until_crashing() => return Err(rejection),
+        };
         let late = JobRefusal {
             reason: Reason::Late,
             retry_after: POOL_RETRY_AFTER,
@@ -415,6 +414,12 @@
     ) -> Result<Target, Rejection> {
         let pool = self.pool()?;
         let may_have_executed = attempts.possibly_executed > 0;
+        let checked = self.check_features();
+        if may_have_executed && (checked.is_err() || self.is_tried.get()) {
+            // The status of other rejections says that the request was not executed.
+            return Err(Rejection::new(Reason::Broken));
+        }
+        checked?;
         let failed = if may_have_executed {
             Rejection::new(Reason::Broken)
         } else {
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -3,8 +3,6 @@
 use super::{
     buffer::{Buffer, TooLarge},
     dialect::{ForwardingMetadata, RequestMetadata, ResponseMetadata},
-    event,
-    frame::Frame,
     run::ActiveRequest,
     sse,
     state::Relay,
@@ -18,12 +16,9 @@
     relay::{plan::Kind, registry::Target, scheduler::Handle, sse::EventId},
 };
 use std::{
-    io,
     rc::Rc,
     time::{Duration, Instant},
 };
-use tokio::{net::TcpStream, time};
-
 /// Time limit for the first event in addition to the prefill time; a few times the usual time under
 /// load.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -32,11 +27,6 @@
 /// Request body size above which an error response closes its connection, since the target may
 /// not have read the whole body.
 const LARGE_BODY_BYTES: usize = 16 << 10; // may exceed the receive buffer of a target
-/// Delay before a target whose response was interrupted is checked for a crash; a crashing process
-/// has exited by then.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(50);
-/// Connect timeout of the crash check.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(300); // several round trips
 /// Minimum number of connections per daemon and target for which connections are reused. With
 /// fewer, the idle connections of some daemons would make a target reset new ones of others.
 const MIN_CONNECTIONS_FOR_REUSE: u32 = 5; // a daemon keeps a few idle ones to a busy target
@@ -250,7 +240,7 @@
     }
 
     /// Updates the statistics of a target with the outcome of a send.
-    fn record_outcome(self: &Rc<Self>, target: &Target, outcome: &SendOutcome, elapsed: Duration) {
+    fn record_outcome(&self, target: &Target, outcome: &SendOutcome, elapsed: Duration) {
         let now = self.relay.now();
         let mut selector = self.relay.target_selector_mut();
         let prefill = f64::from(self.metadata.prompt_tokens) / MIN_PREFILL_RATE;
@@ -259,7 +249,9 @@
             SendOutcome::Buffered(response) => {
                 let is_success = !response.status.is_server_error();
                 selector.record_answer(&target.id, is_success, elapsed);
-                self.relay.crash_history_mut().clear(self.payload_hash);
+                if response.status.is_success() && !response.body.is_empty() {
+                    self.record_served();
+                }
             }
             SendOutcome::Streaming(_) => selector.record_answer(&target.id, true, elapsed),
             SendOutcome::Unreached | SendOutcome::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
@@ -269,45 +261,10 @@
             SendOutcome::Failed(_) => {
                 selector.record_failure(now, &target.id);
                 drop(selector);
-                self.check_for_crash(target);
+                self.check_for_crash(target, false);
             }
         }
     }
-
-    /// Checks whether a target whose response was interrupted has crashed; only a crash is
-    /// attributed to the payload.
-    pub(super) fn check_for_crash(self: &Rc<Self>, target: &Target) {
-        let (request, target) = (Rc::clone(self), target.clone());
-        tokio::task::spawn_local(async move {
-            time::sleep(CRASH_CHECK_DELAY).await;
-            let connect = TcpStream::connect(target.address.as_str());
-            let has_crashed = match time::timeout(CRASH_CHECK_TIMEOUT, connect).await {
-                Ok(Ok(_)) => false,
-                Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-                // A network partition times out, too.
-                Err(_elapsed) => false,
-            };
-            if has_crashed {
-                request.record_crash(&target);
-            }
-        });
-    }
-
-    /// Records on this daemon and all peers that a target crashed while it executed this request.
-    fn record_crash(&self, target: &Target) {
-        let relay = &self.relay;
-        let has_begun = self.stats.first_byte.get().is_some();
-        event::target_crashed(&target.id, &self.metadata, self.payload_hash, has_begun);
-        let crashes = relay
-            .metrics
-            .target_crashes
-            .with_label_values(&[&target.pool]);
-        crashes.inc();
-        let now = relay.now();
-        relay.crash_history_mut().record(now, self.payload_hash);
-        let frame = Frame::TargetCrash(self.payload_hash);
-        relay.links.broadcast(&frame);
-    }
 }
 
 impl CallGuard {
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -2,6 +2,7 @@
 
 use super::{
     conduct::JobDispatcher,
+    crash::CrashWatch,
     dialect::{Dialect, Row},
     link::Links,
     metrics::Metrics,
@@ -17,7 +18,6 @@
     id::{Incarnation, PoolId, Time},
     relay::{
         builds::BuildRecords,
-        crash::CrashHistory,
         history::Edition,
         leader::{self, UnixMillis},
         memory,
@@ -57,7 +57,7 @@
     registry: RefCell<Registry>,
     build_records: RefCell<BuildRecords>,
     target_selector: RefCell<TargetSelector>,
-    crash_history: RefCell<CrashHistory>,
+    pub(super) crash_watch: CrashWatch,
     response_memory: RefCell<memory::Usage>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
@@ -93,7 +93,7 @@
             registry: RefCell::default(),
             build_records: RefCell::default(),
             target_selector: RefCell::default(),
-            crash_history: RefCell::default(),
+            crash_watch: CrashWatch::default(),
             response_memory: RefCell::default(),
             retry_budgets: RefCell::default(),
             dispatcher: JobDispatcher::new(),
@@ -170,10 +170,6 @@
         self.response_memory.borrow_mut()
     }
 
-    pub(super) fn crash_history_mut(&self) -> RefMut<'_, CrashHistory> {
-        self.crash_history.borrow_mut()
-    }
-
     /// Records the first send of a request, which earns a fraction of a retry.
     pub(super) fn record_first_send(&self, pool: &PoolId) {
         self.with_retry_budget(pool, Budget::deposit);
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -3,6 +3,7 @@
 use super::{
     body::{Body, TruncatedResponse},
     buffer::Buffer,
+    crash::CRASH_PERIOD,
     event,
     outcome::{Reason, Rejection},
     run::{ActiveRequest, Attempts, TargetResponse},
@@ -28,14 +29,23 @@
     async_stream::stream! {
         let mut attempts = attempts;
         let StreamingResponse { mut reader, first, mut target, mut call } = stream;
+        let mut begun_at = Instant::now();
+        let mut is_served = false;
         yield Ok(first);
         loop {
             let interruption = match reader.next(next_event_deadline(&request)).await {
                 Ok(Some(events)) => {
+                    if !is_served && begun_at.elapsed() >= CRASH_PERIOD {
+                        is_served = true;
+                        request.record_served();
+                    }
                     yield Ok(events);
                     continue;
                 }
                 Ok(None) => {
+                    if !is_served {
+                        request.record_served();
+                    }
                     request.record_stream_end(&target, "complete", &reader);
                     request.end(Some(reader.response().status()), "answered", None);
                     return;
@@ -43,7 +53,7 @@
                 Err(interruption) => interruption.into(),
             };
             request.record_stream_end(&target, interruption, &reader);
-            request.record_interrupted_stream(&target, interruption);
+            request.record_interrupted_stream(&target, interruption, begun_at);
             let last_id = reader.last_id();
             drop(reader);
             drop(call);
@@ -60,6 +70,7 @@
                     reader = stream.reader;
                     target = stream.target;
                     call = stream.call;
+                    begun_at = Instant::now();
                     yield Ok(stream.first);
                 }
                 Some((TargetResponse::Buffered(_), _)) | None => {
@@ -122,8 +133,14 @@
         }
     }
 
-    /// Records the interruption of a stream as a failure of its target.
-    pub fn record_interrupted_stream(self: &Rc<Self>, target: &Target, result: &'static str) {
+    /// Records the interruption of a stream, whose first event arrived at `begun_at`, as a failure of
+    /// its target.
+    pub fn record_interrupted_stream(
+        &self,
+        target: &Target,
+        result: &'static str,
+        begun_at: Instant,
+    ) {
         event::send_failed(
             &self.metadata.id,
             &target.id,
@@ -135,6 +152,6 @@
         self.relay
             .target_selector_mut()
             .record_failure(now, &target.id);
-        self.check_for_crash(target);
+        self.check_for_crash(target, begun_at.elapsed() >= CRASH_PERIOD);
     }
 }
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -27,7 +27,7 @@
 /// than the time within which a new configuration must be in force.
 const FEED_WAIT: Duration = Duration::from_millis(700);
 /// Same as [`FEED_WAIT`] for the daemons' own tables, which are less urgent: links detect failed
-/// daemons, and builds matter after a start.
+/// daemons, and the others matter after a start.
 const OWN_FEED_WAIT: Duration = Duration::from_secs(10);
 /// Minimum interval between two calls of a feed, since targets change their entries several times a
 /// second. A seventh of the time within which a draining target must receive no more requests.
@@ -163,13 +163,14 @@
             match table {
                 Table::Targets => relay.replace_targets(rows.rows, rows.version),
                 Table::Builds => relay.load_builds(&rows.rows),
+                Table::Quarantine => relay.load_quarantine(&rows.rows),
                 Table::Plan | Table::Daemons => relay.apply_rows(table, rows.rows),
             }
         }
         Some(version) => {
             let wait = match table {
                 Table::Plan | Table::Targets => FEED_WAIT,
-                Table::Daemons | Table::Builds => OWN_FEED_WAIT,
+                Table::Daemons | Table::Builds | Table::Quarantine => OWN_FEED_WAIT,
             };
             let changes = relay
                 .store
@@ -188,7 +189,7 @@
         match table {
             Table::Plan => self.plan_read_at.set(now),
             Table::Targets => self.targets_read_at.set(now),
-            Table::Daemons | Table::Builds => {}
+            Table::Daemons | Table::Builds | Table::Quarantine => {}
         }
     }
 
@@ -305,7 +306,8 @@
         self.links.for_each_peer(|peer| {
             is_fresh |= peer.table_age().is_some_and(|age| age < MAX_TABLE_AGE);
         });
-        !is_fresh && !matches!(table, Table::Daemons | Table::Builds)
+        let is_own = matches!(table, Table::Daemons | Table::Builds | Table::Quarantine);
+        !is_fresh && !is_own
     }
 
     /// Applies rows that this daemon has read from the store.
@@ -317,6 +319,7 @@
                 Table::Targets => self.apply_target(&row, is_lenient),
                 Table::Daemons => self.learn_daemon_address(&row),
                 Table::Builds => self.apply_build_record(&row),
+                Table::Quarantine => self.apply_quarantine_record(&row),
             }
         }
     }
--- a/standin/src/http/mod.rs
+++ b/standin/src/http/mod.rs
@@ -141,7 +141,7 @@
 pub(crate) async fn until(value: &mut watch::Receiver<bool>, expected: bool) {
     if value.wait_for(|value| *value == expected).await.is_err() {
         // The sender is gone, so that the value does not change any more.
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
