--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -50,6 +50,8 @@
 pub struct Resumption {
     /// Request that brought the first event, if stated.
     pub stream: Option<RequestId>,
+    /// Last event that the caller has received; absent if it is not a number.
+    pub last_event: Option<EventId>,
 }
 
 /// Metadata that the relay sets on a request to a target.
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -188,7 +188,9 @@
         started: Instant,
         last_event_id: Option<EventId>,
     ) -> SendOutcome {
-        let mut reader = sse::Reader::new(response, last_event_id);
+        let resumption = self.metadata.resumption.as_ref();
+        let received = resumption.and_then(|resumption| resumption.last_event);
+        let mut reader = sse::Reader::new(response, last_event_id.or(received));
         match reader.next(self.first_event_timeout_at(started)).await {
             Ok(Some(first)) => SendOutcome::Streaming(Box::new(StreamingResponse {
                 reader,
