--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -13,7 +13,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::time;
 
@@ -99,6 +99,8 @@
     pub headers: HeaderMap,
     /// Body as received.
     pub body: Bytes,
+    /// When the execution began.
+    pub at: Instant,
 }
 
 impl ExecutedRequest {
@@ -294,6 +296,7 @@
             path: request.uri().to_string(),
             headers: headers.clone(),
             body: request.body().clone(),
+            at: Instant::now(),
         };
         let is_crashing = run.has_crashing_part();
         lock(&self.executed_requests).push(run);
