Check a target for a crash before its request is sent to another one

A stream that may be resumed and that crashes its target was sent to the next one at once, which crashed as well: each such request cost two targets, and the second before anybody knew of the first. Requests without parts of a prompt, whose objectives are short, are sent on as before.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -51,6 +51,8 @@
     checks: RefCell<HashMap<TargetId, Vec<InterruptedRequest>>>,
     /// Notified of each crash, which may lead to the refusal of a request that waits.
     crashes: Notify,
+    /// Notified at the end of each check.
+    checked: Notify,
 }
 
 /// A request whose response was interrupted.
@@ -143,6 +145,22 @@
         relay.announce(&change, "request served");
     }
 
+    /// Waits until it is known whether a target that broke this request off has crashed, so that a
+    /// request that crashes its target is not sent to the next one unseen.
+    pub(super) async fn wait_for_crash_check(&self, target: &TargetId) {
+        let has_parts = self.features.len() > 1;
+        let watch = &self.relay.crash_watch;
+        let is_checked = async {
+            while watch.checks.borrow().contains_key(target) {
+                watch.checked.notified().await;
+            }
+        };
+        if has_parts {
+            // A target that does not answer at all has not crashed because of a request.
+            drop(time::timeout(CHECK_DELAY * 2, is_checked).await);
+        }
+    }
+
     /// Checks whether a target that interrupted its response has crashed. Interruptions that arrive
     /// until then are about the same crash.
     pub(super) fn check_for_crash(&self, target: &Target, has_begun: bool) {
@@ -182,6 +200,7 @@
             if has_crashed {
                 relay.record_crash(&target, &requests.unwrap_or_default());
             }
+            relay.crash_watch.checked.notify_waiters();
         });
     }
 
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -346,6 +346,7 @@
                     }
                     let result = attempts.record(&failed);
                     self.record_failed_send(attempts, &target, result, elapsed, false);
+                    self.wait_for_crash_check(&target.id).await;
                 }
             }
         }
