Try requests one at a time while crashes have two explanations

A daemon now sends one request with such a feature and refuses others until its outcome is known, for two seconds at most.

Crashes count as simultaneous within 40 ms instead of 100: a request that is sent again crashes its next target 52 ms after the first one is recorded, and that is no coincidence.

--- a/policy/src/relay/crash.rs
+++ b/policy/src/relay/crash.rs
@@ -6,7 +6,7 @@
 //! is served. So a crash is charged to the features of those requests that the target had not begun to
 //! answer, and a request that is served clears its features. A feature that is charged with several
 //! crashes is quarantined, unless another one [explains](CrashTracker::is_explained) them as well.
-//! Requests with the latter but not the former then show which of the two it is.
+//! Single requests with one of them but not the other then show which it is.
 //!
 //! A feature may be present in the crashes of others by chance. So after a while, one request with it is
 //! tried: either it is served, and the quarantine ends, or the cause is confirmed.
@@ -38,7 +38,7 @@
 const SAME_CRASH_WINDOW: Duration = Duration::from_millis(1_500);
 /// Period within which crashes of several targets count once, as they are likely to have a cause in
 /// common, such as a power failure.
-const SIMULTANEITY_WINDOW: Duration = Duration::from_millis(100);
+const SIMULTANEITY_WINDOW: Duration = Duration::from_millis(40);
 /// Time for which a crash is charged.
 const CRASH_RETENTION: Duration = Duration::from_secs(15 * 60);
 /// Maximum number of crashes that are charged; the oldest ones are dropped.
@@ -51,6 +51,9 @@
 pub const TRIAL_DELAY: Duration = Duration::from_secs(30);
 /// Time after which another request is tried if nothing is known of the one before.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(30); // longer than requests last
+/// Same as [`TRIAL_TIMEOUT`] for a feature that is not quarantined; a few times as long as it takes
+/// until a response begins.
+const SHORT_TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which a feature is quarantined, from when a request last had it to within half that time.
 pub const QUARANTINE_TTL: Duration = Duration::from_secs(24 * 60 * 60);
 /// Maximum number of quarantined features; the oldest ones are dropped.
@@ -119,6 +122,9 @@
     suspects: HashMap<Feature, Vec<CrashNumber>>,
     served: ServedFeatures,
     quarantine: HashMap<Feature, Entry>,
+    /// Until when the outcome of a request is awaited that this daemon sent although it has this
+    /// feature, which is charged with crashes that another one explains.
+    trials: HashMap<Feature, Time>,
 }
 
 /// State of a quarantined feature.
@@ -199,11 +205,28 @@
                 is_confirmed: entry.is_confirmed,
             });
         }
-        let is_cause = |feature: &&Feature| {
-            self.is_suspicious(**feature) && !self.is_explained(**feature, features)
+        self.judge_suspicious(now, features)
+    }
+
+    /// Decides whether a request may be sent that has no quarantined feature. A feature that another
+    /// one explains is tried with one request at a time.
+    fn judge_suspicious(&mut self, now: Time, features: &[Feature]) -> Verdict {
+        let suspicious = features.iter().copied();
+        let suspicious: Vec<Feature> = suspicious
+            .filter(|&feature| self.is_suspicious(feature))
+            .collect();
+        let is_refused = |feature: &&Feature| {
+            let trial_until = self.trials.get(*feature);
+            trial_until.is_some_and(|until| now < *until) || !self.is_explained(**feature, features)
         };
-        let cause = features.iter().find(is_cause);
-        cause.map_or(Verdict::Allowed, |&feature| Verdict::Refused(feature))
+        if let Some(&feature) = suspicious.iter().find(is_refused) {
+            return Verdict::Refused(feature);
+        }
+        for &feature in &suspicious {
+            self.trials.insert(feature, now + SHORT_TRIAL_TIMEOUT);
+        }
+        let first = suspicious.first().copied();
+        first.map_or(Verdict::Allowed, Verdict::Tried)
     }
 
     /// Records that a target crashed `age` ago, and returns the features that are quarantined because
@@ -245,6 +268,7 @@
         let mut change = Change::default();
         for &feature in features {
             self.served.insert(now, feature, now);
+            self.trials.remove(&feature);
             let was_charged = self.suspects.remove(&feature).is_some();
             let was_quarantined = self.quarantine.remove(&feature).is_some();
             if was_charged || was_quarantined {
@@ -468,6 +492,7 @@
         }
         self.quarantine
             .retain(|_, entry| now < entry.since + QUARANTINE_TTL);
+        self.trials.retain(|_, until| now < *until);
     }
 }
 
--- a/policy/tests/crash.rs
+++ b/policy/tests/crash.rs
@@ -113,7 +113,11 @@
     let mut tracker = CrashTracker::default();
     crash(&mut tracker, &[1.0, 2.0, 3.0], &[CRASHING, SHARED]);
     assert!(is_refused(&mut tracker, 4.0, &[9, SHARED, CRASHING]));
-    assert!(!is_refused(&mut tracker, 4.0, &[9, SHARED]));
+    // One request at a time may show it.
+    let mut judge = |features: &[Feature]| tracker.judge(at(4.0), features, |_| false);
+    assert_eq!(judge(&[9, SHARED]), Verdict::Tried(SHARED));
+    assert_eq!(judge(&[10, SHARED]), Verdict::Refused(SHARED));
+    assert_eq!(judge(&[11, CRASHING]), Verdict::Tried(CRASHING));
     let change = if is_shared_served {
         tracker.record_served(at(4.0), &[9, SHARED])
     } else {
