--- a/godwithinge/src/ctl/diagnosis.rs
+++ b/godwithinge/src/ctl/diagnosis.rs
@@ -34,6 +34,8 @@
 ];
 /// Messages about a target, relevant if the request was sent to it.
 const TARGET_MESSAGES: [&str; 3] = ["send failed", "target", "target died"];
+/// Messages about what crashes targets, relevant if the request was refused for it, however long before.
+const FEATURE_MESSAGES: [&str; 2] = ["feature quarantined", "feature released"];
 /// Messages of the conducting daemon, relevant if the request spent time in stages.
 const STAGE_MESSAGES: [&str; 3] = ["stage call", "stage queue", "this daemon conducts"];
 
@@ -87,6 +89,12 @@
         /// Result of the last failed send, as logged.
         result: CompactString,
     },
+    /// The request was refused because targets crash that execute requests with this part of its
+    /// prompt, or with its payload if `part` is `None`.
+    Crashing {
+        /// Part of the prompt.
+        part: Option<CompactString>,
+    },
     /// The request was rejected before it was accepted.
     Rejected {
         /// Reason as logged.
@@ -180,6 +188,8 @@
     end: Duration,
     sources: BTreeSet<&'a str>,
     targets: BTreeSet<&'a str>,
+    /// Features that are the reason of a refusal.
+    features: BTreeSet<&'a str>,
     has_stages: bool,
 }
 
@@ -198,6 +208,11 @@
             end,
             sources: own.iter().map(|line| line.source.as_str()).collect(),
             targets: targets.filter(|target| !target.is_empty()).collect(),
+            features: own
+                .iter()
+                .map(|line| line.text("feature"))
+                .filter(|feature| !feature.is_empty())
+                .collect(),
             has_stages: own
                 .iter()
                 .any(|line| line.number("stages_ms").unwrap_or_default() > 0),
@@ -207,6 +222,10 @@
     /// Returns whether a line that does not belong to the request may explain its outcome.
     fn is_relevant(&self, line: &Line) -> bool {
         let message = line.message();
+        if FEATURE_MESSAGES.contains(&message) {
+            return line.at <= self.end + MAX_CLOCK_SKEW
+                && self.features.contains(line.text("feature"));
+        }
         let is_stage_event = self.has_stages && STAGE_MESSAGES.contains(&message);
         let before = if is_stage_event {
             MAX_CLOCK_SKEW
@@ -269,6 +288,13 @@
                 result: failed.map_or(reason, |line| line.text("result")).into(),
             }
         }
+        "crashing" => {
+            let refused = own.iter().rfind(|line| !line.text("feature").is_empty());
+            let part = refused.map(|line| line.text("part"));
+            Cause::Crashing {
+                part: part.filter(|part| !part.is_empty()).map(Into::into),
+            }
+        }
         reason => Cause::Other {
             reason: reason.into(),
         },
@@ -338,6 +364,10 @@
             Self::SendFailed { target, result } => {
                 write!(f, "not answered: send to target {target} failed ({result})")
             }
+            Self::Crashing { part: Some(part) } => {
+                write!(f, "refused: prompts with the part {part} crash targets")
+            }
+            Self::Crashing { part: None } => f.write_str("refused: its payload crashes targets"),
             Self::Rejected { reason } => write!(f, "rejected on arrival: {reason}"),
             Self::CallerLeft => f.write_str("the caller disconnected"),
             Self::Unknown => f.write_str("the logs do not show how it ended"),
--- a/godwithinge/tests/explain.rs
+++ b/godwithinge/tests/explain.rs
@@ -18,6 +18,10 @@
 {"timestamp":"2026-04-25T10:00:09.600000Z","level":"INFO","message":"request ended","request":"fine","status":200,"reason":"answered","target_id":"t-2","sends":1,"stages_ms":900,"first_ms":1100,"total_ms":1200,"objective_ms":1800,"left_ms":3600,"revision":3}
 {"timestamp":"2026-04-25T10:00:09.700000Z","level":"INFO","message":"request rejected","request":"stranger","reason":"unknown_key","path":"/a"}
 {"timestamp":"2026-04-25T10:00:09.800000Z","level":"INFO","message":"request ended","request":"left","status":0,"reason":"caller_left","target_id":"t-2","sends":1,"stages_ms":0,"total_ms":900,"left_ms":10,"revision":3}
+{"timestamp":"2026-04-25T10:00:02.000000Z","level":"WARN","message":"feature quarantined","feature":"3f1d","source":"crash"}
+{"timestamp":"2026-04-25T10:00:02.100000Z","level":"WARN","message":"feature quarantined","feature":"4a00","source":"crash"}
+{"timestamp":"2026-04-25T10:00:19.799000Z","level":"INFO","message":"request would crash its target","request":"crashing","feature":"3f1d","part":"5c1e07a2"}
+{"timestamp":"2026-04-25T10:00:19.800000Z","level":"INFO","message":"request ended","request":"crashing","status":503,"reason":"crashing","target_id":"","sends":0,"stages_ms":0,"total_ms":0,"left_ms":6000,"revision":3}
 torn {"timestamp":"2026-04-2
 "#;
 
@@ -61,10 +65,24 @@
 #[case("fine", Cause::Answered)]
 #[case("stranger", Cause::Rejected { reason: "unknown_key".into() })]
 #[case("left", Cause::CallerLeft)]
+#[case("crashing", Cause::Crashing { part: Some("5c1e07a2".into()) })]
 fn cause_is_named(#[case] request: &str, #[case] cause: Cause) {
     assert_eq!(diagnose(request).cause, cause);
 }
 
+/// The quarantine that a request is refused for may have begun long before it.
+#[test]
+fn crashing_request_shows_the_quarantine() {
+    assert_eq!(
+        messages(&diagnose("crashing")),
+        [
+            ("h1", "feature quarantined"),
+            ("h1", "request would crash its target"),
+            ("h1", "request ended"),
+        ]
+    );
+}
+
 /// Guards against a refusal without the queues that caused it: their lines are logged by the
 /// conductor, whose clock may differ, and do not name the request. Later queues are left out.
 #[test]
