Keep the age of crashes that happened before a daemon started

Times of a daemon count from its start, so that the crash that its peers reported to it got the time of the start, and it told the next ones an age of a second. In a rolling restart they took each such report for another crash of the target.

--- a/policy/src/relay/crash.rs
+++ b/policy/src/relay/crash.rs
@@ -36,6 +36,8 @@
 /// Period within which reports of a target's crash are about the same one. Crashed targets are back
 /// after a few seconds.
 const SAME_CRASH_WINDOW: Duration = Duration::from_millis(1_500);
+/// Same as [`SAME_CRASH_WINDOW`] for a report that was handed on, whose age is less exact.
+const SAME_OLD_CRASH_WINDOW: Duration = Duration::from_secs(10);
 /// Period within which crashes of several targets count once, as they are likely to have a cause in
 /// common, such as a power failure.
 const SIMULTANEITY_WINDOW: Duration = Duration::from_millis(40);
@@ -56,6 +58,9 @@
 const SHORT_TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which a feature is quarantined, from when a request last had it to within half that time.
 pub const QUARANTINE_TTL: Duration = Duration::from_secs(24 * 60 * 60);
+/// Time before the start of the daemon from which times are counted here, since what peers and the
+/// store report may have happened before it.
+const HISTORY: Duration = QUARANTINE_TTL;
 /// Maximum number of quarantined features; the oldest ones are dropped.
 pub const MAX_QUARANTINED: usize = 1_024;
 /// Time for which peers may still announce a quarantine that a served request has ended.
@@ -182,6 +187,7 @@
         features: &[Feature],
         is_tester: impl Fn(Feature) -> bool,
     ) -> Verdict {
+        let now = HISTORY + now;
         for &feature in features {
             let Some(entry) = self.quarantine.get_mut(&feature) else {
                 continue;
@@ -232,6 +238,7 @@
     /// Records that a target crashed `age` ago, and returns the features that are quarantined because
     /// of it. Several reports of one crash count once.
     pub fn record_crash(&mut self, now: Time, age: Duration, report: &Report) -> Change {
+        let now = HISTORY + now;
         for &feature in report.served.iter().take(MAX_SUSPECTS) {
             if !self.is_served(feature) {
                 // It is not known when.
@@ -240,7 +247,12 @@
         }
         self.expire(now);
         let at = now.saturating_sub(age);
-        let number = self.crash_number(at, &report.target);
+        let window = if age < SAME_CRASH_WINDOW {
+            SAME_CRASH_WINDOW
+        } else {
+            SAME_OLD_CRASH_WINDOW
+        };
+        let number = self.crash_number(at, &report.target, window);
         let is_charged = self
             .crash(number)
             .is_some_and(|crash| !crash.is_accounted_for);
@@ -265,6 +277,7 @@
 
     /// Records that a request with these features was served, here or at a peer.
     pub fn record_served(&mut self, now: Time, features: &[Feature]) -> Change {
+        let now = HISTORY + now;
         let mut change = Change::default();
         for &feature in features {
             self.served.insert(now, feature, now);
@@ -286,6 +299,7 @@
 
     /// Quarantines a feature as announced by a peer or the store. Returns whether this is new.
     pub fn record_quarantine(&mut self, now: Time, announced: Quarantine) -> bool {
+        let now = HISTORY + now;
         let served = self.served.last(announced.feature);
         let is_cleared = served.is_some_and(|served| now < served + CLEARING_PERIOD);
         if is_cleared || announced.age >= QUARANTINE_TTL {
@@ -304,6 +318,7 @@
 
     /// Returns the quarantined features.
     pub fn quarantined(&self, now: Time) -> impl Iterator<Item = Quarantine> {
+        let now = HISTORY + now;
         let entries = self.quarantine.iter();
         entries.map(move |(&feature, entry)| Quarantine {
             feature,
@@ -325,6 +340,7 @@
     /// Returns a report of each of the last crashes that are not accounted for, and its age, for a
     /// daemon that did not receive them.
     pub fn reports(&self, now: Time) -> Vec<(Report, Duration)> {
+        let now = HISTORY + now;
         let crashes = self.crashes.iter().rev();
         let crashes = crashes.filter(|crash| !crash.is_accounted_for);
         let reports = crashes.take(MAX_REPEATED_REPORTS).map(|crash| {
@@ -441,12 +457,13 @@
         }
     }
 
-    /// Returns the number of the crash of a target at this time, and records it if it is new.
-    fn crash_number(&mut self, at: Time, target: &TargetId) -> CrashNumber {
+    /// Returns the number of the crash of a target at this time, give or take `window`, and records it
+    /// if it is new.
+    fn crash_number(&mut self, at: Time, target: &TargetId, window: Duration) -> CrashNumber {
         let is_within = |crash: &&Crash, window| crash.at.abs_diff(at) <= window;
         let mut recent = self.crashes.iter().rev();
         let known = recent
-            .find(|crash| crash.target == *target && is_within(crash, SAME_CRASH_WINDOW))
+            .find(|crash| crash.target == *target && is_within(crash, window))
             .map(|crash| crash.number);
         if let Some(number) = known {
             return number;
--- a/policy/tests/crash.rs
+++ b/policy/tests/crash.rs
@@ -171,6 +171,26 @@
     assert_eq!(change.quarantined, [CRASHING]);
 }
 
+/// Daemons that start one after the other hand the report of one crash on, which is older than they are.
+#[test]
+fn reports_keep_their_age() {
+    let mut reports = vec![(report("t", &[CRASHING]), Duration::from_secs(20))];
+    let mut former = CrashTracker::default();
+    former.record_crash(at(100.0), Duration::ZERO, &reports[0].0);
+    for start in 0..4 {
+        let mut started = CrashTracker::default();
+        for (report, age) in &reports {
+            started.record_crash(at(0.5), *age, report);
+        }
+        reports = started.reports(at(1.5));
+        let age = Duration::from_secs(21 + start);
+        assert_eq!(reports, [(report("t", &[CRASHING]), age)]);
+        let delay = Duration::from_secs(2);
+        former.record_crash(at(100.0) + age + delay, age, &reports[0].0);
+    }
+    assert!(!is_refused(&mut former, 130.0, &[CRASHING]));
+}
+
 #[test]
 fn quarantine_lasts_while_requests_come() {
     let mut tracker = CrashTracker::default();
