Judge all quarantined features of a request, and remember served parts only

A request with a part that was due for a trial was sent although another part of it had been confirmed to crash targets (request_with_another_quarantined_part_is_not_tried failed before). Served payloads, few of which are repeated, displaced served parts from the bounded memory. A stream that had been served for a second no longer waits for the check of its target before it is resumed.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -135,7 +135,8 @@
     pub(super) fn record_served(&self) {
         let relay = &self.relay;
         let mut tracker = relay.crash_watch.tracker.borrow_mut();
-        let change = tracker.record_served(relay.now(), &self.features);
+        let (payload, parts) = (self.features[0], &self.features[1..]);
+        let change = tracker.record_served(relay.now(), Some(payload), parts);
         drop(tracker);
         if !change.cleared.is_empty() {
             relay
@@ -342,7 +343,7 @@
     pub(super) fn receive_served(&self, features: &[Feature]) {
         let features = &features[..features.len().min(MAX_SUSPECTS)];
         let mut tracker = self.crash_watch.tracker.borrow_mut();
-        let change = tracker.record_served(self.now(), features);
+        let change = tracker.record_served(self.now(), None, features);
         drop(tracker);
         self.record_change(&change, "peer");
     }
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -57,7 +57,9 @@
             let last_id = reader.last_id();
             drop(reader);
             drop(call);
-            request.wait_for_crash_check(&target.id).await;
+            if begun_at.elapsed() < CRASH_PERIOD {
+                request.wait_for_crash_check(&target.id).await;
+            }
             let resumed = match last_id {
                 Some(_) if request.route.is_repeatable() => {
                     request.start_response(&mut attempts, last_id).await.ok()
--- a/policy/src/relay/crash.rs
+++ b/policy/src/relay/crash.rs
@@ -143,6 +143,12 @@
     no_trial_until: Time,
 }
 
+impl Entry {
+    fn may_be_tried(&self, now: Time) -> bool {
+        !self.is_confirmed && now >= self.no_trial_until
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Crash {
     number: CrashNumber,
@@ -188,20 +194,17 @@
         is_tester: impl Fn(Feature) -> bool,
     ) -> Verdict {
         let now = HISTORY + now;
+        self.expire(now);
+        let mut tried = None;
         for &feature in features {
             let Some(entry) = self.quarantine.get_mut(&feature) else {
                 continue;
             };
-            let age = now.saturating_sub(entry.since);
-            if age >= QUARANTINE_TTL {
-                self.quarantine.remove(&feature);
+            if entry.may_be_tried(now) && is_tester(feature) {
+                tried = Some(feature);
                 continue;
             }
-            if !entry.is_confirmed && now >= entry.no_trial_until && is_tester(feature) {
-                entry.no_trial_until = now + TRIAL_TIMEOUT;
-                return Verdict::Tried(feature);
-            }
-            if age < QUARANTINE_TTL / 2 {
+            if now < entry.since + QUARANTINE_TTL / 2 {
                 return Verdict::Refused(feature);
             }
             entry.since = now;
@@ -211,7 +214,13 @@
                 is_confirmed: entry.is_confirmed,
             });
         }
-        self.judge_suspicious(now, features)
+        let Some(feature) = tried else {
+            return self.judge_suspicious(now, features);
+        };
+        if let Some(entry) = self.quarantine.get_mut(&feature) {
+            entry.no_trial_until = now + TRIAL_TIMEOUT;
+        }
+        Verdict::Tried(feature)
     }
 
     /// Decides whether a request may be sent that has no quarantined feature. A feature that another
@@ -275,12 +284,20 @@
         }
     }
 
-    /// Records that a request with these features was served, here or at a peer.
-    pub fn record_served(&mut self, now: Time, features: &[Feature]) -> Change {
+    /// Records that a request was served, here or at a peer. Its parts are remembered; its payload is
+    /// not, as few are repeated.
+    pub fn record_served(
+        &mut self,
+        now: Time,
+        payload: Option<Feature>,
+        parts: &[Feature],
+    ) -> Change {
         let now = HISTORY + now;
         let mut change = Change::default();
-        for &feature in features {
-            self.served.insert(now, feature, now);
+        for &part in parts {
+            self.served.insert(now, part, now);
+        }
+        for feature in parts.iter().copied().chain(payload) {
             self.trials.remove(&feature);
             let was_charged = self.suspects.remove(&feature).is_some();
             let was_quarantined = self.quarantine.remove(&feature).is_some();
--- a/policy/tests/crash.rs
+++ b/policy/tests/crash.rs
@@ -95,7 +95,7 @@
 fn served_part_is_cleared() {
     let mut tracker = CrashTracker::default();
     crash(&mut tracker, &[1.0, 2.0], &[SHARED]);
-    let change = tracker.record_served(at(2.5), &[SHARED]);
+    let change = tracker.record_served(at(2.5), None, &[SHARED]);
     assert_eq!(change.cleared, [SHARED]);
     crash(&mut tracker, &[3.0, 4.0, 5.0, 6.0, 7.0], &[SHARED]);
     assert!(!is_refused(&mut tracker, 8.0, &[SHARED]));
@@ -119,7 +119,7 @@
     assert_eq!(judge(&[10, SHARED]), Verdict::Refused(SHARED));
     assert_eq!(judge(&[11, CRASHING]), Verdict::Tried(CRASHING));
     let change = if is_shared_served {
-        tracker.record_served(at(4.0), &[9, SHARED])
+        tracker.record_served(at(4.0), None, &[9, SHARED])
     } else {
         crash(&mut tracker, &[4.0], &[CRASHING])
     };
@@ -134,7 +134,7 @@
     let mut tracker = CrashTracker::default();
     crash(&mut tracker, &[1.0, 2.0, 3.0], &[SHARED]);
     assert!(tracker.is_quarantined(SHARED));
-    let change = tracker.record_served(at(3.5), &[SHARED]);
+    let change = tracker.record_served(at(3.5), None, &[SHARED]);
     assert_eq!(change.released, [SHARED]);
     assert!(!is_refused(&mut tracker, 4.0, &[SHARED]));
     // A peer's announcement of before arrives late.
@@ -157,12 +157,27 @@
     assert_eq!(verdict, Verdict::Refused(CRASHING));
 }
 
+/// A trial of one feature says nothing of another one that the request has, too.
+#[test]
+fn request_with_another_quarantined_part_is_not_tried() {
+    let mut tracker = CrashTracker::default();
+    tracker.record_quarantine(Time::ZERO, quarantine(SHARED));
+    let confirmed = Quarantine {
+        is_confirmed: true,
+        ..quarantine(CRASHING)
+    };
+    tracker.record_quarantine(Time::ZERO, confirmed);
+    let mut judge = |features: &[Feature]| tracker.judge(TRIAL_DELAY, features, |_| true);
+    assert_eq!(judge(&[SHARED, CRASHING]), Verdict::Refused(CRASHING));
+    assert_eq!(judge(&[SHARED]), Verdict::Tried(SHARED));
+}
+
 /// A daemon that joins after two crashes finds the cause with the third.
 #[test]
 fn reports_carry_over_to_a_new_daemon() {
     let mut tracker = CrashTracker::default();
     crash(&mut tracker, &[100.0, 110.0], &[CRASHING, SHARED]);
-    tracker.record_served(at(111.0), &[SHARED]);
+    tracker.record_served(at(111.0), None, &[SHARED]);
     let mut joined = CrashTracker::default();
     for (report, age) in tracker.reports(at(112.0)) {
         joined.record_crash(at(20.0), age, &report);
@@ -212,7 +227,7 @@
         let second = number as f64;
         crash(&mut tracker, &[second], &suspects);
         tracker.record_quarantine(at(second), quarantine(number));
-        tracker.record_served(at(second), &suspects);
+        tracker.record_served(at(second), None, &suspects);
     }
     assert_eq!(tracker.quarantined(at(2_000.0)).count(), MAX_QUARANTINED);
     let reports = tracker.reports(at(2_000.0));
@@ -331,7 +346,8 @@
         running.retain(|request| {
             let is_served = at(second) >= request.started + at(1.0);
             if is_served {
-                tracker.record_served(at(second), &request.features);
+                let (payload, parts) = (request.features[0], &request.features[1..]);
+                tracker.record_served(at(second), Some(payload), parts);
             }
             !is_served
         });
