--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -13,8 +13,9 @@
     relay::{
         crash::{
             Change, CrashTracker, Feature, MAX_QUARANTINED, MAX_SUSPECTS, PayloadHash, Quarantine,
-            QuarantineRecords, Report, Verdict,
+            Report, Verdict,
         },
+        quarantine::Records,
         registry::Target,
         selection::{Part, PartId},
     },
@@ -46,7 +47,7 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashWatch {
     tracker: RefCell<CrashTracker>,
-    records: RefCell<QuarantineRecords>,
+    records: RefCell<Records>,
     /// Requests whose response was interrupted, by the target that is being checked.
     checks: RefCell<HashMap<TargetId, Vec<InterruptedRequest>>>,
     /// Notified of each crash, which may lead to the refusal of a request that waits.
@@ -71,11 +72,11 @@
         self.tracker.borrow()
     }
 
-    pub fn records(&self) -> Ref<'_, QuarantineRecords> {
+    pub fn records(&self) -> Ref<'_, Records> {
         self.records.borrow()
     }
 
-    pub fn records_mut(&self) -> RefMut<'_, QuarantineRecords> {
+    pub fn records_mut(&self) -> RefMut<'_, Records> {
         self.records.borrow_mut()
     }
 }
--- a/godwithinge/src/relay/quarantine.rs
+++ b/godwithinge/src/relay/quarantine.rs
@@ -4,10 +4,7 @@
     dialect::{Row, Table},
     state::{self, Relay},
 };
-use policy::relay::{
-    crash::{Feature, Record},
-    leader::UnixMillis,
-};
+use policy::relay::{crash::Feature, leader::UnixMillis, quarantine::Record};
 use serde::{Deserialize, Serialize};
 use std::{rc::Rc, time::Duration};
 use tokio::time;
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -5,7 +5,8 @@
 //! ([`scheduler`]). [`selection`] chooses the target of the request itself. [`registry`] holds the
 //! known targets, [`memory`] the memory that large responses take, [`history`] orders their entries when the store loses writes, [`distribution`]
 //! brings a new configuration to all daemons, [`origin`] holds where streams began, [`sse`] judges
-//! whether a stream is complete, and [`crash`] holds the payloads that crash targets.
+//! whether a stream is complete, [`crash`] finds what in requests crashes targets, and [`quarantine`] holds
+//! the records of that.
 
 pub mod builds;
 pub mod crash;
@@ -15,6 +16,7 @@
 pub mod memory;
 pub mod origin;
 pub mod plan;
+pub mod quarantine;
 pub mod registry;
 pub mod scheduler;
 pub mod selection;
--- a/policy/tests/crash.rs
+++ b/policy/tests/crash.rs
@@ -2,9 +2,12 @@
 
 use policy::{
     id::Time,
-    relay::crash::{
-        Change, CrashTracker, Feature, MAX_QUARANTINED, MAX_SUSPECTS, QUARANTINE_TTL, Quarantine,
-        QuarantineRecords, Record, Report, TRIAL_DELAY, Verdict,
+    relay::{
+        crash::{
+            Change, CrashTracker, Feature, MAX_QUARANTINED, MAX_SUSPECTS, QUARANTINE_TTL,
+            Quarantine, Report, TRIAL_DELAY, Verdict,
+        },
+        quarantine::{Record, Records},
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -246,7 +249,7 @@
         since,
         is_confirmed: false,
     };
-    let mut records = QuarantineRecords::default();
+    let mut records = Records::default();
     assert!(records.pending(at(60.0), 1_000_000, &tracker).is_empty());
     records.load([(SHARED, record(900_000))]);
     let pending = records.pending(at(60.0), 1_000_000, &tracker);
