--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -513,13 +513,13 @@
 ) -> Reply {
     reply::event_stream(async_stream::stream! {
         for (number, event) in events {
+            time::sleep(interval).await;
             if is_truncated && number == EVENTS_BEFORE_CUT + 1 {
                 yield Ok(Bytes::copy_from_slice(&event.as_bytes()[..8]));
                 yield Err(ConnectionClosed);
                 return;
             }
             yield Ok(Bytes::from(event));
-            time::sleep(interval).await;
         }
     })
 }
