Do not count a connection as idle while a stream is sent on it

A caller whose stream took longer than the idle timeout found its connection closed behind the stream, without notice, and the request that it sent next got neither an answer nor a refusal. A configuration that shortens the idle timeout makes this common.

A request counted as finished when the head of its response was returned. It now counts until the response has been produced, and a request that has arrived is read before the connection is judged idle.

--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -80,6 +80,8 @@
     let mut idle_check = time::interval(IDLE_CHECK_INTERVAL);
     loop {
         tokio::select! {
+            // Reads a request that has arrived before the connection is checked for idleness.
+            biased;
             result = &mut connection => {
                 if let Err(error) = result {
                     tracing::debug!(fault = %error, "connection failed");
@@ -135,7 +137,7 @@
 
 /// Counts a request as in flight on its connection until dropped.
 #[derive(Debug)]
-struct RequestGuard(Rc<ConnectionActivity>);
+pub(super) struct RequestGuard(Rc<ConnectionActivity>);
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
@@ -147,11 +149,11 @@
 async fn respond(
     relay: Rc<Relay>,
     request: Request<Incoming>,
-    _guard: RequestGuard,
+    guard: RequestGuard,
 ) -> Response<Body> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    match admit(&relay, head, body, arrived).await {
+    match admit(&relay, head, body, arrived, guard).await {
         Ok(request) => request.run().await,
         Err(rejection) => rejection.into_response(),
     }
@@ -163,6 +165,7 @@
     head: Parts,
     body: Incoming,
     arrived: Instant,
+    guard: RequestGuard,
 ) -> Result<ActiveRequest, Rejection> {
     let flight = InFlightGuard::new(relay);
     let reject = |rejection: Rejection, id: &str| {
@@ -218,6 +221,7 @@
         stats: RequestStats::default(),
         is_tried: Cell::new(false),
         build: OnceCell::new(),
+        _connection: guard,
         _flight: flight,
         plan: Rc::clone(&plan),
         head,
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -5,6 +5,7 @@
     conduct::{JobRefusal, JobRequest, StageResults},
     dialect::RequestMetadata,
     event::{self, RequestSummary},
+    front::RequestGuard,
     outcome::{Reason, Rejection},
     send::{BufferedResponse, SendOutcome, StreamingResponse},
     state::{InFlightGuard, Relay},
@@ -71,6 +72,8 @@
     /// Build at which the stream began and has to go on; empty before its first event.
     pub build: OnceCell<Build>,
     pub stats: RequestStats,
+    /// Keeps the connection from counting as idle until the whole response has been produced.
+    pub _connection: RequestGuard,
     pub _flight: InFlightGuard,
 }
 
