Do not deny requests that have begun when the configuration changes

Callers got 401 or 404 for requests that a target had begun, and streams were cut that another target could have resumed: before each send a request is admitted by the newest configuration, and a denial was taken for its outcome.

A request that a target may have executed stays with the configuration that admitted it if the newer one would deny it. One that has not been sent yet is denied as before.

--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -235,7 +235,7 @@
     ///
     /// Fails if it is not known.
     pub(super) async fn find_build(&self, resumption: &Resumption) -> Result<(), Rejection> {
-        let pool = self.pool()?;
+        let pool = self.pool(false)?;
         let max_age = self.route.timeout * MAX_STREAM_TIMEOUTS;
         let stream = resumption.stream.as_ref();
         let found = self
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -403,8 +403,8 @@
         results_domain: Option<&DomainId>,
         read: impl FnOnce(&Selection<'_>) -> T,
     ) -> Result<(PoolId, T), Rejection> {
-        let pool = self.pool()?;
         let may_have_executed = attempts.possibly_executed > 0;
+        let pool = self.pool(may_have_executed)?;
         let checked = self.check_features();
         if may_have_executed && (checked.is_err() || self.is_tried.get()) {
             // The status of other rejections says that the request was not executed.
@@ -435,19 +435,25 @@
     }
 
     /// Returns the pool of the request in the current configuration, which may be newer than the
-    /// one that admitted the request.
-    pub(super) fn pool(&self) -> Result<PoolId, Rejection> {
+    /// one that admitted the request. A request that a target may have executed is not denied any
+    /// more, and stays with the configuration that admitted it if the newer one would not.
+    pub(super) fn pool(&self, may_have_executed: bool) -> Result<PoolId, Rejection> {
         let plan = self.relay.plan().ok_or(Rejection::new(Reason::NoPlan))?;
-        let route = if plan.revision == self.plan.revision {
-            Arc::clone(&self.route)
-        } else {
-            let host = host(&self.head);
-            let (route, _) =
-                plan.admit(&host, self.head.uri.path(), self.metadata.key.as_deref())?;
-            Arc::clone(route)
+        let pool_of = |route: &Route| route.pool_for(&self.metadata.id).cloned();
+        let no_route = Rejection::new(Reason::NoRoute);
+        if plan.revision == self.plan.revision {
+            return pool_of(&self.route).ok_or(no_route);
+        }
+        let host = host(&self.head);
+        let admitted = plan.admit(&host, self.head.uri.path(), self.metadata.key.as_deref());
+        let pool = match admitted {
+            Ok((route, _)) => pool_of(route).ok_or(no_route),
+            Err(denial) => Err(denial.into()),
         };
-        let pool = route.pool_for(&self.metadata.id).cloned();
-        pool.ok_or(Rejection::new(Reason::NoRoute))
+        match pool_of(&self.route) {
+            Some(earlier) if may_have_executed => Ok(pool.unwrap_or(earlier)),
+            _ => pool,
+        }
     }
 
     /// Returns the domain of the target that the request would be sent to now, if its prompt has at
@@ -458,7 +464,7 @@
         if tokens < MIN_SHARED_TOKENS {
             return None;
         }
-        let pool = self.pool().ok()?;
+        let pool = self.pool(false).ok()?;
         self.choose(&pool, &Attempts::default(), None, |selection| {
             selection.target.domain.clone()
         })
