Reach targets through a peer while a daemon is partitioned from all of them

Cause: a daemon knew only its own path to a target. It took the loss of its path for a failure of each target in turn, and rejected a request after four of them, although its peers reached them all.

Now each daemon offers tunnels on a second internal port: a WebSocket whose peer connects to one target and forwards bytes. A connection to a target that can't be opened, or takes long, is tried through peers, too, before any byte of a request is sent; selection, retries, resumption, deadlines and cancellation stay with the daemon that got the request. A daemon that failed to reach several targets and none since counts as partitioned (policy::relay::reach): it closes its idle direct connections, opens new ones through peers only, tells its peers, forgets the failures that it has charged to targets, and tries connections of its own until two in a row work. While nothing is sent, it tries one each second. The log lines of a request name the daemon between.

--- a/godwithinge/src/http/connection.rs
+++ b/godwithinge/src/http/connection.rs
@@ -2,6 +2,7 @@
 
 use super::{Error, Request};
 use bytes::Bytes;
+use compact_str::CompactString;
 use http::Response;
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
@@ -10,7 +11,12 @@
     io,
     time::{Duration, Instant},
 };
-use tokio::{net::TcpStream, task::AbortHandle, time};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    task::AbortHandle,
+    time,
+};
 
 /// How long before the server's idle timeout a connection is no longer reused, so that a request
 /// does not race with the close. The server announces the timeout in whole seconds only.
@@ -21,7 +27,9 @@
 
 /// HTTP/1.1 connection, closed on drop.
 #[derive(Debug)]
-pub(super) struct Connection {
+pub struct Connection {
+    /// Name of the host that forwards its bytes; absent if it is direct.
+    via: Option<CompactString>,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     requests: u64,
@@ -41,12 +49,29 @@
 
 impl Connection {
     /// Opens a TCP connection to `address` and starts the task that drives it.
-    pub(super) async fn open(address: &str, timeout: Duration) -> Result<Self, Error> {
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Error::Connect`] if this is not done within `timeout`.
+    pub async fn open(address: &str, timeout: Duration) -> Result<Self, Error> {
         let stream = time::timeout(timeout, TcpStream::connect(address))
             .await
             .map_err(|_elapsed| Error::Connect(io::ErrorKind::TimedOut.into()))?
             .map_err(Error::Connect)?;
         stream.set_nodelay(true).map_err(Error::Connect)?;
+        Self::over(stream, None).await
+    }
+
+    /// Starts the task that drives a connection over `stream`, whose bytes the host `via` forwards,
+    /// if given.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Error::Connect`] if the stream fails.
+    pub async fn over<S>(stream: S, via: Option<CompactString>) -> Result<Self, Error>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
@@ -58,6 +83,7 @@
             drop(connection.await);
         });
         Ok(Self {
+            via,
             sender,
             driver: driver.abort_handle(),
             requests: 0,
@@ -84,6 +110,11 @@
             })
     }
 
+    /// Returns the name of the host that forwards its bytes; `None` if it is direct.
+    pub fn via(&self) -> Option<&str> {
+        self.via.as_deref()
+    }
+
     /// Returns whether a request was sent over the connection before the latest one.
     pub(super) fn is_reused(&self) -> bool {
         self.requests > 1
--- a/godwithinge/src/http/mod.rs
+++ b/godwithinge/src/http/mod.rs
@@ -5,16 +5,18 @@
 mod framing;
 mod response;
 
-pub use self::{error::Error, framing::Framing, response::Response};
+pub use self::{connection::Connection, error::Error, framing::Framing, response::Response};
 
-use self::connection::Connection;
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderValue, Request as HttpRequest, header};
 use http_body_util::Full;
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -33,6 +35,8 @@
 pub struct Pool {
     idle: Arc<Mutex<HashMap<CompactString, IdleConnections>>>,
     connect_timeout: Duration,
+    /// Whether connections that another host forwards are kept for reuse.
+    keeps_forwarded: Arc<AtomicBool>,
 }
 
 /// Idle connections to one address, ordered from least to most recently used.
@@ -63,6 +67,7 @@
         Self {
             idle: Arc::default(),
             connect_timeout,
+            keeps_forwarded: Arc::default(),
         }
     }
 
@@ -79,14 +84,33 @@
     pub async fn send(
         &self,
         address: &str,
-        mut request: Request,
+        request: Request,
         reuse: Reuse,
     ) -> Result<Response, Error> {
+        let open = || Connection::open(address, self.connect_timeout);
+        self.send_over(address, request, reuse, open).await
+    }
+
+    /// Like [`send`](Self::send), but new connections are opened by `open`.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`send`](Self::send), and if `open` does.
+    pub async fn send_over<F>(
+        &self,
+        address: &str,
+        mut request: Request,
+        reuse: Reuse,
+        open: impl Fn() -> F,
+    ) -> Result<Response, Error>
+    where
+        F: Future<Output = Result<Connection, Error>>,
+    {
         set_host(&mut request, address);
         loop {
             let mut connection = match self.take(address, reuse) {
                 Some(connection) => connection,
-                None => Connection::open(address, self.connect_timeout).await?,
+                None => open().await?,
             };
             match connection.send(request).await {
                 Ok(response) => {
@@ -125,6 +149,26 @@
         idle.retain(|address, _| keep(address));
     }
 
+    /// Closes the idle connections that are direct, or those that another host forwards, and sets
+    /// whether connections of the latter kind are kept for reuse from now on.
+    pub fn prefer_forwarded(&self, is_forwarded: bool) {
+        self.keeps_forwarded.store(is_forwarded, Ordering::Relaxed);
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        for idle in idle.values_mut() {
+            let connections = &mut idle.connections;
+            connections.retain(|connection| connection.via().is_some() == is_forwarded);
+        }
+    }
+
+    /// Closes the idle connections that `host` forwards.
+    pub fn close_forwarded_by(&self, host: &str) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        for idle in idle.values_mut() {
+            let connections = &mut idle.connections;
+            connections.retain(|connection| connection.via() != Some(host));
+        }
+    }
+
     fn take(&self, address: &str, reuse: Reuse) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let IdleConnections {
@@ -141,6 +185,9 @@
     }
 
     fn put(&self, address: &str, mut connection: Connection) {
+        if connection.via().is_some() && !self.keeps_forwarded.load(Ordering::Relaxed) {
+            return;
+        }
         connection.record_response();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = &mut idle.entry(address.into()).or_default().connections;
--- a/godwithinge/src/http/response.rs
+++ b/godwithinge/src/http/response.rs
@@ -84,6 +84,12 @@
         self.reused
     }
 
+    /// Returns the name of the host that forwards the connection; `None` if it is direct, or was
+    /// returned to the pool.
+    pub fn via(&self) -> Option<&str> {
+        self.connection.as_ref().and_then(Connection::via)
+    }
+
     /// Makes the connection close instead of returning to the pool once the body has been read.
     pub fn disable_reuse(&mut self) {
         self.reuse_disabled = true;
--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -142,6 +142,11 @@
         });
     }
 
+    /// Ends the pauses of all stage targets.
+    pub fn clear_failures(&self) {
+        self.scheduler.borrow_mut().clear_failures();
+    }
+
     /// Logs the state of the queues if there are unfinished jobs.
     fn log_queues(&self, relay: &Relay) {
         let scheduler = self.scheduler.borrow();
@@ -465,7 +470,7 @@
             } => {
                 let relay = Rc::clone(self);
                 tokio::task::spawn_local(async move {
-                    if relay.free_results(&address, &handles).await {
+                    if relay.free_results(&target, &address, &handles).await {
                         relay
                             .dispatcher
                             .with_scheduler(&relay, |scheduler, now, out| {
@@ -488,7 +493,11 @@
         let started_at = Instant::now();
         let call = self.dialect.stage_call(items);
         let headers = self.dialect.stage_call_headers(target);
-        let exchange = time::timeout(timeout, self.send_stage_call(address, call, headers)).await;
+        let exchange = time::timeout(
+            timeout,
+            self.send_stage_call(target, address, call, headers),
+        )
+        .await;
         let reply = match exchange.unwrap_or(Err(Error::Timeout)) {
             Ok((StatusCode::OK, _, body)) => match self.dialect.parse_stage_results(&body) {
                 Ok(items) => Reply::Items(items),
@@ -520,6 +529,7 @@
     /// nothing, and the body.
     async fn send_stage_call(
         &self,
+        target: &TargetId,
         address: &str,
         call: Call,
         headers: http::HeaderMap,
@@ -529,7 +539,9 @@
         *request.headers_mut() = headers;
         let uri = call.path.parse();
         *request.uri_mut() = uri.map_err(|_malformed| Error::TooLong)?;
-        let response = self.pool.send(address, request, Reuse::Newest).await?;
+        let response = self
+            .send_to_target(target, address, request, Reuse::Newest)
+            .await?;
         let status = response.status();
         let metadata = self
             .dialect
@@ -539,10 +551,14 @@
     }
 
     /// Frees results and returns whether the target confirmed it. Otherwise they expire.
-    async fn free_results(&self, address: &str, handles: &[Handle]) -> bool {
+    async fn free_results(&self, target: &TargetId, address: &str, handles: &[Handle]) -> bool {
         let call = self.dialect.free_call(handles);
         let headers = self.dialect.free_call_headers();
-        let freed = time::timeout(FREE_TIMEOUT, self.send_stage_call(address, call, headers)).await;
+        let freed = time::timeout(
+            FREE_TIMEOUT,
+            self.send_stage_call(target, address, call, headers),
+        )
+        .await;
         match freed {
             Ok(Ok((StatusCode::OK, ..))) => return true,
             Ok(Ok((status, ..))) => {
--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -1,8 +1,8 @@
 //! Startup of a daemon, and shutdown without losing requests.
 
 use super::{
-    address, builds, conduct, dialect::Table, front, link, quarantine, settings::Settings, side,
-    state::Relay, watch,
+    address, builds, conduct, dialect::Table, front, link, quarantine, reach, settings::Settings,
+    side, state::Relay, tunnel, watch,
 };
 use std::{
     error, io,
@@ -94,6 +94,10 @@
         Rc::clone(relay),
         bind(settings.link_address).await?,
     ));
+    if let Some(tunnel) = settings.tunnel_address {
+        spawn_local(tunnel::listen(Rc::clone(relay), bind(tunnel).await?));
+    }
+    spawn_local(reach::probe_targets(Rc::clone(relay)));
     spawn_local(address::dial_peers(Rc::clone(relay)));
     let tables = [
         Table::Plan,
@@ -120,7 +124,7 @@
 }
 
 /// Serves callers for [`CLOSE_DELAY`], but at most half of the grace period, then waits for the
-/// requests in flight.
+/// requests in flight, also those of peers in tunnels.
 async fn leave(relay: &Rc<Relay>) {
     let started = Instant::now();
     let grace_period = relay.settings().grace_period;
@@ -139,7 +143,8 @@
     }
     time::sleep_until((started + CLOSE_DELAY.min(grace_period / 2)).into()).await;
     relay.set_closing();
-    while relay.in_flight() > 0 && started.elapsed() + SHUTDOWN_MARGIN < grace_period {
+    let is_busy = || relay.in_flight() > 0 || relay.tunnels.get() > 0;
+    while is_busy() && started.elapsed() + SHUTDOWN_MARGIN < grace_period {
         time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     // Allows the last responses to be written to their sockets.
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -1,11 +1,13 @@
 //! Log lines about decisions, each with the values that the decision is based on.
 
+use super::tunnel;
 use crate::{http::Framing, log::ORDINARY_TARGET};
 use http::StatusCode;
 use policy::{
-    id::{RequestId, TargetId},
+    id::{HostId, RequestId, TargetId},
     relay::{
         crash::{Feature, PayloadHash},
+        reach::Evidence,
         registry::Build,
         scheduler::{PoolStats, Refusal, Reply},
         selection::{Part, PartId, Selection},
@@ -25,6 +27,8 @@
     pub reason: &'a str,
     /// Target of the last send; empty if there was none.
     pub target: &'a str,
+    /// Daemon through which the last send went; empty if it was direct.
+    pub via: &'a str,
     pub sends: u32,
     /// Total time in which stages were computed.
     pub stages_duration: Duration,
@@ -50,6 +54,7 @@
             status = $summary.status.map_or(0, |status| status.as_u16()),
             reason = $summary.reason,
             target_id = $summary.target,
+            via = (!$summary.via.is_empty()).then_some($summary.via),
             sends = $summary.sends,
             stages_ms = millis($summary.stages_duration),
             first_ms = $summary.first_event.map(millis),
@@ -75,6 +80,29 @@
     }
 }
 
+/// Logs that this daemon is partitioned from all targets, or no longer is.
+pub(super) fn partition_changed(is_partitioned: bool, evidence: Evidence) {
+    if is_partitioned {
+        tracing::warn!(
+            unreached = evidence.unreached,
+            relayed = evidence.relayed,
+            "partitioned from all targets"
+        );
+    } else {
+        tracing::warn!("targets are reached again");
+    }
+}
+
+/// Logs that a peer opened no tunnel to a target.
+pub(super) fn tunnel_failed(host: &HostId, target: &TargetId, fault: &tunnel::Error) {
+    tracing::info!(%host, target_id = %target, %fault, "tunnel failed");
+}
+
+/// Logs that this daemon opened no tunnel to a target for a peer.
+pub(super) fn tunnel_refused(host: &HostId, target: &TargetId, result: &str) {
+    tracing::info!(%host, target_id = %target, result, "tunnel refused");
+}
+
 /// Logs that this daemon became the leader, called the conductor in logs, or no longer is.
 pub(super) fn leadership_changed(is_leader: bool, links: usize) {
     let message = if is_leader {
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -30,6 +30,9 @@
     pub front: SocketAddr,
     /// Address that other daemons dial.
     pub link: SocketAddr,
+    /// Address at which it opens tunnels to targets; absent if it offers none.
+    #[serde(default)]
+    pub tunnel: Option<SocketAddr>,
     /// CPU share in cores.
     pub cpu: f64,
     /// Random identifier of the process.
@@ -96,6 +99,9 @@
         /// When it became the leader; absent if it is not.
         #[serde(rename = "conducts_since")]
         leads_since: Option<UnixMillis>,
+        /// Whether it is partitioned from all targets.
+        #[serde(default)]
+        is_partitioned: bool,
     },
     /// Requests all entries of targets.
     #[serde(rename = "WantTargets")]
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -81,6 +81,8 @@
     pub profile: Profile,
     pub link_id: LinkId,
     pub is_leaving: bool,
+    /// Whether it is partitioned from all targets, as it says.
+    pub is_partitioned: bool,
     /// When the link was established.
     pub linked_at: Instant,
     queue: mpsc::Sender<Outgoing>,
@@ -384,11 +386,12 @@
             interval,
             table_age: self.reader_table_age(),
             leads_since: self.leads_since(),
+            is_partitioned: self.reach.is_partitioned(),
         }
     }
 
     /// Sends a heartbeat to all peers without waiting for the interval. It announces a new
-    /// configuration, which the peers then request, or a change of the leader.
+    /// configuration, which the peers then request, a change of the leader, or a partition.
     pub(super) fn broadcast_heartbeat(&self) {
         self.links
             .broadcast(&self.heartbeat(self.heartbeat_interval()));
@@ -429,6 +432,7 @@
         let peer = Peer {
             link_id,
             is_leaving: false,
+            is_partitioned: false,
             linked_at: Instant::now(),
             queue,
             progress: Rc::clone(progress),
@@ -460,6 +464,7 @@
         if is_current && let Some(peer) = peers.remove(host) {
             self.links.addresses.record_link_lost(peer.profile.link);
             self.metrics.set_links(peers.len());
+            self.pool.close_forwarded_by(host);
         }
         drop(peers);
         tracing::info!(%host, fault, "peer lost");
@@ -478,10 +483,15 @@
                 interval,
                 table_age,
                 leads_since,
+                is_partitioned,
                 ..
             } = &frame
         {
+            if *is_leaving && !peer.is_leaving {
+                self.pool.close_forwarded_by(host);
+            }
             peer.is_leaving = *is_leaving;
+            peer.is_partitioned = *is_partitioned;
             peer.heartbeat_interval = *interval;
             peer.table_age = table_age.map(|age| (age, Instant::now()));
             peer.leads_since = *leads_since;
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -23,6 +23,16 @@
     Sent,
 }
 
+/// Side of a tunnel to a target.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum TunnelSide {
+    /// This daemon opens it through a peer.
+    Client,
+    /// This daemon forwards its bytes for a peer.
+    Server,
+}
+
 /// Registry of the metrics.
 #[derive(Clone, Debug)]
 pub(super) struct Metrics {
@@ -51,6 +61,9 @@
     link_frames: IntCounterVec,
     /// Encoded size of frames on links by kind and direction.
     link_bytes: IntCounterVec,
+    /// Tunnels to targets by side and result.
+    tunnels: IntCounterVec,
+    partitioned: IntGauge,
     quarantined: IntGauge,
     links: IntGauge,
     revision: IntGauge,
@@ -131,6 +144,15 @@
                 "Bytes of frames on links between daemons",
                 &["frame", "direction"],
             ),
+            tunnels: counter(
+                "tunnels_total",
+                "Tunnels to targets through other daemons",
+                &["side", "result"],
+            ),
+            partitioned: gauge(
+                "partitioned",
+                "Whether the daemon reaches no target by itself",
+            ),
             quarantined: gauge("quarantined", "Features of requests that are refused"),
             links: gauge("links", "Daemons that are linked"),
             revision: gauge("revision", "Revision of the configuration"),
@@ -144,6 +166,17 @@
         self.links.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a tunnel that was opened, or failed to open.
+    pub fn record_tunnel(&self, side: TunnelSide, result: &str) {
+        let labels: [&str; 2] = [side.into(), result];
+        self.tunnels.with_label_values(&labels).inc();
+    }
+
+    /// Sets whether this daemon is partitioned from all targets.
+    pub fn set_partitioned(&self, is_partitioned: bool) {
+        self.partitioned.set(is_partitioned.into());
+    }
+
     /// Sets the number of features whose requests are refused.
     pub fn set_quarantined(&self, count: usize) {
         self.quarantined
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod origin;
 mod outcome;
 mod quarantine;
+mod reach;
 mod replication;
 mod run;
 mod send;
@@ -32,6 +33,7 @@
 mod store;
 mod stream;
 mod transport;
+mod tunnel;
 mod watch;
 
 pub use self::{dialect::Dialect, drain::run, settings::Settings, state::Relay};
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -15,7 +15,7 @@
 use http::{Response, StatusCode, Version, request::Parts};
 use policy::{
     hash,
-    id::{DomainId, PoolId, TargetId, WorkspaceId},
+    id::{DomainId, HostId, PoolId, TargetId, WorkspaceId},
     relay::{
         crash::{Feature, PayloadHash},
         plan::{Kind, Plan, Route},
@@ -83,6 +83,8 @@
     pub sends: Cell<u32>,
     /// Target of the latest send.
     pub target: RefCell<TargetId>,
+    /// Host through which the latest send went; empty if it was direct.
+    pub via: RefCell<HostId>,
     /// Total time spent on stages, including reruns.
     pub stage_time: Cell<Duration>,
     /// Time from arrival to the first byte of the response.
@@ -184,6 +186,7 @@
             status,
             reason,
             target: &self.stats.target.borrow(),
+            via: &self.stats.via.borrow(),
             sends: self.stats.sends.get(),
             stages_duration: self.stats.stage_time.get(),
             first_event: self.stats.first_byte.get(),
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -103,8 +103,11 @@
         } else {
             Reuse::Never
         };
-        let outcome = match relay.pool.send(&target.address, request, reuse).await {
+        let sent = relay.send_to_target(&target.id, &target.address, request, reuse);
+        let outcome = match sent.await {
             Ok(response) => {
+                let via = response.via().unwrap_or_default();
+                *self.stats.via.borrow_mut() = via.into();
                 self.receive(response, &target, call, started, last_event_id)
                     .await
             }
--- a/godwithinge/src/relay/settings.rs
+++ b/godwithinge/src/relay/settings.rs
@@ -26,6 +26,8 @@
     pub directory_address: Option<SocketAddr>,
     /// Listen address for links from other daemons.
     pub link_address: SocketAddr,
+    /// Listen address for tunnels of other daemons to targets; absent if none are offered.
+    pub tunnel_address: Option<SocketAddr>,
     /// Listen address for metrics; absent if they are not exposed.
     pub metrics_address: Option<SocketAddr>,
     /// Link addresses of daemons on some other hosts, used to join the fleet; they may be
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -7,6 +7,7 @@
     link::Links,
     metrics::Metrics,
     origin::OriginTable,
+    reach::ReachWatch,
     replication::Replication,
     settings::Settings,
     store::Store,
@@ -35,7 +36,7 @@
 
 /// Connect timeout for targets. A target that does not answer a SYN in this time is treated as
 /// unreachable.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Fraction of the fleet's retry budget that the known daemons share. The rest is left for daemons
 /// that are not known yet.
 const RETRY_BUDGET_SHARE: f64 = 0.7;
@@ -58,6 +59,9 @@
     build_records: RefCell<BuildRecords>,
     target_selector: RefCell<TargetSelector>,
     pub(super) crash_watch: CrashWatch,
+    pub(super) reach: ReachWatch,
+    /// Number of tunnels that this daemon serves.
+    pub(super) tunnels: Cell<usize>,
     response_memory: RefCell<memory::Usage>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
@@ -94,6 +98,8 @@
             build_records: RefCell::default(),
             target_selector: RefCell::default(),
             crash_watch: CrashWatch::default(),
+            reach: ReachWatch::default(),
+            tunnels: Cell::new(0),
             response_memory: RefCell::default(),
             retry_budgets: RefCell::default(),
             dispatcher: JobDispatcher::new(),
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -470,6 +470,7 @@
             domain: settings.domain.clone(),
             front: settings.front_address,
             link: settings.link_address,
+            tunnel: settings.tunnel_address,
             cpu: settings.cpu_cores,
             incarnation: self.incarnation,
             started: self.started_unix_ms,
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -5,8 +5,8 @@
 //! ([`scheduler`]). [`selection`] chooses the target of the request itself. [`registry`] holds the
 //! known targets, [`memory`] the memory that large responses take, [`history`] orders their entries when the store loses writes, [`distribution`]
 //! brings a new configuration to all daemons, [`origin`] holds where streams began, [`sse`] judges
-//! whether a stream is complete, [`crash`] finds what in requests crashes targets, and [`quarantine`] holds
-//! the records of that.
+//! whether a stream is complete, [`crash`] finds what in requests crashes targets, [`quarantine`] holds
+//! the records of that, and [`reach`] tells a partition of this daemon from failures of targets.
 
 pub mod builds;
 pub mod crash;
@@ -17,6 +17,7 @@
 pub mod origin;
 pub mod plan;
 pub mod quarantine;
+pub mod reach;
 pub mod registry;
 pub mod scheduler;
 pub mod selection;
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -240,6 +240,16 @@
             .sum()
     }
 
+    /// Forgets all failed calls, which were those of this daemon's network.
+    pub fn clear_failures(&mut self) {
+        for (pool, pool_state) in &mut self.pools {
+            for stage_target in &mut pool_state.targets {
+                stage_target.clear_failures();
+            }
+            self.dirty_pools.insert(pool.clone());
+        }
+    }
+
     /// Returns statistics of each pool that serves stages.
     pub fn pool_stats(&self, now: Time) -> Vec<PoolStats> {
         let pool_stats = self.pools.iter().filter_map(|(pool, pool_state)| {
--- a/policy/src/relay/scheduler/target.rs
+++ b/policy/src/relay/scheduler/target.rs
@@ -116,4 +116,10 @@
         self.paused_until = now + pause.min(MAX_PAUSE);
         self.failures += 1;
     }
+
+    /// Forgets failed calls.
+    pub fn clear_failures(&mut self) {
+        self.paused_until = Time::ZERO;
+        self.failures = 0;
+    }
 }
--- a/policy/src/relay/selection.rs
+++ b/policy/src/relay/selection.rs
@@ -200,6 +200,15 @@
         stats.failures += 1;
     }
 
+    /// Forgets all failures, which were those of this daemon's network.
+    pub fn clear_failures(&mut self) {
+        for stats in self.stats.values_mut() {
+            stats.error_rate = 0.0;
+            stats.failures = 0;
+            stats.paused_until = Time::ZERO;
+        }
+    }
+
     /// Records the numbers of running and waiting requests that a target reported.
     pub fn record_load(&mut self, now: Time, target: &TargetId, running: u32, waiting: u32) {
         let stats = self.stats_mut(target);
