Let peers confirm a crash before a target is reported

A partitioned daemon whose streams broke took the refused connection of its check for a crash of each target, and told all daemons; 48 such lines in one run of partition_was_reported_as_crashes, in which no target had crashed. Enough of them quarantine sound prompt parts in the whole fleet.

Cause: a refused connection was taken for a fact about the target, but a network refuses connections, too. Now a crash is reported only if peers, of different domains first, are refused as well and none reaches the target; a partitioned daemon relies on them alone. In a fleet without peers that offer tunnels, the daemon's own check decides as before.

The test failed before (48 and 25 lines) and passes now; the tests of crashing parts pass unchanged.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -4,6 +4,7 @@
     event,
     frame::{CRASH_PROTOCOL, Frame, WireCrash, WireQuarantine},
     outcome::{Reason, Rejection},
+    reach::Testimony,
     run::ActiveRequest,
     state::Relay,
 };
@@ -191,13 +192,7 @@
         let (relay, target) = (Rc::clone(self), target.clone());
         tokio::task::spawn_local(async move {
             time::sleep(CHECK_DELAY).await;
-            let connect = TcpStream::connect(target.address.as_str());
-            let has_crashed = match time::timeout(CHECK_TIMEOUT, connect).await {
-                Ok(Ok(_)) => false,
-                Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-                // A network partition times out, too.
-                Err(_elapsed) => false,
-            };
+            let has_crashed = relay.has_crashed(&target).await;
             let requests = relay.crash_watch.checks.borrow_mut().remove(&target.id);
             if has_crashed {
                 relay.record_crash(&target, &requests.unwrap_or_default());
@@ -206,6 +201,27 @@
         });
     }
 
+    /// Returns whether the host of a target refuses connections to it, as it does after a crash. The
+    /// network may refuse them as well, so that peers have to confirm it if there are any.
+    async fn has_crashed(&self, target: &Target) -> bool {
+        if !self.reach.is_partitioned() {
+            let connect = TcpStream::connect(target.address.as_str());
+            let connected = time::timeout(CHECK_TIMEOUT, connect).await;
+            // A target that restarts at once is not reported either.
+            let Ok(Err(error)) = connected else {
+                return false;
+            };
+            if error.kind() != io::ErrorKind::ConnectionRefused {
+                return false;
+            }
+            self.record_direct(&target.id, false);
+        }
+        match self.ask_about_target(&target.id).await {
+            Testimony::Refused | Testimony::NoWitness => true,
+            Testimony::Reached | Testimony::Unknown => false,
+        }
+    }
+
     /// Records on this daemon and all peers that a target crashed while it executed these requests.
     fn record_crash(&self, target: &Target, requests: &[InterruptedRequest]) {
         for request in requests {
--- a/godwithinge/src/relay/reach.rs
+++ b/godwithinge/src/relay/reach.rs
@@ -11,7 +11,11 @@
     tunnel,
 };
 use crate::http::{Connection, Error, Request, Response, Reuse};
-use futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
+use futures::{
+    StreamExt,
+    future::{self, LocalBoxFuture},
+    stream::FuturesUnordered,
+};
 use policy::{
     id::{DomainId, HostId, TargetId, Time},
     relay::{
@@ -35,6 +39,8 @@
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of peers that are asked for one connection.
 const MAX_HOPS: usize = 3;
+/// Maximum number of peers that are asked whether a target has crashed.
+const MAX_WITNESSES: usize = 4;
 /// Time for which a peer that opened no tunnel is asked last.
 const HOP_PAUSE: Duration = Duration::from_secs(1);
 /// Timeout of a connection that only shows whether a target can be reached.
@@ -60,6 +66,19 @@
     address: SocketAddr,
 }
 
+/// What peers say about a target that this daemon can't connect to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Testimony {
+    /// A peer reached it.
+    Reached,
+    /// No peer reached it, and one at least was refused as by a host without the process.
+    Refused,
+    /// No peer could tell.
+    Unknown,
+    /// There are no peers that could be asked.
+    NoWitness,
+}
+
 impl ReachWatch {
     /// Returns whether this daemon is partitioned from all targets.
     pub fn is_partitioned(&self) -> bool {
@@ -188,6 +207,50 @@
         }
     }
 
+    /// Asks peers, of different domains first, whether they reach a target.
+    pub(super) async fn ask_about_target(&self, target: &TargetId) -> Testimony {
+        let own_host = self.settings().host.clone();
+        let mut has_witness = false;
+        self.links
+            .for_each_peer(|peer| has_witness |= peer.profile.tunnel.is_some());
+        if !has_witness {
+            return Testimony::NoWitness;
+        }
+        let mut hops: Vec<Hop> = self.hops(target).into();
+        let mut seen: HashMap<DomainId, usize> = HashMap::new();
+        hops.sort_by_cached_key(|hop| {
+            let rank = seen.entry(hop.domain.clone()).or_default();
+            *rank += 1;
+            *rank
+        });
+        hops.truncate(MAX_WITNESSES);
+        let answers = hops
+            .iter()
+            .map(|hop| tunnel::open(hop.address, &own_host, target, TUNNEL_TIMEOUT));
+        let mut answers = future::join_all(answers).await;
+        answers.retain(|answer| {
+            !matches!(
+                answer,
+                Err(tunnel::Error::Refused(tunnel::Refusal::Partitioned))
+            )
+        });
+        if answers.iter().any(Result::is_ok) {
+            self.record_relayed(target);
+            return Testimony::Reached;
+        }
+        let is_refused = answers.iter().any(|answer| {
+            matches!(
+                answer,
+                Err(tunnel::Error::Refused(tunnel::Refusal::ConnectionRefused))
+            )
+        });
+        if is_refused {
+            Testimony::Refused
+        } else {
+            Testimony::Unknown
+        }
+    }
+
     /// Returns the peers that offer tunnels and are not partitioned themselves: those in the domain
     /// of this daemon or of the target first, in turn, and those that failed last.
     fn hops(&self, target: &TargetId) -> VecDeque<Hop> {
