--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod origin;
 mod outcome;
 mod quarantine;
+mod reach;
 mod replication;
 mod run;
 mod send;
@@ -33,6 +34,7 @@
 mod store;
 mod stream;
 mod transport;
+mod tunnel;
 mod watch;
 
 pub use self::{dialect::Dialect, drain::run, settings::Settings, state::Relay};
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -117,9 +117,12 @@
         } else {
             Reuse::Never
         };
-        let outcome = match relay.pool.send(&target.address, request, reuse).await {
+        let sent = relay.send_to_target(&target.id, &target.address, request, reuse);
+        let outcome = match sent.await {
             Ok(response) => {
                 has_head.set(true);
+                let via = response.via().unwrap_or_default();
+                *self.stats.via.borrow_mut() = via.into();
                 self.receive(response, &target, call, last_event_id).await
             }
             Err(pool::Error::Connect(_)) => SendOutcome::Unreached,
