Count the handover from the connection of the later send

Callers got a stream cut, or 502, beside a silent but sound target: its call was closed 300 ms after another send had begun, although that send had no connection yet, and the connect timeout is 350 ms. No target can work on a request before it has a connection, so the time now runs from there; until then the silent target is read on.

--- a/godwithinge/src/http/mod.rs
+++ b/godwithinge/src/http/mod.rs
@@ -88,10 +88,11 @@
         reuse: Reuse,
     ) -> Result<Response, Error> {
         let open = || Connection::open(address, self.connect_timeout);
-        self.send_over(address, request, reuse, open).await
+        self.send_over(address, request, reuse, open, || ()).await
     }
 
-    /// Like [`send`](Self::send), but new connections are opened by `open`.
+    /// Like [`send`](Self::send), but new connections are opened by `open`, and `connected` is called
+    /// before the request is written to a connection.
     ///
     /// # Errors
     ///
@@ -102,6 +103,7 @@
         mut request: Request,
         reuse: Reuse,
         open: impl Fn() -> F,
+        connected: impl Fn(),
     ) -> Result<Response, Error>
     where
         F: Future<Output = Result<Connection, Error>>,
@@ -112,6 +114,7 @@
                 Some(connection) => connection,
                 None => open().await?,
             };
+            connected();
             match connection.send(request).await {
                 Ok(response) => {
                     return Ok(Response::new(response, connection, self.clone(), address));
--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -540,7 +540,7 @@
         let uri = call.path.parse();
         *request.uri_mut() = uri.map_err(|_malformed| Error::TooLong)?;
         let response = self
-            .send_to_target(target, address, request, Reuse::Newest)
+            .send_to_target(target, address, request, Reuse::Newest, || ())
             .await?;
         let status = response.status();
         let metadata = self
--- a/godwithinge/src/relay/handover.rs
+++ b/godwithinge/src/relay/handover.rs
@@ -10,7 +10,7 @@
     event::{self, SilenceStep},
     outcome::{Reason, Rejection},
     run::{ActiveRequest, Attempts, TargetResponse},
-    send::SendOutcome,
+    send::{SendOutcome, SendProgress},
     sse::Interruption,
 };
 use futures::{
@@ -31,11 +31,11 @@
 
 /// Maximum number of times that the stages of a request are rerun because results were lost.
 const MAX_STAGE_RERUNS: u32 = 2;
-/// Time after a send until which the call to a silent target goes on beside it. Callers allow two
-/// targets to work on a stream at once for 400 ms.
-pub(super) const HANDOVER_TIME: Duration = Duration::from_millis(300);
+/// Time from the connection of a send until which the call to a silent target goes on beside it.
+/// Callers allow two targets to work on a stream at once for 400 ms.
+const HANDOVER_TIME: Duration = Duration::from_millis(300);
 /// Interval at which the patience with a call is reviewed.
-pub(super) const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
+const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which another target is looked for if none could take the request.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -46,8 +46,7 @@
 struct PendingSend {
     target: Target,
     started: Time,
-    /// Whether the head of the response was received.
-    has_head: Rc<Cell<bool>>,
+    progress: Rc<SendProgress>,
     outcome: LocalBoxFuture<'static, SendResult>,
     silence: Option<Silence>,
 }
@@ -55,8 +54,8 @@
 /// A send to a silent target beside a later one.
 struct SilentSend {
     send: PendingSend,
-    /// When it is given up.
-    until: Instant,
+    /// Progress of the later send.
+    later: Rc<SendProgress>,
 }
 
 /// Which of two sends has made progress.
@@ -91,22 +90,22 @@
     ) -> Self {
         let started = request.relay.now();
         let inputs: Option<Rc<[Handle]>> = inputs.map(Rc::from);
-        let has_head = Rc::new(Cell::new(false));
+        let progress = Rc::new(SendProgress::default());
         let patience = request.first_event_patience();
         let silence = patience.map(|patience| Silence::new(request, &target, started, patience));
         let outcome = {
-            let (request, has_head) = (Rc::clone(request), Rc::clone(&has_head));
+            let (request, progress) = (Rc::clone(request), Rc::clone(&progress));
             let target = target.clone();
             async move {
                 request
-                    .send(target, inputs.as_deref(), last_event_id, &has_head)
+                    .send(target, inputs.as_deref(), last_event_id, &progress)
                     .await
             }
         };
         Self {
             target,
             started,
-            has_head,
+            progress,
             outcome: outcome.boxed_local(),
             silence,
         }
@@ -115,7 +114,7 @@
     /// Waits for the outcome, or until another target is to be looked for if `may_move`. A request
     /// whose response has no head may be waiting for its turn.
     async fn progress(&mut self, may_move: bool) -> Progress {
-        let has_head = || self.has_head.get();
+        let has_head = || self.progress.has_head.get();
         tokio::select! {
             biased;
             result = &mut self.outcome => Progress::Current(result),
@@ -131,13 +130,16 @@
 }
 
 impl SilentSend {
-    /// Waits for the outcome, or until the send is to be given up.
+    /// Waits for the outcome, or until the later send may have begun to run.
     async fn progress(silent: &mut Option<Self>) -> Progress {
-        let Some(Self { send, until }) = silent else {
+        let Some(Self { send, later }) = silent else {
             return future::pending().await;
         };
-        let result = time::timeout_at((*until).into(), &mut send.outcome).await;
-        result.map_or(Progress::Overdue, Progress::Silent)
+        tokio::select! {
+            biased;
+            result = &mut send.outcome => Progress::Silent(result),
+            () = wait_for_handover(|| later.connected_at.get()) => Progress::Overdue,
+        }
     }
 }
 
@@ -295,12 +297,12 @@
                     }
                 }
                 (Progress::Exhausted, _) => {
-                    silent = self
-                        .target_beside(&current, attempts, domain)
-                        .map(|target| SilentSend {
-                            send: std::mem::replace(&mut current, send_to(target)),
-                            until: Instant::now() + HANDOVER_TIME,
-                        });
+                    let target = self.target_beside(&current, attempts, domain);
+                    silent = target.map(|target| {
+                        let send = std::mem::replace(&mut current, send_to(target));
+                        let later = Rc::clone(&current.progress);
+                        SilentSend { send, later }
+                    });
                 }
             }
         }
@@ -356,6 +358,17 @@
     }
 }
 
+/// Waits until the call to a silent target is to be given up for a later send, which has a connection
+/// since the time that `connected_at` returns.
+pub(super) async fn wait_for_handover(connected_at: impl Fn() -> Option<Instant>) {
+    loop {
+        match connected_at() {
+            Some(at) => return time::sleep_until((at + HANDOVER_TIME).into()).await,
+            None => time::sleep(REVIEW_INTERVAL).await,
+        }
+    }
+}
+
 /// Waits until another target is to be looked for, or for ever without a patience.
 pub(super) async fn wait_for(silence: Option<&Silence>, has_head: impl Fn() -> bool) {
     match silence {
--- a/godwithinge/src/relay/reach.rs
+++ b/godwithinge/src/relay/reach.rs
@@ -109,8 +109,8 @@
 }
 
 impl Relay {
-    /// Sends a request to a target over an idle or a new connection; see
-    /// [`Pool::send`](crate::http::Pool::send).
+    /// Sends a request to a target over an idle or a new connection, and calls `connected` before
+    /// the request is written to it; see [`Pool::send`](crate::http::Pool::send).
     ///
     /// # Errors
     ///
@@ -121,9 +121,12 @@
         address: &str,
         request: Request,
         reuse: Reuse,
+        connected: impl Fn(),
     ) -> Result<Response, Error> {
         let open = || self.open_connection(target, address);
-        self.pool.send_over(address, request, reuse, open).await
+        self.pool
+            .send_over(address, request, reuse, open, connected)
+            .await
     }
 
     /// Opens a connection to a target, through a peer if the direct one fails or takes long.
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -7,7 +7,7 @@
     event::{self, RequestSummary},
     front::RequestGuard,
     outcome::{Reason, Rejection},
-    send::{BufferedResponse, SendOutcome, StreamingResponse},
+    send::{BufferedResponse, SendOutcome, SendProgress, StreamingResponse},
     state::{InFlightGuard, Relay},
     stream,
 };
@@ -83,7 +83,7 @@
     pub sends: Cell<u32>,
     /// Target of the latest send.
     pub target: RefCell<TargetId>,
-    /// When the latest send started.
+    /// When the latest send had its connection.
     pub last_send: Cell<Option<Instant>>,
     /// Host through which the latest send went; empty if it was direct.
     pub via: RefCell<HostId>,
@@ -212,7 +212,7 @@
         self: &Rc<Self>,
         attempts: &mut Attempts,
     ) -> Result<Response<Body>, Rejection> {
-        let has_head = Cell::new(false);
+        let progress = SendProgress::default();
         let mut sends = FuturesUnordered::new();
         let mut failure: Option<BufferedResponse> = None;
         let hedge_at = self.arrived + self.route.objective.mul_f64(HEDGE_FRACTION);
@@ -223,7 +223,7 @@
                     Ok(target) => target,
                     Err(rejection) => return self.failure_or(failure, rejection),
                 };
-                sends.push(self.send(target, None, None, &has_head));
+                sends.push(self.send(target, None, None, &progress));
             }
             tokio::select! {
                 outcome = sends.next() => {
@@ -253,7 +253,7 @@
                 () = time::sleep_until(hedge_at.into()), if may_hedge => {
                     may_hedge = false;
                     if let Ok(target) = self.next_target(attempts, None) {
-                        sends.push(self.send(target, None, None, &has_head));
+                        sends.push(self.send(target, None, None, &progress));
                     }
                 }
                 () = time::sleep_until(self.deadline.into()) => {
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -77,6 +77,15 @@
     pub _call: CallGuard,
 }
 
+/// How far a send has got.
+#[derive(Debug, Default)]
+pub(super) struct SendProgress {
+    /// When it had a connection; before that, no byte of the request is sent.
+    pub connected_at: Cell<Option<Instant>>,
+    /// Whether the head of the response was received.
+    pub has_head: Cell<bool>,
+}
+
 /// Counts a call as in flight at its target until dropped.
 #[derive(Debug)]
 pub(super) struct CallGuard {
@@ -85,17 +94,15 @@
 }
 
 impl ActiveRequest {
-    /// Sends the request to a target and returns the target, the elapsed time and the outcome. Sets
-    /// `has_head` when the head of the response is received.
+    /// Sends the request to a target and returns the target, the elapsed time and the outcome.
     pub(super) async fn send(
         self: &Rc<Self>,
         target: Target,
         inputs: Option<&[Handle]>,
         last_event_id: Option<EventId>,
-        has_head: &Cell<bool>,
+        progress: &SendProgress,
     ) -> (Target, Duration, SendOutcome) {
         let started = Instant::now();
-        self.stats.last_send.set(Some(started));
         self.stats.sends.set(self.stats.sends.get() + 1);
         self.stats.target.borrow_mut().clone_from(&target.id);
         let relay = &self.relay;
@@ -117,10 +124,15 @@
         } else {
             Reuse::Never
         };
-        let sent = relay.send_to_target(&target.id, &target.address, request, reuse);
+        let connected = || {
+            let now = Some(Instant::now());
+            self.stats.last_send.set(now);
+            progress.connected_at.set(now);
+        };
+        let sent = relay.send_to_target(&target.id, &target.address, request, reuse, connected);
         let outcome = match sent.await {
             Ok(response) => {
-                has_head.set(true);
+                progress.has_head.set(true);
                 let via = response.via().unwrap_or_default();
                 *self.stats.via.borrow_mut() = via.into();
                 self.receive(response, &target, call, last_event_id).await
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -6,7 +6,7 @@
     buffer::Buffer,
     crash::CRASH_PERIOD,
     event::{self, SilenceStep},
-    handover::{self, HANDOVER_TIME, Silence},
+    handover::{self, Silence},
     outcome::{Reason, Rejection},
     run::{ActiveRequest, Attempts, TargetResponse},
     send::StreamingResponse,
@@ -18,7 +18,6 @@
 use futures::{FutureExt, Stream, StreamExt, future};
 use policy::relay::{patience::Patience, registry::Target};
 use std::{pin::pin, rc::Rc, time::Instant};
-use tokio::time;
 
 /// Next complete events of a stream, `None` at its end, or why it was interrupted.
 type Next = Result<Option<Bytes>, Interruption>;
@@ -122,6 +121,10 @@
     async fn hand_over(&mut self, silence: &Silence) -> Option<Next> {
         let request = Rc::clone(&self.request);
         let started = Instant::now();
+        let sent_at = || {
+            let sent_at = request.stats.last_send.get();
+            sent_at.filter(|at| *at >= started)
+        };
         let last_id = self.source.as_ref()?.reader.last_id();
         let mut resumed = request
             .start_response(&mut self.attempts, last_id)
@@ -148,12 +151,7 @@
                         self.source.is_none().then_some(Err(Interruption::Silent))
                     }
                 },
-                () = time::sleep(handover::REVIEW_INTERVAL) => {
-                    let sent_at = request.stats.last_send.get();
-                    let sent_at = sent_at.filter(|at| *at >= started);
-                    if sent_at.is_none_or(|at| at.elapsed() < HANDOVER_TIME) {
-                        continue;
-                    }
+                () = handover::wait_for_handover(sent_at), if self.source.is_some() => {
                     Interruption::Silent
                 }
             };
