--- a/godwithinge/src/relay/handover.rs
+++ b/godwithinge/src/relay/handover.rs
@@ -87,11 +87,12 @@
         target: Target,
         inputs: Option<&[Handle]>,
         last_event_id: Option<EventId>,
+        waiting_since: Instant,
     ) -> Self {
         let started = request.relay.now();
         let inputs: Option<Rc<[Handle]>> = inputs.map(Rc::from);
         let progress = Rc::new(SendProgress::default());
-        let patience = request.first_event_patience();
+        let patience = request.first_event_patience(waiting_since);
         let silence = patience.map(|patience| Silence::new(request, &target, started, patience));
         let outcome = {
             let (request, progress) = (Rc::clone(request), Rc::clone(&progress));
@@ -225,7 +226,7 @@
                 })?);
             }
             let (target, elapsed, outcome) = self
-                .send_to_any(attempts, results.as_ref(), last_event_id)
+                .send_to_any(attempts, results.as_ref(), last_event_id, waiting_since)
                 .await?;
             match outcome {
                 SendOutcome::Buffered(response) => {
@@ -251,16 +252,18 @@
     }
 
     /// Sends the request to a target, and to others as long as the latest one is silent. Returns the
-    /// first answer, or the failure of the last send.
+    /// first answer, or the failure of the last send. The caller is waiting for an event since
+    /// `waiting_since`.
     async fn send_to_any(
         self: &Rc<Self>,
         attempts: &mut Attempts,
         results: Option<&StageResults>,
         last_event_id: Option<EventId>,
+        waiting_since: Instant,
     ) -> Result<SendResult, Rejection> {
         let inputs = results.map(|results| results.handles.as_slice());
         let domain = results.and_then(|results| results.domain.as_ref());
-        let send_to = |target| PendingSend::new(self, target, inputs, last_event_id);
+        let send_to = |target| PendingSend::new(self, target, inputs, last_event_id, waiting_since);
         let mut current = send_to(self.next_target(attempts, domain)?);
         let mut silent: Option<SilentSend> = None;
         loop {
@@ -337,9 +340,12 @@
 
     /// Returns the patience with a send until its first event; `None` if no other target may be sent
     /// the request.
-    fn first_event_patience(&self) -> Option<Patience> {
+    fn first_event_patience(&self, waiting_since: Instant) -> Option<Patience> {
         let may_move = self.route.is_repeatable() && self.route.max_attempts > 1;
-        may_move.then(|| Patience::before_first_event(self.prefill_time()))
+        let caller_patience = self
+            .event_deadline(waiting_since)
+            .saturating_duration_since(Instant::now());
+        may_move.then(|| Patience::before_first_event(self.prefill_time(), caller_patience))
     }
 
     /// Records that a silent send was given up for a later one.
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -167,7 +167,7 @@
     }
 
     /// Returns when the caller gives up if it has not received an event since `since`.
-    fn event_deadline(&self, since: Instant) -> Instant {
+    pub(super) fn event_deadline(&self, since: Instant) -> Instant {
         let timeout = self.route.first_event_timeout();
         timeout.map_or(self.deadline, |timeout| self.deadline.min(since + timeout))
     }
--- a/policy/src/relay/patience.rs
+++ b/policy/src/relay/patience.rs
@@ -3,14 +3,15 @@
 //! A sound target may fall silent for a second or so, on all its connections, and go on. Another send
 //! costs part of the retry budget, and the prompt is read again, and when all targets are silent at
 //! once it only adds to their load. A target that sends events of other calls meanwhile is not silent,
-//! so that a call that it forgot, or starves, is sent elsewhere sooner. Callers give up after a gap of
-//! two seconds or eight times the maximum event gap, whichever is longer.
+//! so that a call that it forgot, or starves, is sent elsewhere sooner. So is one whose caller would
+//! otherwise give up before another target could answer: after a gap of two seconds, four times the
+//! objective or eight times the maximum event gap, whichever is longest.
 
 use crate::id::{TargetId, Time};
 use std::{collections::HashMap, time::Duration};
 
 /// Time without an event after which a target that sends nothing at all is not expected to go on.
-const MAX_SILENCE: Duration = Duration::from_millis(1_500); // callers give up after 2 s
+const MAX_SILENCE: Duration = Duration::from_millis(1_500);
 /// Multiple of the maximum event gap for [`MAX_SILENCE`].
 const MAX_SILENCE_GAPS: u32 = 6;
 /// Multiple of the maximum event gap after which a call is given up by a target that sends others.
@@ -18,6 +19,8 @@
 /// Time without a first event, in addition to the prefill, after which a call is given up by a target
 /// that sends others; a few times the usual time under load.
 const MAX_FIRST_EVENT_STALL: Duration = Duration::from_millis(900);
+/// Time that another target takes to the first event, in addition to the prefill.
+const MOVE_TIME: Duration = Duration::from_millis(300); // round trips and other requests' prefills
 /// Time without any event after which a target has been silent.
 const MIN_SILENCE: Duration = Duration::from_millis(300); // several events of a busy target
 
@@ -47,11 +50,14 @@
 }
 
 impl Patience {
-    /// Returns the patience with a call whose prompt takes this time to prefill.
-    pub fn before_first_event(prefill: Duration) -> Self {
+    /// Returns the patience with a call whose prompt takes the time `prefill` to prefill, and whose
+    /// caller gives up after `caller_patience`.
+    pub fn before_first_event(prefill: Duration, caller_patience: Duration) -> Self {
+        let active = MAX_FIRST_EVENT_STALL + prefill;
+        let latest_move = caller_patience.saturating_sub(prefill + MOVE_TIME);
         Self {
-            active: MAX_FIRST_EVENT_STALL + prefill,
-            silent: MAX_SILENCE + prefill,
+            active,
+            silent: (MAX_SILENCE + prefill).min(latest_move).max(active),
         }
     }
 
--- a/policy/tests/patience.rs
+++ b/policy/tests/patience.rs
@@ -102,10 +102,24 @@
     let (activity, target) = (Activity::default(), TargetId::from("3"));
     let prefill = Duration::from_secs(1);
     let is_exhausted = |prefill| {
-        let patience = Patience::before_first_event(prefill);
+        let patience = Patience::before_first_event(prefill, CALLER_PATIENCE);
         let now = Duration::from_millis(1_600);
         patience.is_exhausted(now, Time::ZERO, &target, &activity)
     };
     assert!(is_exhausted(Duration::ZERO));
     assert!(!is_exhausted(prefill));
 }
+
+/// The other target has to read the prompt, too, before the caller leaves.
+#[test]
+fn first_event_of_a_long_prompt_is_not_waited_for_until_the_caller_gives_up() {
+    let (activity, target) = (Activity::default(), TargetId::from("3"));
+    let prefill = Duration::from_millis(600);
+    let is_exhausted = |caller_patience| {
+        let patience = Patience::before_first_event(prefill, caller_patience);
+        let now = Duration::from_millis(1_500);
+        patience.is_exhausted(now, Time::ZERO, &target, &activity)
+    };
+    assert!(is_exhausted(CALLER_PATIENCE));
+    assert!(!is_exhausted(CALLER_PATIENCE * 2));
+}
