Ask peers without delay for a target that only they have reached lately

If the paths to some targets are lost and those to others are not, each new connection to one of them waited 120 ms for the direct way first, longer than the objective of plain requests.

--- a/godwithinge/src/relay/reach.rs
+++ b/godwithinge/src/relay/reach.rs
@@ -142,6 +142,11 @@
             FuturesUnordered::new();
         if !is_partitioned {
             attempts.push(Box::pin(self.open_direct(target, address)));
+            if self.reach.reach.borrow().is_relayed(self.now(), target)
+                && let Some(hop) = hops.pop_front()
+            {
+                attempts.push(Box::pin(self.open_through(hop, target)));
+            }
         }
         loop {
             if attempts.is_empty() {
@@ -296,7 +301,7 @@
         let (now, targets) = (self.now(), self.ready_targets());
         let mut reach = self.reach.reach.borrow_mut();
         let change = if is_reached {
-            reach.record_reached(now)
+            reach.record_reached(now, target)
         } else {
             reach.record_unreached(now, target, targets)
         };
--- a/policy/src/relay/reach.rs
+++ b/policy/src/relay/reach.rs
@@ -70,6 +70,8 @@
     probed_at: Option<Time>,
     /// Position in the list of targets from which the next ones are tried.
     next_probe: usize,
+    /// Targets that a peer reached while this daemon did not, and when.
+    relayed: HashMap<TargetId, Time>,
     /// When peers last failed to reach a target.
     unrelayed: HashMap<TargetId, Time>,
 }
@@ -85,17 +87,6 @@
         self.partitioned_since.is_some()
     }
 
-    /// Returns whether the daemon may be partitioned: it has failed to reach a target and reached
-    /// none since.
-    pub fn is_in_doubt(&self, now: Time) -> bool {
-        self.is_partitioned() || self.recent_failures(now).next().is_some()
-    }
-
-    /// Returns since when the daemon is considered partitioned.
-    pub fn partitioned_since(&self) -> Option<Time> {
-        self.partitioned_since
-    }
-
     /// Returns what the daemon failed to reach since it last reached a target.
     pub fn evidence(&self, now: Time) -> Evidence {
         Evidence {
@@ -108,7 +99,8 @@
     }
 
     /// Records that the daemon opened a connection to a target by itself.
-    pub fn record_reached(&mut self, now: Time) -> Option<Change> {
+    pub fn record_reached(&mut self, now: Time, target: &TargetId) -> Option<Change> {
+        self.relayed.remove(target);
         self.reached_at = Some(now);
         if self.is_partitioned() {
             self.reached_in_partition += 1;
@@ -148,6 +140,9 @@
         targets: usize,
     ) -> Option<Change> {
         self.unrelayed.remove(target);
+        self.relayed
+            .retain(|_, relayed| now < *relayed + FAILURE_PERIOD);
+        self.relayed.insert(target.clone(), now);
         let failure = Failure {
             at: now,
             is_relayed: true,
@@ -163,6 +158,12 @@
         self.unrelayed.insert(target.clone(), now);
     }
 
+    /// Returns whether only peers have reached a target lately, so that they are asked without delay.
+    pub fn is_relayed(&self, now: Time, target: &TargetId) -> bool {
+        let relayed = self.relayed.get(target);
+        relayed.is_some_and(|relayed| now < *relayed + FAILURE_PERIOD)
+    }
+
     /// Returns whether peers may be asked for a connection to a target.
     pub fn may_relay(&self, now: Time, target: &TargetId) -> bool {
         let failed = self.unrelayed.get(target);
--- a/policy/tests/reach.rs
+++ b/policy/tests/reach.rs
@@ -95,7 +95,7 @@
         if self.crashed.contains(target) {
             self.fail(target);
         } else if !self.unreached.contains(target) {
-            let change = self.reach.record_reached(self.now);
+            let change = self.reach.record_reached(self.now, target);
             self.note(change);
         } else if self.hangs {
             self.hanging.push((self.now + HANG_TIME, target.clone()));
@@ -215,6 +215,21 @@
     }
 }
 
+/// If only the path to one target is lost, the daemon is not partitioned, and peers are asked for
+/// that target without delay until it is reached again.
+#[test]
+fn single_lost_path() {
+    let mut fleet = Fleet::new();
+    fleet.unreached.insert("desk-0".into());
+    fleet.run(5 * SECOND, &[0, 4, 13]);
+    assert_eq!(fleet.began, []);
+    assert!(fleet.reach.is_relayed(fleet.now, &"desk-0".into()));
+    assert!(!fleet.reach.is_relayed(fleet.now, &"model-1".into()));
+    fleet.unreached.clear();
+    fleet.run(SECOND, &[0, 4, 13]);
+    assert!(!fleet.reach.is_relayed(fleet.now, &"desk-0".into()));
+}
+
 /// While a target is down, peers are asked for it a few times a second only.
 #[test]
 fn peers_are_not_asked_for_each_request_to_a_crashed_target() {
