Give up stage calls that hang when the leader is partitioned

Now a call is given up when a partition lasts that began after it, and after a time-out the idle connections to its target that have not answered since are not used. The slowness that the partition caused is forgotten with the failures.

--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -493,12 +493,16 @@
         let started_at = Instant::now();
         let call = self.dialect.stage_call(items);
         let headers = self.dialect.stage_call_headers(target);
-        let exchange = time::timeout(
-            timeout,
-            self.send_stage_call(target, address, call, headers),
-        )
-        .await;
-        let reply = match exchange.unwrap_or(Err(Error::Timeout)) {
+        let exchange = self.send_stage_call(target, address, call, headers);
+        let exchange = tokio::select! {
+            exchange = time::timeout(timeout, exchange) => exchange.unwrap_or(Err(Error::Timeout)),
+            () = self.reach.lasting_partition() => Err(Error::Timeout),
+        };
+        if let Err(Error::Timeout) = exchange {
+            // Idle connections to the target may be unresponsive, too.
+            self.pool.record_timeout(address);
+        }
+        let reply = match exchange {
             Ok((StatusCode::OK, _, body)) => match self.dialect.parse_stage_results(&body) {
                 Ok(items) => Reply::Items(items),
                 Err(fault) => {
--- a/godwithinge/src/relay/reach.rs
+++ b/godwithinge/src/relay/reach.rs
@@ -31,7 +31,7 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::{net::TcpStream, time};
+use tokio::{net::TcpStream, sync::Notify, time};
 
 /// Time after which another way is tried beside one that is still being opened; several round trips.
 const HEAD_START: Duration = Duration::from_millis(120);
@@ -45,6 +45,9 @@
 const HOP_PAUSE: Duration = Duration::from_secs(1);
 /// Timeout of a connection that only shows whether a target can be reached.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Duration of a partition from which calls that began before it are given up. If only some paths are
+/// lost, the daemon may count as partitioned for less.
+const LASTING_PARTITION: Duration = Duration::from_millis(400); // one try fails, the next one begins
 /// Interval at which the policy is asked for targets to try.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -52,6 +55,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ReachWatch {
     reach: RefCell<Reach>,
+    /// Notified when a partition begins.
+    began: Notify,
     /// Number of times that peers were listed, by which the load is spread over them.
     turn: Cell<usize>,
     /// When peers last failed to open a tunnel.
@@ -84,6 +89,18 @@
     pub fn is_partitioned(&self) -> bool {
         self.reach.borrow().is_partitioned()
     }
+
+    /// Waits until a partition begins that lasts for [`LASTING_PARTITION`].
+    pub async fn lasting_partition(&self) {
+        loop {
+            self.began.notified().await;
+            let since = self.reach.borrow().partitioned_since();
+            time::sleep(LASTING_PARTITION).await;
+            if since.is_some() && self.reach.borrow().partitioned_since() == since {
+                return;
+            }
+        }
+    }
 }
 
 /// Tries connections to targets as the policy asks for; never returns.
@@ -336,6 +353,7 @@
             // What failed was the path.
             self.target_selector_mut().clear_failures();
             self.dispatcher.clear_failures();
+            self.reach.began.notify_waiters();
         }
         self.broadcast_heartbeat();
     }
--- a/policy/src/relay/reach.rs
+++ b/policy/src/relay/reach.rs
@@ -87,6 +87,11 @@
         self.partitioned_since.is_some()
     }
 
+    /// Returns since when the daemon is considered partitioned.
+    pub fn partitioned_since(&self) -> Option<Time> {
+        self.partitioned_since
+    }
+
     /// Returns what the daemon failed to reach since it last reached a target.
     pub fn evidence(&self, now: Time) -> Evidence {
         Evidence {
--- a/policy/src/relay/scheduler/target.rs
+++ b/policy/src/relay/scheduler/target.rs
@@ -117,8 +117,9 @@
         self.failures += 1;
     }
 
-    /// Forgets failed calls.
+    /// Forgets failed and overdue calls.
     pub fn clear_failures(&mut self) {
+        self.slowdown = 1.0;
         self.paused_until = Time::ZERO;
         self.failures = 0;
     }
