Let engines of the stand-in fall silent and go on

A sound target may send nothing for a second or so, and lose nothing. No fake could do that: one that was silenced stayed silent for good, and its writes were dropped.

pause_for holds up all reads and writes of a server's connections, those of raw responses too. Slow streams give a test time to pause their engine between two events.

--- a/standin/src/http/mod.rs
+++ b/standin/src/http/mod.rs
@@ -1,5 +1,6 @@
-//! HTTP/1.1 server whose open connections can be silenced or closed.
+//! HTTP/1.1 server whose open connections can be silenced, paused or closed.
 
+mod pause;
 pub mod query;
 mod raw_connection;
 pub mod reply;
@@ -167,7 +168,7 @@
     if server_handle.is_down() || stream.set_nodelay(true).is_err() {
         return;
     }
-    let stream = SilenceableStream::new(stream);
+    let stream = SilenceableStream::new(stream, server_handle.pause());
     let silence_flag = stream.silence_flag();
     let task = tokio::spawn(serve_connection(stream, Arc::clone(handler)));
     server_handle.register_task(silence_flag, task.abort_handle());
--- a/standin/src/http/raw_connection.rs
+++ b/standin/src/http/raw_connection.rs
@@ -1,10 +1,11 @@
 //! Answers that are not HTTP responses, or not complete ones.
 
+use super::pause::Pause;
 use std::{
     io,
     sync::{Arc, Weak},
 };
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, time};
 
 /// Handle in the extensions of a request by which its handler writes to the connection itself.
 ///
@@ -13,12 +14,14 @@
 #[derive(Clone, Debug)]
 pub struct RawConnection {
     stream: Weak<TcpStream>,
+    pause: Arc<Pause>,
 }
 
 impl RawConnection {
-    pub(super) fn new(stream: &Arc<TcpStream>) -> Self {
+    pub(super) fn new(stream: &Arc<TcpStream>, pause: &Arc<Pause>) -> Self {
         Self {
             stream: Arc::downgrade(stream),
+            pause: Arc::clone(pause),
         }
     }
 
@@ -29,6 +32,9 @@
     /// Fails if the connection is closed.
     pub async fn write(&self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
+            while let Some(until) = self.pause.until() {
+                time::sleep_until(until).await;
+            }
             let stream = self.stream()?;
             stream.writable().await?;
             match stream.try_write(bytes) {
--- a/standin/src/http/server_handle.rs
+++ b/standin/src/http/server_handle.rs
@@ -1,20 +1,25 @@
 //! Control over a running server's connections and background tasks.
 
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    atomic::{AtomicBool, Ordering},
+use super::pause::Pause;
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 use tokio::{
     sync::watch,
     task::{AbortHandle, JoinHandle},
 };
 
-/// Handle by which tests and fakes silence, close or terminate a running server.
+/// Handle by which tests and fakes silence, pause, close or terminate a running server.
 #[derive(Debug)]
 pub struct ServerHandle {
     down: AtomicBool,
     terminated: watch::Sender<bool>,
     refusing: watch::Sender<bool>,
+    pause: Arc<Pause>,
     accept_task: Mutex<Option<JoinHandle<()>>>,
     tasks: Mutex<Vec<Task>>,
 }
@@ -31,6 +36,7 @@
             down: AtomicBool::new(false),
             terminated: watch::Sender::new(false),
             refusing: watch::Sender::new(false),
+            pause: Arc::default(),
             accept_task: Mutex::new(None),
             tasks: Mutex::default(),
         }
@@ -74,6 +80,16 @@
         }
     }
 
+    /// Makes all connections, and new ones, neither read nor send for `duration` and then go on, so
+    /// that nothing is lost.
+    pub fn pause_for(&self, duration: Duration) {
+        self.pause.begin(duration);
+    }
+
+    pub(super) fn pause(&self) -> Arc<Pause> {
+        Arc::clone(&self.pause)
+    }
+
     /// Closes the open connections and aborts background tasks. New connections are accepted unless
     /// the server is down.
     pub fn close_connections(&self) {
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -20,6 +20,8 @@
 /// Number of events in a complete stream; their ids run from 1.
 pub const STREAM_EVENTS: u64 = 6;
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval between the events of a slow stream.
+const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of events before a stream is broken off.
 const EVENTS_BEFORE_CUT: u64 = 2;
 /// Part of a prompt that crashes each engine that begins to write a response to it.
@@ -48,6 +50,9 @@
     TruncateStream,
     /// Executes the request, sends no response and keeps the connection open.
     Hang,
+    /// Sends the events of a stream 100 ms apart. Requests without a stream are answered after the
+    /// same time.
+    Slow,
     /// Returns a response that carries another attempt's id.
     WrongAttemptId,
     /// Returns a response without the `godwithinge-server-stamp` header.
@@ -183,6 +188,12 @@
         self.listener.address()
     }
 
+    /// Makes the engine send nothing on any connection for `duration` and then go on, so that nothing
+    /// is lost.
+    pub fn pause_for(&self, duration: Duration) {
+        self.listener.server_handle().pause_for(duration);
+    }
+
     /// Returns the handle that closes or silences the engine's connections.
     pub fn server_handle(&self) -> &Arc<ServerHandle> {
         self.listener.server_handle()
@@ -309,6 +320,10 @@
             Behavior::Hang => std::future::pending().await,
             _ => {}
         }
+        let event_interval = match behavior {
+            Behavior::Slow => SLOW_EVENT_INTERVAL,
+            _ => EVENT_INTERVAL,
+        };
         let is_stream = headers.contains_key("godwithinge-token-counts");
         let last = header("last-event-id").parse().unwrap_or(0);
         let raw = request.extensions().get::<RawConnection>();
@@ -334,9 +349,13 @@
         } else if is_stream {
             event_stream(
                 self.events_after(last),
+                event_interval,
                 behavior == Behavior::TruncateStream,
             )
         } else {
+            if behavior == Behavior::Slow {
+                time::sleep(event_interval).await;
+            }
             reply::bytes(StatusCode::OK, plain_answer(&id))
         };
         let id = if behavior == Behavior::WrongAttemptId {
@@ -489,6 +508,7 @@
 /// Returns a stream of events; a truncated one breaks off within event 3.
 fn event_stream(
     events: impl Iterator<Item = (u64, String)> + Send + 'static,
+    interval: Duration,
     is_truncated: bool,
 ) -> Reply {
     reply::event_stream(async_stream::stream! {
@@ -499,7 +519,7 @@
                 return;
             }
             yield Ok(Bytes::from(event));
-            time::sleep(EVENT_INTERVAL).await;
+            time::sleep(interval).await;
         }
     })
 }
