Let tests partition single daemons from all targets

Each daemon gets proxies of its own in front of the targets, whose new connections are refused or hang at the first packet, and whose open ones are reset, hang or live on.

--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -1,5 +1,5 @@
-//! TCP proxy on 127.0.0.1 that injects network faults: delay, loss in one or both directions, and
-//! connection resets.
+//! TCP proxy on 127.0.0.1 that injects network faults: delay, loss in one or both directions,
+//! connection resets, and new connections that are refused or hang.
 
 use crate::http::{self, ServerHandle};
 use std::{
@@ -11,7 +11,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
-        TcpListener, TcpStream,
+        TcpListener, TcpSocket, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::watch,
@@ -43,6 +43,23 @@
     DropAll,
 }
 
+/// What a proxy does with new connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Admission {
+    /// Accepts and forwards them.
+    #[default]
+    Accept,
+    /// Refuses them, as a host without a listener does.
+    Refuse,
+    /// Does not answer their first packet, as on a network that drops it.
+    Hang,
+}
+
+/// Time after which a connection that fills the queue of a listener counts as hanging.
+const FILL_TIMEOUT: Duration = Duration::from_millis(50);
+/// Delay before another attempt to bind an address that an earlier socket may still hold.
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Direction {
     ToServer,
@@ -61,6 +78,7 @@
 struct State {
     server_address: SocketAddr,
     fault: Mutex<Fault>,
+    admission: watch::Sender<Admission>,
     /// Number of times that all connections were reset.
     reset_count: watch::Sender<u64>,
 }
@@ -92,6 +110,7 @@
         let state = Arc::new(State {
             server_address,
             fault: Mutex::default(),
+            admission: watch::Sender::default(),
             reset_count: watch::Sender::new(0),
         });
         Ok(Self {
@@ -111,6 +130,11 @@
         *self.state.lock() = fault;
     }
 
+    /// Sets what happens to new connections; open ones are not affected.
+    pub fn set_admission(&self, admission: Admission) {
+        self.state.admission.send_replace(admission);
+    }
+
     /// Closes all open connections with a TCP reset (RST).
     pub fn reset(&self) {
         self.state
@@ -144,11 +168,21 @@
 }
 
 async fn accept(mut listener: TcpListener, state: Arc<State>, mut refusing: watch::Receiver<bool>) {
+    let mut admission = state.admission.subscribe();
     loop {
         tokio::select! {
             () = http::until(&mut refusing, true) => {
                 listener = http::reopen(listener, &mut refusing).await;
             }
+            () = async {
+                // Fails only if the proxy is gone, which ends this task.
+                drop(admission.wait_for(|admission| *admission != Admission::Accept).await);
+            } => {
+                let Ok(reopened) = reject(listener, &mut admission).await else {
+                    return;
+                };
+                listener = reopened;
+            }
             accepted = listener.accept() => {
                 let Ok((client, _)) = accepted else {
                     return;
@@ -165,6 +199,54 @@
     }
 }
 
+/// Refuses new connections, or lets them hang, until they are accepted again.
+async fn reject(
+    listener: TcpListener,
+    admission: &mut watch::Receiver<Admission>,
+) -> io::Result<TcpListener> {
+    let address = listener.local_addr()?;
+    drop(listener);
+    loop {
+        let current = *admission.borrow_and_update();
+        if current == Admission::Accept {
+            return bind(address, BACKLOG).await;
+        }
+        // The queue of this listener is filled by connections that it never accepts.
+        let mut full = None;
+        if current == Admission::Hang {
+            let listener = bind(address, 0).await?;
+            let mut connections = Vec::new();
+            while let Ok(connection) =
+                time::timeout(FILL_TIMEOUT, TcpStream::connect(address)).await
+            {
+                connections.push(connection?);
+            }
+            full = Some((listener, connections));
+        }
+        let changed = admission.changed().await;
+        drop(full);
+        changed.map_err(io::Error::other)?;
+    }
+}
+
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Listens on an address, which an earlier listener may still hold for a moment.
+async fn bind(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    loop {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        match socket.bind(address).and_then(|()| socket.listen(backlog)) {
+            Ok(listener) => return Ok(listener),
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
+                time::sleep(BIND_RETRY_DELAY).await;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Forwards bytes in both directions until both ends have closed. If one end or the proxy is reset,
 /// both ends are.
 async fn forward(client: TcpStream, server: TcpStream, state: &State) {
