Stand-in: engines record when they stop work, and work for a given time

A check that engines stop work on cancelled requests needs both: the time at which the execution of a request ended, also because its connection was closed, and requests that last longer than the others (header work-ms).

--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -11,7 +11,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -25,6 +25,9 @@
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of events before a stream is broken off.
 const EVENTS_BEFORE_CUT: u64 = 2;
+/// Header of a request with the time in milliseconds that it is executed for before its response
+/// begins.
+pub const WORK_HEADER: &str = "work-ms";
 /// Part of a prompt that crashes each engine that begins to write a response to it.
 pub const CRASHING_PART: &str = "dead";
 /// Time after which an engine that crashed accepts connections again.
@@ -110,6 +113,8 @@
     pub body: Bytes,
     /// When the execution began.
     pub at: Instant,
+    /// When the execution ended, also because the connection was closed; empty until then.
+    pub ended: Arc<OnceLock<Instant>>,
 }
 
 impl ExecutedRequest {
@@ -338,20 +343,13 @@
             Err(reply) => return Ok(reply),
         };
         let id = header("godwithinge-attempt-id");
-        let run = ExecutedRequest {
-            id: id.clone(),
-            path: request.uri().to_string(),
-            headers: headers.clone(),
-            body: request.body().clone(),
-            at: Instant::now(),
-        };
-        let is_crashing = run.has_crashing_part();
-        lock(&self.executed_requests).push(run);
-        if is_crashing {
+        let (run, execution) = self.begin(&id, &request);
+        if run.has_crashing_part() {
             self.crash(CRASH_DOWNTIME);
             std::future::pending::<()>().await;
         }
-        time::sleep(slot.work).await;
+        let work = header(WORK_HEADER).parse().map(Duration::from_millis);
+        time::sleep(slot.work.max(work.unwrap_or_default())).await;
         match behavior {
             Behavior::Disconnect => return Err(ConnectionClosed),
             Behavior::Hang => std::future::pending().await,
@@ -388,7 +386,7 @@
                 self.events_after(last),
                 event_interval,
                 behavior == Behavior::TruncateStream,
-                slot,
+                (slot, execution),
             )
         } else {
             if behavior == Behavior::Slow {
@@ -412,6 +410,21 @@
         Ok(reply)
     }
 
+    /// Records that a request is executed from now on.
+    fn begin(&self, id: &str, request: &Request<Bytes>) -> (ExecutedRequest, Execution) {
+        let run = ExecutedRequest {
+            id: id.into(),
+            path: request.uri().to_string(),
+            headers: request.headers().clone(),
+            body: request.body().clone(),
+            at: Instant::now(),
+            ended: Arc::default(),
+        };
+        lock(&self.executed_requests).push(run.clone());
+        let execution = Execution(Arc::clone(&run.ended));
+        (run, execution)
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
@@ -563,6 +576,16 @@
     }
 }
 
+/// Execution of a request, which ends when this is dropped.
+struct Execution(Arc<OnceLock<Instant>>);
+
+impl Drop for Execution {
+    fn drop(&mut self) {
+        // Nothing else sets it.
+        let _is_first = self.0.set(Instant::now());
+    }
+}
+
 /// Counts an endless response until dropped.
 struct EndlessGuard<'a>(&'a State);
 
@@ -577,10 +600,10 @@
     events: impl Iterator<Item = (u64, String)> + Send + 'static,
     interval: Duration,
     is_truncated: bool,
-    slot: Slot,
+    held: (Slot, Execution),
 ) -> Reply {
     reply::event_stream(async_stream::stream! {
-        let _slot = slot;
+        let _held = held;
         for (number, event) in events {
             if is_truncated && number == EVENTS_BEFORE_CUT + 1 {
                 yield Ok(Bytes::copy_from_slice(&event.as_bytes()[..8]));
