Tests: second responses on a connection in use, slow and trickling streams

Operators of similar systems reported that a second copy of an answer reached the next caller on its connection, that slow but sound streams were cut, and that stalled ones that sent a byte now and then never ended. No process test played a second response on a connection in use, or a byte now and then. The stand-in's engines now do.

--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -23,6 +23,10 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between the events of a slow stream.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between two bytes of an event that is sent slowly.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time from the head of a response to a second one, in which a stream ends.
+const REPEAT_DELAY: Duration = Duration::from_millis(150);
 /// Number of events before a stream is broken off.
 const EVENTS_BEFORE_CUT: u64 = 2;
 /// Header of a request with the time in milliseconds that it is executed for before its response
@@ -64,6 +68,8 @@
     WrongAttemptId,
     /// Returns a response without the `godwithinge-server-stamp` header.
     MissingStamp,
+    /// Returns a complete response, and later a second one with the same id on its connection.
+    RepeatLate,
     /// Returns a response with neither a length nor chunks, which ends with its connection.
     Unframed(Cut),
     /// Sends bytes without end, until the caller closes the connection.
@@ -96,6 +102,8 @@
     Lines,
     /// Second event of a stream; slow, so that it takes long to become large.
     Event,
+    /// Second event of a stream, of which a byte is sent now and then.
+    Trickle,
     /// Bytes after the end of a complete plain response.
     Trailer,
 }
@@ -394,6 +402,9 @@
             }
             reply::bytes(StatusCode::OK, plain_answer(&id))
         };
+        if let (Behavior::RepeatLate, Some(raw)) = (behavior, raw) {
+            self.repeat_late(raw, &id);
+        }
         let id = if behavior == Behavior::WrongAttemptId {
             "another".to_owned()
         } else {
@@ -512,7 +523,7 @@
             Section::Head => (head.trim_end().to_owned(), "\r\nx-filler: 0123456789abcdef"),
             Section::Body => (head, "0123456789abcdef"),
             Section::Lines => (head, "0123456789: abcdef\n\n"),
-            Section::Event => {
+            Section::Event | Section::Trickle => {
                 let (_, event) = self.events_after(0).next().unwrap_or_default();
                 (head + &event, ": slow ")
             }
@@ -525,15 +536,33 @@
         send(raw, &start).await?;
         let (size, interval) = match section {
             Section::Event => (unit.len(), EVENT_INTERVAL),
+            Section::Trickle => (1, TRICKLE_INTERVAL),
             _ => ENDLESS_WRITE,
         };
-        let units = unit.repeat(size / unit.len());
+        let units = unit.repeat(size.div_ceil(unit.len()));
+        let units = &units[..size];
         loop {
-            send(raw, &units).await?;
+            send(raw, units).await?;
             time::sleep(interval).await;
         }
     }
 
+    /// Sends another response to a request some time later.
+    fn repeat_late(&self, raw: &RawConnection, id: &str) {
+        let (raw, answer) = (raw.clone(), plain_answer(id));
+        let head = self.unframed_head(id);
+        let response = format!(
+            "{}\r\ncontent-length: {}\r\n\r\n{answer}",
+            head.trim_end(),
+            answer.len()
+        );
+        tokio::spawn(async move {
+            time::sleep(REPEAT_DELAY).await;
+            // The caller may have closed the connection.
+            drop(raw.write(response.as_bytes()).await);
+        });
+    }
+
     /// Returns the head of a response without a length.
     fn unframed_head(&self, id: &str) -> String {
         let limit = self.admissions.announced_limit();
