--- /dev/null
+++ b/standin/src/site/behavior.rs
@@ -0,0 +1,65 @@
+//! How a fake engine responds.
+
+/// How an engine responds to a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Behavior {
+    /// Returns a complete response.
+    #[default]
+    Normal,
+    /// Executes the request and returns 500.
+    ServerError,
+    /// Returns 503 without executing the request.
+    Full,
+    /// Executes the request and closes its connection without a response.
+    Disconnect,
+    /// Closes the connection in the middle of the third event of a stream. Requests without a
+    /// stream are answered normally.
+    TruncateStream,
+    /// Executes the request, sends no response and keeps the connection open.
+    Hang,
+    /// Sends the events of a stream 100 ms apart. Requests without a stream are answered after the
+    /// same time.
+    Slow,
+    /// Returns a response that carries another attempt's id.
+    WrongAttemptId,
+    /// Returns a response without the `godwithinge-server-stamp` header.
+    MissingStamp,
+    /// Returns a complete response, and later a second one with the same id on its connection.
+    RepeatLate,
+    /// Returns a response with neither a length nor chunks, which ends with its connection.
+    Unframed(Cut),
+    /// Sends bytes without end, until the caller closes the connection.
+    Endless(Section),
+}
+
+/// Where an engine breaks off a response; the results of stage calls are broken off in the middle.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// The response is complete.
+    Never,
+    /// The connection is closed after the head of a stream; plain responses are complete.
+    BeforeFirstEvent,
+    /// The connection is closed in the middle of the third event of a stream; plain responses are
+    /// complete.
+    InsideEvent,
+    /// The connection is reset after the second event of a stream, or in the middle of a plain
+    /// response.
+    Reset,
+}
+
+/// Section of a response in which an engine sends bytes without end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Section {
+    /// Header fields.
+    Head,
+    /// Body, which contains no line break.
+    Body,
+    /// Body that consists of lines and blank lines but of no event with an identifier.
+    Lines,
+    /// Second event of a stream; slow, so that it takes long to become large.
+    Event,
+    /// Second event of a stream, of which a byte is sent now and then.
+    Trickle,
+    /// Bytes after the end of a complete plain response.
+    Trailer,
+}
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -1,20 +1,28 @@
 //! Fake of the platform's engines: plain engines, model engines that stream server-sent events, and
 //! stage engines.
 
-use super::capacity::{Admission, Admissions, Brittleness, Capacity, Slot};
+pub use super::{
+    behavior::{Behavior, Cut, Section},
+    execution::ExecutedRequest,
+};
+
+use super::{
+    capacity::{Admission, Admissions, Brittleness, Capacity, Slot},
+    execution::Execution,
+};
 use crate::http::{ConnectionClosed, Handler, Listener, RawConnection, Reply, ServerHandle, reply};
 use bytes::Bytes;
-use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
+use hyper::{Request, StatusCode, header::HeaderValue};
 use serde_json::{Value, json};
 use std::{
     collections::HashSet,
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, OnceLock, PoisonError,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tokio::time;
 
@@ -44,97 +52,6 @@
 /// Header in which a brittle engine states how many rejections a second it bears.
 const BRITTLE: &str = "server-brittle";
 
-/// How an engine responds to a request.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Behavior {
-    /// Returns a complete response.
-    #[default]
-    Normal,
-    /// Executes the request and returns 500.
-    ServerError,
-    /// Returns 503 without executing the request.
-    Full,
-    /// Executes the request and closes its connection without a response.
-    Disconnect,
-    /// Closes the connection in the middle of the third event of a stream. Requests without a
-    /// stream are answered normally.
-    TruncateStream,
-    /// Executes the request, sends no response and keeps the connection open.
-    Hang,
-    /// Sends the events of a stream 100 ms apart. Requests without a stream are answered after the
-    /// same time.
-    Slow,
-    /// Returns a response that carries another attempt's id.
-    WrongAttemptId,
-    /// Returns a response without the `godwithinge-server-stamp` header.
-    MissingStamp,
-    /// Returns a complete response, and later a second one with the same id on its connection.
-    RepeatLate,
-    /// Returns a response with neither a length nor chunks, which ends with its connection.
-    Unframed(Cut),
-    /// Sends bytes without end, until the caller closes the connection.
-    Endless(Section),
-}
-
-/// Where an engine breaks off a response; the results of stage calls are broken off in the middle.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Cut {
-    /// The response is complete.
-    Never,
-    /// The connection is closed after the head of a stream; plain responses are complete.
-    BeforeFirstEvent,
-    /// The connection is closed in the middle of the third event of a stream; plain responses are
-    /// complete.
-    InsideEvent,
-    /// The connection is reset after the second event of a stream, or in the middle of a plain
-    /// response.
-    Reset,
-}
-
-/// Section of a response in which an engine sends bytes without end.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Section {
-    /// Header fields.
-    Head,
-    /// Body, which contains no line break.
-    Body,
-    /// Body that consists of lines and blank lines but of no event with an identifier.
-    Lines,
-    /// Second event of a stream; slow, so that it takes long to become large.
-    Event,
-    /// Second event of a stream, of which a byte is sent now and then.
-    Trickle,
-    /// Bytes after the end of a complete plain response.
-    Trailer,
-}
-
-/// Request that an engine accepted and began to execute.
-#[derive(Clone, Debug)]
-pub struct ExecutedRequest {
-    /// Value of the `godwithinge-attempt-id` header; empty if it is absent.
-    pub id: String,
-    /// Request target: path and query.
-    pub path: String,
-    /// Headers as received.
-    pub headers: HeaderMap,
-    /// Body as received.
-    pub body: Bytes,
-    /// When the execution began.
-    pub at: Instant,
-    /// When the execution ended, also because the connection was closed; empty until then.
-    pub ended: Arc<OnceLock<Instant>>,
-}
-
-impl ExecutedRequest {
-    /// Returns whether its prompt contains the part that crashes engines.
-    pub fn has_crashing_part(&self) -> bool {
-        let parts = self.headers.get("godwithinge-prompt-prefix");
-        let parts = parts.and_then(|parts| parts.to_str().ok());
-        let mut parts = parts.unwrap_or_default().split(',');
-        parts.any(|part| part.split(':').next() == Some(CRASHING_PART))
-    }
-}
-
 /// Fake of one engine.
 #[derive(Debug)]
 pub struct Server {
@@ -351,8 +268,10 @@
             Err(reply) => return Ok(reply),
         };
         let id = header("godwithinge-attempt-id");
-        let (run, execution) = self.begin(&id, &request);
-        if run.has_crashing_part() {
+        let (run, execution) = ExecutedRequest::begin(&id, &request);
+        let is_crashing = run.has_crashing_part();
+        lock(&self.executed_requests).push(run);
+        if is_crashing {
             self.crash(CRASH_DOWNTIME);
             std::future::pending::<()>().await;
         }
@@ -421,21 +340,6 @@
         Ok(reply)
     }
 
-    /// Records that a request is executed from now on.
-    fn begin(&self, id: &str, request: &Request<Bytes>) -> (ExecutedRequest, Execution) {
-        let run = ExecutedRequest {
-            id: id.into(),
-            path: request.uri().to_string(),
-            headers: request.headers().clone(),
-            body: request.body().clone(),
-            at: Instant::now(),
-            ended: Arc::default(),
-        };
-        lock(&self.executed_requests).push(run.clone());
-        let execution = Execution(Arc::clone(&run.ended));
-        (run, execution)
-    }
-
     /// Waits for a slot.
     ///
     /// # Errors
@@ -605,16 +509,6 @@
     }
 }
 
-/// Execution of a request, which ends when this is dropped.
-struct Execution(Arc<OnceLock<Instant>>);
-
-impl Drop for Execution {
-    fn drop(&mut self) {
-        // Nothing else sets it.
-        let _is_first = self.0.set(Instant::now());
-    }
-}
-
 /// Counts an endless response until dropped.
 struct EndlessGuard<'a>(&'a State);
 
@@ -634,13 +528,13 @@
     reply::event_stream(async_stream::stream! {
         let _held = held;
         for (number, event) in events {
+            time::sleep(interval).await;
             if is_truncated && number == EVENTS_BEFORE_CUT + 1 {
                 yield Ok(Bytes::copy_from_slice(&event.as_bytes()[..8]));
                 yield Err(ConnectionClosed);
                 return;
             }
             yield Ok(Bytes::from(event));
-            time::sleep(interval).await;
         }
     })
 }
--- a/standin/src/site/mod.rs
+++ b/standin/src/site/mod.rs
@@ -1,5 +1,7 @@
 //! Fakes of the users' platform: its store and its plain, model and stage engines.
 
+mod behavior;
 pub mod capacity;
 pub mod engine;
+mod execution;
 pub mod store;
