Stand-in: engines with slots and a queue, which may be brittle

An engine of the stand-in takes any number of requests at once. With set_capacity it has slots and a queue, rejects what exceeds them, and states its load; stage engines do the same with calls. With set_brittle it announces in all answers how many rejections a second it bears, has a shorter queue after a notice, and falls over when it rejects more: it closes its connections and refuses new ones for a while. Falls and rejections are counted. Without either call nothing changes.

--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -1,6 +1,7 @@
 //! Fake of the platform's engines: plain engines, model engines that stream server-sent events, and
 //! stage engines.
 
+use super::capacity::{Admission, Admissions, Brittleness, Capacity, Slot};
 use crate::http::{ConnectionClosed, Handler, Listener, RawConnection, Reply, ServerHandle, reply};
 use bytes::Bytes;
 use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
@@ -31,6 +32,9 @@
 /// Time that a stage call takes, whatever the number of its items.
 const STAGE_CALL_DURATION: Duration = Duration::from_millis(20);
 
+/// Header in which a brittle engine states how many rejections a second it bears.
+const BRITTLE: &str = "server-brittle";
+
 /// How an engine responds to a request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Behavior {
@@ -133,6 +137,7 @@
     stage_calls: Mutex<Vec<Value>>,
     /// Endless responses that their callers have not closed.
     endless_responses: AtomicUsize,
+    admissions: Admissions,
     server_handle: Arc<ServerHandle>,
 }
 
@@ -171,6 +176,7 @@
             next_result: AtomicU64::new(0),
             stage_calls: Mutex::default(),
             endless_responses: AtomicUsize::default(),
+            admissions: Admissions::default(),
             server_handle: Arc::clone(listener.server_handle()),
         });
         let listener = listener.serve(Arc::clone(&state));
@@ -202,6 +208,28 @@
         *lock(&self.state.behavior) = behavior;
     }
 
+    /// Limits how many requests, or stage calls, the engine accepts at the same time; `None` removes
+    /// the limit. The engine states its load while there is one.
+    pub fn set_capacity(&self, capacity: Option<Capacity>) {
+        self.state.admissions.set_capacity(capacity);
+    }
+
+    /// Makes the engine announce in all its answers that it bears few rejections, and fall over
+    /// beyond them; `None` ends this.
+    pub fn set_brittle(&self, brittleness: Option<Brittleness>) {
+        self.state.admissions.set_brittle(brittleness);
+    }
+
+    /// Returns how often the engine fell over because it rejected too many requests in a second.
+    pub fn falls(&self) -> u32 {
+        self.state.admissions.falls()
+    }
+
+    /// Returns the number of requests and stage calls that the engine rejected for want of room.
+    pub fn rejections(&self) -> u64 {
+        self.state.admissions.rejections()
+    }
+
     /// Returns the requests that the engine began to execute, earliest first. Refused requests
     /// and stage calls aren't included.
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
@@ -246,7 +274,11 @@
         if let (Behavior::Endless(section), Some(raw)) = (behavior, raw) {
             return self.send_endless(raw, "", section).await;
         }
-        time::sleep(STAGE_CALL_DURATION).await;
+        let slot = match self.admit().await {
+            Ok(slot) => slot,
+            Err(reply) => return Ok(reply),
+        };
+        time::sleep(STAGE_CALL_DURATION.max(slot.work)).await;
         let Some(results) = self.stage_run(request.body()) else {
             return Ok(reply::bytes(StatusCode::BAD_REQUEST, Bytes::new()));
         };
@@ -290,6 +322,10 @@
         if inputs.any(|input| !lock(&self.stored_results).contains(input)) {
             return Ok(self.refusal(StatusCode::CONFLICT));
         }
+        let slot = match self.admit().await {
+            Ok(slot) => slot,
+            Err(reply) => return Ok(reply),
+        };
         let id = header("godwithinge-attempt-id");
         let run = ExecutedRequest {
             id: id.clone(),
@@ -301,9 +337,10 @@
         let is_crashing = run.has_crashing_part();
         lock(&self.executed_requests).push(run);
         if is_crashing {
-            self.crash();
+            self.crash(CRASH_DOWNTIME);
             std::future::pending::<()>().await;
         }
+        time::sleep(slot.work).await;
         match behavior {
             Behavior::Disconnect => return Err(ConnectionClosed),
             Behavior::Hang => std::future::pending().await,
@@ -335,6 +372,7 @@
             event_stream(
                 self.events_after(last),
                 behavior == Behavior::TruncateStream,
+                slot,
             )
         } else {
             reply::bytes(StatusCode::OK, plain_answer(&id))
@@ -355,12 +393,26 @@
         Ok(reply)
     }
 
-    /// Closes all connections, and refuses new ones for [`CRASH_DOWNTIME`].
-    fn crash(&self) {
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if there is no room. The engine may fall over then.
+    async fn admit(&self) -> Result<Slot, Reply> {
+        match self.admissions.admit().await {
+            Admission::Admitted(slot) => return Ok(slot),
+            Admission::Rejected => {}
+            Admission::Fallen(downtime) => self.crash(downtime),
+        }
+        Err(self.refusal(StatusCode::SERVICE_UNAVAILABLE))
+    }
+
+    /// Closes all connections, and refuses new ones for `downtime`.
+    fn crash(&self, downtime: Duration) {
         let server_handle = Arc::clone(&self.server_handle);
         server_handle.set_refusing(true);
         tokio::spawn(async move {
-            time::sleep(CRASH_DOWNTIME).await;
+            time::sleep(downtime).await;
             server_handle.set_refusing(false);
         });
     }
@@ -452,13 +504,27 @@
 
     /// Returns the head of a response without a length.
     fn unframed_head(&self, id: &str) -> String {
+        let limit = self.admissions.announced_limit();
+        let limit = limit.map_or(String::new(), |limit| format!("{BRITTLE}: {limit}\r\n"));
         format!(
-            "HTTP/1.1 200 OK\r\ngodwithinge-attempt-id: {id}\r\n\
+            "HTTP/1.1 200 OK\r\n{limit}godwithinge-attempt-id: {id}\r\n\
              godwithinge-server-stamp: stamp-{}\r\n\r\n",
             self.id
         )
     }
 
+    /// Adds the headers that all responses have.
+    fn with_state(&self, mut reply: Reply) -> Reply {
+        if let Some(limit) = self.admissions.announced_limit() {
+            set_header(&mut reply, BRITTLE, &limit.to_string());
+        }
+        if let Some((running, waiting, slots)) = self.admissions.load() {
+            let load = format!("{running},{waiting},{slots}");
+            set_header(&mut reply, "godwithinge-instance-load", &load);
+        }
+        reply
+    }
+
     fn refusal(&self, status: StatusCode) -> Reply {
         let mut reply = reply::bytes(status, Bytes::new());
         set_header(&mut reply, "godwithinge-not-executed", "1");
@@ -469,11 +535,12 @@
 
 impl Handler for State {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Result<Reply, ConnectionClosed> {
-        match request.uri().path() {
+        let reply = match request.uri().path() {
             "/stage-run" => self.answer_stage_call(request).await,
             "/stage-free" => Ok(self.stage_free(request.body())),
             _ => self.run(request).await,
-        }
+        };
+        reply.map(|reply| self.with_state(reply))
     }
 }
 
@@ -490,8 +557,10 @@
 fn event_stream(
     events: impl Iterator<Item = (u64, String)> + Send + 'static,
     is_truncated: bool,
+    slot: Slot,
 ) -> Reply {
     reply::event_stream(async_stream::stream! {
+        let _slot = slot;
         for (number, event) in events {
             if is_truncated && number == EVENTS_BEFORE_CUT + 1 {
                 yield Ok(Bytes::copy_from_slice(&event.as_bytes()[..8]));
