--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -1,9 +1,18 @@
 //! Fake of the platform's engines: plain engines, model engines that stream server-sent events, and
 //! stage engines.
 
+pub use super::{
+    behavior::{Behavior, Cut, Section},
+    execution::ExecutedRequest,
+};
+
+use super::{
+    capacity::{Admission, Admissions, Brittleness, Capacity, Slot},
+    execution::Execution,
+};
 use crate::http::{ConnectionClosed, Handler, Listener, RawConnection, Reply, ServerHandle, reply};
 use bytes::Bytes;
-use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
+use hyper::{Request, StatusCode, header::HeaderValue};
 use serde_json::{Value, json};
 use std::{
     collections::HashSet,
@@ -13,7 +22,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tokio::time;
 
@@ -22,8 +31,15 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between the events of a slow stream.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between two bytes of an event that is sent slowly.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time from the head of a response to a second one, in which a stream ends.
+const REPEAT_DELAY: Duration = Duration::from_millis(150);
 /// Number of events before a stream is broken off.
 const EVENTS_BEFORE_CUT: u64 = 2;
+/// Header of a request with the time in milliseconds that it is executed for before its response
+/// begins.
+pub const WORK_HEADER: &str = "work-ms";
 /// Part of a prompt that crashes each engine that begins to write a response to it.
 pub const CRASHING_PART: &str = "dead";
 /// Time after which an engine that crashed accepts connections again.
@@ -33,90 +49,8 @@
 /// Time that a stage call takes, whatever the number of its items.
 const STAGE_CALL_DURATION: Duration = Duration::from_millis(20);
 
-/// How an engine responds to a request.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Behavior {
-    /// Returns a complete response.
-    #[default]
-    Normal,
-    /// Executes the request and returns 500.
-    ServerError,
-    /// Returns 503 without executing the request.
-    Full,
-    /// Executes the request and closes its connection without a response.
-    Disconnect,
-    /// Closes the connection in the middle of the third event of a stream. Requests without a
-    /// stream are answered normally.
-    TruncateStream,
-    /// Executes the request, sends no response and keeps the connection open.
-    Hang,
-    /// Sends the events of a stream 100 ms apart. Requests without a stream are answered after the
-    /// same time.
-    Slow,
-    /// Returns a response that carries another attempt's id.
-    WrongAttemptId,
-    /// Returns a response without the `godwithinge-server-stamp` header.
-    MissingStamp,
-    /// Returns a response with neither a length nor chunks, which ends with its connection.
-    Unframed(Cut),
-    /// Sends bytes without end, until the caller closes the connection.
-    Endless(Section),
-}
-
-/// Where an engine breaks off a response; the results of stage calls are broken off in the middle.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Cut {
-    /// The response is complete.
-    Never,
-    /// The connection is closed after the head of a stream; plain responses are complete.
-    BeforeFirstEvent,
-    /// The connection is closed in the middle of the third event of a stream; plain responses are
-    /// complete.
-    InsideEvent,
-    /// The connection is reset after the second event of a stream, or in the middle of a plain
-    /// response.
-    Reset,
-}
-
-/// Section of a response in which an engine sends bytes without end.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Section {
-    /// Header fields.
-    Head,
-    /// Body, which contains no line break.
-    Body,
-    /// Body that consists of lines and blank lines but of no event with an identifier.
-    Lines,
-    /// Second event of a stream; slow, so that it takes long to become large.
-    Event,
-    /// Bytes after the end of a complete plain response.
-    Trailer,
-}
-
-/// Request that an engine accepted and began to execute.
-#[derive(Clone, Debug)]
-pub struct ExecutedRequest {
-    /// Value of the `godwithinge-attempt-id` header; empty if it is absent.
-    pub id: String,
-    /// Request target: path and query.
-    pub path: String,
-    /// Headers as received.
-    pub headers: HeaderMap,
-    /// Body as received.
-    pub body: Bytes,
-    /// When the execution began.
-    pub at: Instant,
-}
-
-impl ExecutedRequest {
-    /// Returns whether its prompt contains the part that crashes engines.
-    pub fn has_crashing_part(&self) -> bool {
-        let parts = self.headers.get("godwithinge-prompt-prefix");
-        let parts = parts.and_then(|parts| parts.to_str().ok());
-        let mut parts = parts.unwrap_or_default().split(',');
-        parts.any(|part| part.split(':').next() == Some(CRASHING_PART))
-    }
-}
+/// Header in which a brittle engine states how many rejections a second it bears.
+const BRITTLE: &str = "server-brittle";
 
 /// Fake of one engine.
 #[derive(Debug)]
@@ -138,6 +72,7 @@
     stage_calls: Mutex<Vec<Value>>,
     /// Endless responses that their callers have not closed.
     endless_responses: AtomicUsize,
+    admissions: Admissions,
     server_handle: Arc<ServerHandle>,
 }
 
@@ -176,6 +111,7 @@
             next_result: AtomicU64::new(0),
             stage_calls: Mutex::default(),
             endless_responses: AtomicUsize::default(),
+            admissions: Admissions::default(),
             server_handle: Arc::clone(listener.server_handle()),
         });
         let listener = listener.serve(Arc::clone(&state));
@@ -213,6 +149,28 @@
         *lock(&self.state.behavior) = behavior;
     }
 
+    /// Limits how many requests, or stage calls, the engine accepts at the same time; `None` removes
+    /// the limit. The engine states its load while there is one.
+    pub fn set_capacity(&self, capacity: Option<Capacity>) {
+        self.state.admissions.set_capacity(capacity);
+    }
+
+    /// Makes the engine announce in all its answers that it bears few rejections, and fall over
+    /// beyond them; `None` ends this.
+    pub fn set_brittle(&self, brittleness: Option<Brittleness>) {
+        self.state.admissions.set_brittle(brittleness);
+    }
+
+    /// Returns how often the engine fell over because it rejected too many requests in a second.
+    pub fn falls(&self) -> u32 {
+        self.state.admissions.falls()
+    }
+
+    /// Returns the number of requests and stage calls that the engine rejected for want of room.
+    pub fn rejections(&self) -> u64 {
+        self.state.admissions.rejections()
+    }
+
     /// Returns the requests that the engine began to execute, earliest first. Refused requests
     /// and stage calls aren't included.
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
@@ -257,7 +215,11 @@
         if let (Behavior::Endless(section), Some(raw)) = (behavior, raw) {
             return self.send_endless(raw, "", section).await;
         }
-        time::sleep(STAGE_CALL_DURATION).await;
+        let slot = match self.admit().await {
+            Ok(slot) => slot,
+            Err(reply) => return Ok(reply),
+        };
+        time::sleep(STAGE_CALL_DURATION.max(slot.work)).await;
         let Some(results) = self.stage_run(request.body()) else {
             return Ok(reply::bytes(StatusCode::BAD_REQUEST, Bytes::new()));
         };
@@ -301,20 +263,20 @@
         if inputs.any(|input| !lock(&self.stored_results).contains(input)) {
             return Ok(self.refusal(StatusCode::CONFLICT));
         }
-        let id = header("godwithinge-attempt-id");
-        let run = ExecutedRequest {
-            id: id.clone(),
-            path: request.uri().to_string(),
-            headers: headers.clone(),
-            body: request.body().clone(),
-            at: Instant::now(),
+        let slot = match self.admit().await {
+            Ok(slot) => slot,
+            Err(reply) => return Ok(reply),
         };
+        let id = header("godwithinge-attempt-id");
+        let (run, execution) = ExecutedRequest::begin(&id, &request);
         let is_crashing = run.has_crashing_part();
         lock(&self.executed_requests).push(run);
         if is_crashing {
-            self.crash();
+            self.crash(CRASH_DOWNTIME);
             std::future::pending::<()>().await;
         }
+        let work = header(WORK_HEADER).parse().map(Duration::from_millis);
+        time::sleep(slot.work.max(work.unwrap_or_default())).await;
         match behavior {
             Behavior::Disconnect => return Err(ConnectionClosed),
             Behavior::Hang => std::future::pending().await,
@@ -351,6 +313,7 @@
                 self.events_after(last),
                 event_interval,
                 behavior == Behavior::TruncateStream,
+                (slot, execution),
             )
         } else {
             if behavior == Behavior::Slow {
@@ -358,6 +321,9 @@
             }
             reply::bytes(StatusCode::OK, plain_answer(&id))
         };
+        if let (Behavior::RepeatLate, Some(raw)) = (behavior, raw) {
+            self.repeat_late(raw, &id);
+        }
         let id = if behavior == Behavior::WrongAttemptId {
             "another".to_owned()
         } else {
@@ -374,12 +340,26 @@
         Ok(reply)
     }
 
-    /// Closes all connections, and refuses new ones for [`CRASH_DOWNTIME`].
-    fn crash(&self) {
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if there is no room. The engine may fall over then.
+    async fn admit(&self) -> Result<Slot, Reply> {
+        match self.admissions.admit().await {
+            Admission::Admitted(slot) => return Ok(slot),
+            Admission::Rejected => {}
+            Admission::Fallen(downtime) => self.crash(downtime),
+        }
+        Err(self.refusal(StatusCode::SERVICE_UNAVAILABLE))
+    }
+
+    /// Closes all connections, and refuses new ones for `downtime`.
+    fn crash(&self, downtime: Duration) {
         let server_handle = Arc::clone(&self.server_handle);
         server_handle.set_refusing(true);
         tokio::spawn(async move {
-            time::sleep(CRASH_DOWNTIME).await;
+            time::sleep(downtime).await;
             server_handle.set_refusing(false);
         });
     }
@@ -447,7 +427,7 @@
             Section::Head => (head.trim_end().to_owned(), "\r\nx-filler: 0123456789abcdef"),
             Section::Body => (head, "0123456789abcdef"),
             Section::Lines => (head, "0123456789: abcdef\n\n"),
-            Section::Event => {
+            Section::Event | Section::Trickle => {
                 let (_, event) = self.events_after(0).next().unwrap_or_default();
                 (head + &event, ": slow ")
             }
@@ -460,24 +440,56 @@
         send(raw, &start).await?;
         let (size, interval) = match section {
             Section::Event => (unit.len(), EVENT_INTERVAL),
+            Section::Trickle => (1, TRICKLE_INTERVAL),
             _ => ENDLESS_WRITE,
         };
-        let units = unit.repeat(size / unit.len());
+        let units = unit.repeat(size.div_ceil(unit.len()));
+        let units = &units[..size];
         loop {
-            send(raw, &units).await?;
+            send(raw, units).await?;
             time::sleep(interval).await;
         }
     }
 
+    /// Sends another response to a request some time later.
+    fn repeat_late(&self, raw: &RawConnection, id: &str) {
+        let (raw, answer) = (raw.clone(), plain_answer(id));
+        let head = self.unframed_head(id);
+        let response = format!(
+            "{}\r\ncontent-length: {}\r\n\r\n{answer}",
+            head.trim_end(),
+            answer.len()
+        );
+        tokio::spawn(async move {
+            time::sleep(REPEAT_DELAY).await;
+            // The caller may have closed the connection.
+            drop(raw.write(response.as_bytes()).await);
+        });
+    }
+
     /// Returns the head of a response without a length.
     fn unframed_head(&self, id: &str) -> String {
+        let limit = self.admissions.announced_limit();
+        let limit = limit.map_or(String::new(), |limit| format!("{BRITTLE}: {limit}\r\n"));
         format!(
-            "HTTP/1.1 200 OK\r\ngodwithinge-attempt-id: {id}\r\n\
+            "HTTP/1.1 200 OK\r\n{limit}godwithinge-attempt-id: {id}\r\n\
              godwithinge-server-stamp: stamp-{}\r\n\r\n",
             self.id
         )
     }
 
+    /// Adds the headers that all responses have.
+    fn with_state(&self, mut reply: Reply) -> Reply {
+        if let Some(limit) = self.admissions.announced_limit() {
+            set_header(&mut reply, BRITTLE, &limit.to_string());
+        }
+        if let Some((running, waiting, slots)) = self.admissions.load() {
+            let load = format!("{running},{waiting},{slots}");
+            set_header(&mut reply, "godwithinge-instance-load", &load);
+        }
+        reply
+    }
+
     fn refusal(&self, status: StatusCode) -> Reply {
         let mut reply = reply::bytes(status, Bytes::new());
         set_header(&mut reply, "godwithinge-not-executed", "1");
@@ -488,11 +500,12 @@
 
 impl Handler for State {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Result<Reply, ConnectionClosed> {
-        match request.uri().path() {
+        let reply = match request.uri().path() {
             "/stage-run" => self.answer_stage_call(request).await,
             "/stage-free" => Ok(self.stage_free(request.body())),
             _ => self.run(request).await,
-        }
+        };
+        reply.map(|reply| self.with_state(reply))
     }
 }
 
@@ -510,8 +523,10 @@
     events: impl Iterator<Item = (u64, String)> + Send + 'static,
     interval: Duration,
     is_truncated: bool,
+    held: (Slot, Execution),
 ) -> Reply {
     reply::event_stream(async_stream::stream! {
+        let _held = held;
         for (number, event) in events {
             time::sleep(interval).await;
             if is_truncated && number == EVENTS_BEFORE_CUT + 1 {
