Keep the port of a proxy that refuses connections

Another test's server got the port of a proxy while it was closed, so that a request was answered by that test's store (one run of the whole regression target failed so).

--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -207,24 +207,28 @@
     let address = listener.local_addr()?;
     drop(listener);
     loop {
+        // Bound without a listener, the socket keeps others off the port, and connections to it are
+        // refused.
+        let socket = bind(address).await?;
         let current = *admission.borrow_and_update();
         if current == Admission::Accept {
-            return bind(address, BACKLOG).await;
+            return socket.listen(BACKLOG);
         }
-        // The queue of this listener is filled by connections that it never accepts.
-        let mut full = None;
-        if current == Admission::Hang {
-            let listener = bind(address, 0).await?;
+        let changed = if current == Admission::Hang {
+            // The queue of this listener is filled by connections that it never accepts.
+            let _full = socket.listen(0)?;
             let mut connections = Vec::new();
             while let Ok(connection) =
                 time::timeout(FILL_TIMEOUT, TcpStream::connect(address)).await
             {
                 connections.push(connection?);
             }
-            full = Some((listener, connections));
-        }
-        let changed = admission.changed().await;
-        drop(full);
+            admission.changed().await
+        } else {
+            let changed = admission.changed().await;
+            drop(socket);
+            changed
+        };
         changed.map_err(io::Error::other)?;
     }
 }
@@ -232,13 +236,13 @@
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
-/// Listens on an address, which an earlier listener may still hold for a moment.
-async fn bind(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+/// Binds an address, which an earlier socket may still hold for a moment.
+async fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
     loop {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
-        match socket.bind(address).and_then(|()| socket.listen(backlog)) {
-            Ok(listener) => return Ok(listener),
+        match socket.bind(address) {
+            Ok(()) => return Ok(socket),
             Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
                 time::sleep(BIND_RETRY_DELAY).await;
             }
