--- a/godwithinge/src/relay/tunnel.rs
+++ b/godwithinge/src/relay/tunnel.rs
@@ -42,7 +42,7 @@
 /// Time for which a daemon reads on after the target has ended its side. A reset would discard what
 /// the peer has not read yet.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum number of tunnels that a daemon serves. Each takes two file descriptors and about 30 kB.
+/// Maximum number of tunnels that a daemon serves. Each takes two file descriptors.
 const MAX_TUNNELS: usize = 400;
 /// Maximum size of a message.
 const MAX_MESSAGE_BYTES: usize = 16 << 10;
