Decide how many requests targets get that bear few rejections

Load pattern: many daemons share one pool, a burst exceeds it, and the targets say that they fail when they reject more than a few requests a second. Nothing uses it yet.

--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -5,8 +5,8 @@
 //! ([`scheduler`]). [`selection`] chooses the target of the request itself. [`registry`] holds the
 //! known targets, [`memory`] the memory that large responses take, [`history`] orders their entries when the store loses writes, [`distribution`]
 //! brings a new configuration to all daemons, [`origin`] holds where streams began, [`sse`] judges
-//! whether a stream is complete, [`crash`] finds what in requests crashes targets, and [`quarantine`] holds
-//! the records of that.
+//! whether a stream is complete, [`crash`] finds what in requests crashes targets, [`quarantine`] holds
+//! the records of that, and [`rejection`] limits how often targets reject requests.
 
 pub mod builds;
 pub mod crash;
@@ -18,6 +18,7 @@
 pub mod plan;
 pub mod quarantine;
 pub mod registry;
+pub mod rejection;
 pub mod scheduler;
 pub mod selection;
 pub mod sse;
--- a/policy/src/relay/selection.rs
+++ b/policy/src/relay/selection.rs
@@ -177,6 +177,11 @@
         stats.in_flight = stats.in_flight.saturating_sub(1);
     }
 
+    /// Returns the number of calls from this daemon to a target in flight.
+    pub fn in_flight(&self, target: &TargetId) -> u32 {
+        self.stats.get(target).map_or(0, |stats| stats.in_flight)
+    }
+
     /// Records an answer and the time it took. A good one ends the target's pause.
     pub fn record_answer(&mut self, target: &TargetId, is_good: bool, time: Duration) {
         let stats = self.stats_mut(target);
