Keep brittle engines from rejecting more than they bear

Callers saw: in a burst, one brittle engine after the other fell over, with all requests that it ran, until almost none was served. Cause: each daemon sends what an engine rejects on to up to three others and knows only of its own rejections; nothing bounds those of all daemons together. Class: decisions of each daemon alone about what all share. Change: the limit in the engines' answers is decoded, and while it lasts, only targets with room according to policy::relay::rejection are chosen. A request waits for room for an eighth of its objective, or half of it if its stages are done, and is then refused with Retry-After; two rejections end its sends. Daemons tell each other of rejections and limits. Without a limit nothing changes.

--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -80,6 +80,8 @@
     pub has_server_stamp: bool,
     /// Numbers of running and waiting requests at the target, if reported.
     pub load: Option<(u32, u32)>,
+    /// Number of rejections a second that the target bears, if it states one.
+    pub max_rejections: Option<u32>,
 }
 
 /// A table of the store.
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -3,7 +3,7 @@
 use crate::{http::Framing, log::ORDINARY_TARGET};
 use http::StatusCode;
 use policy::{
-    id::{RequestId, TargetId},
+    id::{PoolId, RequestId, TargetId},
     relay::{
         crash::{Feature, PayloadHash},
         registry::Build,
@@ -158,6 +158,16 @@
     );
 }
 
+/// Logs that targets of a pool state how many rejections a second they bear, or no longer do.
+pub(super) fn limit_changed(pool: &PoolId, max_rejections: Option<u32>) {
+    let message = if max_rejections.is_some() {
+        "targets bear few rejections"
+    } else {
+        "targets bear rejections again"
+    };
+    tracing::info!(%pool, max_rejections, "{message}");
+}
+
 /// Logs how the stream of a target ended: how its body was delimited, the last complete event, and
 /// the number of bytes after it.
 pub(super) fn stream_ended(
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -5,12 +5,13 @@
 use super::{conduct::JobRequest, dialect::Row};
 use compact_str::CompactString;
 use policy::{
-    id::{DomainId, HostId, Incarnation, RequestId, TargetId},
+    id::{DomainId, HostId, Incarnation, PoolId, RequestId, TargetId},
     relay::{
         crash::{Feature, PayloadHash, Quarantine, Report},
         history::{Era, Version},
         leader::UnixMillis,
         registry::Build,
+        rejection,
         scheduler::Handle,
     },
 };
@@ -45,11 +46,14 @@
 }
 
 /// Version of the protocol between daemons that this build speaks.
-pub(super) const PROTOCOL: u32 = 2;
+pub(super) const PROTOCOL: u32 = REJECTION_PROTOCOL;
 
 /// Version of the protocol from which daemons exchange the features of requests whose targets crash.
 pub(super) const CRASH_PROTOCOL: u32 = 2;
 
+/// Version of the protocol from which daemons tell of the rejections of targets that bear few.
+const REJECTION_PROTOCOL: u32 = 3;
+
 /// Row of a table as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireRow {
@@ -157,6 +161,42 @@
     Served(Vec<Feature>),
     /// Features that crash targets.
     Quarantine(Vec<WireQuarantine>),
+    /// A target bears few rejections, and may have rejected some.
+    Rejections(WireRejections),
+}
+
+/// Report on a target that bears few rejections, as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireRejections {
+    pool: PoolId,
+    target: TargetId,
+    max_rejections: u32,
+    rejections: u32,
+    running: Option<u32>,
+}
+
+impl From<rejection::Report> for WireRejections {
+    fn from(report: rejection::Report) -> Self {
+        Self {
+            pool: report.pool,
+            target: report.target,
+            max_rejections: report.max_rejections,
+            rejections: report.rejections,
+            running: report.running,
+        }
+    }
+}
+
+impl From<WireRejections> for rejection::Report {
+    fn from(report: WireRejections) -> Self {
+        Self {
+            pool: report.pool,
+            target: report.target,
+            max_rejections: report.max_rejections,
+            rejections: report.rejections,
+            running: report.running,
+        }
+    }
 }
 
 /// Quarantined feature as encoded in frames.
@@ -224,6 +264,7 @@
     /// Returns the version of the protocol from which daemons can decode this frame.
     pub fn protocol(&self) -> u32 {
         match self {
+            Self::Rejections(_) => REJECTION_PROTOCOL,
             Self::Crashes(_) | Self::Served(_) | Self::Quarantine(_) => CRASH_PROTOCOL,
             Self::PackedPlan(_)
             | Self::DeclinePlan
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -455,6 +455,7 @@
     }
 
     fn remove_peer(self: &Rc<Self>, host: &HostId, link_id: LinkId, fault: &str) {
+        self.record_fleet_members();
         let mut peers = self.links.peers.borrow_mut();
         let is_current = peers.get(host).is_some_and(|peer| peer.link_id == link_id);
         if is_current && let Some(peer) = peers.remove(host) {
@@ -554,6 +555,7 @@
             Frame::Origin { number, build } => self.receive_origin(number, build),
             Frame::TargetCrash(payload) => self.receive_crash_of_payload(host, payload),
             Frame::Crashes(crashes) => self.receive_crashes(host, crashes),
+            Frame::Rejections(report) => self.receive_rejections(&report.into()),
             Frame::Served(features) => self.receive_served(&features),
             Frame::Quarantine(features) => {
                 self.receive_quarantine(features.into_iter().map(Into::into));
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -37,6 +37,9 @@
     pub sends: IntCounterVec,
     /// Requests whose target crashed while it executed them, by pool.
     pub target_crashes: IntCounterVec,
+    /// Requests for which no target with a limit on rejections had room, by pool and whether they
+    /// found some after a wait.
+    pub room_waits: IntCounterVec,
     /// Ends of streams of targets by framing and result.
     pub stream_ends: IntCounterVec,
     /// Calls to stage targets by pool and result.
@@ -104,6 +107,11 @@
                 "Requests whose target crashed",
                 &["pool"],
             ),
+            room_waits: counter(
+                "room_waits_total",
+                "Requests that waited for room at targets that bear few rejections",
+                &["pool", "result"],
+            ),
             stream_ends: counter(
                 "stream_ends_total",
                 "Ends of streams of targets",
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod origin;
 mod outcome;
 mod quarantine;
+mod rejection;
 mod replication;
 mod run;
 mod send;
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -6,6 +6,7 @@
     dialect::RequestMetadata,
     event::{self, RequestSummary},
     outcome::{Reason, Rejection},
+    rejection,
     send::{BufferedResponse, SendOutcome, StreamingResponse},
     state::{InFlightGuard, Relay},
     stream,
@@ -100,6 +101,8 @@
     pub not_executed: u32,
     /// Sends that reached a target, including pending ones.
     pub delivered: u32,
+    /// Sends that targets rejected for want of room.
+    pub rejected: u32,
 }
 
 impl Attempts {
@@ -113,9 +116,10 @@
                 self.delivered -= 1;
                 "unreached"
             }
-            SendOutcome::NotExecuted(_) => {
+            SendOutcome::NotExecuted(status) => {
                 self.possibly_executed -= 1;
                 self.not_executed += 1;
+                self.rejected += u32::from(rejection::is_rejection(*status));
                 "not_run"
             }
             SendOutcome::Failed(result) => result,
@@ -206,6 +210,7 @@
         let mut may_hedge = self.route.is_repeatable();
         loop {
             if sends.is_empty() {
+                self.wait_for_room(attempts, false).await;
                 let target = match self.next_target(attempts, None) {
                     Ok(target) => target,
                     Err(rejection) => return self.failure_or(failure, rejection),
@@ -321,6 +326,7 @@
                     _ => Rejection::new(Reason::Broken),
                 })?);
             }
+            self.wait_for_room(attempts, results.is_some()).await;
             let domain = results.as_ref().and_then(|results| results.domain.as_ref());
             let target = self.next_target(attempts, domain)?;
             let handles = results.as_ref().map(|results| results.handles.as_slice());
@@ -429,7 +435,10 @@
         let is_exhausted = may_have_executed
             && (!self.route.is_repeatable()
                 || attempts.possibly_executed >= self.route.max_attempts);
-        if is_exhausted || attempts.not_executed >= MAX_UNEXECUTED_SENDS {
+        if is_exhausted
+            || attempts.not_executed >= MAX_UNEXECUTED_SENDS
+            || self.is_rejected(&pool, attempts)
+        {
             return Err(failed);
         }
         if self.remaining() < MIN_REMAINING {
@@ -495,7 +504,7 @@
     }
 
     /// Selects a target and applies `read` to the selection.
-    fn choose<T>(
+    pub(super) fn choose<T>(
         &self,
         pool: &PoolId,
         attempts: &Attempts,
@@ -513,9 +522,11 @@
         let registry = self.relay.registry();
         let selector = self.relay.target_selector();
         let build = self.build.get();
+        let open = self.relay.open_targets(&registry, &selector, pool);
         let targets = registry
             .ready(pool)
-            .filter(|target| build.is_none_or(|build| target.build == *build));
+            .filter(|target| build.is_none_or(|build| target.build == *build))
+            .filter(|target| open.as_ref().is_none_or(|open| open.contains(&target.id)));
         let selection = selector.choose(self.relay.now(), targets, &criteria);
         selection.as_ref().map(read)
     }
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -136,6 +136,7 @@
             let mut selector = self.relay.target_selector_mut();
             selector.record_load(now, &target.id, running, waiting);
         }
+        self.relay.record_limit(target, status, &metadata);
         if !self.is_valid_response(&metadata, status, response.headers()) {
             return SendOutcome::Failed("foreign");
         }
@@ -275,6 +276,7 @@
         relay
             .target_selector_mut()
             .start_call(now, &target.id, &metadata.parts);
+        relay.start_limited_call(target);
         Self {
             relay: Rc::clone(relay),
             target: target.id.clone(),
@@ -285,5 +287,6 @@
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.relay.target_selector_mut().end_call(&self.target);
+        self.relay.rejection_watch.notify();
     }
 }
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -452,6 +452,7 @@
             );
             if matches!(change, TargetChange::Gone(_)) {
                 self.target_selector_mut().remove_target(&target.id);
+                self.rejection_watch.limiter_mut().remove_target(&target.id);
             }
             self.dispatcher.apply_target_change(self, &change);
         }
--- a/policy/src/relay/rejection.rs
+++ b/policy/src/relay/rejection.rs
@@ -32,6 +32,8 @@
 pub const MAX_REJECTED_SENDS: u32 = 2;
 /// Time for which a limit holds that no answer or report has confirmed.
 const LIMIT_TTL: Duration = Duration::from_secs(6);
+/// Same as [`LIMIT_TTL`] once an answer of another target of the pool has stated none.
+const OTHER_LIMIT_TTL: Duration = Duration::from_millis(500);
 /// Interval at which the limit of a target is reported to peers.
 const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without sends to a target after a rejection, of which any daemon may have told.
@@ -152,15 +154,12 @@
 
     /// Returns whether targets of a pool bear few rejections.
     pub fn is_limited(&self, now: Time, pool: &str) -> bool {
-        self.pools
-            .get(pool)
-            .is_some_and(|state| state.limit(now).is_some())
+        self.limit(now, pool).is_some()
     }
 
-    /// Returns the number of rejections a second that a target states to bear.
-    pub fn limit_of(&self, now: Time, target: &TargetId) -> Option<u32> {
-        let state = self.targets.get(target)?;
-        (now < state.valid_until).then_some(state.max_rejections)
+    /// Returns the number of rejections a second that a target of the pool last stated to bear.
+    pub fn limit(&self, now: Time, pool: &str) -> Option<u32> {
+        self.pools.get(pool)?.limit(now)
     }
 
     /// Returns whether a target may have failed because it rejected too many requests.
@@ -225,11 +224,11 @@
             return;
         };
         pool.paced_at = Some(now);
-        if let Some(limit) = pool.limit(now) {
+        if let Some((limit, valid_until)) = pool.limit.filter(|(_, until)| now < *until) {
             let state = self.targets.entry(target.id.clone());
             let state = state.or_insert_with(|| TargetState {
                 max_rejections: limit,
-                valid_until: now + LIMIT_TTL,
+                valid_until,
                 ..TargetState::new(now, target.pool.clone())
             });
             state.free_at = None;
@@ -305,13 +304,16 @@
         state
     }
 
-    /// Ends the limit of a target, and that of its pool unless others still state one.
+    /// Ends the limit of a target, and that of its pool unless others have just stated one.
     fn remove_limit(&mut self, now: Time, target: &Target) {
-        if self.targets.remove(&target.id).is_none() && !self.pools.contains_key(&target.pool) {
+        if !self.pools.contains_key(&target.pool) {
             return;
         }
-        let mut others = self.targets.values();
-        if !others.any(|state| state.pool == target.pool && now < state.valid_until) {
+        self.targets.remove(&target.id);
+        self.targets.retain(|_, state| {
+            state.pool != target.pool || now + LIMIT_TTL < state.valid_until + OTHER_LIMIT_TTL
+        });
+        if !self.targets.values().any(|state| state.pool == target.pool) {
             self.pools.remove(&target.pool);
         }
     }
