Don't take engines that fell over from rejections for crashed ones

Callers saw: sound requests that shared a part of their prompts were refused, after brittle engines had fallen over three times. Cause: a target that breaks requests off and refuses connections counts as crashed by one of them. Class: one symptom, two causes. A crash without rejections is charged as before.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -199,8 +199,12 @@
                 Err(_elapsed) => false,
             };
             let requests = relay.crash_watch.checks.borrow_mut().remove(&target.id);
-            if has_crashed {
-                relay.record_crash(&target, &requests.unwrap_or_default());
+            let requests = requests.unwrap_or_default();
+            if has_crashed && relay.may_have_overloaded(&target.id) {
+                // Whatever it executed is not the cause.
+                event::target_overloaded(&target.id, requests.len());
+            } else if has_crashed {
+                relay.record_crash(&target, &requests);
             }
             relay.crash_watch.checked.notify_waiters();
         });
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -123,6 +123,12 @@
     );
 }
 
+/// Logs that a target crashed that had rejected about as many requests as it bears, with the number of
+/// requests that it broke off.
+pub(super) fn target_overloaded(target: &TargetId, requests: usize) {
+    tracing::info!(target_id = %target, requests, "target died of rejections");
+}
+
 /// Logs that a request is not sent, because targets crash that execute requests with this part of its
 /// prompt, or with its payload if `part` is absent.
 pub(super) fn request_crashing(request: &str, feature: Feature, part: Option<&Part>) {
--- a/godwithinge/src/relay/rejection.rs
+++ b/godwithinge/src/relay/rejection.rs
@@ -131,6 +131,12 @@
         Some(open.into_iter().map(|target| target.id.clone()).collect())
     }
 
+    /// Returns whether a target may have failed because it rejected too many requests.
+    pub(super) fn may_have_overloaded(&self, target: &TargetId) -> bool {
+        let limiter = self.rejection_watch.limiter.borrow();
+        limiter.may_have_overloaded(self.now(), target)
+    }
+
     pub(super) fn start_limited_call(&self, target: &Target) {
         let mut limiter = self.rejection_watch.limiter.borrow_mut();
         limiter.start_call(self.now(), target);
