--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -194,8 +194,12 @@
             time::sleep(CHECK_DELAY).await;
             let has_crashed = relay.has_crashed(&target).await;
             let requests = relay.crash_watch.checks.borrow_mut().remove(&target.id);
-            if has_crashed {
-                relay.record_crash(&target, &requests.unwrap_or_default());
+            let requests = requests.unwrap_or_default();
+            if has_crashed && relay.may_have_overloaded(&target.id) {
+                // Whatever it executed is not the cause.
+                event::target_overloaded(&target.id, requests.len());
+            } else if has_crashed {
+                relay.record_crash(&target, &requests);
             }
             relay.crash_watch.checked.notify_waiters();
         });
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -4,7 +4,7 @@
 use crate::{http::Framing, log::ORDINARY_TARGET};
 use http::StatusCode;
 use policy::{
-    id::{HostId, RequestId, TargetId},
+    id::{HostId, PoolId, RequestId, TargetId},
     relay::{
         crash::{Feature, PayloadHash},
         reach::Evidence,
@@ -152,6 +152,12 @@
     );
 }
 
+/// Logs that a target crashed that had rejected about as many requests as it bears, with the number of
+/// requests that it broke off.
+pub(super) fn target_overloaded(target: &TargetId, requests: usize) {
+    tracing::info!(target_id = %target, requests, "target died of rejections");
+}
+
 /// Logs that a request is not sent, because targets crash that execute requests with this part of its
 /// prompt, or with its payload if `part` is absent.
 pub(super) fn request_crashing(request: &str, feature: Feature, part: Option<&Part>) {
@@ -187,6 +193,16 @@
     );
 }
 
+/// Logs that targets of a pool state how many rejections a second they bear, or no longer do.
+pub(super) fn limit_changed(pool: &PoolId, max_rejections: Option<u32>) {
+    let message = if max_rejections.is_some() {
+        "targets bear few rejections"
+    } else {
+        "targets bear rejections again"
+    };
+    tracing::info!(%pool, max_rejections, "{message}");
+}
+
 /// Logs how the stream of a target ended: how its body was delimited, the last complete event, and
 /// the number of bytes after it.
 pub(super) fn stream_ended(
--- a/godwithinge/src/relay/handover.rs
+++ b/godwithinge/src/relay/handover.rs
@@ -225,6 +225,7 @@
                     _ => Rejection::new(Reason::Broken),
                 })?);
             }
+            self.wait_for_room(attempts, results.is_some()).await;
             let (target, elapsed, outcome) = self
                 .send_to_any(attempts, results.as_ref(), last_event_id, waiting_since)
                 .await?;
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -24,6 +24,7 @@
 mod outcome;
 mod quarantine;
 mod reach;
+mod rejection;
 mod replication;
 mod run;
 mod send;
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -7,6 +7,7 @@
     event::{self, RequestSummary},
     front::RequestGuard,
     outcome::{Reason, Rejection},
+    rejection,
     send::{BufferedResponse, SendOutcome, SendProgress, StreamingResponse},
     state::{InFlightGuard, Relay},
     stream,
@@ -104,6 +105,8 @@
     pub not_executed: u32,
     /// Sends that reached a target, including pending ones.
     pub delivered: u32,
+    /// Sends that targets rejected for want of room.
+    pub rejected: u32,
 }
 
 impl Attempts {
@@ -117,9 +120,10 @@
                 self.delivered -= 1;
                 "unreached"
             }
-            SendOutcome::NotExecuted(_) => {
+            SendOutcome::NotExecuted(status) => {
                 self.possibly_executed -= 1;
                 self.not_executed += 1;
+                self.rejected += u32::from(rejection::is_rejection(*status));
                 "not_run"
             }
             SendOutcome::Failed(result) => result,
@@ -219,6 +223,7 @@
         let mut may_hedge = self.route.is_repeatable();
         loop {
             if sends.is_empty() {
+                self.wait_for_room(attempts, false).await;
                 let target = match self.next_target(attempts, None) {
                     Ok(target) => target,
                     Err(rejection) => return self.failure_or(failure, rejection),
@@ -419,7 +424,10 @@
         let is_exhausted = may_have_executed
             && (!self.route.is_repeatable()
                 || attempts.possibly_executed >= self.route.max_attempts);
-        if is_exhausted || attempts.not_executed >= MAX_UNEXECUTED_SENDS {
+        if is_exhausted
+            || attempts.not_executed >= MAX_UNEXECUTED_SENDS
+            || self.is_rejected(&pool, attempts)
+        {
             return Err(attempts.failure());
         }
         if self.remaining() < MIN_REMAINING {
@@ -476,7 +484,7 @@
     }
 
     /// Selects a target and applies `read` to the selection.
-    fn choose<T>(
+    pub(super) fn choose<T>(
         &self,
         pool: &PoolId,
         attempts: &Attempts,
@@ -494,9 +502,11 @@
         let registry = self.relay.registry();
         let selector = self.relay.target_selector();
         let build = self.build.get();
+        let open = self.relay.open_targets(&registry, &selector, pool);
         let targets = registry
             .ready(pool)
-            .filter(|target| build.is_none_or(|build| target.build == *build));
+            .filter(|target| build.is_none_or(|build| target.build == *build))
+            .filter(|target| open.as_ref().is_none_or(|open| open.contains(&target.id)));
         let selection = selector.choose(self.relay.now(), targets, &criteria);
         selection.as_ref().map(read)
     }
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -8,6 +8,7 @@
     metrics::Metrics,
     origin::OriginTable,
     reach::ReachWatch,
+    rejection::RejectionWatch,
     replication::Replication,
     settings::Settings,
     store::Store,
@@ -65,6 +66,7 @@
     pub(super) reach: ReachWatch,
     /// Number of tunnels that this daemon serves.
     pub(super) tunnels: Cell<usize>,
+    pub(super) rejection_watch: RejectionWatch,
     response_memory: RefCell<memory::Usage>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
@@ -104,6 +106,7 @@
             crash_watch: CrashWatch::default(),
             reach: ReachWatch::default(),
             tunnels: Cell::new(0),
+            rejection_watch: RejectionWatch::new(&settings),
             response_memory: RefCell::default(),
             retry_budgets: RefCell::default(),
             dispatcher: JobDispatcher::new(),
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -6,7 +6,8 @@
 //! known targets, [`memory`] the memory that large responses take, [`patience`] decides how long a silent target is waited for, [`history`] orders their entries when the store loses writes, [`distribution`]
 //! brings a new configuration to all daemons, [`origin`] holds where streams began, [`sse`] judges
 //! whether a stream is complete, [`crash`] finds what in requests crashes targets, [`quarantine`] holds
-//! the records of that, and [`reach`] tells a partition of this daemon from failures of targets.
+//! the records of that, [`reach`] tells a partition of this daemon from failures of targets, and
+//! [`rejection`] limits how often targets reject requests.
 
 pub mod builds;
 pub mod crash;
@@ -20,6 +21,7 @@
 pub mod quarantine;
 pub mod reach;
 pub mod registry;
+pub mod rejection;
 pub mod scheduler;
 pub mod selection;
 pub mod sse;
