--- a/godwithinge/src/relay/handover.rs
+++ b/godwithinge/src/relay/handover.rs
@@ -119,7 +119,7 @@
         tokio::select! {
             biased;
             result = &mut self.outcome => Progress::Current(result),
-            () = wait_for(self.silence.as_ref(), has_head), if may_move => Progress::Exhausted,
+            () = wait_until_exhausted(self.silence.as_ref(), has_head), if may_move => Progress::Exhausted,
         }
     }
 
@@ -377,7 +377,7 @@
 }
 
 /// Waits until another target is to be looked for, or for ever without a patience.
-pub(super) async fn wait_for(silence: Option<&Silence>, has_head: impl Fn() -> bool) {
+pub(super) async fn wait_until_exhausted(silence: Option<&Silence>, has_head: impl Fn() -> bool) {
     match silence {
         Some(silence) => silence.wait(has_head).await,
         None => future::pending().await,
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -103,7 +103,7 @@
                     }
                     return next;
                 }
-                () = handover::wait_for(silence.as_ref(), || true) => {}
+                () = handover::wait_until_exhausted(silence.as_ref(), || true) => {}
             }
             let Some(silence) = &silence else { continue };
             if request.can_move(&self.attempts, None) {
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -3,11 +3,12 @@
 //! [`plan`] maps the host and path of a request to a route. One daemon of the fleet, elected by
 //! [`leader`], combines the pieces of the request's stages with those of other requests into calls
 //! ([`scheduler`]). [`selection`] chooses the target of the request itself. [`registry`] holds the
-//! known targets, [`memory`] the memory that large responses take, [`patience`] decides how long a silent target is waited for, [`history`] orders their entries when the store loses writes, [`distribution`]
-//! brings a new configuration to all daemons, [`origin`] holds where streams began, [`sse`] judges
-//! whether a stream is complete, [`crash`] finds what in requests crashes targets, [`quarantine`] holds
-//! the records of that, [`reach`] tells a partition of this daemon from failures of targets, and
-//! [`rejection`] limits how often targets reject requests.
+//! known targets, [`memory`] the memory that large responses take, [`patience`] decides how long a
+//! silent target is waited for, [`history`] orders their entries when the store loses writes,
+//! [`distribution`] brings a new configuration to all daemons, [`origin`] holds where streams
+//! began, [`sse`] judges whether a stream is complete, [`crash`] finds what in requests crashes
+//! targets, [`quarantine`] holds the records of that, [`reach`] tells a partition of this daemon
+//! from failures of targets, and [`rejection`] limits how often targets reject requests.
 
 pub mod builds;
 pub mod crash;
