--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -4,8 +4,8 @@
 //! [`leader`], combines the pieces of the request's stages with those of other requests into calls
 //! ([`scheduler`]). [`selection`] chooses the target of the request itself. [`registry`] holds the
 //! known targets, [`memory`] the memory that large responses take, [`patience`] decides how long a
-//! silent target is waited for, [`history`] orders their entries when the store loses writes,
-//! [`distribution`] brings a new configuration to all daemons, [`origin`] holds where streams
+//! silent target is waited for, [`history`] orders the entries of targets when the store
+//! loses writes, [`distribution`] brings a new configuration to all daemons, [`origin`] holds where streams
 //! began, [`sse`] judges whether a stream is complete, [`crash`] finds what in requests crashes
 //! targets, [`quarantine`] holds the records of that, [`reach`] tells a partition of this daemon
 //! from failures of targets, and [`rejection`] limits how often targets reject requests.
