--- a/policy/src/relay/rejection.rs
+++ b/policy/src/relay/rejection.rs
@@ -37,7 +37,7 @@
 /// Interval at which the limit of a target is reported to peers.
 const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without sends to a target after a rejection, of which any daemon may have told.
-const REJECTION_PAUSE: Duration = Duration::from_millis(100); // a few typical plain requests
+const REJECTION_PAUSE: Duration = Duration::from_millis(100); // several round trips between daemons
 /// Fraction of a target's limit from which nothing is sent until the period has passed.
 const LIMIT_SHARE: f64 = 0.5;
 /// Factor by which a rejection reduces the room that a target is considered to have.
