Send nothing to targets that say in their answers that they leave (DRAIN)

Cause: an engine that leaves says so in the header Server-Leaving of all its answers; the relay read only the store's entry, which may say ready for long. Now the answer's word is kept by target and start (policy::relay::departure): it holds against later entries and reports, until a later start. The target is taken out of the choice, of the scheduler and of tunnels for peers at once, requests that were selected before are withdrawn until the moment at which they would be written, jobs for a pool of which the last member leaves are refused, and all daemons are told (frame Departures, protocol 4; older daemons get none).

--- a/godwithinge/src/http/error.rs
+++ b/godwithinge/src/http/error.rs
@@ -7,6 +7,8 @@
 pub enum Error {
     /// The connection could not be opened, so no byte of the request was sent.
     Connect(io::Error),
+    /// The request was withdrawn before a byte of it was sent.
+    Withdrawn,
     /// The connection failed after part of the request may have been sent.
     Broken(hyper::Error),
     /// The exchange, or the idle timeout of a response, exceeded its time limit. A timeout while
@@ -20,6 +22,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect(cause) => write!(f, "failed to open connection: {cause}"),
+            Self::Withdrawn => f.write_str("request was withdrawn before it was sent"),
             Self::Broken(cause) => write!(f, "connection failed: {cause}"),
             Self::Timeout => f.write_str("exchange timed out"),
             Self::TooLong => f.write_str("body exceeds the length limit"),
@@ -32,7 +35,7 @@
         match self {
             Self::Connect(cause) => Some(cause),
             Self::Broken(cause) => Some(cause),
-            Self::Timeout | Self::TooLong => None,
+            Self::Withdrawn | Self::Timeout | Self::TooLong => None,
         }
     }
 }
--- a/godwithinge/src/http/mod.rs
+++ b/godwithinge/src/http/mod.rs
@@ -88,22 +88,23 @@
         reuse: Reuse,
     ) -> Result<Response, Error> {
         let open = || Connection::open(address, self.connect_timeout);
-        self.send_over(address, request, reuse, open, || ()).await
+        self.send_over(address, request, reuse, open, || true).await
     }
 
-    /// Like [`send`](Self::send), but new connections are opened by `open`, and `connected` is called
+    /// Like [`send`](Self::send), but new connections are opened by `open`, and `may_write` is called
     /// before the request is written to a connection.
     ///
     /// # Errors
     ///
-    /// Fails like [`send`](Self::send), and if `open` does.
+    /// Fails like [`send`](Self::send), if `open` does, and with [`Error::Withdrawn`] if `may_write`
+    /// returns false.
     pub async fn send_over<F>(
         &self,
         address: &str,
         mut request: Request,
         reuse: Reuse,
         open: impl Fn() -> F,
-        connected: impl Fn(),
+        may_write: impl Fn() -> bool,
     ) -> Result<Response, Error>
     where
         F: Future<Output = Result<Connection, Error>>,
@@ -114,7 +115,9 @@
                 Some(connection) => connection,
                 None => open().await?,
             };
-            connected();
+            if !may_write() {
+                return Err(Error::Withdrawn);
+            }
             match connection.send(request).await {
                 Ok(response) => {
                     return Ok(Response::new(response, connection, self.clone(), address));
--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -484,7 +484,7 @@
 
     /// Calls a stage target and records the outcome in logs and metrics.
     async fn call_stage_target(
-        &self,
+        self: &Rc<Self>,
         target: &TargetId,
         address: &str,
         items: &[Item],
@@ -512,17 +512,13 @@
             },
             Ok((StatusCode::MISDIRECTED_REQUEST, ..)) => Reply::Replaced,
             Ok((_, true, _)) => Reply::Full,
-            Err(Error::Connect(_)) => Reply::Unreached,
+            Err(Error::Connect(_) | Error::Withdrawn) => Reply::Unreached,
             Ok((_, false, _)) | Err(Error::Broken(_) | Error::Timeout | Error::TooLong) => {
                 Reply::Lost
             }
         };
         let result = event::stage_call(target, items.len(), started_at.elapsed(), &reply);
-        let pool = self
-            .registry()
-            .all()
-            .find(|one| one.id == *target)
-            .map(|one| one.pool.clone());
+        let pool = self.registry().get(target).map(|one| one.pool.clone());
         let labels = [pool.as_deref().unwrap_or("gone"), result];
         self.metrics.stage_calls.with_label_values(&labels).inc();
         self.metrics.pieces.inc_by(items.len() as u64);
@@ -532,7 +528,7 @@
     /// Sends a call and returns the status of the response, whether the target reports that it ran
     /// nothing, and the body.
     async fn send_stage_call(
-        &self,
+        self: &Rc<Self>,
         target: &TargetId,
         address: &str,
         call: Call,
@@ -550,12 +546,18 @@
         let metadata = self
             .dialect
             .parse_response_headers(status, response.headers());
+        self.record_notice(target, status, &metadata);
         let body = response.bytes(MAX_RESPONSE_BYTES).await?;
         Ok((status, metadata.is_not_executed, body))
     }
 
     /// Frees results and returns whether the target confirmed it. Otherwise they expire.
-    async fn free_results(&self, target: &TargetId, address: &str, handles: &[Handle]) -> bool {
+    async fn free_results(
+        self: &Rc<Self>,
+        target: &TargetId,
+        address: &str,
+        handles: &[Handle],
+    ) -> bool {
         let call = self.dialect.free_call(handles);
         let headers = self.dialect.free_call_headers();
         let freed = time::timeout(
--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -82,6 +82,8 @@
     pub load: Option<(u32, u32)>,
     /// Number of rejections a second that the target bears, if it states one.
     pub max_rejections: Option<u32>,
+    /// Whether the target says that it leaves.
+    pub is_leaving: bool,
 }
 
 /// A table of the store.
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -193,6 +193,11 @@
     );
 }
 
+/// Logs that a target said that it leaves, in an answer to this daemon or to a peer.
+pub(super) fn target_leaves(target: &TargetId, source: &str) {
+    tracing::info!(target_id = %target, source, "target leaves");
+}
+
 /// Logs that targets of a pool state how many rejections a second they bear, or no longer do.
 pub(super) fn limit_changed(pool: &PoolId, max_rejections: Option<u32>) {
     let message = if max_rejections.is_some() {
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -8,6 +8,7 @@
     id::{DomainId, HostId, Incarnation, PoolId, RequestId, TargetId},
     relay::{
         crash::{Feature, PayloadHash, Quarantine, Report},
+        departure::Departure,
         history::{Era, Version},
         leader::UnixMillis,
         registry::Build,
@@ -49,7 +50,7 @@
 }
 
 /// Version of the protocol between daemons that this build speaks.
-pub(super) const PROTOCOL: u32 = REJECTION_PROTOCOL;
+pub(super) const PROTOCOL: u32 = NOTICE_PROTOCOL;
 
 /// Version of the protocol from which daemons exchange the features of requests whose targets crash.
 pub(super) const CRASH_PROTOCOL: u32 = 2;
@@ -57,6 +58,9 @@
 /// Version of the protocol from which daemons tell of the rejections of targets that bear few.
 const REJECTION_PROTOCOL: u32 = 3;
 
+/// Version of the protocol from which daemons tell what targets say of further requests.
+const NOTICE_PROTOCOL: u32 = 4;
+
 /// Row of a table as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireRow {
@@ -169,6 +173,35 @@
     Quarantine(Vec<WireQuarantine>),
     /// A target bears few rejections, and may have rejected some.
     Rejections(WireRejections),
+    /// Targets have said that they leave.
+    Departures(Vec<WireDeparture>),
+}
+
+/// Target that leaves, as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireDeparture {
+    target: TargetId,
+    /// Start time of the target; 0 if it is not known.
+    #[serde(default)]
+    started: UnixMillis,
+}
+
+impl From<Departure> for WireDeparture {
+    fn from(departure: Departure) -> Self {
+        Self {
+            target: departure.target,
+            started: departure.started_unix_ms,
+        }
+    }
+}
+
+impl From<WireDeparture> for Departure {
+    fn from(departure: WireDeparture) -> Self {
+        Self {
+            target: departure.target,
+            started_unix_ms: departure.started,
+        }
+    }
 }
 
 /// Report on a target that bears few rejections, as encoded in frames.
@@ -270,6 +303,7 @@
     /// Returns the version of the protocol from which daemons can decode this frame.
     pub fn protocol(&self) -> u32 {
         match self {
+            Self::Departures(_) => NOTICE_PROTOCOL,
             Self::Rejections(_) => REJECTION_PROTOCOL,
             Self::Crashes(_) | Self::Served(_) | Self::Quarantine(_) => CRASH_PROTOCOL,
             Self::PackedPlan(_)
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -314,6 +314,7 @@
     let host = profile.host.clone();
     let (link_id, queue) = relay.add_peer(profile, receiver.progress())?;
     relay.send_crash_state(&host);
+    relay.send_departures(&host);
     let end = tokio::select! {
         end = receive_frames(relay, &host, link_id, receiver) => end,
         end = send_frames(relay, &host, sender, queue) => end,
@@ -566,6 +567,7 @@
             Frame::TargetCrash(payload) => self.receive_crash_of_payload(host, payload),
             Frame::Crashes(crashes) => self.receive_crashes(host, crashes),
             Frame::Rejections(report) => self.receive_rejections(&report.into()),
+            Frame::Departures(departures) => self.receive_departures(departures),
             Frame::Served(features) => self.receive_served(&features),
             Frame::Quarantine(features) => {
                 self.receive_quarantine(features.into_iter().map(Into::into));
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -47,6 +47,8 @@
     pub sends: IntCounterVec,
     /// Requests whose target crashed while it executed them, by pool.
     pub target_crashes: IntCounterVec,
+    /// Targets that said that they leave, by whether they told this daemon or a peer.
+    pub departures: IntCounterVec,
     /// Requests for which no target with a limit on rejections had room, by pool and whether they
     /// found some after a wait.
     pub room_waits: IntCounterVec,
@@ -122,6 +124,11 @@
                 "Requests whose target crashed",
                 &["pool"],
             ),
+            departures: counter(
+                "departures_total",
+                "Targets that said that they leave",
+                &["source"],
+            ),
             room_waits: counter(
                 "room_waits_total",
                 "Requests that waited for room at targets that bear few rejections",
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -20,6 +20,7 @@
 mod handover;
 mod link;
 mod metrics;
+mod notice;
 mod origin;
 mod outcome;
 mod quarantine;
--- a/godwithinge/src/relay/reach.rs
+++ b/godwithinge/src/relay/reach.rs
@@ -131,7 +131,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Error::Connect`] if neither this daemon nor a peer could open a connection.
+    /// Fails with [`Error::Connect`] if neither this daemon nor a peer could open a connection, and
+    /// with [`Error::Withdrawn`] if the target must not be sent requests by then.
     pub(super) async fn send_to_target(
         &self,
         target: &TargetId,
@@ -140,9 +141,19 @@
         reuse: Reuse,
         connected: impl Fn(),
     ) -> Result<Response, Error> {
+        if !self.may_send(target) {
+            return Err(Error::Withdrawn);
+        }
         let open = || self.open_connection(target, address);
+        let may_write = || {
+            let may_send = self.may_send(target);
+            if may_send {
+                connected();
+            }
+            may_send
+        };
         self.pool
-            .send_over(address, request, reuse, open, connected)
+            .send_over(address, request, reuse, open, may_write)
             .await
     }
 
@@ -283,8 +294,7 @@
         let own_domain = self.settings().domain.clone();
         let target_domain = {
             let registry = self.registry();
-            let known = registry.all().find(|known| known.id == *target);
-            known.map(|known| known.domain.clone())
+            registry.get(target).map(|known| known.domain.clone())
         };
         let mut hops = Vec::new();
         self.links.for_each_peer(|peer| {
--- a/godwithinge/src/relay/rejection.rs
+++ b/godwithinge/src/relay/rejection.rs
@@ -83,7 +83,8 @@
                 || self.is_rejected(&pool, attempts)
                 || self.choose(&pool, attempts, None, |_| ()).is_some()
         };
-        if has_room() {
+        let has_targets = self.relay.registry().ready(&pool).next().is_some();
+        if !has_targets || has_room() {
             return;
         }
         let fraction = if has_results {
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -126,6 +126,12 @@
                 self.rejected += u32::from(rejection::is_rejection(*status));
                 "not_run"
             }
+            // Whatever kept it from being sent is no failure of a target.
+            SendOutcome::Withdrawn => {
+                self.possibly_executed -= 1;
+                self.delivered -= 1;
+                "withdrawn"
+            }
             SendOutcome::Failed(result) => result,
             SendOutcome::Buffered(_) | SendOutcome::Streaming(_) => "answered",
         }
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -38,6 +38,8 @@
     Streaming(Box<StreamingResponse>),
     /// No connection could be established.
     Unreached,
+    /// The target must not be sent requests any more, so that nothing was sent.
+    Withdrawn,
     /// The target reports that it did not execute the request.
     NotExecuted(StatusCode),
     /// The target may have executed the request but returned no valid response; holds the label of
@@ -51,7 +53,7 @@
         match self {
             Self::Buffered(response) => !response.status.is_server_error(),
             Self::Streaming(_) => true,
-            Self::Unreached | Self::NotExecuted(_) | Self::Failed(_) => false,
+            Self::Unreached | Self::Withdrawn | Self::NotExecuted(_) | Self::Failed(_) => false,
         }
     }
 }
@@ -138,6 +140,7 @@
                 self.receive(response, &target, call, last_event_id).await
             }
             Err(pool::Error::Connect(_)) => SendOutcome::Unreached,
+            Err(pool::Error::Withdrawn) => SendOutcome::Withdrawn,
             Err(pool::Error::Broken(_) | pool::Error::Timeout | pool::Error::TooLong) => {
                 SendOutcome::Failed("broken")
             }
@@ -165,6 +168,7 @@
             selector.record_load(now, &target.id, running, waiting);
         }
         self.relay.record_limit(target, status, &metadata);
+        self.relay.record_notice(&target.id, status, &metadata);
         if !self.is_valid_response(&metadata, status, response.headers()) {
             return SendOutcome::Failed("foreign");
         }
@@ -286,6 +290,7 @@
                 selector.record_failure(now, &target.id);
             }
             SendOutcome::NotExecuted(_) => selector.record_answer(&target.id, false, elapsed),
+            SendOutcome::Withdrawn => {}
             SendOutcome::Failed(_) => {
                 selector.record_failure(now, &target.id);
                 drop(selector);
--- a/godwithinge/src/relay/tunnel.rs
+++ b/godwithinge/src/relay/tunnel.rs
@@ -256,7 +256,7 @@
         if self.reach.is_partitioned() {
             return Err(Refusal::Partitioned);
         }
-        let address = self.target_address(target).ok_or(Refusal::UnknownTarget)?;
+        let address = self.open_address(target).ok_or(Refusal::UnknownTarget)?;
         let connect = TcpStream::connect(address.as_str());
         let connected = time::timeout(CONNECT_TIMEOUT, connect).await;
         let connected = connected.unwrap_or(Err(io::ErrorKind::TimedOut.into()));
@@ -271,11 +271,12 @@
         Ok(stream)
     }
 
-    /// Returns the address of a target; `None` if it is not known.
-    pub(super) fn target_address(&self, target: &TargetId) -> Option<CompactString> {
+    /// Returns the address of a target; `None` if it is not known, or must not be sent requests
+    /// through this daemon because of what it has said.
+    fn open_address(&self, target: &TargetId) -> Option<CompactString> {
         let registry = self.registry();
-        let known = registry.all().find(|known| known.id == *target);
-        known.map(|known| known.address.clone())
+        let known = registry.get(target)?;
+        (!registry.has_departed(known)).then(|| known.address.clone())
     }
 }
 
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -439,7 +439,7 @@
         }
     }
 
-    fn apply_target_changes(self: &Rc<Self>, changes: Vec<TargetChange>) {
+    pub(super) fn apply_target_changes(self: &Rc<Self>, changes: Vec<TargetChange>) {
         for change in changes {
             let (change_name, target) = match &change {
                 TargetChange::Added(target) => ("added", target),
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -8,10 +8,12 @@
 //! loses writes, [`distribution`] brings a new configuration to all daemons, [`origin`] holds where streams
 //! began, [`sse`] judges whether a stream is complete, [`crash`] finds what in requests crashes
 //! targets, [`quarantine`] holds the records of that, [`reach`] tells a partition of this daemon
-//! from failures of targets, and [`rejection`] limits how often targets reject requests.
+//! from failures of targets, [`rejection`] limits how often targets reject requests, and [`departure`]
+//! holds which targets have said that they leave.
 
 pub mod builds;
 pub mod crash;
+pub mod departure;
 pub mod distribution;
 pub mod history;
 pub mod leader;
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -6,7 +6,12 @@
 //! available for [`REGISTRATION_GRACE`]. A store that comes back from an older copy shows entries
 //! of targets as they were then; these are ignored until the target writes its entry again.
 
-use super::{builds::BuildRecords, history::Version, leader::UnixMillis};
+use super::{
+    builds::BuildRecords,
+    departure::{Departure, Departures},
+    history::Version,
+    leader::UnixMillis,
+};
 use crate::id::{DomainId, PoolId, TargetId, Time};
 use compact_str::CompactString;
 use std::{collections::BTreeMap, time::Duration};
@@ -77,6 +82,7 @@
     former_builds: BTreeMap<(PoolId, Build), Time>,
     /// Since when targets are known.
     known_since: Option<Time>,
+    departures: Departures,
 }
 
 #[derive(Clone, Debug)]
@@ -114,10 +120,11 @@
 
     /// Adds or updates a target and returns the resulting change, if any. An entry that
     /// [is outdated](Self::is_outdated) is ignored.
-    pub fn upsert(&mut self, now: Time, registration: Registration) -> Option<TargetChange> {
+    pub fn upsert(&mut self, now: Time, mut registration: Registration) -> Option<TargetChange> {
         if self.is_outdated(&registration) {
             return None;
         }
+        registration.target.is_ready &= !self.departures.contains(&registration.target);
         self.known_since.get_or_insert(now);
         let target = &registration.target;
         let change = match self.targets.get(&target.id) {
@@ -164,10 +171,34 @@
         let Entry { registration, .. } = self.targets.remove(id)?;
         let target = registration.target.clone();
         self.record_former_build(now, &target);
+        self.departures.remove_unknown_start(&target.id);
         self.removed.insert(target.id.clone(), (registration, now));
         Some(TargetChange::Gone(target))
     }
 
+    /// Records that a target has said that it leaves, to this daemon or to a peer. Returns the
+    /// resulting change, if any.
+    pub fn record_departure(&mut self, now: Time, departure: &Departure) -> Option<TargetChange> {
+        self.departures.record(now, departure);
+        let entry = self.targets.get_mut(&departure.target)?;
+        let target = &mut entry.registration.target;
+        if !target.is_ready || !self.departures.contains(target) {
+            return None;
+        }
+        target.is_ready = false;
+        Some(TargetChange::Draining(target.clone()))
+    }
+
+    /// Returns whether a target has said that it leaves.
+    pub fn has_departed(&self, target: &Target) -> bool {
+        self.departures.contains(target)
+    }
+
+    /// Returns all targets that have said that they leave.
+    pub fn departures(&self) -> impl Iterator<Item = Departure> {
+        self.departures.all()
+    }
+
     fn record_former_build(&mut self, now: Time, target: &Target) {
         let key = (target.pool.clone(), target.build.clone());
         self.former_builds.insert(key, now);
@@ -222,6 +253,9 @@
     pub fn expire(&mut self, now: Time) -> Vec<TargetChange> {
         self.removed
             .retain(|_, (_, removed_at)| now < *removed_at + REMOVAL_MEMORY);
+        let targets = &self.targets;
+        self.departures
+            .expire(now, |target| targets.contains_key(target));
         if self.is_lenient(now) {
             return Vec::new();
         }
@@ -238,6 +272,12 @@
             .filter(move |target| target.pool == pool && target.is_ready)
     }
 
+    /// Returns a target, which may drain or be missing.
+    pub fn get(&self, id: &str) -> Option<&Target> {
+        let entry = self.targets.get(id)?;
+        Some(&entry.registration.target)
+    }
+
     /// Returns all targets, including those that drain or are missing, by identifier.
     pub fn all(&self) -> impl Iterator<Item = &Target> {
         self.targets
--- a/policy/src/relay/scheduler/job.rs
+++ b/policy/src/relay/scheduler/job.rs
@@ -145,6 +145,12 @@
         }
     }
 
+    /// Returns whether a pool has to be sent pieces of the job.
+    pub fn has_waiting_pieces(&self, pool: &PoolId) -> bool {
+        let mut stages = self.job.stages.iter().zip(&self.stages);
+        stages.any(|(spec, stage)| spec.pool == *pool && stage.waiting().next().is_some())
+    }
+
     /// Discards the results that are lost, and resets the stages whose released results are needed
     /// to compute them again. Returns whether any result was discarded.
     pub fn discard_results(&mut self, is_lost: impl Fn(&StoredResult) -> bool) -> bool {
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -70,6 +70,8 @@
     dirty_pools: BTreeSet<PoolId>,
     /// Missing pieces of each pool, by class and priority of their jobs.
     missing_by_rank: BTreeMap<(u8, u8), HashMap<PoolId, usize>>,
+    /// Pools whose last targets accept no new work, and whose jobs have not been refused yet.
+    abandoned_pools: BTreeSet<PoolId>,
     /// Whether results were lost whose pieces have not been queued again yet.
     has_lost_results: bool,
     /// Missing pieces by pool and home domain of their jobs.
@@ -209,6 +211,7 @@
     /// sends calls.
     pub fn poll(&mut self, now: Time, out: &mut Vec<Command>) {
         self.requeue_overdue(now);
+        self.refuse_abandoned(now, out);
         if now >= self.last_review + dispatch::REVIEW_PERIOD {
             self.last_review = now;
             self.discard_expired_results(now);
@@ -318,11 +321,32 @@
     /// Removes a target. If it has ended, its results are lost and computed again.
     fn remove_target(&mut self, target: &Target, has_ended: bool) {
         let pool_state = self.pool_state(&target.pool);
+        let before = pool_state.targets.len();
         pool_state
             .targets
             .retain(|stage_target| stage_target.id != target.id);
+        let is_last = before > 0 && pool_state.targets.is_empty();
         if has_ended {
             self.discard_target_results(&target.id);
+        } else if is_last {
+            self.abandoned_pools.insert(target.pool.clone());
+        }
+    }
+
+    /// Refuses the jobs with pieces to be sent to pools that only have targets that leave. One that
+    /// crashed may be back in time.
+    fn refuse_abandoned(&mut self, now: Time, out: &mut Vec<Command>) {
+        for pool in std::mem::take(&mut self.abandoned_pools) {
+            let jobs = self
+                .jobs
+                .values()
+                .filter(|running| running.ready_at.is_none() && running.has_waiting_pieces(&pool));
+            let jobs: Vec<JobId> = jobs.map(|running| running.job.id).collect();
+            for job in jobs {
+                if !self.is_served(&pool) {
+                    self.refuse(now, job, Refusal::NoTarget, out);
+                }
+            }
         }
     }
 
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -5,6 +5,7 @@
     id::Time,
     relay::{
         builds::BuildRecords,
+        departure::Departure,
         history::{Edition, Version},
         registry::{Build, REGISTRATION_GRACE, Registration, Registry, Target, TargetChange},
     },
@@ -154,3 +155,61 @@
     let after = NOW + PERIOD + Duration::from_millis(1);
     assert_eq!(single(&registry, after).as_deref(), Some("v2"));
 }
+
+fn departure(started: u64) -> Departure {
+    Departure {
+        target: "i-1".into(),
+        started_unix_ms: started,
+    }
+}
+
+/// The word of a target that it leaves holds against later entries of the same start, in whatever
+/// order they arrive, also after the entry was removed and shown again.
+#[rstest]
+#[case::unchanged(entry(1, 5, 8, true), false)]
+#[case::later_era(entry(2, 5, 9, true), false)]
+#[case::later_start(entry(1, 6, 1, true), true)]
+fn departure_holds_against_entries(
+    #[case] offered: Registration,
+    #[case] is_ready: bool,
+    #[values(false, true)] is_told_first: bool,
+    #[values(false, true)] is_removed: bool,
+) {
+    let mut registry = Registry::default();
+    if is_told_first {
+        assert_eq!(registry.record_departure(NOW, &departure(5)), None);
+    }
+    registry.upsert(NOW, entry(1, 5, 7, true));
+    if !is_told_first {
+        let change = registry.record_departure(NOW, &departure(5));
+        assert!(matches!(change, Some(TargetChange::Draining(_))));
+    }
+    assert!(!has_ready_target(&registry));
+    if is_removed {
+        registry.remove(NOW, "i-1", false);
+    }
+    registry.upsert(NOW, offered);
+    assert_eq!(has_ready_target(&registry), is_ready);
+}
+
+/// A report about an earlier start does not concern the present one.
+#[test]
+fn departure_of_an_earlier_start_is_ignored() {
+    let mut registry = Registry::default();
+    registry.upsert(NOW, entry(1, 6, 1, true));
+    assert_eq!(registry.record_departure(NOW, &departure(5)), None);
+    assert!(has_ready_target(&registry));
+}
+
+/// Without start times, a target that was removed and registers again counts as started again.
+#[test]
+fn departure_without_start_time_ends_with_the_entry() {
+    let mut registry = Registry::default();
+    registry.upsert(NOW, entry(1, 0, 7, true));
+    registry.record_departure(NOW, &departure(0));
+    registry.upsert(NOW, entry(1, 0, 8, true));
+    assert!(!has_ready_target(&registry));
+    registry.remove(NOW, "i-1", false);
+    registry.upsert(NOW, entry(1, 0, 1, true));
+    assert!(has_ready_target(&registry));
+}
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -4,11 +4,13 @@
 pub use super::{
     behavior::{Behavior, Cut, Section},
     execution::ExecutedRequest,
+    notice::Arrival,
 };
 
 use super::{
     capacity::{Admission, Admissions, Brittleness, Capacity, Slot},
     execution::Execution,
+    notice::Notices,
 };
 use crate::http::{ConnectionClosed, Handler, Listener, RawConnection, Reply, ServerHandle, reply};
 use bytes::Bytes;
@@ -51,6 +53,8 @@
 
 /// Header in which a brittle engine states how many rejections a second it bears.
 const BRITTLE: &str = "server-brittle";
+/// Header by which an engine says that it leaves.
+const LEAVING: &str = "server-leaving";
 
 /// Fake of one engine.
 #[derive(Debug)]
@@ -73,6 +77,7 @@
     /// Endless responses that their callers have not closed.
     endless_responses: AtomicUsize,
     admissions: Admissions,
+    notices: Notices,
     server_handle: Arc<ServerHandle>,
 }
 
@@ -112,6 +117,7 @@
             stage_calls: Mutex::default(),
             endless_responses: AtomicUsize::default(),
             admissions: Admissions::default(),
+            notices: Notices::default(),
             server_handle: Arc::clone(listener.server_handle()),
         });
         let listener = listener.serve(Arc::clone(&state));
@@ -171,6 +177,21 @@
         self.state.admissions.rejections()
     }
 
+    /// Makes the engine say in all its answers that it leaves; its row in the store stays as it is.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state.notices.set_leaving(is_leaving);
+    }
+
+    /// Makes the engine turn everything away with 503, and ask for this pause; `None` ends this.
+    pub fn set_pause(&self, pause: Option<Duration>) {
+        self.state.notices.set_pause(pause);
+    }
+
+    /// Returns all requests, stage calls and releases of results that have arrived, earliest first.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.notices.arrivals()
+    }
+
     /// Returns the requests that the engine began to execute, earliest first. Refused requests
     /// and stage calls aren't included.
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
@@ -471,8 +492,13 @@
     fn unframed_head(&self, id: &str) -> String {
         let limit = self.admissions.announced_limit();
         let limit = limit.map_or(String::new(), |limit| format!("{BRITTLE}: {limit}\r\n"));
+        let leaving = if self.notices.is_leaving() {
+            format!("{LEAVING}: 1\r\n")
+        } else {
+            String::new()
+        };
         format!(
-            "HTTP/1.1 200 OK\r\n{limit}godwithinge-attempt-id: {id}\r\n\
+            "HTTP/1.1 200 OK\r\n{limit}{leaving}godwithinge-attempt-id: {id}\r\n\
              godwithinge-server-stamp: stamp-{}\r\n\r\n",
             self.id
         )
@@ -483,6 +509,9 @@
         if let Some(limit) = self.admissions.announced_limit() {
             set_header(&mut reply, BRITTLE, &limit.to_string());
         }
+        if self.notices.is_leaving() {
+            set_header(&mut reply, LEAVING, "1");
+        }
         if let Some((running, waiting, slots)) = self.admissions.load() {
             let load = format!("{running},{waiting},{slots}");
             set_header(&mut reply, "godwithinge-instance-load", &load);
@@ -500,6 +529,17 @@
 
 impl Handler for State {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Result<Reply, ConnectionClosed> {
+        let id = request.headers().get("godwithinge-attempt-id");
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        if let Some(pause) = self.notices.record(id, &request.uri().to_string()) {
+            let mut refusal = self.refusal(StatusCode::SERVICE_UNAVAILABLE);
+            set_header(
+                &mut refusal,
+                "retry-after",
+                &pause.as_secs_f64().to_string(),
+            );
+            return Ok(self.with_state(refusal));
+        }
         let reply = match request.uri().path() {
             "/stage-run" => self.answer_stage_call(request).await,
             "/stage-free" => Ok(self.stage_free(request.body())),
--- a/standin/src/site/mod.rs
+++ b/standin/src/site/mod.rs
@@ -4,4 +4,5 @@
 pub mod capacity;
 pub mod engine;
 mod execution;
+mod notice;
 pub mod store;
