--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -17,11 +17,11 @@
 use http::StatusCode;
 use http_body_util::Full;
 use policy::{
-    id::{DomainId, HostId, RequestId, TargetId},
+    id::{DomainId, HostId, RequestId, TargetId, Time},
     relay::{
         leader::{self, Candidate, Leader, UnixMillis},
         plan::Plan,
-        registry::TargetChange,
+        registry::{Target, TargetChange},
         scheduler::{Command, Handle, Item, Job, JobId, Refusal, Reply, Scheduler, StageSpec},
     },
 };
@@ -142,7 +142,12 @@
         });
     }
 
-    /// Ends the pauses of all stage targets.
+    /// Sends a stage target nothing until the end of a pause that it asked for.
+    pub fn pause_target(&self, target: &Target, end: Time) {
+        self.scheduler.borrow_mut().pause_target(target, end);
+    }
+
+    /// Forgets failed calls to all stage targets.
     pub fn clear_failures(&self) {
         self.scheduler.borrow_mut().clear_failures();
     }
@@ -546,7 +551,7 @@
         let metadata = self
             .dialect
             .parse_response_headers(status, response.headers());
-        self.record_notice(target, status, &metadata);
+        self.record_notice(target, status, &metadata, response.via());
         let body = response.bytes(MAX_RESPONSE_BYTES).await?;
         Ok((status, metadata.is_not_executed, body))
     }
--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -84,6 +84,9 @@
     pub max_rejections: Option<u32>,
     /// Whether the target says that it leaves.
     pub is_leaving: bool,
+    /// Time for which the target wants nothing from this daemon, if it turned the request away and
+    /// stated one.
+    pub pause: Option<Duration>,
 }
 
 /// A table of the store.
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -198,6 +198,11 @@
     tracing::info!(target_id = %target, source, "target leaves");
 }
 
+/// Logs that a target turned a request away and wants nothing from this daemon for `pause`.
+pub(super) fn target_paused(target: &TargetId, pause: Duration) {
+    tracing::info!(target_id = %target, pause_ms = millis(pause), "target asked for a pause");
+}
+
 /// Logs that targets of a pool state how many rejections a second they bear, or no longer do.
 pub(super) fn limit_changed(pool: &PoolId, max_rejections: Option<u32>) {
     let message = if max_rejections.is_some() {
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -175,6 +175,17 @@
     Rejections(WireRejections),
     /// Targets have said that they leave.
     Departures(Vec<WireDeparture>),
+    /// A target has asked for a pause on a connection that the receiver forwards, and so asked the
+    /// receiver.
+    Pause(WirePause),
+}
+
+/// Pause that a target asked for, as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WirePause {
+    pub target: TargetId,
+    /// Time until its end.
+    pub left: Duration,
 }
 
 /// Target that leaves, as encoded in frames.
@@ -303,7 +314,7 @@
     /// Returns the version of the protocol from which daemons can decode this frame.
     pub fn protocol(&self) -> u32 {
         match self {
-            Self::Departures(_) => NOTICE_PROTOCOL,
+            Self::Departures(_) | Self::Pause(_) => NOTICE_PROTOCOL,
             Self::Rejections(_) => REJECTION_PROTOCOL,
             Self::Crashes(_) | Self::Served(_) | Self::Quarantine(_) => CRASH_PROTOCOL,
             Self::PackedPlan(_)
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -568,6 +568,7 @@
             Frame::Crashes(crashes) => self.receive_crashes(host, crashes),
             Frame::Rejections(report) => self.receive_rejections(&report.into()),
             Frame::Departures(departures) => self.receive_departures(departures),
+            Frame::Pause(pause) => self.apply_pause(&pause.target, pause.left),
             Frame::Served(features) => self.receive_served(&features),
             Frame::Quarantine(features) => {
                 self.receive_quarantine(features.into_iter().map(Into::into));
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -47,6 +47,8 @@
     pub sends: IntCounterVec,
     /// Requests whose target crashed while it executed them, by pool.
     pub target_crashes: IntCounterVec,
+    /// Pauses that targets asked for, by pool.
+    pub pauses: IntCounterVec,
     /// Targets that said that they leave, by whether they told this daemon or a peer.
     pub departures: IntCounterVec,
     /// Requests for which no target with a limit on rejections had room, by pool and whether they
@@ -124,6 +126,7 @@
                 "Requests whose target crashed",
                 &["pool"],
             ),
+            pauses: counter("pauses_total", "Pauses that targets asked for", &["pool"]),
             departures: counter(
                 "departures_total",
                 "Targets that said that they leave",
--- a/godwithinge/src/relay/notice.rs
+++ b/godwithinge/src/relay/notice.rs
@@ -1,33 +1,58 @@
-//! What targets say in their answers about further requests: that they leave.
+//! What targets say in their answers about further requests: that they leave, or want none for a
+//! while.
 
 use super::{
     dialect::ResponseMetadata,
     event,
-    frame::{Frame, WireDeparture},
+    frame::{Frame, WireDeparture, WirePause},
+    outcome::{Reason, Rejection},
+    run::{ActiveRequest, Attempts, POOL_RETRY_AFTER},
     state::Relay,
 };
 use http::StatusCode;
 use policy::{
-    id::{HostId, TargetId},
-    relay::{departure::Departure, registry::Registry},
+    id::{HostId, PoolId, TargetId},
+    relay::{
+        departure::Departure,
+        pause::{self, Decision},
+        registry::{Registry, Target},
+    },
 };
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 impl Relay {
     /// Returns whether a request may be written to a target now. What the target has said since it was
     /// selected counts as well.
     pub(super) fn may_send(&self, target: &TargetId) -> bool {
         let registry = self.registry();
-        registry.get(target).is_some_and(|target| target.is_ready)
+        let may_send = |target: &Target| target.is_ready && !self.is_paused(target);
+        registry.get(target).is_some_and(may_send)
     }
 
-    /// Handles what the head of a target's answer says about further requests.
+    /// Returns whether a target wants nothing from this daemon.
+    pub(super) fn is_paused(&self, target: &Target) -> bool {
+        self.pauses.borrow().is_paused(self.now(), target)
+    }
+
+    /// Handles what the head of a target's answer says about further requests. `via` is the peer that
+    /// forwards the connection, if any.
     pub(super) fn record_notice(
         self: &Rc<Self>,
         target: &TargetId,
         status: StatusCode,
         metadata: &ResponseMetadata,
+        via: Option<&str>,
     ) {
+        if let Some(pause) = metadata.pause {
+            self.apply_pause(target, pause);
+            if let Some(host) = via {
+                let pause = WirePause {
+                    target: target.clone(),
+                    left: pause,
+                };
+                self.links.send_to_host(host, Frame::Pause(pause));
+            }
+        }
         if metadata.is_leaving {
             let departure = departure(&self.registry(), target, status);
             if let Some(departure) = departure {
@@ -36,6 +61,27 @@
         }
     }
 
+    /// Records that a target wants nothing from this daemon for a while.
+    pub(super) fn apply_pause(self: &Rc<Self>, target: &TargetId, pause: Duration) {
+        let (now, registry) = (self.now(), self.registry());
+        let Some(target) = registry.get(target).cloned() else {
+            return;
+        };
+        drop(registry);
+        if !self.is_paused(&target) {
+            event::target_paused(&target.id, pause);
+            let pauses = &self.metrics.pauses;
+            pauses.with_label_values(&[&target.pool]).inc();
+        }
+        let mut pauses = self.pauses.borrow_mut();
+        pauses.record(now, &target, pause);
+        let end = pauses.end(now, &target);
+        drop(pauses);
+        if let Some(end) = end {
+            self.dispatcher.pause_target(&target, end);
+        }
+    }
+
     /// Records that a target leaves, and tells all peers if this is new.
     fn apply_departure(self: &Rc<Self>, departure: Departure, source: &str) {
         let now = self.now();
@@ -70,6 +116,57 @@
     }
 }
 
+impl ActiveRequest {
+    /// Returns the time until the first target that the request may be sent to is open; `None` if one
+    /// is, or if there is none. Targets in `tried` don't count.
+    pub(super) fn time_to_open(&self, pool: &PoolId, tried: &[TargetId]) -> Option<Duration> {
+        let registry = self.relay.registry();
+        let build = self.build.get();
+        let targets = registry.ready(pool).filter(|target| {
+            build.is_none_or(|build| target.build == *build) && !tried.contains(&target.id)
+        });
+        let pauses = self.relay.pauses.borrow();
+        pauses.time_to_open(self.relay.now(), targets)
+    }
+
+    /// Returns whether a request whose pool has no open target is to wait no longer than `max_wait`
+    /// for one.
+    pub(super) fn is_worth_waiting(
+        &self,
+        pool: &PoolId,
+        attempts: &Attempts,
+        max_wait: Duration,
+    ) -> bool {
+        let time_to_open = self.time_to_open(pool, &attempts.tried);
+        let decision = time_to_open.map(|time| pause::decide(time, max_wait, 0.0));
+        !matches!(decision, Some(Decision::Refuse(_)))
+    }
+
+    /// Returns the rejection of a request that was not executed: as it is, or with the time after
+    /// which a target is open if all have asked for a pause.
+    pub(super) fn after_pauses(&self, pool: &PoolId, rejection: Rejection) -> Rejection {
+        let is_refusal = rejection.reason.status() == StatusCode::SERVICE_UNAVAILABLE;
+        match self.time_to_open(pool, &[]) {
+            Some(time) if is_refusal => Rejection::new(Reason::Paused)
+                .with_retry_after(pause::retry_after(time, rand::random())),
+            _ => rejection,
+        }
+    }
+
+    /// Fails if the request can't be sent before its deadline, whatever happens in between.
+    pub(super) fn check_pool(&self) -> Result<(), Rejection> {
+        let pool = self.pool(false)?;
+        if self.relay.registry().ready(&pool).next().is_none() {
+            return Err(Rejection::new(Reason::NoTarget).with_retry_after(POOL_RETRY_AFTER));
+        }
+        let time = self.time_to_open(&pool, &[]);
+        if time.is_some_and(|time| time >= self.remaining()) {
+            return Err(self.after_pauses(&pool, Rejection::new(Reason::Paused)));
+        }
+        Ok(())
+    }
+}
+
 /// Source of what a peer tells, as logged.
 const PEER: &str = "peer";
 
--- a/godwithinge/src/relay/outcome.rs
+++ b/godwithinge/src/relay/outcome.rs
@@ -36,6 +36,8 @@
     NoBuild,
     /// All targets that were tried are full or unreachable.
     Full,
+    /// All targets of the pool want no requests from this daemon for a while.
+    Paused,
     /// The payload crashed targets that executed it.
     Crashing,
     /// A target that may have executed the request returned no valid response.
@@ -73,6 +75,7 @@
             | Self::UnknownBuild
             | Self::NoBuild
             | Self::Full
+            | Self::Paused
             | Self::Crashing
             | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/godwithinge/src/relay/rejection.rs
+++ b/godwithinge/src/relay/rejection.rs
@@ -73,13 +73,14 @@
     }
 
     /// Waits until a target has room, but only for a short time, and only if the targets bear few
-    /// rejections.
+    /// rejections or have asked for pauses.
     pub(super) async fn wait_for_room(&self, attempts: &Attempts, has_results: bool) {
         let Ok(pool) = self.pool(attempts.possibly_executed > 0) else {
             return;
         };
         let has_room = || {
-            !self.relay.is_limited(&pool)
+            let is_open = self.time_to_open(&pool, &attempts.tried).is_none();
+            is_open && !self.relay.is_limited(&pool)
                 || self.is_rejected(&pool, attempts)
                 || self.choose(&pool, attempts, None, |_| ()).is_some()
         };
@@ -93,7 +94,11 @@
             WAIT_FRACTION
         };
         let limit = self.route.objective.mul_f64(fraction);
-        let until = Instant::now() + limit.min(self.remaining() / 2);
+        let limit = limit.min(self.remaining() / 2);
+        if !self.is_worth_waiting(&pool, attempts, limit) {
+            return;
+        }
+        let until = Instant::now() + limit;
         let mut is_found = false;
         while !is_found && Instant::now() < until {
             let ended = self.relay.rejection_watch.ended.notified();
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -331,6 +331,7 @@
         self: &Rc<Self>,
         since: Instant,
     ) -> Result<StageResults, Rejection> {
+        self.check_pool()?;
         let started = Instant::now();
         let stages = self.route.stages.iter().enumerate();
         let stages = stages.map(|(index, stage)| StageSpec {
@@ -397,7 +398,7 @@
         if attempts.delivered == 0 {
             self.relay.record_first_send(&pool);
         } else if !self.relay.try_take_retry(&pool) {
-            return Err(attempts.failure());
+            return Err(self.after_pauses(&pool, attempts.failure()));
         }
         attempts.delivered += 1;
         attempts.possibly_executed += 1;
@@ -434,7 +435,7 @@
             || attempts.not_executed >= MAX_UNEXECUTED_SENDS
             || self.is_rejected(&pool, attempts)
         {
-            return Err(attempts.failure());
+            return Err(self.after_pauses(&pool, attempts.failure()));
         }
         if self.remaining() < MIN_REMAINING {
             let reason = if may_have_executed {
@@ -445,10 +446,13 @@
             return Err(Rejection::new(reason));
         }
         let selected = self.choose(&pool, attempts, results_domain, read);
-        let selected = selected.ok_or(match self.build.get() {
-            _ if may_have_executed || attempts.not_executed > 0 => attempts.failure(),
-            Some(_) => Rejection::new(Reason::NoBuild).with_retry_after(BUILD_RETRY_AFTER),
-            None => Rejection::new(Reason::NoTarget).with_retry_after(POOL_RETRY_AFTER),
+        let selected = selected.ok_or_else(|| {
+            let rejection = match self.build.get() {
+                _ if may_have_executed || attempts.not_executed > 0 => attempts.failure(),
+                Some(_) => Rejection::new(Reason::NoBuild).with_retry_after(BUILD_RETRY_AFTER),
+                None => Rejection::new(Reason::NoTarget).with_retry_after(POOL_RETRY_AFTER),
+            };
+            self.after_pauses(&pool, rejection)
         })?;
         Ok((pool, selected))
     }
@@ -512,6 +516,7 @@
         let targets = registry
             .ready(pool)
             .filter(|target| build.is_none_or(|build| target.build == *build))
+            .filter(|target| !self.relay.is_paused(target))
             .filter(|target| open.as_ref().is_none_or(|open| open.contains(&target.id)));
         let selection = selector.choose(self.relay.now(), targets, &criteria);
         selection.as_ref().map(read)
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -168,7 +168,8 @@
             selector.record_load(now, &target.id, running, waiting);
         }
         self.relay.record_limit(target, status, &metadata);
-        self.relay.record_notice(&target.id, status, &metadata);
+        self.relay
+            .record_notice(&target.id, status, &metadata, response.via());
         if !self.is_valid_response(&metadata, status, response.headers()) {
             return SendOutcome::Failed("foreign");
         }
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -24,6 +24,7 @@
         leader::{self, UnixMillis},
         memory,
         patience::Activity,
+        pause::Pauses,
         plan::Plan,
         registry::Registry,
         selection::TargetSelector,
@@ -67,6 +68,8 @@
     /// Number of tunnels that this daemon serves.
     pub(super) tunnels: Cell<usize>,
     pub(super) rejection_watch: RejectionWatch,
+    /// Pauses that targets asked for.
+    pub(super) pauses: RefCell<Pauses>,
     response_memory: RefCell<memory::Usage>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
@@ -107,6 +110,7 @@
             reach: ReachWatch::default(),
             tunnels: Cell::new(0),
             rejection_watch: RejectionWatch::new(&settings),
+            pauses: RefCell::default(),
             response_memory: RefCell::default(),
             retry_budgets: RefCell::default(),
             dispatcher: JobDispatcher::new(),
--- a/godwithinge/src/relay/tunnel.rs
+++ b/godwithinge/src/relay/tunnel.rs
@@ -256,7 +256,7 @@
         if self.reach.is_partitioned() {
             return Err(Refusal::Partitioned);
         }
-        let address = self.open_address(target).ok_or(Refusal::UnknownTarget)?;
+        let address = self.address_for_peer(target)?;
         let connect = TcpStream::connect(address.as_str());
         let connected = time::timeout(CONNECT_TIMEOUT, connect).await;
         let connected = connected.unwrap_or(Err(io::ErrorKind::TimedOut.into()));
@@ -271,12 +271,18 @@
         Ok(stream)
     }
 
-    /// Returns the address of a target; `None` if it is not known, or must not be sent requests
-    /// through this daemon because of what it has said.
-    fn open_address(&self, target: &TargetId) -> Option<CompactString> {
+    /// Returns the address of a target that may be sent requests through this daemon.
+    fn address_for_peer(&self, target: &TargetId) -> Result<CompactString, Refusal> {
         let registry = self.registry();
-        let known = registry.get(target)?;
-        (!registry.has_departed(known)).then(|| known.address.clone())
+        let known = registry.get(target).ok_or(Refusal::UnknownTarget)?;
+        if registry.has_departed(known) {
+            return Err(Refusal::UnknownTarget);
+        }
+        if self.is_paused(known) {
+            // The target may be open to another daemon.
+            return Err(Refusal::Busy);
+        }
+        Ok(known.address.clone())
     }
 }
 
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -454,6 +454,7 @@
                 self.target_selector_mut().remove_target(&target.id);
                 self.activity.borrow_mut().remove(&target.id);
                 self.rejection_watch.limiter_mut().remove_target(&target.id);
+                self.pauses.borrow_mut().remove_target(&target.id);
             }
             self.dispatcher.apply_target_change(self, &change);
         }
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -8,8 +8,8 @@
 //! loses writes, [`distribution`] brings a new configuration to all daemons, [`origin`] holds where streams
 //! began, [`sse`] judges whether a stream is complete, [`crash`] finds what in requests crashes
 //! targets, [`quarantine`] holds the records of that, [`reach`] tells a partition of this daemon
-//! from failures of targets, [`rejection`] limits how often targets reject requests, and [`departure`]
-//! holds which targets have said that they leave.
+//! from failures of targets, [`rejection`] limits how often targets reject requests, [`departure`] holds
+//! which targets have said that they leave, and [`pause`] keeps the pauses that targets ask for.
 
 pub mod builds;
 pub mod crash;
@@ -20,6 +20,7 @@
 pub mod memory;
 pub mod origin;
 pub mod patience;
+pub mod pause;
 pub mod plan;
 pub mod quarantine;
 pub mod reach;
--- a/policy/src/relay/scheduler/dispatch.rs
+++ b/policy/src/relay/scheduler/dispatch.rs
@@ -121,7 +121,9 @@
         for ((class, rank, _), job) in queue {
             let running = &self.jobs[&job];
             running.add_missing_pieces(self.missing_by_rank.entry((class, rank)).or_default());
-            if class > 0 && now + self.first_event_behind(running, &ahead) > running.job.deadline {
+            if class > 0
+                && now + self.first_event_behind(now, running, &ahead) > running.job.deadline
+            {
                 backlogged.push(job);
             } else {
                 running.add_missing_pieces(&mut ahead);
@@ -143,7 +145,7 @@
         for (pool, pieces) in before.flat_map(|(_, sums)| sums) {
             *ahead.entry(pool.clone()).or_default() += pieces;
         }
-        self.first_event_behind(running, &ahead)
+        self.first_event_behind(now, running, &ahead)
     }
 
     /// Adds the pieces of a new job to the work of its rank.
@@ -154,12 +156,17 @@
 
     /// Returns the expected time to a job's first event with `ahead` pieces queued before it in
     /// each pool.
-    fn first_event_behind(&self, running: &RunningJob, ahead: &HashMap<PoolId, usize>) -> Duration {
+    fn first_event_behind(
+        &self,
+        now: Time,
+        running: &RunningJob,
+        ahead: &HashMap<PoolId, usize>,
+    ) -> Duration {
         let end = running.critical_path(|stage, before| {
             let pool = &running.job.stages[stage].pool;
             let pieces = ahead.get(pool).copied().unwrap_or_default();
             let wait = self.pools.get(pool).map_or(Duration::ZERO, |pool_state| {
-                pool_state.drain_time_for(pieces)
+                pool_state.time_to_open(now) + pool_state.drain_time_for(pieces)
             });
             before.max(wait) + self.expected_call_time(pool)
         });
@@ -413,13 +420,14 @@
         })
     }
 
-    /// Emits a command for each target that has results to be freed.
-    pub(super) fn send_releases(&mut self, out: &mut Vec<Command>) {
+    /// Emits a command for each target that has results to be freed, unless it wants nothing now.
+    pub(super) fn send_releases(&mut self, now: Time, out: &mut Vec<Command>) {
         let targets = self
             .pools
             .values_mut()
             .flat_map(|pool_state| &mut pool_state.targets);
-        for stage_target in targets.filter(|stage_target| !stage_target.to_free.is_empty()) {
+        let open = targets.filter(|stage_target| now >= stage_target.closed_until);
+        for stage_target in open.filter(|stage_target| !stage_target.to_free.is_empty()) {
             out.push(Command::Free {
                 target: stage_target.id.clone(),
                 address: stage_target.address.clone(),
@@ -474,14 +482,14 @@
     }
 
     /// Returns the time until the queues of a job's pools have drained, as of the last review.
-    pub(super) fn drain_time(&self, running: &RunningJob) -> Duration {
+    pub(super) fn drain_time(&self, now: Time, running: &RunningJob) -> Duration {
         let drains = running.job.stages.iter().filter_map(|spec| {
             let pool_state = self.pools.get(&spec.pool)?;
             let missing = self
                 .missing_by_rank
                 .values()
                 .filter_map(|sums| sums.get(&spec.pool));
-            Some(pool_state.drain_time_for(missing.sum()))
+            Some(pool_state.time_to_open(now) + pool_state.drain_time_for(missing.sum()))
         });
         let longest = drains.max().unwrap_or_default();
         let shortest = self.longest_call_time(&running.job);
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -227,7 +227,7 @@
         for pool in std::mem::take(&mut self.dirty_pools) {
             self.dispatch(now, &pool, out);
         }
-        self.send_releases(out);
+        self.send_releases(now, out);
     }
 
     /// Returns the number of queued pieces in a pool.
@@ -243,6 +243,14 @@
             .sum()
     }
 
+    /// Sends a target nothing until the end of a pause that it asked for.
+    pub fn pause_target(&mut self, target: &Target, end: Time) {
+        let pool_state = self.pools.get_mut(&target.pool);
+        if let Some(paused) = pool_state.and_then(|pool_state| pool_state.target_mut(&target.id)) {
+            paused.closed_until = paused.closed_until.max(end);
+        }
+    }
+
     /// Forgets all failed calls, which were those of this daemon's network.
     pub fn clear_failures(&mut self) {
         for (pool, pool_state) in &mut self.pools {
@@ -312,8 +320,14 @@
             .into_iter()
             .find(|stage_target| stage_target.id == target.id)
         {
-            Some(stage_target) if stage_target.address == target.address => {}
-            Some(stage_target) => *stage_target = StageTarget::new(target),
+            Some(stage_target)
+                if stage_target.address == target.address
+                    && stage_target.started_unix_ms == target.started_unix_ms => {}
+            Some(stage_target) => {
+                // It holds nothing of before.
+                *stage_target = StageTarget::new(target);
+                self.discard_target_results(&target.id);
+            }
             None => pool_state.targets.push(StageTarget::new(target)),
         }
     }
@@ -494,7 +508,7 @@
     fn refusal(&self, now: Time, running: &RunningJob, reason: Refusal) -> Command {
         let retry_after = match reason {
             Refusal::NoTarget => NO_TARGET_RETRY_AFTER,
-            Refusal::Backlog | Refusal::Late | Refusal::Failed => self.drain_time(running),
+            Refusal::Backlog | Refusal::Late | Refusal::Failed => self.drain_time(now, running),
         };
         Command::Refuse {
             job: running.job.id,
--- a/policy/src/relay/scheduler/pool.rs
+++ b/policy/src/relay/scheduler/pool.rs
@@ -31,6 +31,14 @@
             .find(|stage_target| stage_target.id == *target)
     }
 
+    /// Returns the time until the first target takes calls again, if all of them want none for a while;
+    /// zero otherwise.
+    pub fn time_to_open(&self, now: Time) -> Duration {
+        let ends = self.targets.iter().map(|target| target.closed_until);
+        let first = ends.min().unwrap_or_default();
+        first.saturating_sub(now)
+    }
+
     /// Returns the mean duration of a call, or before the first call the nominal duration of a
     /// half-full one.
     pub fn expected_call_time(&self) -> Duration {
--- a/policy/src/relay/scheduler/target.rs
+++ b/policy/src/relay/scheduler/target.rs
@@ -3,7 +3,7 @@
 use super::{CallId, job::Handle};
 use crate::{
     id::{DomainId, TargetId, Time},
-    relay::{plan, registry::Target},
+    relay::{leader::UnixMillis, plan, registry::Target},
 };
 use compact_str::CompactString;
 use std::{collections::HashMap, time::Duration};
@@ -25,6 +25,10 @@
     pub slowdown: f64,
     /// No call is sent to the target before this time.
     pub paused_until: Time,
+    /// The target wants nothing before this time.
+    pub closed_until: Time,
+    /// Start time of the target in milliseconds since the Unix epoch.
+    pub started_unix_ms: UnixMillis,
     /// Consecutive failed calls.
     failures: u32,
     held: HashMap<Handle, Reservation>,
@@ -50,6 +54,8 @@
             call: None,
             slowdown: 1.0,
             paused_until: Time::ZERO,
+            closed_until: Time::ZERO,
+            started_unix_ms: target.started_unix_ms,
             failures: 0,
             held: HashMap::new(),
             unidentified: Vec::new(),
@@ -58,7 +64,7 @@
     }
 
     pub fn is_idle(&self, now: Time) -> bool {
-        self.call.is_none() && now >= self.paused_until
+        self.call.is_none() && now >= self.paused_until && now >= self.closed_until
     }
 
     /// Returns the bytes available for results.
