--- a/policy/tests/pause.rs
+++ b/policy/tests/pause.rs
@@ -30,11 +30,11 @@
 #[test]
 fn pause_ends_and_is_never_shortened() {
     let mut pauses = Pauses::default();
-    let paused = target(0, 1);
-    pauses.record(NOW, &paused, Duration::from_secs(2));
-    pauses.record(NOW, &paused, Duration::from_millis(10));
-    assert!(pauses.is_paused(NOW + Duration::from_millis(1_999), &paused));
-    assert!(!pauses.is_paused(NOW + Duration::from_secs(2), &paused));
+    let first = target(0, 1);
+    pauses.record(NOW, &first, Duration::from_secs(2));
+    pauses.record(NOW, &first, Duration::from_millis(10));
+    assert!(pauses.is_paused(NOW + Duration::from_millis(1_999), &first));
+    assert!(!pauses.is_paused(NOW + Duration::from_secs(2), &first));
     assert!(!pauses.is_paused(NOW, &target(1, 1)));
 }
 
