Read the store with three daemons of the fleet, as often as the bounds ask for

Hypothesis: calls to the platform are the largest price of the large site, and they grow with readers (one a domain) and with the rate of their feeds (300 and 700 ms, whatever the deployment's bounds), not with the load. Besides, readers sent each entry that only says that a target lives to all peers, some hundred rows a second to 294 daemons.

Change (policy::relay::reader): three readers in different domains; waits and intervals are fractions of the smaller of config-ms and drain-ms, as before at 2 s; entries that are a mere sign of life stay at the readers. If no reader has recent tables, daemons stand in three at a time, 150 ms apart, and serve their peers, where all turned to the store at once.

--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -450,7 +450,7 @@
 
     /// Returns the current interval between two heartbeats of this daemon on a link.
     fn heartbeat_interval(&self) -> Duration {
-        let is_critical = self.is_monitored() || self.is_reader();
+        let is_critical = self.is_monitored() || self.serves_tables();
         let per_link = if is_critical {
             MONITORED_HEARTBEAT_INTERVAL_PER_LINK
         } else {
--- a/godwithinge/src/relay/settings.rs
+++ b/godwithinge/src/relay/settings.rs
@@ -37,6 +37,8 @@
     pub store_address: CompactString,
     /// Time from SIGTERM until the process is killed.
     pub grace_period: Duration,
+    /// Time within which a new configuration, or a target that leaves, has to be known everywhere.
+    pub change_bound: Duration,
     /// Maximum time for which callers may cache the addresses of daemons.
     pub address_ttl: Duration,
     /// Maximum ratio of extra attempts, that is retries and hedges, to first attempts in a pool.
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -7,12 +7,10 @@
     store::{self, CALL_TIMEOUT},
 };
 use compact_str::CompactString;
-use policy::{
-    hash,
-    relay::{
-        history::{Edition, Era, Version},
-        registry::TargetChange,
-    },
+use policy::relay::{
+    history::{Edition, Era, Version},
+    reader::{self, Order, Schedule},
+    registry::TargetChange,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -22,21 +20,14 @@
 };
 use tokio::time;
 
-/// Time for which the store holds a feed call open when there are no changes. Together with
-/// [`CALL_TIMEOUT`], it bounds how long a silent connection hides a change, which has to be shorter
-/// than the time within which a new configuration must be in force.
-const FEED_WAIT: Duration = Duration::from_millis(700);
-/// Same as [`FEED_WAIT`] for the daemons' own tables, which are less urgent: links detect failed
-/// daemons, and the others matter after a start.
+/// Time for which the store holds a feed call of the daemons' own tables open. They are less urgent
+/// than the others: links detect failed daemons, and the rest matters after a start.
 const OWN_FEED_WAIT: Duration = Duration::from_secs(10);
-/// Minimum interval between two calls of a feed, since targets change their entries several times a
-/// second. A seventh of the time within which a draining target must receive no more requests.
-const MIN_CALL_INTERVAL: Duration = Duration::from_millis(300);
-/// Age of a reader's tables from which its peers no longer rely on them: two rounds of its feeds.
-const MAX_TABLE_AGE: Duration = Duration::from_millis(1_700);
-/// Interval at which a daemon that does not read a table checks whether it has to; about a
-/// tenth of [`MAX_TABLE_AGE`].
-const READER_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval at which a daemon that does not read a table checks whether it has to; less than the time
+/// between two turns of standing in.
+const READER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which the order of the readers is reused.
+const READER_ORDER_TTL: Duration = Duration::from_millis(100);
 /// Base of the delay after failed calls, which doubles with each failure and is shortened at random
 /// by up to half.
 const BASE_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -65,12 +56,18 @@
     /// Number of requests for all targets to peers that do not read the store.
     peer_requests: Cell<u32>,
     last_peer_request: Cell<Option<Instant>>,
+    /// Order in which the daemons read, and when it was determined.
+    reader_order: RefCell<Option<(Instant, Order)>>,
+    /// Since when no daemon before this one has had recent tables.
+    stale_since: Cell<Option<Instant>>,
+    /// Whether this daemon reads although it is not a reader.
+    stands_in: Cell<bool>,
 }
 
 /// Keeps a table up to date; never returns.
 ///
-/// One reader in each domain follows the feeds of the store and sends changes to its peers over the
-/// links. A daemon that has no reader with recent tables among its peers reads the store itself.
+/// A few readers follow the feeds of the store and send changes to their peers over the links. If
+/// none of them has recent tables, other daemons stand in by turns.
 pub(super) async fn follow_table(relay: Rc<Relay>, table: Table) {
     let mut after: Option<Version> = None;
     let mut failures = 0_u32;
@@ -104,7 +101,8 @@
                     }
                 }
                 failures = 0;
-                time::sleep(MIN_CALL_INTERVAL.saturating_sub(started_at.elapsed())).await;
+                let min_interval = relay.read_schedule().min_interval;
+                time::sleep(min_interval.saturating_sub(started_at.elapsed())).await;
             }
             Err(store::Error::Compacted) => {
                 let after_version = after.map(|after| after.number);
@@ -169,7 +167,7 @@
         }
         Some(version) => {
             let wait = match table {
-                Table::Plan | Table::Targets => FEED_WAIT,
+                Table::Plan | Table::Targets => relay.read_schedule().feed_wait,
                 Table::Daemons | Table::Builds | Table::Quarantine => OWN_FEED_WAIT,
             };
             let changes = relay
@@ -273,41 +271,101 @@
 const REREGISTRATION_SPREAD: Duration = Duration::from_secs(3);
 
 impl Relay {
-    /// Returns the age of the tables; absent if this daemon is not a reader or has not read them.
+    /// Returns the age of the tables; absent if this daemon does not read them for its peers, or has
+    /// not read them yet.
     pub(super) fn reader_table_age(&self) -> Option<Duration> {
-        if self.is_reader() {
-            self.tables.age()
-        } else {
-            None
-        }
+        let serves_peers = self.serves_tables();
+        serves_peers.then(|| self.tables.age()).flatten()
     }
 
-    /// Returns whether this daemon reads the store for its peers: of the daemons of its domain that
-    /// are not leaving, it has the largest CPU share.
+    /// Returns whether this daemon reads the store for its peers, as a reader or in place of one.
+    pub(super) fn serves_tables(&self) -> bool {
+        self.is_reader() || self.tables.stands_in.get()
+    }
+
+    /// Returns whether this daemon is one of those that read the store for all.
     pub(super) fn is_reader(&self) -> bool {
+        let host = self.settings().host.clone();
+        !self.is_leaving() && self.with_reader_order(|order| order.is_reader(&host))
+    }
+
+    /// Returns how often a reader calls the store.
+    fn read_schedule(&self) -> Schedule {
+        Schedule::new(self.settings().change_bound)
+    }
+
+    /// Calls `read` with the order in which the daemons read, which may be slightly outdated.
+    fn with_reader_order<T>(&self, read: impl FnOnce(&Order) -> T) -> T {
+        let mut cached = self.tables.reader_order.borrow_mut();
+        let is_recent = |(at, _): &(Instant, Order)| at.elapsed() < READER_ORDER_TTL;
+        let (_, order) = match cached.take().filter(is_recent) {
+            Some(recent) => cached.insert(recent),
+            None => cached.insert((Instant::now(), self.reader_order())),
+        };
+        read(order)
+    }
+
+    fn reader_order(&self) -> Order {
         let settings = self.settings();
-        let own = (settings.cpu_cores, reader_tie_breaker(&settings.host));
-        let mut is_reader = !self.is_leaving();
+        let own = reader::Candidate {
+            host: settings.host.clone(),
+            domain: settings.domain.clone(),
+            cpu: settings.cpu_cores,
+        };
+        let mut candidates = Vec::with_capacity(self.links.count() + 1);
         self.links.for_each_peer(|peer| {
-            let profile = &peer.profile;
-            let other = (profile.cpu, reader_tie_breaker(&profile.host));
-            is_reader &= peer.is_leaving || profile.domain != settings.domain || other < own;
+            if !peer.is_leaving {
+                candidates.push(reader::Candidate {
+                    host: peer.profile.host.clone(),
+                    domain: peer.profile.domain.clone(),
+                    cpu: peer.profile.cpu,
+                });
+            }
         });
-        is_reader
+        if !self.is_leaving() {
+            candidates.push(own);
+        }
+        Order::new(candidates)
     }
 
     /// Returns whether this daemon has to read a table from the store, as a reader or because no
-    /// reader among its peers has recent tables. Only readers read the daemons' own tables again.
+    /// daemon before it has recent tables. Only readers read the daemons' own tables again.
     fn must_read(&self, table: Table) -> bool {
         if self.is_reader() {
+            self.tables.stands_in.set(false);
             return true;
         }
-        let mut is_fresh = false;
-        self.links.for_each_peer(|peer| {
-            is_fresh |= peer.table_age().is_some_and(|age| age < MAX_TABLE_AGE);
+        match table {
+            Table::Plan | Table::Targets => self.must_stand_in(),
+            Table::Daemons | Table::Builds | Table::Quarantine => false,
+        }
+    }
+
+    /// Returns whether it is this daemon's turn to read in place of the readers.
+    fn must_stand_in(&self) -> bool {
+        let host = self.settings().host.clone();
+        let max_age = self.read_schedule().max_table_age;
+        let delay = self.with_reader_order(|order| {
+            let place = order.place(&host);
+            let mut is_fresh = false;
+            self.links.for_each_peer(|peer| {
+                is_fresh |= peer.table_age().is_some_and(|age| age < max_age)
+                    && order.place(&peer.profile.host) < place;
+            });
+            (!is_fresh).then(|| order.stand_in_delay(&host))
         });
-        let is_own = matches!(table, Table::Daemons | Table::Builds | Table::Quarantine);
-        !is_fresh && !is_own
+        let Some(delay) = delay else {
+            self.tables.stale_since.set(None);
+            self.tables.stands_in.set(false);
+            return false;
+        };
+        let since = self.tables.stale_since.get().unwrap_or_else(Instant::now);
+        self.tables.stale_since.set(Some(since));
+        let stands_in = since.elapsed() >= delay;
+        if stands_in && !self.tables.stands_in.replace(true) {
+            tracing::info!("reading the store in place of the readers");
+        }
+        stands_in
     }
 
     /// Applies rows that this daemon has read from the store.
@@ -382,7 +440,9 @@
             return;
         }
         self.tables.insert(row);
-        if self.is_reader() {
+        let is_refresh =
+            matches!(&parsed, Some(Ok(registration)) if self.registry().is_refresh(registration));
+        if !is_refresh && self.serves_tables() {
             self.broadcast_target(row, is_lenient);
         }
         let change = match parsed {
@@ -482,8 +542,3 @@
         }
     }
 }
-
-/// Returns a hash that decides between daemons with the same CPU share in the choice of readers.
-fn reader_tie_breaker(host: &str) -> u64 {
-    hash::texts(&["reader", host])
-}
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -9,7 +9,8 @@
 //! began, [`sse`] judges whether a stream is complete, [`crash`] finds what in requests crashes
 //! targets, [`quarantine`] holds the records of that, [`reach`] tells a partition of this daemon
 //! from failures of targets, [`rejection`] limits how often targets reject requests, [`departure`] holds
-//! which targets have said that they leave, and [`pause`] keeps the pauses that targets ask for.
+//! which targets have said that they leave, [`pause`] keeps the pauses that targets ask for, and [`reader`]
+//! says which daemons read the store.
 
 pub mod builds;
 pub mod crash;
@@ -24,6 +25,7 @@
 pub mod plan;
 pub mod quarantine;
 pub mod reach;
+pub mod reader;
 pub mod registry;
 pub mod rejection;
 pub mod scheduler;
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -118,6 +118,19 @@
         }
     }
 
+    /// Returns whether an entry says nothing new of a known target but that it lives.
+    pub fn is_refresh(&self, registration: &Registration) -> bool {
+        let known = self.targets.get(&registration.target.id);
+        known.is_some_and(|known| {
+            let last = &known.registration;
+            let mut target = registration.target.clone();
+            target.is_ready &= !self.departures.contains(&target);
+            known.missing_since.is_none()
+                && last.target == target
+                && last.version.era == registration.version.era
+        })
+    }
+
     /// Adds or updates a target and returns the resulting change, if any. An entry that
     /// [is outdated](Self::is_outdated) is ignored.
     pub fn upsert(&mut self, now: Time, mut registration: Registration) -> Option<TargetChange> {
