--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -185,6 +185,7 @@
 pub(super) struct WirePause {
     pub target: TargetId,
     /// Time until its end.
+    #[serde(default)]
     pub left: Duration,
 }
 
--- a/godwithinge/src/relay/notice.rs
+++ b/godwithinge/src/relay/notice.rs
@@ -63,11 +63,11 @@
 
     /// Records that a target wants nothing from this daemon for a while.
     pub(super) fn apply_pause(self: &Rc<Self>, target: &TargetId, pause: Duration) {
-        let (now, registry) = (self.now(), self.registry());
-        let Some(target) = registry.get(target).cloned() else {
+        let now = self.now();
+        let target = self.registry().get(target).cloned();
+        let Some(target) = target.filter(|_| !pause.is_zero()) else {
             return;
         };
-        drop(registry);
         if !self.is_paused(&target) {
             event::target_paused(&target.id, pause);
             let pauses = &self.metrics.pauses;
