--- a/godwithinge/src/ctl/diagnosis.rs
+++ b/godwithinge/src/ctl/diagnosis.rs
@@ -81,6 +81,11 @@
         /// Pool with the most waiting pieces per target; `None` if no log line shows a queue.
         pool: Option<CompactString>,
     },
+    /// All targets of its pool had asked the daemon for a pause.
+    Paused {
+        /// Time after which the caller could retry, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// A send failed, or a stream was interrupted, and the request could not be retried.
     #[serde(rename = "send")]
     SendFailed {
@@ -280,6 +285,9 @@
             reason: reason.into(),
             pool: longest_queue(lines),
         },
+        "paused" => Cause::Paused {
+            retry_after_ms: end.number("retry_after_ms").unwrap_or_default(),
+        },
         reason @ ("broken" | "timeout" | "full" | "cut_off" | "foreign" | "long_event"
         | "silent") => {
             let failed = own.iter().rfind(|line| line.message() == "send failed");
@@ -361,6 +369,10 @@
             Self::Queue { reason, pool: None } => {
                 write!(f, "refused ({reason}): the logs show no queue")
             }
+            Self::Paused { retry_after_ms } => write!(
+                f,
+                "refused: all targets of its pool had asked for a pause; to be retried after {retry_after_ms} ms"
+            ),
             Self::SendFailed { target, result } => {
                 write!(f, "not answered: send to target {target} failed ({result})")
             }
--- a/godwithinge/tests/explain.rs
+++ b/godwithinge/tests/explain.rs
@@ -18,6 +18,7 @@
 {"timestamp":"2026-04-25T10:00:09.600000Z","level":"INFO","message":"request ended","request":"fine","status":200,"reason":"answered","target_id":"t-2","sends":1,"stages_ms":900,"first_ms":1100,"total_ms":1200,"objective_ms":1800,"left_ms":3600,"revision":3}
 {"timestamp":"2026-04-25T10:00:09.700000Z","level":"INFO","message":"request rejected","request":"stranger","reason":"unknown_key","path":"/a"}
 {"timestamp":"2026-04-25T10:00:09.800000Z","level":"INFO","message":"request ended","request":"left","status":0,"reason":"caller_left","target_id":"t-2","sends":1,"stages_ms":0,"total_ms":900,"left_ms":10,"revision":3}
+{"timestamp":"2026-04-25T10:00:09.900000Z","level":"INFO","message":"request ended","request":"paused","status":503,"reason":"paused","target_id":"","sends":0,"stages_ms":0,"total_ms":0,"left_ms":900,"retry_after_ms":1210,"revision":3}
 {"timestamp":"2026-04-25T10:00:02.000000Z","level":"WARN","message":"feature quarantined","feature":"3f1d","source":"crash"}
 {"timestamp":"2026-04-25T10:00:02.100000Z","level":"WARN","message":"feature quarantined","feature":"4a00","source":"crash"}
 {"timestamp":"2026-04-25T10:00:19.799000Z","level":"INFO","message":"request would crash its target","request":"crashing","feature":"3f1d","part":"5c1e07a2"}
@@ -57,6 +58,7 @@
 }
 
 #[rstest]
+#[case("paused", Cause::Paused { retry_after_ms: 1210 })]
 #[case("refused", Cause::Queue { reason: "backlog".into(), pool: Some("slots".into()) })]
 #[case("order", Cause::SendFailed { target: "t-1".into(), result: "broken".into() })]
 #[case("stream", Cause::SendFailed { target: "t-1".into(), result: "cut_off".into() })]
