--- /dev/null
+++ b/godwithinge/src/relay/call.rs
@@ -0,0 +1,116 @@
+//! Calls to stage targets, which the scheduler asks for.
+
+use super::{dialect::Call, event, state::Relay};
+use crate::http::{Error, Reuse};
+use http::StatusCode;
+use http_body_util::Full;
+use policy::{
+    id::TargetId,
+    relay::scheduler::{Handle, Item, Reply},
+};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::time;
+
+/// Maximum size of a stage target's response.
+const MAX_RESPONSE_BYTES: usize = 256 << 10; // enough for several hundred handles
+/// Timeout of a call that frees results. Results that are not freed expire on the target.
+const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Relay {
+    /// Calls a stage target and records the outcome in logs and metrics.
+    pub(super) async fn call_stage_target(
+        self: &Rc<Self>,
+        target: &TargetId,
+        address: &str,
+        items: &[Item],
+        timeout: Duration,
+    ) -> Reply {
+        let started_at = Instant::now();
+        let call = self.dialect.stage_call(items);
+        let headers = self.dialect.stage_call_headers(target);
+        let exchange = self.send_stage_call(target, address, call, headers);
+        let exchange = tokio::select! {
+            exchange = time::timeout(timeout, exchange) => exchange.unwrap_or(Err(Error::Timeout)),
+            () = self.reach.lasting_partition() => Err(Error::Timeout),
+        };
+        if let Err(Error::Timeout) = exchange {
+            // Idle connections to the target may be unresponsive, too.
+            self.pool.record_timeout(address);
+        }
+        let reply = match exchange {
+            Ok((StatusCode::OK, _, body)) => match self.dialect.parse_stage_results(&body) {
+                Ok(items) => Reply::Items(items),
+                Err(fault) => {
+                    tracing::warn!(target_id = %target, %fault, "stage target returned an invalid response");
+                    Reply::Lost
+                }
+            },
+            Ok((StatusCode::MISDIRECTED_REQUEST, ..)) => Reply::Replaced,
+            Ok((_, true, _)) => Reply::Full,
+            Err(Error::Connect(_) | Error::Withdrawn) => Reply::Unreached,
+            Ok((_, false, _)) | Err(Error::Broken(_) | Error::Timeout | Error::TooLong) => {
+                Reply::Lost
+            }
+        };
+        let result = event::stage_call(target, items.len(), started_at.elapsed(), &reply);
+        let pool = self.registry().get(target).map(|one| one.pool.clone());
+        let labels = [pool.as_deref().unwrap_or("gone"), result];
+        self.metrics.stage_calls.with_label_values(&labels).inc();
+        self.metrics.pieces.inc_by(items.len() as u64);
+        reply
+    }
+
+    /// Sends a call and returns the status of the response, whether the target reports that it ran
+    /// nothing, and the body.
+    async fn send_stage_call(
+        self: &Rc<Self>,
+        target: &TargetId,
+        address: &str,
+        call: Call,
+        headers: http::HeaderMap,
+    ) -> Result<(StatusCode, bool, bytes::Bytes), Error> {
+        let mut request = http::Request::new(Full::new(call.body));
+        *request.method_mut() = call.method;
+        *request.headers_mut() = headers;
+        let uri = call.path.parse();
+        *request.uri_mut() = uri.map_err(|_malformed| Error::TooLong)?;
+        let response = self
+            .send_to_target(target, address, request, Reuse::Newest, || ())
+            .await?;
+        let status = response.status();
+        let metadata = self
+            .dialect
+            .parse_response_headers(status, response.headers());
+        self.record_notice(target, status, &metadata, response.via());
+        let body = response.bytes(MAX_RESPONSE_BYTES).await?;
+        Ok((status, metadata.is_not_executed, body))
+    }
+
+    /// Frees results and returns whether the target confirmed it. Otherwise they expire.
+    pub(super) async fn free_results(
+        self: &Rc<Self>,
+        target: &TargetId,
+        address: &str,
+        handles: &[Handle],
+    ) -> bool {
+        let call = self.dialect.free_call(handles);
+        let headers = self.dialect.free_call_headers();
+        let freed = time::timeout(
+            FREE_TIMEOUT,
+            self.send_stage_call(target, address, call, headers),
+        )
+        .await;
+        match freed {
+            Ok(Ok((StatusCode::OK, ..))) => return true,
+            Ok(Ok((status, ..))) => {
+                tracing::debug!(address, %status, "target refused to free results");
+            }
+            Ok(Err(fault)) => tracing::debug!(address, %fault, "request to free results failed"),
+            Err(_elapsed) => tracing::debug!(address, "request to free results timed out"),
+        }
+        false
+    }
+}
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -8,7 +8,7 @@
     accept,
     address::AddressBook,
     dialect::Row,
-    frame::{Frame, LinkId, Profile, WireRow},
+    frame::{Frame, LinkId, Profile},
     replication::UploadGuard,
     settings::Settings,
     state::Relay,
@@ -16,10 +16,7 @@
 };
 use policy::{
     id::{DomainId, HostId},
-    relay::{
-        history::{Edition, Version},
-        leader::{Candidate, UnixMillis},
-    },
+    relay::leader::{Candidate, UnixMillis},
 };
 use std::{
     cell::{Cell, RefCell},
@@ -175,7 +172,7 @@
     }
 
     /// Returns whether a linked daemon is in the own domain.
-    fn is_local(&self, host: &HostId) -> bool {
+    pub fn is_local(&self, host: &HostId) -> bool {
         let peers = self.peers.borrow();
         let peer = peers.get(host);
         peer.is_some_and(|peer| peer.profile.domain == self.own_domain)
@@ -477,7 +474,8 @@
         self.handle_link_lost(link_id);
     }
 
-    fn handle_frame(self: &Rc<Self>, host: &HostId, link_id: LinkId, frame: Frame) {
+    /// Records what a heartbeat says of the peer that sent it; other frames say nothing.
+    pub(super) fn record_heartbeat(&self, host: &HostId, frame: &Frame) {
         if let Some(peer) = self.links.peers.borrow_mut().get_mut(host)
             && let Frame::Heartbeat {
                 plan_version,
@@ -487,7 +485,7 @@
                 leads_since,
                 is_partitioned,
                 ..
-            } = &frame
+            } = frame
         {
             if *is_leaving && !peer.is_leaving {
                 self.pool.close_forwarded_by(host);
@@ -506,74 +504,6 @@
                 peer.has_requested_targets = peer.send(Frame::RequestTargets);
             }
         }
-        match frame {
-            Frame::Hello { .. } => {}
-            Frame::Heartbeat {
-                plan_version,
-                plan_era,
-                plan_revision,
-                era,
-                ..
-            } => {
-                self.store.record_era(era);
-                let offered = Edition {
-                    version: Version {
-                        era: plan_era,
-                        number: plan_version,
-                    },
-                    revision: plan_revision,
-                };
-                if plan_version > 0 {
-                    let (now, is_local) = (self.now(), self.links.is_local(host));
-                    let mut fetcher = self.replication.fetcher.borrow_mut();
-                    fetcher.announce(now, host, offered, is_local);
-                }
-                self.request_plan();
-            }
-            Frame::RequestPlan => self.serve_plan(host),
-            Frame::Plan(row) => self.receive_plan(host, row),
-            Frame::PackedPlan(row) => self.receive_packed_plan(host, row),
-            Frame::DeclinePlan => self.end_plan_request(host),
-            Frame::RequestTargets => {
-                let rows = self.tables.targets().into_iter().map(WireRow::from);
-                let frame = Frame::Targets {
-                    rows: rows.collect(),
-                    is_lenient: self.registry().is_lenient(self.now()),
-                };
-                self.links.send_to_host(host, frame);
-            }
-            Frame::Targets { rows, is_lenient } => {
-                for row in rows {
-                    self.apply_target(&row.into(), is_lenient);
-                }
-            }
-            Frame::Submit { number, job } => self.accept_job(link_id, number, job),
-            Frame::Release { number } => self.release_job(link_id, number),
-            Frame::Ready {
-                number,
-                handles,
-                domain,
-            } => self.complete_job(number, handles, domain),
-            Frame::Refused {
-                number,
-                reason,
-                retry_after,
-            } => self.refuse_job(number, reason, retry_after),
-            Frame::StreamOrigin { stream, build, age } => self.keep_origin(stream, build, age),
-            Frame::FindOrigin { number, stream } => {
-                self.answer_origin_query(link_id, number, &stream);
-            }
-            Frame::Origin { number, build } => self.receive_origin(number, build),
-            Frame::TargetCrash(payload) => self.receive_crash_of_payload(host, payload),
-            Frame::Crashes(crashes) => self.receive_crashes(host, crashes),
-            Frame::Rejections(report) => self.receive_rejections(&report.into()),
-            Frame::Departures(departures) => self.receive_departures(departures),
-            Frame::Pause(pause) => self.apply_pause(&pause.target, pause.left),
-            Frame::Served(features) => self.receive_served(&features),
-            Frame::Quarantine(features) => {
-                self.receive_quarantine(features.into_iter().map(Into::into));
-            }
-        }
     }
 }
 
--- /dev/null
+++ b/godwithinge/src/relay/receive.rs
@@ -0,0 +1,86 @@
+//! Handling of the frames that peers send.
+
+use super::{
+    frame::{Frame, LinkId, WireRow},
+    state::Relay,
+};
+use policy::{
+    id::HostId,
+    relay::history::{Edition, Version},
+};
+use std::rc::Rc;
+
+impl Relay {
+    /// Handles a frame that a peer sent over a link.
+    pub(super) fn handle_frame(self: &Rc<Self>, host: &HostId, link_id: LinkId, frame: Frame) {
+        self.record_heartbeat(host, &frame);
+        match frame {
+            Frame::Hello { .. } => {}
+            Frame::Heartbeat {
+                plan_version,
+                plan_era,
+                plan_revision,
+                era,
+                ..
+            } => {
+                self.store.record_era(era);
+                let offered = Edition {
+                    version: Version {
+                        era: plan_era,
+                        number: plan_version,
+                    },
+                    revision: plan_revision,
+                };
+                if plan_version > 0 {
+                    let (now, is_local) = (self.now(), self.links.is_local(host));
+                    let mut fetcher = self.replication.fetcher.borrow_mut();
+                    fetcher.announce(now, host, offered, is_local);
+                }
+                self.request_plan();
+            }
+            Frame::RequestPlan => self.serve_plan(host),
+            Frame::Plan(row) => self.receive_plan(host, row),
+            Frame::PackedPlan(row) => self.receive_packed_plan(host, row),
+            Frame::DeclinePlan => self.end_plan_request(host),
+            Frame::RequestTargets => {
+                let rows = self.tables.targets().into_iter().map(WireRow::from);
+                let frame = Frame::Targets {
+                    rows: rows.collect(),
+                    is_lenient: self.registry().is_lenient(self.now()),
+                };
+                self.links.send_to_host(host, frame);
+            }
+            Frame::Targets { rows, is_lenient } => {
+                for row in rows {
+                    self.apply_target(&row.into(), is_lenient);
+                }
+            }
+            Frame::Submit { number, job } => self.accept_job(link_id, number, job),
+            Frame::Release { number } => self.release_job(link_id, number),
+            Frame::Ready {
+                number,
+                handles,
+                domain,
+            } => self.complete_job(number, handles, domain),
+            Frame::Refused {
+                number,
+                reason,
+                retry_after,
+            } => self.refuse_job(number, reason, retry_after),
+            Frame::StreamOrigin { stream, build, age } => self.keep_origin(stream, build, age),
+            Frame::FindOrigin { number, stream } => {
+                self.answer_origin_query(link_id, number, &stream);
+            }
+            Frame::Origin { number, build } => self.receive_origin(number, build),
+            Frame::TargetCrash(payload) => self.receive_crash_of_payload(host, payload),
+            Frame::Crashes(crashes) => self.receive_crashes(host, crashes),
+            Frame::Rejections(report) => self.receive_rejections(&report.into()),
+            Frame::Departures(departures) => self.receive_departures(departures),
+            Frame::Pause(pause) => self.apply_pause(&pause.target, pause.left),
+            Frame::Served(features) => self.receive_served(&features),
+            Frame::Quarantine(features) => {
+                self.receive_quarantine(features.into_iter().map(Into::into));
+            }
+        }
+    }
+}
