--- a/policy/src/relay/reader.rs
+++ b/policy/src/relay/reader.rs
@@ -63,7 +63,7 @@
         self.0.iter().take(READERS).any(|reader| reader == host)
     }
 
-    /// Returns the place of a daemon; that of the last one if it is not among them.
+    /// Returns the place of a daemon. One that is not in the order comes after all others.
     pub fn place(&self, host: &HostId) -> usize {
         let place = self.0.iter().position(|candidate| candidate == host);
         place.unwrap_or(self.0.len())
@@ -89,10 +89,12 @@
     pub max_table_age: Duration,
 }
 
-/// Fractions of the time within which a change has to be known.
+/// [`Schedule::feed_wait`] as a fraction of the time within which a change has to be known.
 const FEED_WAIT_SHARE: f64 = 0.35;
-const MIN_INTERVAL_SHARE: f64 = 0.2; // the readers call at different times
-const MAX_TABLE_AGE_SHARE: f64 = 0.85; // two rounds of a feed
+/// The same for [`Schedule::min_interval`]. The readers call at different times.
+const MIN_INTERVAL_SHARE: f64 = 0.2;
+/// The same for [`Schedule::max_table_age`]: two rounds of a feed.
+const MAX_TABLE_AGE_SHARE: f64 = 0.85;
 
 impl Schedule {
     /// Creates the schedule for changes that have to be known everywhere within `bound`.
