--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -30,15 +30,11 @@
 
 /// Number of events in a complete stream; their ids run from 1.
 pub const STREAM_EVENTS: u64 = 6;
-const EVENT_INTERVAL: Duration = Duration::from_millis(10);
+pub(super) const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between the events of a slow stream.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval between two bytes of an event that is sent slowly.
-const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
-/// Time from the head of a response to a second one, in which a stream ends.
-const REPEAT_DELAY: Duration = Duration::from_millis(150);
 /// Number of events before a stream is broken off.
-const EVENTS_BEFORE_CUT: u64 = 2;
+pub(super) const EVENTS_BEFORE_CUT: u64 = 2;
 /// Header of a request with the time in milliseconds that it is executed for before its response
 /// begins.
 pub const WORK_HEADER: &str = "work-ms";
@@ -46,15 +42,13 @@
 pub const CRASHING_PART: &str = "dead";
 /// Time after which an engine that crashed accepts connections again.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(700);
-/// Bytes that an endless response repeats, with the interval between two writes.
-const ENDLESS_WRITE: (usize, Duration) = (4 << 10, Duration::from_millis(1));
 /// Time that a stage call takes, whatever the number of its items.
 const STAGE_CALL_DURATION: Duration = Duration::from_millis(20);
 
 /// Header in which a brittle engine states how many rejections a second it bears.
-const BRITTLE: &str = "server-brittle";
+pub(super) const BRITTLE: &str = "server-brittle";
 /// Header by which an engine says that it leaves.
-const LEAVING: &str = "server-leaving";
+pub(super) const LEAVING: &str = "server-leaving";
 
 /// Fake of one engine.
 #[derive(Debug)]
@@ -64,8 +58,8 @@
 }
 
 #[derive(Debug)]
-struct State {
-    id: String,
+pub(super) struct State {
+    pub(super) id: String,
     build: String,
     behavior: Mutex<Behavior>,
     executed_requests: Mutex<Vec<ExecutedRequest>>,
@@ -75,9 +69,9 @@
     next_result: AtomicU64,
     stage_calls: Mutex<Vec<Value>>,
     /// Endless responses that their callers have not closed.
-    endless_responses: AtomicUsize,
-    admissions: Admissions,
-    notices: Notices,
+    pub(super) endless_responses: AtomicUsize,
+    pub(super) admissions: Admissions,
+    pub(super) notices: Notices,
     server_handle: Arc<ServerHandle>,
 }
 
@@ -386,7 +380,7 @@
     }
 
     /// Returns the events of a stream after the event `last`. Their data names the build.
-    fn events_after(&self, last: u64) -> impl Iterator<Item = (u64, String)> + use<> {
+    pub(super) fn events_after(&self, last: u64) -> impl Iterator<Item = (u64, String)> + use<> {
         let build = self.build.clone();
         (last + 1..=STREAM_EVENTS).map(move |number| {
             (
@@ -396,114 +390,6 @@
         })
     }
 
-    /// Sends a response that ends with its connection, whose body may be cut already.
-    async fn send_unframed(
-        &self,
-        raw: &RawConnection,
-        id: &str,
-        body: &str,
-        cut: Cut,
-    ) -> Result<Reply, ConnectionClosed> {
-        send(raw, &self.unframed_head(id)).await?;
-        send(raw, body).await?;
-        close(raw, cut)
-    }
-
-    /// Sends a stream that ends with its connection.
-    async fn send_unframed_stream(
-        &self,
-        raw: &RawConnection,
-        id: &str,
-        events: impl Iterator<Item = (u64, String)>,
-        cut: Cut,
-    ) -> Result<Reply, ConnectionClosed> {
-        send(raw, &self.unframed_head(id)).await?;
-        for (number, event) in events {
-            let is_cut = number > EVENTS_BEFORE_CUT;
-            match cut {
-                Cut::BeforeFirstEvent => break,
-                Cut::Reset if is_cut => break,
-                Cut::InsideEvent if is_cut => {
-                    send(raw, &event[..8]).await?;
-                    break;
-                }
-                Cut::Never | Cut::InsideEvent | Cut::Reset => send(raw, &event).await?,
-            }
-            time::sleep(EVENT_INTERVAL).await;
-        }
-        close(raw, cut)
-    }
-
-    /// Sends bytes until the connection is closed.
-    async fn send_endless(
-        &self,
-        raw: &RawConnection,
-        id: &str,
-        section: Section,
-    ) -> Result<Reply, ConnectionClosed> {
-        self.endless_responses.fetch_add(1, Ordering::Relaxed);
-        let _guard = EndlessGuard(self);
-        let head = self.unframed_head(id);
-        let (start, unit) = match section {
-            Section::Head => (head.trim_end().to_owned(), "\r\nx-filler: 0123456789abcdef"),
-            Section::Body => (head, "0123456789abcdef"),
-            Section::Lines => (head, "0123456789: abcdef\n\n"),
-            Section::Event | Section::Trickle => {
-                let (_, event) = self.events_after(0).next().unwrap_or_default();
-                (head + &event, ": slow ")
-            }
-            Section::Trailer => {
-                let answer = plain_answer(id);
-                let length = format!("\r\ncontent-length: {}\r\n\r\n{answer}", answer.len());
-                (head.trim_end().to_owned() + &length, "0123456789abcdef")
-            }
-        };
-        send(raw, &start).await?;
-        let (size, interval) = match section {
-            Section::Event => (unit.len(), EVENT_INTERVAL),
-            Section::Trickle => (1, TRICKLE_INTERVAL),
-            _ => ENDLESS_WRITE,
-        };
-        let units = unit.repeat(size.div_ceil(unit.len()));
-        let units = &units[..size];
-        loop {
-            send(raw, units).await?;
-            time::sleep(interval).await;
-        }
-    }
-
-    /// Sends another response to a request some time later.
-    fn repeat_late(&self, raw: &RawConnection, id: &str) {
-        let (raw, answer) = (raw.clone(), plain_answer(id));
-        let head = self.unframed_head(id);
-        let response = format!(
-            "{}\r\ncontent-length: {}\r\n\r\n{answer}",
-            head.trim_end(),
-            answer.len()
-        );
-        tokio::spawn(async move {
-            time::sleep(REPEAT_DELAY).await;
-            // The caller may have closed the connection.
-            drop(raw.write(response.as_bytes()).await);
-        });
-    }
-
-    /// Returns the head of a response without a length.
-    fn unframed_head(&self, id: &str) -> String {
-        let limit = self.admissions.announced_limit();
-        let limit = limit.map_or(String::new(), |limit| format!("{BRITTLE}: {limit}\r\n"));
-        let leaving = if self.notices.is_leaving() {
-            format!("{LEAVING}: 1\r\n")
-        } else {
-            String::new()
-        };
-        format!(
-            "HTTP/1.1 200 OK\r\n{limit}{leaving}godwithinge-attempt-id: {id}\r\n\
-             godwithinge-server-stamp: stamp-{}\r\n\r\n",
-            self.id
-        )
-    }
-
     /// Adds the headers that all responses have.
     fn with_state(&self, mut reply: Reply) -> Reply {
         if let Some(limit) = self.admissions.announced_limit() {
@@ -549,15 +435,6 @@
     }
 }
 
-/// Counts an endless response until dropped.
-struct EndlessGuard<'a>(&'a State);
-
-impl Drop for EndlessGuard<'_> {
-    fn drop(&mut self) {
-        self.0.endless_responses.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Returns a stream of events; a truncated one breaks off within event 3.
 fn event_stream(
     events: impl Iterator<Item = (u64, String)> + Send + 'static,
@@ -579,23 +456,10 @@
     })
 }
 
-fn plain_answer(id: &str) -> String {
+pub(super) fn plain_answer(id: &str) -> String {
     format!("answer to {id}")
 }
 
-async fn send(raw: &RawConnection, text: &str) -> Result<(), ConnectionClosed> {
-    let sent = raw.write(text.as_bytes()).await;
-    sent.map_err(|_closed| ConnectionClosed)
-}
-
-/// Ends an unframed response.
-fn close(raw: &RawConnection, cut: Cut) -> Result<Reply, ConnectionClosed> {
-    if cut == Cut::Reset {
-        raw.reset_on_close().map_err(|_closed| ConnectionClosed)?;
-    }
-    Err(ConnectionClosed)
-}
-
 fn set_header(reply: &mut Reply, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         reply.headers_mut().insert(name, value);
--- a/standin/src/site/mod.rs
+++ b/standin/src/site/mod.rs
@@ -5,4 +5,5 @@
 pub mod engine;
 mod execution;
 mod notice;
+mod raw;
 pub mod store;
--- /dev/null
+++ b/standin/src/site/raw.rs
@@ -0,0 +1,148 @@
+//! Responses that a fake engine writes to its connection itself, since they don't follow the protocol.
+
+use super::{
+    behavior::{Cut, Section},
+    engine::{BRITTLE, EVENT_INTERVAL, EVENTS_BEFORE_CUT, LEAVING, State, plain_answer},
+};
+use crate::http::{ConnectionClosed, RawConnection, Reply};
+use std::{sync::atomic::Ordering, time::Duration};
+use tokio::time;
+
+/// Interval between two bytes of an event that is sent slowly.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time from the head of a response to a second one, in which a stream ends.
+const REPEAT_DELAY: Duration = Duration::from_millis(150);
+/// Bytes that an endless response repeats, with the interval between two writes.
+const ENDLESS_WRITE: (usize, Duration) = (4 << 10, Duration::from_millis(1));
+
+impl State {
+    /// Sends a response that ends with its connection, whose body may be cut already.
+    pub(super) async fn send_unframed(
+        &self,
+        raw: &RawConnection,
+        id: &str,
+        body: &str,
+        cut: Cut,
+    ) -> Result<Reply, ConnectionClosed> {
+        send(raw, &self.unframed_head(id)).await?;
+        send(raw, body).await?;
+        close(raw, cut)
+    }
+
+    /// Sends a stream that ends with its connection.
+    pub(super) async fn send_unframed_stream(
+        &self,
+        raw: &RawConnection,
+        id: &str,
+        events: impl Iterator<Item = (u64, String)>,
+        cut: Cut,
+    ) -> Result<Reply, ConnectionClosed> {
+        send(raw, &self.unframed_head(id)).await?;
+        for (number, event) in events {
+            let is_cut = number > EVENTS_BEFORE_CUT;
+            match cut {
+                Cut::BeforeFirstEvent => break,
+                Cut::Reset if is_cut => break,
+                Cut::InsideEvent if is_cut => {
+                    send(raw, &event[..8]).await?;
+                    break;
+                }
+                Cut::Never | Cut::InsideEvent | Cut::Reset => send(raw, &event).await?,
+            }
+            time::sleep(EVENT_INTERVAL).await;
+        }
+        close(raw, cut)
+    }
+
+    /// Sends bytes until the connection is closed.
+    pub(super) async fn send_endless(
+        &self,
+        raw: &RawConnection,
+        id: &str,
+        section: Section,
+    ) -> Result<Reply, ConnectionClosed> {
+        self.endless_responses.fetch_add(1, Ordering::Relaxed);
+        let _guard = EndlessGuard(self);
+        let head = self.unframed_head(id);
+        let (start, unit) = match section {
+            Section::Head => (head.trim_end().to_owned(), "\r\nx-filler: 0123456789abcdef"),
+            Section::Body => (head, "0123456789abcdef"),
+            Section::Lines => (head, "0123456789: abcdef\n\n"),
+            Section::Event | Section::Trickle => {
+                let (_, event) = self.events_after(0).next().unwrap_or_default();
+                (head + &event, ": slow ")
+            }
+            Section::Trailer => {
+                let answer = plain_answer(id);
+                let length = format!("\r\ncontent-length: {}\r\n\r\n{answer}", answer.len());
+                (head.trim_end().to_owned() + &length, "0123456789abcdef")
+            }
+        };
+        send(raw, &start).await?;
+        let (size, interval) = match section {
+            Section::Event => (unit.len(), EVENT_INTERVAL),
+            Section::Trickle => (1, TRICKLE_INTERVAL),
+            _ => ENDLESS_WRITE,
+        };
+        let units = unit.repeat(size.div_ceil(unit.len()));
+        let units = &units[..size];
+        loop {
+            send(raw, units).await?;
+            time::sleep(interval).await;
+        }
+    }
+
+    /// Sends another response to a request some time later.
+    pub(super) fn repeat_late(&self, raw: &RawConnection, id: &str) {
+        let (raw, answer) = (raw.clone(), plain_answer(id));
+        let head = self.unframed_head(id);
+        let response = format!(
+            "{}\r\ncontent-length: {}\r\n\r\n{answer}",
+            head.trim_end(),
+            answer.len()
+        );
+        tokio::spawn(async move {
+            time::sleep(REPEAT_DELAY).await;
+            // The caller may have closed the connection.
+            drop(raw.write(response.as_bytes()).await);
+        });
+    }
+
+    /// Returns the head of a response without a length.
+    fn unframed_head(&self, id: &str) -> String {
+        let limit = self.admissions.announced_limit();
+        let limit = limit.map_or(String::new(), |limit| format!("{BRITTLE}: {limit}\r\n"));
+        let leaving = if self.notices.is_leaving() {
+            format!("{LEAVING}: 1\r\n")
+        } else {
+            String::new()
+        };
+        format!(
+            "HTTP/1.1 200 OK\r\n{limit}{leaving}godwithinge-attempt-id: {id}\r\n\
+             godwithinge-server-stamp: stamp-{}\r\n\r\n",
+            self.id
+        )
+    }
+}
+
+/// Counts an endless response until dropped.
+struct EndlessGuard<'a>(&'a State);
+
+impl Drop for EndlessGuard<'_> {
+    fn drop(&mut self) {
+        self.0.endless_responses.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn send(raw: &RawConnection, text: &str) -> Result<(), ConnectionClosed> {
+    let sent = raw.write(text.as_bytes()).await;
+    sent.map_err(|_closed| ConnectionClosed)
+}
+
+/// Ends an unframed response.
+fn close(raw: &RawConnection, cut: Cut) -> Result<Reply, ConnectionClosed> {
+    if cut == Cut::Reset {
+        raw.reset_on_close().map_err(|_closed| ConnectionClosed)?;
+    }
+    Err(ConnectionClosed)
+}
