Request all targets from readers only

Cause: a daemon requests all targets from each peer that announces recent tables. Since daemons that stand in for the readers announce theirs. After a start of all daemons no reader has recent tables for a while, all of them stand in within a second, and each sends all targets to each other.

--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -476,6 +476,8 @@
 
     /// Records what a heartbeat says of the peer that sent it; other frames say nothing.
     pub(super) fn record_heartbeat(&self, host: &HostId, frame: &Frame) {
+        // Those that stand in for the readers may be many, and would send their tables to all.
+        let is_reader = self.with_reader_order(|order| order.is_reader(host));
         if let Some(peer) = self.links.peers.borrow_mut().get_mut(host)
             && let Frame::Heartbeat {
                 plan_version,
@@ -498,7 +500,7 @@
             // Before the first read of its tables, a daemon requests the targets also from some
             // peers that have a configuration but are not readers.
             if !peer.has_requested_targets
-                && (peer.table_age.is_some()
+                && (is_reader && peer.table_age.is_some()
                     || *plan_version > 0 && self.tables.begin_peer_request())
             {
                 peer.has_requested_targets = peer.send(Frame::RequestTargets);
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -295,7 +295,7 @@
     }
 
     /// Calls `read` with the order in which the daemons read, which may be slightly outdated.
-    fn with_reader_order<T>(&self, read: impl FnOnce(&Order) -> T) -> T {
+    pub(super) fn with_reader_order<T>(&self, read: impl FnOnce(&Order) -> T) -> T {
         let mut cached = self.tables.reader_order.borrow_mut();
         let is_recent = |(at, _): &(Instant, Order)| at.elapsed() < READER_ORDER_TTL;
         let (_, order) = match cached.take().filter(is_recent) {
