--- a/review/standins/src/daemon.rs
+++ b/review/standins/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::{self, File},
     io,
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
@@ -185,8 +185,8 @@
         text.lines().any(|line| words.iter().all(|word| line.contains(word)))
     }
 
-    /// Returns whether the daemon accepts connections of clients.
-    pub fn accepts(&self) -> bool {
-        TcpStream::connect_timeout(&self.front, Duration::from_secs(1)).is_ok()
+    /// Returns the address at which clients ask where to connect.
+    pub fn directory(&self) -> SocketAddr {
+        SocketAddr::new(self.front.ip(), DIRECTORY_PORT)
     }
 }
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -11,7 +11,7 @@
     store::Store,
 };
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io::{self, Write},
     sync::{
         Arc, Condvar, Mutex,
@@ -100,6 +100,7 @@
     turn: Condvar,
     next_handle: Mutex<Random>,
     extra: Arc<Extra>,
+    reached: Arc<Mutex<HashSet<String>>>,
 }
 
 /// Dose of second answers: stage engines that are faulty send an answer again, late, at the point
@@ -140,6 +141,8 @@
     pub products: Products,
     pub record: Arc<Record>,
     pub extra: Arc<Extra>,
+    /// Requests that any engine has received, or a piece of which it was asked for.
+    pub reached: Arc<Mutex<HashSet<String>>>,
 }
 
 impl World {
@@ -149,6 +152,7 @@
             products: Products::default(),
             record,
             extra: Arc::default(),
+            reached: Arc::default(),
         }
     }
 }
@@ -176,6 +180,7 @@
             turn: Condvar::new(),
             next_handle: Mutex::new(random),
             extra: Arc::clone(&world.extra),
+            reached: Arc::clone(&world.reached),
         });
         let handler = Arc::clone(&core);
         let server = http::serve(move |connection| handler.serve(connection))?;
@@ -327,6 +332,7 @@
 
     fn note(&self, request: &str, has_run: bool) {
         let at_ms = self.record.now_ms();
+        lock(&self.reached).insert(request.into());
         let verb = if has_run { "runs" } else { "rejects" };
         self.record.line(&format!("{} {verb} {request}", self.id));
         if let Some(engine) = self.engine() {
@@ -410,6 +416,13 @@
             return self.answer(404, "", b"");
         };
         let arrived = Instant::now();
+        let body = json::parse(&request.body);
+        let items = body.as_ref().and_then(|body| body.get("items"));
+        let items = items.map(Value::list).unwrap_or_default();
+        for item in items {
+            let id = item.get("id").and_then(Value::text).unwrap_or_default();
+            lock(&self.reached).insert(id.to_owned());
+        }
         // One call runs and two may wait.
         if self.load.fetch_add(1, Ordering::SeqCst) >= 3 {
             self.load.fetch_sub(1, Ordering::SeqCst);
@@ -425,9 +438,6 @@
         }
         *is_busy = true;
         drop(is_busy);
-        let body = json::parse(&request.body);
-        let items = body.as_ref().and_then(|body| body.get("items"));
-        let items = items.map(Value::list).unwrap_or_default();
         let sources: Vec<Result<String, &str>> = items
             .iter()
             .map(|one| self.source(one, arrived.elapsed()))
