Review case 4: requests on silent connections are lost at SIGTERM

Cause: a stream on an idle connection that has gone silent is never sent elsewhere while no response head has arrived, and a daemon that shuts down exits with it in flight.

--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -84,6 +84,8 @@
     sequence: AtomicU64,
     born: u64,
     store: Arc<Store>,
+    /// Rises when all open connections go silent.
+    generation: AtomicU64,
 }
 
 /// Inside of an engine that its connections share.
@@ -197,6 +199,7 @@
             sequence: AtomicU64::new(0),
             born: born.map_or(0, |born| born.as_millis() as u64),
             store: Arc::clone(&world.store),
+            generation: AtomicU64::new(0),
         });
         *lock(&core.engine) = Some(Arc::clone(&engine));
         engine.register();
@@ -232,6 +235,11 @@
         self.store.write("servers", &self.id, None);
     }
 
+    /// Makes all open connections silent for good, without a reset. New ones work.
+    pub fn silence_connections(&self) {
+        self.generation.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Ends as its process would.
     pub fn exit(&self) {
         self.is_registered.store(false, Ordering::SeqCst);
@@ -257,6 +265,11 @@
         lock(&self.engine).clone()
     }
 
+    fn generation(&self) -> u64 {
+        let engine = self.engine();
+        engine.map_or(0, |engine| engine.generation.load(Ordering::SeqCst))
+    }
+
     fn is_leaving(&self) -> bool {
         let engine = self.engine();
         engine.is_some_and(|engine| engine.is_leaving.load(Ordering::SeqCst))
@@ -292,9 +305,16 @@
 
     fn serve(&self, connection: &mut Connection) -> io::Result<()> {
         let mut earlier: Option<Vec<u8>> = None;
+        let generation = self.generation();
         while let Some(request) = connection.request()? {
             let id = request.header("godwithinge-attempt-id");
             let id = id.unwrap_or_default().to_owned();
+            if self.generation() != generation {
+                // What is sent on a silent connection reaches nobody.
+                let text = format!("{id} is sent to {} on a silent connection", self.id);
+                self.record.line(&text);
+                continue;
+            }
             let expected = request.header("godwithinge-expect-instance");
             let is_expected = expected.is_none_or(|expected| expected == self.id);
             match request.path() {
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -40,7 +40,8 @@
 
     /// Writes one line also to standard output.
     pub fn say(&self, text: &str) {
-        println!("{text}");
+        // Whoever reads the output may have closed it.
+        let _ = writeln!(io::stdout(), "{text}");
         self.line(text);
         let _ = lock(&self.file).flush();
     }
