Review case 2: streams go on at another software version

Cause: the build of a target is that of its last entry, also after its process has ended, and an engine may start again under its identifier.

--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -13,6 +13,7 @@
 use std::{
     collections::{HashMap, HashSet},
     io::{self, Write},
+    net::{IpAddr, Ipv4Addr, TcpListener},
     sync::{
         Arc, Condvar, Mutex,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -24,6 +25,9 @@
 /// Interval at which an engine writes its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// See [`World::silences`].
+const IDLE_TIME: Duration = Duration::from_millis(700);
+
 /// Result of a piece, as its maker holds it.
 #[derive(Clone, Debug)]
 pub struct Product {
@@ -103,6 +107,9 @@
     next_handle: Mutex<Random>,
     extra: Arc<Extra>,
     reached: Arc<Mutex<HashSet<String>>>,
+    silences: Arc<Mutex<HashMap<String, Duration>>>,
+    /// When the last stage call began or ended.
+    last_call: Mutex<Option<Instant>>,
 }
 
 /// Dose of second answers: stage engines that are faulty send an answer again, late, at the point
@@ -145,6 +152,8 @@
     pub extra: Arc<Extra>,
     /// Requests that any engine has received, or a piece of which it was asked for.
     pub reached: Arc<Mutex<HashSet<String>>>,
+    /// Engines that fall silent for this time when they get a stage call after [`IDLE_TIME`] without one.
+    pub silences: Arc<Mutex<HashMap<String, Duration>>>,
 }
 
 impl World {
@@ -155,6 +164,7 @@
             record,
             extra: Arc::default(),
             reached: Arc::default(),
+            silences: Arc::default(),
         }
     }
 }
@@ -168,8 +178,35 @@
         version: &str,
         work: Work,
     ) -> io::Result<Arc<Self>> {
-        let mut random = Random::new(seed());
-        let id = format!("i-{:010x}", random.next() >> 24);
+        let id = format!("i-{:010x}", Random::new(seed()).next() >> 24);
+        let listener = TcpListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), 0))?;
+        let delay = Duration::ZERO;
+        Self::start_as(world, (service, zone, version), work, id, listener, delay)
+    }
+
+    /// Starts an engine again, under its identifier and address, with another version of its
+    /// software. It writes its entry after `delay`, which is less than the interval at which it does.
+    pub fn start_again(
+        &self,
+        world: &World,
+        version: &str,
+        work: Work,
+        delay: Duration,
+    ) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(self.server.address)?;
+        let place = (self.service.as_str(), self.zone.as_str(), version);
+        Self::start_as(world, place, work, self.id.clone(), listener, delay)
+    }
+
+    fn start_as(
+        world: &World,
+        (service, zone, version): (&str, &str, &str),
+        work: Work,
+        id: String,
+        listener: TcpListener,
+        delay: Duration,
+    ) -> io::Result<Arc<Self>> {
+        let random = Random::new(seed());
         let core = Arc::new(Core {
             id: id.clone(),
             version: version.into(),
@@ -183,9 +220,11 @@
             next_handle: Mutex::new(random),
             extra: Arc::clone(&world.extra),
             reached: Arc::clone(&world.reached),
+            silences: Arc::clone(&world.silences),
+            last_call: Mutex::default(),
         });
         let handler = Arc::clone(&core);
-        let server = http::serve(move |connection| handler.serve(connection))?;
+        let server = http::serve_on(listener, move |connection| handler.serve(connection))?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
         let engine = Arc::new(Self {
             id,
@@ -202,9 +241,15 @@
             generation: AtomicU64::new(0),
         });
         *lock(&core.engine) = Some(Arc::clone(&engine));
-        engine.register();
+        if delay.is_zero() {
+            engine.register();
+        }
         let beating = Arc::clone(&engine);
         thread::spawn(move || {
+            if !delay.is_zero() {
+                thread::sleep(delay);
+                beating.register();
+            }
             loop {
                 thread::sleep(HEARTBEAT);
                 if !beating.is_registered.load(Ordering::SeqCst) {
@@ -462,7 +507,15 @@
             .iter()
             .map(|one| self.source(one, arrived.elapsed()))
             .collect();
-        thread::sleep(*call + *item * items.len() as u32);
+        let last_call = lock(&self.last_call).replace(Instant::now());
+        let is_idle = last_call.is_none_or(|last| last.elapsed() > IDLE_TIME);
+        let silence = lock(&self.silences).get(&self.id).copied();
+        let silence = silence.filter(|_| is_idle);
+        if let Some(silence) = silence {
+            let text = format!("{} falls silent for {} ms", self.id, silence.as_millis());
+            self.record.line(&text);
+        }
+        thread::sleep(*call + *item * items.len() as u32 + silence.unwrap_or_default());
         let results = items.iter().zip(sources).map(|(one, source)| match source {
             Ok(key) => {
                 let handle = self.store_product(one, key, *hold);
@@ -471,6 +524,7 @@
             Err(why) => format!("{{\"why\":\"{why}\"}}"),
         });
         let results: Vec<String> = results.collect();
+        *lock(&self.last_call) = Some(Instant::now());
         *lock(&self.is_busy) = false;
         self.turn.notify_one();
         self.answer(200, "", format!("{{\"items\":[{}]}}", results.join(",")).as_bytes())
