--- a/review/standins/src/bin/leaving_engine.rs
+++ b/review/standins/src/bin/leaving_engine.rs
@@ -95,7 +95,13 @@
     for index in 0..SERVICES {
         Engine::start(&world, &service(index), "z-b", "v1", work.clone())?;
         // In the zone of the daemon that the clients use.
-        leaving.push(Engine::start(&world, &service(index), "z-c", "v1", work.clone())?);
+        leaving.push(Engine::start(
+            &world,
+            &service(index),
+            "z-c",
+            "v1",
+            work.clone(),
+        )?);
     }
 
     let mut fleet = Fleet::new(ZONES.len())?;
@@ -171,7 +177,10 @@
 ) {
     engine.leave();
     let (left_at, left_ms) = (Instant::now(), record.now_ms());
-    record.line(&format!("the store has acknowledged that {} is gone", engine.id));
+    record.line(&format!(
+        "the store has acknowledged that {} is gone",
+        engine.id
+    ));
     let exiting = Arc::clone(engine);
     let exit_record = Arc::clone(record);
     thread::spawn(move || {
@@ -236,7 +245,9 @@
             let arrivals = engine.arrivals();
             let has_run = arrivals.iter().any(|one| one.has_run && one.request == id);
             if answer.status() == 502 && has_run {
-                lock(seen).lost.push(format!("order {id} was run by {} and got 502", engine.id));
+                lock(seen)
+                    .lost
+                    .push(format!("order {id} was run by {} and got 502", engine.id));
             }
         }
         Err(error) => record.line(&format!("client gets no answer for {id}: {error}")),
--- a/review/standins/src/bin/recovery.rs
+++ b/review/standins/src/bin/recovery.rs
@@ -177,7 +177,10 @@
                 format!("5c1e07a2:103,91bd3f06:69,{own:08x}:543"),
             ),
             header("Godwithinge-Piece-Count", "1,1,1,1,1,1".into()),
-            header("Godwithinge-Piece-Key", format!("{:012x}", random.next() >> 16)),
+            header(
+                "Godwithinge-Piece-Key",
+                format!("{:012x}", random.next() >> 16),
+            ),
             header("Godwithinge-Deadline-Ms", DEADLINE_MS.to_string()),
             header("Api-Key", "9dnn2ctnfzs989anu6ws".into()),
         ],
@@ -188,7 +191,9 @@
         Ok(answer) => {
             let wait = answer.header("retry-after").unwrap_or("-").to_owned();
             let status = answer.status();
-            record.line(&format!("client gets {status} for {id}, retry-after {wait}"));
+            record.line(&format!(
+                "client gets {status} for {id}, retry-after {wait}"
+            ));
             status == 200
         }
         Err(error) => {
--- a/review/standins/src/bin/restarts.rs
+++ b/review/standins/src/bin/restarts.rs
@@ -160,7 +160,11 @@
             one.front.ip(),
             held.as_millis(),
             restart.map_or(0, |(_, at)| (one.ended - *at).as_millis()),
-            if has_reached { "an engine had begun on it" } else { "no engine had been asked for anything of it" },
+            if has_reached {
+                "an engine had begun on it"
+            } else {
+                "no engine had been asked for anything of it"
+            },
         );
         record.line(&line);
         // What an engine may still have worked on at the end is not counted.
@@ -223,7 +227,10 @@
                 format!("5c1e07a2:103,{own:08x}:612"),
             ),
             header("Godwithinge-Piece-Count", PIECES.to_string()),
-            header("Godwithinge-Piece-Key", format!("{:012x}", random.next() >> 16)),
+            header(
+                "Godwithinge-Piece-Key",
+                format!("{:012x}", random.next() >> 16),
+            ),
             header("Godwithinge-Deadline-Ms", DEADLINE.as_millis().to_string()),
             header("Api-Key", "9dnn2ctnfzs989anu6ws".into()),
         ],
--- a/review/standins/src/bin/stage_answers.rs
+++ b/review/standins/src/bin/stage_answers.rs
@@ -71,7 +71,10 @@
     for zone in zones {
         Engine::start(&world, "s-model", zone, "v1", model.clone())?;
     }
-    world.extra.per_mille.store(EXTRA_PER_MILLE, Ordering::SeqCst);
+    world
+        .extra
+        .per_mille
+        .store(EXTRA_PER_MILLE, Ordering::SeqCst);
 
     let mut fleet = Fleet::new(DAEMONS)?;
     for (index, zone) in zones.iter().enumerate() {
--- a/review/standins/src/bin/versions.rs
+++ b/review/standins/src/bin/versions.rs
@@ -120,7 +120,11 @@
     if !has_trouble() && seen.whole < ROUNDS * STREAMS as usize / 2 {
         return Ok(NOT_RUN);
     }
-    Ok(if seen.joined.len() > MAX_JOINED { BROKEN } else { HELD })
+    Ok(if seen.joined.len() > MAX_JOINED {
+        BROKEN
+    } else {
+        HELD
+    })
 }
 
 /// Reads a stream, and takes it up again if it is broken off or refused.
@@ -133,7 +137,15 @@
     let mut front = random.next() as usize % fronts.len();
     for _ in 0..=RETRIES {
         let id = format!("{:016x}", random.next());
-        let end = attempt(record, fronts[front], &id, own, &first_attempt, &mut last, &mut versions);
+        let end = attempt(
+            record,
+            fronts[front],
+            &id,
+            own,
+            &first_attempt,
+            &mut last,
+            &mut versions,
+        );
         if last > 0 && first_attempt.is_none() {
             first_attempt = Some(id.clone());
         }
@@ -196,16 +208,23 @@
         headers,
         body: vec![b'x'; 300],
     };
-    record.line(&format!("client sends {id} to {} after event {last}", front.ip()));
+    record.line(&format!(
+        "client sends {id} to {} after event {last}",
+        front.ip()
+    ));
     let mut connection = TcpStream::connect_timeout(&front, Duration::from_secs(1)).ok()?;
     connection.set_nodelay(true).ok()?;
-    connection.set_read_timeout(Some(Duration::from_millis(6_800))).ok()?;
+    connection
+        .set_read_timeout(Some(Duration::from_millis(6_800)))
+        .ok()?;
     connection.write_all(&call.bytes()).ok()?;
     let mut reader = BufReader::new(connection);
     let head = http::read_head(&mut reader).ok()??;
     record.line(&format!("client gets {} for {id}", head.status()));
     if head.status() != 200 {
-        let wait = head.header("retry-after").and_then(|wait| wait.parse().ok());
+        let wait = head
+            .header("retry-after")
+            .and_then(|wait| wait.parse().ok());
         return wait.map(Duration::from_secs_f64);
     }
     loop {
--- a/review/standins/src/daemon.rs
+++ b/review/standins/src/daemon.rs
@@ -48,14 +48,29 @@
             let addresses: Vec<IpAddr> = (0..count)
                 .map(|index| Ipv4Addr::new(127, high as u8, low as u8, 10 + index as u8).into())
                 .collect();
-            let ports = [FRONT_PORT, READY_PORT, CONTROL_PORT, DIRECTORY_PORT, METRICS_PORT, INTERNAL_PORTS[0], INTERNAL_PORTS[0] + 1];
+            let ports = [
+                FRONT_PORT,
+                READY_PORT,
+                CONTROL_PORT,
+                DIRECTORY_PORT,
+                METRICS_PORT,
+                INTERNAL_PORTS[0],
+                INTERNAL_PORTS[0] + 1,
+            ];
             let is_free = |ip: &IpAddr| {
-                ports.iter().all(|port| TcpListener::bind((*ip, *port)).is_ok())
+                ports
+                    .iter()
+                    .all(|port| TcpListener::bind((*ip, *port)).is_ok())
             };
             if addresses.iter().all(is_free) {
-                let folder = std::env::temp_dir().join(format!("review-{}-{high}-{low}", std::process::id()));
+                let folder = std::env::temp_dir()
+                    .join(format!("review-{}-{high}-{low}", std::process::id()));
                 fs::create_dir_all(&folder)?;
-                return Ok(Self { folder, addresses, daemons: Vec::new() });
+                return Ok(Self {
+                    folder,
+                    addresses,
+                    daemons: Vec::new(),
+                });
             }
         }
         Err(io::ErrorKind::AddrInUse.into())
@@ -149,7 +164,9 @@
     pub fn signal(&self, signal: &str) {
         if let Some(process) = &self.process {
             let id = process.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+            let _ = Command::new("kill")
+                .args([&format!("-{signal}"), &id])
+                .status();
         }
     }
 
@@ -182,7 +199,8 @@
     /// Returns whether a line of the log contains all of `words`.
     pub fn has_logged(&self, words: &[&str]) -> bool {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
-        text.lines().any(|line| words.iter().all(|word| line.contains(word)))
+        text.lines()
+            .any(|line| words.iter().all(|word| line.contains(word)))
     }
 
     /// Returns the address at which clients ask where to connect.
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -367,7 +367,8 @@
                     // The second answer arrives late, where the next answer is expected.
                     if let Some(second) = earlier.take() {
                         self.extra.sent.fetch_add(1, Ordering::SeqCst);
-                        self.record.line(&format!("{} sends an answer again", self.id));
+                        self.record
+                            .line(&format!("{} sends an answer again", self.id));
                         connection.stream.write_all(&second)?;
                     }
                     let answer = self.run_stage_call(&request);
@@ -417,7 +418,9 @@
                 self.note(id, true);
                 thread::sleep(*time);
                 let body = format!("answer to {id}\n");
-                connection.stream.write_all(&self.answer(200, id, body.as_bytes()))
+                connection
+                    .stream
+                    .write_all(&self.answer(200, id, body.as_bytes()))
             }
             Work::Model {
                 prefill,
@@ -454,17 +457,17 @@
                 thread::sleep(*prefill);
                 let last = request.header("last-event-id");
                 let last: u64 = last.and_then(|last| last.parse().ok()).unwrap_or(0);
-                let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+                let mut head = String::from(
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+                );
                 for (name, value) in self.headers(id, 64) {
                     head.push_str(&format!("{name}: {value}\r\n"));
                 }
                 head.push_str("\r\n");
                 connection.stream.write_all(head.as_bytes())?;
                 for number in last + 1..=*events {
-                    let event = format!(
-                        "id: {number}\ndata: {} {about} {number}\n\n",
-                        self.version
-                    );
+                    let event =
+                        format!("id: {number}\ndata: {} {about} {number}\n\n", self.version);
                     let chunk = format!("{:x}\r\n{event}\r\n", event.len());
                     connection.stream.write_all(chunk.as_bytes())?;
                     thread::sleep(*interval);
@@ -527,7 +530,11 @@
         *lock(&self.last_call) = Some(Instant::now());
         *lock(&self.is_busy) = false;
         self.turn.notify_one();
-        self.answer(200, "", format!("{{\"items\":[{}]}}", results.join(",")).as_bytes())
+        self.answer(
+            200,
+            "",
+            format!("{{\"items\":[{}]}}", results.join(",")).as_bytes(),
+        )
     }
 
     /// Returns what a piece is about, or why it can't be made.
@@ -560,7 +567,9 @@
     }
 
     fn store_product(&self, item: &Value, key: String, hold: Duration) -> String {
-        let address = self.engine().map(|engine| engine.server.address.to_string());
+        let address = self
+            .engine()
+            .map(|engine| engine.server.address.to_string());
         let number = lock(&self.next_handle).next();
         let handle = format!("{}/{number:016x}", address.unwrap_or_default());
         let number = |name| item.get(name).and_then(Value::number).unwrap_or(0.0) as u64;
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -141,7 +141,12 @@
     }
 
     /// Writes a whole response.
-    pub fn respond(&mut self, status: u16, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+    pub fn respond(
+        &mut self,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
         self.stream.write_all(&response(status, headers, body))
     }
 
--- a/review/standins/src/json.rs
+++ b/review/standins/src/json.rs
@@ -135,8 +135,7 @@
             b'n' => self.word("null", Value::Null),
             _ => {
                 let start = self.at;
-                while self.at < self.text.len()
-                    && b"+-.0123456789eE".contains(&self.text[self.at])
+                while self.at < self.text.len() && b"+-.0123456789eE".contains(&self.text[self.at])
                 {
                     self.at += 1;
                 }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -54,7 +54,11 @@
 
     /// Writes a row, or removes it if `value` is `None`. The call is acknowledged when it returns.
     pub fn write(&self, table: &str, key: &str, value: Option<&str>) {
-        self.set(table, key, value.map(|value| encode_base64(value.as_bytes())));
+        self.set(
+            table,
+            key,
+            value.map(|value| encode_base64(value.as_bytes())),
+        );
     }
 
     fn set(&self, table: &str, key: &str, value: Option<String>) {
@@ -90,12 +94,16 @@
                     limit => limit.min(PAGE_ROWS),
                 };
                 let state = lock(&self.state);
-                let rows = state.rows.iter().filter(|((of, key), row)| {
-                    *of == table && *key >= from && row.value.is_some()
-                });
+                let rows = state
+                    .rows
+                    .iter()
+                    .filter(|((of, key), row)| *of == table && *key >= from && row.value.is_some());
                 let rows: Vec<String> = rows.map(|(key, row)| encode(key, row)).collect();
                 let has_more = rows.len() > limit;
-                (200, self.page(&state, &rows[..rows.len().min(limit)], has_more))
+                (
+                    200,
+                    self.page(&state, &rows[..rows.len().min(limit)], has_more),
+                )
             }
             ("GET", "/rows-feed") => {
                 let after = number("after");
@@ -141,7 +149,11 @@
             return (403, "{}".into());
         }
         for row in puts {
-            self.set(&field(&row, "table"), &field(&row, "key"), Some(field(&row, "value")));
+            self.set(
+                &field(&row, "table"),
+                &field(&row, "key"),
+                Some(field(&row, "value")),
+            );
         }
         for row in removed {
             self.set(&field(&row, "table"), &field(&row, "key"), None);
@@ -162,7 +174,10 @@
 
 fn encode((table, key): &(String, String), row: &Row) -> String {
     let value = row.value.as_ref();
-    let value = value.map_or_else(|| "\"removed\":true".to_owned(), |value| format!("\"value\":\"{value}\""));
+    let value = value.map_or_else(
+        || "\"removed\":true".to_owned(),
+        |value| format!("\"value\":\"{value}\""),
+    );
     format!(
         "{{\"table\":{},\"part\":\"\",\"key\":{},{value},\"ver\":{}}}",
         json::quote(table),
@@ -190,7 +205,9 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let bits = group.iter().fold(0_u32, |bits, byte| (bits << 8) | u32::from(*byte));
+        let bits = group
+            .iter()
+            .fold(0_u32, |bits, byte| (bits << 8) | u32::from(*byte));
         let bits = bits << (8 * (3 - group.len()));
         for index in 0..4 {
             if index <= group.len() {
