--- a/review/standins/src/bin/leaving_engine.rs
+++ b/review/standins/src/bin/leaving_engine.rs
@@ -26,6 +26,7 @@
 const ZONES: [&str; 4] = ["z-a", "z-b", "z-c", "z-a"];
 const CUT_DAEMON: usize = 1;
 const CLIENT_DAEMON: usize = 2;
+/// Each has four engines, of which one leaves.
 const SERVICES: usize = 4;
 const ROUNDS: usize = 8;
 /// Length of the cut; the site file plays up to 5.5 s.
@@ -93,7 +94,9 @@
     let service = |index| format!("s-desk-{index}");
     let mut leaving = Vec::new();
     for index in 0..SERVICES {
-        Engine::start(&world, &service(index), "z-b", "v1", work.clone())?;
+        for zone in ["z-a", "z-b", "z-b"] {
+            Engine::start(&world, &service(index), zone, "v1", work.clone())?;
+        }
         // In the zone of the daemon that the clients use.
         leaving.push(Engine::start(
             &world,
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -123,6 +123,7 @@
     /// Share of the faulty engines' answers that are sent twice, in thousandths.
     pub per_mille: AtomicUsize,
     answers: AtomicUsize,
+    taken: AtomicUsize,
     pub sent: AtomicUsize,
 }
 
@@ -133,8 +134,12 @@
             return false;
         }
         let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
-        let sent = self.sent.load(Ordering::SeqCst);
-        (sent + 1) * 1_000 <= answers * self.per_mille.load(Ordering::SeqCst)
+        let taken = self.taken.load(Ordering::SeqCst);
+        let is_due = (taken + 1) * 1_000 <= answers * self.per_mille.load(Ordering::SeqCst);
+        if is_due {
+            self.taken.fetch_add(1, Ordering::SeqCst);
+        }
+        is_due
     }
 
     /// Returns the number of answers that the faulty engines gave while the disruption was on.
