Wait for a peer's configuration only while a large frame of it arrives

Cause: progress was measured on the link, not on the transfer. Any byte of the peer within 200 ms kept the request open, so that a peer that sends entries of targets or heartbeats often enough was never given up.

Now the link counts the bytes since its last complete frame; a request stays open beyond its second only while 8 KiB or more of a frame have arrived and more do. Smaller configurations arrive within the second, or are requested elsewhere.

--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -178,11 +178,15 @@
         peer.is_some_and(|peer| peer.profile.domain == self.own_domain)
     }
 
-    /// Returns whether bytes of a daemon have arrived within [`RECEIVING_PERIOD`].
+    /// Returns whether a large frame of a daemon is arriving: bytes of it came within
+    /// [`RECEIVING_PERIOD`].
     pub fn is_receiving(&self, host: &HostId) -> bool {
         let peers = self.peers.borrow();
         let peer = peers.get(host);
-        peer.is_some_and(|peer| peer.progress.silence() < RECEIVING_PERIOD)
+        peer.is_some_and(|peer| {
+            let progress = &peer.progress;
+            progress.has_partial_frame() && progress.silence() < RECEIVING_PERIOD
+        })
     }
 
     /// Returns the identifier of the link to a daemon; absent if it is not linked.
--- a/godwithinge/src/relay/transport.rs
+++ b/godwithinge/src/relay/transport.rs
@@ -39,10 +39,15 @@
 /// Size of a connection's read buffer.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
+/// Number of bytes without a complete frame from which a large frame is arriving.
+const LARGE_FRAME_BYTES: usize = 2 * READ_BUFFER_BYTES; // one read may end with the start of a frame
+
 /// When bytes were last transferred in each direction of a connection.
 #[derive(Debug)]
 pub(super) struct Progress {
     received_at: Cell<Instant>,
+    /// Bytes received since the last complete frame.
+    incomplete: Cell<usize>,
     sent_at: Cell<Instant>,
 }
 
@@ -179,6 +184,7 @@
             let message = message.ok_or(Error::Closed)?;
             match message.map_err(|cause| Error::Socket(Box::new(cause)))? {
                 Message::Binary(bytes) => {
+                    self.progress.incomplete.set(0);
                     let frame: Frame = ciborium::from_reader(bytes.as_ref())
                         .map_err(|_cause| Error::MalformedFrame)?;
                     metrics.record_frame(&frame, Direction::Received, bytes.len());
@@ -197,6 +203,11 @@
     pub fn silence(&self) -> Duration {
         self.received_at.get().elapsed()
     }
+
+    /// Returns whether the beginning of a large frame has been received.
+    pub fn has_partial_frame(&self) -> bool {
+        self.incomplete.get() >= LARGE_FRAME_BYTES
+    }
 }
 
 impl MonitoredStream {
@@ -204,6 +215,7 @@
         let now = Instant::now();
         let progress = Progress {
             received_at: Cell::new(now),
+            incomplete: Cell::new(0),
             sent_at: Cell::new(now),
         };
         Self {
@@ -221,8 +233,11 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > filled {
+        let received = buf.filled().len() - filled;
+        if received > 0 {
             self.progress.received_at.set(Instant::now());
+            let incomplete = &self.progress.incomplete;
+            incomplete.set(incomplete.get() + received);
         }
         result
     }
--- a/policy/src/relay/distribution.rs
+++ b/policy/src/relay/distribution.rs
@@ -84,7 +84,7 @@
     }
 
     /// Returns the source to ask now, if one is due, and records the request. `current` is the
-    /// edition in force, and `is_receiving` tells whether bytes of a source are arriving.
+    /// edition in force, and `is_receiving` tells whether a large frame of a source is arriving.
     pub fn next_request(
         &mut self,
         now: Time,
