Log and count the limits on requests that targets name

A target in need names in its answers how many requests a second it takes from all daemons. Nothing read the header, so that neither logs nor metrics told whether a target had named a limit, which one, and how many requests it got since.

policy::relay::rate keeps what answers say, by target and start; an answer ends a limit only if its request was sent after the limit was last named. Lines: target limits its requests, target takes any number of requests. Metrics: gwi_relay_rate_limited_targets, gwi_relay_rate_limited_sends_total. The header is not passed on to callers. Placement is unchanged.

--- a/godwithinge/src/relay/call.rs
+++ b/godwithinge/src/relay/call.rs
@@ -77,6 +77,7 @@
         *request.headers_mut() = headers;
         let uri = call.path.parse();
         *request.uri_mut() = uri.map_err(|_malformed| Error::TooLong)?;
+        let sent_at = self.now();
         let response = self
             .send_to_target(target, address, request, Reuse::Newest, || ())
             .await?;
@@ -84,6 +85,10 @@
         let metadata = self
             .dialect
             .parse_response_headers(status, response.headers());
+        let known = self.registry().get(target).cloned();
+        if let Some(known) = known {
+            self.record_rate(&known, sent_at, &metadata);
+        }
         self.record_notice(target, status, &metadata, response.via());
         let body = response.bytes(MAX_RESPONSE_BYTES).await?;
         Ok((status, metadata.is_not_executed, body))
--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -8,6 +8,7 @@
     relay::{
         history::{Era, Version},
         plan::Plan,
+        rate::Rate,
         registry::Registration,
         scheduler::{Handle, Item, ItemError},
         selection::Part,
@@ -82,6 +83,8 @@
     pub load: Option<(u32, u32)>,
     /// Number of rejections a second that the target bears, if it states one.
     pub max_rejections: Option<u32>,
+    /// Number of requests a second that the target takes from all daemons together, if it names one.
+    pub max_rate: Option<Rate>,
     /// Whether the target says that it leaves.
     pub is_leaving: bool,
     /// Time for which the target wants nothing from this daemon, if it turned the request away and
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -7,6 +7,7 @@
     id::{HostId, PoolId, RequestId, TargetId},
     relay::{
         crash::{Feature, PayloadHash},
+        rate::Rate,
         reach::Evidence,
         registry::Build,
         scheduler::{PoolStats, Refusal, Reply},
@@ -213,6 +214,16 @@
     tracing::info!(%pool, max_rejections, "{message}");
 }
 
+/// Logs that a target names another limit on the requests a second that it takes, or none any more.
+pub(super) fn rate_changed(target: &TargetId, pool: &PoolId, rate: Option<Rate>) {
+    let message = if rate.is_some() {
+        "target limits its requests"
+    } else {
+        "target takes any number of requests"
+    };
+    tracing::info!(target_id = %target, %pool, rate, "{message}");
+}
+
 /// Logs how the stream of a target ended: how its body was delimited, the last complete event, and
 /// the number of bytes after it.
 pub(super) fn stream_ended(
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -3,7 +3,7 @@
 use super::frame::Frame;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    TextEncoder, core::Collector,
 };
 use strum::IntoStaticStr;
 
@@ -49,6 +49,8 @@
     pub target_crashes: IntCounterVec,
     /// Pauses that targets asked for, by pool.
     pub pauses: IntCounterVec,
+    /// Answers of targets that limit the rate of their requests, by pool.
+    pub rate_limited_sends: IntCounterVec,
     /// Targets that said that they leave, by whether they told this daemon or a peer.
     pub departures: IntCounterVec,
     /// Requests for which no target with a limit on rejections had room, by pool and whether they
@@ -74,6 +76,7 @@
     tunnels: IntCounterVec,
     partitioned: IntGauge,
     quarantined: IntGauge,
+    rate_limited_targets: IntGauge,
     links: IntGauge,
     revision: IntGauge,
     /// Requests that are not finished.
@@ -90,32 +93,20 @@
         let registry = Registry::new();
         let counter = |name: &str, help: &str, labels: &[&str]| {
             let opts = Opts::new(name, help).namespace("gwi_relay");
-            let metric = IntCounterVec::new(opts, labels).expect("metric name is valid");
-            let registered = registry.register(Box::new(metric.clone()));
-            registered.expect("metric name is unique");
-            metric
+            register(&registry, IntCounterVec::new(opts, labels))
         };
         let histogram = |name: &str, help: &str, label: &str| {
             let opts = HistogramOpts::new(name, help).namespace("gwi_relay");
             let opts = opts.buckets(TIME_BUCKETS.to_vec());
-            let metric = HistogramVec::new(opts, &[label]).expect("metric name is valid");
-            let registered = registry.register(Box::new(metric.clone()));
-            registered.expect("metric name is unique");
-            metric
+            register(&registry, HistogramVec::new(opts, &[label]))
         };
         let gauge = |name: &str, help: &str| {
             let opts = Opts::new(name, help).namespace("gwi_relay");
-            let metric = IntGauge::with_opts(opts).expect("metric name is valid");
-            let registered = registry.register(Box::new(metric.clone()));
-            registered.expect("metric name is unique");
-            metric
+            register(&registry, IntGauge::with_opts(opts))
         };
-        let pieces = IntCounter::with_opts(
-            Opts::new("pieces_total", "Pieces in calls to stage targets").namespace("gwi_relay"),
-        );
-        let pieces = pieces.expect("metric name is valid");
-        let registered = registry.register(Box::new(pieces.clone()));
-        registered.expect("metric name is unique");
+        let pieces = Opts::new("pieces_total", "Pieces in calls to stage targets");
+        let pieces = IntCounter::with_opts(pieces.namespace("gwi_relay"));
+        let pieces = register(&registry, pieces);
         Self {
             requests: counter("requests_total", "Requests", &["kind", "status", "reason"]),
             first_byte_seconds: histogram("first_byte_seconds", "Time to the first byte", "kind"),
@@ -127,6 +118,11 @@
                 &["pool"],
             ),
             pauses: counter("pauses_total", "Pauses that targets asked for", &["pool"]),
+            rate_limited_sends: counter(
+                "rate_limited_sends_total",
+                "Answers of targets that limit the rate of their requests",
+                &["pool"],
+            ),
             departures: counter(
                 "departures_total",
                 "Targets that said that they leave",
@@ -175,6 +171,10 @@
                 "Whether the daemon reaches no target by itself",
             ),
             quarantined: gauge("quarantined", "Features of requests that are refused"),
+            rate_limited_targets: gauge(
+                "rate_limited_targets",
+                "Targets that limit the rate of their requests",
+            ),
             links: gauge("links", "Daemons that are linked"),
             revision: gauge("revision", "Revision of the configuration"),
             in_flight: gauge("in_flight", "Requests without an answer"),
@@ -204,6 +204,12 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of targets that limit the rate of their requests.
+    pub fn set_rate_limited_targets(&self, count: usize) {
+        self.rate_limited_targets
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a frame that was received or will be sent, and its encoded size.
     pub fn record_frame(&self, frame: &Frame, direction: Direction, bytes: usize) {
         let labels: [&str; 2] = [frame.into(), direction.into()];
@@ -228,3 +234,18 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 }
+
+/// Adds a new metric to a registry and returns it.
+///
+/// # Panics
+///
+/// Panics if another metric has the same name or if the name is invalid.
+fn register<M: Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: prometheus::Result<M>,
+) -> M {
+    let metric = metric.expect("metric name is valid");
+    let registered = registry.register(Box::new(metric.clone()));
+    registered.expect("metric name is unique");
+    metric
+}
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -25,6 +25,7 @@
 mod origin;
 mod outcome;
 mod quarantine;
+mod rate;
 mod reach;
 mod receive;
 mod rejection;
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::Full;
 use policy::{
-    id::TargetId,
+    id::{TargetId, Time},
     relay::{plan::Kind, registry::Target, scheduler::Handle, sse::EventId},
 };
 use std::{
@@ -105,6 +105,7 @@
         progress: &SendProgress,
     ) -> (Target, Duration, SendOutcome) {
         let started = Instant::now();
+        let sent_at = self.relay.now();
         self.stats.sends.set(self.stats.sends.get() + 1);
         self.stats.target.borrow_mut().clone_from(&target.id);
         let relay = &self.relay;
@@ -137,7 +138,8 @@
                 progress.has_head.set(true);
                 let via = response.via().unwrap_or_default();
                 *self.stats.via.borrow_mut() = via.into();
-                self.receive(response, &target, call, last_event_id).await
+                self.receive(response, &target, sent_at, call, last_event_id)
+                    .await
             }
             Err(pool::Error::Connect(_)) => SendOutcome::Unreached,
             Err(pool::Error::Withdrawn) => SendOutcome::Withdrawn,
@@ -149,11 +151,13 @@
         (target, started.elapsed(), outcome)
     }
 
-    /// Receives a complete response, or a stream up to its first event.
+    /// Receives a complete response to a request that was sent at `sent_at`, or a stream up to its
+    /// first event.
     async fn receive(
         &self,
         mut response: pool::Response,
         target: &Target,
+        sent_at: Time,
         call: CallGuard,
         last_event_id: Option<EventId>,
     ) -> SendOutcome {
@@ -168,6 +172,7 @@
             selector.record_load(now, &target.id, running, waiting);
         }
         self.relay.record_limit(target, status, &metadata);
+        self.relay.record_rate(target, sent_at, &metadata);
         self.relay
             .record_notice(&target.id, status, &metadata, response.via());
         if !self.is_valid_response(&metadata, status, response.headers()) {
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -26,6 +26,7 @@
         patience::Activity,
         pause::Pauses,
         plan::Plan,
+        rate,
         registry::Registry,
         selection::TargetSelector,
     },
@@ -70,6 +71,8 @@
     pub(super) rejection_watch: RejectionWatch,
     /// Pauses that targets asked for.
     pub(super) pauses: RefCell<Pauses>,
+    /// Limits on the rate of requests that targets named.
+    pub(super) rate_limits: RefCell<rate::Limits>,
     response_memory: RefCell<memory::Usage>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
@@ -111,6 +114,7 @@
             tunnels: Cell::new(0),
             rejection_watch: RejectionWatch::new(&settings),
             pauses: RefCell::default(),
+            rate_limits: RefCell::default(),
             response_memory: RefCell::default(),
             retry_budgets: RefCell::default(),
             dispatcher: JobDispatcher::new(),
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -9,8 +9,8 @@
 //! began, [`sse`] judges whether a stream is complete, [`crash`] finds what in requests crashes
 //! targets, [`quarantine`] holds the records of that, [`reach`] tells a partition of this daemon
 //! from failures of targets, [`rejection`] limits how often targets reject requests, [`departure`] holds
-//! which targets have said that they leave, [`pause`] keeps the pauses that targets ask for, and [`reader`]
-//! says which daemons read the store.
+//! which targets have said that they leave, [`pause`] keeps the pauses that targets ask for, [`rate`] the
+//! limits on requests that they name, and [`reader`] says which daemons read the store.
 
 pub mod builds;
 pub mod crash;
@@ -24,6 +24,7 @@
 pub mod pause;
 pub mod plan;
 pub mod quarantine;
+pub mod rate;
 pub mod reach;
 pub mod reader;
 pub mod registry;
