--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -47,6 +47,8 @@
 
 /// Header in which a brittle engine states how many rejections a second it bears.
 pub(super) const BRITTLE: &str = "server-brittle";
+/// Header in which an engine names the requests a second that it takes from all machines together.
+pub(super) const LIMIT: &str = "server-limit";
 /// Header by which an engine says that it leaves.
 pub(super) const LEAVING: &str = "server-leaving";
 
@@ -176,6 +178,12 @@
         self.state.notices.set_leaving(is_leaving);
     }
 
+    /// Makes the engine name, in all its answers, a limit on the requests a second that it takes. It
+    /// turns none away beyond it. `None` ends this.
+    pub fn set_rate_limit(&self, rate: Option<f64>) {
+        self.state.notices.set_rate(rate);
+    }
+
     /// Makes the engine turn everything away with 503, and ask for this pause; `None` ends this.
     pub fn set_pause(&self, pause: Option<Duration>) {
         self.state.notices.set_pause(pause);
@@ -395,6 +403,9 @@
         if let Some(limit) = self.admissions.announced_limit() {
             set_header(&mut reply, BRITTLE, &limit.to_string());
         }
+        if let Some(rate) = self.notices.rate() {
+            set_header(&mut reply, LIMIT, &rate.to_string());
+        }
         if self.notices.is_leaving() {
             set_header(&mut reply, LEAVING, "1");
         }
--- a/standin/src/site/notice.rs
+++ b/standin/src/site/notice.rs
@@ -18,6 +18,8 @@
     pub pause: Option<Duration>,
     /// Whether the answer said that the engine leaves.
     pub said_leaving: bool,
+    /// Requests a second that the engine takes, as the answer said.
+    pub rate: Option<f64>,
 }
 
 /// Notices of an engine.
@@ -28,6 +30,7 @@
 struct State {
     is_leaving: bool,
     pause: Option<Duration>,
+    rate: Option<f64>,
     arrivals: Vec<Arrival>,
 }
 
@@ -40,6 +43,14 @@
         self.state().pause = pause;
     }
 
+    pub fn set_rate(&self, rate: Option<f64>) {
+        self.state().rate = rate;
+    }
+
+    pub fn rate(&self) -> Option<f64> {
+        self.state().rate
+    }
+
     pub fn is_leaving(&self) -> bool {
         self.state().is_leaving
     }
@@ -53,6 +64,7 @@
             at: Instant::now(),
             pause: state.pause,
             said_leaving: state.is_leaving,
+            rate: state.rate,
         };
         state.arrivals.push(arrival);
         state.pause
--- a/standin/src/site/raw.rs
+++ b/standin/src/site/raw.rs
@@ -2,7 +2,7 @@
 
 use super::{
     behavior::{Cut, Section},
-    engine::{BRITTLE, EVENT_INTERVAL, EVENTS_BEFORE_CUT, LEAVING, State, plain_answer},
+    engine::{BRITTLE, EVENT_INTERVAL, EVENTS_BEFORE_CUT, LEAVING, LIMIT, State, plain_answer},
 };
 use crate::http::{ConnectionClosed, RawConnection, Reply};
 use std::{sync::atomic::Ordering, time::Duration};
@@ -112,13 +112,15 @@
     fn unframed_head(&self, id: &str) -> String {
         let limit = self.admissions.announced_limit();
         let limit = limit.map_or(String::new(), |limit| format!("{BRITTLE}: {limit}\r\n"));
+        let rate = self.notices.rate();
+        let rate = rate.map_or(String::new(), |rate| format!("{LIMIT}: {rate}\r\n"));
         let leaving = if self.notices.is_leaving() {
             format!("{LEAVING}: 1\r\n")
         } else {
             String::new()
         };
         format!(
-            "HTTP/1.1 200 OK\r\n{limit}{leaving}godwithinge-attempt-id: {id}\r\n\
+            "HTTP/1.1 200 OK\r\n{limit}{rate}{leaving}godwithinge-attempt-id: {id}\r\n\
              godwithinge-server-stamp: stamp-{}\r\n\r\n",
             self.id
         )
