Let the leader spend the rate of requests that targets name, for the whole fleet

Cause: nothing read the limit, and selection goes by expected time alone, by which an idle target in need is the best of all. Class of fault: what a target says of the sum of all daemons is not heeded, or heeded by each daemon for itself.

Change: policy::relay::rate. Daemons tell each other of limits, by target and start, and all of them to a new link. The leader spends each rate in evenly spaced sends; the others ask it for a permit before they send. A permit may be for some time later, if no other target takes the request. A refused daemon leaves the target alone until its next send is due; requests whose pool has nothing else are refused at once with that time. Without a leader nothing is sent there. The leader grants the linked daemons' share only, and saves up nothing before it leads. It paces its own calls and releases at stage targets in the same way, and the scheduler's estimates include that wait.

Weighed: a share for each daemon (one request in a minute among 85 daemons, and a burst of all saved-up ones at once), one daemon for each target by rendezvous order (as many daemons to agree with as targets), turns by the clock (clocks jump).

A request that is withdrawn no longer earns its fraction of a retry twice.

--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -8,6 +8,7 @@
     event,
     frame::{Frame, LinkId},
     outcome::Reason,
+    rate::GRANT_DELAY,
     state::{self, Relay},
 };
 use compact_str::CompactString;
@@ -17,6 +18,7 @@
     relay::{
         leader::{self, Candidate, Leader, UnixMillis},
         plan::Plan,
+        rate::Rate,
         registry::{Target, TargetChange},
         scheduler::{Command, Handle, Job, JobId, Refusal, Scheduler, StageSpec},
     },
@@ -97,7 +99,7 @@
 
 /// Location of the leader.
 #[derive(Clone, Debug, Eq, PartialEq)]
-enum LeaderLink {
+pub(super) enum LeaderLink {
     Own,
     /// A peer, and the link to it. A job is submitted again if this link ends.
     Peer(HostId, LinkId),
@@ -139,6 +141,17 @@
         self.scheduler.borrow_mut().pause_target(target, end);
     }
 
+    /// Calls a stage target at no more than `rate`, if it names a limit.
+    pub fn limit_target(&self, now: Time, target: &Target, rate: Option<Rate>) {
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.limit_target(now, target, rate);
+    }
+
+    /// Discards what is saved up of the rates of stage targets.
+    pub fn hold_rates(&self, now: Time) {
+        self.scheduler.borrow_mut().hold_rates(now);
+    }
+
     /// Forgets failed calls to all stage targets.
     pub fn clear_failures(&self) {
         self.scheduler.borrow_mut().clear_failures();
@@ -253,7 +266,7 @@
     }
 
     /// Returns the current leader; absent if it is unknown or not linked.
-    fn leader_link(&self) -> Option<LeaderLink> {
+    pub(super) fn leader_link(&self) -> Option<LeaderLink> {
         let (own, peers) = self.candidates();
         self.elect_leader(&own, &peers)
     }
@@ -309,6 +322,9 @@
             event::leadership_changed(is_leader, self.links.count());
             self.broadcast_heartbeat();
         }
+        if leader != Some(LeaderLink::Own) || self.now() < GRANT_DELAY {
+            self.hold_rates();
+        }
         if leader.is_some() {
             let waiting: Vec<u64> = {
                 let submitted = self.dispatcher.submitted.borrow();
--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -1,8 +1,8 @@
 //! Startup of a daemon, and shutdown without losing requests.
 
 use super::{
-    address, builds, conduct, dialect::Table, front, link, quarantine, reach, settings::Settings,
-    side, state::Relay, tunnel, watch,
+    address, builds, conduct, dialect::Table, front, link, quarantine, rate, reach,
+    settings::Settings, side, state::Relay, tunnel, watch,
 };
 use std::{
     error, io,
@@ -112,6 +112,7 @@
     spawn_local(watch::register_daemon(Rc::clone(relay)));
     spawn_local(builds::record_builds(Rc::clone(relay)));
     spawn_local(quarantine::record_quarantine(Rc::clone(relay)));
+    spawn_local(rate::expire_limits(Rc::clone(relay)));
     spawn_local(conduct::poll_scheduler(Rc::clone(relay)));
     let relay = Rc::clone(relay);
     spawn_local(async move {
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -215,13 +215,27 @@
 }
 
 /// Logs that a target names another limit on the requests a second that it takes, or none any more.
-pub(super) fn rate_changed(target: &TargetId, pool: &PoolId, rate: Option<Rate>) {
+pub(super) fn rate_changed(target: &TargetId, rate: Option<Rate>) {
     let message = if rate.is_some() {
         "target limits its requests"
     } else {
         "target takes any number of requests"
     };
-    tracing::info!(target_id = %target, %pool, rate, "{message}");
+    tracing::info!(target_id = %target, rate, "{message}");
+}
+
+/// Logs that a request is not sent to a target because of its limit, and when the target takes the
+/// next one.
+pub(super) fn permit_refused(
+    request: &RequestId,
+    target: &TargetId,
+    result: &'static str,
+    wait: Duration,
+) {
+    tracing::info!(
+        %request, target_id = %target, result, wait_ms = millis(wait),
+        "limit of target keeps request back"
+    );
 }
 
 /// Logs how the stream of a target ended: how its body was delimited, the last complete event, and
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -11,6 +11,7 @@
         departure::Departure,
         history::{Era, Version},
         leader::UnixMillis,
+        rate::{self, Decision, Rate},
         registry::Build,
         rejection,
         scheduler::Handle,
@@ -50,7 +51,7 @@
 }
 
 /// Version of the protocol between daemons that this build speaks.
-pub(super) const PROTOCOL: u32 = NOTICE_PROTOCOL;
+pub(super) const PROTOCOL: u32 = RATE_PROTOCOL;
 
 /// Version of the protocol from which daemons exchange the features of requests whose targets crash.
 pub(super) const CRASH_PROTOCOL: u32 = 2;
@@ -61,6 +62,9 @@
 /// Version of the protocol from which daemons tell what targets say of further requests.
 const NOTICE_PROTOCOL: u32 = 4;
 
+/// Version of the protocol from which daemons keep limits on the rate of requests together.
+const RATE_PROTOCOL: u32 = 5;
+
 /// Row of a table as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireRow {
@@ -178,6 +182,88 @@
     /// A target has asked for a pause on a connection that the receiver forwards, and so asked the
     /// receiver.
     Pause(WirePause),
+    /// Limits on the rate of requests that targets have named, or name no more.
+    Rates(Vec<WireRate>),
+    /// Asks the leader for a send to a target that names a limit.
+    RequestPermit {
+        number: u64,
+        rate: WireRate,
+        /// Time that the send may wait.
+        #[serde(default)]
+        max_wait: Duration,
+    },
+    /// Answer to such a question.
+    Permit { number: u64, permit: WirePermit },
+}
+
+/// Limit on the rate of requests of a target, as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireRate {
+    pub target: TargetId,
+    /// Start time of the target; 0 if it is not known.
+    #[serde(default)]
+    started: UnixMillis,
+    /// Requests a second; absent if the target names no limit any more.
+    rate: Option<Rate>,
+    /// Time since it was named, or since the request was sent whose answer named none.
+    #[serde(default)]
+    age: Duration,
+}
+
+impl From<rate::Report> for WireRate {
+    fn from(report: rate::Report) -> Self {
+        Self {
+            target: report.target,
+            started: report.started_unix_ms,
+            rate: report.rate,
+            age: report.age,
+        }
+    }
+}
+
+impl From<WireRate> for rate::Report {
+    fn from(rate: WireRate) -> Self {
+        Self {
+            target: rate.target,
+            started_unix_ms: rate.started,
+            rate: rate.rate,
+            age: rate.age,
+        }
+    }
+}
+
+/// Answer to a question for a permit, as encoded in frames.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub(super) struct WirePermit {
+    is_granted: bool,
+    /// Time until the send may be made, or until the target takes the next one.
+    #[serde(default)]
+    wait: Duration,
+}
+
+impl From<Decision> for WirePermit {
+    fn from(decision: Decision) -> Self {
+        match decision {
+            Decision::Send(wait) => Self {
+                is_granted: true,
+                wait,
+            },
+            Decision::Refuse(wait) => Self {
+                is_granted: false,
+                wait,
+            },
+        }
+    }
+}
+
+impl From<WirePermit> for Decision {
+    fn from(permit: WirePermit) -> Self {
+        if permit.is_granted {
+            Self::Send(permit.wait)
+        } else {
+            Self::Refuse(permit.wait)
+        }
+    }
 }
 
 /// Pause that a target asked for, as encoded in frames.
@@ -315,6 +401,7 @@
     /// Returns the version of the protocol from which daemons can decode this frame.
     pub fn protocol(&self) -> u32 {
         match self {
+            Self::Rates(_) | Self::RequestPermit { .. } | Self::Permit { .. } => RATE_PROTOCOL,
             Self::Departures(_) | Self::Pause(_) => NOTICE_PROTOCOL,
             Self::Rejections(_) => REJECTION_PROTOCOL,
             Self::Crashes(_) | Self::Served(_) | Self::Quarantine(_) => CRASH_PROTOCOL,
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -316,6 +316,7 @@
     let (link_id, queue) = relay.add_peer(profile, receiver.progress())?;
     relay.send_crash_state(&host);
     relay.send_departures(&host);
+    relay.send_rates(&host);
     let end = tokio::select! {
         end = receive_frames(relay, &host, link_id, receiver) => end,
         end = send_frames(relay, &host, sender, queue) => end,
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -51,6 +51,8 @@
     pub pauses: IntCounterVec,
     /// Answers of targets that limit the rate of their requests, by pool.
     pub rate_limited_sends: IntCounterVec,
+    /// Questions whether a request may be sent to such a target, by pool and answer.
+    permits: IntCounterVec,
     /// Targets that said that they leave, by whether they told this daemon or a peer.
     pub departures: IntCounterVec,
     /// Requests for which no target with a limit on rejections had room, by pool and whether they
@@ -123,6 +125,11 @@
                 "Answers of targets that limit the rate of their requests",
                 &["pool"],
             ),
+            permits: counter(
+                "permits_total",
+                "Permits for requests to targets that limit their rate",
+                &["pool", "result"],
+            ),
             departures: counter(
                 "departures_total",
                 "Targets that said that they leave",
@@ -204,6 +211,11 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a permit that was asked for.
+    pub fn record_permit(&self, pool: &str, result: &str) {
+        self.permits.with_label_values(&[pool, result]).inc();
+    }
+
     /// Sets the number of targets that limit the rate of their requests.
     pub fn set_rate_limited_targets(&self, count: usize) {
         self.rate_limited_targets
--- a/godwithinge/src/relay/notice.rs
+++ b/godwithinge/src/relay/notice.rs
@@ -11,7 +11,7 @@
 };
 use http::StatusCode;
 use policy::{
-    id::{HostId, PoolId, TargetId},
+    id::{HostId, PoolId, TargetId, Time},
     relay::{
         departure::Departure,
         pause::{self, Decision},
@@ -37,6 +37,13 @@
         self.pauses.borrow().is_paused(self.now(), target)
     }
 
+    /// Returns until when nothing is sent to a target, by its own word or for want of a permit.
+    pub(super) fn closed_until(&self, target: &Target) -> Option<Time> {
+        let now = self.now();
+        let pause = self.pauses.borrow().end(now, target);
+        pause.max(self.rates.end(now, target))
+    }
+
     /// Handles what the head of a target's answer says about further requests. `via` is the peer that
     /// forwards the connection, if any.
     pub(super) fn record_notice(
@@ -128,8 +135,8 @@
         let targets = registry.ready(pool).filter(|target| {
             build.is_none_or(|build| target.build == *build) && !tried.contains(&target.id)
         });
-        let pauses = self.relay.pauses.borrow();
-        pauses.time_to_open(self.relay.now(), targets)
+        let ends = targets.map(|target| self.relay.closed_until(target));
+        pause::time_to_open(self.relay.now(), ends)
     }
 
     /// Returns whether a request whose pool has no open target is to wait no longer than `max_wait`
--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -77,6 +77,13 @@
             Frame::Rejections(report) => self.receive_rejections(&report.into()),
             Frame::Departures(departures) => self.receive_departures(departures),
             Frame::Pause(pause) => self.apply_pause(&pause.target, pause.left),
+            Frame::Rates(rates) => self.receive_rates(rates),
+            Frame::RequestPermit {
+                number,
+                rate,
+                max_wait,
+            } => self.answer_permit(link_id, number, rate, max_wait),
+            Frame::Permit { number, permit } => self.receive_permit(number, permit),
             Frame::Served(features) => self.receive_served(&features),
             Frame::Quarantine(features) => {
                 self.receive_quarantine(features.into_iter().map(Into::into));
--- a/godwithinge/src/relay/rejection.rs
+++ b/godwithinge/src/relay/rejection.rs
@@ -72,6 +72,17 @@
         attempts.rejected >= MAX_REJECTED_SENDS && self.relay.is_limited(pool)
     }
 
+    /// Returns the time for which the request may wait for a target.
+    pub(super) fn max_room_wait(&self, has_results: bool) -> Duration {
+        let fraction = if has_results {
+            STAGED_WAIT_FRACTION
+        } else {
+            WAIT_FRACTION
+        };
+        let limit = self.route.objective.mul_f64(fraction);
+        limit.min(self.remaining() / 2)
+    }
+
     /// Waits until a target has room, but only for a short time, and only if the targets bear few
     /// rejections or have asked for pauses.
     pub(super) async fn wait_for_room(&self, attempts: &Attempts, has_results: bool) {
@@ -88,13 +99,7 @@
         if !has_targets || has_room() {
             return;
         }
-        let fraction = if has_results {
-            STAGED_WAIT_FRACTION
-        } else {
-            WAIT_FRACTION
-        };
-        let limit = self.route.objective.mul_f64(fraction);
-        let limit = limit.min(self.remaining() / 2);
+        let limit = self.max_room_wait(has_results);
         if !self.is_worth_waiting(&pool, attempts, limit) {
             return;
         }
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -107,6 +107,8 @@
     pub delivered: u32,
     /// Sends that targets rejected for want of room.
     pub rejected: u32,
+    /// Whether the request has earned its fraction of a retry.
+    pub has_earned: bool,
 }
 
 impl Attempts {
@@ -395,7 +397,9 @@
             selection.target.clone()
         })?;
         if attempts.delivered == 0 {
-            self.relay.record_first_send(&pool);
+            if !std::mem::replace(&mut attempts.has_earned, true) {
+                self.relay.record_first_send(&pool);
+            }
         } else if !self.relay.try_take_retry(&pool) {
             return Err(self.after_pauses(&pool, attempts.failure()));
         }
@@ -515,7 +519,7 @@
         let targets = registry
             .ready(pool)
             .filter(|target| build.is_none_or(|build| target.build == *build))
-            .filter(|target| !self.relay.is_paused(target))
+            .filter(|target| self.relay.closed_until(target).is_none())
             .filter(|target| open.as_ref().is_none_or(|open| open.contains(&target.id)));
         let selection = selector.choose(self.relay.now(), targets, &criteria);
         selection.as_ref().map(read)
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -105,6 +105,10 @@
         progress: &SendProgress,
     ) -> (Target, Duration, SendOutcome) {
         let started = Instant::now();
+        let max_wait = self.max_permit_wait(&target, inputs.is_some());
+        if !self.wait_for_permit(&target, max_wait).await {
+            return (target, started.elapsed(), SendOutcome::Withdrawn);
+        }
         let sent_at = self.relay.now();
         self.stats.sends.set(self.stats.sends.get() + 1);
         self.stats.target.borrow_mut().clone_from(&target.id);
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -515,9 +515,12 @@
                 self.activity.borrow_mut().remove(&target.id);
                 self.rejection_watch.limiter_mut().remove_target(&target.id);
                 self.pauses.borrow_mut().remove_target(&target.id);
-                self.rate_limits.borrow_mut().remove_target(&target.id);
+                self.rates.remove_target(&target.id);
             }
             self.dispatcher.apply_target_change(self, &change);
+            if let TargetChange::Added(target) = &change {
+                self.limit_stage_target(&target.id);
+            }
         }
     }
 
--- a/policy/src/relay/pause.rs
+++ b/policy/src/relay/pause.rs
@@ -69,12 +69,7 @@
         now: Time,
         targets: impl Iterator<Item = &'a Target>,
     ) -> Option<Duration> {
-        let mut first: Option<Time> = None;
-        for target in targets {
-            let end = self.end(now, target)?;
-            first = Some(first.map_or(end, |first| first.min(end)));
-        }
-        first.map(|end| end.saturating_sub(now))
+        time_to_open(now, targets.map(|target| self.end(now, target)))
     }
 
     /// Drops all state of a target that has ended.
@@ -83,6 +78,17 @@
     }
 }
 
+/// Returns the time until the first of several targets is open, given when each of them is; `None` if
+/// one is open now, or if there are no targets.
+pub fn time_to_open(now: Time, ends: impl Iterator<Item = Option<Time>>) -> Option<Duration> {
+    let mut first: Option<Time> = None;
+    for end in ends {
+        let end = end?;
+        first = Some(first.map_or(end, |first| first.min(end)));
+    }
+    first.map(|end| end.saturating_sub(now))
+}
+
 /// Decides about a request whose pool has no open target for `time_to_open`. It may wait for
 /// `max_wait`; `turn`, from 0 to 1, is its place among the callers that are refused meanwhile.
 pub fn decide(time_to_open: Duration, max_wait: Duration, turn: f64) -> Decision {
--- a/policy/src/relay/scheduler/dispatch.rs
+++ b/policy/src/relay/scheduler/dispatch.rs
@@ -381,6 +381,7 @@
         });
         let stage_target = &mut pool_state.targets[index];
         stage_target.call = Some(id);
+        stage_target.spend(now);
         let nominal = limits.call_overhead + limits.piece_time * chosen.len() as u32;
         let expected = nominal.mul_f64(stage_target.slowdown.max(MIN_SLOWDOWN));
         out.push(Command::Call {
@@ -426,8 +427,9 @@
             .pools
             .values_mut()
             .flat_map(|pool_state| &mut pool_state.targets);
-        let open = targets.filter(|stage_target| now >= stage_target.closed_until);
+        let open = targets.filter(|stage_target| stage_target.is_open(now));
         for stage_target in open.filter(|stage_target| !stage_target.to_free.is_empty()) {
+            stage_target.spend(now);
             out.push(Command::Free {
                 target: stage_target.id.clone(),
                 address: stage_target.address.clone(),
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -33,6 +33,7 @@
     id::{DomainId, PoolId, TargetId, Time},
     relay::{
         plan,
+        rate::Rate,
         registry::{Target, TargetChange},
     },
 };
@@ -251,6 +252,23 @@
         }
     }
 
+    /// Sends a target no more than `rate` requests a second: calls and releases of results.
+    pub fn limit_target(&mut self, now: Time, target: &Target, rate: Option<Rate>) {
+        let pool_state = self.pools.get_mut(&target.pool);
+        if let Some(limited) = pool_state.and_then(|pool_state| pool_state.target_mut(&target.id)) {
+            limited.set_rate(now, rate);
+        }
+    }
+
+    /// Discards what is saved up of the rates of targets, as long as another daemon leads.
+    pub fn hold_rates(&mut self, now: Time) {
+        let targets = self.pools.values_mut();
+        let targets = targets.flat_map(|pool_state| &mut pool_state.targets);
+        for pace in targets.filter_map(|stage_target| stage_target.pace.as_mut()) {
+            pace.hold(now);
+        }
+    }
+
     /// Forgets all failed calls, which were those of this daemon's network.
     pub fn clear_failures(&mut self) {
         for (pool, pool_state) in &mut self.pools {
--- a/policy/src/relay/scheduler/pool.rs
+++ b/policy/src/relay/scheduler/pool.rs
@@ -3,7 +3,7 @@
 use super::{JobId, target::StageTarget};
 use crate::{
     id::{TargetId, Time},
-    relay::plan,
+    relay::{plan, rate::Pace},
 };
 use std::time::Duration;
 
@@ -34,20 +34,32 @@
     /// Returns the time until the first target takes calls again, if all of them want none for a while;
     /// zero otherwise.
     pub fn time_to_open(&self, now: Time) -> Duration {
-        let ends = self.targets.iter().map(|target| target.closed_until);
+        let ends = self.targets.iter().map(StageTarget::open_at);
         let first = ends.min().unwrap_or_default();
         first.saturating_sub(now)
     }
 
     /// Returns the mean duration of a call, or before the first call the nominal duration of a
-    /// half-full one.
+    /// half-full one. If the rates of all targets are limited, it includes the wait for the next call.
     pub fn expected_call_time(&self) -> Duration {
         let limits = self.limits.as_ref();
         let default = limits.map_or(Duration::ZERO, |limits| {
             limits.call_overhead + limits.piece_time * (limits.max_pieces as u32 / 2)
         });
-        self.mean_call_seconds
-            .map_or(default, Duration::from_secs_f64)
+        let call_time = self
+            .mean_call_seconds
+            .map_or(default, Duration::from_secs_f64);
+        call_time + self.pace_interval()
+    }
+
+    /// Returns the mean time between two calls that the limits of all targets allow; zero if a target
+    /// has none.
+    fn pace_interval(&self) -> Duration {
+        let rates = self.targets.iter();
+        let rates = rates.map(|target| target.pace.as_ref().map(Pace::rate));
+        let sum: Option<f64> = rates.sum();
+        let rate = sum.filter(|rate| *rate > 0.0);
+        rate.map_or(Duration::ZERO, |rate| Duration::from_secs_f64(rate.recip()))
     }
 
     /// Returns the throughput of full calls in pieces per second, without targets whose slowdown
@@ -57,10 +69,13 @@
             .targets
             .iter()
             .filter(|stage_target| stage_target.slowdown < max_slowdown);
-        let speeds: f64 = targets
-            .map(|stage_target| 1.0 / stage_target.slowdown.max(0.1))
+        let call_rates: f64 = targets
+            .map(|stage_target| {
+                let slowdown = stage_target.slowdown.max(0.1);
+                stage_target.call_rate(limits.full_call_time().mul_f64(slowdown))
+            })
             .sum();
-        (speeds * limits.max_pieces as f64 / limits.full_call_time().as_secs_f64()).max(MIN_RATE)
+        (call_rates * limits.max_pieces as f64).max(MIN_RATE)
     }
 
     /// Returns the estimated time to process `pieces` in full calls.
--- a/policy/src/relay/scheduler/target.rs
+++ b/policy/src/relay/scheduler/target.rs
@@ -3,7 +3,12 @@
 use super::{CallId, job::Handle};
 use crate::{
     id::{DomainId, TargetId, Time},
-    relay::{leader::UnixMillis, plan, registry::Target},
+    relay::{
+        leader::UnixMillis,
+        plan,
+        rate::{Pace, Rate},
+        registry::Target,
+    },
 };
 use compact_str::CompactString;
 use std::{collections::HashMap, time::Duration};
@@ -27,6 +32,8 @@
     pub paused_until: Time,
     /// The target wants nothing before this time.
     pub closed_until: Time,
+    /// Spends the rate of requests to which the target is limited, if it is.
+    pub pace: Option<Pace>,
     /// Start time of the target in milliseconds since the Unix epoch.
     pub started_unix_ms: UnixMillis,
     /// Consecutive failed calls.
@@ -55,6 +62,7 @@
             slowdown: 1.0,
             paused_until: Time::ZERO,
             closed_until: Time::ZERO,
+            pace: None,
             started_unix_ms: target.started_unix_ms,
             failures: 0,
             held: HashMap::new(),
@@ -64,7 +72,43 @@
     }
 
     pub fn is_idle(&self, now: Time) -> bool {
-        self.call.is_none() && now >= self.paused_until && now >= self.closed_until
+        self.call.is_none() && now >= self.paused_until && self.is_open(now)
+    }
+
+    /// Returns whether the target takes a request.
+    pub fn is_open(&self, now: Time) -> bool {
+        now >= self.open_at()
+    }
+
+    /// Returns when the target takes the next request.
+    pub fn open_at(&self) -> Time {
+        let paced = self.pace.as_ref().map_or(Time::ZERO, Pace::open_at);
+        paced.max(self.closed_until)
+    }
+
+    /// Sets the rate of requests to which the target is limited.
+    pub fn set_rate(&mut self, now: Time, rate: Option<Rate>) {
+        match (rate, &mut self.pace) {
+            (Some(rate), Some(pace)) => pace.set_rate(now, rate),
+            (Some(rate), None) => self.pace = Some(Pace::new(now, rate)),
+            (None, _) => self.pace = None,
+        }
+    }
+
+    /// Records a request that is sent while the target is open.
+    pub fn spend(&mut self, now: Time) {
+        if let Some(pace) = &mut self.pace {
+            // Open, so that it is granted.
+            pace.take(now, Duration::ZERO);
+        }
+    }
+
+    /// Returns the number of calls a second of this duration that the target takes.
+    pub fn call_rate(&self, duration: Duration) -> f64 {
+        let rate = duration.as_secs_f64().recip();
+        self.pace
+            .as_ref()
+            .map_or(rate, |pace| pace.rate().min(rate))
     }
 
     /// Returns the bytes available for results.
