Simulate stage targets that limit the rate of their requests

Tried and left out, for no difference: releases to limited targets only when half of their memory is taken.

--- a/policy/tests/scheduler.rs
+++ b/policy/tests/scheduler.rs
@@ -166,3 +166,33 @@
     assert!(reasons.iter().all(|reason| *reason == Refusal::NoTarget));
     assert!(!reasons.is_empty());
 }
+
+/// Targets that limit the rate of their requests get no more calls and releases of results than that.
+/// Half of what full calls could carry of the load is served; the rest goes to releases and to calls
+/// without room.
+#[rstest]
+#[case::first_stage(0, 2.0, 1.0)]
+#[case::first_stage_of_half_the_load(0, 1.0, 3.0 * 8.0 / 41.0)]
+#[case::last_stage(2, 1.0, 5.0 * 28.0 / 196.0)]
+fn limited_targets_are_called_no_more_often(
+    #[case] index: usize,
+    #[case] rate: f64,
+    #[case] carried: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    const WINDOW: Duration = Duration::from_secs(4);
+    let mut simulation = Simulation::new(seed).with_rate_limit(index, rate);
+    let report = simulation.run(&Workload::typical_site(), RUN_LENGTH);
+    let limited = report.sends.iter();
+    let prefix = format!("t-{index}-");
+    for (target, sends) in limited.filter(|(target, _)| target.starts_with(&prefix)) {
+        let most = sends.iter().map(|start| {
+            let inside = sends.iter();
+            let inside = inside.filter(|at| *at >= start && **at < *start + WINDOW);
+            inside.count()
+        });
+        let most = most.max().unwrap_or_default();
+        assert!(most as f64 <= rate * 4.0 + 2.0, "{most} to {target}");
+    }
+    assert!(report.served(CHAIN) >= carried / 2.0, "{:?}", report.counts);
+}
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -80,6 +80,8 @@
     pub without_room: u32,
     /// Pieces that were sent with too few inputs.
     pub missing_inputs: u32,
+    /// When calls and releases of results were sent to each target.
+    pub sends: HashMap<TargetId, Vec<Time>>,
     /// When each request ended, and whether it was late or refused.
     ends: Vec<(Time, bool)>,
 }
@@ -240,6 +242,18 @@
         self
     }
 
+    /// Limits each target of a pool to `rate` requests a second from the start.
+    pub fn with_rate_limit(mut self, index: usize, rate: f64) -> Self {
+        let limited = self.targets.values();
+        let limited = limited.filter(|target_state| target_state.target.pool == pool(index));
+        for target_state in limited {
+            let target = &target_state.target;
+            self.scheduler
+                .limit_target(Duration::ZERO, target, Some(rate));
+        }
+        self
+    }
+
     /// Removes all targets of a pool.
     pub fn remove_targets(&mut self, index: usize) {
         let removed = self
@@ -547,10 +561,11 @@
                     target,
                     items,
                     ..
-                } => self.schedule(
-                    now + NETWORK_DELAY,
-                    Event::Start(self.generation, call, target, items),
-                ),
+                } => {
+                    self.record_send(now, &target);
+                    let start = Event::Start(self.generation, call, target, items);
+                    self.schedule(now + NETWORK_DELAY, start);
+                }
                 Command::Ready { job, handles, .. } => self.handle_ready(now, job, &handles),
                 Command::Refuse { job, reason, .. } => {
                     self.open.remove(&job);
@@ -563,11 +578,19 @@
                 }
                 Command::Free {
                     target, handles, ..
-                } => self.schedule(now + NETWORK_DELAY, Event::Freed(target, handles)),
+                } => {
+                    self.record_send(now, &target);
+                    self.schedule(now + NETWORK_DELAY, Event::Freed(target, handles));
+                }
             }
         }
     }
 
+    fn record_send(&mut self, now: Time, target: &TargetId) {
+        let sends = self.report.sends.entry(target.clone()).or_default();
+        sends.push(now);
+    }
+
     fn handle_ready(&mut self, now: Time, id: JobId, handles: &[Handle]) {
         self.open.remove(&id);
         let (kind, _, job) = &self.jobs[&id];
