--- a/standin/src/http/mod.rs
+++ b/standin/src/http/mod.rs
@@ -168,6 +168,7 @@
     if server_handle.is_down() || stream.set_nodelay(true).is_err() {
         return;
     }
+    server_handle.count_connection();
     let stream = SilenceableStream::new(stream, server_handle.pause());
     let silence_flag = stream.silence_flag();
     let task = tokio::spawn(serve_connection(stream, Arc::clone(handler)));
--- a/standin/src/http/raw_connection.rs
+++ b/standin/src/http/raw_connection.rs
@@ -25,6 +25,11 @@
         }
     }
 
+    /// Returns a number that no other open connection has.
+    pub fn id(&self) -> usize {
+        self.stream.as_ptr().addr()
+    }
+
     /// Writes all bytes.
     ///
     /// # Errors
--- a/standin/src/http/server_handle.rs
+++ b/standin/src/http/server_handle.rs
@@ -4,7 +4,7 @@
 use std::{
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 pub struct ServerHandle {
     down: AtomicBool,
+    /// Number of connections accepted so far.
+    connections: AtomicUsize,
     terminated: watch::Sender<bool>,
     refusing: watch::Sender<bool>,
     pause: Arc<Pause>,
@@ -34,6 +36,7 @@
     pub(super) fn new() -> Self {
         Self {
             down: AtomicBool::new(false),
+            connections: AtomicUsize::new(0),
             terminated: watch::Sender::new(false),
             refusing: watch::Sender::new(false),
             pause: Arc::default(),
@@ -42,6 +45,15 @@
         }
     }
 
+    /// Returns the number of connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn count_connection(&self) {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Returns whether new connections are closed on accept.
     pub fn is_down(&self) -> bool {
         self.down.load(Ordering::Relaxed)
--- a/standin/src/site/behavior.rs
+++ b/standin/src/site/behavior.rs
@@ -26,6 +26,9 @@
     MissingStamp,
     /// Returns a complete response, and later a second one with the same id on its connection.
     RepeatLate,
+    /// Sends the answer to the last stage call once more when the next call on its connection has
+    /// arrived.
+    RepeatToNext,
     /// Returns a response with neither a length nor chunks, which ends with its connection.
     Unframed(Cut),
     /// Sends bytes without end, until the caller closes the connection.
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -17,7 +17,7 @@
 use hyper::{Request, StatusCode, header::HeaderValue};
 use serde_json::{Value, json};
 use std::{
-    collections::HashSet,
+    collections::HashMap,
     io,
     net::SocketAddr,
     sync::{
@@ -70,6 +70,10 @@
     address: Mutex<String>,
     next_result: AtomicU64,
     stage_calls: Mutex<Vec<Value>>,
+    /// Last answer to a stage call on each connection.
+    pub(super) last_answers: Mutex<HashMap<usize, String>>,
+    /// Number of these that were sent again.
+    pub(super) repeated_answers: AtomicUsize,
     /// Endless responses that their callers have not closed.
     pub(super) endless_responses: AtomicUsize,
     pub(super) admissions: Admissions,
@@ -77,9 +81,9 @@
     server_handle: Arc<ServerHandle>,
 }
 
-/// Handles of the results that the stage engines of a test hold. An input that is missing here is
-/// answered as gone.
-pub type StoredResults = Arc<Mutex<HashSet<String>>>;
+/// Results that the stage engines of a test hold: the identifier of the request of each, by handle. An
+/// input that is missing here is answered as gone.
+pub type StoredResults = Arc<Mutex<HashMap<String, String>>>;
 
 impl Server {
     /// Starts an engine with the software version `v1` on a free port.
@@ -111,6 +115,8 @@
             address: Mutex::default(),
             next_result: AtomicU64::new(0),
             stage_calls: Mutex::default(),
+            last_answers: Mutex::default(),
+            repeated_answers: AtomicUsize::default(),
             endless_responses: AtomicUsize::default(),
             admissions: Admissions::default(),
             notices: Notices::default(),
@@ -205,6 +211,11 @@
         self.state.endless_responses.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of answers to stage calls that the engine has sent twice.
+    pub fn repeated_answers(&self) -> usize {
+        self.state.repeated_answers.load(Ordering::Relaxed)
+    }
+
     /// Returns the bodies of the stage calls, earliest first.
     pub fn stage_calls(&self) -> Vec<Value> {
         lock(&self.state.stage_calls).clone()
@@ -220,12 +231,13 @@
         let items = items.iter().map(|item| {
             let inputs = item["inputs"].as_array().into_iter().flatten();
             let mut inputs = inputs.filter_map(Value::as_str);
-            if inputs.any(|input| !lock(&self.stored_results).contains(input)) {
+            if inputs.any(|input| !lock(&self.stored_results).contains_key(input)) {
                 return json!({ "why": "gone" });
             }
             let number = self.next_result.fetch_add(1, Ordering::Relaxed);
             let handle = format!("{}/{}-{number}", lock(&self.address), self.id);
-            lock(&self.stored_results).insert(handle.clone());
+            let request = item["id"].as_str().unwrap_or_default();
+            lock(&self.stored_results).insert(handle.clone(), request.into());
             json!({ "handle": handle })
         });
         let items: Vec<Value> = items.collect();
@@ -235,6 +247,9 @@
     async fn answer_stage_call(&self, request: Request<Bytes>) -> Result<Reply, ConnectionClosed> {
         let behavior = *lock(&self.behavior);
         let raw = request.extensions().get::<RawConnection>();
+        if let (Behavior::RepeatToNext, Some(raw)) = (behavior, raw) {
+            self.repeat_last_answer(raw).await;
+        }
         if let (Behavior::Endless(section), Some(raw)) = (behavior, raw) {
             return self.send_endless(raw, "", section).await;
         }
@@ -254,6 +269,10 @@
                 }
                 self.send_unframed(raw, "", &results, cut).await
             }
+            (_, Some(raw)) => {
+                self.remember_answer(raw, &results.to_string());
+                Ok(reply::ok(&results))
+            }
             _ => Ok(reply::ok(&results)),
         }
     }
@@ -281,17 +300,16 @@
         if behavior == Behavior::Full {
             return Ok(self.refusal(StatusCode::SERVICE_UNAVAILABLE));
         }
-        let inputs = header("godwithinge-input-count");
-        let mut inputs = inputs.split(',').filter(|input| !input.is_empty());
-        if inputs.any(|input| !lock(&self.stored_results).contains(input)) {
+        let Some(sources) = self.sources(&header("godwithinge-input-count")) else {
             return Ok(self.refusal(StatusCode::CONFLICT));
-        }
+        };
         let slot = match self.admit().await {
             Ok(slot) => slot,
             Err(reply) => return Ok(reply),
         };
         let id = header("godwithinge-attempt-id");
-        let (run, execution) = ExecutedRequest::begin(&id, &request);
+        let (mut run, execution) = ExecutedRequest::begin(&id, &request);
+        run.sources = sources;
         let is_crashing = run.has_crashing_part();
         lock(&self.executed_requests).push(run);
         if is_crashing {
@@ -363,6 +381,13 @@
         Ok(reply)
     }
 
+    /// Returns the requests to which inputs belong; `None` if one of the inputs does not exist.
+    fn sources(&self, inputs: &str) -> Option<Vec<String>> {
+        let inputs = inputs.split(',').filter(|input| !input.is_empty());
+        let stored = lock(&self.stored_results);
+        inputs.map(|input| stored.get(input).cloned()).collect()
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
@@ -477,6 +502,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/standin/src/site/execution.rs
+++ b/standin/src/site/execution.rs
@@ -19,6 +19,8 @@
     pub headers: HeaderMap,
     /// Body as received.
     pub body: Bytes,
+    /// Identifiers of the requests to which its inputs belong.
+    pub sources: Vec<String>,
     /// When the execution began.
     pub at: Instant,
     /// When the execution ended, also because the connection was closed; empty until then.
@@ -34,6 +36,7 @@
             path: request.uri().to_string(),
             headers: request.headers().clone(),
             body: request.body().clone(),
+            sources: Vec::new(),
             at: Instant::now(),
             ended: Arc::clone(&ended),
         };
--- a/standin/src/site/raw.rs
+++ b/standin/src/site/raw.rs
@@ -2,7 +2,9 @@
 
 use super::{
     behavior::{Cut, Section},
-    engine::{BRITTLE, EVENT_INTERVAL, EVENTS_BEFORE_CUT, LEAVING, LIMIT, State, plain_answer},
+    engine::{
+        BRITTLE, EVENT_INTERVAL, EVENTS_BEFORE_CUT, LEAVING, LIMIT, State, lock, plain_answer,
+    },
 };
 use crate::http::{ConnectionClosed, RawConnection, Reply};
 use std::{sync::atomic::Ordering, time::Duration};
@@ -108,6 +110,28 @@
         });
     }
 
+    /// Remembers the answer to the last stage call on a connection.
+    pub(super) fn remember_answer(&self, raw: &RawConnection, body: &str) {
+        let head = self.unframed_head("");
+        let length = body.len();
+        let answer = format!(
+            "{}\r\ncontent-length: {length}\r\n\r\n{body}",
+            head.trim_end()
+        );
+        lock(&self.last_answers).insert(raw.id(), answer);
+    }
+
+    /// Sends the answer to the last stage call on a connection once more.
+    pub(super) async fn repeat_last_answer(&self, raw: &RawConnection) {
+        let answer = lock(&self.last_answers).remove(&raw.id());
+        let Some(answer) = answer else {
+            return;
+        };
+        if raw.write(answer.as_bytes()).await.is_ok() {
+            self.repeated_answers.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     /// Returns the head of a response without a length.
     fn unframed_head(&self, id: &str) -> String {
         let limit = self.admissions.announced_limit();
