Use a stage target's connection again only after an answer that belongs to its call

Cause: HTTP/1.1 ties an answer to its request by order alone, and answers to stage calls name no request. A second answer, sent when the next call had arrived, was taken for that call's; the real one then stood first on the connection, and so on.

Now a response that was received whole (http::Received) closes its connection unless it is kept, and is kept only if something shows to which call it belongs: an answer to a call has a handle for some piece, and its body differs from the last 32 on the connection, since no two calls get the same handles. What shows nothing (errors, answers without any handle, another status) ends the connection. A release whose answer holds results is not confirmed. Plain and model targets: a success on a reused connection has to name its request.

--- a/godwithinge/src/http/connection.rs
+++ b/godwithinge/src/http/connection.rs
@@ -8,6 +8,8 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use std::{
+    collections::VecDeque,
+    hash::{DefaultHasher, Hash, Hasher},
     io,
     time::{Duration, Instant},
 };
@@ -25,6 +27,9 @@
 /// Size of the read buffer in bytes, which also limits the size of a response head.
 const READ_BUFFER_BYTES: usize = 64 << 10; // usual heads have less than one KiB
 
+/// Number of bodies that a connection remembers. A second response follows the first one closely.
+const MAX_DELIVERED: usize = 32;
+
 /// HTTP/1.1 connection, closed on drop.
 #[derive(Debug)]
 pub struct Connection {
@@ -37,6 +42,8 @@
     last_response: Option<Instant>,
     /// How long the server keeps the connection open while it is idle, if announced.
     idle_timeout: Option<Duration>,
+    /// Hashes of the latest bodies that were recorded.
+    delivered: VecDeque<u64>,
 }
 
 /// Failure to send a request or to receive the response head.
@@ -89,6 +96,7 @@
             requests: 0,
             last_response: None,
             idle_timeout: None,
+            delivered: VecDeque::new(),
         })
     }
 
@@ -125,6 +133,19 @@
         self.last_response = Some(Instant::now());
     }
 
+    /// Remembers a body for [`has_delivered`](Self::has_delivered).
+    pub(super) fn record_delivery(&mut self, body: &[u8]) {
+        if self.delivered.len() == MAX_DELIVERED {
+            self.delivered.pop_front();
+        }
+        self.delivered.push_back(hash(body));
+    }
+
+    /// Returns whether an equal body was recorded, other than an empty one.
+    pub(super) fn has_delivered(&self, body: &[u8]) -> bool {
+        !body.is_empty() && self.delivered.contains(&hash(body))
+    }
+
     /// Sets how long the server keeps the connection open while it is idle.
     pub(super) fn set_idle_timeout(&mut self, timeout: Duration) {
         self.idle_timeout = Some(timeout);
@@ -155,3 +176,9 @@
         self.driver.abort();
     }
 }
+
+fn hash(body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    body.hash(&mut hasher);
+    hasher.finish()
+}
--- a/godwithinge/src/http/mod.rs
+++ b/godwithinge/src/http/mod.rs
@@ -3,9 +3,12 @@
 mod connection;
 mod error;
 mod framing;
+mod received;
 mod response;
 
-pub use self::{connection::Connection, error::Error, framing::Framing, response::Response};
+pub use self::{
+    connection::Connection, error::Error, framing::Framing, received::Received, response::Response,
+};
 
 use bytes::Bytes;
 use compact_str::CompactString;
--- a/godwithinge/src/http/response.rs
+++ b/godwithinge/src/http/response.rs
@@ -1,6 +1,6 @@
 //! HTTP response with a streamed body.
 
-use super::{Connection, Error, Framing, Pool};
+use super::{Connection, Error, Framing, Pool, Received};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use http::{HeaderMap, StatusCode, header, response::Parts};
@@ -147,6 +147,28 @@
     /// Fails like [`chunk`](Self::chunk), and with [`Error::TooLong`] if the body is longer than
     /// `limit` bytes.
     pub async fn bytes(mut self, limit: usize) -> Result<Bytes, Error> {
+        self.read(limit).await
+    }
+
+    /// Reads the whole body, but returns the connection to the pool only if that is asked for.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`bytes`](Self::bytes).
+    pub async fn receive(mut self, limit: usize) -> Result<Received, Error> {
+        // Without it, the end of the body returns nothing to the pool.
+        let connection = self.connection.take();
+        let body = self.read(limit).await?;
+        Ok(Received {
+            head: self.head,
+            body,
+            connection,
+            pool: self.pool,
+            address: self.address,
+        })
+    }
+
+    async fn read(&mut self, limit: usize) -> Result<Bytes, Error> {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.chunk().await? {
             if body.len() + chunk.len() > limit {
--- a/godwithinge/src/relay/call.rs
+++ b/godwithinge/src/relay/call.rs
@@ -1,7 +1,7 @@
 //! Calls to stage targets, which the scheduler asks for.
 
 use super::{dialect::Call, event, state::Relay};
-use crate::http::{Error, Reuse};
+use crate::http::{Error, Received, Reuse};
 use http::StatusCode;
 use http_body_util::Full;
 use policy::{
@@ -41,19 +41,9 @@
             self.pool.record_timeout(address);
         }
         let reply = match exchange {
-            Ok((StatusCode::OK, _, body)) => match self.dialect.parse_stage_results(&body) {
-                Ok(items) => Reply::Items(items),
-                Err(fault) => {
-                    tracing::warn!(target_id = %target, %fault, "stage target returned an invalid response");
-                    Reply::Lost
-                }
-            },
-            Ok((StatusCode::MISDIRECTED_REQUEST, ..)) => Reply::Replaced,
-            Ok((_, true, _)) => Reply::Full,
+            Ok(answer) => self.stage_reply(target, items.len(), answer),
             Err(Error::Connect(_) | Error::Withdrawn) => Reply::Unreached,
-            Ok((_, false, _)) | Err(Error::Broken(_) | Error::Timeout | Error::TooLong) => {
-                Reply::Lost
-            }
+            Err(Error::Broken(_) | Error::Timeout | Error::TooLong) => Reply::Lost,
         };
         let result = event::stage_call(target, items.len(), started_at.elapsed(), &reply);
         let pool = self.registry().get(target).map(|one| one.pool.clone());
@@ -63,15 +53,49 @@
         reply
     }
 
-    /// Sends a call and returns the status of the response, whether the target reports that it ran
-    /// nothing, and the body.
+    /// Returns what a stage target's answer says of its call. The connection is used again only if the
+    /// answer shows to which call it belongs.
+    fn stage_reply(&self, target: &TargetId, pieces: usize, answer: Received) -> Reply {
+        match answer.status() {
+            StatusCode::OK => {}
+            StatusCode::MISDIRECTED_REQUEST => return Reply::Replaced,
+            status => {
+                let metadata = self
+                    .dialect
+                    .parse_response_headers(status, answer.headers());
+                return if metadata.is_not_executed {
+                    Reply::Full
+                } else {
+                    Reply::Lost
+                };
+            }
+        }
+        let results = match self.dialect.parse_stage_results(answer.body()) {
+            Ok(results) => results,
+            Err(fault) => {
+                tracing::warn!(target_id = %target, %fault, "stage target returned an invalid response");
+                return Reply::Lost;
+            }
+        };
+        // No two calls get the same handles.
+        if answer.is_repeated() {
+            event::answer_of_another_call(target, results.len());
+            return Reply::Lost;
+        }
+        if results.len() == pieces && results.iter().any(Result::is_ok) {
+            answer.keep();
+        }
+        Reply::Items(results)
+    }
+
+    /// Sends a call and returns its answer.
     async fn send_stage_call(
         self: &Rc<Self>,
         target: &TargetId,
         address: &str,
         call: Call,
         headers: http::HeaderMap,
-    ) -> Result<(StatusCode, bool, bytes::Bytes), Error> {
+    ) -> Result<Received, Error> {
         let mut request = http::Request::new(Full::new(call.body));
         *request.method_mut() = call.method;
         *request.headers_mut() = headers;
@@ -90,8 +114,7 @@
             self.record_rate(&known, sent_at, &metadata);
         }
         self.record_notice(target, status, &metadata, response.via());
-        let body = response.bytes(MAX_RESPONSE_BYTES).await?;
-        Ok((status, metadata.is_not_executed, body))
+        response.receive(MAX_RESPONSE_BYTES).await
     }
 
     /// Frees results and returns whether the target confirmed it. Otherwise they expire.
@@ -109,8 +132,15 @@
         )
         .await;
         match freed {
-            Ok(Ok((StatusCode::OK, ..))) => return true,
-            Ok(Ok((status, ..))) => {
+            Ok(Ok(answer))
+                if answer.status() == StatusCode::OK
+                    && self.dialect.parse_stage_results(answer.body()).is_err() =>
+            {
+                answer.keep();
+                return true;
+            }
+            Ok(Ok(answer)) => {
+                let status = answer.status();
                 tracing::debug!(address, %status, "target refused to free results");
             }
             Ok(Err(fault)) => tracing::debug!(address, %fault, "request to free results failed"),
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -214,6 +214,12 @@
     tracing::info!(%pool, max_rejections, "{message}");
 }
 
+/// Logs that a stage target answered a call as it had answered an earlier one on the connection, which
+/// is closed.
+pub(super) fn answer_of_another_call(target: &TargetId, pieces: usize) {
+    tracing::warn!(target_id = %target, pieces, "answer belongs to another call");
+}
+
 /// Logs that a target names another limit on the requests a second that it takes, or none any more.
 pub(super) fn rate_changed(target: &TargetId, rate: Option<Rate>) {
     let message = if rate.is_some() {
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -179,7 +179,8 @@
         self.relay.record_rate(target, sent_at, &metadata);
         self.relay
             .record_notice(&target.id, status, &metadata, response.via());
-        if !self.is_valid_response(&metadata, status, response.headers()) {
+        let is_reused = response.is_reused();
+        if !self.is_valid_response(&metadata, status, response.headers(), is_reused) {
             return SendOutcome::Failed("foreign");
         }
         if metadata.is_not_executed {
@@ -264,11 +265,13 @@
         metadata: &ResponseMetadata,
         status: StatusCode,
         headers: &HeaderMap,
+        is_reused: bool,
     ) -> bool {
-        let is_matching = metadata
-            .id
-            .as_ref()
-            .is_none_or(|id| *id == self.metadata.id);
+        // A success on a reused connection without an identifier may be that of an earlier request.
+        let is_matching = match &metadata.id {
+            Some(id) => *id == self.metadata.id,
+            None => !(is_reused && status.is_success()),
+        };
         let is_complete = !status.is_success()
             || metadata.has_server_stamp && !headers.contains_key(http::header::CONTENT_ENCODING);
         is_matching && is_complete
