--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -62,7 +62,9 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) id: String,
-    build: String,
+    build: Mutex<String>,
+    /// Number of times that the engine has started again.
+    restarts: AtomicU64,
     behavior: Mutex<Behavior>,
     executed_requests: Mutex<Vec<ExecutedRequest>>,
     /// Shared by all engines of a test, so that one can read the results of another.
@@ -108,7 +110,8 @@
         let listener = Listener::bind(0).await?;
         let state = Arc::new(State {
             id: id.into(),
-            build: build.into(),
+            build: Mutex::new(build.into()),
+            restarts: AtomicU64::default(),
             behavior: Mutex::default(),
             executed_requests: Mutex::default(),
             stored_results: Arc::clone(stored_results),
@@ -147,8 +150,9 @@
     pub fn store_row(&self, pool: &str, state: &str) -> Value {
         json!({
             "service": pool, "address": self.address().to_string(), "zone": "z-a",
-            "version": self.state.build, "slots": 8, "state": state, "cold-remaining-ms": 0,
-            "sequence": 1, "born": 1,
+            "version": lock(&self.state.build).clone(), "slots": 8, "state": state,
+            "cold-remaining-ms": 0, "sequence": 1,
+            "born": 1 + self.state.restarts.load(Ordering::Relaxed),
         })
     }
 
@@ -157,6 +161,19 @@
         *lock(&self.state.behavior) = behavior;
     }
 
+    /// Ends the process of the engine: closes all connections and refuses new ones.
+    pub fn exit(&self) {
+        self.state.server_handle.set_refusing(true);
+    }
+
+    /// Starts the engine again after [`exit`](Self::exit), under its identifier and with the software
+    /// version `build`. Its row in the store is not written.
+    pub fn start_again(&self, build: &str) {
+        *lock(&self.state.build) = build.into();
+        self.state.restarts.fetch_add(1, Ordering::Relaxed);
+        self.state.server_handle.set_refusing(false);
+    }
+
     /// Limits how many requests, or stage calls, the engine accepts at the same time; `None` removes
     /// the limit. The engine states its load while there is one.
     pub fn set_capacity(&self, capacity: Option<Capacity>) {
@@ -414,7 +431,7 @@
 
     /// Returns the events of a stream after the event `last`. Their data names the build.
     pub(super) fn events_after(&self, last: u64) -> impl Iterator<Item = (u64, String)> + use<> {
-        let build = self.build.clone();
+        let build = lock(&self.build).clone();
         (last + 1..=STREAM_EVENTS).map(move |number| {
             (
                 number,
