Rely on an entry for streams only while its process has not ended

Cause: the build of a target is that of its last known entry, also after its process has ended. One that is back within a second under its identifier answers as another build until its new entry is known, some heartbeats later.

Now policy::relay::ending holds which starts of targets seem to have ended: a response broke or no connection could be opened, and connections are refused, as peers confirm. All daemons are told (Endings, from protocol 5), also those that join. Such a target takes no stream that has begun, a stream that begins there has no known build, and its pool has no single build. It still takes new requests. This ends with a later start, or with two more entries of the same one, of which the second was written after the connections broke; readers hand these on.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -17,7 +17,7 @@
             Report, Verdict,
         },
         quarantine::Records,
-        registry::Target,
+        registry::{Start, Target},
         selection::{Part, PartId},
     },
 };
@@ -59,7 +59,7 @@
 
 /// A request whose response was interrupted.
 #[derive(Debug)]
-struct InterruptedRequest {
+pub(super) struct InterruptedRequest {
     id: RequestId,
     payload: PayloadHash,
     parts: Vec<PartId>,
@@ -175,30 +175,43 @@
             features: self.features.clone(),
             has_begun,
         };
-        self.relay.check_for_crash(target, request);
+        self.relay.check_for_crash(target, Some(request));
     }
 }
 
 impl Relay {
-    fn check_for_crash(self: &Rc<Self>, target: &Target, request: InterruptedRequest) {
+    /// Checks whether a target has crashed that interrupted its response to `request`, or that could
+    /// not be reached.
+    pub(super) fn check_for_crash(
+        self: &Rc<Self>,
+        target: &Target,
+        request: Option<InterruptedRequest>,
+    ) {
         let mut checks = self.crash_watch.checks.borrow_mut();
         if let Some(requests) = checks.get_mut(&target.id) {
             if requests.len() < MAX_CHECKED_REQUESTS {
-                requests.push(request);
+                requests.extend(request);
             }
             return;
         }
-        checks.insert(target.id.clone(), vec![request]);
+        checks.insert(target.id.clone(), request.into_iter().collect());
         let (relay, target) = (Rc::clone(self), target.clone());
         tokio::task::spawn_local(async move {
             time::sleep(CHECK_DELAY).await;
             let has_crashed = relay.has_crashed(&target).await;
             let requests = relay.crash_watch.checks.borrow_mut().remove(&target.id);
             let requests = requests.unwrap_or_default();
+            if has_crashed {
+                let ending = Start {
+                    target: target.id.clone(),
+                    started_unix_ms: target.started_unix_ms,
+                };
+                relay.apply_ending(ending, "crash");
+            }
             if has_crashed && relay.may_have_overloaded(&target.id) {
                 // Whatever it executed is not the cause.
                 event::target_overloaded(&target.id, requests.len());
-            } else if has_crashed {
+            } else if has_crashed && !requests.is_empty() {
                 relay.record_crash(&target, &requests);
             }
             relay.crash_watch.checked.notify_waiters();
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -7,6 +7,7 @@
     id::{HostId, PoolId, RequestId, TargetId},
     relay::{
         crash::{Feature, PayloadHash},
+        leader::UnixMillis,
         rate::Rate,
         reach::Evidence,
         registry::Build,
@@ -214,6 +215,12 @@
     tracing::info!(%pool, max_rejections, "{message}");
 }
 
+/// Logs that the process of a target seems to have ended. Until a later start is known, it takes no
+/// streams that have begun.
+pub(super) fn target_ended(target: &TargetId, started: UnixMillis, source: &str) {
+    tracing::info!(target_id = %target, started, source, "target seems to have ended");
+}
+
 /// Logs that a stage target answered a call as it had answered an earlier one on the connection, which
 /// is closed.
 pub(super) fn answer_of_another_call(target: &TargetId, pieces: usize) {
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -8,11 +8,10 @@
     id::{DomainId, HostId, Incarnation, PoolId, RequestId, TargetId},
     relay::{
         crash::{Feature, PayloadHash, Quarantine, Report},
-        departure::Departure,
         history::{Era, Version},
         leader::UnixMillis,
         rate::{self, Decision, Rate},
-        registry::Build,
+        registry::{Build, Start},
         rejection,
         scheduler::Handle,
     },
@@ -62,7 +61,8 @@
 /// Version of the protocol from which daemons tell what targets say of further requests.
 const NOTICE_PROTOCOL: u32 = 4;
 
-/// Version of the protocol from which daemons keep limits on the rate of requests together.
+/// Version of the protocol from which daemons keep limits on the rate of requests together, and tell
+/// which processes of targets have ended.
 const RATE_PROTOCOL: u32 = 5;
 
 /// Row of a table as encoded in frames.
@@ -178,10 +178,12 @@
     /// A target bears few rejections, and may have rejected some.
     Rejections(WireRejections),
     /// Targets have said that they leave.
-    Departures(Vec<WireDeparture>),
+    Departures(Vec<WireStart>),
     /// A target has asked for a pause on a connection that the receiver forwards, and so asked the
     /// receiver.
     Pause(WirePause),
+    /// The processes of targets seem to have ended.
+    Endings(Vec<WireStart>),
     /// Limits on the rate of requests that targets have named, or name no more.
     Rates(Vec<WireRate>),
     /// Asks the leader for a send to a target that names a limit.
@@ -275,29 +277,29 @@
     pub left: Duration,
 }
 
-/// Target that leaves, as encoded in frames.
+/// One start of a target, as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub(super) struct WireDeparture {
+pub(super) struct WireStart {
     target: TargetId,
     /// Start time of the target; 0 if it is not known.
     #[serde(default)]
     started: UnixMillis,
 }
 
-impl From<Departure> for WireDeparture {
-    fn from(departure: Departure) -> Self {
+impl From<Start> for WireStart {
+    fn from(start: Start) -> Self {
         Self {
-            target: departure.target,
-            started: departure.started_unix_ms,
+            target: start.target,
+            started: start.started_unix_ms,
         }
     }
 }
 
-impl From<WireDeparture> for Departure {
-    fn from(departure: WireDeparture) -> Self {
+impl From<WireStart> for Start {
+    fn from(start: WireStart) -> Self {
         Self {
-            target: departure.target,
-            started_unix_ms: departure.started,
+            target: start.target,
+            started_unix_ms: start.started,
         }
     }
 }
@@ -401,7 +403,10 @@
     /// Returns the version of the protocol from which daemons can decode this frame.
     pub fn protocol(&self) -> u32 {
         match self {
-            Self::Rates(_) | Self::RequestPermit { .. } | Self::Permit { .. } => RATE_PROTOCOL,
+            Self::Rates(_)
+            | Self::RequestPermit { .. }
+            | Self::Permit { .. }
+            | Self::Endings(_) => RATE_PROTOCOL,
             Self::Departures(_) | Self::Pause(_) => NOTICE_PROTOCOL,
             Self::Rejections(_) => REJECTION_PROTOCOL,
             Self::Crashes(_) | Self::Served(_) | Self::Quarantine(_) => CRASH_PROTOCOL,
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -221,6 +221,7 @@
         stats: RequestStats::default(),
         is_tried: Cell::new(false),
         build: OnceCell::new(),
+        is_build_unknown: Cell::new(false),
         _connection: guard,
         _flight: flight,
         plan: Rc::clone(&plan),
--- a/godwithinge/src/relay/notice.rs
+++ b/godwithinge/src/relay/notice.rs
@@ -4,7 +4,7 @@
 use super::{
     dialect::ResponseMetadata,
     event,
-    frame::{Frame, WireDeparture, WirePause},
+    frame::{Frame, WirePause, WireStart},
     outcome::{Reason, Rejection},
     run::{ActiveRequest, Attempts, POOL_RETRY_AFTER},
     state::Relay,
@@ -13,9 +13,8 @@
 use policy::{
     id::{HostId, PoolId, TargetId, Time},
     relay::{
-        departure::Departure,
         pause::{self, Decision},
-        registry::{Registry, Target},
+        registry::{Registry, Start, Target},
     },
 };
 use std::{rc::Rc, time::Duration};
@@ -93,7 +92,7 @@
     }
 
     /// Records that a target leaves, and tells all peers if this is new.
-    fn apply_departure(self: &Rc<Self>, departure: Departure, source: &str) {
+    fn apply_departure(self: &Rc<Self>, departure: Start, source: &str) {
         let now = self.now();
         let change = self.registry_mut().record_departure(now, &departure);
         let Some(change) = change else {
@@ -103,23 +102,52 @@
         self.metrics.departures.with_label_values(&[source]).inc();
         self.apply_target_changes(vec![change]);
         if source != PEER {
-            let departures = vec![WireDeparture::from(departure)];
+            let departures = vec![WireStart::from(departure)];
             self.links.broadcast(&Frame::Departures(departures));
         }
     }
 
     /// Handles the departures that a peer tells of.
-    pub(super) fn receive_departures(self: &Rc<Self>, departures: Vec<WireDeparture>) {
+    pub(super) fn receive_departures(self: &Rc<Self>, departures: Vec<WireStart>) {
         for departure in departures {
             self.apply_departure(departure.into(), PEER);
         }
     }
 
+    /// Records that the process of a target seems to have ended, and tells all peers if this is new.
+    pub(super) fn apply_ending(&self, ending: Start, source: &str) {
+        let is_new = self.registry_mut().record_ending(self.now(), &ending);
+        if !is_new {
+            return;
+        }
+        event::target_ended(&ending.target, ending.started_unix_ms, source);
+        if source != PEER {
+            let endings = vec![WireStart::from(ending)];
+            self.links.broadcast(&Frame::Endings(endings));
+        }
+    }
+
+    /// Handles the endings that a peer tells of.
+    pub(super) fn receive_endings(&self, endings: Vec<WireStart>) {
+        for ending in endings {
+            self.apply_ending(ending.into(), PEER);
+        }
+    }
+
+    /// Sends all known endings to a peer that has just been linked.
+    pub(super) fn send_endings(&self, host: &HostId) {
+        let registry = self.registry();
+        let endings: Vec<WireStart> = registry.endings().map(WireStart::from).collect();
+        if !endings.is_empty() {
+            self.links.send_to_host(host, Frame::Endings(endings));
+        }
+    }
+
     /// Sends all known departures to a peer that has just been linked.
     pub(super) fn send_departures(&self, host: &HostId) {
         let registry = self.registry();
-        let departures = registry.departures().map(WireDeparture::from);
-        let departures: Vec<WireDeparture> = departures.collect();
+        let departures = registry.departures().map(WireStart::from);
+        let departures: Vec<WireStart> = departures.collect();
         if !departures.is_empty() {
             self.links.send_to_host(host, Frame::Departures(departures));
         }
@@ -131,10 +159,9 @@
     /// is, or if there is none. Targets in `tried` don't count.
     pub(super) fn time_to_open(&self, pool: &PoolId, tried: &[TargetId]) -> Option<Duration> {
         let registry = self.relay.registry();
-        let build = self.build.get();
-        let targets = registry.ready(pool).filter(|target| {
-            build.is_none_or(|build| target.build == *build) && !tried.contains(&target.id)
-        });
+        let targets = registry
+            .ready(pool)
+            .filter(|target| self.fits_build(&registry, target) && !tried.contains(&target.id));
         let ends = targets.map(|target| self.relay.closed_until(target));
         pause::time_to_open(self.relay.now(), ends)
     }
@@ -179,7 +206,7 @@
 
 /// Returns the target whose answer says that it leaves. One that answers in place of another is found
 /// by its address.
-fn departure(registry: &Registry, target: &TargetId, status: StatusCode) -> Option<Departure> {
+fn departure(registry: &Registry, target: &TargetId, status: StatusCode) -> Option<Start> {
     let asked = registry.get(target)?;
     let answering = if status == StatusCode::MISDIRECTED_REQUEST {
         let mut others = registry.all();
@@ -187,7 +214,7 @@
     } else {
         asked
     };
-    Some(Departure {
+    Some(Start {
         target: answering.id.clone(),
         started_unix_ms: answering.started_unix_ms,
     })
--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -250,6 +250,12 @@
 
     /// Records the build of the target that has sent the first event to this caller.
     pub(super) fn record_build(&self, target: &Target) {
+        let has_ended = self.relay.registry().has_ended(target);
+        if has_ended && self.build.get().is_none() {
+            // Whatever process answered is not the one of the entry.
+            self.is_build_unknown.set(true);
+            return;
+        }
         let build = self.build.get_or_init(|| target.build.clone());
         if self.route.is_resumable {
             let resumption = self.metadata.resumption.as_ref();
--- a/godwithinge/src/relay/rate.rs
+++ b/godwithinge/src/relay/rate.rs
@@ -312,8 +312,9 @@
         let registry = self.relay.registry();
         let limits = self.relay.rates.limits.borrow();
         let mut others = registry.ready(&target.pool).filter(|other| {
-            let is_build = self.build.get().is_none_or(|build| other.build == *build);
-            is_build && other.id != target.id && !self.relay.is_paused(other)
+            self.fits_build(&registry, other)
+                && other.id != target.id
+                && !self.relay.is_paused(other)
         });
         others.any(|other| limits.rate(other).is_none())
     }
--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -77,6 +77,7 @@
             Frame::Rejections(report) => self.receive_rejections(&report.into()),
             Frame::Departures(departures) => self.receive_departures(departures),
             Frame::Pause(pause) => self.apply_pause(&pause.target, pause.left),
+            Frame::Endings(endings) => self.receive_endings(endings),
             Frame::Rates(rates) => self.receive_rates(rates),
             Frame::RequestPermit {
                 number,
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -21,7 +21,7 @@
     relay::{
         crash::{Feature, PayloadHash},
         plan::{Kind, Plan, Route},
-        registry::{Build, Target},
+        registry::{Build, Registry, Target},
         scheduler::StageSpec,
         selection::{Criteria, Selection},
     },
@@ -72,6 +72,8 @@
     pub is_tried: Cell<bool>,
     /// Build at which the stream began and has to go on; empty before its first event.
     pub build: OnceCell<Build>,
+    /// Whether the stream began at a target whose build is not known.
+    pub is_build_unknown: Cell<bool>,
     pub stats: RequestStats,
     /// Keeps the connection from counting as idle until the whole response has been produced.
     pub _connection: RequestGuard,
@@ -514,17 +516,23 @@
         };
         let registry = self.relay.registry();
         let selector = self.relay.target_selector();
-        let build = self.build.get();
         let open = self.relay.open_targets(&registry, &selector, pool);
         let targets = registry
             .ready(pool)
-            .filter(|target| build.is_none_or(|build| target.build == *build))
+            .filter(|target| self.fits_build(&registry, target))
             .filter(|target| self.relay.closed_until(target).is_none())
             .filter(|target| open.as_ref().is_none_or(|open| open.contains(&target.id)));
         let selection = selector.choose(self.relay.now(), targets, &criteria);
         selection.as_ref().map(read)
     }
 
+    /// Returns whether the request may be sent to a target as far as its stream's build is concerned.
+    pub(super) fn fits_build(&self, registry: &Registry, target: &Target) -> bool {
+        let build = self.build.get();
+        build.is_none_or(|build| target.build == *build && !registry.has_ended(target))
+            && !self.is_build_unknown.get()
+    }
+
     /// Returns this daemon's share of the connections to one target of a pool.
     pub(super) fn max_target_connections(&self, pool: &PoolId) -> u32 {
         let members = self.relay.links.count() as u32 + 1;
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -299,7 +299,12 @@
                 selector.record_answer(&target.id, true, elapsed);
                 self.relay.record_activity(&target.id);
             }
-            SendOutcome::Unreached | SendOutcome::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
+            SendOutcome::Unreached => {
+                selector.record_failure(now, &target.id);
+                drop(selector);
+                self.relay.check_for_crash(target, None);
+            }
+            SendOutcome::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
                 selector.record_failure(now, &target.id);
             }
             SendOutcome::NotExecuted(_) => selector.record_answer(&target.id, false, elapsed),
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -440,8 +440,10 @@
             return;
         }
         self.tables.insert(row);
-        let is_refresh =
-            matches!(&parsed, Some(Ok(registration)) if self.registry().is_refresh(registration));
+        let is_refresh = matches!(&parsed, Some(Ok(registration))
+            // Entries of a target that seems to have ended show the peers whether it lives.
+            if self.registry().is_refresh(registration)
+                && !self.registry().has_ended(&registration.target));
         if !is_refresh && self.serves_tables() {
             self.broadcast_target(row, is_lenient);
         }
--- a/policy/src/relay/departure.rs
+++ b/policy/src/relay/departure.rs
@@ -5,7 +5,10 @@
 //! does not. The word of the target itself holds against entries and reports that still say that it
 //! is ready; only a later start of the target ends it.
 
-use super::{leader::UnixMillis, registry::Target};
+use super::{
+    leader::UnixMillis,
+    registry::{Start, Target},
+};
 use crate::id::{TargetId, Time};
 use std::{collections::BTreeMap, time::Duration};
 
@@ -13,22 +16,13 @@
 /// shows again are some seconds old.
 const DEPARTURE_MEMORY: Duration = Duration::from_secs(60);
 
-/// A target that leaves, as told to other daemons.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Departure {
-    /// The target.
-    pub target: TargetId,
-    /// Its start time in milliseconds since the Unix epoch; 0 if unknown.
-    pub started_unix_ms: UnixMillis,
-}
-
 /// Targets that leave, by identifier, with the start that leaves and when it was recorded.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Departures(BTreeMap<TargetId, (UnixMillis, Time)>);
 
 impl Departures {
     /// Records that a target leaves, unless a later start of it is known to leave.
-    pub fn record(&mut self, now: Time, departure: &Departure) {
+    pub fn record(&mut self, now: Time, departure: &Start) {
         let started = departure.started_unix_ms;
         let known = self.0.entry(departure.target.clone());
         let known = known.or_insert((started, now));
@@ -56,8 +50,8 @@
     }
 
     /// Returns all of them.
-    pub fn all(&self) -> impl Iterator<Item = Departure> {
-        self.0.iter().map(|(target, (started, _))| Departure {
+    pub fn all(&self) -> impl Iterator<Item = Start> {
+        self.0.iter().map(|(target, (started, _))| Start {
             target: target.clone(),
             started_unix_ms: *started,
         })
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -16,6 +16,7 @@
 pub mod crash;
 pub mod departure;
 pub mod distribution;
+mod ending;
 pub mod history;
 pub mod leader;
 pub mod memory;
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -7,9 +7,7 @@
 //! of targets as they were then; these are ignored until the target writes its entry again.
 
 use super::{
-    builds::BuildRecords,
-    departure::{Departure, Departures},
-    history::Version,
+    builds::BuildRecords, departure::Departures, ending::Endings, history::Version,
     leader::UnixMillis,
 };
 use crate::id::{DomainId, PoolId, TargetId, Time};
@@ -59,6 +57,15 @@
     pub started_unix_ms: UnixMillis,
 }
 
+/// One start of a target, as told to other daemons.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Start {
+    /// The target.
+    pub target: TargetId,
+    /// Its start time in milliseconds since the Unix epoch; 0 if unknown.
+    pub started_unix_ms: UnixMillis,
+}
+
 /// A change to the targets in use.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TargetChange {
@@ -83,6 +90,7 @@
     /// Since when targets are known.
     known_since: Option<Time>,
     departures: Departures,
+    endings: Endings,
 }
 
 #[derive(Clone, Debug)]
@@ -138,6 +146,7 @@
             return None;
         }
         registration.target.is_ready &= !self.departures.contains(&registration.target);
+        self.endings.record_entry(&registration);
         self.known_since.get_or_insert(now);
         let target = &registration.target;
         let change = match self.targets.get(&target.id) {
@@ -191,7 +200,7 @@
 
     /// Records that a target has said that it leaves, to this daemon or to a peer. Returns the
     /// resulting change, if any.
-    pub fn record_departure(&mut self, now: Time, departure: &Departure) -> Option<TargetChange> {
+    pub fn record_departure(&mut self, now: Time, departure: &Start) -> Option<TargetChange> {
         self.departures.record(now, departure);
         let entry = self.targets.get_mut(&departure.target)?;
         let target = &mut entry.registration.target;
@@ -207,8 +216,24 @@
         self.departures.contains(target)
     }
 
+    /// Records that the process of a target seems to have ended, as this daemon or a peer has found.
+    /// Returns whether this is new.
+    pub fn record_ending(&mut self, now: Time, ending: &Start) -> bool {
+        self.endings.record(now, ending)
+    }
+
+    /// Returns whether the process that a target's entry describes seems to have ended.
+    pub fn has_ended(&self, target: &Target) -> bool {
+        self.endings.contains(target)
+    }
+
+    /// Returns all targets whose processes seem to have ended.
+    pub fn endings(&self) -> impl Iterator<Item = Start> {
+        self.endings.all()
+    }
+
     /// Returns all targets that have said that they leave.
-    pub fn departures(&self) -> impl Iterator<Item = Departure> {
+    pub fn departures(&self) -> impl Iterator<Item = Start> {
         self.departures.all()
     }
 
@@ -233,7 +258,8 @@
         let present = || self.all().filter(|target| target.pool == pool);
         let build = &present().next()?.build;
         let is_recent = |last: Time| now.saturating_sub(last) <= period;
-        let has_other = present().any(|target| target.build != *build)
+        // A process that has ended may have been replaced by one of another build.
+        let has_other = present().any(|target| target.build != *build || self.has_ended(target))
             || self
                 .former_builds
                 .iter()
@@ -269,6 +295,8 @@
         let targets = &self.targets;
         self.departures
             .expire(now, |target| targets.contains_key(target));
+        self.endings
+            .expire(now, |target| targets.contains_key(target));
         if self.is_lenient(now) {
             return Vec::new();
         }
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -5,9 +5,10 @@
     id::Time,
     relay::{
         builds::BuildRecords,
-        departure::Departure,
         history::{Edition, Version},
-        registry::{Build, REGISTRATION_GRACE, Registration, Registry, Target, TargetChange},
+        registry::{
+            Build, REGISTRATION_GRACE, Registration, Registry, Start, Target, TargetChange,
+        },
     },
 };
 use rstest::rstest;
@@ -156,8 +157,8 @@
     assert_eq!(single(&registry, after).as_deref(), Some("v2"));
 }
 
-fn departure(started: u64) -> Departure {
-    Departure {
+fn start(started: u64) -> Start {
+    Start {
         target: "i-1".into(),
         started_unix_ms: started,
     }
@@ -177,11 +178,11 @@
 ) {
     let mut registry = Registry::default();
     if is_told_first {
-        assert_eq!(registry.record_departure(NOW, &departure(5)), None);
+        assert_eq!(registry.record_departure(NOW, &start(5)), None);
     }
     registry.upsert(NOW, entry(1, 5, 7, true));
     if !is_told_first {
-        let change = registry.record_departure(NOW, &departure(5));
+        let change = registry.record_departure(NOW, &start(5));
         assert!(matches!(change, Some(TargetChange::Draining(_))));
     }
     assert!(!has_ready_target(&registry));
@@ -197,7 +198,7 @@
 fn departure_of_an_earlier_start_is_ignored() {
     let mut registry = Registry::default();
     registry.upsert(NOW, entry(1, 6, 1, true));
-    assert_eq!(registry.record_departure(NOW, &departure(5)), None);
+    assert_eq!(registry.record_departure(NOW, &start(5)), None);
     assert!(has_ready_target(&registry));
 }
 
@@ -206,10 +207,59 @@
 fn departure_without_start_time_ends_with_the_entry() {
     let mut registry = Registry::default();
     registry.upsert(NOW, entry(1, 0, 7, true));
-    registry.record_departure(NOW, &departure(0));
+    registry.record_departure(NOW, &start(0));
     registry.upsert(NOW, entry(1, 0, 8, true));
     assert!(!has_ready_target(&registry));
     registry.remove(NOW, "i-1", false);
     registry.upsert(NOW, entry(1, 0, 1, true));
     assert!(has_ready_target(&registry));
 }
+
+/// A target that seems to have ended is believed to live after two more entries of the same start, or
+/// one of a later start. The first of the two may have been written before.
+#[rstest]
+#[case::no_entry(&[], true)]
+#[case::one_entry(&[(5, 8)], true)]
+#[case::same_entry_again(&[(5, 8), (5, 8)], true)]
+#[case::two_entries(&[(5, 8), (5, 9)], false)]
+#[case::later_start(&[(6, 1)], false)]
+fn ending_holds_until_the_target_shows_that_it_lives(
+    #[case] entries: &[(u64, u64)],
+    #[case] has_ended: bool,
+) {
+    let mut registry = Registry::default();
+    registry.upsert(NOW, entry(1, 5, 7, true));
+    assert!(registry.record_ending(NOW, &start(5)));
+    assert!(!registry.record_ending(NOW, &start(5)), "it is not new");
+    for &(started, sequence) in entries {
+        registry.upsert(NOW, entry(1, started, sequence, true));
+    }
+    let target = registry.get("i-1").expect("target is registered");
+    assert_eq!(registry.has_ended(target), has_ended);
+    assert!(has_ready_target(&registry), "it still takes new requests");
+}
+
+/// What a peer tells of an earlier start does not concern the present one.
+#[test]
+fn ending_of_an_earlier_start_is_ignored() {
+    let mut registry = Registry::default();
+    registry.upsert(NOW, entry(1, 6, 1, true));
+    registry.record_ending(NOW, &start(5));
+    let target = registry.get("i-1").expect("target is registered");
+    assert!(!registry.has_ended(target));
+}
+
+/// A process that has ended may have been replaced by one of another build.
+#[test]
+fn pool_with_an_ended_target_has_no_single_build() {
+    let mut registry = Registry::default();
+    registry.upsert(NOW, entry(1, 5, 7, true));
+    let is_single = |registry: &Registry| {
+        let now = NOW + PERIOD * 2;
+        let build = registry.single_build(now, UNIX_NOW, "stage", PERIOD, &BuildRecords::default());
+        build.is_some()
+    };
+    assert!(is_single(&registry));
+    registry.record_ending(NOW, &start(5));
+    assert!(!is_single(&registry));
+}
