Let peers confirm that a pool has had a single build

Cause: if nobody knows where a stream began, its pool's single build was taken from this daemon's own tables, however old. Class of fault: the absence of news is taken for news.

Now the peers that are asked for a stream's origin also say which single build its pool has had for that time. A daemon goes by its own view only if all that answer see the same, and at least one does, unless it knows of no other daemon or has started, by both of its clocks, less than 3 s ago. Daemons of earlier builds confirm nothing.

--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -162,9 +162,27 @@
         age: Duration,
     },
     /// Requests the build at which a stream began.
-    FindOrigin { number: u64, stream: RequestId },
-    /// Answer to a request for the build of a stream; absent if it is not known.
-    Origin { number: u64, build: Option<Build> },
+    FindOrigin {
+        number: u64,
+        /// Empty if its caller did not name it.
+        stream: RequestId,
+        /// Its pool; absent in frames of earlier builds.
+        #[serde(default)]
+        pool: Option<PoolId>,
+        /// Time for which the stream may have lasted.
+        #[serde(default)]
+        max_age: Duration,
+    },
+    /// Answer to such a request.
+    Origin {
+        number: u64,
+        /// Absent if it is not known.
+        build: Option<Build>,
+        /// The only build that the pool has had meanwhile, as far as the sender knows; absent if there
+        /// are several, and in frames of earlier builds.
+        #[serde(default)]
+        single_build: Option<Build>,
+    },
     /// A target crashed while it ran the payload with this hash; in place of
     /// [`Crashes`](Self::Crashes) to and from daemons that do not know those.
     #[serde(rename = "Death")]
--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -29,6 +29,9 @@
 /// Time for which the answers of peers are awaited; several round trips between domains.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time after its start for which a daemon relies on its tables although no peer confirms them: links
+/// to others are still being established.
+const START_PERIOD: Duration = Duration::from_secs(3);
 /// Time for which a daemon that has just started waits for its tables. The store answers in
 /// milliseconds, and a caller whose stream was interrupted by the start may have no further attempt.
 const START_TIMEOUT: Duration = Duration::from_millis(300);
@@ -46,7 +49,7 @@
     Own,
     /// A peer answered.
     Peer,
-    /// The pool has had a single build.
+    /// The pool has had a single build, as peers confirm.
     SingleBuild,
 }
 
@@ -63,9 +66,20 @@
 struct Query {
     /// Number of peers that have not answered.
     unanswered: usize,
+    /// The single build of the pool, as each of those that answered sees it.
+    single_builds: Vec<Option<Build>>,
+    /// Sends the build of the stream, or nothing when all have answered.
     sender: oneshot::Sender<Build>,
 }
 
+/// Answers of peers to a query.
+#[derive(Debug, Default)]
+struct Answers {
+    /// The build of the stream, if one of them knows it.
+    build: Option<Build>,
+    single_builds: Vec<Option<Build>>,
+}
+
 /// Ends a query when dropped.
 #[derive(Debug)]
 struct QueryGuard {
@@ -73,6 +87,15 @@
     number: u64,
 }
 
+impl QueryGuard {
+    /// Returns what the peers that have answered say of the pool.
+    fn take_single_builds(&self) -> Vec<Option<Build>> {
+        let mut queries = self.relay.origins.queries.borrow_mut();
+        let query = queries.remove(&self.number);
+        query.map(|query| query.single_builds).unwrap_or_default()
+    }
+}
+
 impl Drop for QueryGuard {
     fn drop(&mut self) {
         let mut queries = self.relay.origins.queries.borrow_mut();
@@ -128,25 +151,19 @@
         pool: &PoolId,
         max_age: Duration,
     ) -> Option<Build> {
-        let mut found = None;
-        if let Some(stream) = stream {
-            let known = self.origins.origins.borrow().get(stream).cloned();
-            found = known.map(|build| (build, Source::Own));
-            if found.is_none() {
-                let answer = self.query_origin(stream).await;
-                found = answer.map(|build| (build, Source::Peer));
-            }
-        }
+        let known = stream.and_then(|stream| self.origins.origins.borrow().get(stream).cloned());
+        let mut found = known.map(|build| (build, Source::Own));
         if found.is_none() {
-            self.wait_for_tables().await;
+            let stream = stream.cloned().unwrap_or_default();
+            let answers = self.query_origin(&stream, pool, max_age).await;
+            found = if let Some(build) = answers.build {
+                Some((build, Source::Peer))
+            } else {
+                self.wait_for_tables().await;
+                let build = self.confirmed_single_build(pool, max_age, &answers.single_builds);
+                build.map(|build| (build, Source::SingleBuild))
+            };
         }
-        let found = found.or_else(|| {
-            let registry = self.registry();
-            let records = self.build_records();
-            let unix_now = state::unix_millis_now();
-            let build = registry.single_build(self.now(), unix_now, pool, max_age, &records);
-            build.map(|build| (build.clone(), Source::SingleBuild))
-        });
         let source: &str = found
             .as_ref()
             .map_or("unknown", |(_, source)| source.into());
@@ -166,51 +183,118 @@
         }
     }
 
-    /// Asks peers for the build at which a stream began.
-    async fn query_origin(self: &Rc<Self>, stream: &RequestId) -> Option<Build> {
+    /// Returns the only build that a pool has had for `period`, as this daemon sees it.
+    fn single_build(&self, pool: &PoolId, period: Duration) -> Option<Build> {
+        let registry = self.registry();
+        let records = self.build_records();
+        let unix_now = state::unix_millis_now();
+        let build = registry.single_build(self.now(), unix_now, pool, period, &records);
+        build.cloned()
+    }
+
+    /// Returns the only build that a pool has had for `period`, if peers see the same. A daemon that
+    /// stood still, or has lost its peers, does not know which builds have joined meanwhile.
+    fn confirmed_single_build(
+        &self,
+        pool: &PoolId,
+        period: Duration,
+        views: &[Option<Build>],
+    ) -> Option<Build> {
+        let build = self.single_build(pool, period)?;
+        let is_agreed = views.iter().all(|view| view.as_ref() == Some(&build));
+        let is_current =
+            !views.is_empty() || self.links.addresses.count() == 0 || self.has_just_started();
+        (is_agreed && is_current).then_some(build)
+    }
+
+    /// Returns whether this daemon has started, and read its tables, a moment ago by both clocks; one
+    /// of them stands still while its host is suspended.
+    fn has_just_started(&self) -> bool {
+        let age = state::unix_millis_now().saturating_sub(self.started_unix_ms);
+        self.now() < START_PERIOD && Duration::from_millis(age) < START_PERIOD
+    }
+
+    /// Asks peers for the build at which a stream of `pool` began, and for the single build that the
+    /// pool has had for `max_age`.
+    async fn query_origin(
+        self: &Rc<Self>,
+        stream: &RequestId,
+        pool: &PoolId,
+        max_age: Duration,
+    ) -> Answers {
         let number = self.origins.next_number.get();
         self.origins.next_number.set(number + 1);
         let asked = origin::asked_daemons(stream, self.peer_hosts(|_| true));
         let sent = asked.iter().filter(|host| {
-            let stream = stream.clone();
-            let frame = Frame::FindOrigin { number, stream };
+            let frame = Frame::FindOrigin {
+                number,
+                stream: stream.clone(),
+                pool: Some(pool.clone()),
+                max_age,
+            };
             self.links.send_to_host(host, frame)
         });
         let unanswered = sent.count();
         if unanswered == 0 {
-            return None;
+            return Answers::default();
         }
         let (sender, answer) = oneshot::channel();
-        let query = Query { unanswered, sender };
+        let query = Query {
+            unanswered,
+            single_builds: Vec::with_capacity(unanswered),
+            sender,
+        };
         self.origins.queries.borrow_mut().insert(number, query);
-        let _guard = QueryGuard {
+        let guard = QueryGuard {
             relay: Rc::clone(self),
             number,
         };
-        // The channel closes when all peers have answered that they don't know.
-        time::timeout(QUERY_TIMEOUT, answer).await.ok()?.ok()
+        let answer = time::timeout(QUERY_TIMEOUT, answer).await;
+        Answers {
+            build: answer.ok().and_then(Result::ok),
+            single_builds: guard.take_single_builds(),
+        }
     }
 
     /// Answers the query of a peer.
-    pub(super) fn answer_origin_query(&self, link_id: LinkId, number: u64, stream: &RequestId) {
+    pub(super) fn answer_origin_query(
+        &self,
+        link_id: LinkId,
+        number: u64,
+        stream: &RequestId,
+        pool: Option<&PoolId>,
+        max_age: Duration,
+    ) {
         let build = self.origins.origins.borrow().get(stream).cloned();
-        let frame = Frame::Origin { number, build };
+        let frame = Frame::Origin {
+            number,
+            build,
+            single_build: pool.and_then(|pool| self.single_build(pool, max_age)),
+        };
         self.links.send_on_link(link_id, frame);
     }
 
     /// Handles the answer of a peer to an own query.
-    pub(super) fn receive_origin(&self, number: u64, build: Option<Build>) {
+    pub(super) fn receive_origin(
+        &self,
+        number: u64,
+        build: Option<Build>,
+        single_build: Option<Build>,
+    ) {
         let mut queries = self.origins.queries.borrow_mut();
         let Some(query) = queries.get_mut(&number) else {
             return;
         };
-        query.unanswered -= 1;
-        if (build.is_some() || query.unanswered == 0)
-            && let Some(query) = queries.remove(&number)
-            && let Some(build) = build
-        {
-            // Fails if the caller has left.
-            drop(query.sender.send(build));
+        query.unanswered = query.unanswered.saturating_sub(1);
+        query.single_builds.push(single_build);
+        if let Some(build) = build {
+            if let Some(query) = queries.remove(&number) {
+                // Fails if the caller has left.
+                drop(query.sender.send(build));
+            }
+        } else if query.unanswered == 0 {
+            // The channel closes, and the views stay for whoever asked.
+            query.sender = oneshot::channel().0;
         }
     }
 
--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -68,10 +68,17 @@
                 retry_after,
             } => self.refuse_job(number, reason, retry_after),
             Frame::StreamOrigin { stream, build, age } => self.keep_origin(stream, build, age),
-            Frame::FindOrigin { number, stream } => {
-                self.answer_origin_query(link_id, number, &stream);
-            }
-            Frame::Origin { number, build } => self.receive_origin(number, build),
+            Frame::FindOrigin {
+                number,
+                stream,
+                pool,
+                max_age,
+            } => self.answer_origin_query(link_id, number, &stream, pool.as_ref(), max_age),
+            Frame::Origin {
+                number,
+                build,
+                single_build,
+            } => self.receive_origin(number, build, single_build),
             Frame::TargetCrash(payload) => self.receive_crash_of_payload(host, payload),
             Frame::Crashes(crashes) => self.receive_crashes(host, crashes),
             Frame::Rejections(report) => self.receive_rejections(&report.into()),
