Let the store's word end the grace period that a blind reader gave

Cause: a reader whose own path to the store had failed passed removals on with the grace period of an outage. Others took that for an outage of their own, so that they kept targets too, and dropped the same removal when a sound reader told of it or they read it themselves, since the row was not newer. Class of fault: what a daemon does not know is passed on as a fact.

Now the grace period that a peer gives is that of one target and makes no removal after it lenient, and a removal that the store states ends it, also in the same version of the row. A reader that learns of one passes it on. A reader can't miss an outage in which entries lapse: they do after three heartbeats, and its calls fail within two seconds.

lenient_removal_outlasted_the_drain: both tests failed before and pass. restore.rs passes.

--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -430,6 +430,12 @@
     /// its peers.
     pub(super) fn apply_target(self: &Rc<Self>, row: &Row, is_lenient: bool) {
         if !self.tables.is_newer(row) {
+            // A reader that had lost its path to the store may have told of the removal before.
+            let is_confirmed =
+                row.value.is_none() && !is_lenient && self.registry().is_missing(&row.key);
+            if is_confirmed {
+                self.remove_target(row, is_lenient);
+            }
             return;
         }
         let parsed = row.value.is_some().then(|| self.dialect.parse_target(row));
@@ -464,6 +470,16 @@
         self.apply_target_changes(change.into_iter().collect());
     }
 
+    /// Ends the grace period of a target that is missing from the store.
+    fn remove_target(self: &Rc<Self>, row: &Row, is_lenient: bool) {
+        if self.serves_tables() {
+            self.broadcast_target(row, is_lenient);
+        }
+        let now = self.now();
+        let change = self.registry_mut().remove(now, &row.key, is_lenient);
+        self.apply_target_changes(change.into_iter().collect());
+    }
+
     /// Applies all entries that the store holds at a version, and removes cached targets that are
     /// not among them.
     fn replace_targets(self: &Rc<Self>, rows: Vec<Row>, version: Version) {
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -96,8 +96,8 @@
 #[derive(Clone, Debug)]
 struct Entry {
     registration: Registration,
-    /// When the entry was first found missing from the store.
-    missing_since: Option<Time>,
+    /// Until when the target is kept although its entry is missing from the store.
+    kept_until: Option<Time>,
 }
 
 impl Registry {
@@ -133,7 +133,7 @@
             let last = &known.registration;
             let mut target = registration.target.clone();
             target.is_ready &= !self.departures.contains(&target);
-            known.missing_since.is_none()
+            known.kept_until.is_none()
                 && last.target == target
                 && last.version.era == registration.version.era
         })
@@ -150,9 +150,7 @@
         self.known_since.get_or_insert(now);
         let target = &registration.target;
         let change = match self.targets.get(&target.id) {
-            Some(known)
-                if known.registration.target == *target && known.missing_since.is_none() =>
-            {
+            Some(known) if known.registration.target == *target && known.kept_until.is_none() => {
                 None
             }
             Some(_) | None if target.is_ready => Some(TargetChange::Added(target.clone())),
@@ -163,7 +161,7 @@
         self.removed.remove(&id);
         let entry = Entry {
             registration,
-            missing_since: None,
+            kept_until: None,
         };
         let build = entry.registration.target.build.clone();
         if let Some(replaced) = self.targets.insert(id, entry)
@@ -179,16 +177,25 @@
     pub fn remove(&mut self, now: Time, id: &str, is_lenient: bool) -> Option<TargetChange> {
         if is_lenient {
             // A peer that reads the store may know of an outage that this daemon did not notice.
-            if !self.is_lenient(now) {
-                self.record_outage(now);
-            }
+            let kept_until = if self.is_lenient(now) {
+                self.lenient_until
+            } else {
+                now + REGISTRATION_GRACE
+            };
             let entry = self.targets.get_mut(id)?;
-            entry.missing_since.get_or_insert(now);
+            entry.kept_until.get_or_insert(kept_until);
             return None;
         }
         self.forget(now, id)
     }
 
+    /// Returns whether a target's entry is missing, and the target is kept for the rest of the grace
+    /// period.
+    pub fn is_missing(&self, id: &str) -> bool {
+        let entry = self.targets.get(id);
+        entry.is_some_and(|entry| entry.kept_until.is_some())
+    }
+
     fn forget(&mut self, now: Time, id: &str) -> Option<TargetChange> {
         let Entry { registration, .. } = self.targets.remove(id)?;
         let target = registration.target.clone();
@@ -300,8 +307,9 @@
         if self.is_lenient(now) {
             return Vec::new();
         }
+        let is_expired = |kept_until: Time| now >= kept_until;
         let expired = self.targets.iter();
-        let expired = expired.filter(|(_, entry)| entry.missing_since.is_some());
+        let expired = expired.filter(|(_, entry)| entry.kept_until.is_some_and(is_expired));
         let expired: Vec<TargetId> = expired.map(|(id, _)| id.clone()).collect();
         let changes = expired.iter().filter_map(|id| self.forget(now, id));
         changes.collect()
