--- a/policy/tests/regression/main.rs
+++ b/policy/tests/regression/main.rs
@@ -6,3 +6,4 @@
 mod attach_keeps_retry;
 mod later_queues_count_at_admission;
 mod lost_domain_does_not_quarantine;
+mod slow_call_refused_everything;
