Let the mean duration of calls decay while a pool has nothing to do

Cause: the mean is set by the first call and changed by completed calls alone. If it says that a job's stages take longer than its caller waits, the job is refused whatever the queues hold, so that no call corrects it. Class of fault: an estimate refuses the work that alone could correct it.

Now a mean above the nominal duration comes half as close to it with each second in which the pool has neither calls nor waiting pieces. The other learned values that decide refusals were read: slowdowns count only against the other targets of a pool and through the queue, which is empty then; pauses, reservations of room and the room of the limiter end by themselves.

slow_call_refused_everything: 0 of 24 jobs served before; nine in ten and more now, after one slow call and after 20 s of them.

--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -55,8 +55,6 @@
 const OVERDUE_SLACK: Duration = Duration::from_millis(100);
 /// Multiple of its expected duration after which a call times out.
 const CALL_TIMEOUT_FACTOR: f64 = 6.0; // slow targets take four to five times as long
-/// Weight of the latest call in the mean call duration of a pool.
-const CALL_TIME_WEIGHT: f64 = 0.1;
 
 /// Queues, jobs and calls of all pools that serve stages.
 #[derive(Clone, Debug, Default)]
@@ -120,6 +118,7 @@
     /// Accepts a job, or refuses it at once if a pool has no target or the deadline can't be met.
     pub fn submit(&mut self, now: Time, job: Job, out: &mut Vec<Command>) {
         let id = job.id;
+        self.review_call_times(now);
         let home_domain = self.choose_home_domain(&job);
         let mut running = RunningJob::new(job, home_domain);
         let unserved = running.job.stages.iter();
@@ -141,6 +140,12 @@
         self.dispatch_dirty_pools(now, out);
     }
 
+    fn review_call_times(&mut self, now: Time) {
+        for pool_state in self.pools.values_mut() {
+            pool_state.review_call_time(now);
+        }
+    }
+
     /// Drops a job because its caller disconnected or its results were read.
     pub fn release(&mut self, now: Time, id: JobId, out: &mut Vec<Command>) {
         self.drop_job(id);
@@ -215,6 +220,7 @@
         self.refuse_abandoned(now, out);
         if now >= self.last_review + dispatch::REVIEW_PERIOD {
             self.last_review = now;
+            self.review_call_times(now);
             self.discard_expired_results(now);
             self.refuse_late(now, out);
             self.refuse_backlogged(now, out);
--- a/policy/src/relay/scheduler/pool.rs
+++ b/policy/src/relay/scheduler/pool.rs
@@ -11,6 +11,13 @@
 /// results and crashed targets leave gaps between calls.
 const UTILIZATION: f64 = 0.85;
 
+/// Weight of the latest call in the mean call duration of a pool.
+const CALL_TIME_WEIGHT: f64 = 0.1;
+/// Time without a call from which the mean call duration decays.
+const CALL_TIME_REVIEW_PERIOD: Duration = Duration::from_millis(500); // longer than most gaps between calls
+/// Time in which it comes half as close to the nominal duration.
+const CALL_TIME_HALF_LIFE: Duration = Duration::from_secs(1);
+
 /// Stage targets of one pool and the stages queued for them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PoolState {
@@ -20,6 +27,8 @@
     pub waiting: Vec<(JobId, usize)>,
     /// Exponentially weighted mean duration of a call in seconds.
     pub mean_call_seconds: Option<f64>,
+    /// When a call last changed that mean, or it was last [reviewed](Self::review_call_time).
+    pub call_time_reviewed_at: Time,
     /// Most urgent stages of the queue, and when they were sorted.
     pub sorted_front: Option<(Time, Vec<(JobId, usize)>)>,
 }
@@ -42,16 +51,48 @@
     /// Returns the mean duration of a call, or before the first call the nominal duration of a
     /// half-full one. If the rates of all targets are limited, it includes the wait for the next call.
     pub fn expected_call_time(&self) -> Duration {
-        let limits = self.limits.as_ref();
-        let default = limits.map_or(Duration::ZERO, |limits| {
-            limits.call_overhead + limits.piece_time * (limits.max_pieces as u32 / 2)
-        });
         let call_time = self
             .mean_call_seconds
-            .map_or(default, Duration::from_secs_f64);
+            .map_or_else(|| self.nominal_call_time(), Duration::from_secs_f64);
         call_time + self.pace_interval()
     }
 
+    /// Returns the nominal duration of a half-full call.
+    fn nominal_call_time(&self) -> Duration {
+        let limits = self.limits.as_ref();
+        limits.map_or(Duration::ZERO, |limits| {
+            limits.call_overhead + limits.piece_time * (limits.max_pieces as u32 / 2)
+        })
+    }
+
+    /// Records the duration of a call.
+    pub fn record_call_time(&mut self, now: Time, taken: Duration) {
+        let taken = taken.as_secs_f64();
+        let mean = self.mean_call_seconds.get_or_insert(taken);
+        *mean += CALL_TIME_WEIGHT * (taken - *mean);
+        self.call_time_reviewed_at = now;
+    }
+
+    /// Lets a mean above the nominal duration decay while the pool has nothing to do. It refuses jobs,
+    /// and without jobs no call would correct it.
+    pub fn review_call_time(&mut self, now: Time) {
+        let age = now.saturating_sub(self.call_time_reviewed_at);
+        if age < CALL_TIME_REVIEW_PERIOD {
+            return;
+        }
+        self.call_time_reviewed_at = now;
+        let has_calls = self.targets.iter().any(|target| target.call.is_some());
+        let is_idle = !has_calls && self.waiting.is_empty();
+        let nominal = self.nominal_call_time().as_secs_f64();
+        if let Some(mean) = self.mean_call_seconds.as_mut()
+            && is_idle
+            && *mean > nominal
+        {
+            let periods = age.as_secs_f64() / CALL_TIME_HALF_LIFE.as_secs_f64();
+            *mean = nominal + (*mean - nominal) * 0.5_f64.powf(periods);
+        }
+    }
+
     /// Returns the mean time between two calls that the limits of all targets allow; zero if a target
     /// has none.
     fn pace_interval(&self) -> Duration {
--- a/policy/src/relay/scheduler/reply.rs
+++ b/policy/src/relay/scheduler/reply.rs
@@ -1,7 +1,7 @@
 //! Handling of completed and failed calls to stage targets.
 
 use super::{
-    CALL_TIME_WEIGHT, Call, Command, ItemError, JobId, ROOM_RESERVATION_CALLS, Refusal, Scheduler,
+    Call, Command, ItemError, JobId, ROOM_RESERVATION_CALLS, Refusal, Scheduler,
     job::{Handle, StoredResult},
 };
 use crate::id::{DomainId, Time};
@@ -21,11 +21,10 @@
         let pool_state = self.pool_state(&call.pool);
         let limits = pool_state.limits;
         let result_ttl = limits.map_or(Duration::ZERO, |limits| limits.result_ttl);
-        let taken = now.saturating_sub(call.started).as_secs_f64();
+        let taken = now.saturating_sub(call.started);
         // A call that computed few of its pieces is no sample of the usual duration.
         if !is_full {
-            let mean = pool_state.mean_call_seconds.get_or_insert(taken);
-            *mean += CALL_TIME_WEIGHT * (taken - *mean);
+            pool_state.record_call_time(now, taken);
         }
         let reserved_until = now
             + pool_state
@@ -41,7 +40,10 @@
                 Some(limits) if is_full => {
                     stage_target.reserve(stage_target.room(&limits), reserved_until);
                 }
-                _ => stage_target.record_success(taken / call.nominal.as_secs_f64().max(0.001)),
+                _ => {
+                    let nominal = call.nominal.as_secs_f64().max(0.001);
+                    stage_target.record_success(taken.as_secs_f64() / nominal);
+                }
             }
         }
         let outcomes = call.items.iter().zip(&call.bytes).zip(items);
--- a/policy/tests/regression/slow_call_refused_everything.rs
+++ b/policy/tests/regression/slow_call_refused_everything.rs
@@ -118,7 +118,8 @@
         let mut now = from;
         while now < to {
             let mut out = Vec::new();
-            if (now - from)
+            if now
+                .saturating_sub(from)
                 .as_millis()
                 .is_multiple_of(INTERVAL.as_millis())
             {
