Answer or refuse each request before a stopping daemon exits

Cause: at SIGTERM the daemon waited for the requests in flight until shortly before the end of the grace period and then exited, whatever they waited for; and it accepted requests whose stages would take longer than that.

Now a request without a response 0.65 s before the end of the grace period is given up: with 503 if no byte of it was written to a target, else with 502. The deadline of requests that arrive after the signal ends there too, so that those that can't be served are refused at once, as any whose deadline is too near.

--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -23,6 +23,9 @@
 /// Time before the end of the grace period at which the process exits even if requests are in
 /// flight.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the process exits at which requests without a response are given up, so that their
+/// callers are told.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// Time from the signal until new requests are rejected. The users' rules excuse an interrupted
 /// stream only if its request was sent within 3 s of the signal.
 const CLOSE_DELAY: Duration = Duration::from_millis(2_800);
@@ -134,7 +137,7 @@
         grace_ms = grace_period.as_millis() as u64,
         "leaving"
     );
-    relay.set_leaving();
+    relay.set_leaving(started + grace_period.saturating_sub(SHUTDOWN_MARGIN + ANSWER_MARGIN));
     relay.hand_over_origins();
     let host = relay.settings().host.clone();
     let removal = relay.store.put_row(relay, Table::Daemons, &host, None);
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -199,7 +199,7 @@
     let admitted = plan.admit(&run::host(&head), head.uri.path(), key);
     let (route, workspace) = admitted.map_err(|denial| reject(denial.into(), &metadata.id))?;
     if relay.is_closing() {
-        let leaving = Rejection::new(Reason::Leaving).with_retry_after(LEAVING_RETRY_AFTER);
+        let leaving = Rejection::new(Reason::Leaving).with_retry_after(run::LEAVING_RETRY_AFTER);
         return Err(reject(leaving, &metadata.id));
     }
     let timeout = route.timeout;
@@ -207,6 +207,8 @@
         + metadata
             .deadline
             .map_or(timeout, |deadline| deadline.min(timeout));
+    // A request that can't be served before the process ends is refused for want of time.
+    let deadline = relay.last_call().map_or(deadline, |at| at.min(deadline));
     let body = read_body(body, plan.limits.body_bytes, deadline).await;
     let body = body.map_err(|reason| reject(Rejection::new(reason), &metadata.id))?;
     let name = workspace.map(|workspace| workspace.name.clone());
@@ -233,8 +235,6 @@
     })
 }
 
-/// `retry-after` of a daemon that is shutting down; the caller retries at another one.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(20); // about the time to reconnect
 /// `retry-after` of a daemon that has not loaded a configuration.
 const NO_PLAN_RETRY_AFTER: Duration = Duration::from_millis(300); // a start takes tens of ms
 
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -46,6 +46,8 @@
 const MIN_REMAINING: Duration = Duration::from_millis(5);
 /// `retry-after` if the pool has no target or is full, or if the stages did not finish in time.
 pub(super) const POOL_RETRY_AFTER: Duration = Duration::from_millis(300); // a few typical plain requests
+/// `retry-after` of a daemon that is shutting down; the caller retries at another one.
+pub(super) const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(20); // about the time to reconnect
 /// `retry-after` if no target of a stream's build is left. One that crashed is back in seconds.
 const BUILD_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Minimum number of shared prompt tokens for which stages run preferably in the domain of the
@@ -155,7 +157,10 @@
     /// Processes the request and returns the response to the caller.
     pub async fn run(self) -> Response<Body> {
         let this = Rc::new(self);
-        let response = this.respond().await;
+        let response = tokio::select! {
+            response = this.respond() => response,
+            () = this.relay.until_last_call() => Err(this.given_up()),
+        };
         response.unwrap_or_else(|rejection| {
             this.end(
                 Some(rejection.reason.status()),
@@ -166,6 +171,14 @@
         })
     }
 
+    /// Returns the rejection of a request that has no response when the daemon ends.
+    fn given_up(&self) -> Rejection {
+        if self.stats.last_send.get().is_none() {
+            return Rejection::new(Reason::Leaving).with_retry_after(LEAVING_RETRY_AFTER);
+        }
+        Rejection::new(Reason::Broken)
+    }
+
     async fn respond(self: &Rc<Self>) -> Result<Response<Body>, Rejection> {
         self.check_features()?;
         let mut attempts = Attempts::default();
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -34,9 +34,11 @@
 use std::{
     cell::{Cell, Ref, RefCell, RefMut},
     collections::HashMap,
+    future,
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
+use tokio::{sync::watch, time};
 
 /// Connect timeout for targets. A target that does not answer a SYN in this time is treated as
 /// unreachable.
@@ -82,6 +84,8 @@
     pub(super) metrics: Metrics,
     is_leaving: Cell<bool>,
     is_closing: Cell<bool>,
+    /// When requests without a response are given up, once the daemon is leaving.
+    last_call: watch::Sender<Option<Instant>>,
     in_flight: Cell<usize>,
 }
 
@@ -121,6 +125,7 @@
             metrics: Metrics::new(),
             is_leaving: Cell::new(false),
             is_closing: Cell::new(false),
+            last_call: watch::Sender::new(None),
             in_flight: Cell::new(0),
             settings: RefCell::new(settings),
         }
@@ -246,8 +251,27 @@
         self.is_leaving.get()
     }
 
-    pub(super) fn set_leaving(&self) {
+    /// Begins to leave. Requests without a response are given up at `last_call`.
+    pub(super) fn set_leaving(&self, last_call: Instant) {
         self.is_leaving.set(true);
+        self.last_call.send_replace(Some(last_call));
+    }
+
+    /// Returns when requests without a response are given up; `None` unless the daemon is leaving.
+    pub(super) fn last_call(&self) -> Option<Instant> {
+        *self.last_call.borrow()
+    }
+
+    /// Waits until requests without a response are to be given up.
+    pub(super) async fn until_last_call(&self) {
+        let mut changes = self.last_call.subscribe();
+        // The sender is a field of this daemon, so it is not dropped while the wait lasts.
+        let last_call = changes.wait_for(Option::is_some).await;
+        let last_call = last_call.ok().and_then(|last_call| *last_call);
+        match last_call {
+            Some(at) => time::sleep_until(at.into()).await,
+            None => future::pending().await,
+        }
     }
 
     /// Returns whether new requests are rejected.
