--- a/godwithinge/src/relay/handover.rs
+++ b/godwithinge/src/relay/handover.rs
@@ -6,10 +6,11 @@
 //! work on the request, or without limit if no other can take it.
 
 use super::{
+    attempt::Attempts,
     conduct::StageResults,
     event::{self, SilenceStep},
     outcome::{Reason, Rejection},
-    run::{ActiveRequest, Attempts, TargetResponse},
+    run::{ActiveRequest, TargetResponse},
     send::{SendOutcome, SendProgress},
     sse::Interruption,
 };
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -7,6 +7,7 @@
 
 mod accept;
 mod address;
+mod attempt;
 mod body;
 mod buffer;
 mod builds;
--- a/godwithinge/src/relay/notice.rs
+++ b/godwithinge/src/relay/notice.rs
@@ -2,11 +2,12 @@
 //! while.
 
 use super::{
+    attempt::Attempts,
     dialect::ResponseMetadata,
     event,
     frame::{Frame, WirePause, WireStart},
     outcome::{Reason, Rejection},
-    run::{ActiveRequest, Attempts, POOL_RETRY_AFTER},
+    run::{ActiveRequest, POOL_RETRY_AFTER},
     state::Relay,
 };
 use http::StatusCode;
--- a/godwithinge/src/relay/rejection.rs
+++ b/godwithinge/src/relay/rejection.rs
@@ -1,12 +1,8 @@
 //! Limits on the requests at targets that fail when they reject too many, together with all peers.
 
 use super::{
-    dialect::ResponseMetadata,
-    event,
-    frame::Frame,
-    run::{ActiveRequest, Attempts},
-    settings::Settings,
-    state::Relay,
+    attempt::Attempts, dialect::ResponseMetadata, event, frame::Frame, run::ActiveRequest,
+    settings::Settings, state::Relay,
 };
 use http::StatusCode;
 use policy::{
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -1,13 +1,13 @@
 //! Processing of one request until its response.
 
 use super::{
+    attempt::Attempts,
     body::Body,
     conduct::{JobRefusal, JobRequest, StageResults},
     dialect::RequestMetadata,
     event::{self, RequestSummary},
     front::RequestGuard,
     outcome::{Reason, Rejection},
-    rejection,
     send::{BufferedResponse, SendOutcome, SendProgress, StreamingResponse},
     state::{InFlightGuard, Relay},
     stream,
@@ -99,60 +99,6 @@
     ended: Cell<bool>,
 }
 
-/// Outcomes of the sends of a request.
-#[derive(Debug, Default)]
-pub(super) struct Attempts {
-    pub tried: Vec<TargetId>,
-    /// Sends that a target may have executed, including pending ones.
-    pub possibly_executed: u32,
-    /// Sends that no target executed.
-    pub not_executed: u32,
-    /// Sends that reached a target, including pending ones.
-    pub delivered: u32,
-    /// Sends that targets rejected for want of room.
-    pub rejected: u32,
-    /// Whether the request has earned its fraction of a retry.
-    pub has_earned: bool,
-}
-
-impl Attempts {
-    /// Adjusts the counters to the outcome of a send, which was counted as possibly executed, and
-    /// returns the label of the outcome.
-    pub fn record(&mut self, outcome: &SendOutcome) -> &'static str {
-        match outcome {
-            SendOutcome::Unreached => {
-                self.possibly_executed -= 1;
-                self.not_executed += 1;
-                self.delivered -= 1;
-                "unreached"
-            }
-            SendOutcome::NotExecuted(status) => {
-                self.possibly_executed -= 1;
-                self.not_executed += 1;
-                self.rejected += u32::from(rejection::is_rejection(*status));
-                "not_run"
-            }
-            // Whatever kept it from being sent is no failure of a target.
-            SendOutcome::Withdrawn => {
-                self.possibly_executed -= 1;
-                self.delivered -= 1;
-                "withdrawn"
-            }
-            SendOutcome::Failed(result) => result,
-            SendOutcome::Buffered(_) | SendOutcome::Streaming(_) => "answered",
-        }
-    }
-
-    /// Returns the rejection of a request that cannot be sent again.
-    fn failure(&self) -> Rejection {
-        if self.possibly_executed > 0 {
-            Rejection::new(Reason::Broken)
-        } else {
-            Rejection::new(Reason::Full).with_retry_after(POOL_RETRY_AFTER)
-        }
-    }
-}
-
 impl ActiveRequest {
     /// Processes the request and returns the response to the caller.
     pub async fn run(self) -> Response<Body> {
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -2,13 +2,14 @@
 //! silent.
 
 use super::{
+    attempt::Attempts,
     body::{Body, TruncatedResponse},
     buffer::Buffer,
     crash::CRASH_PERIOD,
     event::{self, SilenceStep},
     handover::{self, Silence},
     outcome::{Reason, Rejection},
-    run::{ActiveRequest, Attempts, TargetResponse},
+    run::{ActiveRequest, TargetResponse},
     send::StreamingResponse,
     sse::{Interruption, Reader},
     state::Relay,
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -1,8 +1,12 @@
 //! Discrete-event simulation of the stage targets and callers of a site.
 
+mod report;
 mod workload;
 
-pub use self::workload::Workload;
+pub use self::{
+    report::{Counts, Refused, Report},
+    workload::Workload,
+};
 
 use policy::{
     id::{PoolId, TargetId, Time},
@@ -10,8 +14,8 @@
         plan::{BatchLimits, Limits, Plan, Pool},
         registry::{Target, TargetChange},
         scheduler::{
-            CallId, Command, Handle, Item, ItemError, Job, JobId, Refusal, Reply, Scheduler,
-            Source, StageSpec,
+            CallId, Command, Handle, Item, ItemError, Job, JobId, Reply, Scheduler, Source,
+            StageSpec,
         },
     },
 };
@@ -52,40 +56,6 @@
 /// Probability that a piece fails.
 const PIECE_FAILURE_RATE: f64 = 0.002;
 
-/// Number of requests of one kind by outcome.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Counts {
-    pub submitted: u32,
-    pub on_time: u32,
-    pub late: u32,
-    pub refused: u32,
-}
-
-/// A refused job.
-#[derive(Clone, Copy, Debug)]
-pub struct Refused {
-    pub reason: Refusal,
-    /// Time left until its deadline.
-    pub left: Duration,
-}
-
-/// Outcome of a simulation.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    pub counts: [Counts; 3],
-    pub refusals: Vec<Refused>,
-    /// Pieces whose inputs no longer existed.
-    pub expired_inputs: u32,
-    /// Pieces without memory for their result.
-    pub without_room: u32,
-    /// Pieces that were sent with too few inputs.
-    pub missing_inputs: u32,
-    /// When calls and releases of results were sent to each target.
-    pub sends: HashMap<TargetId, Vec<Time>>,
-    /// When each request ended, and whether it was late or refused.
-    ends: Vec<(Time, bool)>,
-}
-
 /// Stage targets and callers of a site, and the scheduler under test.
 #[derive(Debug)]
 pub struct Simulation {
@@ -132,34 +102,6 @@
     Poll,
 }
 
-impl Report {
-    /// Returns the fraction of a kind's requests that were served on time.
-    pub fn on_time(&self, kind: usize) -> f64 {
-        let counts = self.counts[kind];
-        f64::from(counts.on_time) / f64::from(counts.submitted.max(1))
-    }
-
-    /// Returns the fraction of a kind's requests that were served, on time or late.
-    pub fn served(&self, kind: usize) -> f64 {
-        let counts = self.counts[kind];
-        f64::from(counts.on_time + counts.late) / f64::from(counts.submitted.max(1))
-    }
-
-    /// Returns the number of refused requests.
-    pub fn refused(&self) -> u32 {
-        self.counts.iter().map(|counts| counts.refused).sum()
-    }
-
-    /// Returns the fraction of late or refused requests among those that ended after `time`.
-    pub fn late_after(&self, time: Time) -> f64 {
-        let ends = self.ends.iter().filter(|(at, _)| *at > time);
-        let (all, late) = ends.fold((0.0, 0.0), |(all, late), (_, is_late)| {
-            (all + 1.0, late + f64::from(u8::from(*is_late)))
-        });
-        late / f64::max(all, 1.0)
-    }
-}
-
 impl Simulation {
     /// Creates a site in three domains with three pools: 3 targets with 8 pieces per call, 5 with 18
     /// and 5 with 28.
