--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -278,10 +278,11 @@
 
 impl From<WirePermit> for Decision {
     fn from(permit: WirePermit) -> Self {
+        let wait = permit.wait.min(rate::MAX_INTERVAL);
         if permit.is_granted {
-            Self::Send(permit.wait)
+            Self::Send(wait)
         } else {
-            Self::Refuse(permit.wait)
+            Self::Refuse(wait)
         }
     }
 }
--- a/godwithinge/src/relay/rate.rs
+++ b/godwithinge/src/relay/rate.rs
@@ -252,7 +252,12 @@
         let number = self.rates.next_number.get();
         self.rates.next_number.set(number + 1);
         let (sender, answer) = oneshot::channel();
-        self.rates.permits.borrow_mut().insert(number, sender);
+        {
+            let mut permits = self.rates.permits.borrow_mut();
+            // Requests may have ended before they were answered.
+            permits.retain(|_, sender| !sender.is_canceled());
+            permits.insert(number, sender)
+        };
         let question = Frame::RequestPermit {
             number,
             rate,
--- a/policy/src/relay/rate.rs
+++ b/policy/src/relay/rate.rs
@@ -26,7 +26,7 @@
 /// Lowest rate at which a target is asked whether its limit has ended.
 const MIN_RATE: Rate = 0.1;
 /// Longest interval between two sends of a pace.
-const MAX_INTERVAL: Duration = Duration::from_secs(3_600);
+pub const MAX_INTERVAL: Duration = Duration::from_secs(3_600);
 /// Number of sends that may be made at once after a time without any.
 const BURST: u32 = 2;
 /// Interval at which the limit of a target is reported to peers although it has not changed.
