Leave the wait for a permit out of a target's response time

What callers saw: nothing; an engine that limits its requests got fewer than it takes, down to none.

Cause: the time to the answer, by which targets are selected, began before the permit was asked for. A limited target so looked slower than the others, was chosen less often, and had fewer answers that would have corrected the mean.

--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -104,11 +104,13 @@
         last_event_id: Option<EventId>,
         progress: &SendProgress,
     ) -> (Target, Duration, SendOutcome) {
-        let started = Instant::now();
+        let asked = Instant::now();
         let max_wait = self.max_permit_wait(&target, inputs.is_some());
         if !self.wait_for_permit(&target, max_wait).await {
-            return (target, started.elapsed(), SendOutcome::Withdrawn);
+            return (target, asked.elapsed(), SendOutcome::Withdrawn);
         }
+        // The wait for a permit says nothing of the target's speed.
+        let started = Instant::now();
         let sent_at = self.relay.now();
         self.stats.sends.set(self.stats.sends.get() + 1);
         self.stats.target.borrow_mut().clone_from(&target.id);
