--- a/policy/tests/regression/main.rs
+++ b/policy/tests/regression/main.rs
@@ -5,5 +5,6 @@
 
 mod attach_keeps_retry;
 mod later_queues_count_at_admission;
+mod limited_stage_target_was_never_asked;
 mod lost_domain_does_not_quarantine;
 mod slow_call_refused_everything;
