Ask an idle stage target again although its limit is low

What callers would see: each staged request refused after a stage target had named a low limit, also when the limit had ended (RECOVER).

Cause: the estimate of a job's stages includes the wait for the next call at the targets' rate. If that is longer than callers wait, no job is accepted, no call is made, and no answer ends the limit.

Now the wait does not count while the pool has neither calls nor waiting pieces and a target is open: one job is accepted, and its first call is within the limit.

--- a/policy/src/relay/scheduler/pool.rs
+++ b/policy/src/relay/scheduler/pool.rs
@@ -29,6 +29,8 @@
     pub mean_call_seconds: Option<f64>,
     /// When a call last changed that mean, or it was last [reviewed](Self::review_call_time).
     pub call_time_reviewed_at: Time,
+    /// Whether a call could be made at once although the rates of all targets are limited.
+    pub has_spare_rate: bool,
     /// Most urgent stages of the queue, and when they were sorted.
     pub sorted_front: Option<(Time, Vec<(JobId, usize)>)>,
 }
@@ -76,13 +78,15 @@
     /// Lets a mean above the nominal duration decay while the pool has nothing to do. It refuses jobs,
     /// and without jobs no call would correct it.
     pub fn review_call_time(&mut self, now: Time) {
+        let has_calls = self.targets.iter().any(|target| target.call.is_some());
+        let is_idle = !has_calls && self.waiting.is_empty();
+        // A limit would refuse the jobs whose calls could show that it has ended.
+        self.has_spare_rate = is_idle && self.targets.iter().any(|target| target.is_open(now));
         let age = now.saturating_sub(self.call_time_reviewed_at);
         if age < CALL_TIME_REVIEW_PERIOD {
             return;
         }
         self.call_time_reviewed_at = now;
-        let has_calls = self.targets.iter().any(|target| target.call.is_some());
-        let is_idle = !has_calls && self.waiting.is_empty();
         let nominal = self.nominal_call_time().as_secs_f64();
         if let Some(mean) = self.mean_call_seconds.as_mut()
             && is_idle
@@ -96,6 +100,9 @@
     /// Returns the mean time between two calls that the limits of all targets allow; zero if a target
     /// has none.
     fn pace_interval(&self) -> Duration {
+        if self.has_spare_rate {
+            return Duration::ZERO;
+        }
         let rates = self.targets.iter();
         let rates = rates.map(|target| target.pace.as_ref().map(Pace::rate));
         let sum: Option<f64> = rates.sum();
