Stay until callers have read their answers when stopping

Callers that read slowly saw answers of megabytes break off when the daemon was stopped: a request counted as in flight until its response was handed to hyper, and the process ended while up to 0.4 MB of the body still waited for room in the socket. Stopping now waits for the connections of callers that have carried a request, within the grace period as before; kept ones are closed as soon as requests are rejected, so that idle ones don't delay the exit.

--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -29,7 +29,7 @@
 /// Time from the signal until new requests are rejected. The users' rules excuse an interrupted
 /// stream only if its request was sent within 3 s of the signal.
 const CLOSE_DELAY: Duration = Duration::from_millis(2_800);
-/// Interval at which a daemon that is shutting down checks whether requests are in flight.
+/// Interval at which a daemon that is shutting down checks whether it is still needed.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between attempts to bind the address of a listener.
 const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -127,8 +127,8 @@
     Ok(())
 }
 
-/// Serves callers for [`CLOSE_DELAY`], but at most half of the grace period, then waits for the
-/// requests in flight, also those of peers in tunnels.
+/// Serves callers for [`CLOSE_DELAY`], but at most half of the grace period, then waits until callers
+/// have read their responses, also those of peers in tunnels.
 async fn leave(relay: &Rc<Relay>) {
     let started = Instant::now();
     let grace_period = relay.settings().grace_period;
@@ -147,8 +147,7 @@
     }
     time::sleep_until((started + CLOSE_DELAY.min(grace_period / 2)).into()).await;
     relay.set_closing();
-    let is_busy = || relay.in_flight() > 0 || relay.tunnels.get() > 0;
-    while is_busy() && started.elapsed() + SHUTDOWN_MARGIN < grace_period {
+    while relay.is_needed() && started.elapsed() + SHUTDOWN_MARGIN < grace_period {
         time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     // Allows the last responses to be written to their sockets.
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -6,7 +6,7 @@
     crash,
     outcome::{Reason, Rejection},
     run::{self, ActiveRequest, RequestStats},
-    state::{InFlightGuard, Relay},
+    state::{ConnectionGuard, InFlightGuard, Relay},
 };
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, Response, Version, header, request::Parts};
@@ -16,6 +16,7 @@
 use std::{
     cell::{Cell, OnceCell},
     convert::Infallible,
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -41,8 +42,8 @@
 struct ConnectionActivity {
     in_flight: Cell<usize>,
     last_used: Cell<Instant>,
-    /// Whether a request has arrived on the connection.
-    is_used: Cell<bool>,
+    /// Keeps the process running until the connection has ended; absent before the first request.
+    guard: OnceCell<ConnectionGuard>,
 }
 
 /// Accepts connections until the process ends.
@@ -60,7 +61,7 @@
     let activity = Rc::new(ConnectionActivity {
         in_flight: Cell::new(0),
         last_used: Cell::new(Instant::now()),
-        is_used: Cell::new(false),
+        guard: OnceCell::new(),
     });
     let handler = {
         let (relay, activity) = (Rc::clone(&relay), Rc::clone(&activity));
@@ -78,6 +79,8 @@
         .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     let mut idle_check = time::interval(IDLE_CHECK_INTERVAL);
+    let mut closing = pin!(relay.until_closing());
+    let mut is_closing = false;
     loop {
         tokio::select! {
             // Reads a request that has arrived before the connection is checked for idleness.
@@ -88,13 +91,18 @@
                 }
                 return;
             }
+            () = &mut closing, if !is_closing => {
+                is_closing = true;
+                // The first request may be on its way; its response closes the connection.
+                if activity.guard.get().is_some() {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
             _ = idle_check.tick() => {
                 let (_, _, idle_timeout) = limits(&relay);
                 let is_idle = activity.in_flight.get() == 0
                     && activity.last_used.get().elapsed() > idle_timeout;
-                // The first request may be on its way; its response closes the connection.
-                let is_kept = activity.is_used.get();
-                if is_idle || relay.is_closing() && is_kept {
+                if is_idle {
                     connection.as_mut().graceful_shutdown();
                 }
             }
@@ -122,7 +130,7 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     activity.in_flight.set(activity.in_flight.get() + 1);
-    activity.is_used.set(true);
+    activity.guard.get_or_init(|| ConnectionGuard::new(&relay));
     let guard = RequestGuard(Rc::clone(&activity));
     // The caller may have meant bytes after a chunked body as part of that body, so the connection
     // is not reused.
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -83,12 +83,18 @@
     pub(super) dispatcher: JobDispatcher,
     pub(super) metrics: Metrics,
     is_leaving: Cell<bool>,
-    is_closing: Cell<bool>,
+    is_closing: watch::Sender<bool>,
     /// When requests without a response are given up, once the daemon is leaving.
     last_call: watch::Sender<Option<Instant>>,
     in_flight: Cell<usize>,
+    /// Number of connections of callers that have carried a request.
+    connections: Cell<usize>,
 }
 
+/// Counts a connection of a caller as open until dropped.
+#[derive(Debug)]
+pub(super) struct ConnectionGuard(Rc<Relay>);
+
 /// Counts a request as in flight until dropped.
 #[derive(Debug)]
 pub(super) struct InFlightGuard(Rc<Relay>);
@@ -124,9 +130,10 @@
             tables: TableCache::default(),
             metrics: Metrics::new(),
             is_leaving: Cell::new(false),
-            is_closing: Cell::new(false),
+            is_closing: watch::Sender::new(false),
             last_call: watch::Sender::new(None),
             in_flight: Cell::new(0),
+            connections: Cell::new(0),
             settings: RefCell::new(settings),
         }
     }
@@ -276,11 +283,24 @@
 
     /// Returns whether new requests are rejected.
     pub(super) fn is_closing(&self) -> bool {
-        self.is_closing.get()
+        *self.is_closing.borrow()
     }
 
     pub(super) fn set_closing(&self) {
-        self.is_closing.set(true);
+        self.is_closing.send_replace(true);
+    }
+
+    /// Waits until new requests are rejected.
+    pub(super) async fn until_closing(&self) {
+        let mut changes = self.is_closing.subscribe();
+        // The sender is a field of this daemon, so it is not dropped while the wait lasts.
+        drop(changes.wait_for(|is_closing| *is_closing).await);
+    }
+
+    /// Returns whether a caller or a peer may still need this process: a request has no response, the
+    /// caller has not read all of it, or a tunnel is open.
+    pub(super) fn is_needed(&self) -> bool {
+        self.in_flight.get() > 0 || self.connections.get() > 0 || self.tunnels.get() > 0
     }
 
     pub(super) fn in_flight(&self) -> usize {
@@ -288,6 +308,19 @@
     }
 }
 
+impl ConnectionGuard {
+    pub fn new(relay: &Rc<Relay>) -> Self {
+        relay.connections.set(relay.connections.get() + 1);
+        Self(Rc::clone(relay))
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 impl InFlightGuard {
     pub fn new(relay: &Rc<Relay>) -> Self {
         relay.in_flight.set(relay.in_flight.get() + 1);
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -38,6 +38,8 @@
 /// Header of a request with the time in milliseconds that it is executed for before its response
 /// begins.
 pub const WORK_HEADER: &str = "work-ms";
+/// Header of a request without a stream with the length in bytes to which its answer is padded.
+pub const LENGTH_HEADER: &str = "answer-bytes";
 /// Part of a prompt that crashes each engine that begins to write a response to it.
 pub const CRASHING_PART: &str = "dead";
 /// Time after which an engine that crashed accepts connections again.
@@ -377,7 +379,10 @@
             if behavior == Behavior::Slow {
                 time::sleep(event_interval).await;
             }
-            reply::bytes(StatusCode::OK, plain_answer(&id))
+            let mut answer = plain_answer(&id).into_bytes();
+            let length = header(LENGTH_HEADER).parse().unwrap_or_default();
+            answer.resize(answer.len().max(length), b'.');
+            reply::bytes(StatusCode::OK, answer)
         };
         if let (Behavior::RepeatLate, Some(raw)) = (behavior, raw) {
             self.repeat_late(raw, &id);
