Keep idle connections by the process of their target

A process that ended silently leaves idle connections behind that nobody has closed. They are now kept by identifier, start and address of the target, and closed as soon as the registry describes another process.

--- a/godwithinge/src/http/mod.rs
+++ b/godwithinge/src/http/mod.rs
@@ -26,10 +26,11 @@
 /// HTTP request whose body is held in memory.
 pub type Request = HttpRequest<Full<Bytes>>;
 
-/// Maximum number of idle connections kept per address; further ones are closed.
-const MAX_IDLE_PER_ADDRESS: usize = 32;
+/// Maximum number of idle connections kept per key; further ones are closed.
+const MAX_IDLE_PER_KEY: usize = 32;
 
-/// Connection pool for any number of addresses.
+/// Connection pool for any number of servers, each under a key of its own: its address, unless the
+/// caller gives another one.
 ///
 /// A connection serves one request at a time. It returns to the pool once the response body has
 /// been read to the end, and is closed if the [`Response`] is dropped before that. Clones share
@@ -42,11 +43,11 @@
     keeps_forwarded: Arc<AtomicBool>,
 }
 
-/// Idle connections to one address, ordered from least to most recently used.
+/// Idle connections under one key, ordered from least to most recently used.
 #[derive(Debug, Default)]
 struct IdleConnections {
     connections: Vec<Connection>,
-    /// When a request to the address last timed out.
+    /// When a request under the key last timed out.
     last_timeout: Option<Instant>,
 }
 
@@ -91,11 +92,13 @@
         reuse: Reuse,
     ) -> Result<Response, Error> {
         let open = || Connection::open(address, self.connect_timeout);
-        self.send_over(address, request, reuse, open, || true).await
+        self.send_over(address, address, request, reuse, open, || true)
+            .await
     }
 
-    /// Like [`send`](Self::send), but new connections are opened by `open`, and `may_write` is called
-    /// before the request is written to a connection.
+    /// Like [`send`](Self::send), but idle connections are kept under `key`, which tells processes at
+    /// the same address apart, new connections are opened by `open`, and `may_write` is called before
+    /// the request is written to a connection.
     ///
     /// # Errors
     ///
@@ -103,6 +106,7 @@
     /// returns false.
     pub async fn send_over<F>(
         &self,
+        key: &str,
         address: &str,
         mut request: Request,
         reuse: Reuse,
@@ -114,7 +118,7 @@
     {
         set_host(&mut request, address);
         loop {
-            let mut connection = match self.take(address, reuse) {
+            let mut connection = match self.take(key, reuse) {
                 Some(connection) => connection,
                 None => open().await?,
             };
@@ -123,7 +127,7 @@
             }
             match connection.send(request).await {
                 Ok(response) => {
-                    return Ok(Response::new(response, connection, self.clone(), address));
+                    return Ok(Response::new(response, connection, self.clone(), key));
                 }
                 Err(failure) => match failure.unsent {
                     // The idle connection was closed before the request was written; retry.
@@ -134,28 +138,28 @@
         }
     }
 
-    /// Returns the number of idle connections to `address` that are not known to be closed.
-    pub fn idle_count(&self, address: &str) -> usize {
+    /// Returns the number of idle connections under `key` that are not known to be closed.
+    pub fn idle_count(&self, key: &str) -> usize {
         let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.get(address).map_or(0, |idle| {
+        idle.get(key).map_or(0, |idle| {
             let open = idle.connections.iter().filter(|idle| idle.is_open());
             open.count()
         })
     }
 
-    /// Records that a request to `address` timed out.
+    /// Records that a request under `key` timed out.
     ///
     /// [`Reuse::Newest`] then skips idle connections that have not responded since.
-    pub fn record_timeout(&self, address: &str) {
+    pub fn record_timeout(&self, key: &str) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let idle = idle.entry(address.into()).or_default();
+        let idle = idle.entry(key.into()).or_default();
         idle.last_timeout = Some(Instant::now());
     }
 
-    /// Closes the idle connections to each address for which `keep` returns false.
+    /// Closes the idle connections under each key for which `keep` returns false.
     pub fn retain(&self, keep: impl Fn(&str) -> bool) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|address, _| keep(address));
+        idle.retain(|key, _| keep(key));
     }
 
     /// Closes the idle connections that are direct, or those that another host forwards, and sets
@@ -178,12 +182,12 @@
         }
     }
 
-    fn take(&self, address: &str, reuse: Reuse) -> Option<Connection> {
+    fn take(&self, key: &str, reuse: Reuse) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let IdleConnections {
             connections,
             last_timeout,
-        } = idle.get_mut(address)?;
+        } = idle.get_mut(key)?;
         connections.retain(Connection::is_usable);
         match reuse {
             Reuse::Newest => connections.pop_if(|last| last.responded_since(*last_timeout)),
@@ -193,14 +197,14 @@
         }
     }
 
-    fn put(&self, address: &str, mut connection: Connection) {
+    fn put(&self, key: &str, mut connection: Connection) {
         if connection.via().is_some() && !self.keeps_forwarded.load(Ordering::Relaxed) {
             return;
         }
         connection.record_response();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = &mut idle.entry(address.into()).or_default().connections;
-        if connections.len() < MAX_IDLE_PER_ADDRESS {
+        let connections = &mut idle.entry(key.into()).or_default().connections;
+        if connections.len() < MAX_IDLE_PER_KEY {
             connections.push(connection);
         }
     }
--- a/godwithinge/src/http/received.rs
+++ b/godwithinge/src/http/received.rs
@@ -16,7 +16,7 @@
     pub(super) body: Bytes,
     pub(super) connection: Option<Connection>,
     pub(super) pool: Pool,
-    pub(super) address: CompactString,
+    pub(super) key: CompactString,
 }
 
 impl Received {
@@ -51,7 +51,7 @@
     pub fn keep(self) {
         if let Some(mut connection) = self.connection {
             connection.record_delivery(&self.body);
-            self.pool.put(&self.address, connection);
+            self.pool.put(&self.key, connection);
         }
     }
 }
--- a/godwithinge/src/http/response.rs
+++ b/godwithinge/src/http/response.rs
@@ -26,7 +26,7 @@
     framing: Framing,
     connection: Option<Connection>,
     pool: Pool,
-    address: CompactString,
+    key: CompactString,
     reused: bool,
     reuse_disabled: bool,
     idle_timeout: Option<Duration>,
@@ -37,7 +37,7 @@
         response: http::Response<Incoming>,
         connection: Connection,
         pool: Pool,
-        address: &str,
+        key: &str,
     ) -> Self {
         let (head, body) = response.into_parts();
         let mut connection = connection;
@@ -51,7 +51,7 @@
             reused: connection.is_reused(),
             connection: Some(connection),
             pool,
-            address: address.into(),
+            key: key.into(),
             reuse_disabled: false,
             idle_timeout: None,
         }
@@ -164,7 +164,7 @@
             body,
             connection,
             pool: self.pool,
-            address: self.address,
+            key: self.key,
         })
     }
 
@@ -184,7 +184,7 @@
         if let Some(connection) = self.connection.take()
             && !self.reuse_disabled
         {
-            self.pool.put(&self.address, connection);
+            self.pool.put(&self.key, connection);
         }
     }
 }
--- a/godwithinge/src/relay/call.rs
+++ b/godwithinge/src/relay/call.rs
@@ -38,7 +38,8 @@
         };
         if let Err(Error::Timeout) = exchange {
             // Idle connections to the target may be unresponsive, too.
-            self.pool.record_timeout(address);
+            let key = self.connection_key(target, address);
+            self.pool.record_timeout(&key);
         }
         let reply = match exchange {
             Ok(answer) => self.stage_reply(target, items.len(), answer),
--- a/godwithinge/src/relay/reach.rs
+++ b/godwithinge/src/relay/reach.rs
@@ -11,6 +11,7 @@
     tunnel,
 };
 use crate::http::{Connection, Error, Request, Response, Reuse};
+use compact_str::{CompactString, format_compact};
 use futures::{
     StreamExt,
     future::{self, LocalBoxFuture},
@@ -25,7 +26,7 @@
 };
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     io,
     net::SocketAddr,
     rc::Rc,
@@ -152,11 +153,36 @@
             }
             may_send
         };
+        let key = self.connection_key(target, address);
         self.pool
-            .send_over(address, request, reuse, open, may_write)
+            .send_over(&key, address, request, reuse, open, may_write)
             .await
     }
 
+    /// Returns the key of idle connections to the process of a target that the registry describes. A
+    /// later process, of this target or of another one at its address, has another key.
+    pub(super) fn connection_key(&self, target: &TargetId, address: &str) -> CompactString {
+        let registry = self.registry();
+        let known = registry.get(target);
+        let started_unix_ms = known.map_or(0, |known| known.started_unix_ms);
+        format_compact!("{target}/{started_unix_ms}/{address}")
+    }
+
+    /// Closes the idle connections to processes that the registry does not describe any more.
+    pub(super) fn close_idle_connections(&self) {
+        let targets: Vec<(TargetId, CompactString)> = {
+            let registry = self.registry();
+            let targets = registry.all();
+            let targets = targets.map(|target| (target.id.clone(), target.address.clone()));
+            targets.collect()
+        };
+        let keys = targets.iter();
+        let keys: HashSet<CompactString> = keys
+            .map(|(target, address)| self.connection_key(target, address))
+            .collect();
+        self.pool.retain(|key| keys.contains(key));
+    }
+
     /// Opens a connection to a target, through a peer if the direct one fails or takes long.
     async fn open_connection(&self, target: &TargetId, address: &str) -> Result<Connection, Error> {
         let is_partitioned = self.reach.is_partitioned();
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -518,6 +518,9 @@
     }
 
     pub(super) fn apply_target_changes(self: &Rc<Self>, changes: Vec<TargetChange>) {
+        if !changes.is_empty() {
+            self.close_idle_connections();
+        }
         for change in changes {
             let (change_name, target) = match &change {
                 TargetChange::Added(target) => ("added", target),
