Send streams on silent connections elsewhere before the process ends

A stream without the head of a response is not moved, since it may wait for its turn at its target. When the daemon stopped, such a stream on a connection that had gone silent stayed there until the last call and got 502, although another target was free. At the last moment that leaves another target the time of a first event under load, it is sent there now; retry budget and the number of attempts hold as for every other move. The moment is decided in policy.

--- a/godwithinge/src/relay/handover.rs
+++ b/godwithinge/src/relay/handover.rs
@@ -114,7 +114,7 @@
     }
 
     /// Waits for the outcome, or until another target is to be looked for if `may_move`. A request
-    /// whose response has no head may be waiting for its turn.
+    /// whose response has no head may be waiting for its turn, unless the daemon is about to stop.
     async fn progress(&mut self, may_move: bool) -> Progress {
         let has_head = || self.progress.has_head.get();
         tokio::select! {
@@ -168,11 +168,19 @@
         let relay = &self.request.relay;
         let lasted = relay.now().saturating_sub(self.since);
         time::sleep(self.patience.min().saturating_sub(lasted)).await;
-        while !has_head() || Instant::now() < self.search_at.get() || !self.is_exhausted() {
+        let may_move = || has_head() || self.is_last_move();
+        while !may_move() || Instant::now() < self.search_at.get() || !self.is_exhausted() {
             time::sleep(REVIEW_INTERVAL).await;
         }
     }
 
+    /// Returns whether the daemon stops so soon that another target has to be sent the request now.
+    fn is_last_move(&self) -> bool {
+        let last_call = self.request.relay.last_call();
+        let left = last_call.map(|at| at.saturating_duration_since(Instant::now()));
+        left.is_some_and(|left| self.patience.is_last_move(left))
+    }
+
     fn is_exhausted(&self) -> bool {
         let relay = &self.request.relay;
         let activity = relay.activity.borrow();
--- a/policy/src/relay/patience.rs
+++ b/policy/src/relay/patience.rs
@@ -74,6 +74,13 @@
         self.active.min(self.silent)
     }
 
+    /// Returns whether this is the last moment to send a call to another target, which is to answer
+    /// within `left`, when the process ends. A call without the head of a response, which may wait for
+    /// its turn, is not moved earlier.
+    pub fn is_last_move(&self, left: Duration) -> bool {
+        left <= self.active + MOVE_TIME
+    }
+
     /// Returns whether a call that has had no event from its target since `since` is to be sent to
     /// another one.
     pub fn is_exhausted(
--- a/policy/tests/patience.rs
+++ b/policy/tests/patience.rs
@@ -123,3 +123,14 @@
     assert!(is_exhausted(CALLER_PATIENCE));
     assert!(!is_exhausted(CALLER_PATIENCE * 2));
 }
+
+/// A process ends in `left`: another target has the time of a first event under load before it, and a
+/// call that waits for its turn keeps its place until then.
+#[rstest]
+fn last_move_leaves_time_for_an_answer(#[values(0, 200, 1_000)] prefill_ms: u64) {
+    const USUAL: Duration = Duration::from_millis(900);
+    let prefill = Duration::from_millis(prefill_ms);
+    let patience = Patience::before_first_event(prefill, CALLER_PATIENCE);
+    assert!(patience.is_last_move(prefill + USUAL));
+    assert!(!patience.is_last_move(prefill + 2 * USUAL));
+}
