Let only the removal of the missing entry end its grace period

A removal that is the store's word ended the grace period of a target whatever its version. One of an earlier entry, told late over a slow link, so took a target out of use that an outage of the store had hidden and that was about to register again. It counts now only if it is later than the missing entry.

--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -431,8 +431,9 @@
     pub(super) fn apply_target(self: &Rc<Self>, row: &Row, is_lenient: bool) {
         if !self.tables.is_newer(row) {
             // A reader that had lost its path to the store may have told of the removal before.
-            let is_confirmed =
-                row.value.is_none() && !is_lenient && self.registry().is_missing(&row.key);
+            let is_confirmed = row.value.is_none()
+                && !is_lenient
+                && self.registry().is_missing_since(&row.key, row.version);
             if is_confirmed {
                 self.remove_target(row, is_lenient);
             }
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -189,11 +189,12 @@
         self.forget(now, id)
     }
 
-    /// Returns whether a target's entry is missing, and the target is kept for the rest of the grace
-    /// period.
-    pub fn is_missing(&self, id: &str) -> bool {
+    /// Returns whether a target's entry is missing and the target is kept for the rest of the grace
+    /// period, and a removal at `version` is that of this entry, not of an earlier one.
+    pub fn is_missing_since(&self, id: &str, version: Version) -> bool {
         let entry = self.targets.get(id);
-        entry.is_some_and(|entry| entry.kept_until.is_some())
+        entry
+            .is_some_and(|entry| entry.kept_until.is_some() && entry.registration.version < version)
     }
 
     fn forget(&mut self, now: Time, id: &str) -> Option<TargetChange> {
