Keep the origin of a removal when it is passed on

A daemon that is asked for all targets said whether removals may be undone by its own view of the store at that moment. A removal that it had from a reader without a path to the store so reached others as the store's word, which ends the grace period: daemons that started in an outage dropped targets that the rest of the fleet kept. The cache now notes which removals are hearsay; these are sent apart, until the store's word comes or the grace period is over.

removal_keeps_its_origin::case_1_hearsay, before: told as [true, false] when a peer asked after the broadcast, that is as the store's word.

--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -1,6 +1,7 @@
 //! Handling of the frames that peers send.
 
 use super::{
+    dialect::Row,
     frame::{Frame, LinkId, WireRow},
     state::Relay,
 };
@@ -42,14 +43,7 @@
             Frame::Plan(row) => self.receive_plan(host, row),
             Frame::PackedPlan(row) => self.receive_packed_plan(host, row),
             Frame::DeclinePlan => self.end_plan_request(host),
-            Frame::RequestTargets => {
-                let rows = self.tables.targets().into_iter().map(WireRow::from);
-                let frame = Frame::Targets {
-                    rows: rows.collect(),
-                    is_lenient: self.registry().is_lenient(self.now()),
-                };
-                self.links.send_to_host(host, frame);
-            }
+            Frame::RequestTargets => self.serve_targets(host),
             Frame::Targets { rows, is_lenient } => {
                 for row in rows {
                     self.apply_target(&row.into(), is_lenient);
@@ -98,4 +92,19 @@
             }
         }
     }
+
+    /// Sends all known entries of targets to a peer; removals that may be undone are sent apart.
+    fn serve_targets(&self, host: &HostId) {
+        let rows = self.tables.targets().into_iter();
+        let (hearsay, confirmed): (Vec<Row>, Vec<Row>) =
+            rows.partition(|row| self.tables.is_hearsay(&row.key));
+        let is_lenient = self.registry().is_lenient(self.now());
+        for (rows, is_lenient) in [(confirmed, is_lenient), (hearsay, true)] {
+            if !rows.is_empty() {
+                let rows = rows.into_iter().map(WireRow::from).collect();
+                let frame = Frame::Targets { rows, is_lenient };
+                self.links.send_to_host(host, frame);
+            }
+        }
+    }
 }
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -14,7 +14,7 @@
 };
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -49,6 +49,8 @@
 pub(super) struct TableCache {
     /// Latest known row of each target, including deleted ones, to be sent to peers.
     targets: RefCell<HashMap<CompactString, Row>>,
+    /// Keys of deleted rows that may reappear: a daemon told of them that could not read the store.
+    hearsay: RefCell<HashSet<CompactString>>,
     targets_read_at: Cell<Option<Instant>>,
     plan_read_at: Cell<Option<Instant>>,
     /// Era of the store in which the targets were last read; `None` before the first read.
@@ -231,10 +233,26 @@
         previous.is_none_or(|previous| previous.version < row.version)
     }
 
-    fn insert(&self, row: &Row) {
+    /// Caches a row. If `is_lenient`, a deleted one may reappear.
+    fn insert(&self, row: &Row, is_lenient: bool) {
         self.targets
             .borrow_mut()
             .insert(row.key.clone(), row.clone());
+        if row.value.is_none() && is_lenient {
+            self.hearsay.borrow_mut().insert(row.key.clone());
+        } else {
+            self.confirm(&row.key);
+        }
+    }
+
+    /// Records that the row of a target is as the store has it, or that it did not reappear.
+    fn confirm(&self, key: &str) {
+        self.hearsay.borrow_mut().remove(key);
+    }
+
+    /// Returns whether the row of a target may reappear.
+    pub fn is_hearsay(&self, key: &str) -> bool {
+        self.hearsay.borrow().contains(key)
     }
 
     /// Returns the cached rows of all targets, including deleted ones.
@@ -446,7 +464,7 @@
             tracing::debug!(key = %row.key, "outdated entry of a target ignored");
             return;
         }
-        self.tables.insert(row);
+        self.tables.insert(row, is_lenient);
         let is_refresh = matches!(&parsed, Some(Ok(registration))
             // Entries of a target that seems to have ended show the peers whether it lives.
             if self.registry().is_refresh(registration)
@@ -473,6 +491,7 @@
 
     /// Ends the grace period of a target that is missing from the store.
     fn remove_target(self: &Rc<Self>, row: &Row, is_lenient: bool) {
+        self.tables.confirm(&row.key);
         if self.serves_tables() {
             self.broadcast_target(row, is_lenient);
         }
@@ -538,6 +557,7 @@
                 self.rejection_watch.limiter_mut().remove_target(&target.id);
                 self.pauses.borrow_mut().remove_target(&target.id);
                 self.rates.remove_target(&target.id);
+                self.tables.confirm(&target.id);
             }
             self.dispatcher.apply_target_change(self, &change);
             if let TargetChange::Added(target) = &change {
