Accept the word about a job only from the leader it was submitted to

Ready and Refused name a job by its number alone, and any peer could end the wait for it. A refusal that reached a daemon twice, or from a peer that does not lead, was given to the caller of whichever job had that number: 503, although its stages were being made. The link that a job was submitted over now has to be the one that the word comes from.

--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -115,6 +115,17 @@
     leads_since: Cell<Option<UnixMillis>>,
 }
 
+impl SubmittedJob {
+    /// Returns whether the leader that it was submitted to is at the other end of a link.
+    fn is_submitted_over(&self, link: LinkId) -> bool {
+        match &self.leader {
+            None => false,
+            Some(LeaderLink::Own) => link == LOCAL_LINK,
+            Some(LeaderLink::Peer(_, leader)) => *leader == link,
+        }
+    }
+}
+
 impl JobDispatcher {
     pub fn new() -> Self {
         Self {
@@ -361,11 +372,25 @@
             .with_scheduler(self, |scheduler, now, out| scheduler.release(now, id, out));
     }
 
-    pub(super) fn complete_job(&self, number: u64, handles: Vec<Handle>, domain: Option<DomainId>) {
-        self.resolve_job(number, Ok((handles, domain)));
+    /// Handles the word of the scheduler at the other end of the link `origin` that a job is complete.
+    pub(super) fn complete_job(
+        &self,
+        origin: LinkId,
+        number: u64,
+        handles: Vec<Handle>,
+        domain: Option<DomainId>,
+    ) {
+        self.resolve_job(origin, number, Ok((handles, domain)));
     }
 
-    pub(super) fn refuse_job(&self, number: u64, reason: u8, retry_after: Duration) {
+    /// Handles the word of the scheduler at the other end of the link `origin` that it refuses a job.
+    pub(super) fn refuse_job(
+        &self,
+        origin: LinkId,
+        number: u64,
+        reason: u8,
+        retry_after: Duration,
+    ) {
         let reason = match reason {
             REFUSAL_BACKLOG => Reason::Backlog,
             REFUSAL_LATE => Reason::Late,
@@ -373,6 +398,7 @@
             _ => Reason::StagesFailed,
         };
         self.resolve_job(
+            origin,
             number,
             Err(JobRefusal {
                 reason,
@@ -381,11 +407,12 @@
         );
     }
 
-    fn resolve_job(&self, number: u64, outcome: JobOutcome) {
+    /// Ends the wait for a job if it was submitted over this link.
+    fn resolve_job(&self, origin: LinkId, number: u64, outcome: JobOutcome) {
         let mut submitted = self.dispatcher.submitted.borrow_mut();
-        let sender = submitted
-            .get_mut(&number)
-            .and_then(|entry| entry.outcome_sender.take());
+        let entry = submitted.get_mut(&number);
+        let entry = entry.filter(|entry| entry.is_submitted_over(origin));
+        let sender = entry.and_then(|entry| entry.outcome_sender.take());
         if let Some(sender) = sender {
             // The receiver is gone if the request was cancelled in the meantime.
             drop(sender.send(outcome));
@@ -401,9 +428,7 @@
         let lost_jobs: Vec<u64> = {
             let submitted = self.dispatcher.submitted.borrow();
             let lost_jobs = submitted.iter().filter(|(_, entry)| {
-                let was_on_link =
-                    matches!(entry.leader, Some(LeaderLink::Peer(_, link_id)) if link_id == origin);
-                entry.outcome_sender.is_some() && was_on_link
+                entry.outcome_sender.is_some() && entry.is_submitted_over(origin)
             });
             lost_jobs.map(|(number, _)| *number).collect()
         };
@@ -444,7 +469,7 @@
                 handles,
                 domain,
             } => match job.origin {
-                LOCAL_LINK => self.complete_job(job.number, handles, domain),
+                LOCAL_LINK => self.complete_job(LOCAL_LINK, job.number, handles, domain),
                 origin => self.links.send_on_link(
                     origin,
                     Frame::Ready {
@@ -465,7 +490,7 @@
                 event::job_refused(&request, reason, expected, left, retry_after);
                 let reason = refusal_code(reason);
                 match job.origin {
-                    LOCAL_LINK => self.refuse_job(job.number, reason, retry_after),
+                    LOCAL_LINK => self.refuse_job(LOCAL_LINK, job.number, reason, retry_after),
                     origin => self.links.send_on_link(
                         origin,
                         Frame::Refused {
--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -55,12 +55,12 @@
                 number,
                 handles,
                 domain,
-            } => self.complete_job(number, handles, domain),
+            } => self.complete_job(link_id, number, handles, domain),
             Frame::Refused {
                 number,
                 reason,
                 retry_after,
-            } => self.refuse_job(number, reason, retry_after),
+            } => self.refuse_job(link_id, number, reason, retry_after),
             Frame::StreamOrigin { stream, build, age } => self.keep_origin(stream, build, age),
             Frame::FindOrigin {
                 number,
