Reject the head of another response inside an event

An engine broke a stream without a length off inside an event and wrote an error response on the same connection. The bytes up to the empty line that ends its head were taken for the rest of the event, which had an identifier, and callers found the head in the middle of their stream. An event may now contain the fields of events only, after others at its beginning (targets state a version there), and all lines of a stream end alike.

--- a/policy/src/relay/sse.rs
+++ b/policy/src/relay/sse.rs
@@ -9,6 +9,9 @@
 pub const MAX_EVENT_BYTES: usize = 64 << 10;
 /// Sequences that end an event.
 const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
+/// Names of the fields of an event. Targets may begin an event with others, as with the version of the
+/// model that they serve.
+const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 /// Length in bytes of the longest of [`EVENT_ENDS`].
 const MAX_END_LEN: usize = 4;
 
@@ -21,7 +24,8 @@
 pub enum Fault {
     /// An event exceeds [`MAX_EVENT_BYTES`].
     LongEvent,
-    /// An event has no identifier, or none that is greater than that of the event before.
+    /// An event has no identifier, or none that is greater than that of the event before, or contains
+    /// something other than fields of an event, such as the head of another response.
     Foreign,
 }
 
@@ -32,6 +36,8 @@
     partial: Vec<u8>,
     last_id: Option<EventId>,
     has_events: bool,
+    /// Whether lines end with CRLF, which is the same for all lines of a stream; absent before the first.
+    has_crlf: Option<bool>,
 }
 
 impl Parser {
@@ -70,11 +76,25 @@
         }
         let rest = self.partial.split_off(end);
         let events = std::mem::replace(&mut self.partial, rest);
+        self.check_line_ends(&events)?;
         self.last_id = last_event_id(&events, self.last_id)?;
         self.has_events = true;
         Ok(events)
     }
 
+    /// Fails unless all lines end like those before. The head of a response that follows a broken-off
+    /// event differs from the stream in that.
+    fn check_line_ends(&mut self, events: &[u8]) -> Result<(), Fault> {
+        let lines = events.strip_suffix(b"\n").unwrap_or(events);
+        for line in lines.split(|&byte| byte == b'\n') {
+            let has_crlf = line.ends_with(b"\r");
+            if *self.has_crlf.get_or_insert(has_crlf) != has_crlf {
+                return Err(Fault::Foreign);
+            }
+        }
+        Ok(())
+    }
+
     /// Returns whether a stream that ends here is complete.
     ///
     /// `is_declared` states whether the target declared the end, by a length or a last chunk. The end
@@ -109,12 +129,24 @@
             last = Some(id);
             has_id = true;
         } else if !line.starts_with(b":") {
-            has_fields = true;
+            let name = line.split(|&byte| byte == b':').next().unwrap_or_default();
+            let may_begin_event = !has_fields && !has_id && is_extension(name) && name != line;
+            if !FIELDS.contains(&name) && !may_begin_event {
+                return Err(Fault::Foreign);
+            }
+            has_fields |= FIELDS.contains(&name);
         }
     }
     Ok(last)
 }
 
+/// Returns whether a field that is not among [`FIELDS`] may have this name.
+fn is_extension(name: &[u8]) -> bool {
+    let is_allowed =
+        |byte: &u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || *byte == b'-';
+    !name.is_empty() && name.iter().all(is_allowed)
+}
+
 fn parse_id(text: &[u8]) -> Option<EventId> {
     std::str::from_utf8(text).ok()?.trim().parse().ok()
 }
--- a/policy/tests/sse.rs
+++ b/policy/tests/sse.rs
@@ -31,6 +31,14 @@
     assert!(parser.is_complete(false));
 }
 
+/// Targets begin an event with the version of their model when it changes.
+#[test]
+fn event_may_begin_with_another_field() {
+    let stream: &[u8] = b"model-version: 7\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let mut parser = Parser::new(None);
+    assert_eq!(parse(&mut parser, &[stream]), Ok(stream.to_vec()));
+}
+
 /// The target closes the connection after any number of bytes of its stream.
 #[test]
 fn stream_is_complete_only_after_a_whole_event() {
@@ -51,6 +59,11 @@
 #[case::no_identifier_after_an_event("id: 1\ndata: a\n\ndata: b\n\n")]
 #[case::no_number("id: x\ndata: a\n\n")]
 #[case::repeated("id: 2\ndata: a\n\nid: 2\ndata: a\n\n")]
+#[case::head_after_a_partial_line("id: 2\ndata: a\n\nid: 3\ndaHTTP/1.1 500 X\na: b\n\n")]
+#[case::head_after_a_value("id: 2\ndata: a\n\nid: 3\ndata: bHTTP/1.1 500 X\na: b\n\n")]
+#[case::head_with_carriage_returns("id: 2\ndata: a\n\nid: 3\ndata: bHTTP/1.1 500 X\r\n\r\n")]
+#[case::head_after_an_identifier("id: 2\ndata: a\n\nid: 3\nHTTP/1.1 500 X\na: b\n\n")]
+#[case::head_before_an_event("id: 2\ndata: a\n\nHTTP/1.1 500 X\nid: 3\ndata: b\n\n")]
 #[case::decreasing("id: 2\ndata: a\n\nid: 1\ndata: b\n\n")]
 fn bytes_other_than_events_in_order_are_rejected(#[case] stream: &str) {
     assert_eq!(
--- a/standin/src/http/mod.rs
+++ b/standin/src/http/mod.rs
@@ -178,6 +178,7 @@
 async fn serve_connection<H: Handler>(stream: SilenceableStream, handler: Arc<H>) {
     let raw = stream.raw();
     let service = service_fn(move |mut request: Request<Incoming>| {
+        raw.count_request();
         request.extensions_mut().insert(raw.clone());
         handle_request(Arc::clone(&handler), request)
     });
--- a/standin/src/http/raw_connection.rs
+++ b/standin/src/http/raw_connection.rs
@@ -3,7 +3,10 @@
 use super::pause::Pause;
 use std::{
     io,
-    sync::{Arc, Weak},
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 use tokio::{net::TcpStream, time};
 
@@ -15,6 +18,8 @@
 pub struct RawConnection {
     stream: Weak<TcpStream>,
     pause: Arc<Pause>,
+    /// Number of requests that have arrived.
+    requests: Arc<AtomicUsize>,
 }
 
 impl RawConnection {
@@ -22,9 +27,19 @@
         Self {
             stream: Arc::downgrade(stream),
             pause: Arc::clone(pause),
+            requests: Arc::default(),
         }
     }
 
+    pub(super) fn count_request(&self) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns whether the connection has carried a request before the latest one.
+    pub fn is_reused(&self) -> bool {
+        self.requests.load(Ordering::Relaxed) > 1
+    }
+
     /// Returns a number that no other open connection has.
     pub fn id(&self) -> usize {
         self.stream.as_ptr().addr()
--- a/standin/src/site/behavior.rs
+++ b/standin/src/site/behavior.rs
@@ -29,12 +29,31 @@
     /// Sends the answer to the last stage call once more when the next call on its connection has
     /// arrived.
     RepeatToNext,
+    /// Sends a refusal that it gave before once more when a request has arrived on a connection that was
+    /// in use before, and executes the request.
+    RepeatRefusal(RefusalId),
+    /// Executes the request and returns 503, without the header that says that it has not.
+    FailedBusy,
+    /// Executes the request and closes the connection after this number of bytes of the head of a
+    /// response.
+    CutHead(usize),
+    /// Executes the request and returns 200 with a text that is no stream.
+    PlainText,
     /// Returns a response with neither a length nor chunks, which ends with its connection.
     Unframed(Cut),
     /// Sends bytes without end, until the caller closes the connection.
     Endless(Section),
 }
 
+/// Whether a repeated refusal names the request that it was for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalId {
+    /// It has no identifier.
+    Absent,
+    /// It has the identifier of an earlier request.
+    Earlier,
+}
+
 /// Where an engine breaks off a response; the results of stage calls are broken off in the middle.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Cut {
@@ -45,6 +64,9 @@
     /// The connection is closed in the middle of the third event of a stream; plain responses are
     /// complete.
     InsideEvent,
+    /// An error response follows in the middle of the third event of a stream; plain responses are
+    /// complete.
+    ErrorInsideEvent,
     /// The connection is reset after the second event of a stream, or in the middle of a plain
     /// response.
     Reset,
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -2,7 +2,7 @@
 //! stage engines.
 
 pub use super::{
-    behavior::{Behavior, Cut, Section},
+    behavior::{Behavior, Cut, RefusalId, Section},
     execution::ExecutedRequest,
     notice::Arrival,
 };
@@ -76,7 +76,7 @@
     stage_calls: Mutex<Vec<Value>>,
     /// Last answer to a stage call on each connection.
     pub(super) last_answers: Mutex<HashMap<usize, String>>,
-    /// Number of these that were sent again.
+    /// Number of these, or of refusals, that were sent again.
     pub(super) repeated_answers: AtomicUsize,
     /// Endless responses that their callers have not closed.
     pub(super) endless_responses: AtomicUsize,
@@ -230,7 +230,7 @@
         self.state.endless_responses.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of answers to stage calls that the engine has sent twice.
+    /// Returns the number of answers to stage calls, or of refusals, that the engine has sent again.
     pub fn repeated_answers(&self) -> usize {
         self.state.repeated_answers.load(Ordering::Relaxed)
     }
@@ -272,6 +272,12 @@
         if let (Behavior::Endless(section), Some(raw)) = (behavior, raw) {
             return self.send_endless(raw, "", section).await;
         }
+        if let (Behavior::RepeatRefusal(id), Some(raw)) = (behavior, raw) {
+            self.repeat_refusal(raw, id).await?;
+        }
+        if let (Behavior::CutHead(length), Some(raw)) = (behavior, raw) {
+            return self.send_cut_head(raw, "", length).await;
+        }
         let slot = match self.admit().await {
             Ok(slot) => slot,
             Err(reply) => return Ok(reply),
@@ -335,6 +341,10 @@
             self.crash(CRASH_DOWNTIME);
             std::future::pending::<()>().await;
         }
+        let raw = request.extensions().get::<RawConnection>();
+        if let (Behavior::RepeatRefusal(id), Some(raw)) = (behavior, raw) {
+            self.repeat_refusal(raw, id).await?;
+        }
         let work = header(WORK_HEADER).parse().map(Duration::from_millis);
         time::sleep(slot.work.max(work.unwrap_or_default())).await;
         match behavior {
@@ -348,26 +358,19 @@
         };
         let is_stream = headers.contains_key("godwithinge-token-counts");
         let last = header("last-event-id").parse().unwrap_or(0);
-        let raw = request.extensions().get::<RawConnection>();
-        match (behavior, raw) {
-            (Behavior::Unframed(cut), Some(raw)) if is_stream => {
-                let events = self.events_after(last);
-                return self.send_unframed_stream(raw, &id, events, cut).await;
-            }
-            (Behavior::Unframed(cut), Some(raw)) => {
-                let mut answer = plain_answer(&id);
-                if cut == Cut::Reset {
-                    answer.truncate(answer.len() / 2);
-                }
-                return self.send_unframed(raw, &id, &answer, cut).await;
-            }
-            (Behavior::Endless(section), Some(raw)) => {
-                return self.send_endless(raw, &id, section).await;
-            }
-            _ => {}
+        if let Some(raw) = raw
+            && let Some(answer) = self.answer_raw(raw, behavior, &id, is_stream, last).await
+        {
+            return answer;
         }
-        let mut reply = if behavior == Behavior::ServerError {
-            reply::bytes(StatusCode::INTERNAL_SERVER_ERROR, "failed")
+        let failure = match behavior {
+            Behavior::ServerError => Some(StatusCode::INTERNAL_SERVER_ERROR),
+            Behavior::FailedBusy => Some(StatusCode::SERVICE_UNAVAILABLE),
+            Behavior::PlainText => Some(StatusCode::OK),
+            _ => None,
+        };
+        let mut reply = if let Some(status) = failure {
+            reply::bytes(status, "failed")
         } else if is_stream {
             event_stream(
                 self.events_after(last),
--- a/standin/src/site/raw.rs
+++ b/standin/src/site/raw.rs
@@ -1,7 +1,7 @@
 //! Responses that a fake engine writes to its connection itself, since they don't follow the protocol.
 
 use super::{
-    behavior::{Cut, Section},
+    behavior::{Behavior, Cut, RefusalId, Section},
     engine::{
         BRITTLE, EVENT_INTERVAL, EVENTS_BEFORE_CUT, LEAVING, LIMIT, State, lock, plain_answer,
     },
@@ -14,10 +14,42 @@
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time from the head of a response to a second one, in which a stream ends.
 const REPEAT_DELAY: Duration = Duration::from_millis(150);
+/// Error response that an engine writes in the middle of a stream.
+const ERROR_RESPONSE: &str = "HTTP/1.1 503 Service Unavailable\r\ngodwithinge-not-executed: 1\r\n\
+                              content-length: 0\r\n\r\n";
 /// Bytes that an endless response repeats, with the interval between two writes.
 const ENDLESS_WRITE: (usize, Duration) = (4 << 10, Duration::from_millis(1));
 
 impl State {
+    /// Answers a request that was executed if the engine writes the response itself. Events of a stream
+    /// follow the event `last`.
+    pub(super) async fn answer_raw(
+        &self,
+        raw: &RawConnection,
+        behavior: Behavior,
+        id: &str,
+        is_stream: bool,
+        last: u64,
+    ) -> Option<Result<Reply, ConnectionClosed>> {
+        let answer = match behavior {
+            Behavior::Unframed(cut) if is_stream => {
+                let events = self.events_after(last);
+                self.send_unframed_stream(raw, id, events, cut).await
+            }
+            Behavior::Unframed(cut) => {
+                let mut answer = plain_answer(id);
+                if cut == Cut::Reset {
+                    answer.truncate(answer.len() / 2);
+                }
+                self.send_unframed(raw, id, &answer, cut).await
+            }
+            Behavior::Endless(section) => self.send_endless(raw, id, section).await,
+            Behavior::CutHead(length) => self.send_cut_head(raw, id, length).await,
+            _ => return None,
+        };
+        Some(answer)
+    }
+
     /// Sends a response that ends with its connection, whose body may be cut already.
     pub(super) async fn send_unframed(
         &self,
@@ -49,7 +81,14 @@
                     send(raw, &event[..8]).await?;
                     break;
                 }
-                Cut::Never | Cut::InsideEvent | Cut::Reset => send(raw, &event).await?,
+                Cut::ErrorInsideEvent if is_cut => {
+                    send(raw, &event[..event.len() - 4]).await?;
+                    send(raw, ERROR_RESPONSE).await?;
+                    break;
+                }
+                Cut::Never | Cut::InsideEvent | Cut::ErrorInsideEvent | Cut::Reset => {
+                    send(raw, &event).await?;
+                }
             }
             time::sleep(EVENT_INTERVAL).await;
         }
@@ -94,15 +133,50 @@
         }
     }
 
+    /// Sends a refusal that was given before, if the connection was in use before.
+    pub(super) async fn repeat_refusal(
+        &self,
+        raw: &RawConnection,
+        id: RefusalId,
+    ) -> Result<(), ConnectionClosed> {
+        if !raw.is_reused() {
+            return Ok(());
+        }
+        let id = match id {
+            RefusalId::Absent => "",
+            RefusalId::Earlier => "godwithinge-attempt-id: earlier\r\n",
+        };
+        self.repeated_answers.fetch_add(1, Ordering::Relaxed);
+        let refusal = format!(
+            "HTTP/1.1 503 Service Unavailable\r\ngodwithinge-not-executed: 1\r\n{id}\
+             content-length: 0\r\n\r\n"
+        );
+        send(raw, &refusal).await
+    }
+
+    /// Sends the beginning of the head of a response and closes the connection.
+    pub(super) async fn send_cut_head(
+        &self,
+        raw: &RawConnection,
+        id: &str,
+        length: usize,
+    ) -> Result<Reply, ConnectionClosed> {
+        let head = self.framed_head(id);
+        send(raw, &head[..length.min(head.len() - 1)]).await?;
+        Err(ConnectionClosed)
+    }
+
+    /// Returns the head of a response with a length.
+    fn framed_head(&self, id: &str) -> String {
+        let head = self.unframed_head(id);
+        let length = plain_answer(id).len();
+        format!("{}\r\ncontent-length: {length}\r\n\r\n", head.trim_end())
+    }
+
     /// Sends another response to a request some time later.
     pub(super) fn repeat_late(&self, raw: &RawConnection, id: &str) {
         let (raw, answer) = (raw.clone(), plain_answer(id));
-        let head = self.unframed_head(id);
-        let response = format!(
-            "{}\r\ncontent-length: {}\r\n\r\n{answer}",
-            head.trim_end(),
-            answer.len()
-        );
+        let response = self.framed_head(id) + &answer;
         tokio::spawn(async move {
             time::sleep(REPEAT_DELAY).await;
             // The caller may have closed the connection.
--- a/standin/src/site/store.rs
+++ b/standin/src/site/store.rs
@@ -1,13 +1,16 @@
 //! Fake of the platform's store: a versioned key-value store with tables for the operator's
 //! settings, the engines and the daemons.
 
-use crate::http::{ConnectionClosed, Handler, Listener, Reply, ServerHandle, query, reply};
+use crate::http::{
+    ConnectionClosed, Handler, Listener, RawConnection, Reply, ServerHandle, query, reply,
+};
 use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, StatusCode, header::HeaderValue};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     io,
     net::SocketAddr,
     sync::{
@@ -44,6 +47,24 @@
     truncated_version: AtomicU64,
     is_unavailable: AtomicBool,
     request_count: AtomicU64,
+    fault: Mutex<Fault>,
+    /// Last answer on each connection.
+    last_answers: Mutex<HashMap<usize, String>>,
+    started_at: Instant,
+}
+
+/// How the store answers wrongly.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// It does not.
+    #[default]
+    None,
+    /// Sends its last answer on a connection once more before the next one.
+    RepeatAnswer,
+    /// Sends 503 on a connection that was in use before, and then the answer.
+    RepeatRefusal,
+    /// Closes the connection after this number of bytes of the head of an answer.
+    CutHead(usize),
 }
 
 #[derive(Clone, Debug)]
@@ -95,6 +116,9 @@
             truncated_version: AtomicU64::new(0),
             is_unavailable: AtomicBool::new(false),
             request_count: AtomicU64::new(0),
+            fault: Mutex::default(),
+            last_answers: Mutex::default(),
+            started_at: Instant::now(),
         });
         let listener = Listener::bind(0).await?.serve(Arc::clone(&state));
         Ok(Self { state, listener })
@@ -143,6 +167,11 @@
             .store(is_unavailable, Ordering::Relaxed);
     }
 
+    /// Sets how the store answers wrongly.
+    pub fn set_fault(&self, fault: Fault) {
+        *lock(&self.state.fault) = fault;
+    }
+
     /// Discards the change history up to the current version, so that feeds from an earlier version
     /// are answered with 410 and their readers must read the whole table again.
     pub fn truncate_history(&self) {
@@ -222,7 +251,8 @@
 
     fn page(&self, rows: &[Value]) -> Reply {
         let version = *self.version.borrow();
-        reply::ok(&json!({ "rows": rows, "more-pages": false, "ver": version, "now-ms": 1 }))
+        let now_ms = self.started_at.elapsed().as_millis() as u64;
+        reply::ok(&json!({ "rows": rows, "more-pages": false, "ver": version, "now-ms": now_ms }))
     }
 
     async fn feed(&self, table: &str, after: u64, wait: Duration) -> Reply {
@@ -270,13 +300,59 @@
                 reply
                     .headers_mut()
                     .insert(ERA_HEADER, HeaderValue::from(era));
-                return Ok(reply);
+                return match request.extensions().get::<RawConnection>() {
+                    Some(raw) => self.with_fault(raw, reply, era).await,
+                    None => Ok(reply),
+                };
             }
         }
     }
 }
 
 impl State {
+    /// Writes what the fault asks for to the connection, before the answer or in place of it.
+    async fn with_fault(
+        &self,
+        raw: &RawConnection,
+        reply: Reply,
+        era: u64,
+    ) -> Result<Reply, ConnectionClosed> {
+        let fault = *lock(&self.fault);
+        let (head, body) = reply.into_parts();
+        let body = body.collect().await?.to_bytes();
+        let text = format!(
+            "HTTP/1.1 {}\r\n{ERA_HEADER}: {era}\r\ncontent-length: {}\r\n\r\n{}",
+            head.status,
+            body.len(),
+            String::from_utf8_lossy(&body)
+        );
+        let write = async |text: &str| {
+            let written = raw.write(text.as_bytes()).await;
+            written.map_err(|_closed| ConnectionClosed)
+        };
+        match fault {
+            Fault::RepeatAnswer => {
+                let last = lock(&self.last_answers).insert(raw.id(), text);
+                if let Some(last) = last.filter(|_| raw.is_reused()) {
+                    write(&last).await?;
+                }
+            }
+            Fault::RepeatRefusal if raw.is_reused() => {
+                write("HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n").await?;
+            }
+            Fault::None | Fault::RepeatRefusal => {}
+            Fault::CutHead(length) => {
+                let end = text.len() - body.len() - 1;
+                write(&text[..length.min(end)]).await?;
+                return Err(ConnectionClosed);
+            }
+        }
+        Ok(Reply::from_parts(
+            head,
+            BodyExt::boxed_unsync(Full::new(body).map_err(|never| match never {})),
+        ))
+    }
+
     async fn respond(&self, request: &Request<Bytes>) -> Reply {
         if self.is_unavailable.load(Ordering::Relaxed) {
             return reply::bytes(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
@@ -296,6 +372,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Encodes bytes as base64 with padding.
 fn encode_base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
