Promise that a request has not run only by its target's word

408, 421, 429 and 503 tell a caller that its request has not run and never will. A target that had run a request and answered 503 without saying that it had not was quoted as it was, and callers of requests that must run once sent them again. Such an answer now counts as a send that may have been executed: 502, or another target if the request may be repeated.

--- a/godwithinge/src/relay/attempt.rs
+++ b/godwithinge/src/relay/attempt.rs
@@ -41,6 +41,10 @@
                 self.rejected += u32::from(rejection::is_rejection(*status));
                 "not_run"
             }
+            SendOutcome::Unproven(status) => {
+                self.rejected += u32::from(rejection::is_rejection(*status));
+                "unproven"
+            }
             // Whatever kept it from being sent is no failure of a target.
             SendOutcome::Withdrawn => {
                 self.possibly_executed -= 1;
--- a/godwithinge/src/relay/outcome.rs
+++ b/godwithinge/src/relay/outcome.rs
@@ -82,6 +82,18 @@
     }
 }
 
+/// Returns whether a response with this status tells the caller that no target has executed the request
+/// or will.
+pub(super) fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 impl Rejection {
     /// Creates a rejection without a retry time.
     pub fn new(reason: Reason) -> Self {
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -3,6 +3,7 @@
 use super::{
     buffer::{Buffer, TooLarge},
     dialect::{ForwardingMetadata, RequestMetadata, ResponseMetadata},
+    outcome,
     run::ActiveRequest,
     sse,
     state::Relay,
@@ -42,6 +43,8 @@
     Withdrawn,
     /// The target reports that it did not execute the request.
     NotExecuted(StatusCode),
+    /// A refusal that does not say that the target did not execute the request.
+    Unproven(StatusCode),
     /// The target may have executed the request but returned no valid response; holds the label of
     /// the cause.
     Failed(&'static str),
@@ -53,7 +56,11 @@
         match self {
             Self::Buffered(response) => !response.status.is_server_error(),
             Self::Streaming(_) => true,
-            Self::Unreached | Self::Withdrawn | Self::NotExecuted(_) | Self::Failed(_) => false,
+            Self::Unreached
+            | Self::Withdrawn
+            | Self::NotExecuted(_)
+            | Self::Unproven(_)
+            | Self::Failed(_) => false,
         }
     }
 }
@@ -182,6 +189,9 @@
         self.relay
             .record_notice(&target.id, status, &metadata, response.via());
         let is_reused = response.is_reused();
+        if outcome::is_promise(status) && !metadata.is_not_executed {
+            return SendOutcome::Unproven(status);
+        }
         if !self.is_valid_response(&metadata, status, response.headers(), is_reused) {
             return SendOutcome::Failed("foreign");
         }
@@ -309,7 +319,9 @@
             SendOutcome::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => {
                 selector.record_failure(now, &target.id);
             }
-            SendOutcome::NotExecuted(_) => selector.record_answer(&target.id, false, elapsed),
+            SendOutcome::NotExecuted(_) | SendOutcome::Unproven(_) => {
+                selector.record_answer(&target.id, false, elapsed);
+            }
             SendOutcome::Withdrawn => {}
             SendOutcome::Failed(_) => {
                 selector.record_failure(now, &target.id);
