Believe a refusal on a used connection only with its identifier

Requests that must run once never use a connection again, so that none of them was refused or ran twice; streams that may be resumed did, and their callers got 503, which says that they will not run. A refusal without an identifier on a connection that was used before now counts as a send that may have been executed.

--- a/godwithinge/src/relay/handover.rs
+++ b/godwithinge/src/relay/handover.rs
@@ -249,8 +249,11 @@
                     return Ok((TargetResponse::Streaming(stream), results));
                 }
                 failed => {
-                    let is_result_lost =
-                        matches!(failed, SendOutcome::NotExecuted(StatusCode::CONFLICT));
+                    let is_result_lost = matches!(
+                        failed,
+                        SendOutcome::NotExecuted(StatusCode::CONFLICT)
+                            | SendOutcome::Unproven(StatusCode::CONFLICT)
+                    );
                     if is_result_lost && reruns < MAX_STAGE_RERUNS {
                         reruns += 1;
                         results = None;
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -43,7 +43,8 @@
     Withdrawn,
     /// The target reports that it did not execute the request.
     NotExecuted(StatusCode),
-    /// A refusal that does not say that the target did not execute the request.
+    /// A refusal that does not show that the target did not execute the request: it may be that of an
+    /// earlier request, or does not say so.
     Unproven(StatusCode),
     /// The target may have executed the request but returned no valid response; holds the label of
     /// the cause.
@@ -189,7 +190,9 @@
         self.relay
             .record_notice(&target.id, status, &metadata, response.via());
         let is_reused = response.is_reused();
-        if outcome::is_promise(status) && !metadata.is_not_executed {
+        let is_refusal = metadata.is_not_executed || outcome::is_promise(status);
+        let is_attributed = metadata.id.is_some() || !is_reused;
+        if is_refusal && !(metadata.is_not_executed && is_attributed) {
             return SendOutcome::Unproven(status);
         }
         if !self.is_valid_response(&metadata, status, response.headers(), is_reused) {
