--- a/policy/tests/reader.rs
+++ b/policy/tests/reader.rs
@@ -93,3 +93,39 @@
     assert!(schedule.max_table_age < bound);
     assert!(schedule.feed_wait + schedule.min_interval < schedule.max_table_age);
 }
+
+/// A removal is known at the last daemon within the time for which a target that leaves goes on, whoever
+/// reads it. The parts of the way are added up: the store answers a call, the reader calls again after
+/// its interval, and the word passes a link; before that, the readers may have been lost and others
+/// stand in.
+#[rstest]
+#[case::all_readers_sound(0)]
+#[case::readers_cut_off_from_the_store(READERS)]
+fn delay_of_a_removal_is_less_than_the_drain(
+    #[case] blind_readers: usize,
+    #[values(3, 7, 30, 100, 300)] daemons: usize,
+) {
+    /// `drain-ms` and `config-ms` of the users' sites.
+    const DRAIN: Duration = Duration::from_secs(2);
+    const CHANGE_BOUND: Duration = Duration::from_secs(2);
+    /// A call of a sound store, the way over a link, and the check for a turn to stand in.
+    const CALL: Duration = Duration::from_millis(10);
+    const LINK: Duration = Duration::from_millis(20);
+    const CHECK: Duration = Duration::from_millis(100);
+    let schedule = Schedule::new(CHANGE_BOUND);
+    let order = Order::new(fleet(daemons, 5));
+    let fleet = fleet(daemons, 5);
+    let first_sound = fleet
+        .iter()
+        .filter(|daemon| order.place(&daemon.host) >= blind_readers)
+        .map(|daemon| order.stand_in_delay(&daemon.host))
+        .min();
+    let reading = match (blind_readers, first_sound) {
+        (0, _) => schedule.min_interval + CALL,
+        (_, Some(delay)) => schedule.max_table_age + delay + CHECK + CALL,
+        // All daemons are cut off from the store, so that none is bound by its word.
+        (_, None) => return,
+    };
+    let known = reading + LINK;
+    assert!(known < DRAIN, "{known:?}");
+}
