Recognize a response that the store sends twice

Responses state the time of the store, so that no two are equal: one that equals an earlier one on its connection is discarded and the call made again over a new connection. Connections are kept after successes only, so that a repeated refusal shifts nothing.

--- a/godwithinge/src/relay/store.rs
+++ b/godwithinge/src/relay/store.rs
@@ -4,7 +4,7 @@
     dialect::{self, Call, Rows, Table},
     state::Relay,
 };
-use crate::http::{self as client, Pool, Reuse};
+use crate::http::{self as client, Pool, Received, Reuse};
 use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::Full;
@@ -91,32 +91,51 @@
         call: Call,
         timeout: Duration,
     ) -> Result<(Bytes, Era), Error> {
-        let mut request = http::Request::new(Full::new(call.body));
-        *request.method_mut() = call.method;
-        *request.uri_mut() = call
-            .path
-            .parse()
-            .map_err(|_malformed| Error::Body(dialect::Error::Field("path")))?;
-        let address = relay.settings().store_address.clone();
-        let response = self.pool.send(&address, request, Reuse::Newest);
-        let response = within(timeout, response).await?;
+        let mut response = self.send(relay, &call, timeout, Reuse::Newest).await?;
+        // Responses state the time of the store, so that none equals an earlier one.
+        if response.is_repeated() {
+            tracing::warn!(path = %call.path, "store sent a response twice; calling again");
+            response = self.send(relay, &call, timeout, Reuse::Never).await?;
+        }
         let status = response.status();
         let era = relay.dialect.parse_store_era(response.headers());
-        let body = response
-            .with_idle_timeout(CALL_TIMEOUT)
-            .bytes(MAX_RESPONSE_BYTES);
-        let body = within(TRANSFER_TIMEOUT, body).await?;
         let era = era.unwrap_or_else(|| self.era());
         if !self.record_era(era) {
             return Err(Error::Outdated);
         }
         match status {
-            StatusCode::OK => Ok((body, era)),
+            StatusCode::OK => {
+                let body = response.body().clone();
+                response.keep();
+                Ok((body, era))
+            }
             StatusCode::GONE => Err(Error::Compacted),
             status => Err(Error::Status(status)),
         }
     }
 
+    /// Sends a call and receives the response.
+    async fn send(
+        &self,
+        relay: &Relay,
+        call: &Call,
+        timeout: Duration,
+        reuse: Reuse,
+    ) -> Result<Received, Error> {
+        let mut request = http::Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call
+            .path
+            .parse()
+            .map_err(|_malformed| Error::Body(dialect::Error::Field("path")))?;
+        let address = relay.settings().store_address.clone();
+        let response = within(timeout, self.pool.send(&address, request, reuse)).await?;
+        let response = response
+            .with_idle_timeout(CALL_TIMEOUT)
+            .receive(MAX_RESPONSE_BYTES);
+        within(TRANSFER_TIMEOUT, response).await
+    }
+
     /// Reads a whole table page by page. Its version is that of the first page, so that a feed from
     /// there includes all changes made while it is read.
     ///
