--- a/policy/src/relay/sse.rs
+++ b/policy/src/relay/sse.rs
@@ -112,15 +112,17 @@
 
 /// Returns the identifier of the last of the complete events that follow the event `last`.
 fn last_event_id(events: &[u8], mut last: Option<EventId>) -> Result<Option<EventId>, Fault> {
+    let mut has_extensions = false;
     let mut has_fields = false;
     let mut has_id = false;
     for line in events.split(|&byte| byte == b'\n') {
         let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let name = line.split(|&byte| byte == b':').next().unwrap_or_default();
         if line.is_empty() {
-            if has_fields && !has_id {
+            if (has_fields || has_extensions) && !has_id {
                 return Err(Fault::Foreign);
             }
-            (has_fields, has_id) = (false, false);
+            (has_extensions, has_fields, has_id) = (false, false, false);
         } else if let Some(id) = line.strip_prefix(b"id:") {
             let id = parse_id(id).ok_or(Fault::Foreign)?;
             if last.is_some_and(|last| id <= last) {
@@ -128,13 +130,13 @@
             }
             last = Some(id);
             has_id = true;
+        } else if FIELDS.contains(&name) {
+            has_fields = true;
         } else if !line.starts_with(b":") {
-            let name = line.split(|&byte| byte == b':').next().unwrap_or_default();
-            let may_begin_event = !has_fields && !has_id && is_extension(name) && name != line;
-            if !FIELDS.contains(&name) && !may_begin_event {
+            if has_fields || has_id || name == line || !is_extension(name) {
                 return Err(Fault::Foreign);
             }
-            has_fields |= FIELDS.contains(&name);
+            has_extensions = true;
         }
     }
     Ok(last)
--- a/policy/tests/sse.rs
+++ b/policy/tests/sse.rs
@@ -57,6 +57,7 @@
 #[rstest]
 #[case::no_identifier("data: a\n\n")]
 #[case::no_identifier_after_an_event("id: 1\ndata: a\n\ndata: b\n\n")]
+#[case::no_field_of_an_event("0123: abcdef\n\n")]
 #[case::no_number("id: x\ndata: a\n\n")]
 #[case::repeated("id: 2\ndata: a\n\nid: 2\ndata: a\n\n")]
 #[case::head_after_a_partial_line("id: 2\ndata: a\n\nid: 3\ndaHTTP/1.1 500 X\na: b\n\n")]
