Log whether a target outlives an end that it did not declare

What callers saw can't be told from logs: a stream that ends with its connection is logged as complete whether its target's process lives on or was killed, and nothing says with which event a stream goes on after an interruption. Now the line `undeclared end checked` and gwi_relay_end_checks_total say the first, `stream resumed` the second. No decision uses it yet.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -16,6 +16,7 @@
             Change, CrashTracker, Feature, MAX_QUARANTINED, MAX_SUSPECTS, PayloadHash, Quarantine,
             Report, Verdict,
         },
+        ending::Process,
         quarantine::Records,
         registry::{Start, Target},
         selection::{Part, PartId},
@@ -198,7 +199,7 @@
         let (relay, target) = (Rc::clone(self), target.clone());
         tokio::task::spawn_local(async move {
             time::sleep(CHECK_DELAY).await;
-            let has_crashed = relay.has_crashed(&target).await;
+            let has_crashed = relay.probe_process(&target).await == Process::Ended;
             let requests = relay.crash_watch.checks.borrow_mut().remove(&target.id);
             let requests = requests.unwrap_or_default();
             if has_crashed {
@@ -218,24 +219,49 @@
         });
     }
 
-    /// Returns whether the host of a target refuses connections to it, as it does after a crash. The
-    /// network may refuse them as well, so that peers have to confirm it if there are any.
-    async fn has_crashed(&self, target: &Target) -> bool {
+    /// Checks whether the process of a target outlives the end of a connection to it, from the moment
+    /// of that end on.
+    pub(super) async fn check_process(&self, target: &Target) -> Process {
+        if self.reach.is_partitioned() {
+            time::sleep(CHECK_DELAY).await;
+            return self.probe_process(target).await;
+        }
+        let connect = TcpStream::connect(target.address.as_str());
+        let connected = time::timeout(CHECK_TIMEOUT, connect).await;
+        let Ok(Ok(connection)) = connected else {
+            return self.probe_process(target).await;
+        };
+        // A process that is about to exit takes this connection with it. One that has started again by
+        // then accepts others.
+        let is_open = time::timeout(CHECK_DELAY, connection.readable())
+            .await
+            .is_err();
+        if is_open {
+            return Process::Alive;
+        }
+        match self.probe_process(target).await {
+            Process::Ended => Process::Ended,
+            Process::Alive | Process::Unknown => Process::Unknown,
+        }
+    }
+
+    /// Returns whether the process of a target accepts connections. The network may refuse them as its
+    /// host does, so that peers have to confirm it if there are any.
+    async fn probe_process(&self, target: &Target) -> Process {
         if !self.reach.is_partitioned() {
             let connect = TcpStream::connect(target.address.as_str());
-            let connected = time::timeout(CHECK_TIMEOUT, connect).await;
-            // A target that restarts at once is not reported either.
-            let Ok(Err(error)) = connected else {
-                return false;
-            };
-            if error.kind() != io::ErrorKind::ConnectionRefused {
-                return false;
+            match time::timeout(CHECK_TIMEOUT, connect).await {
+                // A target that restarts at once is not found to have ended either.
+                Ok(Ok(_)) => return Process::Alive,
+                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {}
+                Ok(Err(_)) | Err(_) => return Process::Unknown,
             }
             self.record_direct(&target.id, false);
         }
         match self.ask_about_target(&target.id).await {
-            Testimony::Refused | Testimony::NoWitness => true,
-            Testimony::Reached | Testimony::Unknown => false,
+            Testimony::Refused | Testimony::NoWitness => Process::Ended,
+            Testimony::Reached => Process::Alive,
+            Testimony::Unknown => Process::Unknown,
         }
     }
 
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -7,10 +7,11 @@
     id::{HostId, PoolId, RequestId, TargetId},
     relay::{
         crash::{Feature, PayloadHash},
+        ending::Process,
         leader::UnixMillis,
         rate::Rate,
         reach::Evidence,
-        registry::Build,
+        registry::{Build, Target},
         scheduler::{PoolStats, Refusal, Reply},
         selection::{Part, PartId, Selection},
         sse::EventId,
@@ -273,6 +274,30 @@
     );
 }
 
+/// Logs what a check of a target's process shows after the end of a response that only the end of its
+/// connection marks.
+pub(super) fn end_checked(request: &str, target: &TargetId, process: Process) {
+    let process: &'static str = process.into();
+    tracing::info!(request, target_id = %target, process, "undeclared end checked");
+}
+
+/// Logs that a stream goes on after the event `after`, with the first event that followed.
+pub(super) fn stream_resumed(
+    request: &str,
+    target: &Target,
+    after: Option<EventId>,
+    first_event: Option<EventId>,
+) {
+    tracing::info!(
+        request,
+        target_id = %target.id,
+        build = %target.build,
+        after,
+        first_event,
+        "stream resumed"
+    );
+}
+
 /// What follows from the silence of a target during one call; the name is a label value.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -60,6 +60,8 @@
     pub room_waits: IntCounterVec,
     /// Ends of streams of targets by framing and result.
     pub stream_ends: IntCounterVec,
+    /// Checks of targets' processes after ends that they did not declare, by result.
+    pub end_checks: IntCounterVec,
     /// Silences of targets during calls by what follows from them.
     pub silences: IntCounterVec,
     /// Calls to stage targets by pool and result.
@@ -145,6 +147,11 @@
                 "Ends of streams of targets",
                 &["framing", "result"],
             ),
+            end_checks: counter(
+                "end_checks_total",
+                "Checks of targets after ends that they did not declare",
+                &["process"],
+            ),
             silences: counter("silences_total", "Silences of targets", &["next"]),
             stage_calls: counter("calls_total", "Calls to stage targets", &["pool", "result"]),
             pieces,
--- a/godwithinge/src/relay/sse.rs
+++ b/godwithinge/src/relay/sse.rs
@@ -50,6 +50,16 @@
         self.parser.last_id()
     }
 
+    /// Returns the identifier of the first event that was read.
+    pub fn first_id(&self) -> Option<EventId> {
+        self.parser.first_id()
+    }
+
+    /// Returns whether the target declares the end of the stream, by a length or a last chunk.
+    pub fn is_end_declared(&self) -> bool {
+        self.response.framing() != Framing::Close
+    }
+
     /// Returns the number of bytes after the last complete event.
     pub fn partial_bytes(&self) -> usize {
         self.parser.partial_bytes()
@@ -72,8 +82,7 @@
                     }
                 }
                 Ok(Ok(None)) => {
-                    let is_declared = self.response.framing() != Framing::Close;
-                    return if self.parser.is_complete(is_declared) {
+                    return if self.parser.is_complete(self.is_end_declared()) {
                         Ok(None)
                     } else {
                         Err(Interruption::CutOff)
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -17,7 +17,7 @@
 use crate::http::Framing;
 use bytes::Bytes;
 use futures::{FutureExt, Stream, StreamExt, future};
-use policy::relay::{patience::Patience, registry::Target};
+use policy::relay::{ending::Process, patience::Patience, registry::Target, sse::EventId};
 use std::{pin::pin, rc::Rc, time::Instant};
 
 /// Next complete events of a stream, `None` at its end, or why it was interrupted.
@@ -80,6 +80,10 @@
         }
         if is_complete {
             request.record_stream_end(&source.target, "complete", &source.reader);
+            if !source.reader.is_end_declared() {
+                let (request, target) = (Rc::clone(request), source.target.clone());
+                tokio::task::spawn_local(async move { request.check_end(&target).await });
+            }
             request.end(Some(source.reader.response().status()), "answered", None);
         } else {
             request.relay.record_activity(&source.target.id);
@@ -143,6 +147,7 @@
                 resumed = &mut resumed => return match resumed {
                     Ok((TargetResponse::Streaming(resumed), _)) => {
                         let first = resumed.first.clone();
+                        request.record_resumption(&resumed, last_id);
                         if let Some(silent) = self.source.replace(*resumed) {
                             request.record_interruption(&silent, Interruption::Silent);
                         }
@@ -180,6 +185,7 @@
         match resumed {
             Ok((TargetResponse::Streaming(resumed), _)) => {
                 let first = resumed.first.clone();
+                request.record_resumption(&resumed, last_id);
                 self.source = Some(*resumed);
                 Ok(first)
             }
@@ -236,6 +242,21 @@
         }
     }
 
+    /// Checks whether the process of a target outlives the end of a response that only the end of its
+    /// connection marks, which the end of the process causes as well.
+    async fn check_end(&self, target: &Target) -> Process {
+        let process = self.relay.check_process(target).await;
+        event::end_checked(&self.metadata.id, &target.id, process);
+        let checks = &self.relay.metrics.end_checks;
+        checks.with_label_values(&[<&str>::from(process)]).inc();
+        process
+    }
+
+    fn record_resumption(&self, resumed: &StreamingResponse, after: Option<EventId>) {
+        let (target, first) = (&resumed.target, resumed.reader.first_id());
+        event::stream_resumed(&self.metadata.id, target, after, first);
+    }
+
     /// Returns the patience between two events; `None` if no other target may resume the stream.
     fn event_patience(&self) -> Option<Patience> {
         let gap = self.route.gap?;
--- a/policy/src/relay/ending.rs
+++ b/policy/src/relay/ending.rs
@@ -13,6 +13,19 @@
 };
 use crate::id::{TargetId, Time};
 use std::{collections::BTreeMap, time::Duration};
+use strum::IntoStaticStr;
+
+/// What a check of a target's process shows; the name is a label value.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Process {
+    /// It accepts connections and keeps them open.
+    Alive,
+    /// Its host refuses connections, as it does when no process listens.
+    Ended,
+    /// It can't be reached, or does not keep connections open.
+    Unknown,
+}
 
 /// Time for which the ending of a target without an entry is remembered.
 const ENDING_MEMORY: Duration = Duration::from_secs(60);
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -6,7 +6,7 @@
 //! known targets, [`memory`] the memory that large responses take, [`patience`] decides how long a
 //! silent target is waited for, [`history`] orders the entries of targets when the store
 //! loses writes, [`distribution`] brings a new configuration to all daemons, [`origin`] holds where streams
-//! began, [`sse`] judges whether a stream is complete, [`crash`] finds what in requests crashes
+//! began, [`sse`] judges whether a stream is complete, [`ending`] holds which targets' processes have ended, [`crash`] finds what in requests crashes
 //! targets, [`quarantine`] holds the records of that, [`reach`] tells a partition of this daemon
 //! from failures of targets, [`rejection`] limits how often targets reject requests, [`departure`] holds
 //! which targets have said that they leave, [`pause`] keeps the pauses that targets ask for, [`rate`] the
@@ -16,7 +16,7 @@
 pub mod crash;
 pub mod departure;
 pub mod distribution;
-mod ending;
+pub mod ending;
 pub mod history;
 pub mod leader;
 pub mod memory;
--- a/policy/src/relay/sse.rs
+++ b/policy/src/relay/sse.rs
@@ -35,6 +35,8 @@
     /// Bytes after the last complete event.
     partial: Vec<u8>,
     last_id: Option<EventId>,
+    /// Identifier of the first event that was accepted.
+    first_id: Option<EventId>,
     has_events: bool,
     /// Whether lines end with CRLF, which is the same for all lines of a stream; absent before the first.
     has_crlf: Option<bool>,
@@ -54,6 +56,11 @@
         self.last_id
     }
 
+    /// Returns the identifier of the first event that was accepted.
+    pub fn first_id(&self) -> Option<EventId> {
+        self.first_id
+    }
+
     /// Returns the number of bytes after the last complete event.
     pub fn partial_bytes(&self) -> usize {
         self.partial.len()
@@ -77,7 +84,9 @@
         let rest = self.partial.split_off(end);
         let events = std::mem::replace(&mut self.partial, rest);
         self.check_line_ends(&events)?;
-        self.last_id = last_event_id(&events, self.last_id)?;
+        let (first_id, last_id) = event_ids(&events, self.last_id)?;
+        self.first_id = self.first_id.or(first_id);
+        self.last_id = last_id;
         self.has_events = true;
         Ok(events)
     }
@@ -110,8 +119,13 @@
     offsets.find(|&offset| EVENT_ENDS.iter().any(|end| bytes[..offset].ends_with(end)))
 }
 
-/// Returns the identifier of the last of the complete events that follow the event `last`.
-fn last_event_id(events: &[u8], mut last: Option<EventId>) -> Result<Option<EventId>, Fault> {
+/// Returns the identifiers of the first and the last of the complete events that follow the event
+/// `last`; the last one is `last` if there are none.
+fn event_ids(
+    events: &[u8],
+    mut last: Option<EventId>,
+) -> Result<(Option<EventId>, Option<EventId>), Fault> {
+    let mut first = None;
     let mut has_extensions = false;
     let mut has_fields = false;
     let mut has_id = false;
@@ -128,6 +142,7 @@
             if last.is_some_and(|last| id <= last) {
                 return Err(Fault::Foreign);
             }
+            first.get_or_insert(id);
             last = Some(id);
             has_id = true;
         } else if FIELDS.contains(&name) {
@@ -139,7 +154,7 @@
             has_extensions = true;
         }
     }
-    Ok(last)
+    Ok((first, last))
 }
 
 /// Returns whether a field that is not among [`FIELDS`] may have this name.
