Show streams that end as complete when their engine is killed

Callers got the first two of six events, and an end that looked complete, when the engine's process was killed between two events: the operating system closes the connections of a killed process in order, and for a stream with neither a length nor chunks that end is all that marks its own. The stand-in learns to be killed in the middle of a response.

--- a/standin/src/site/behavior.rs
+++ b/standin/src/site/behavior.rs
@@ -70,6 +70,10 @@
     /// The connection is reset after the second event of a stream, or in the middle of a plain
     /// response.
     Reset,
+    /// The process of the engine is killed after the second event of a stream, or in the middle of a
+    /// plain response, so that its connections are closed in order and new ones refused. It starts
+    /// again some time later.
+    Killed,
 }
 
 /// Section of a response in which an engine sends bytes without end.
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -34,7 +34,7 @@
 /// Interval between the events of a slow stream.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of events before a stream is broken off.
-pub(super) const EVENTS_BEFORE_CUT: u64 = 2;
+pub const EVENTS_BEFORE_CUT: u64 = 2;
 /// Header of a request with the time in milliseconds that it is executed for before its response
 /// begins.
 pub const WORK_HEADER: &str = "work-ms";
@@ -43,7 +43,7 @@
 /// Part of a prompt that crashes each engine that begins to write a response to it.
 pub const CRASHING_PART: &str = "dead";
 /// Time after which an engine that crashed accepts connections again.
-const CRASH_DOWNTIME: Duration = Duration::from_millis(700);
+pub(super) const CRASH_DOWNTIME: Duration = Duration::from_millis(700);
 /// Time that a stage call takes, whatever the number of its items.
 const STAGE_CALL_DURATION: Duration = Duration::from_millis(20);
 
@@ -428,7 +428,7 @@
     }
 
     /// Closes all connections, and refuses new ones for `downtime`.
-    fn crash(&self, downtime: Duration) {
+    pub(super) fn crash(&self, downtime: Duration) {
         let server_handle = Arc::clone(&self.server_handle);
         server_handle.set_refusing(true);
         tokio::spawn(async move {
--- a/standin/src/site/raw.rs
+++ b/standin/src/site/raw.rs
@@ -3,7 +3,8 @@
 use super::{
     behavior::{Behavior, Cut, RefusalId, Section},
     engine::{
-        BRITTLE, EVENT_INTERVAL, EVENTS_BEFORE_CUT, LEAVING, LIMIT, State, lock, plain_answer,
+        BRITTLE, CRASH_DOWNTIME, EVENT_INTERVAL, EVENTS_BEFORE_CUT, LEAVING, LIMIT, State, lock,
+        plain_answer,
     },
 };
 use crate::http::{ConnectionClosed, RawConnection, Reply};
@@ -38,7 +39,7 @@
             }
             Behavior::Unframed(cut) => {
                 let mut answer = plain_answer(id);
-                if cut == Cut::Reset {
+                if matches!(cut, Cut::Reset | Cut::Killed) {
                     answer.truncate(answer.len() / 2);
                 }
                 self.send_unframed(raw, id, &answer, cut).await
@@ -60,7 +61,7 @@
     ) -> Result<Reply, ConnectionClosed> {
         send(raw, &self.unframed_head(id)).await?;
         send(raw, body).await?;
-        close(raw, cut)
+        self.close(raw, cut)
     }
 
     /// Sends a stream that ends with its connection.
@@ -76,7 +77,7 @@
             let is_cut = number > EVENTS_BEFORE_CUT;
             match cut {
                 Cut::BeforeFirstEvent => break,
-                Cut::Reset if is_cut => break,
+                Cut::Reset | Cut::Killed if is_cut => break,
                 Cut::InsideEvent if is_cut => {
                     send(raw, &event[..8]).await?;
                     break;
@@ -86,13 +87,27 @@
                     send(raw, ERROR_RESPONSE).await?;
                     break;
                 }
-                Cut::Never | Cut::InsideEvent | Cut::ErrorInsideEvent | Cut::Reset => {
+                Cut::Never
+                | Cut::InsideEvent
+                | Cut::ErrorInsideEvent
+                | Cut::Reset
+                | Cut::Killed => {
                     send(raw, &event).await?;
                 }
             }
             time::sleep(EVENT_INTERVAL).await;
         }
-        close(raw, cut)
+        self.close(raw, cut)
+    }
+
+    /// Ends a response that ends with its connection.
+    fn close(&self, raw: &RawConnection, cut: Cut) -> Result<Reply, ConnectionClosed> {
+        match cut {
+            Cut::Reset => raw.reset_on_close().map_err(|_closed| ConnectionClosed)?,
+            Cut::Killed => self.crash(CRASH_DOWNTIME),
+            Cut::Never | Cut::BeforeFirstEvent | Cut::InsideEvent | Cut::ErrorInsideEvent => {}
+        }
+        Err(ConnectionClosed)
     }
 
     /// Sends bytes until the connection is closed.
@@ -238,11 +253,3 @@
     let sent = raw.write(text.as_bytes()).await;
     sent.map_err(|_closed| ConnectionClosed)
 }
-
-/// Ends an unframed response.
-fn close(raw: &RawConnection, cut: Cut) -> Result<Reply, ConnectionClosed> {
-    if cut == Cut::Reset {
-        raw.reset_on_close().map_err(|_closed| ConnectionClosed)?;
-    }
-    Err(ConnectionClosed)
-}
