Accept an undeclared end of a stream only if its target outlives it

Callers got a part of a stream that ended like a complete one when its engine's process was killed between two events, and the stream had neither a length nor chunks.

Cause: the end of the connection was taken for the end of the stream after any whole event. The operating system closes the connections of a killed process in order, so that this end says as much about the process as about the stream.

All events are delivered before the check, so that only the end comes later.

Streams without a length whose engine lives end as before (unframed_response_is_forwarded).

--- a/godwithinge/src/http/framing.rs
+++ b/godwithinge/src/http/framing.rs
@@ -17,6 +17,11 @@
 }
 
 impl Framing {
+    /// Returns whether the sender declares the end of the body.
+    pub fn is_end_declared(self) -> bool {
+        self != Self::Close
+    }
+
     /// Determines the framing of a response that has not been read yet.
     pub(super) fn new(headers: &HeaderMap, body: &Incoming) -> Self {
         if body.size_hint().exact().is_some() {
--- a/godwithinge/src/relay/sse.rs
+++ b/godwithinge/src/relay/sse.rs
@@ -1,6 +1,6 @@
 //! Reading of a target's stream of server-sent events.
 
-use crate::http::{Framing, Response};
+use crate::http::Response;
 use bytes::Bytes;
 use policy::relay::sse::{EventId, Fault, Parser};
 use std::time::Instant;
@@ -15,6 +15,8 @@
     Broken,
     /// The body ended inside an event, or with its connection before the first event.
     CutOff,
+    /// The connection ended after an event, and the target's process may have ended with it.
+    Undeclared,
     /// No event was completed in time.
     Silent,
     /// An event is too long.
@@ -57,7 +59,7 @@
 
     /// Returns whether the target declares the end of the stream, by a length or a last chunk.
     pub fn is_end_declared(&self) -> bool {
-        self.response.framing() != Framing::Close
+        self.response.framing().is_end_declared()
     }
 
     /// Returns the number of bytes after the last complete event.
@@ -65,7 +67,8 @@
         self.parser.partial_bytes()
     }
 
-    /// Waits for the next complete events; `None` at the end of a complete stream.
+    /// Waits for the next complete events; `None` at the end of a stream, which may not be complete
+    /// unless the target [declares](Self::is_end_declared) it.
     ///
     /// # Errors
     ///
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -14,7 +14,6 @@
     sse::{Interruption, Reader},
     state::Relay,
 };
-use crate::http::Framing;
 use bytes::Bytes;
 use futures::{FutureExt, Stream, StreamExt, future};
 use policy::relay::{ending::Process, patience::Patience, registry::Target, sse::EventId};
@@ -65,7 +64,7 @@
 impl RelayedStream {
     /// Waits for the next events, from whichever target.
     async fn next(&mut self) -> Next {
-        let next = match self.read().await {
+        let next = match self.read_confirmed().await {
             Err(interruption) => return self.resume(interruption).await.map(Some),
             Ok(next) => next,
         };
@@ -80,10 +79,6 @@
         }
         if is_complete {
             request.record_stream_end(&source.target, "complete", &source.reader);
-            if !source.reader.is_end_declared() {
-                let (request, target) = (Rc::clone(request), source.target.clone());
-                tokio::task::spawn_local(async move { request.check_end(&target).await });
-            }
             request.end(Some(source.reader.response().status()), "answered", None);
         } else {
             request.relay.record_activity(&source.target.id);
@@ -91,6 +86,23 @@
         Ok(next)
     }
 
+    /// Reads the next events. An end that the target did not declare counts only if its process outlives
+    /// it.
+    async fn read_confirmed(&mut self) -> Next {
+        let next = self.read().await?;
+        let Some(source) = &self.source else {
+            return Ok(next);
+        };
+        if next.is_some() || source.reader.is_end_declared() {
+            return Ok(next);
+        }
+        let process = self.request.check_end(&source.target).await;
+        process
+            .confirms_end()
+            .then_some(None)
+            .ok_or(Interruption::Undeclared)
+    }
+
     /// Reads the next events, and hands the stream over if its target is silent.
     async fn read(&mut self) -> Next {
         let request = Rc::clone(&self.request);
@@ -228,7 +240,7 @@
         let framing = reader.response().framing();
         let ends = &self.relay.metrics.stream_ends;
         ends.with_label_values(&[framing.into(), result]).inc();
-        let is_declared = result == "complete" && framing != Framing::Close;
+        let is_declared = result == "complete" && framing.is_end_declared();
         if !is_declared {
             let (last, partial) = (reader.last_id(), reader.partial_bytes());
             event::stream_ended(
--- a/policy/src/relay/ending.rs
+++ b/policy/src/relay/ending.rs
@@ -27,6 +27,17 @@
     Unknown,
 }
 
+impl Process {
+    /// Returns whether an end that only the end of the connection marks is that of the response. The end of
+    /// the process closes connections in order as well.
+    pub fn confirms_end(self) -> bool {
+        match self {
+            Self::Alive => true,
+            Self::Ended | Self::Unknown => false,
+        }
+    }
+}
+
 /// Time for which the ending of a target without an entry is remembered.
 const ENDING_MEMORY: Duration = Duration::from_secs(60);
 
