Accept an undeclared end of a plain response only if its target outlives it

Callers got a part of an answer, framed as whole with a length of its own, when the engine was killed in the middle of an answer with neither a length nor chunks (MIXED; for a request that may not be repeated the only word about what it did). The cause is that of streams: the connections of a killed process are closed in order. Found on a related path of that fault.

The end of a success that the target does not declare is checked in the same way (Relay::check_process); otherwise the send failed: another target if the request may be repeated, else 502.

--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -5,7 +5,7 @@
     dialect::{ForwardingMetadata, RequestMetadata, ResponseMetadata},
     outcome,
     run::ActiveRequest,
-    sse,
+    sse::{self, Interruption},
     state::Relay,
 };
 use crate::http::{self as pool, Reuse};
@@ -219,14 +219,19 @@
         if is_early_response {
             response.disable_reuse();
         }
-        match self.receive_body(response).await {
-            Ok(body) => SendOutcome::Buffered(BufferedResponse {
-                status,
-                headers,
-                body,
-            }),
-            Err(result) => SendOutcome::Failed(result),
+        let is_end_declared = response.framing().is_end_declared();
+        let body = match self.receive_body(response).await {
+            Ok(body) => body,
+            Err(result) => return SendOutcome::Failed(result),
+        };
+        if status.is_success() && !is_end_declared && !self.check_end(target).await.confirms_end() {
+            return SendOutcome::Failed(Interruption::Undeclared.into());
         }
+        SendOutcome::Buffered(BufferedResponse {
+            status,
+            headers,
+            body,
+        })
     }
 
     /// Receives the body of a response; fails with the label of the cause.
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -256,7 +256,7 @@
 
     /// Checks whether the process of a target outlives the end of a response that only the end of its
     /// connection marks, which the end of the process causes as well.
-    async fn check_end(&self, target: &Target) -> Process {
+    pub(super) async fn check_end(&self, target: &Target) -> Process {
         let process = self.relay.check_process(target).await;
         event::end_checked(&self.metadata.id, &target.id, process);
         let checks = &self.relay.metrics.end_checks;
