Take no comment for the event after which a stream may end

A stream without a length whose engine closed it in order after a comment, before its first event, ended as complete; so did a resumed one that gave nothing but a comment. The parser counted every block before a blank line as an event. Now only one with an identifier counts.

comments_are_no_events failed before, passes now.

--- a/policy/src/relay/sse.rs
+++ b/policy/src/relay/sse.rs
@@ -37,7 +37,6 @@
     last_id: Option<EventId>,
     /// Identifier of the first event that was accepted.
     first_id: Option<EventId>,
-    has_events: bool,
     /// Whether lines end with CRLF, which is the same for all lines of a stream; absent before the first.
     has_crlf: Option<bool>,
 }
@@ -87,7 +86,6 @@
         let (first_id, last_id) = event_ids(&events, self.last_id)?;
         self.first_id = self.first_id.or(first_id);
         self.last_id = last_id;
-        self.has_events = true;
         Ok(events)
     }
 
@@ -109,7 +107,7 @@
     /// `is_declared` states whether the target declared the end, by a length or a last chunk. The end
     /// of the connection alone is taken for the end of the stream only after an event.
     pub fn is_complete(&self, is_declared: bool) -> bool {
-        self.partial.is_empty() && (is_declared || self.has_events)
+        self.partial.is_empty() && (is_declared || self.first_id.is_some())
     }
 }
 
--- a/policy/tests/sse.rs
+++ b/policy/tests/sse.rs
@@ -40,6 +40,19 @@
 }
 
 /// The target closes the connection after any number of bytes of its stream.
+#[test]
+fn comments_are_no_events() {
+    let mut parser = Parser::new(Some(3));
+    let comment = b": waiting\n\n";
+    assert_eq!(parse(&mut parser, &[comment]), Ok(comment.to_vec()));
+    assert!(!parser.is_complete(false));
+    parser
+        .push(b"id: 4\ndata: a\n\n")
+        .expect("the event is valid");
+    parser.push(comment).expect("a comment is valid");
+    assert!(parser.is_complete(false));
+}
+
 #[test]
 fn stream_is_complete_only_after_a_whole_event() {
     for length in 0..=STREAM.len() {
