Count no comment as progress of a stream

A stream that may be resumed stood still until its deadline when its engine sent a comment now and then: each comment was read as an event, and the patience with the engine began anew. The caller gives up after a pause of 2 s.

--- a/godwithinge/src/relay/sse.rs
+++ b/godwithinge/src/relay/sse.rs
@@ -67,7 +67,7 @@
         self.parser.partial_bytes()
     }
 
-    /// Waits for the next complete events; `None` at the end of a stream, which may not be complete
+    /// Waits for the next complete events, or the comments after the last one; `None` at the end of a stream, which may not be complete
     /// unless the target [declares](Self::is_end_declared) it.
     ///
     /// # Errors
@@ -85,11 +85,11 @@
                     }
                 }
                 Ok(Ok(None)) => {
-                    return if self.parser.is_complete(self.is_end_declared()) {
-                        Ok(None)
-                    } else {
-                        Err(Interruption::CutOff)
-                    };
+                    if !self.parser.is_complete(self.is_end_declared()) {
+                        return Err(Interruption::CutOff);
+                    }
+                    let comments = self.parser.take_comments();
+                    return Ok((!comments.is_empty()).then(|| comments.into()));
                 }
                 Ok(Err(_)) => return Err(Interruption::Broken),
                 Err(_elapsed) => return Err(Interruption::Silent),
--- a/policy/src/relay/sse.rs
+++ b/policy/src/relay/sse.rs
@@ -32,8 +32,10 @@
 /// Splits a stream into events and checks their order.
 #[derive(Clone, Debug, Default)]
 pub struct Parser {
-    /// Bytes after the last complete event.
+    /// Bytes after the last complete event or comment.
     partial: Vec<u8>,
+    /// Comments after the last complete event. They are no progress, and are returned with the next one.
+    comments: Vec<u8>,
     last_id: Option<EventId>,
     /// Identifier of the first event that was accepted.
     first_id: Option<EventId>,
@@ -62,10 +64,15 @@
 
     /// Returns the number of bytes after the last complete event.
     pub fn partial_bytes(&self) -> usize {
-        self.partial.len()
+        self.comments.len() + self.partial.len()
     }
 
-    /// Appends bytes and returns all events that are complete.
+    /// Removes and returns the comments after the last complete event.
+    pub fn take_comments(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.comments)
+    }
+
+    /// Appends bytes and returns all events that are complete, with the comments before them.
     ///
     /// # Errors
     ///
@@ -86,7 +93,15 @@
         let (first_id, last_id) = event_ids(&events, self.last_id)?;
         self.first_id = self.first_id.or(first_id);
         self.last_id = last_id;
-        Ok(events)
+        if first_id.is_some() && self.comments.is_empty() {
+            return Ok(events);
+        }
+        self.comments.extend(events);
+        match first_id {
+            Some(_) => Ok(self.take_comments()),
+            None if self.comments.len() > MAX_EVENT_BYTES => Err(Fault::LongEvent),
+            None => Ok(Vec::new()),
+        }
     }
 
     /// Fails unless all lines end like those before. The head of a response that follows a broken-off
--- a/policy/tests/sse.rs
+++ b/policy/tests/sse.rs
@@ -43,14 +43,24 @@
 #[test]
 fn comments_are_no_events() {
     let mut parser = Parser::new(Some(3));
-    let comment = b": waiting\n\n";
-    assert_eq!(parse(&mut parser, &[comment]), Ok(comment.to_vec()));
+    let comment: &[u8] = b": waiting\n\n";
+    let event: &[u8] = b"id: 4\ndata: a\n\n";
+    assert_eq!(parser.push(comment), Ok(Vec::new()));
     assert!(!parser.is_complete(false));
-    parser
-        .push(b"id: 4\ndata: a\n\n")
-        .expect("the event is valid");
-    parser.push(comment).expect("a comment is valid");
+    assert_eq!(parser.push(event), Ok([comment, event].concat()));
+    assert_eq!(parser.push(comment), Ok(Vec::new()));
     assert!(parser.is_complete(false));
+    assert_eq!(parser.take_comments(), comment);
+}
+
+#[test]
+fn comments_without_end_are_rejected() {
+    let mut parser = Parser::new(None);
+    let comment = b": waiting\n\n";
+    for _ in 0..MAX_EVENT_BYTES / comment.len() {
+        assert_eq!(parser.push(comment), Ok(Vec::new()));
+    }
+    assert_eq!(parser.push(comment), Err(Fault::LongEvent));
 }
 
 #[test]
--- a/standin/src/site/behavior.rs
+++ b/standin/src/site/behavior.rs
@@ -89,6 +89,8 @@
     Event,
     /// Second event of a stream, of which a byte is sent now and then.
     Trickle,
+    /// Comments after the first event of a stream, of which one is sent now and then.
+    Comments,
     /// Bytes after the end of a complete plain response.
     Trailer,
 }
--- a/standin/src/site/raw.rs
+++ b/standin/src/site/raw.rs
@@ -11,7 +11,7 @@
 use std::{sync::atomic::Ordering, time::Duration};
 use tokio::time;
 
-/// Interval between two bytes of an event that is sent slowly.
+/// Interval between two bytes of an event, or two comments, that are sent slowly.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time from the head of a response to a second one, in which a stream ends.
 const REPEAT_DELAY: Duration = Duration::from_millis(150);
@@ -128,6 +128,10 @@
                 let (_, event) = self.events_after(0).next().unwrap_or_default();
                 (head + &event, ": slow ")
             }
+            Section::Comments => {
+                let (_, event) = self.events_after(0).next().unwrap_or_default();
+                (head + &event, ": waiting\n\n")
+            }
             Section::Trailer => {
                 let answer = plain_answer(id);
                 let length = format!("\r\ncontent-length: {}\r\n\r\n{answer}", answer.len());
@@ -138,6 +142,7 @@
         let (size, interval) = match section {
             Section::Event => (unit.len(), EVENT_INTERVAL),
             Section::Trickle => (1, TRICKLE_INTERVAL),
+            Section::Comments => (unit.len(), TRICKLE_INTERVAL),
             _ => ENDLESS_WRITE,
         };
         let units = unit.repeat(size.div_ceil(unit.len()));
