End a stream as complete if a resumption finds nothing left

A stream that only the end of its connection marks is resumed if its target has not outlived it. If it was complete, the next target answers with no events and a declared end, which counted as a failure: the caller got all events and then a visible break.

Two targets then say the same, the first by an end in order after a whole event, the second by a declared end after the last event. Only this case ends the stream; any other interruption still breaks it off.

--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -74,6 +74,13 @@
     pub body: Bytes,
 }
 
+impl BufferedResponse {
+    /// Returns whether it is a stream whose declared end came before any event.
+    pub fn is_empty_stream(&self) -> bool {
+        self.status.is_success() && self.body.is_empty()
+    }
+}
+
 /// A stream whose first events were received.
 #[derive(Debug)]
 pub(super) struct StreamingResponse {
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -65,7 +65,7 @@
     /// Waits for the next events, from whichever target.
     async fn next(&mut self) -> Next {
         let next = match self.read_confirmed().await {
-            Err(interruption) => return self.resume(interruption).await.map(Some),
+            Err(interruption) => return self.resume(interruption).await,
             Ok(next) => next,
         };
         let Some(source) = &self.source else {
@@ -179,8 +179,9 @@
         }
     }
 
-    /// Resumes the stream after an interruption, and returns the events that follow.
-    async fn resume(&mut self, interruption: Interruption) -> Result<Bytes, Interruption> {
+    /// Resumes the stream after an interruption, and returns the events that follow. The stream was
+    /// complete if its target did not declare the end and another one declares that no event follows.
+    async fn resume(&mut self, interruption: Interruption) -> Next {
         let request = &self.request;
         let source = self.source.take().ok_or(interruption)?;
         request.record_interruption(&source, interruption);
@@ -199,7 +200,14 @@
                 let first = resumed.first.clone();
                 request.record_resumption(&resumed, last_id);
                 self.source = Some(*resumed);
-                Ok(first)
+                Ok(Some(first))
+            }
+            Ok((TargetResponse::Buffered(response), _))
+                if interruption == Interruption::Undeclared && response.is_empty_stream() =>
+            {
+                request.record_served();
+                request.end(Some(response.status), "answered", None);
+                Ok(None)
             }
             Ok((TargetResponse::Buffered(_), _)) | Err(_) => Err(interruption),
         }
--- a/standin/src/site/behavior.rs
+++ b/standin/src/site/behavior.rs
@@ -74,6 +74,8 @@
     /// plain response, so that its connections are closed in order and new ones refused. It starts
     /// again some time later.
     Killed,
+    /// The response is complete, and the process of the engine ends with it.
+    Exited,
 }
 
 /// Section of a response in which an engine sends bytes without end.
--- a/standin/src/site/raw.rs
+++ b/standin/src/site/raw.rs
@@ -91,7 +91,8 @@
                 | Cut::InsideEvent
                 | Cut::ErrorInsideEvent
                 | Cut::Reset
-                | Cut::Killed => {
+                | Cut::Killed
+                | Cut::Exited => {
                     send(raw, &event).await?;
                 }
             }
@@ -104,7 +105,7 @@
     fn close(&self, raw: &RawConnection, cut: Cut) -> Result<Reply, ConnectionClosed> {
         match cut {
             Cut::Reset => raw.reset_on_close().map_err(|_closed| ConnectionClosed)?,
-            Cut::Killed => self.crash(CRASH_DOWNTIME),
+            Cut::Killed | Cut::Exited => self.crash(CRASH_DOWNTIME),
             Cut::Never | Cut::BeforeFirstEvent | Cut::InsideEvent | Cut::ErrorInsideEvent => {}
         }
         Err(ConnectionClosed)
