Take a target that resets new connections for one at its limit, not for one that exits

A target accepts a limited number of connections from all daemons together and resets those beyond. The check of an undeclared end opens one more, so that at the limit every whole answer without a length was thrown away: 502 for a request that may not be repeated, and a run elsewhere for any other.

A process that has ended resets only what waited in its queue and refuses what comes then; one at its limit goes on to accept. A connection that is closed in order is judged as before.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -69,6 +69,54 @@
     has_begun: bool,
 }
 
+/// Outcome of an attempt to connect to a target.
+#[derive(Debug)]
+enum Attempt {
+    Open(TcpStream),
+    /// Its host accepted the connection, and it was reset at once.
+    Reset,
+    /// Its host refused the connection, as it does when no process listens.
+    Refused,
+    /// It failed in another way.
+    Unreached,
+}
+
+/// What has become of a connection by the end of [`CHECK_DELAY`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fate {
+    Open,
+    /// The target has closed it in order.
+    Closed,
+    /// The target has reset it.
+    Reset,
+}
+
+async fn try_connection(address: &str) -> Attempt {
+    let connected = time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
+    match connected {
+        Ok(Ok(connection)) => Attempt::Open(connection),
+        Ok(Err(error)) => match error.kind() {
+            io::ErrorKind::ConnectionRefused => Attempt::Refused,
+            io::ErrorKind::ConnectionReset => Attempt::Reset,
+            _ => Attempt::Unreached,
+        },
+        Err(_elapsed) => Attempt::Unreached,
+    }
+}
+
+async fn watch_connection(connection: &TcpStream) -> Fate {
+    if time::timeout(CHECK_DELAY, connection.readable())
+        .await
+        .is_err()
+    {
+        return Fate::Open;
+    }
+    match connection.try_read(&mut [0]) {
+        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => Fate::Reset,
+        _ => Fate::Closed,
+    }
+}
+
 impl CrashWatch {
     pub fn tracker(&self) -> Ref<'_, CrashTracker> {
         self.tracker.borrow()
@@ -226,38 +274,58 @@
             time::sleep(CHECK_DELAY).await;
             return self.probe_process(target).await;
         }
-        let connect = TcpStream::connect(target.address.as_str());
-        let connected = time::timeout(CHECK_TIMEOUT, connect).await;
-        let Ok(Ok(connection)) = connected else {
-            return self.probe_process(target).await;
-        };
-        // A process that is about to exit takes this connection with it. One that has started again by
-        // then accepts others.
-        let is_open = time::timeout(CHECK_DELAY, connection.readable())
-            .await
-            .is_err();
-        if is_open {
-            return Process::Alive;
+        let attempt = try_connection(&target.address).await;
+        match attempt {
+            // A process that is about to exit takes this connection with it. One that has started again
+            // by then accepts others.
+            Attempt::Open(connection) => match watch_connection(&connection).await {
+                Fate::Open => Process::Alive,
+                Fate::Reset => self.check_resetting(target).await,
+                Fate::Closed => match self.probe_process(target).await {
+                    Process::Ended => Process::Ended,
+                    Process::Alive | Process::Unknown => Process::Unknown,
+                },
+            },
+            Attempt::Reset => self.check_resetting(target).await,
+            Attempt::Refused | Attempt::Unreached => self.judge_attempt(target, attempt).await,
         }
-        match self.probe_process(target).await {
-            Process::Ended => Process::Ended,
-            Process::Alive | Process::Unknown => Process::Unknown,
+    }
+
+    /// Checks a target that has just reset a new connection. One with as many connections as it can serve
+    /// goes on to accept and reset others; a process that ends resets those in its queue, and refuses
+    /// others from then on.
+    async fn check_resetting(&self, target: &Target) -> Process {
+        let process = self.probe_process(target).await;
+        if process != Process::Alive {
+            return process;
         }
+        time::sleep(CHECK_DELAY).await;
+        self.probe_process(target).await
     }
 
     /// Returns whether the process of a target accepts connections. The network may refuse them as its
     /// host does, so that peers have to confirm it if there are any.
     async fn probe_process(&self, target: &Target) -> Process {
-        if !self.reach.is_partitioned() {
-            let connect = TcpStream::connect(target.address.as_str());
-            match time::timeout(CHECK_TIMEOUT, connect).await {
-                // A target that restarts at once is not found to have ended either.
-                Ok(Ok(_)) => return Process::Alive,
-                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {}
-                Ok(Err(_)) | Err(_) => return Process::Unknown,
-            }
-            self.record_direct(&target.id, false);
+        if self.reach.is_partitioned() {
+            return match self.ask_about_target(&target.id).await {
+                Testimony::Refused | Testimony::NoWitness => Process::Ended,
+                Testimony::Reached => Process::Alive,
+                Testimony::Unknown => Process::Unknown,
+            };
+        }
+        let attempt = try_connection(&target.address).await;
+        self.judge_attempt(target, attempt).await
+    }
+
+    /// Returns what an attempt to connect to a target shows of its process.
+    async fn judge_attempt(&self, target: &Target, attempt: Attempt) -> Process {
+        match attempt {
+            // A target that restarts at once is not found to have ended either.
+            Attempt::Open(_) | Attempt::Reset => return Process::Alive,
+            Attempt::Unreached => return Process::Unknown,
+            Attempt::Refused => {}
         }
+        self.record_direct(&target.id, false);
         match self.ask_about_target(&target.id).await {
             Testimony::Refused | Testimony::NoWitness => Process::Ended,
             Testimony::Reached => Process::Alive,
--- a/standin/src/http/mod.rs
+++ b/standin/src/http/mod.rs
@@ -169,6 +169,11 @@
         return;
     }
     server_handle.count_connection();
+    if server_handle.is_full() {
+        // With zero linger, the close sends a reset. It fails only if the connection is gone.
+        drop(stream.set_zero_linger());
+        return;
+    }
     let stream = SilenceableStream::new(stream, server_handle.pause());
     let silence_flag = stream.silence_flag();
     let task = tokio::spawn(serve_connection(stream, Arc::clone(handler)));
--- a/standin/src/http/server_handle.rs
+++ b/standin/src/http/server_handle.rs
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 pub struct ServerHandle {
     down: AtomicBool,
+    /// Whether new connections are reset on accept.
+    full: AtomicBool,
     /// Number of connections accepted so far.
     connections: AtomicUsize,
     terminated: watch::Sender<bool>,
@@ -36,6 +38,7 @@
     pub(super) fn new() -> Self {
         Self {
             down: AtomicBool::new(false),
+            full: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             terminated: watch::Sender::new(false),
             refusing: watch::Sender::new(false),
@@ -73,6 +76,16 @@
         }
     }
 
+    /// If `full`, accepts new connections and resets them at once, as a server does that has as many as
+    /// it can serve. Open ones are not affected.
+    pub fn set_full(&self, full: bool) {
+        self.full.store(full, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_full(&self) -> bool {
+        self.full.load(Ordering::Relaxed)
+    }
+
     /// If `refusing`, closes the listening socket and all connections, so that new ones are refused
     /// as by a process that has crashed, until this is called with false.
     pub fn set_refusing(&self, refusing: bool) {
