Ask peers about a target to which connections hang

Peers were asked only about a target whose host refuses connections. At the beginning of a partition in which open connections live on and new ones hang, the check of an undeclared end waited 600 ms and then threw the whole answer away.

A connection that hangs or fails in another way now leads to the peers as well, at once. Without peers, the process stays unknown; only a refusal shows its end then.

hanging_path_lost_whole_answers: the case hanging failed before (502), the case refused passed.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -319,17 +319,18 @@
 
     /// Returns what an attempt to connect to a target shows of its process.
     async fn judge_attempt(&self, target: &Target, attempt: Attempt) -> Process {
-        match attempt {
+        let is_refused = match attempt {
             // A target that restarts at once is not found to have ended either.
             Attempt::Open(_) | Attempt::Reset => return Process::Alive,
-            Attempt::Unreached => return Process::Unknown,
-            Attempt::Refused => {}
-        }
+            Attempt::Refused => true,
+            Attempt::Unreached => false,
+        };
         self.record_direct(&target.id, false);
         match self.ask_about_target(&target.id).await {
-            Testimony::Refused | Testimony::NoWitness => Process::Ended,
             Testimony::Reached => Process::Alive,
-            Testimony::Unknown => Process::Unknown,
+            Testimony::Refused => Process::Ended,
+            Testimony::NoWitness if is_refused => Process::Ended,
+            Testimony::NoWitness | Testimony::Unknown => Process::Unknown,
         }
     }
 
