Accept an undeclared end of an error only if its target outlives it

response_of_killed_engine_looked_complete: part_of_an_error_is_not_forwarded failed before (500 with 6 of 13 bytes, stamped).

--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -231,7 +231,7 @@
             Ok(body) => body,
             Err(result) => return SendOutcome::Failed(result),
         };
-        if status.is_success() && !is_end_declared && !self.check_end(target).await.confirms_end() {
+        if !is_end_declared && !self.check_end(target).await.confirms_end() {
             return SendOutcome::Failed(Interruption::Undeclared.into());
         }
         SendOutcome::Buffered(BufferedResponse {
--- a/standin/src/site/behavior.rs
+++ b/standin/src/site/behavior.rs
@@ -41,6 +41,8 @@
     PlainText,
     /// Returns a response with neither a length nor chunks, which ends with its connection.
     Unframed(Cut),
+    /// Executes the request and returns 500 with neither a length nor chunks.
+    UnframedError(Cut),
     /// Sends bytes without end, until the caller closes the connection.
     Endless(Section),
 }
--- a/standin/src/site/raw.rs
+++ b/standin/src/site/raw.rs
@@ -44,6 +44,15 @@
                 }
                 self.send_unframed(raw, id, &answer, cut).await
             }
+            Behavior::UnframedError(cut) => {
+                let mut answer = plain_answer(id);
+                if matches!(cut, Cut::Reset | Cut::Killed) {
+                    answer.truncate(answer.len() / 2);
+                }
+                let head = self.unframed_head(id);
+                let head = head.replacen("200 OK", "500 Internal Server Error", 1);
+                self.send_cut(raw, &head, &answer, cut).await
+            }
             Behavior::Endless(section) => self.send_endless(raw, id, section).await,
             Behavior::CutHead(length) => self.send_cut_head(raw, id, length).await,
             _ => return None,
@@ -59,7 +68,17 @@
         body: &str,
         cut: Cut,
     ) -> Result<Reply, ConnectionClosed> {
-        send(raw, &self.unframed_head(id)).await?;
+        self.send_cut(raw, &self.unframed_head(id), body, cut).await
+    }
+
+    async fn send_cut(
+        &self,
+        raw: &RawConnection,
+        head: &str,
+        body: &str,
+        cut: Cut,
+    ) -> Result<Reply, ConnectionClosed> {
+        send(raw, head).await?;
         send(raw, body).await?;
         self.close(raw, cut)
     }
