Send no request to a second target while the end of its response is checked

A request that may be repeated is sent to a second target after 0.8 of its objective. The check of an undeclared end takes 50 ms, so that with an objective of 100 ms all requests were run twice whose answers come without a length after 30 ms or more, at the cost of the retry budget.

A check that fails still leads to another target.

--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -226,7 +226,9 @@
                 }
                 () = time::sleep_until(hedge_at.into()), if may_hedge => {
                     may_hedge = false;
-                    if let Ok(target) = self.next_target(attempts, None) {
+                    // A response whose end is being checked comes sooner than that of another target.
+                    let may_send = !progress.has_body.get();
+                    if may_send && let Ok(target) = self.next_target(attempts, None) {
                         sends.push(self.send(target, None, None, &progress));
                     }
                 }
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -101,6 +101,8 @@
     pub connected_at: Cell<Option<Instant>>,
     /// Whether the head of the response was received.
     pub has_head: Cell<bool>,
+    /// Whether a body was received whose end is being checked, or was.
+    pub has_body: Cell<bool>,
 }
 
 /// Counts a call as in flight at its target until dropped.
@@ -159,7 +161,7 @@
                 progress.has_head.set(true);
                 let via = response.via().unwrap_or_default();
                 *self.stats.via.borrow_mut() = via.into();
-                self.receive(response, &target, sent_at, call, last_event_id)
+                self.receive(response, &target, sent_at, call, last_event_id, progress)
                     .await
             }
             Err(pool::Error::Connect(_)) => SendOutcome::Unreached,
@@ -181,6 +183,7 @@
         sent_at: Time,
         call: CallGuard,
         last_event_id: Option<EventId>,
+        progress: &SendProgress,
     ) -> SendOutcome {
         let status = response.status();
         let metadata = self
@@ -231,6 +234,7 @@
             Ok(body) => body,
             Err(result) => return SendOutcome::Failed(result),
         };
+        progress.has_body.set(!is_end_declared);
         if !is_end_declared && !self.check_end(target).await.confirms_end() {
             return SendOutcome::Failed(Interruption::Undeclared.into());
         }
