End the check of an undeclared end at the deadline

The check of a stream's end took up to a second if the target could not be reached, whatever was left of the request's time: with a deadline of 200 ms, a stream ended after 779 ms. Now what is not known by the deadline stays unknown. A target stops at its deadline as well, so that an end just before it says little.

--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -18,6 +18,7 @@
 use futures::{FutureExt, Stream, StreamExt, future};
 use policy::relay::{ending::Process, patience::Patience, registry::Target, sse::EventId};
 use std::{pin::pin, rc::Rc, time::Instant};
+use tokio::time;
 
 /// Next complete events of a stream, `None` at its end, or why it was interrupted.
 type Next = Result<Option<Bytes>, Interruption>;
@@ -263,9 +264,11 @@
     }
 
     /// Checks whether the process of a target outlives the end of a response that only the end of its
-    /// connection marks, which the end of the process causes as well.
+    /// connection marks, which the end of the process causes as well. Targets stop at the deadline, too.
     pub(super) async fn check_end(&self, target: &Target) -> Process {
-        let process = self.relay.check_process(target).await;
+        let check = self.relay.check_process(target);
+        let checked = time::timeout_at(self.deadline.into(), check).await;
+        let process = checked.unwrap_or(Process::Unknown);
         event::end_checked(&self.metadata.id, &target.id, process);
         let checks = &self.relay.metrics.end_checks;
         checks.with_label_values(&[<&str>::from(process)]).inc();
