--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -18,6 +18,7 @@
 use futures::{FutureExt, Stream, StreamExt, future};
 use policy::relay::{ending::Process, patience::Patience, registry::Target, sse::EventId};
 use std::{pin::pin, rc::Rc, time::Instant};
+use tokio::time;
 
 /// Next complete events of a stream, `None` at its end, or why it was interrupted.
 type Next = Result<Option<Bytes>, Interruption>;
@@ -65,7 +66,7 @@
     /// Waits for the next events, from whichever target.
     async fn next(&mut self) -> Next {
         let next = match self.read_confirmed().await {
-            Err(interruption) => return self.resume(interruption).await.map(Some),
+            Err(interruption) => return self.resume(interruption).await,
             Ok(next) => next,
         };
         let Some(source) = &self.source else {
@@ -179,8 +180,9 @@
         }
     }
 
-    /// Resumes the stream after an interruption, and returns the events that follow.
-    async fn resume(&mut self, interruption: Interruption) -> Result<Bytes, Interruption> {
+    /// Resumes the stream after an interruption, and returns the events that follow. The stream was
+    /// complete if its target did not declare the end and another one declares that no event follows.
+    async fn resume(&mut self, interruption: Interruption) -> Next {
         let request = &self.request;
         let source = self.source.take().ok_or(interruption)?;
         request.record_interruption(&source, interruption);
@@ -199,7 +201,14 @@
                 let first = resumed.first.clone();
                 request.record_resumption(&resumed, last_id);
                 self.source = Some(*resumed);
-                Ok(first)
+                Ok(Some(first))
+            }
+            Ok((TargetResponse::Buffered(response), _))
+                if interruption == Interruption::Undeclared && response.is_empty_stream() =>
+            {
+                request.record_served();
+                request.end(Some(response.status), "answered", None);
+                Ok(None)
             }
             Ok((TargetResponse::Buffered(_), _)) | Err(_) => Err(interruption),
         }
@@ -255,9 +264,11 @@
     }
 
     /// Checks whether the process of a target outlives the end of a response that only the end of its
-    /// connection marks, which the end of the process causes as well.
+    /// connection marks, which the end of the process causes as well. Targets stop at the deadline, too.
     pub(super) async fn check_end(&self, target: &Target) -> Process {
-        let process = self.relay.check_process(target).await;
+        let check = self.relay.check_process(target);
+        let checked = time::timeout_at(self.deadline.into(), check).await;
+        let process = checked.unwrap_or(Process::Unknown);
         event::end_checked(&self.metadata.id, &target.id, process);
         let checks = &self.relay.metrics.end_checks;
         checks.with_label_values(&[<&str>::from(process)]).inc();
--- a/standin/src/site/behavior.rs
+++ b/standin/src/site/behavior.rs
@@ -41,6 +41,8 @@
     PlainText,
     /// Returns a response with neither a length nor chunks, which ends with its connection.
     Unframed(Cut),
+    /// Executes the request and returns 500 with neither a length nor chunks.
+    UnframedError(Cut),
     /// Sends bytes without end, until the caller closes the connection.
     Endless(Section),
 }
@@ -74,6 +76,8 @@
     /// plain response, so that its connections are closed in order and new ones refused. It starts
     /// again some time later.
     Killed,
+    /// The response is complete, and the process of the engine ends with it.
+    Exited,
 }
 
 /// Section of a response in which an engine sends bytes without end.
