Believe that a target lives only by its answer

The host accepts connections for a process that is being taken down, for as long as that takes beside load.

Only the process answers. The check now asks for the target's report over the new connection, and compares the start that it states with that of its entry, so that an engine that is back within milliseconds is told apart as well. The checks have a module of their own.

--- a/godwithinge/src/http/framing.rs
+++ b/godwithinge/src/http/framing.rs
@@ -28,8 +28,8 @@
             return Self::Length;
         }
         // As in hyper, which reads to the end of the connection if the last one can't be read.
-        let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
-        let last = codings.last().and_then(|value| value.to_str().ok());
+        let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+        let last = codings.next_back().and_then(|value| value.to_str().ok());
         match last.and_then(|value| value.rsplit(',').next()) {
             Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => Self::Chunked,
             _ => Self::Close,
--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -4,7 +4,6 @@
     event,
     frame::{CRASH_PROTOCOL, Frame, WireCrash, WireQuarantine},
     outcome::{Reason, Rejection},
-    reach::Testimony,
     run::ActiveRequest,
     state::Relay,
 };
@@ -25,19 +24,16 @@
 use std::{
     cell::{Ref, RefCell, RefMut},
     collections::HashMap,
-    io,
     rc::Rc,
     time::Duration,
 };
-use tokio::{net::TcpStream, sync::Notify, time};
+use tokio::{sync::Notify, time};
 
 /// Time from the first event within which a request may still turn out to crash its target.
 pub(super) const CRASH_PERIOD: Duration = Duration::from_secs(1);
 /// Delay before a target whose response was interrupted is checked for a crash; a crashing process
 /// has exited by then.
-const CHECK_DELAY: Duration = Duration::from_millis(50);
-/// Connect timeout of the crash check.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(300); // several round trips
+pub(super) const CHECK_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of requests that one check is about.
 const MAX_CHECKED_REQUESTS: usize = 256;
 /// Maximum number of parts of a prompt in a log line.
@@ -69,54 +65,6 @@
     has_begun: bool,
 }
 
-/// Outcome of an attempt to connect to a target.
-#[derive(Debug)]
-enum Attempt {
-    Open(TcpStream),
-    /// Its host accepted the connection, and it was reset at once.
-    Reset,
-    /// Its host refused the connection, as it does when no process listens.
-    Refused,
-    /// It failed in another way.
-    Unreached,
-}
-
-/// What has become of a connection by the end of [`CHECK_DELAY`].
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Fate {
-    Open,
-    /// The target has closed it in order.
-    Closed,
-    /// The target has reset it.
-    Reset,
-}
-
-async fn try_connection(address: &str) -> Attempt {
-    let connected = time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
-    match connected {
-        Ok(Ok(connection)) => Attempt::Open(connection),
-        Ok(Err(error)) => match error.kind() {
-            io::ErrorKind::ConnectionRefused => Attempt::Refused,
-            io::ErrorKind::ConnectionReset => Attempt::Reset,
-            _ => Attempt::Unreached,
-        },
-        Err(_elapsed) => Attempt::Unreached,
-    }
-}
-
-async fn watch_connection(connection: &TcpStream) -> Fate {
-    if time::timeout(CHECK_DELAY, connection.readable())
-        .await
-        .is_err()
-    {
-        return Fate::Open;
-    }
-    match connection.try_read(&mut [0]) {
-        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => Fate::Reset,
-        _ => Fate::Closed,
-    }
-}
-
 impl CrashWatch {
     pub fn tracker(&self) -> Ref<'_, CrashTracker> {
         self.tracker.borrow()
@@ -267,73 +215,6 @@
         });
     }
 
-    /// Checks whether the process of a target outlives the end of a connection to it, from the moment
-    /// of that end on.
-    pub(super) async fn check_process(&self, target: &Target) -> Process {
-        if self.reach.is_partitioned() {
-            time::sleep(CHECK_DELAY).await;
-            return self.probe_process(target).await;
-        }
-        let attempt = try_connection(&target.address).await;
-        match attempt {
-            // A process that is about to exit takes this connection with it. One that has started again
-            // by then accepts others.
-            Attempt::Open(connection) => match watch_connection(&connection).await {
-                Fate::Open => Process::Alive,
-                Fate::Reset => self.check_resetting(target).await,
-                Fate::Closed => match self.probe_process(target).await {
-                    Process::Ended => Process::Ended,
-                    Process::Alive | Process::Unknown => Process::Unknown,
-                },
-            },
-            Attempt::Reset => self.check_resetting(target).await,
-            Attempt::Refused | Attempt::Unreached => self.judge_attempt(target, attempt).await,
-        }
-    }
-
-    /// Checks a target that has just reset a new connection. One with as many connections as it can serve
-    /// goes on to accept and reset others; a process that ends resets those in its queue, and refuses
-    /// others from then on.
-    async fn check_resetting(&self, target: &Target) -> Process {
-        let process = self.probe_process(target).await;
-        if process != Process::Alive {
-            return process;
-        }
-        time::sleep(CHECK_DELAY).await;
-        self.probe_process(target).await
-    }
-
-    /// Returns whether the process of a target accepts connections. The network may refuse them as its
-    /// host does, so that peers have to confirm it if there are any.
-    async fn probe_process(&self, target: &Target) -> Process {
-        if self.reach.is_partitioned() {
-            return match self.ask_about_target(&target.id).await {
-                Testimony::Refused | Testimony::NoWitness => Process::Ended,
-                Testimony::Reached => Process::Alive,
-                Testimony::Unknown => Process::Unknown,
-            };
-        }
-        let attempt = try_connection(&target.address).await;
-        self.judge_attempt(target, attempt).await
-    }
-
-    /// Returns what an attempt to connect to a target shows of its process.
-    async fn judge_attempt(&self, target: &Target, attempt: Attempt) -> Process {
-        let is_refused = match attempt {
-            // A target that restarts at once is not found to have ended either.
-            Attempt::Open(_) | Attempt::Reset => return Process::Alive,
-            Attempt::Refused => true,
-            Attempt::Unreached => false,
-        };
-        self.record_direct(&target.id, false);
-        match self.ask_about_target(&target.id).await {
-            Testimony::Reached => Process::Alive,
-            Testimony::Refused => Process::Ended,
-            Testimony::NoWitness if is_refused => Process::Ended,
-            Testimony::NoWitness | Testimony::Unknown => Process::Unknown,
-        }
-    }
-
     /// Records on this daemon and all peers that a target crashed while it executed these requests.
     fn record_crash(&self, target: &Target, requests: &[InterruptedRequest]) {
         for request in requests {
--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -7,6 +7,7 @@
     id::{DomainId, RequestId, TargetId, WorkspaceId},
     relay::{
         history::{Era, Version},
+        leader::UnixMillis,
         plan::Plan,
         rate::Rate,
         registry::Registration,
@@ -183,6 +184,13 @@
     /// Returns the headers of a target's response as they are forwarded to the caller.
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
+    /// Returns the call that asks a target for its report, which targets answer without a slot.
+    fn report_call(&self) -> Call;
+
+    /// Decodes the start of a target in milliseconds since the Unix epoch from its answer to a
+    /// [`report_call`](Self::report_call); `None` if it is not stated.
+    fn parse_report(&self, body: &[u8]) -> Option<UnixMillis>;
+
     /// Returns the call that executes pieces of stages.
     fn stage_call(&self, items: &[Item]) -> Call;
 
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -25,6 +25,7 @@
 mod notice;
 mod origin;
 mod outcome;
+mod process;
 mod quarantine;
 mod rate;
 mod reach;
--- a/godwithinge/src/relay/reach.rs
+++ b/godwithinge/src/relay/reach.rs
@@ -184,7 +184,11 @@
     }
 
     /// Opens a connection to a target, through a peer if the direct one fails or takes long.
-    async fn open_connection(&self, target: &TargetId, address: &str) -> Result<Connection, Error> {
+    pub(super) async fn open_connection(
+        &self,
+        target: &TargetId,
+        address: &str,
+    ) -> Result<Connection, Error> {
         let is_partitioned = self.reach.is_partitioned();
         let mut hops = if is_partitioned || self.reach.reach.borrow().may_relay(self.now(), target)
         {
--- a/policy/src/relay/ending.rs
+++ b/policy/src/relay/ending.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 pub enum Process {
-    /// It accepts connections and keeps them open.
+    /// It answers, or accepts connections and keeps them open.
     Alive,
     /// Its host refuses connections, as it does when no process listens.
     Ended,
@@ -28,6 +28,18 @@
 }
 
 impl Process {
+    /// Returns what the start that a target states in an answer, if any, shows of the process that its
+    /// entry describes.
+    pub fn with_start(target: &Target, started: Option<UnixMillis>) -> Self {
+        let known = target.started_unix_ms;
+        let has_restarted = known > 0 && started.is_some_and(|started| started > known);
+        if has_restarted {
+            Self::Ended
+        } else {
+            Self::Alive
+        }
+    }
+
     /// Returns whether an end that only the end of the connection marks is that of the response. The end of
     /// the process closes connections in order as well.
     pub fn confirms_end(self) -> bool {
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -302,6 +302,13 @@
         }
     }
 
+    fn report(&self) -> Reply {
+        reply::ok(&json!({
+            "stage": "both", "busy": false, "sequence": 0, "waiting": 0, "running": 0,
+            "born": 1 + self.restarts.load(Ordering::Relaxed),
+        }))
+    }
+
     fn stage_free(&self, body: &[u8]) -> Reply {
         let call: Value = serde_json::from_slice(body).unwrap_or_default();
         for handle in call["handles"].as_array().into_iter().flatten() {
@@ -476,6 +483,9 @@
 
 impl Handler for State {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Result<Reply, ConnectionClosed> {
+        if request.uri().path() == "/report" {
+            return Ok(self.with_state(self.report()));
+        }
         let id = request.headers().get("godwithinge-attempt-id");
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         if let Some(pause) = self.notices.record(id, &request.uri().to_string()) {
