Refuse requests whose body ends after the daemon has stopped to accept

Callers of a stopped daemon whose head arrived within 2.8 s of the signal, and the last byte of their body later, had their requests passed on; the process ended during the run.

Cause: whether new requests are rejected was only asked when the head had arrived, before the body was read. It is asked again now before the request goes on; the caller gets 503, which is true, as nothing was sent.

stopped_daemon_passed_late_uploads_on (head 2.0 s, last byte 3.5 s after the signal, grace 6 s): before, 6 of 6 cases failed: four streams were broken off after 5.35 s, two plain requests got 504 after 5.36 s. Now 6 of 6 get 503 within 3 ms of the last byte, and no engine is asked. stop: 10 of 10; regression, tests of stopped daemons: 14 of 14.

The engine of the stand-in takes the time between events from a header.

--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -222,6 +222,10 @@
         () = relay.until_last_call() => Err(leaving),
     };
     let body = body.map_err(|rejection| reject(rejection, &metadata.id))?;
+    if relay.is_closing() {
+        // The body has ended too late for the request to be passed on.
+        return Err(reject(leaving, &metadata.id));
+    }
     let name = workspace.map(|workspace| workspace.name.clone());
     let priority = workspace.and_then(|workspace| workspace.priority);
     let payload = run::payload_hash(&head, name.as_ref(), &body);
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -38,6 +38,8 @@
 /// Header of a request with the time in milliseconds that it is executed for before its response
 /// begins.
 pub const WORK_HEADER: &str = "work-ms";
+/// Header of a request for a stream with the time in milliseconds between its events.
+pub const EVENT_INTERVAL_HEADER: &str = "event-ms";
 /// Header of a request without a stream with the length in bytes to which its answer is padded.
 pub const LENGTH_HEADER: &str = "answer-bytes";
 /// Part of a prompt that crashes each engine that begins to write a response to it.
@@ -354,7 +356,9 @@
         }
         let event_interval = match behavior {
             Behavior::Slow => SLOW_EVENT_INTERVAL,
-            _ => EVENT_INTERVAL,
+            _ => header(EVENT_INTERVAL_HEADER)
+                .parse()
+                .map_or(EVENT_INTERVAL, Duration::from_millis),
         };
         let is_stream = headers.contains_key("godwithinge-token-counts");
         let last = header("last-event-id").parse().unwrap_or(0);
