Refuse what must not be repeated and can't end before the daemon does

Callers of a stopped daemon whose requests arrived in the 2.8 s in which it still accepts had them passed on, however little time was left; at the last call those that must not be repeated ended with 502 or 504 after they had run, and streams were broken off. Streams that waited for their stages were sent to a model engine when no time was left.

Cause: a request was sent if 5 ms were left before the last call. Nothing compared the time that is left with the time that a run takes.

Now RunTimes (crate policy) keeps the durations of the latest 32 runs of each route whose requests must not be repeated. Once a daemon is leaving, a request whose own deadline is later than the last call is sent only if the longest of them would end in time; without any run it is not sent. It is refused with 503 as soon as that is no longer so, while it waits for stages, room or a permit, and the scheduler is told to end its stages by then. Requests that end at their own deadline before the last call, and those that may be repeated, are sent as before. 503 is given if no target may have run the request; a target's refusal counts as none, where it led to 502 before.

--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -13,7 +13,7 @@
     stream,
 };
 use bytes::Bytes;
-use futures::{StreamExt, stream::FuturesUnordered};
+use futures::{StreamExt, future, stream::FuturesUnordered};
 use http::{Response, StatusCode, Version, request::Parts};
 use policy::{
     hash,
@@ -50,6 +50,10 @@
 pub(super) const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(20); // about the time to reconnect
 /// `retry-after` if no target of a stream's build is left. One that crashed is back in seconds.
 const BUILD_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Interval at which a daemon that is leaving reviews whether a request that waits can be sent in time.
+const LATEST_SEND_REVIEW_INTERVAL: Duration = Duration::from_millis(50);
+/// Reason that is logged for a request with a complete response.
+pub(super) const ANSWERED: &str = "answered";
 /// Minimum number of shared prompt tokens for which stages run preferably in the domain of the
 /// target that caches them.
 const MIN_SHARED_TOKENS: u32 = 1_000; // prefill of fewer takes less than a tenth of a stage call
@@ -90,6 +94,8 @@
     pub target: RefCell<TargetId>,
     /// When the latest send had its connection.
     pub last_send: Cell<Option<Instant>>,
+    /// Number of sends that a target may have executed.
+    pub possible_runs: Cell<u32>,
     /// Host through which the latest send went; empty if it was direct.
     pub via: RefCell<HostId>,
     /// Total time spent on stages, including reruns.
@@ -106,6 +112,7 @@
         let response = tokio::select! {
             response = this.respond() => response,
             () = this.relay.until_last_call() => Err(this.given_up()),
+            () = this.until_too_late() => Err(this.given_up()),
         };
         response.unwrap_or_else(|rejection| {
             this.end(
@@ -119,12 +126,43 @@
 
     /// Returns the rejection of a request that has no response when the daemon ends.
     fn given_up(&self) -> Rejection {
-        if self.stats.last_send.get().is_none() {
+        if self.stats.possible_runs.get() == 0 {
             return Rejection::new(Reason::Leaving).with_retry_after(LEAVING_RETRY_AFTER);
         }
         Rejection::new(Reason::Broken)
     }
 
+    /// Returns until when the request may be sent to a target; `None` if at any time.
+    fn latest_send(&self) -> Option<Instant> {
+        let last_call = self.relay.last_call()?;
+        if self.route.is_repeatable() {
+            return None;
+        }
+        let timeout = self.route.timeout;
+        let limit = self.metadata.deadline.unwrap_or(timeout).min(timeout);
+        let [deadline, last_call] =
+            [self.arrived + limit, last_call].map(|at| self.relay.time_of(at));
+        let run_times = self.relay.run_times.borrow();
+        let latest = run_times.latest_send(&self.route.name, deadline, last_call);
+        latest.map(|latest| self.relay.instant_of(latest))
+    }
+
+    fn is_too_late(&self) -> bool {
+        self.latest_send().is_some_and(|at| at <= Instant::now())
+    }
+
+    /// Waits until the daemon is about to end and the request may not be sent any more, unless a target
+    /// may have executed it.
+    async fn until_too_late(&self) {
+        if self.route.is_repeatable() {
+            return future::pending().await;
+        }
+        self.relay.until_leaving().await;
+        while self.stats.possible_runs.get() > 0 || !self.is_too_late() {
+            time::sleep(LATEST_SEND_REVIEW_INTERVAL).await;
+        }
+    }
+
     async fn respond(self: &Rc<Self>) -> Result<Response<Body>, Rejection> {
         self.check_features()?;
         let mut attempts = Attempts::default();
@@ -150,6 +188,7 @@
         if self.stats.ended.replace(true) {
             return;
         }
+        self.record_run(reason == ANSWERED);
         let kind: &'static str = self.route.kind.into();
         let code = status.map_or("0".to_owned(), |status| status.as_u16().to_string());
         let metrics = &self.relay.metrics;
@@ -180,6 +219,16 @@
         });
     }
 
+    fn record_run(&self, is_complete: bool) {
+        if self.route.is_repeatable() || self.stats.possible_runs.get() == 0 {
+            return;
+        }
+        if let Some(sent_at) = self.stats.last_send.get() {
+            let mut run_times = self.relay.run_times.borrow_mut();
+            run_times.record(&self.route.name, sent_at.elapsed(), is_complete);
+        }
+    }
+
     /// Sends a request whose response is buffered, and hedges it if it is repeatable and slow.
     async fn respond_buffered(
         self: &Rc<Self>,
@@ -250,7 +299,7 @@
 
     fn forward(&self, buffered: BufferedResponse) -> Response<Body> {
         self.stats.first_byte.set(Some(self.arrived.elapsed()));
-        self.end(Some(buffered.status), "answered", None);
+        self.end(Some(buffered.status), ANSWERED, None);
         let mut response = Response::new(Body::new(buffered.body));
         *response.status_mut() = buffered.status;
         *response.headers_mut() = buffered.headers;
@@ -307,9 +356,9 @@
                 .copied()
                 .unwrap_or_default(),
         });
-        let due = self
-            .event_deadline(since)
-            .saturating_duration_since(started);
+        let due = self.event_deadline(since);
+        let due = self.latest_send().map_or(due, |at| at.min(due));
+        let due = due.saturating_duration_since(started);
         let aim = self.arrived + self.route.objective;
         let request = JobRequest {
             request: self.metadata.id.clone(),
@@ -392,6 +441,9 @@
             return Err(Rejection::new(Reason::Broken));
         }
         checked?;
+        if !may_have_executed && self.is_too_late() {
+            return Err(self.given_up());
+        }
         let is_exhausted = may_have_executed
             && (!self.route.is_repeatable()
                 || attempts.possibly_executed >= self.route.max_attempts);
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -141,7 +141,12 @@
         } else {
             Reuse::Never
         };
+        let runs = &self.stats.possible_runs;
+        let has_connection = Cell::new(false);
         let connected = || {
+            if !has_connection.replace(true) {
+                runs.set(runs.get() + 1);
+            }
             let now = Some(Instant::now());
             self.stats.last_send.set(now);
             progress.connected_at.set(now);
@@ -161,6 +166,13 @@
                 SendOutcome::Failed("broken")
             }
         };
+        let has_not_run = matches!(
+            outcome,
+            SendOutcome::Unreached | SendOutcome::Withdrawn | SendOutcome::NotExecuted(_)
+        );
+        if has_connection.get() && has_not_run {
+            runs.set(runs.get() - 1);
+        }
         self.record_outcome(&target, &outcome, started.elapsed());
         (target, started.elapsed(), outcome)
     }
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -29,6 +29,7 @@
         plan::Plan,
         registry::Registry,
         selection::TargetSelector,
+        shutdown::RunTimes,
     },
 };
 use std::{
@@ -75,6 +76,8 @@
     pub(super) pauses: RefCell<Pauses>,
     pub(super) rates: RateWatch,
     response_memory: RefCell<memory::Usage>,
+    /// Durations of requests that must not be repeated.
+    pub(super) run_times: RefCell<RunTimes>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
     pub(super) replication: Replication,
@@ -125,6 +128,7 @@
             pauses: RefCell::default(),
             rates: RateWatch::default(),
             response_memory: RefCell::default(),
+            run_times: RefCell::default(),
             retry_budgets: RefCell::default(),
             dispatcher: JobDispatcher::new(),
             tables: TableCache::default(),
@@ -143,6 +147,16 @@
         self.started_at.elapsed()
     }
 
+    /// Returns the time of an instant since the start of the daemon.
+    pub(super) fn time_of(&self, instant: Instant) -> Time {
+        instant.saturating_duration_since(self.started_at)
+    }
+
+    /// Returns the instant at a time since the start of the daemon.
+    pub(super) fn instant_of(&self, time: Time) -> Instant {
+        self.started_at + time
+    }
+
     pub(super) fn settings(&self) -> Ref<'_, Settings> {
         self.settings.borrow()
     }
@@ -269,6 +283,13 @@
         *self.last_call.borrow()
     }
 
+    /// Waits until the daemon is leaving.
+    pub(super) async fn until_leaving(&self) {
+        let mut changes = self.last_call.subscribe();
+        // The sender is a field of this daemon, so it is not dropped while the wait lasts.
+        drop(changes.wait_for(Option::is_some).await);
+    }
+
     /// Waits until requests without a response are to be given up.
     pub(super) async fn until_last_call(&self) {
         let mut changes = self.last_call.subscribe();
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -9,7 +9,7 @@
     event::{self, SilenceStep},
     handover::{self, Silence},
     outcome::{Reason, Rejection},
-    run::{ActiveRequest, TargetResponse},
+    run::{self, ActiveRequest, TargetResponse},
     send::StreamingResponse,
     sse::{Interruption, Reader},
     state::Relay,
@@ -80,7 +80,7 @@
         }
         if is_complete {
             request.record_stream_end(&source.target, "complete", &source.reader);
-            request.end(Some(source.reader.response().status()), "answered", None);
+            request.end(Some(source.reader.response().status()), run::ANSWERED, None);
         } else {
             request.relay.record_activity(&source.target.id);
         }
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -10,7 +10,8 @@
 //! targets, [`quarantine`] holds the records of that, [`reach`] tells a partition of this daemon
 //! from failures of targets, [`rejection`] limits how often targets reject requests, [`departure`] holds
 //! which targets have said that they leave, [`pause`] keeps the pauses that targets ask for, [`rate`] the
-//! limits on requests that they name, and [`reader`] says which daemons read the store.
+//! limits on requests that they name, [`reader`] says which daemons read the store, and [`shutdown`] which
+//! requests a daemon that shuts down still sends.
 
 pub mod builds;
 pub mod crash;
@@ -32,4 +33,5 @@
 pub mod rejection;
 pub mod scheduler;
 pub mod selection;
+pub mod shutdown;
 pub mod sse;
