Tell all peers at once that a daemon stops

Callers of a large fleet were still sent to a daemon that stopped: the directories of its peers named it, and peers opened tunnels through it, until its next heartbeat, which comes every 25 ms for each link (8 s with 330 daemons), later than the moment at which it rejects requests and often than its end.

Cause: the state "leaving" travelled with the regular heartbeats only. A change of leader happens to send one at once, so that small sites whose leader stops did not show it. Now a daemon sends a heartbeat to all peers when it begins to leave.

--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -138,6 +138,7 @@
         "leaving"
     );
     relay.set_leaving(started + grace_period.saturating_sub(SHUTDOWN_MARGIN + ANSWER_MARGIN));
+    relay.broadcast_heartbeat();
     relay.hand_over_origins();
     let host = relay.settings().host.clone();
     let removal = relay.store.put_row(relay, Table::Daemons, &host, None);
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -395,7 +395,8 @@
     }
 
     /// Sends a heartbeat to all peers without waiting for the interval. It announces a new
-    /// configuration, which the peers then request, a change of the leader, or a partition.
+    /// configuration, which the peers then request, a change of the leader, a partition, or that this
+    /// daemon leaves.
     pub(super) fn broadcast_heartbeat(&self) {
         self.links
             .broadcast(&self.heartbeat(self.heartbeat_interval()));
