Stay until requests that were given up are answered

Callers of a daemon that got little processor time around its last call were cut off without an answer, also after their requests had run, which must not be repeated. Seen first with 456 requests at engines that hang, beside other tests on a busy machine: about 90 of them, sent 2.2 to 2.8 s after the signal, were cut 7.75 s after it.

Cause: requests end themselves at the last call, 0.65 s before the end of the grace period, and the process left 0.25 s later whether they had done so or not. It stays now while a request has no response, until 0.15 s before the end of the grace period, when it would be killed. Nothing changes once all are answered: broken streams and slow readers are not waited for longer than before.

--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -20,9 +20,12 @@
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024; // all callers of a domain reconnect at once after an outage
-/// Time before the end of the grace period at which the process exits even if requests are in
-/// flight.
+/// Time before the end of the grace period at which the process exits even if responses are still
+/// being read.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the end of the grace period until which the process stays if requests that it has given up
+/// are not answered yet, because it got too little processor time.
+const LATE_SHUTDOWN_MARGIN: Duration = Duration::from_millis(150);
 /// Time before the process exits at which requests without a response are given up, so that their
 /// callers are told.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
@@ -151,6 +154,9 @@
     while relay.is_needed() && started.elapsed() + SHUTDOWN_MARGIN < grace_period {
         time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
+    while relay.owes_response() && started.elapsed() + LATE_SHUTDOWN_MARGIN < grace_period {
+        time::sleep(SHUTDOWN_POLL_INTERVAL).await;
+    }
     // Allows the last responses to be written to their sockets.
     time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     tracing::info!(in_flight = relay.in_flight(), "stopped");
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -6,7 +6,7 @@
     crash,
     outcome::{Reason, Rejection},
     run::{self, ActiveRequest, RequestStats},
-    state::{ConnectionGuard, InFlightGuard, Relay},
+    state::{ConnectionGuard, InFlightGuard, Relay, UnansweredGuard},
 };
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, Response, Version, header, request::Parts};
@@ -135,7 +135,9 @@
     // The caller may have meant bytes after a chunked body as part of that body, so the connection
     // is not reused.
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let unanswered = UnansweredGuard::new(&relay);
     let mut response = respond(Rc::clone(&relay), request, guard).await;
+    drop(unanswered);
     if is_chunked || relay.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -90,6 +90,8 @@
     /// When requests without a response are given up, once the daemon is leaving.
     last_call: watch::Sender<Option<Instant>>,
     in_flight: Cell<usize>,
+    /// Number of requests whose response has not begun.
+    unanswered: Cell<usize>,
     /// Number of connections of callers that have carried a request.
     connections: Cell<usize>,
 }
@@ -98,6 +100,10 @@
 #[derive(Debug)]
 pub(super) struct ConnectionGuard(Rc<Relay>);
 
+/// Counts a request as unanswered until dropped.
+#[derive(Debug)]
+pub(super) struct UnansweredGuard(Rc<Relay>);
+
 /// Counts a request as in flight until dropped.
 #[derive(Debug)]
 pub(super) struct InFlightGuard(Rc<Relay>);
@@ -137,6 +143,7 @@
             is_closing: watch::Sender::new(false),
             last_call: watch::Sender::new(None),
             in_flight: Cell::new(0),
+            unanswered: Cell::new(0),
             connections: Cell::new(0),
             settings: RefCell::new(settings),
         }
@@ -324,6 +331,11 @@
         self.in_flight.get() > 0 || self.connections.get() > 0 || self.tunnels.get() > 0
     }
 
+    /// Returns whether a response has not begun.
+    pub(super) fn owes_response(&self) -> bool {
+        self.unanswered.get() > 0
+    }
+
     pub(super) fn in_flight(&self) -> usize {
         self.in_flight.get()
     }
@@ -342,6 +354,19 @@
     }
 }
 
+impl UnansweredGuard {
+    pub fn new(relay: &Rc<Relay>) -> Self {
+        relay.unanswered.set(relay.unanswered.get() + 1);
+        Self(Rc::clone(relay))
+    }
+}
+
+impl Drop for UnansweredGuard {
+    fn drop(&mut self) {
+        self.0.unanswered.set(self.0.unanswered.get() - 1);
+    }
+}
+
 impl InFlightGuard {
     pub fn new(relay: &Rc<Relay>) -> Self {
         relay.in_flight.set(relay.in_flight.get() + 1);
