Cut streams off no earlier than in the last sixth of the grace period

Callers of a daemon with a grace period under 3.9 s had their streams broken off earlier than the users' rules excuse: an engine must still be at work on them in the last sixth of the grace period.

Cause: the times before the end of the grace period, 0.4 s until the exit and 0.25 s more until the last call, did not depend on its length. With less than 2.8 s, the removal of the daemon's row could also outlast the time in which it accepts requests. Timetable (crate policy) derives all times from the grace period; either margin takes a fourteenth of it at most, and the removal ends with the time for new requests. From 5.6 s on, nothing changes.

--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -4,6 +4,7 @@
     address, builds, conduct, dialect::Table, front, link, quarantine, rate, reach,
     settings::Settings, side, state::Relay, tunnel, watch,
 };
+use policy::relay::shutdown::Timetable;
 use std::{
     error, io,
     net::SocketAddr,
@@ -20,18 +21,6 @@
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024; // all callers of a domain reconnect at once after an outage
-/// Time before the end of the grace period at which the process exits even if responses are still
-/// being read.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
-/// Time before the end of the grace period until which the process stays if requests that it has given up
-/// are not answered yet, because it got too little processor time.
-const LATE_SHUTDOWN_MARGIN: Duration = Duration::from_millis(150);
-/// Time before the process exits at which requests without a response are given up, so that their
-/// callers are told.
-const ANSWER_MARGIN: Duration = Duration::from_millis(250);
-/// Time from the signal until new requests are rejected. The users' rules excuse an interrupted
-/// stream only if its request was sent within 3 s of the signal.
-const CLOSE_DELAY: Duration = Duration::from_millis(2_800);
 /// Interval at which a daemon that is shutting down checks whether it is still needed.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between attempts to bind the address of a listener.
@@ -130,31 +119,32 @@
     Ok(())
 }
 
-/// Serves callers for [`CLOSE_DELAY`], but at most half of the grace period, then waits until callers
-/// have read their responses, also those of peers in tunnels.
+/// Serves callers for a while, then waits until they have read their responses, also those of peers in
+/// tunnels.
 async fn leave(relay: &Rc<Relay>) {
     let started = Instant::now();
     let grace_period = relay.settings().grace_period;
+    let times = Timetable::new(grace_period);
     tracing::info!(
         in_flight = relay.in_flight(),
         grace_ms = grace_period.as_millis() as u64,
         "leaving"
     );
-    relay.set_leaving(started + grace_period.saturating_sub(SHUTDOWN_MARGIN + ANSWER_MARGIN));
+    relay.set_leaving(started + times.last_call);
     relay.broadcast_heartbeat();
     relay.hand_over_origins();
     let host = relay.settings().host.clone();
     let removal = relay.store.put_row(relay, Table::Daemons, &host, None);
-    let removal = time::timeout(CLOSE_DELAY, removal).await;
+    let removal = time::timeout(times.close, removal).await;
     if !matches!(removal, Ok(Ok(_))) {
         tracing::warn!("failed to remove own address from the store");
     }
-    time::sleep_until((started + CLOSE_DELAY.min(grace_period / 2)).into()).await;
+    time::sleep_until((started + times.close).into()).await;
     relay.set_closing();
-    while relay.is_needed() && started.elapsed() + SHUTDOWN_MARGIN < grace_period {
+    while relay.is_needed() && started.elapsed() < times.exit {
         time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
-    while relay.owes_response() && started.elapsed() + LATE_SHUTDOWN_MARGIN < grace_period {
+    while relay.owes_response() && started.elapsed() < times.latest_exit {
         time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     // Allows the last responses to be written to their sockets.
--- a/policy/tests/shutdown.rs
+++ b/policy/tests/shutdown.rs
@@ -1,6 +1,9 @@
 //! Which requests that must not be repeated a daemon that shuts down still sends.
 
-use policy::{id::Time, relay::shutdown::RunTimes};
+use policy::{
+    id::Time,
+    relay::shutdown::{RunTimes, Timetable},
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -124,3 +127,21 @@
     runs.record(ROUTE, seconds(2.0), false);
     assert_eq!(latest(&runs), Some(before_last_call(2.0)));
 }
+
+/// What is interrupted was sent within 3 s of the signal and is at work in the last sixth of the grace period,
+/// as the users' rules require.
+#[rstest]
+fn interruptions_are_excused(#[values(2, 3, 4, 6, 8, 30, 300)] grace_period: u64) {
+    let grace_period = Duration::from_secs(grace_period);
+    let times = Timetable::new(grace_period);
+    assert!(times.close <= seconds(3.0) && times.close < times.last_call);
+    assert!(times.last_call * 6 >= grace_period * 5, "{times:?}");
+    assert!(times.last_call < times.exit && times.exit <= times.latest_exit);
+    assert!(times.latest_exit < grace_period);
+}
+
+#[test]
+fn timetable_of_the_sites() {
+    let times = Timetable::new(Duration::from_secs(8));
+    assert_eq!((times.close, times.last_call), (CLOSE, LAST_CALL));
+}
