--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -29,6 +29,7 @@
         plan::Plan,
         registry::Registry,
         selection::TargetSelector,
+        shutdown::RunTimes,
     },
 };
 use std::{
@@ -75,6 +76,8 @@
     pub(super) pauses: RefCell<Pauses>,
     pub(super) rates: RateWatch,
     response_memory: RefCell<memory::Usage>,
+    /// Durations of requests that must not be repeated.
+    pub(super) run_times: RefCell<RunTimes>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
     pub(super) links: Links,
     pub(super) replication: Replication,
@@ -87,6 +90,8 @@
     /// When requests without a response are given up, once the daemon is leaving.
     last_call: watch::Sender<Option<Instant>>,
     in_flight: Cell<usize>,
+    /// Number of requests whose response has not begun.
+    unanswered: Cell<usize>,
     /// Number of connections of callers that have carried a request.
     connections: Cell<usize>,
 }
@@ -95,6 +100,10 @@
 #[derive(Debug)]
 pub(super) struct ConnectionGuard(Rc<Relay>);
 
+/// Counts a request as unanswered until dropped.
+#[derive(Debug)]
+pub(super) struct UnansweredGuard(Rc<Relay>);
+
 /// Counts a request as in flight until dropped.
 #[derive(Debug)]
 pub(super) struct InFlightGuard(Rc<Relay>);
@@ -125,6 +134,7 @@
             pauses: RefCell::default(),
             rates: RateWatch::default(),
             response_memory: RefCell::default(),
+            run_times: RefCell::default(),
             retry_budgets: RefCell::default(),
             dispatcher: JobDispatcher::new(),
             tables: TableCache::default(),
@@ -133,6 +143,7 @@
             is_closing: watch::Sender::new(false),
             last_call: watch::Sender::new(None),
             in_flight: Cell::new(0),
+            unanswered: Cell::new(0),
             connections: Cell::new(0),
             settings: RefCell::new(settings),
         }
@@ -143,6 +154,16 @@
         self.started_at.elapsed()
     }
 
+    /// Returns the time of an instant since the start of the daemon.
+    pub(super) fn time_of(&self, instant: Instant) -> Time {
+        instant.saturating_duration_since(self.started_at)
+    }
+
+    /// Returns the instant at a time since the start of the daemon.
+    pub(super) fn instant_of(&self, time: Time) -> Instant {
+        self.started_at + time
+    }
+
     pub(super) fn settings(&self) -> Ref<'_, Settings> {
         self.settings.borrow()
     }
@@ -269,6 +290,13 @@
         *self.last_call.borrow()
     }
 
+    /// Waits until the daemon is leaving.
+    pub(super) async fn until_leaving(&self) {
+        let mut changes = self.last_call.subscribe();
+        // The sender is a field of this daemon, so it is not dropped while the wait lasts.
+        drop(changes.wait_for(Option::is_some).await);
+    }
+
     /// Waits until requests without a response are to be given up.
     pub(super) async fn until_last_call(&self) {
         let mut changes = self.last_call.subscribe();
@@ -303,6 +331,11 @@
         self.in_flight.get() > 0 || self.connections.get() > 0 || self.tunnels.get() > 0
     }
 
+    /// Returns whether a response has not begun.
+    pub(super) fn owes_response(&self) -> bool {
+        self.unanswered.get() > 0
+    }
+
     pub(super) fn in_flight(&self) -> usize {
         self.in_flight.get()
     }
@@ -321,6 +354,19 @@
     }
 }
 
+impl UnansweredGuard {
+    pub fn new(relay: &Rc<Relay>) -> Self {
+        relay.unanswered.set(relay.unanswered.get() + 1);
+        Self(Rc::clone(relay))
+    }
+}
+
+impl Drop for UnansweredGuard {
+    fn drop(&mut self) {
+        self.0.unanswered.set(self.0.unanswered.get() - 1);
+    }
+}
+
 impl InFlightGuard {
     pub fn new(relay: &Rc<Relay>) -> Self {
         relay.in_flight.set(relay.in_flight.get() + 1);
