Let a daemon that knows only the store's copy take later entries from its peers

Callers saw: streams joined from two software versions. A store came back from a copy that was some seconds old, and a daemon was started beside peers afterwards. An engine had started again in the lost seconds, under its identifier and with other software. The new daemon took streams of the old version up there: 6 of 12 in platform/tests/regression/restarted_daemon_believed_the_copy.rs on. Requests also reached an engine that had said in the lost seconds that it drains (the test's second case).

Cause: rows of targets were ordered by era and number wherever they came from, so that a row that a peer had read before the return counted as older than that of the copy. The order of policy::relay::registry across eras, by start and sequence number, was only asked about rows of a later era. The configuration was compared by its revision in both directions already.

Change: an entry of an earlier era that has a later start, or a later sequence number of the same start, than the known one replaces it (Registry::is_lost_write). The known one is then that of the copy: what the engine has written since the return has a later position. Entries without a start can't be compared and stay as they are. In calm nothing is parsed twice, as the rows are not of an earlier era.

Shown: both tests fail before and pass after (12 of 12 streams at their version). policy/tests/registry.rs has the decision in nine cases. platform's tests restore, odd_entries and rollout pass. Of the 127 of regression, 5 failed beside a load of 29 on 8 cores, all by time or share served (whole_pool_is_limited 1, whole_pool_pauses 1, only_the_leader_refuses_a_job, partitioned_daemon_serves_requests 4, burst_at_brittle_model_engines); the five pass in a run with 2 threads at a load of 27.

Related paths: departures, endings, limits and pauses are kept by start already. The removal of a target in the lost seconds is not told to such a daemon: a removed row states neither start nor sequence number, and the store's own removal follows within three heartbeats.

--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -447,7 +447,7 @@
     /// Applies the entry of a target if it is newer than the cached one. A reader also sends it to
     /// its peers.
     pub(super) fn apply_target(self: &Rc<Self>, row: &Row, is_lenient: bool) {
-        if !self.tables.is_newer(row) {
+        if !self.tables.is_newer(row) && !self.is_lost_write(row) {
             // A reader that had lost its path to the store may have told of the removal before.
             let is_confirmed = row.value.is_none()
                 && !is_lenient
@@ -489,6 +489,18 @@
         self.apply_target_changes(change.into_iter().collect());
     }
 
+    /// Returns whether a peer tells of an entry that was written in the seconds that the store has lost,
+    /// after the one that the copy shows.
+    fn is_lost_write(&self, row: &Row) -> bool {
+        let is_earlier_era = row.version.era < self.store.era();
+        is_earlier_era
+            && row.value.is_some()
+            && self
+                .dialect
+                .parse_target(row)
+                .is_ok_and(|registration| self.registry().is_lost_write(&registration))
+    }
+
     /// Ends the grace period of a target that is missing from the store.
     fn remove_target(self: &Rc<Self>, row: &Row, is_lenient: bool) {
         self.tables.confirm(&row.key);
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -126,6 +126,21 @@
         }
     }
 
+    /// Returns whether an entry of an earlier era of the store was written after the known one, which
+    /// is that of the older copy: the write was lost with the store, but a peer has seen it.
+    pub fn is_lost_write(&self, registration: &Registration) -> bool {
+        let known = self.targets.get(&registration.target.id);
+        known.is_some_and(|known| {
+            let known = &known.registration;
+            let position = |entry: &Registration| (entry.target.started_unix_ms, entry.sequence);
+            // Without a start time, the sequence numbers of two starts can't be told apart.
+            let is_comparable = known.target.started_unix_ms > 0;
+            registration.version.era < known.version.era
+                && is_comparable
+                && position(registration) > position(known)
+        })
+    }
+
     /// Returns whether an entry says nothing new of a known target but that it lives.
     pub fn is_refresh(&self, registration: &Registration) -> bool {
         let known = self.targets.get(&registration.target.id);
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -57,6 +57,35 @@
     assert_eq!(has_ready_target(&registry), is_ready);
 }
 
+/// A daemon that started after the return of the store knows the copy, and learns from its peers what was
+/// written in the lost seconds.
+#[rstest]
+#[case::drained(entry(2, 5, 6, true), entry(1, 5, 7, false), true)]
+#[case::restarted(entry(2, 5, 6, true), entry(1, 6, 1, true), true)]
+#[case::in_the_copy(entry(2, 5, 6, true), entry(1, 5, 6, true), false)]
+#[case::before_the_copy(entry(2, 5, 6, true), entry(1, 5, 5, false), false)]
+#[case::earlier_start(entry(2, 6, 1, true), entry(1, 5, 9, false), false)]
+#[case::written_since(entry(2, 5, 8, true), entry(1, 5, 7, false), false)]
+#[case::restarted_since(entry(2, 6, 1, true), entry(1, 5, 7, false), false)]
+#[case::same_era(entry(2, 5, 6, true), entry(2, 5, 7, false), false)]
+#[case::start_not_known(entry(2, 0, 6, true), entry(1, 5, 7, false), false)]
+fn lost_write_replaces_the_entry_of_the_copy(
+    #[case] known: Registration,
+    #[case] offered: Registration,
+    #[case] is_lost_write: bool,
+) {
+    let mut registry = Registry::default();
+    assert!(!registry.is_lost_write(&offered), "nothing is known yet");
+    registry.upsert(NOW, known.clone());
+    assert_eq!(registry.is_lost_write(&offered), is_lost_write);
+    if is_lost_write {
+        registry.upsert(NOW, offered.clone());
+        registry.upsert(NOW, known);
+        assert_eq!(registry.get("i-1"), Some(&offered.target));
+        assert!(!registry.is_lost_write(&offered));
+    }
+}
+
 #[rstest]
 #[case::in_the_copy(entry(2, 5, 6, true), false)]
 #[case::last_entry(entry(2, 5, 7, true), false)]
