Keep the limit that a target named last, whatever order reports arrive in

Callers and targets would see: sends at the rate of an older limit. A target that changes its limit has each daemon learn of it by answers and by reports, which are repeated and overtake each other; a daemon also asks the leader for a permit with the limit that it knows. A leader that knew of 1 a second took 10 a second from such a question, whose limit was a second old, and granted by it until the next report.

Cause: Limits::apply ordered the end of a limit by the time at which it was named, but not a change.

Change: a report of a limit that was named before the known one changes nothing.

Open: a limit that has ended is not remembered, so that a late report of it holds until the next answer without one. That keeps requests back and lets none through.

--- a/policy/src/relay/rate.rs
+++ b/policy/src/relay/rate.rs
@@ -11,7 +11,7 @@
 //!
 //! All daemons tell each other of limits, and ask with the limit that they know, so that the leader
 //! need not have heard of it. Answers overtake each other: one without a limit ends it only if its
-//! request was sent after the limit was last named.
+//! request was sent after the limit was last named. So do reports: what was named last holds.
 
 use super::{leader::UnixMillis, registry::Target};
 use crate::id::{HostId, TargetId, Time};
@@ -214,8 +214,9 @@
         let known = known.filter(|known| known.started >= started);
         match (report.rate, known) {
             (_, Some(known)) if known.started > started => false,
+            (Some(_), Some(known)) if at < known.named_at => false,
             (Some(rate), Some(known)) => {
-                known.named_at = known.named_at.max(at);
+                known.named_at = at;
                 let has_changed = known.rate.to_bits() != rate.to_bits();
                 if has_changed {
                     known.rate = rate;
--- a/policy/tests/rate.rs
+++ b/policy/tests/rate.rs
@@ -112,6 +112,58 @@
     assert_eq!(limits.rate(&target), None);
 }
 
+/// Daemons tell each other, and ask the leader, with the limit that they know, which may be an old one.
+#[rstest]
+#[case::lower(1.0, 10.0)]
+#[case::higher(10.0, 1.0)]
+fn late_report_does_not_replace_a_later_limit(#[case] later: f64, #[case] earlier: f64) {
+    let mut limits = limits();
+    let target = target(1);
+    limits.record_answer(NOW, &target, NOW, Some(later));
+    let report = Report {
+        target: target.id.clone(),
+        started_unix_ms: target.started_unix_ms,
+        rate: Some(earlier),
+        age: SECOND,
+    };
+    assert!(!limits.record_report(NOW + MS, &report));
+    assert_eq!(limits.rate(&target), Some(later));
+}
+
+/// Whatever the order in which daemons learn of answers, they end up with the limit that was named last.
+#[rstest]
+fn daemons_agree_on_the_limit_named_last(#[values(0, 1, 2, 3, 4, 5, 6, 7)] seed: u64) {
+    const DAEMONS: usize = 5;
+    const ANSWERS: u32 = 40;
+    const MAX_DELAY_MS: u32 = 900;
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let target = target(1);
+    let mut daemons = vec![limits(); DAEMONS];
+    let mut reports = Vec::new();
+    for number in 0..ANSWERS {
+        let named_at = NOW + SECOND.mul_f64(f64::from(number) / 10.0);
+        let rate = f64::from(random.random_range(1..=10));
+        for daemon in 0..DAEMONS {
+            let delay = MS * random.random_range(0..MAX_DELAY_MS);
+            reports.push((named_at + delay, daemon, rate, delay));
+        }
+    }
+    let last = reports[reports.len() - 1].2;
+    reports.sort_by_key(|(at, ..)| *at);
+    for (at, daemon, rate, age) in reports {
+        let report = Report {
+            target: target.id.clone(),
+            started_unix_ms: target.started_unix_ms,
+            rate: Some(rate),
+            age,
+        };
+        daemons[daemon].record_report(at, &report);
+    }
+    for limits in &daemons {
+        assert_eq!(limits.rate(&target), Some(last));
+    }
+}
+
 /// What a peer tells late does not end what was named meanwhile.
 #[test]
 fn late_report_does_not_end_a_limit() {
