Go by the store's entries only after missing targets have had time to register again

Callers saw: streams joined from two software versions. Streams had begun at an engine that joined a pool in the seconds before the store came back from an older copy, and all daemons were killed at once. The daemon then kept the wrong version as the one at which they had begun, so that it also held after the engine had registered again.

Cause: a daemon that has just started infers a pool's single build from the table as read. A running daemon gives missing targets the grace period of 1.9 s after each return of the store; one that starts does not know that the store has come back a moment ago.

Change: for the grace period after its first entries, and only if the store states that it has ever come back, a daemon is unsure of single builds (Registry::may_show_copy). It relies on peers that can tell, and says in answers to theirs that it can't, so that it keeps no other daemon from going on. Earlier builds ignore the new field and take the answer for several builds.

Cost: after a start of all daemons, streams of unknown origin are refused with Retry-After for 1.9 s, which is below the window of 3 s after which a daemon counts as in touch. Streams whose origin is known, and new ones, are not concerned.

Open: a build that appeared and left within the lost seconds is unknown after a start of all daemons.

--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -182,6 +182,9 @@
         /// are several, and in frames of earlier builds.
         #[serde(default)]
         single_build: Option<Build>,
+        /// Whether the sender can't tell, since it may have read an older copy of the store.
+        #[serde(default)]
+        is_unsure: bool,
     },
     /// A target crashed while it ran the payload with this hash; in place of
     /// [`Crashes`](Self::Crashes) to and from daemons that do not know those.
--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -66,7 +66,7 @@
 struct Query {
     /// Number of peers that have not answered.
     unanswered: usize,
-    /// The single build of the pool, as each of those that answered sees it.
+    /// The single build of the pool, as each of those that answered and can tell sees it.
     single_builds: Vec<Option<Build>>,
     /// Sends the build of the stream, or nothing when all have answered.
     sender: oneshot::Sender<Build>,
@@ -193,7 +193,8 @@
     }
 
     /// Returns the only build that a pool has had for `period`, if peers see the same. A daemon that
-    /// stood still, or has lost its peers, does not know which builds have joined meanwhile.
+    /// stood still, or has lost its peers, does not know which builds have joined meanwhile, and neither
+    /// does one that may have read an older copy of the store.
     fn confirmed_single_build(
         &self,
         pool: &PoolId,
@@ -202,8 +203,9 @@
     ) -> Option<Build> {
         let build = self.single_build(pool, period)?;
         let is_agreed = views.iter().all(|view| view.as_ref() == Some(&build));
+        let is_alone = self.links.addresses.count() == 0 || self.has_just_started();
         let is_current =
-            !views.is_empty() || self.links.addresses.count() == 0 || self.has_just_started();
+            !views.is_empty() || is_alone && !self.registry().may_show_copy(self.now());
         (is_agreed && is_current).then_some(build)
     }
 
@@ -266,27 +268,33 @@
         max_age: Duration,
     ) {
         let build = self.origins.origins.borrow().get(stream).cloned();
+        let is_unsure = self.registry().may_show_copy(self.now());
+        let known_pool = pool.filter(|_| !is_unsure);
         let frame = Frame::Origin {
             number,
             build,
-            single_build: pool.and_then(|pool| self.single_build(pool, max_age)),
+            single_build: known_pool.and_then(|pool| self.single_build(pool, max_age)),
+            is_unsure,
         };
         self.links.send_on_link(link_id, frame);
     }
 
-    /// Handles the answer of a peer to an own query.
+    /// Handles the answer of a peer to an own query. If it is unsure, `single_build` says nothing.
     pub(super) fn receive_origin(
         &self,
         number: u64,
         build: Option<Build>,
         single_build: Option<Build>,
+        is_unsure: bool,
     ) {
         let mut queries = self.origins.queries.borrow_mut();
         let Some(query) = queries.get_mut(&number) else {
             return;
         };
         query.unanswered = query.unanswered.saturating_sub(1);
-        query.single_builds.push(single_build);
+        if !is_unsure {
+            query.single_builds.push(single_build);
+        }
         if let Some(build) = build {
             if let Some(query) = queries.remove(&number) {
                 // Fails if the caller has left.
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -301,6 +301,15 @@
         (!has_other && is_excluded).then_some(build)
     }
 
+    /// Returns whether the store may show an older copy, in which targets are missing that have not
+    /// registered again. A daemon that has just started does not know when the store came back.
+    pub fn may_show_copy(&self, now: Time) -> bool {
+        let is_recent = |since: Time| now.saturating_sub(since) <= REGISTRATION_GRACE;
+        let mut entries = self.targets.values();
+        let has_come_back = entries.any(|entry| entry.registration.version.era > 0);
+        has_come_back && self.known_since.is_none_or(is_recent)
+    }
+
     /// Starts the grace period anew because the store is unavailable or has just become available.
     pub fn record_outage(&mut self, now: Time) {
         self.lenient_until = now + REGISTRATION_GRACE;
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -170,6 +170,22 @@
     assert_eq!(found.map(Build::as_str), expected);
 }
 
+/// What is missing from an older copy registers again within the grace period, which may have begun at the
+/// start of the daemon.
+#[test]
+fn store_may_show_a_copy_for_the_grace_period_after_the_start() {
+    let registry_in = |era| {
+        let mut registry = Registry::default();
+        registry.upsert(NOW, entry(era, 5, 7, true));
+        registry.upsert(NOW + REGISTRATION_GRACE, entry(era, 5, 8, true));
+        registry
+    };
+    let after = NOW + REGISTRATION_GRACE + Duration::from_millis(1);
+    assert!(registry_in(1).may_show_copy(NOW + REGISTRATION_GRACE));
+    assert!(!registry_in(1).may_show_copy(after));
+    assert!(!registry_in(0).may_show_copy(NOW), "it never came back");
+}
+
 /// A build that was removed counts for the period, whatever has started since.
 #[test]
 fn removed_build_counts_for_the_period() {
