Follow a target again whose entries go on at an earlier start

Callers and targets saw: requests at a target that drained. A target whose clock was set back before it started again under its identifier, or whose entry another writer had once given a later start, was followed no more: each entry that it wrote was ignored for as long as the target was known, whether it said draining, another address or another software version. Only its removal was heard of.

Cause: an entry of an earlier start counts as a late write of a process that has ended. Nothing could show that this process is the one that runs.

Change: the first entry of an earlier start is still ignored. Two more of that start with rising sequence numbers, in one era of the store and without an entry of the later start between them, show that it runs (Registry::is_outdated). What was recorded of the later start (departure, end of the process) is dropped then. Readers hand such entries on, each once by its version, so that all daemons come to the same end; those of a target that has replaced a later start are handed on always, for daemons that have missed some.

Tried without a finding: streams of the former version at a target that restarted unseen with an earlier start.

Suspected only: within an era, an entry of the same start with a lower sequence number replaces a later one (a write performed late could show a draining target as ready until its next entry). The test same_era promises that order, and it is left as it is.

--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -462,13 +462,19 @@
             && self.registry().is_outdated(registration)
         {
             tracing::debug!(key = %row.key, "outdated entry of a target ignored");
+            let is_new = self.registry_mut().record_outdated(registration.clone());
+            // Further ones show the peers whether this start is the one that runs.
+            if is_new && self.serves_tables() {
+                self.broadcast_target(row, is_lenient);
+            }
             return;
         }
         self.tables.insert(row, is_lenient);
         let is_refresh = matches!(&parsed, Some(Ok(registration))
-            // Entries of a target that seems to have ended show the peers whether it lives.
+            // Other entries of these targets show the peers which process lives.
             if self.registry().is_refresh(registration)
-                && !self.registry().has_ended(&registration.target));
+                && !self.registry().has_ended(&registration.target)
+                && !self.registry().has_replaced_later_start(&row.key));
         if !is_refresh && self.serves_tables() {
             self.broadcast_target(row, is_lenient);
         }
--- a/policy/src/relay/departure.rs
+++ b/policy/src/relay/departure.rs
@@ -35,6 +35,13 @@
         departure.is_some_and(|(started, _)| *started >= target.started_unix_ms)
     }
 
+    /// Drops what is known of starts of a target later than `started`.
+    pub fn remove_later(&mut self, target: &TargetId, started: UnixMillis) {
+        if self.0.get(target).is_some_and(|known| known.0 > started) {
+            self.0.remove(target);
+        }
+    }
+
     /// Drops what is known of a target whose starts can't be told apart.
     pub fn remove_unknown_start(&mut self, target: &TargetId) {
         if self.0.get(target).is_some_and(|(started, _)| *started == 0) {
--- a/policy/src/relay/ending.rs
+++ b/policy/src/relay/ending.rs
@@ -53,6 +53,17 @@
         ending.is_some_and(|ending| ending.started >= target.started_unix_ms)
     }
 
+    /// Drops what is known of starts of a target later than `started`.
+    pub fn remove_later(&mut self, target: &TargetId, started: UnixMillis) {
+        if self
+            .0
+            .get(target)
+            .is_some_and(|known| known.started > started)
+        {
+            self.0.remove(target);
+        }
+    }
+
     /// Records an entry, which may show that the target lives or has started again.
     pub fn record_entry(&mut self, registration: &Registration) {
         let target = &registration.target;
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -22,6 +22,10 @@
 /// from is some seconds old.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
 
+/// Number of entries of an earlier start after the first one that show that it is the one that runs: the
+/// second of them was written after the first was read.
+const LIVE_ENTRIES: u32 = 2;
+
 /// Version of the software of a target.
 pub type Build = CompactString;
 
@@ -83,6 +87,8 @@
     targets: BTreeMap<TargetId, Entry>,
     /// Last entries of removed targets, and when they were removed.
     removed: BTreeMap<TargetId, (Registration, Time)>,
+    /// Entries of starts earlier than the known ones, by target.
+    earlier_starts: BTreeMap<TargetId, EarlierStart>,
     /// Until when missing entries may be registered again.
     lenient_until: Time,
     /// When a target of this pool and build was last removed or replaced.
@@ -98,12 +104,62 @@
     registration: Registration,
     /// Until when the target is kept although its entry is missing from the store.
     kept_until: Option<Time>,
+    /// Whether the entry before was one of a later start.
+    replaced_later_start: bool,
+}
+
+/// Entries of a start earlier than the known one. The clock of a target may have been set back before it
+/// started, and another writer may have given its entry a start that is too late.
+#[derive(Clone, Debug)]
+struct EarlierStart {
+    /// The last of them.
+    last: Registration,
+    /// Number of further ones with rising sequence numbers, in the same era of the store.
+    further: u32,
+}
+
+impl EarlierStart {
+    fn is_continued_by(&self, next: &Registration) -> bool {
+        next.target.started_unix_ms == self.last.target.started_unix_ms
+            && next.version.era == self.last.version.era
+            && next.sequence > self.last.sequence
+    }
 }
 
 impl Registry {
     /// Returns whether an entry is older than the last known one of the same target. Within an era
-    /// of the store, only an entry of an earlier start is.
+    /// of the store, only an entry of an earlier start is, until [`LIVE_ENTRIES`] more have followed.
     pub fn is_outdated(&self, registration: &Registration) -> bool {
+        let earlier = self.earlier_starts.get(&registration.target.id);
+        let is_live = earlier.is_some_and(|earlier| {
+            earlier.further + 1 >= LIVE_ENTRIES && earlier.is_continued_by(registration)
+        });
+        !is_live && self.precedes_last(registration)
+    }
+
+    /// Records an entry that [is outdated](Self::is_outdated). Returns whether it is a new one.
+    pub fn record_outdated(&mut self, registration: Registration) -> bool {
+        let known = self.earlier_starts.get(&registration.target.id);
+        let further = match known {
+            Some(known) if registration.version <= known.last.version => return false,
+            Some(known) if known.is_continued_by(&registration) => known.further + 1,
+            _ => 0,
+        };
+        let id = registration.target.id.clone();
+        let last = registration;
+        self.earlier_starts
+            .insert(id, EarlierStart { last, further });
+        true
+    }
+
+    /// Returns whether a target's entry replaced one of a later start. Daemons that have not seen enough
+    /// entries still ignore it.
+    pub fn has_replaced_later_start(&self, id: &str) -> bool {
+        let entry = self.targets.get(id);
+        entry.is_some_and(|entry| entry.replaced_later_start)
+    }
+
+    fn precedes_last(&self, registration: &Registration) -> bool {
         let known = self.targets.get(&registration.target.id);
         let known = known.map(|entry| &entry.registration);
         let removed = self.removed.get(&registration.target.id);
@@ -158,8 +214,21 @@
     /// [is outdated](Self::is_outdated) is ignored.
     pub fn upsert(&mut self, now: Time, mut registration: Registration) -> Option<TargetChange> {
         if self.is_outdated(&registration) {
+            self.record_outdated(registration);
             return None;
         }
+        let (id, started) = (&registration.target.id, registration.target.started_unix_ms);
+        self.earlier_starts.remove(id);
+        let known = self.targets.get(id);
+        let replaced_later_start = known.is_some_and(|known| {
+            let known_started = known.registration.target.started_unix_ms;
+            known_started > started || known_started == started && known.replaced_later_start
+        });
+        if replaced_later_start {
+            // What is known of the later start is not known of this one.
+            self.departures.remove_later(id, started);
+            self.endings.remove_later(id, started);
+        }
         registration.target.is_ready &= !self.departures.contains(&registration.target);
         self.endings.record_entry(&registration);
         self.known_since.get_or_insert(now);
@@ -177,6 +246,7 @@
         let entry = Entry {
             registration,
             kept_until: None,
+            replaced_later_start,
         };
         let build = entry.registration.target.build.clone();
         if let Some(replaced) = self.targets.insert(id, entry)
@@ -325,6 +395,8 @@
         self.removed
             .retain(|_, (_, removed_at)| now < *removed_at + REMOVAL_MEMORY);
         let targets = &self.targets;
+        self.earlier_starts
+            .retain(|target, _| targets.contains_key(target));
         self.departures
             .expire(now, |target| targets.contains_key(target));
         self.endings
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -86,6 +86,45 @@
     }
 }
 
+/// An earlier start whose entries go on is the one that runs: the clock of its target was set back, or the
+/// later start is that of another writer.
+#[rstest]
+#[case::no_entry(&[], false)]
+#[case::late_write(&[(2, 5, 9)], false)]
+#[case::two_entries(&[(2, 5, 1), (2, 5, 2)], false)]
+#[case::three_entries(&[(2, 5, 1), (2, 5, 2), (2, 5, 3)], true)]
+#[case::same_sequence(&[(2, 5, 1), (2, 5, 1), (2, 5, 1), (2, 5, 2)], false)]
+#[case::several_starts(&[(2, 3, 1), (2, 4, 2), (2, 5, 3)], false)]
+#[case::several_eras(&[(1, 5, 1), (2, 5, 2), (3, 5, 3)], false)]
+#[case::later_start_lives(&[(2, 5, 1), (2, 5, 2), (2, 6, 2), (2, 5, 3)], false)]
+#[case::later_start_lived(&[(2, 6, 2), (2, 5, 1), (2, 5, 2), (2, 5, 3)], true)]
+fn earlier_start_that_goes_on_replaces_a_later_one(
+    #[case] entries: &[(u64, u64, u64)],
+    #[case] is_replaced: bool,
+    #[values(false, true)] is_doubtful: bool,
+) {
+    let mut registry = Registry::default();
+    registry.upsert(NOW, entry(2, 6, 1, true));
+    if is_doubtful {
+        registry.record_ending(NOW, &start(6));
+        registry.record_departure(NOW, &start(6));
+    }
+    for (number, &(era, started, sequence)) in (2..).zip(entries) {
+        let mut offered = entry(era, started, sequence, true);
+        offered.version.number = number;
+        let build = if started == 6 { "v1" } else { "v2" };
+        offered.target.build = build.into();
+        // Several readers tell of the same entry.
+        registry.upsert(NOW, offered.clone());
+        registry.upsert(NOW, offered);
+    }
+    let target = registry.get("i-1").expect("target is registered");
+    assert_eq!(target.build == "v2", is_replaced);
+    if is_replaced {
+        assert!(target.is_ready && !registry.has_ended(target));
+    }
+}
+
 #[rstest]
 #[case::in_the_copy(entry(2, 5, 6, true), false)]
 #[case::last_entry(entry(2, 5, 7, true), false)]
