--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -447,7 +447,7 @@
     /// Applies the entry of a target if it is newer than the cached one. A reader also sends it to
     /// its peers.
     pub(super) fn apply_target(self: &Rc<Self>, row: &Row, is_lenient: bool) {
-        if !self.tables.is_newer(row) {
+        if !self.tables.is_newer(row) && !self.is_lost_write(row) {
             // A reader that had lost its path to the store may have told of the removal before.
             let is_confirmed = row.value.is_none()
                 && !is_lenient
@@ -462,13 +462,19 @@
             && self.registry().is_outdated(registration)
         {
             tracing::debug!(key = %row.key, "outdated entry of a target ignored");
+            let is_new = self.registry_mut().record_outdated(registration.clone());
+            // Further ones show the peers whether this start is the one that runs.
+            if is_new && self.serves_tables() {
+                self.broadcast_target(row, is_lenient);
+            }
             return;
         }
         self.tables.insert(row, is_lenient);
         let is_refresh = matches!(&parsed, Some(Ok(registration))
-            // Entries of a target that seems to have ended show the peers whether it lives.
+            // Other entries of these targets show the peers which process lives.
             if self.registry().is_refresh(registration)
-                && !self.registry().has_ended(&registration.target));
+                && !self.registry().has_ended(&registration.target)
+                && !self.registry().has_replaced_later_start(&row.key));
         if !is_refresh && self.serves_tables() {
             self.broadcast_target(row, is_lenient);
         }
@@ -489,6 +495,18 @@
         self.apply_target_changes(change.into_iter().collect());
     }
 
+    /// Returns whether a peer tells of an entry that was written in the seconds that the store has lost,
+    /// after the one that the copy shows.
+    fn is_lost_write(&self, row: &Row) -> bool {
+        let is_earlier_era = row.version.era < self.store.era();
+        is_earlier_era
+            && row.value.is_some()
+            && self
+                .dialect
+                .parse_target(row)
+                .is_ok_and(|registration| self.registry().is_lost_write(&registration))
+    }
+
     /// Ends the grace period of a target that is missing from the store.
     fn remove_target(self: &Rc<Self>, row: &Row, is_lenient: bool) {
         self.tables.confirm(&row.key);
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -57,6 +57,74 @@
     assert_eq!(has_ready_target(&registry), is_ready);
 }
 
+/// A daemon that started after the return of the store knows the copy, and learns from its peers what was
+/// written in the lost seconds.
+#[rstest]
+#[case::drained(entry(2, 5, 6, true), entry(1, 5, 7, false), true)]
+#[case::restarted(entry(2, 5, 6, true), entry(1, 6, 1, true), true)]
+#[case::in_the_copy(entry(2, 5, 6, true), entry(1, 5, 6, true), false)]
+#[case::before_the_copy(entry(2, 5, 6, true), entry(1, 5, 5, false), false)]
+#[case::earlier_start(entry(2, 6, 1, true), entry(1, 5, 9, false), false)]
+#[case::written_since(entry(2, 5, 8, true), entry(1, 5, 7, false), false)]
+#[case::restarted_since(entry(2, 6, 1, true), entry(1, 5, 7, false), false)]
+#[case::same_era(entry(2, 5, 6, true), entry(2, 5, 7, false), false)]
+#[case::start_not_known(entry(2, 0, 6, true), entry(1, 5, 7, false), false)]
+fn lost_write_replaces_the_entry_of_the_copy(
+    #[case] known: Registration,
+    #[case] offered: Registration,
+    #[case] is_lost_write: bool,
+) {
+    let mut registry = Registry::default();
+    assert!(!registry.is_lost_write(&offered), "nothing is known yet");
+    registry.upsert(NOW, known.clone());
+    assert_eq!(registry.is_lost_write(&offered), is_lost_write);
+    if is_lost_write {
+        registry.upsert(NOW, offered.clone());
+        registry.upsert(NOW, known);
+        assert_eq!(registry.get("i-1"), Some(&offered.target));
+        assert!(!registry.is_lost_write(&offered));
+    }
+}
+
+/// An earlier start whose entries go on is the one that runs: the clock of its target was set back, or the
+/// later start is that of another writer.
+#[rstest]
+#[case::no_entry(&[], false)]
+#[case::late_write(&[(2, 5, 9)], false)]
+#[case::two_entries(&[(2, 5, 1), (2, 5, 2)], false)]
+#[case::three_entries(&[(2, 5, 1), (2, 5, 2), (2, 5, 3)], true)]
+#[case::same_sequence(&[(2, 5, 1), (2, 5, 1), (2, 5, 1), (2, 5, 2)], false)]
+#[case::several_starts(&[(2, 3, 1), (2, 4, 2), (2, 5, 3)], false)]
+#[case::several_eras(&[(1, 5, 1), (2, 5, 2), (3, 5, 3)], false)]
+#[case::later_start_lives(&[(2, 5, 1), (2, 5, 2), (2, 6, 2), (2, 5, 3)], false)]
+#[case::later_start_lived(&[(2, 6, 2), (2, 5, 1), (2, 5, 2), (2, 5, 3)], true)]
+fn earlier_start_that_goes_on_replaces_a_later_one(
+    #[case] entries: &[(u64, u64, u64)],
+    #[case] is_replaced: bool,
+    #[values(false, true)] is_doubtful: bool,
+) {
+    let mut registry = Registry::default();
+    registry.upsert(NOW, entry(2, 6, 1, true));
+    if is_doubtful {
+        registry.record_ending(NOW, &start(6));
+        registry.record_departure(NOW, &start(6));
+    }
+    for (number, &(era, started, sequence)) in (2..).zip(entries) {
+        let mut offered = entry(era, started, sequence, true);
+        offered.version.number = number;
+        let build = if started == 6 { "v1" } else { "v2" };
+        offered.target.build = build.into();
+        // Several readers tell of the same entry.
+        registry.upsert(NOW, offered.clone());
+        registry.upsert(NOW, offered);
+    }
+    let target = registry.get("i-1").expect("target is registered");
+    assert_eq!(target.build == "v2", is_replaced);
+    if is_replaced {
+        assert!(target.is_ready && !registry.has_ended(target));
+    }
+}
+
 #[rstest]
 #[case::in_the_copy(entry(2, 5, 6, true), false)]
 #[case::last_entry(entry(2, 5, 7, true), false)]
@@ -141,6 +209,22 @@
     assert_eq!(found.map(Build::as_str), expected);
 }
 
+/// What is missing from an older copy registers again within the grace period, which may have begun at the
+/// start of the daemon.
+#[test]
+fn store_may_show_a_copy_for_the_grace_period_after_the_start() {
+    let registry_in = |era| {
+        let mut registry = Registry::default();
+        registry.upsert(NOW, entry(era, 5, 7, true));
+        registry.upsert(NOW + REGISTRATION_GRACE, entry(era, 5, 8, true));
+        registry
+    };
+    let after = NOW + REGISTRATION_GRACE + Duration::from_millis(1);
+    assert!(registry_in(1).may_show_copy(NOW + REGISTRATION_GRACE));
+    assert!(!registry_in(1).may_show_copy(after));
+    assert!(!registry_in(0).may_show_copy(NOW), "it never came back");
+}
+
 /// A build that was removed counts for the period, whatever has started since.
 #[test]
 fn removed_build_counts_for_the_period() {
