Find out that a target has restarted at once

What callers saw: streams that hold events of two software versions of an engine (ORDER), in one answer and over their tries. An engine was back 25 to 40 ms after its process had ended, under its identifier and address and with other software, and its entry in the store was not known yet.

Cause: what shows that a process has ended makes its entry doubtful (`policy::relay::ending`), but the only evidence was a connection that is refused 50 ms after an interruption. A target that accepts connections again by then was taken for the one before, so that streams went on at it and streams that it began were recorded under the former build.

Now a connection is tried at once. If it is refused, further ones are tried every 10 ms until the check has ended, and a target that accepts one has restarted. Its ending is told to all peers as that of a crash. The network does not refuse and accept connections within milliseconds, so that peers need not confirm it; if it did, the target would take no begun streams for two of its entries. A sound target gets one connection more for each interruption.

The same cause elsewhere: while a daemon is partitioned, peers are asked in place of its own connections. Stage calls and plain requests don't depend on a build.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -23,7 +23,7 @@
 };
 use std::{
     cell::{Ref, RefCell, RefMut},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io,
     rc::Rc,
     time::Duration,
@@ -37,6 +37,9 @@
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 /// Connect timeout of the crash check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300); // several round trips
+/// Interval at which a target that refuses connections is tried during the check. It is shorter than
+/// the time to the first event of a target that is back.
+const RESTART_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Maximum number of requests that one check is about.
 const MAX_CHECKED_REQUESTS: usize = 256;
 /// Maximum number of parts of a prompt in a log line.
@@ -55,6 +58,8 @@
     crashes: Notify,
     /// Notified at the end of each check.
     checked: Notify,
+    /// Targets that broke connections and are watched for a restart.
+    watched: RefCell<HashSet<TargetId>>,
 }
 
 /// A request whose response was interrupted.
@@ -187,6 +192,7 @@
         target: &Target,
         request: Option<InterruptedRequest>,
     ) {
+        self.watch_for_restart(target);
         let mut checks = self.crash_watch.checks.borrow_mut();
         if let Some(requests) = checks.get_mut(&target.id) {
             if requests.len() < MAX_CHECKED_REQUESTS {
@@ -297,6 +303,59 @@
         }));
     }
 
+    /// Records the ending of a target that broke a connection if it refuses new ones and accepts them
+    /// again before its check has ended. It may be back within milliseconds, under its identifier and
+    /// with other software.
+    fn watch_for_restart(self: &Rc<Self>, target: &Target) {
+        let mut watched = self.crash_watch.watched.borrow_mut();
+        if !watched.insert(target.id.clone()) {
+            return;
+        }
+        let (relay, target) = (Rc::clone(self), target.clone());
+        tokio::task::spawn_local(async move {
+            if relay.has_restarted(&target).await {
+                let ending = Start {
+                    target: target.id.clone(),
+                    started_unix_ms: target.started_unix_ms,
+                };
+                relay.apply_ending(ending, "restart");
+            }
+            relay.crash_watch.watched.borrow_mut().remove(&target.id);
+        });
+    }
+
+    async fn has_restarted(&self, target: &Target) -> bool {
+        let is_checked = || !self.crash_watch.checks.borrow().contains_key(&target.id);
+        if self.try_target(target).await != Testimony::Refused {
+            return false;
+        }
+        loop {
+            time::sleep(RESTART_POLL_INTERVAL).await;
+            let is_last = is_checked();
+            if self.try_target(target).await == Testimony::Reached {
+                return true;
+            }
+            if is_last {
+                return false;
+            }
+        }
+    }
+
+    /// Tries a connection to a target, through peers while this daemon is partitioned.
+    async fn try_target(&self, target: &Target) -> Testimony {
+        if self.reach.is_partitioned() {
+            return self.ask_about_target(&target.id).await;
+        }
+        let connect = TcpStream::connect(target.address.as_str());
+        match time::timeout(CHECK_TIMEOUT, connect).await {
+            Ok(Ok(_)) => Testimony::Reached,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Testimony::Refused
+            }
+            Ok(Err(_)) | Err(_) => Testimony::Unknown,
+        }
+    }
+
     /// Returns whether this daemon is the one that tries requests with a quarantined feature.
     fn is_tester(&self, feature: Feature) -> bool {
         let key = feature.to_string();
