Check the build of a target again when its first event arrives

What callers saw: streams that hold events of two software versions of an engine (ORDER). The engine was replaced under its identifier after it had been chosen, or before and not yet known to be, and its later entry, or word of its ending, came before the first event.

Cause: the build of a stream was that of the entry at the time of the choice. Once the later entry had come, the ending of the former start was forgotten, so that `record_build` took an answer of the new process for one of the old build. A stream that was resumed was not checked at all after the choice.

`Registry::may_be_replaced` compares the target as it was chosen with what is known when the first event arrives. A new stream is then one whose build is not known, which is never resumed and leaves no record; a stream that has begun does not go on with that answer, and is sent to another target. A later start of the same build changes nothing. A target whose entry is only missing counts as the same.

--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -334,9 +334,8 @@
 
     /// Records the build of the target that has sent the first event to this caller.
     pub(super) fn record_build(&self, target: &Target) {
-        let has_ended = self.relay.registry().has_ended(target);
-        if has_ended && self.build.get().is_none() {
-            // Whatever process answered is not the one of the entry.
+        let may_be_replaced = self.relay.registry().may_be_replaced(target);
+        if may_be_replaced && self.build.get().is_none() {
             self.is_build_unknown.set(true);
             return;
         }
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -250,6 +250,8 @@
         let received = resumption.and_then(|resumption| resumption.last_event);
         let mut reader = sse::Reader::new(response, last_event_id.or(received));
         match reader.next(self.deadline).await {
+            // Its process may have been replaced since it was selected.
+            Ok(Some(_)) if !self.may_go_on_at(target) => SendOutcome::Failed("replaced"),
             Ok(Some(first)) => SendOutcome::Streaming(Box::new(StreamingResponse {
                 reader,
                 first,
@@ -273,6 +275,11 @@
         }
     }
 
+    /// Returns whether a stream that has begun may go on with what a target has sent.
+    fn may_go_on_at(&self, target: &Target) -> bool {
+        self.build.get().is_none() || !self.relay.registry().may_be_replaced(target)
+    }
+
     /// Returns whether a response belongs to this request and was not altered on its way from the
     /// target.
     fn is_valid_response(
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -235,6 +235,13 @@
         self.endings.contains(target)
     }
 
+    /// Returns whether what arrives from a target may come from a later process of another build than
+    /// the one that `target` describes, as it was when the target was selected.
+    pub fn may_be_replaced(&self, target: &Target) -> bool {
+        let known = self.get(&target.id);
+        self.has_ended(target) || known.is_some_and(|known| known.build != target.build)
+    }
+
     /// Returns all targets whose processes seem to have ended.
     pub fn endings(&self) -> impl Iterator<Item = Start> {
         self.endings.all()
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -263,3 +263,27 @@
     registry.record_ending(NOW, &start(5));
     assert!(!is_single(&registry));
 }
+
+/// A request that was sent to a target may be answered by a later process of another build.
+#[rstest]
+#[case::same_entry("v1", 5, false, false)]
+#[case::later_start_of_the_build("v1", 6, false, false)]
+#[case::later_start_of_another_build("v2", 6, false, true)]
+#[case::ended("v1", 5, true, true)]
+fn answer_may_come_from_another_build(
+    #[case] build: &str,
+    #[case] started: u64,
+    #[case] has_ended: bool,
+    #[case] may_be_replaced: bool,
+) {
+    let mut registry = Registry::default();
+    registry.upsert(NOW, target("i-1", "v1", 5));
+    let selected = registry.get("i-1").expect("target is registered").clone();
+    registry.upsert(NOW, target("i-1", build, started));
+    if has_ended {
+        registry.record_ending(NOW, &start(5));
+    }
+    assert_eq!(registry.may_be_replaced(&selected), may_be_replaced);
+    registry.remove(NOW, "i-1", false);
+    assert_eq!(registry.may_be_replaced(&selected), has_ended);
+}
