--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -4,6 +4,7 @@
     event,
     frame::{CRASH_PROTOCOL, Frame, WireCrash, WireQuarantine},
     outcome::{Reason, Rejection},
+    reach::Testimony,
     run::ActiveRequest,
     state::Relay,
 };
@@ -23,7 +24,7 @@
 };
 use std::{
     cell::{Ref, RefCell, RefMut},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::Duration,
 };
@@ -34,6 +35,9 @@
 /// Delay before a target whose response was interrupted is checked for a crash; a crashing process
 /// has exited by then.
 pub(super) const CHECK_DELAY: Duration = Duration::from_millis(50);
+/// Interval at which a target that refuses connections is tried during the check. It is shorter than
+/// the time to the first event of a target that is back.
+const RESTART_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Maximum number of requests that one check is about.
 const MAX_CHECKED_REQUESTS: usize = 256;
 /// Maximum number of parts of a prompt in a log line.
@@ -52,6 +56,8 @@
     crashes: Notify,
     /// Notified at the end of each check.
     checked: Notify,
+    /// Targets that broke connections and are watched for a restart.
+    watched: RefCell<HashSet<TargetId>>,
 }
 
 /// A request whose response was interrupted.
@@ -184,6 +190,7 @@
         target: &Target,
         request: Option<InterruptedRequest>,
     ) {
+        self.watch_for_restart(target);
         let mut checks = self.crash_watch.checks.borrow_mut();
         if let Some(requests) = checks.get_mut(&target.id) {
             if requests.len() < MAX_CHECKED_REQUESTS {
@@ -273,6 +280,45 @@
         }));
     }
 
+    /// Records the ending of a target that broke a connection if it refuses new ones and accepts them
+    /// again before its check has ended. It may be back within milliseconds, under its identifier and
+    /// with other software.
+    fn watch_for_restart(self: &Rc<Self>, target: &Target) {
+        let mut watched = self.crash_watch.watched.borrow_mut();
+        if !watched.insert(target.id.clone()) {
+            return;
+        }
+        let (relay, target) = (Rc::clone(self), target.clone());
+        tokio::task::spawn_local(async move {
+            if relay.has_restarted(&target).await {
+                let ending = Start {
+                    target: target.id.clone(),
+                    started_unix_ms: target.started_unix_ms,
+                };
+                relay.apply_ending(ending, "restart");
+            }
+            relay.crash_watch.watched.borrow_mut().remove(&target.id);
+        });
+    }
+
+    async fn has_restarted(&self, target: &Target) -> bool {
+        let is_checked = || !self.crash_watch.checks.borrow().contains_key(&target.id);
+        match self.try_target(target).await {
+            Testimony::Refused => {}
+            Testimony::Reached | Testimony::Unknown | Testimony::NoWitness => return false,
+        }
+        loop {
+            time::sleep(RESTART_POLL_INTERVAL).await;
+            let is_last = is_checked();
+            if self.try_target(target).await == Testimony::Reached {
+                return true;
+            }
+            if is_last {
+                return false;
+            }
+        }
+    }
+
     /// Returns whether this daemon is the one that tries requests with a quarantined feature.
     fn is_tester(&self, feature: Feature) -> bool {
         let key = feature.to_string();
--- a/godwithinge/src/relay/process.rs
+++ b/godwithinge/src/relay/process.rs
@@ -102,17 +102,12 @@
         let is_partitioned = self.reach.is_partitioned();
         let mut is_refused = is_partitioned;
         if !is_partitioned {
-            let connect = TcpStream::connect(target.address.as_str());
-            let error = match time::timeout(CONNECT_TIMEOUT, connect).await {
+            let direct = try_connection(&target.address).await;
+            if direct == Testimony::Reached {
                 // A target that restarts at once is not found to have ended either.
-                Ok(Ok(_)) => return Process::Alive,
-                Ok(Err(error)) => error.kind(),
-                Err(_elapsed) => io::ErrorKind::TimedOut,
-            };
-            if error == io::ErrorKind::ConnectionReset {
                 return Process::Alive;
             }
-            is_refused = error == io::ErrorKind::ConnectionRefused;
+            is_refused = direct == Testimony::Refused;
             self.record_direct(&target.id, false);
         }
         match self.ask_about_target(&target.id).await {
@@ -122,4 +117,26 @@
             Testimony::NoWitness | Testimony::Unknown => Process::Unknown,
         }
     }
+
+    /// Tries a connection to a target, through peers while this daemon is partitioned.
+    pub(super) async fn try_target(&self, target: &Target) -> Testimony {
+        if self.reach.is_partitioned() {
+            return self.ask_about_target(&target.id).await;
+        }
+        try_connection(&target.address).await
+    }
+}
+
+/// Tries a direct connection.
+async fn try_connection(address: &str) -> Testimony {
+    match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Testimony::Reached,
+        Ok(Err(error)) => match error.kind() {
+            io::ErrorKind::ConnectionRefused => Testimony::Refused,
+            // A target with as many connections as it can serve resets new ones.
+            io::ErrorKind::ConnectionReset => Testimony::Reached,
+            _ => Testimony::Unknown,
+        },
+        Err(_elapsed) => Testimony::Unknown,
+    }
 }
