Tell a target that is back within milliseconds by the start that it states

Streams that a target began after a restart of 3 ms were recorded under the build of the process before: no connection had been tried while its host refused them.

A target that accepts connections right after it has broken others is asked for its report now. A later start than that of its entry shows that it has restarted, however short it was away.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -305,7 +305,8 @@
         let is_checked = || !self.crash_watch.checks.borrow().contains_key(&target.id);
         match self.try_target(target).await {
             Testimony::Refused => {}
-            Testimony::Reached | Testimony::Unknown | Testimony::NoWitness => return false,
+            Testimony::Reached => return self.states_later_start(target).await,
+            Testimony::Unknown | Testimony::NoWitness => return false,
         }
         loop {
             time::sleep(RESTART_POLL_INTERVAL).await;
--- a/godwithinge/src/relay/process.rs
+++ b/godwithinge/src/relay/process.rs
@@ -125,6 +125,17 @@
         }
         try_connection(&target.address).await
     }
+
+    /// Returns whether a target that accepts connections states a later start than its entry.
+    pub(super) async fn states_later_start(&self, target: &Target) -> bool {
+        if self.is_paused(target) {
+            return false;
+        }
+        match self.ask_target(target).await {
+            Answer::Given(started) => Process::with_start(target, started) == Process::Ended,
+            Answer::Absent | Answer::Broken | Answer::Unreached => false,
+        }
+    }
 }
 
 /// Tries a direct connection.
