Tell a body with an unreadable coding from a chunked one

The framing of a response skipped values of transfer-encoding that are no text, and so found that of an earlier one. hyper looks at the last one only and reads to the end of the connection, which then counted as declared.

--- a/godwithinge/src/http/framing.rs
+++ b/godwithinge/src/http/framing.rs
@@ -27,10 +27,10 @@
         if body.size_hint().exact().is_some() {
             return Self::Length;
         }
-        let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
-        let codings = codings.filter_map(|value| value.to_str().ok());
-        let last = codings.flat_map(|value| value.split(',')).last();
-        match last {
+        // As in hyper, which reads to the end of the connection if the last one can't be read.
+        let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+        let last = codings.next_back().and_then(|value| value.to_str().ok());
+        match last.and_then(|value| value.rsplit(',').next()) {
             Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => Self::Chunked,
             _ => Self::Close,
         }
--- a/godwithinge/tests/http.rs
+++ b/godwithinge/tests/http.rs
@@ -1,11 +1,15 @@
 //! Tests of the connection pool when pooled connections fail or stop responding.
 
 use bytes::Bytes;
-use godwithinge::http::{Error, Pool, Request, Response, Reuse};
+use godwithinge::http::{Error, Framing, Pool, Request, Response, Reuse};
 use http_body_util::Full;
 use standin::service::{self, Server, Settings};
 use std::time::Duration;
-use tokio::{net::TcpListener, time};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    time,
+};
 
 /// Idle connections in the pool when a test begins.
 const CONNECTIONS: usize = 5;
@@ -135,3 +139,32 @@
     let refused = exchange(&pool, &address, Reuse::Newest).await;
     assert!(matches!(refused, Err(Error::Connect(_))), "{refused:?}");
 }
+
+/// A coding that can't be read is not that of chunks, so that the body ends with its connection.
+#[tokio::test]
+async fn unreadable_coding_declares_no_end() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("socket is bound").to_string();
+    let server = async {
+        let (mut stream, _) = listener.accept().await.expect("pool connects");
+        let mut request = [0; 1024];
+        let size = stream.read(&mut request).await;
+        assert!(size.expect("pool sends a request") > 0);
+        let response = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\
+                         transfer-encoding: \xff\r\n\r\npart";
+        let written = stream.write_all(response).await;
+        written.expect("pool reads the response");
+    };
+    let pool = Pool::new(EXCHANGE_TIMEOUT);
+    let client = async {
+        let response = pool.send(&address, request(), Reuse::Never).await;
+        let response = response.expect("the head is valid");
+        let framing = response.framing();
+        (framing, response.bytes(usize::MAX).await)
+    };
+    let ((framing, body), ()) = tokio::join!(client, server);
+    assert_eq!(body.expect("the body ends with its connection"), "part");
+    assert_eq!(framing, Framing::Close);
+}
