Take the end of a partition for no restart

A target that refuses connections and accepts them milliseconds later was taken for one that has restarted, and took no begun streams until two of its entries had come. A partition that ends in that moment looks the same. The target is asked for its report now; it has not restarted if it states the start of its entry.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -305,14 +305,17 @@
         let is_checked = || !self.crash_watch.checks.borrow().contains_key(&target.id);
         match self.try_target(target).await {
             Testimony::Refused => {}
-            Testimony::Reached => return self.states_later_start(target).await,
+            Testimony::Reached => {
+                return self.states_later_start(target).await.unwrap_or(false);
+            }
             Testimony::Unknown | Testimony::NoWitness => return false,
         }
         loop {
             time::sleep(RESTART_POLL_INTERVAL).await;
             let is_last = is_checked();
             if self.try_target(target).await == Testimony::Reached {
-                return true;
+                // The end of a partition looks the same unless the target states its start.
+                return self.states_later_start(target).await.unwrap_or(true);
             }
             if is_last {
                 return false;
--- a/godwithinge/src/relay/process.rs
+++ b/godwithinge/src/relay/process.rs
@@ -126,14 +126,17 @@
         try_connection(&target.address).await
     }
 
-    /// Returns whether a target that accepts connections states a later start than its entry.
-    pub(super) async fn states_later_start(&self, target: &Target) -> bool {
+    /// Asks a target that accepts connections whether its start is later than that of its entry; `None`
+    /// if it does not state one.
+    pub(super) async fn states_later_start(&self, target: &Target) -> Option<bool> {
         if self.is_paused(target) {
-            return false;
+            return None;
         }
         match self.ask_target(target).await {
-            Answer::Given(started) => Process::with_start(target, started) == Process::Ended,
-            Answer::Absent | Answer::Broken | Answer::Unreached => false,
+            Answer::Given(Some(started)) => {
+                Some(Process::with_start(target, Some(started)) == Process::Ended)
+            }
+            Answer::Given(None) | Answer::Absent | Answer::Broken | Answer::Unreached => None,
         }
     }
 }
