Send nothing through kept tunnels of a peer that stops

Callers of a partitioned daemon got 502 for requests that it passed on through a peer that was stopping, until that peer ended; requests that may be repeated, since only these use kept connections.

Cause: when a peer says that it leaves, idle connections through it are closed, but one that was in use, or being opened, returned to the pool and was used again for the whole grace period of the peer. The pool now keeps no connection through a host that leaves, or whose link is lost, until it is linked anew.

--- a/godwithinge/src/http/mod.rs
+++ b/godwithinge/src/http/mod.rs
@@ -15,7 +15,7 @@
 use http::{HeaderValue, Request as HttpRequest, header};
 use http_body_util::Full;
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -41,6 +41,8 @@
     connect_timeout: Duration,
     /// Whether connections that another host forwards are kept for reuse.
     keeps_forwarded: Arc<AtomicBool>,
+    /// Hosts whose forwarded connections are not kept for reuse.
+    closed_hosts: Arc<Mutex<HashSet<CompactString>>>,
 }
 
 /// Idle connections under one key, ordered from least to most recently used.
@@ -72,6 +74,7 @@
             idle: Arc::default(),
             connect_timeout,
             keeps_forwarded: Arc::default(),
+            closed_hosts: Arc::default(),
         }
     }
 
@@ -173,8 +176,13 @@
         }
     }
 
-    /// Closes the idle connections that `host` forwards.
+    /// Closes the idle connections that `host` forwards, and keeps none for reuse until
+    /// [`keep_forwarded_by`](Self::keep_forwarded_by) is called.
     pub fn close_forwarded_by(&self, host: &str) {
+        let closed_hosts = self.closed_hosts.lock();
+        let mut closed_hosts = closed_hosts.unwrap_or_else(PoisonError::into_inner);
+        closed_hosts.insert(host.into());
+        drop(closed_hosts);
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for idle in idle.values_mut() {
             let connections = &mut idle.connections;
@@ -197,10 +205,30 @@
         }
     }
 
+    /// Keeps connections that `host` forwards for reuse.
+    pub fn keep_forwarded_by(&self, host: &str) {
+        let closed_hosts = self.closed_hosts.lock();
+        let mut closed_hosts = closed_hosts.unwrap_or_else(PoisonError::into_inner);
+        closed_hosts.remove(host);
+    }
+
+    /// Returns whether connections that are forwarded like this one are not kept.
+    fn is_closed(&self, connection: &Connection) -> bool {
+        let Some(host) = connection.via() else {
+            return false;
+        };
+        let closed_hosts = self.closed_hosts.lock();
+        let closed_hosts = closed_hosts.unwrap_or_else(PoisonError::into_inner);
+        closed_hosts.contains(host)
+    }
+
     fn put(&self, key: &str, mut connection: Connection) {
         if connection.via().is_some() && !self.keeps_forwarded.load(Ordering::Relaxed) {
             return;
         }
+        if self.is_closed(&connection) {
+            return;
+        }
         connection.record_response();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = &mut idle.entry(key.into()).or_default().connections;
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -447,6 +447,7 @@
             leads_since: profile.leads_since,
             profile,
         };
+        self.pool.keep_forwarded_by(&peer.profile.host);
         peers.insert(peer.profile.host.clone(), peer);
         self.metrics.set_links(peers.len());
         Ok((link_id, outgoing))
