Forget the build of a stream whose target registers with another one

What callers saw: a stream that holds events of two software versions (ORDER), in one answer or when its caller took it up. Its engine had been restarted with other software while no daemon had a connection to it, so that nobody saw the end of the former process. The stream began before the later entry was known and was recorded under the former build.

Cause: the build of a stream was recorded with its first event and never reviewed. The later entry came while events were still arriving and changed nothing.

Events that arrive from a target whose later entry names another build may come from its later process. `review_build` compares both with each event, marks the stream as one whose build is not known, and records an empty build in place of the former one, here and at the daemons that keep it. An empty one counts as unknown, also for daemons that it is handed over to; for earlier versions of the daemon no target fits it. If what arrives was sent by the former process shortly before its end, the stream does not go on although it could.

Left open: a stream that is interrupted, or resumed at such an engine, before the later entry is known.

--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -340,6 +340,18 @@
             return;
         }
         let build = self.build.get_or_init(|| target.build.clone());
+        self.record_origin(build);
+    }
+
+    /// Forgets the build at which the stream began if its target, whose events are still arriving, has
+    /// registered with another one since. They may come from the later process.
+    pub(super) fn review_build(&self, target: &Target) {
+        if self.relay.registry().has_other_build(target) && !self.is_build_unknown.replace(true) {
+            self.record_origin(&Build::default());
+        }
+    }
+
+    fn record_origin(&self, build: &Build) {
         if self.route.is_resumable {
             let resumption = self.metadata.resumption.as_ref();
             let stream = resumption.and_then(|resumption| resumption.stream.as_ref());
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -83,6 +83,7 @@
             request.end(Some(source.reader.response().status()), "answered", None);
         } else {
             request.relay.record_activity(&source.target.id);
+            request.review_build(&source.target);
         }
         Ok(next)
     }
--- a/policy/src/relay/origin.rs
+++ b/policy/src/relay/origin.rs
@@ -53,9 +53,11 @@
         streams.filter(|(_, _, age)| *age < KEEP_TIME)
     }
 
-    /// Returns the build at which a stream began, if it is known.
+    /// Returns the build at which a stream began, if it is known. An empty one was recorded in place of
+    /// one that turned out to be wrong.
     pub fn get(&self, stream: &str) -> Option<&Build> {
-        self.builds.get(stream).map(|(build, _)| build)
+        let build = self.builds.get(stream).map(|(build, _)| build);
+        build.filter(|build| !build.is_empty())
     }
 }
 
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -238,8 +238,13 @@
     /// Returns whether what arrives from a target may come from a later process of another build than
     /// the one that `target` describes, as it was when the target was selected.
     pub fn may_be_replaced(&self, target: &Target) -> bool {
+        self.has_ended(target) || self.has_other_build(target)
+    }
+
+    /// Returns whether a target has registered with another build since `target` was selected.
+    pub fn has_other_build(&self, target: &Target) -> bool {
         let known = self.get(&target.id);
-        self.has_ended(target) || known.is_some_and(|known| known.build != target.build)
+        known.is_some_and(|known| known.build != target.build)
     }
 
     /// Returns all targets whose processes seem to have ended.
--- a/policy/tests/origin.rs
+++ b/policy/tests/origin.rs
@@ -79,3 +79,15 @@
     assert!(origins.get("s0").is_none());
     assert!(origins.get("s20000").is_some());
 }
+
+/// A build that turned out to be wrong is replaced by an empty one.
+#[test]
+fn withdrawn_build_is_unknown() {
+    let mut origins = Origins::default();
+    let now = Duration::from_secs(1);
+    origins.insert(now, "s-1".into(), "v1".into());
+    origins.insert(now, "s-1".into(), "".into());
+    assert_eq!(origins.get("s-1"), None);
+    // Whoever keeps it next must not go on with the former build either.
+    assert_eq!(origins.recent(now).count(), 1);
+}
