Ask targets that seem to have ended whether they live

Cause: when all daemons are cut off at once, each is refused by a target's address, and they confirm to each other that its process has ended. Until two of its entries had come, streams that began at it were recorded as of unknown build; the next partition began the wait anew.

Targets that seem to have ended are asked for their reports now, each 250 ms. An answer to a question that was asked after the last evidence, with the start of the entry, refutes it (Registry::record_answer).

--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -1,7 +1,7 @@
 //! Startup of a daemon, and shutdown without losing requests.
 
 use super::{
-    address, builds, conduct, dialect::Table, front, link, quarantine, rate, reach,
+    address, builds, conduct, dialect::Table, front, link, process, quarantine, rate, reach,
     settings::Settings, side, state::Relay, tunnel, watch,
 };
 use policy::relay::shutdown::Timetable;
@@ -93,6 +93,7 @@
         spawn_local(tunnel::listen(Rc::clone(relay), bind(tunnel).await?));
     }
     spawn_local(reach::probe_targets(Rc::clone(relay)));
+    spawn_local(process::review_endings(Rc::clone(relay)));
     spawn_local(address::dial_peers(Rc::clone(relay)));
     let tables = [
         Table::Plan,
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -222,6 +222,11 @@
     tracing::info!(target_id = %target, started, source, "target seems to have ended");
 }
 
+/// Logs that a target that seemed to have ended answered with the start of its entry.
+pub(super) fn target_lives(target: &TargetId, started: UnixMillis) {
+    tracing::info!(target_id = %target, started, "target lives");
+}
+
 /// Logs that a stage target answered a call as it had answered an earlier one on the connection, which
 /// is closed.
 pub(super) fn answer_of_another_call(target: &TargetId, pieces: usize) {
--- a/godwithinge/src/relay/process.rs
+++ b/godwithinge/src/relay/process.rs
@@ -1,11 +1,16 @@
 //! Checks whether the process of a target lives.
 
-use super::{crash::CHECK_DELAY, reach::Testimony, state::Relay};
+use super::{crash::CHECK_DELAY, event, reach::Testimony, state::Relay};
 use crate::http::{Error, Reuse};
 use bytes::Bytes;
+use futures::future;
 use http_body_util::Full;
-use policy::relay::{ending::Process, leader::UnixMillis, registry::Target};
-use std::{cell::Cell, io, time::Duration};
+use policy::relay::{
+    ending::Process,
+    leader::UnixMillis,
+    registry::{Start, Target},
+};
+use std::{cell::Cell, io, rc::Rc, time::Duration};
 use tokio::{net::TcpStream, time};
 
 /// Connect timeout of a check.
@@ -13,6 +18,8 @@
 /// Timeout of a connection and of the answer to a question, which needs no slot of the target. A
 /// connection to a process that ends is closed sooner.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which targets that seem to have ended are asked whether they live.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum size of a report in bytes. It lists the requests that the target executes.
 const MAX_REPORT_BYTES: usize = 64 << 10;
 
@@ -29,7 +36,43 @@
     Unreached,
 }
 
+/// Asks targets that seem to have ended whether they live; never returns. A partition of all daemons looks
+/// like the end of a process to each of them.
+pub(super) async fn review_endings(relay: Rc<Relay>) {
+    loop {
+        time::sleep(REVIEW_INTERVAL).await;
+        let targets: Vec<Target> = {
+            let registry = relay.registry();
+            let ended = registry.endings();
+            let ended = ended.filter_map(|ending| registry.get(&ending.target));
+            ended
+                .filter(|target| registry.has_ended(target))
+                .cloned()
+                .collect()
+        };
+        future::join_all(targets.iter().map(|target| relay.review_ending(target))).await;
+    }
+}
+
 impl Relay {
+    async fn review_ending(&self, target: &Target) {
+        let asked = self.now();
+        if self.is_paused(target) {
+            return;
+        }
+        let Answer::Given(Some(started_unix_ms)) = self.ask_target(target).await else {
+            return;
+        };
+        let start = Start {
+            target: target.id.clone(),
+            started_unix_ms,
+        };
+        let is_refuted = self.registry_mut().record_answer(asked, &start);
+        if is_refuted {
+            event::target_lives(&target.id, started_unix_ms);
+        }
+    }
+
     /// Checks whether the process of a target outlives the end of a connection to it, from the moment
     /// of that end on.
     ///
--- a/policy/src/relay/ending.rs
+++ b/policy/src/relay/ending.rs
@@ -118,6 +118,19 @@
         }
     }
 
+    /// Records that a target has answered a question with its start, over a connection that was opened at
+    /// `asked` or later. Returns whether it had seemed to have ended.
+    pub fn record_answer(&mut self, asked: Time, start: &Start) -> bool {
+        let known = self.0.get(&start.target);
+        let is_refuted = known.is_some_and(|known| {
+            known.started == start.started_unix_ms && known.recorded_at <= asked
+        });
+        if is_refuted {
+            self.0.remove(&start.target);
+        }
+        is_refuted
+    }
+
     /// Drops endings recorded long ago of targets for which `has_entry` is false.
     pub fn expire(&mut self, now: Time, has_entry: impl Fn(&TargetId) -> bool) {
         self.0
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -315,6 +315,12 @@
         self.endings.record(now, ending)
     }
 
+    /// Records that a target has answered a question with its start, over a connection that was opened at
+    /// `asked` or later. Returns whether it had seemed to have ended.
+    pub fn record_answer(&mut self, asked: Time, start: &Start) -> bool {
+        self.endings.record_answer(asked, start)
+    }
+
     /// Returns whether the process that a target's entry describes seems to have ended.
     pub fn has_ended(&self, target: &Target) -> bool {
         self.endings.contains(target)
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -323,6 +323,26 @@
     assert!(has_ready_target(&registry), "it still takes new requests");
 }
 
+/// Only an answer to a question that was asked later shows that the process lives.
+#[rstest]
+#[case::same_start(5, PERIOD, false)]
+#[case::asked_before(5, Time::ZERO, true)]
+#[case::later_start(6, PERIOD, true)]
+#[case::earlier_start(4, PERIOD, true)]
+fn ending_is_refuted_by_an_answer(
+    #[case] started: u64,
+    #[case] asked_after: Time,
+    #[case] has_ended: bool,
+) {
+    let mut registry = Registry::default();
+    registry.upsert(NOW, entry(1, 5, 7, true));
+    registry.record_ending(NOW + PERIOD / 2, &start(5));
+    let is_refuted = registry.record_answer(NOW + asked_after, &start(started));
+    assert_eq!(is_refuted, !has_ended);
+    let target = registry.get("i-1").expect("target is registered");
+    assert_eq!(registry.has_ended(target), has_ended);
+}
+
 /// What a peer tells of an earlier start does not concern the present one.
 #[test]
 fn ending_of_an_earlier_start_is_ignored() {
