--- a/godwithinge/src/relay/process.rs
+++ b/godwithinge/src/relay/process.rs
@@ -18,8 +18,10 @@
 /// Timeout of a connection and of the answer to a question, which needs no slot of the target. A
 /// connection to a process that ends is closed sooner.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Interval at which targets that seem to have ended are asked whether they live.
+/// Minimum interval at which a daemon asks targets that seem to have ended whether they live.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which all daemons together ask one of them.
+const FLEET_REVIEW_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum size of a report in bytes. It lists the requests that the target executes.
 const MAX_REPORT_BYTES: usize = 64 << 10;
 
@@ -40,7 +42,8 @@
 /// like the end of a process to each of them.
 pub(super) async fn review_endings(relay: Rc<Relay>) {
     loop {
-        time::sleep(REVIEW_INTERVAL).await;
+        let daemons = relay.links.count() as u32 + 1;
+        time::sleep(REVIEW_INTERVAL.max(FLEET_REVIEW_INTERVAL * daemons)).await;
         let targets: Vec<Target> = {
             let registry = relay.registry();
             let ended = registry.endings();
