Log panics of tasks, and the time in the scheduler

The runtime catches the panic of a task, which ended without a line in the log: a leader whose scheduler has lost its poll loop looked like one whose stages were slow. And nothing told how much of a core the scheduler takes. A panic is an error line with its backtrace and a counter; the lines of the queues and a counter state the scheduler's time.

--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -113,6 +113,8 @@
     next_number: Cell<u64>,
     /// When this daemon became the leader; absent if it is not.
     leads_since: Cell<Option<UnixMillis>>,
+    /// Time in which the scheduler ran since the queues were last logged.
+    scheduler_time: Cell<Duration>,
 }
 
 impl SubmittedJob {
@@ -133,6 +135,7 @@
             scheduler: RefCell::new(Scheduler::new()),
             submitted: RefCell::default(),
             next_number: Cell::new(0),
+            scheduler_time: Cell::default(),
         }
     }
 
@@ -170,12 +173,13 @@
 
     /// Logs the state of the queues if there are unfinished jobs.
     fn log_queues(&self, relay: &Relay) {
+        let scheduler_time = self.scheduler_time.take();
         let scheduler = self.scheduler.borrow();
         if scheduler.unfinished_jobs() == 0 {
             return;
         }
         for stats in scheduler.pool_stats(relay.now()) {
-            event::pool_stats(&stats, scheduler.unfinished_jobs());
+            event::pool_stats(&stats, scheduler.unfinished_jobs(), scheduler_time);
         }
     }
 
@@ -186,7 +190,12 @@
         act: impl FnOnce(&mut Scheduler, Duration, &mut Vec<Command>),
     ) {
         let mut commands = Vec::new();
+        let started = Instant::now();
         act(&mut self.scheduler.borrow_mut(), relay.now(), &mut commands);
+        let taken = started.elapsed();
+        self.scheduler_time.set(self.scheduler_time.get() + taken);
+        let seconds = &relay.metrics.scheduler_seconds;
+        seconds.inc_by(taken.as_secs_f64());
         for command in commands {
             relay.execute(command);
         }
--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -2,7 +2,7 @@
 
 use super::{
     address, builds, conduct, dialect::Table, front, link, process, quarantine, rate, reach,
-    settings::Settings, side, state::Relay, tunnel, watch,
+    settings::Settings, side, state::Relay, task, tunnel, watch,
 };
 use policy::relay::shutdown::Timetable;
 use std::{
@@ -42,6 +42,7 @@
 /// Returns an error if the runtime or a signal handler can't be set up, or if an address can't be
 /// bound.
 pub fn run(relay: Relay, reload: Reload) -> Result<(), Error> {
+    task::report_panics(relay.metrics.panics.clone());
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
     Ok(local.block_on(&runtime, serve(Rc::new(relay), reload))?)
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -361,7 +361,7 @@
 }
 
 /// Logs the state of one pool of the leader's scheduler.
-pub(super) fn pool_stats(stats: &PoolStats, jobs: usize) {
+pub(super) fn pool_stats(stats: &PoolStats, jobs: usize, scheduler_time: Duration) {
     tracing::info!(
         pool = %stats.pool,
         waiting = stats.waiting,
@@ -372,6 +372,7 @@
         room_bytes = stats.room,
         usual_ms = millis(stats.call_time),
         jobs,
+        scheduler_ms = millis(scheduler_time),
         "stage queue"
     );
 }
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -2,8 +2,8 @@
 
 use super::frame::Frame;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, core::Collector,
+    Counter, Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder, core::Collector,
 };
 use strum::IntoStaticStr;
 
@@ -68,6 +68,10 @@
     pub stage_calls: IntCounterVec,
     /// Pieces in calls to stage targets.
     pub pieces: IntCounter,
+    /// Time in which the scheduler ran, in seconds. Other tasks of the daemon wait meanwhile.
+    pub scheduler_seconds: Counter,
+    /// Panics of tasks.
+    pub panics: IntCounter,
     /// Reads of the store by table and result.
     pub store_calls: IntCounterVec,
     /// Streams that callers take up, by the source of their build.
@@ -96,21 +100,16 @@
     pub fn new() -> Self {
         let registry = Registry::new();
         let counter = |name: &str, help: &str, labels: &[&str]| {
-            let opts = Opts::new(name, help).namespace("gwi_relay");
-            register(&registry, IntCounterVec::new(opts, labels))
+            register(&registry, IntCounterVec::new(opts(name, help), labels))
         };
         let histogram = |name: &str, help: &str, label: &str| {
             let opts = HistogramOpts::new(name, help).namespace("gwi_relay");
             let opts = opts.buckets(TIME_BUCKETS.to_vec());
             register(&registry, HistogramVec::new(opts, &[label]))
         };
-        let gauge = |name: &str, help: &str| {
-            let opts = Opts::new(name, help).namespace("gwi_relay");
-            register(&registry, IntGauge::with_opts(opts))
-        };
-        let pieces = Opts::new("pieces_total", "Pieces in calls to stage targets");
-        let pieces = IntCounter::with_opts(pieces.namespace("gwi_relay"));
-        let pieces = register(&registry, pieces);
+        let gauge = |name, help| register(&registry, IntGauge::with_opts(opts(name, help)));
+        let total = |name, help| register(&registry, IntCounter::with_opts(opts(name, help)));
+        let seconds = |name, help| register(&registry, Counter::with_opts(opts(name, help)));
         Self {
             requests: counter("requests_total", "Requests", &["kind", "status", "reason"]),
             first_byte_seconds: histogram("first_byte_seconds", "Time to the first byte", "kind"),
@@ -154,7 +153,9 @@
             ),
             silences: counter("silences_total", "Silences of targets", &["next"]),
             stage_calls: counter("calls_total", "Calls to stage targets", &["pool", "result"]),
-            pieces,
+            pieces: total("pieces_total", "Pieces in calls to stage targets"),
+            scheduler_seconds: seconds("scheduler_seconds_total", "Time in the scheduler"),
+            panics: total("panics_total", "Panics of tasks"),
             store_calls: counter(
                 "store_calls_total",
                 "Calls of the store",
@@ -254,6 +255,10 @@
     }
 }
 
+fn opts(name: &str, help: &str) -> Opts {
+    Opts::new(name, help).namespace("gwi_relay")
+}
+
 /// Adds a new metric to a registry and returns it.
 ///
 /// # Panics
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -40,6 +40,7 @@
 mod state;
 mod store;
 mod stream;
+mod task;
 mod transport;
 mod tunnel;
 mod watch;
