Compare idle stage targets with the median, so that the scheduler does not panic

The choice among idle targets compared each two by the ratio of their slowdowns, and by memory if neither was a fifth slower. That is no order: a can equal b and b equal c although a precedes c. The standard library's sort panics on such a comparison from 21 elements on, so that sites with fewer targets in a pool never saw it. The runtime catches the panic, which ends the task: the poll loop of the leader, which then reviews no queue and no leadership any more but still leads, the link over which a job came, or the call whose reply it was.

Targets are now sorted by a key: whether they are a fifth slower than the pool's median, then the most memory.

--- a/policy/src/relay/scheduler/call.rs
+++ b/policy/src/relay/scheduler/call.rs
@@ -7,10 +7,14 @@
 
 use super::{JobId, PoolState, Scheduler};
 use crate::{id::Time, relay::plan};
+use std::cmp::Reverse;
 
 /// Slowdown relative to the fastest target of the pool above which a target counts as slow.
 pub(super) const SLOW_FACTOR: f64 = 2.0; // targets of one pool differ by about 25%
 
+/// Slowdown relative to the median of the pool above which faster targets are preferred.
+const SLUGGISH_FACTOR: f64 = 1.2; // targets of one pool differ by about 25%
+
 /// Identifies a piece by job, stage and index within the stage.
 pub(super) type PieceRef = (JobId, usize, usize);
 
@@ -30,21 +34,12 @@
         limits: &plan::BatchLimits,
         order: &[(JobId, usize)],
     ) -> Option<(usize, Vec<PieceRef>)> {
-        let mut idle: Vec<usize> = (0..pool_state.targets.len())
-            .filter(|&index| pool_state.targets[index].is_idle(now))
-            .collect();
-        idle.sort_by(|&a, &b| {
-            let (a, b) = (&pool_state.targets[a], &pool_state.targets[b]);
-            let by_room = b.room(limits).cmp(&a.room(limits));
-            (a.slowdown > b.slowdown * 1.2)
-                .cmp(&(b.slowdown > a.slowdown * 1.2))
-                .then(by_room)
-        });
         let min_slowdown = pool_state
             .targets
             .iter()
             .map(|stage_target| stage_target.slowdown);
         let min_slowdown = min_slowdown.fold(f64::INFINITY, f64::min);
+        let idle = idle_by_preference(now, pool_state, limits);
         let home_waits = self.home_waits(now, pool_state, limits, order);
         for index in idle {
             let stage_target = &pool_state.targets[index];
@@ -148,3 +143,32 @@
         }
     }
 }
+
+/// Returns the indices of a pool's idle targets, those with the most memory for results first, and
+/// sluggish ones last.
+///
+/// A target is sluggish compared with the median, not with each other target, which would be no order:
+/// of three targets, the first may be as fast as the second, and the second as the third, although the
+/// third is sluggish compared with the first.
+fn idle_by_preference(now: Time, pool_state: &PoolState, limits: &plan::BatchLimits) -> Vec<usize> {
+    let max_slowdown = median_slowdown(pool_state) * SLUGGISH_FACTOR;
+    let targets = pool_state.targets.iter().enumerate();
+    let idle = targets.filter(|(_, stage_target)| stage_target.is_idle(now));
+    let mut idle: Vec<usize> = idle.map(|(index, _)| index).collect();
+    idle.sort_by_cached_key(|&index| {
+        let stage_target = &pool_state.targets[index];
+        let is_sluggish = stage_target.slowdown > max_slowdown;
+        (is_sluggish, Reverse(stage_target.room(limits)))
+    });
+    idle
+}
+
+fn median_slowdown(pool_state: &PoolState) -> f64 {
+    let targets = pool_state.targets.iter();
+    let mut slowdowns: Vec<f64> = targets.map(|target| target.slowdown).collect();
+    let middle = slowdowns.len() / 2;
+    if slowdowns.is_empty() {
+        return 1.0;
+    }
+    *slowdowns.select_nth_unstable_by(middle, f64::total_cmp).1
+}
