Spend less time in the scheduler on each call

A queue is sorted once for the calls of one event, the stages that a call may carry are listed once for all idle targets, and the sums are kept.

--- a/policy/src/relay/scheduler/call.rs
+++ b/policy/src/relay/scheduler/call.rs
@@ -5,7 +5,7 @@
 //! their home domain for an idle target when their home targets stay busy, and are not split when
 //! the parts would hold memory for one another.
 
-use super::{JobId, PoolState, Scheduler};
+use super::{JobId, PoolState, Scheduler, job::RunningJob};
 use crate::{id::Time, relay::plan};
 use std::cmp::Reverse;
 
@@ -18,6 +18,19 @@
 /// Identifies a piece by job, stage and index within the stage.
 pub(super) type PieceRef = (JobId, usize, usize);
 
+/// A queued stage that a call may carry.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    running: &'a RunningJob,
+    stage: usize,
+    /// Number of pieces to be sent.
+    waiting: usize,
+    /// Whether it does not wait for a target in its home domain.
+    leaves_home: bool,
+    /// Whether it transfers little data when it runs in another domain.
+    reads_little: bool,
+}
+
 /// Whether a call may take only part of a stage's pieces.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Split {
@@ -40,7 +53,10 @@
             .map(|stage_target| stage_target.slowdown);
         let min_slowdown = min_slowdown.fold(f64::INFINITY, f64::min);
         let idle = idle_by_preference(now, pool_state, limits);
-        let home_waits = self.home_waits(now, pool_state, limits, order);
+        if idle.is_empty() {
+            return None;
+        }
+        let candidates = self.candidates(now, pool_state, limits, order);
         for index in idle {
             let stage_target = &pool_state.targets[index];
             if stage_target.slowdown > min_slowdown * SLOW_FACTOR
@@ -50,20 +66,17 @@
             }
             let mut room = stage_target.room(limits);
             let mut chosen = Vec::with_capacity(limits.max_pieces);
-            let (own, others): (Vec<_>, Vec<_>) = order.iter().copied().partition(|(job, _)| {
-                let running = self.jobs.get(job);
-                running.is_some_and(|running| running.home_domain == stage_target.domain)
-            });
             let batch = limits.max_pieces;
-            self.add_pieces(&own, batch, &mut room, Split::Allowed, &mut chosen);
+            let is_own =
+                |candidate: &Candidate<'_>| candidate.running.home_domain == stage_target.domain;
+            let own = candidates.iter().filter(|candidate| is_own(candidate));
+            add_pieces(&own, batch, &mut room, Split::Allowed, &mut chosen);
             let is_empty = chosen.is_empty();
-            let others = others.into_iter().filter(|entry| {
-                let leaves_home = self.leaves_home(*entry, home_waits.get(entry).copied());
+            let others = candidates.iter().filter(|candidate| {
                 // A call that is sent anyway takes only stages that would wait long at home.
-                leaves_home || is_empty && self.reads_little(*entry)
+                !is_own(candidate) && (candidate.leaves_home || is_empty && candidate.reads_little)
             });
-            let others: Vec<(JobId, usize)> = others.collect();
-            self.add_pieces(&others, batch, &mut room, Split::Refused, &mut chosen);
+            add_pieces(&others, batch, &mut room, Split::Refused, &mut chosen);
             if !chosen.is_empty() {
                 return Some((index, chosen));
             }
@@ -71,6 +84,36 @@
         None
     }
 
+    /// Returns the queued stages of a pool that have their inputs, in order.
+    fn candidates(
+        &self,
+        now: Time,
+        pool_state: &PoolState,
+        limits: &plan::BatchLimits,
+        order: &[(JobId, usize)],
+    ) -> Vec<Candidate<'_>> {
+        let mut homes = self.home_targets(now, pool_state);
+        let candidates = order.iter().filter_map(|&(id, stage)| {
+            let running = self.jobs.get(&id)?;
+            let waiting = running.stages[stage].waiting().count();
+            let mut homes = homes.iter_mut();
+            let home = homes.find(|home| *home.domain == running.home_domain);
+            let home_wait = home.map(|home| home.queue(now, waiting, limits));
+            // Inputs may have been lost, and pieces sent, since the queue was sorted.
+            if waiting == 0 || !running.has_inputs(stage) {
+                return None;
+            }
+            Some(Candidate {
+                running,
+                stage,
+                waiting,
+                leaves_home: self.leaves_home(running, stage, home_wait),
+                reads_little: running.reads_little(stage),
+            })
+        });
+        candidates.collect()
+    }
+
     /// Returns whether a slow target would complete a call before the other targets would have
     /// drained the queue.
     fn is_worth_calling(
@@ -83,62 +126,54 @@
             self.count_waiting(pool_state) as f64 / pool_state.rate(limits, SLOW_FACTOR);
         drain_seconds > limits.full_call_time().as_secs_f64() * (slowdown - 1.0)
     }
+}
 
-    /// Adds whole stages in order while they fit, then, if splitting is allowed, fills the
-    /// remaining capacity with parts of stages.
-    fn add_pieces(
-        &self,
-        order: &[(JobId, usize)],
-        batch: usize,
-        room: &mut u64,
-        split: Split,
-        chosen: &mut Vec<PieceRef>,
-    ) {
-        // A large result that does not fit yet blocks large results of less urgent stages, which
-        // would otherwise take the memory it waits for.
-        let mut is_blocked = false;
-        let passes: &[bool] = match split {
-            Split::Allowed => &[true, false],
-            Split::Refused => &[true],
-        };
-        for &whole_only in passes {
-            for &(job, stage) in order {
-                if chosen.len() >= batch {
-                    return;
-                }
-                let Some(running) = self.jobs.get(&job) else {
-                    continue;
-                };
-                let bytes = running.job.stages[stage].bytes;
-                let is_held_back = is_blocked && bytes >= super::LARGE_RESULT_BYTES;
-                // Inputs may have been lost since the queue was sorted.
-                if is_held_back || !running.has_inputs(stage) {
-                    continue;
-                }
-                let fits = (batch - chosen.len()).min((*room / bytes.max(1)) as usize);
-                if fits == 0 {
-                    is_blocked |= bytes >= super::LARGE_RESULT_BYTES;
-                    continue;
-                }
-                let waiting = running.stages[stage].waiting();
-                let waiting: Vec<usize> = waiting
-                    .filter(|&piece| !chosen.contains(&(job, stage, piece)))
-                    .collect();
-                let is_split = fits < waiting.len();
-                // Results of part of a stage hold memory until the rest is done, so a stage is split
-                // only to fill a call, and not if its results are large or memory is short.
-                let has_room = *room / bytes.max(1) >= waiting.len() as u64;
-                let may_split =
-                    (has_room && bytes < super::LARGE_RESULT_BYTES) || waiting.len() > batch / 2;
-                if is_split && (whole_only || !may_split) {
-                    is_blocked |= bytes >= super::LARGE_RESULT_BYTES && !may_split;
-                    continue;
-                }
-                let taken = waiting.into_iter().take(fits);
-                for piece in taken {
-                    *room -= bytes;
-                    chosen.push((job, stage, piece));
-                }
+/// Adds whole stages in order while they fit, then, if splitting is allowed, fills the remaining capacity
+/// with parts of stages.
+fn add_pieces<'a>(
+    candidates: &(impl Iterator<Item = &'a Candidate<'a>> + Clone),
+    batch: usize,
+    room: &mut u64,
+    split: Split,
+    chosen: &mut Vec<PieceRef>,
+) {
+    // A large result that does not fit yet blocks large results of less urgent stages, which
+    // would otherwise take the memory it waits for.
+    let mut is_blocked = false;
+    let passes: &[bool] = match split {
+        Split::Allowed => &[true, false],
+        Split::Refused => &[true],
+    };
+    for &whole_only in passes {
+        for candidate in candidates.clone() {
+            if chosen.len() >= batch {
+                return;
+            }
+            let (id, stage) = (candidate.running.job.id, candidate.stage);
+            let bytes = candidate.running.job.stages[stage].bytes;
+            let is_large = bytes >= super::LARGE_RESULT_BYTES;
+            let is_chosen = chosen.iter().any(|&(job, of, _)| (job, of) == (id, stage));
+            if is_blocked && is_large || is_chosen {
+                continue;
+            }
+            let room_pieces = *room / bytes.max(1);
+            let fits = (batch - chosen.len()).min(room_pieces as usize);
+            if fits == 0 {
+                is_blocked |= is_large;
+                continue;
+            }
+            let waiting = candidate.waiting;
+            // Results of part of a stage hold memory until the rest is done, so a stage is split
+            // only to fill a call, and not if its results are large or memory is short.
+            let has_room = room_pieces >= waiting as u64;
+            let may_split = (has_room && !is_large) || waiting > batch / 2;
+            if fits < waiting && (whole_only || !may_split) {
+                is_blocked |= is_large && !may_split;
+                continue;
+            }
+            for piece in candidate.running.stages[stage].waiting().take(fits) {
+                *room -= bytes;
+                chosen.push((id, stage, piece));
             }
         }
     }
--- a/policy/src/relay/scheduler/dispatch.rs
+++ b/policy/src/relay/scheduler/dispatch.rs
@@ -5,6 +5,7 @@
     Refusal, Scheduler, Source,
     call::PieceRef,
     job::{Job, RunningJob},
+    pool::MAX_DRAIN_SECONDS,
 };
 use crate::{
     id::{PoolId, Time},
@@ -34,8 +35,14 @@
 
 /// Sort key of a queue: class (0 on time, 1 late), priority within the class, and due time.
 type Precedence = (u8, u8, Time);
-/// Queued stages of a pool in order, each with the cumulative number of pieces up to it.
-type Queue = Vec<(Precedence, usize)>;
+/// Queued stages of a pool in order.
+#[derive(Clone, Debug)]
+struct Queue {
+    /// Each stage with the cumulative number of pieces up to it.
+    stages: Vec<(Precedence, usize)>,
+    /// Estimated time to process one piece in full calls.
+    seconds_per_piece: f64,
+}
 
 impl Scheduler {
     /// Requeues the pieces of overdue calls, so that another target can compute them.
@@ -175,40 +182,17 @@
 
     /// Sends calls to the idle targets of a pool until none is idle or nothing suitable is queued.
     pub(super) fn dispatch(&mut self, now: Time, pool: &PoolId, out: &mut Vec<Command>) {
-        loop {
-            let Some(pool_state) = self.pools.get(pool) else {
-                return;
-            };
-            let Some(limits) = pool_state.limits else {
-                return;
-            };
-            if pool_state.waiting.is_empty()
-                || !pool_state
-                    .targets
-                    .iter()
-                    .any(|stage_target| stage_target.is_idle(now))
-            {
-                return;
-            }
-            let is_long = pool_state.waiting.len() >= LONG_QUEUE;
-            let is_stale = pool_state
-                .sorted_front
-                .as_ref()
-                .is_none_or(|(at, _)| now >= *at + FRONT_TTL);
-            if !is_long || is_stale {
-                let mut order = self.sorted_queue(now, pool_state);
-                order.truncate(MAX_FRONT_STAGES);
-                if let Some(pool_state) = self.pools.get_mut(pool) {
-                    pool_state.sorted_front = Some((now, order));
-                }
-            }
-            let Some(pool_state) = self.pools.get(pool) else {
-                return;
-            };
-            let order = pool_state
-                .sorted_front
-                .as_ref()
-                .map_or(&[][..], |(_, order)| order);
+        let pool_state = self.pools.get(pool);
+        let pool_state = pool_state.filter(|pool_state| pool_state.has_work(now));
+        let Some(limits) = pool_state.and_then(|pool_state| pool_state.limits) else {
+            return;
+        };
+        self.sort_front(now, pool);
+        while let Some(pool_state) = self.pools.get(pool)
+            && pool_state.has_work(now)
+        {
+            let front = pool_state.sorted_front.as_ref();
+            let order = front.map_or(&[][..], |(_, order)| order);
             let Some((stage_target, chosen)) = self.build_call(now, pool_state, &limits, order)
             else {
                 return;
@@ -217,6 +201,23 @@
         }
     }
 
+    /// Sorts the most urgent stages of a pool's queue. The front of a long queue is reused for a while.
+    fn sort_front(&mut self, now: Time, pool: &PoolId) {
+        let Some(pool_state) = self.pools.get(pool) else {
+            return;
+        };
+        let is_long = pool_state.waiting.len() >= LONG_QUEUE;
+        let front = pool_state.sorted_front.as_ref();
+        if is_long && front.is_some_and(|(at, _)| now < *at + FRONT_TTL) {
+            return;
+        }
+        let mut order = self.sorted_queue(now, pool_state);
+        order.truncate(MAX_FRONT_STAGES);
+        if let Some(pool_state) = self.pools.get_mut(pool) {
+            pool_state.sorted_front = Some((now, order));
+        }
+    }
+
     /// Returns the queued stages of a pool that may run now, the most urgent first.
     fn sorted_queue(&self, now: Time, pool_state: &PoolState) -> Vec<(JobId, usize)> {
         let mut queues = HashMap::new();
@@ -273,9 +274,12 @@
             };
             let queue = queues.entry(pool.clone());
             let queue = queue.or_insert_with(|| self.cumulative_queue(now, pool_state));
-            let before = queue.partition_point(|(other, _)| *other < precedence);
-            let ahead = before.checked_sub(1).map_or(0, |last| queue[last].1);
-            pool_state.drain_time_for(ahead)
+            let before = queue
+                .stages
+                .partition_point(|(other, _)| *other < precedence);
+            let ahead = before.checked_sub(1).map_or(0, |last| queue.stages[last].1);
+            let seconds = ahead as f64 * queue.seconds_per_piece;
+            Duration::from_secs_f64(seconds.min(MAX_DRAIN_SECONDS))
         };
         let own = self.expected_call_time(&running.job.stages[stage].pool);
         let max_idle = own.mul_f64(MAX_IDLE_CALLS);
@@ -301,14 +305,17 @@
                 running.stages[stage].waiting().count(),
             ))
         });
-        let mut queue: Queue = waiting.collect();
-        queue.sort();
+        let mut stages: Vec<(Precedence, usize)> = waiting.collect();
+        stages.sort();
         let mut sum = 0;
-        for (_, pieces) in &mut queue {
+        for (_, pieces) in &mut stages {
             sum += *pieces;
             *pieces = sum;
         }
-        queue
+        Queue {
+            stages,
+            seconds_per_piece: pool_state.seconds_per_piece(),
+        }
     }
 
     /// Recomputes the expected remaining time of a job and its margin.
@@ -370,14 +377,16 @@
         self.next_call += 1;
         let jobs = &mut self.jobs;
         let pool_state = self.pools.get_mut(pool).expect("dispatched pool exists");
-        pool_state.waiting.retain(|&(job, stage)| {
+        let mut called: Vec<(JobId, usize)> =
+            chosen.iter().map(|&(job, stage, _)| (job, stage)).collect();
+        called.sort();
+        pool_state.waiting.retain(|entry| {
+            let (job, stage) = *entry;
+            if called.binary_search(entry).is_err() {
+                return true;
+            }
             let running = jobs.get_mut(&job);
-            running.is_some_and(|running| {
-                let stage = &mut running.stages[stage];
-                let is_queued = stage.waiting().next().is_some();
-                stage.is_queued = is_queued;
-                is_queued
-            })
+            running.is_some_and(|running| running.stages[stage].review_queued())
         });
         let stage_target = &mut pool_state.targets[index];
         stage_target.call = Some(id);
--- a/policy/src/relay/scheduler/job.rs
+++ b/policy/src/relay/scheduler/job.rs
@@ -110,6 +110,13 @@
         self.pieces.iter().all(|piece| piece.result.is_some())
     }
 
+    /// Sets whether a stage in a queue has pieces to be sent, and returns it.
+    pub fn review_queued(&mut self) -> bool {
+        let is_queued = self.waiting().next().is_some();
+        self.is_queued = is_queued;
+        is_queued
+    }
+
     pub fn waiting(&self) -> impl Iterator<Item = usize> {
         let pieces = self.pieces.iter().enumerate();
         pieces.filter_map(|(index, piece)| piece.is_waiting().then_some(index))
--- a/policy/src/relay/scheduler/locality.rs
+++ b/policy/src/relay/scheduler/locality.rs
@@ -6,7 +6,7 @@
 //! that transfers little data, or if the targets of the home domain stay busy for most of a call.
 
 use super::{
-    JobId, LARGE_RESULT_BYTES, Scheduler,
+    LARGE_RESULT_BYTES, Scheduler,
     job::{Job, RunningJob},
     pool::PoolState,
 };
@@ -27,6 +27,15 @@
 /// Cost in seconds of a pool that has no targets in a domain.
 const NO_TARGET_COST: f64 = 1.0; // each of its stages crosses domains
 
+/// A pool's targets in one domain, and the pieces that wait for them.
+#[derive(Clone, Debug)]
+pub(super) struct Home<'a> {
+    pub domain: &'a DomainId,
+    /// When each target is expected to be idle, in order.
+    idle_times: Vec<Time>,
+    pieces_ahead: usize,
+}
+
 impl Scheduler {
     /// Returns the domain with the shortest queues in the job's pools, favouring its preferred
     /// domain. Ties go to the domain that sorts first.
@@ -99,55 +108,37 @@
         }
     }
 
-    /// Returns for the queued stages of a pool, in order, how long each would wait for a target in
-    /// its home domain. A stage whose home domain has no target in the pool is left out.
-    pub(super) fn home_waits(
-        &self,
-        now: Time,
-        pool_state: &PoolState,
-        limits: &plan::BatchLimits,
-        order: &[(JobId, usize)],
-    ) -> HashMap<(JobId, usize), Duration> {
-        let mut idle_times: HashMap<&DomainId, Vec<Time>> = HashMap::new();
+    /// Returns the targets of a pool by domain.
+    pub(super) fn home_targets<'a>(&self, now: Time, pool_state: &'a PoolState) -> Vec<Home<'a>> {
+        let mut homes: Vec<Home<'a>> = Vec::new();
         for stage_target in &pool_state.targets {
             let call = stage_target.call.and_then(|call| self.calls.get(&call));
             let call_end = call.map_or(now, |call| call.started + call.expected);
             let idle_at = call_end.max(stage_target.paused_until).max(now);
-            let domain = idle_times.entry(&stage_target.domain).or_default();
-            domain.push(idle_at);
-        }
-        for times in idle_times.values_mut() {
-            times.sort();
+            let mut known = homes.iter_mut();
+            match known.find(|home| *home.domain == stage_target.domain) {
+                Some(home) => home.idle_times.push(idle_at),
+                None => homes.push(Home {
+                    domain: &stage_target.domain,
+                    idle_times: vec![idle_at],
+                    pieces_ahead: 0,
+                }),
+            }
         }
-        let mut pieces_ahead: HashMap<&DomainId, usize> = HashMap::new();
-        let mut waits = HashMap::new();
-        for &(job, stage) in order {
-            let Some(running) = self.jobs.get(&job) else {
-                continue;
-            };
-            let Some(times) = idle_times.get(&running.home_domain) else {
-                continue;
-            };
-            let ahead = pieces_ahead.entry(&running.home_domain).or_default();
-            let calls = *ahead / limits.max_pieces.max(1);
-            *ahead += running.stages[stage].waiting().count();
-            let rounds = (calls / times.len()) as u32;
-            let idle_at = times[calls % times.len()] + limits.full_call_time() * rounds;
-            waits.insert((job, stage), idle_at.saturating_sub(now));
+        for home in &mut homes {
+            home.idle_times.sort();
         }
-        waits
+        homes
     }
 
     /// Returns whether a stage does not wait for a target in its home domain. `home_wait` is absent
     /// if that domain has none.
     pub(super) fn leaves_home(
         &self,
-        (job, stage): (JobId, usize),
+        running: &RunningJob,
+        stage: usize,
         home_wait: Option<Duration>,
     ) -> bool {
-        let Some(running) = self.jobs.get(&job) else {
-            return false;
-        };
         let spec = &running.job.stages[stage];
         let fraction = if spec.bytes >= LARGE_RESULT_BYTES {
             MAX_HOME_WAIT_LARGE
@@ -157,13 +148,29 @@
         let limit = self.expected_call_time(&spec.pool).mul_f64(fraction);
         home_wait.is_none_or(|wait| wait > limit)
     }
+}
+
+impl Home<'_> {
+    /// Queues the pieces of a stage behind those queued so far, and returns how long they wait for a
+    /// target.
+    pub(super) fn queue(
+        &mut self,
+        now: Time,
+        pieces: usize,
+        limits: &plan::BatchLimits,
+    ) -> Duration {
+        let calls = self.pieces_ahead / limits.max_pieces.max(1);
+        self.pieces_ahead += pieces;
+        let rounds = (calls / self.idle_times.len()) as u32;
+        let idle_at = self.idle_times[calls % self.idle_times.len()];
+        (idle_at + limits.full_call_time() * rounds).saturating_sub(now)
+    }
+}
 
+impl RunningJob {
     /// Returns whether running a stage outside of its home domain transfers little data.
-    pub(super) fn reads_little(&self, (job, stage): (JobId, usize)) -> bool {
-        let running = self.jobs.get(&job);
-        running.is_some_and(|running| {
-            running.job.stages[stage].bytes < LARGE_RESULT_BYTES
-                && running.read_bytes(stage) <= MAX_REMOTE_READ_BYTES
-        })
+    pub(super) fn reads_little(&self, stage: usize) -> bool {
+        self.job.stages[stage].bytes < LARGE_RESULT_BYTES
+            && self.read_bytes(stage) <= MAX_REMOTE_READ_BYTES
     }
 }
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -221,6 +221,7 @@
         if now >= self.last_review + dispatch::REVIEW_PERIOD {
             self.last_review = now;
             self.review_call_times(now);
+            self.prune_queues();
             self.discard_expired_results(now);
             self.refuse_late(now, out);
             self.refuse_backlogged(now, out);
@@ -422,6 +423,17 @@
         }
     }
 
+    /// Removes the stages from the queues whose pieces were computed meanwhile.
+    fn prune_queues(&mut self) {
+        let jobs = &mut self.jobs;
+        for pool_state in self.pools.values_mut() {
+            pool_state.waiting.retain(|(job, stage)| {
+                let running = jobs.get_mut(job);
+                running.is_some_and(|running| running.stages[*stage].review_queued())
+            });
+        }
+    }
+
     fn queue_job(&mut self, id: JobId) {
         let Some(running) = self.jobs.get_mut(&id) else {
             return;
--- a/policy/src/relay/scheduler/pool.rs
+++ b/policy/src/relay/scheduler/pool.rs
@@ -42,6 +42,12 @@
             .find(|stage_target| stage_target.id == *target)
     }
 
+    /// Returns whether stages are queued and a target is idle.
+    pub fn has_work(&self, now: Time) -> bool {
+        let mut targets = self.targets.iter();
+        !self.waiting.is_empty() && targets.any(|stage_target| stage_target.is_idle(now))
+    }
+
     /// Returns the time until the first target takes calls again, if all of them want none for a while;
     /// zero otherwise.
     pub fn time_to_open(&self, now: Time) -> Duration {
@@ -128,18 +134,23 @@
 
     /// Returns the estimated time to process `pieces` in full calls.
     pub fn drain_time_for(&self, pieces: usize) -> Duration {
-        let Some(limits) = &self.limits else {
-            return Duration::ZERO;
-        };
-        let seconds = pieces as f64 / (self.rate(limits, f64::INFINITY) * UTILIZATION);
+        let seconds = pieces as f64 * self.seconds_per_piece();
         Duration::from_secs_f64(seconds.min(MAX_DRAIN_SECONDS))
     }
+
+    /// Returns the estimated time to process one piece in full calls; zero if the pool has no limits.
+    pub fn seconds_per_piece(&self) -> f64 {
+        let limits = self.limits.as_ref();
+        limits.map_or(0.0, |limits| {
+            (self.rate(limits, f64::INFINITY) * UTILIZATION).recip()
+        })
+    }
 }
 
 /// Lower bound on the rate of a pool in pieces per second, to avoid division by zero.
 const MIN_RATE: f64 = 0.1;
 /// Upper bound on the estimated drain time.
-const MAX_DRAIN_SECONDS: f64 = 60.0;
+pub(super) const MAX_DRAIN_SECONDS: f64 = 60.0;
 
 impl plan::BatchLimits {
     /// Returns the nominal duration of a call with the maximum number of pieces.
--- a/policy/src/relay/scheduler/target.rs
+++ b/policy/src/relay/scheduler/target.rs
@@ -41,6 +41,8 @@
     held: HashMap<Handle, Reservation>,
     /// Memory that may be taken by results whose handles are unknown.
     unidentified: Vec<Reservation>,
+    /// Sum of both.
+    used_bytes: u64,
     /// Results that the target has yet to be told to free.
     pub to_free: Vec<Handle>,
 }
@@ -67,6 +69,7 @@
             failures: 0,
             held: HashMap::new(),
             unidentified: Vec::new(),
+            used_bytes: 0,
             to_free: Vec::new(),
         }
     }
@@ -113,18 +116,21 @@
 
     /// Returns the bytes available for results.
     pub fn room(&self, limits: &plan::BatchLimits) -> u64 {
-        let held = self.held.values().chain(&self.unidentified);
-        let used: u64 = held.map(|held| held.bytes).sum();
-        limits.result_memory.saturating_sub(used)
+        limits.result_memory.saturating_sub(self.used_bytes)
     }
 
     /// Records a result stored on the target until it expires.
     pub fn add_result(&mut self, handle: Handle, bytes: u64, expires_at: Time) {
-        self.held.insert(handle, Reservation { bytes, expires_at });
+        self.used_bytes += bytes;
+        let reservation = Reservation { bytes, expires_at };
+        if let Some(replaced) = self.held.insert(handle, reservation) {
+            self.used_bytes -= replaced.bytes;
+        }
     }
 
     /// Reserves memory for results that the target may hold although it returned no handle.
     pub fn reserve(&mut self, bytes: u64, expires_at: Time) {
+        self.used_bytes += bytes;
         self.unidentified.push(Reservation { bytes, expires_at });
     }
 
@@ -138,7 +144,9 @@
     /// Drops results that the target has freed.
     pub fn remove_freed(&mut self, handles: &[Handle]) {
         for handle in handles {
-            self.held.remove(handle);
+            if let Some(freed) = self.held.remove(handle) {
+                self.used_bytes -= freed.bytes;
+            }
         }
     }
 
@@ -146,6 +154,8 @@
     pub fn expire(&mut self, now: Time) {
         self.held.retain(|_, held| now < held.expires_at);
         self.unidentified.retain(|held| now < held.expires_at);
+        let all = self.held.values().chain(&self.unidentified);
+        self.used_bytes = all.map(|held| held.bytes).sum();
     }
 
     /// Records a completed call; `ratio` is its duration relative to the nominal one.
