Survive panics of the scheduler and of the daemon's loops

If the scheduler panics, all its jobs are refused, which callers may repeat, and its calls are forgotten, with the memory of their results counted as taken. Loops that the daemon can't do without (scheduler, tables, links, registration, records, limits, checks) are started again when they panic. No test panics in the scheduler of a real process: what follows is replayed in virtual time, the restart on its own.

--- a/godwithinge/src/lib.rs
+++ b/godwithinge/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod settings;
 pub mod table;
 pub mod target;
+pub mod task;
--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -27,6 +27,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    panic::{self, AssertUnwindSafe},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -183,7 +184,8 @@
         }
     }
 
-    /// Calls `act` with the scheduler, then executes the commands that it returns.
+    /// Calls `act` with the scheduler, then executes the commands that it returns. If it panics, all jobs
+    /// are refused, as nothing is known of their pieces.
     fn with_scheduler(
         &self,
         relay: &Rc<Relay>,
@@ -191,7 +193,16 @@
     ) {
         let mut commands = Vec::new();
         let started = Instant::now();
-        act(&mut self.scheduler.borrow_mut(), relay.now(), &mut commands);
+        let acted = {
+            let mut scheduler = self.scheduler.borrow_mut();
+            let act = || act(&mut scheduler, relay.now(), &mut commands);
+            panic::catch_unwind(AssertUnwindSafe(act))
+        };
+        // The panic hook has logged it.
+        if let Err(_panic) = acted {
+            let mut scheduler = self.scheduler.borrow_mut();
+            scheduler.abandon_jobs(relay.now(), &mut commands);
+        }
         let taken = started.elapsed();
         self.scheduler_time.set(self.scheduler_time.get() + taken);
         let seconds = &relay.metrics.scheduler_seconds;
--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -2,8 +2,9 @@
 
 use super::{
     address, builds, conduct, dialect::Table, front, link, process, quarantine, rate, reach,
-    settings::Settings, side, state::Relay, task, tunnel, watch,
+    settings::Settings, side, state::Relay, tunnel, watch,
 };
+use crate::task;
 use policy::relay::shutdown::Timetable;
 use std::{
     error, io,
@@ -93,9 +94,9 @@
     if let Some(tunnel) = settings.tunnel_address {
         spawn_local(tunnel::listen(Rc::clone(relay), bind(tunnel).await?));
     }
-    spawn_local(reach::probe_targets(Rc::clone(relay)));
-    spawn_local(process::review_endings(Rc::clone(relay)));
-    spawn_local(address::dial_peers(Rc::clone(relay)));
+    spawn_loop(relay, reach::probe_targets);
+    spawn_loop(relay, process::review_endings);
+    spawn_loop(relay, address::dial_peers);
     let tables = [
         Table::Plan,
         Table::Targets,
@@ -104,23 +105,34 @@
         Table::Quarantine,
     ];
     for table in tables {
-        spawn_local(watch::follow_table(Rc::clone(relay), table));
+        spawn_loop(relay, move |relay| watch::follow_table(relay, table));
     }
-    spawn_local(watch::register_daemon(Rc::clone(relay)));
-    spawn_local(builds::record_builds(Rc::clone(relay)));
-    spawn_local(quarantine::record_quarantine(Rc::clone(relay)));
-    spawn_local(rate::expire_limits(Rc::clone(relay)));
-    spawn_local(conduct::poll_scheduler(Rc::clone(relay)));
-    let relay = Rc::clone(relay);
-    spawn_local(async move {
-        loop {
-            time::sleep(EXPIRY_CHECK_INTERVAL).await;
-            relay.expire_targets();
-        }
-    });
+    spawn_loop(relay, watch::register_daemon);
+    spawn_loop(relay, builds::record_builds);
+    spawn_loop(relay, quarantine::record_quarantine);
+    spawn_loop(relay, rate::expire_limits);
+    spawn_loop(relay, conduct::poll_scheduler);
+    spawn_loop(relay, expire_targets);
     Ok(())
 }
 
+/// Starts a task that does not end while the daemon runs, not even by a panic.
+fn spawn_loop<T: 'static, F: Future<Output = T> + 'static>(
+    relay: &Rc<Relay>,
+    run: impl Fn(Rc<Relay>) -> F + 'static,
+) {
+    let relay = Rc::clone(relay);
+    spawn_local(task::supervise(move || run(Rc::clone(&relay))));
+}
+
+/// Removes the targets that have not returned after an outage; never returns.
+async fn expire_targets(relay: Rc<Relay>) {
+    loop {
+        time::sleep(EXPIRY_CHECK_INTERVAL).await;
+        relay.expire_targets();
+    }
+}
+
 /// Serves callers for a while, then waits until they have read their responses, also those of peers in
 /// tunnels.
 async fn leave(relay: &Rc<Relay>) {
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -40,7 +40,6 @@
 mod state;
 mod store;
 mod stream;
-mod task;
 mod transport;
 mod tunnel;
 mod watch;
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -163,6 +163,33 @@
         self.dispatch_dirty_pools(now, out);
     }
 
+    /// Refuses all jobs that are not ready and forgets all calls, as after a fault of the scheduler itself.
+    /// Targets count as idle, and their memory as taken by the results of the calls until these expire.
+    pub fn abandon_jobs(&mut self, now: Time, out: &mut Vec<Command>) {
+        for (_, call) in std::mem::take(&mut self.calls) {
+            let pool_state = self.pool_state(&call.pool);
+            let result_ttl = pool_state.limits.map(|limits| limits.result_ttl);
+            if let Some(stage_target) = pool_state.target_mut(&call.target) {
+                let expires_at = call.started + call.expected + result_ttl.unwrap_or_default();
+                stage_target.reserve(call.bytes.iter().sum(), expires_at);
+            }
+        }
+        for pool_state in self.pools.values_mut() {
+            pool_state.sorted_front = None;
+            for stage_target in &mut pool_state.targets {
+                stage_target.call = None;
+            }
+        }
+        let jobs = self.jobs.values();
+        let unready = jobs.filter(|running| running.ready_at.is_none());
+        let unready: Vec<JobId> = unready.map(|running| running.job.id).collect();
+        for job in unready {
+            self.refuse(now, job, Refusal::Failed, out);
+        }
+        self.missing_by_rank.clear();
+        self.dirty_pools.clear();
+    }
+
     /// Handles the reply to a call. Replies to unknown calls are ignored.
     pub fn reply(&mut self, now: Time, id: CallId, reply: Reply, out: &mut Vec<Command>) {
         let Some(call) = self.calls.remove(&id) else {
--- a/policy/tests/scheduler.rs
+++ b/policy/tests/scheduler.rs
@@ -137,6 +137,24 @@
     );
 }
 
+/// Guards against jobs without an end, and against targets that get no more calls, after a fault of the
+/// scheduler itself.
+#[rstest]
+fn fault_of_the_scheduler_costs_its_open_jobs(#[values(1, 2, 3)] seed: u64) {
+    let workload = burst(CHAIN, 2.0).with_scheduler_fault(6.0);
+    let report = Simulation::new(seed).run(&workload, RUN_LENGTH);
+    let failed = report.refusals.iter();
+    let failed = failed.filter(|refusal| refusal.reason == Refusal::Failed);
+    assert!(report.abandoned > 0);
+    assert_eq!(failed.count(), report.abandoned);
+    let ended = report.counts.iter();
+    let ended = ended.map(|counts| counts.on_time + counts.late + counts.refused);
+    let submitted = report.counts.iter().map(|counts| counts.submitted);
+    assert_eq!(ended.sum::<u32>(), submitted.sum::<u32>());
+    let late = report.late_after(Duration::from_secs(14));
+    assert!(late <= 0.1, "{late} are late after the burst");
+}
+
 /// Guards against requests being late because they wait for a target that has become slow.
 #[rstest]
 fn slow_target_loses_work_to_others(#[values(1, 2, 3)] seed: u64) {
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -99,6 +99,7 @@
     Slow(TargetId, f64),
     LoseScheduler,
     TakeOver,
+    AbandonJobs,
     Poll,
 }
 
@@ -248,6 +249,9 @@
         if let Some(at) = workload.scheduler_loss {
             self.schedule(Duration::from_secs_f64(at), Event::LoseScheduler);
         }
+        if let Some(at) = workload.scheduler_fault {
+            self.schedule(Duration::from_secs_f64(at), Event::AbandonJobs);
+        }
         // Requests in flight when arrivals end are run to completion.
         let end = length + Duration::from_secs(8);
         while let Some(((now, _), event)) = self.events.pop_first() {
@@ -335,6 +339,10 @@
                 self.schedule(now + FAILOVER_TIME, Event::TakeOver);
             }
             Event::TakeOver => self.take_over(now, out),
+            Event::AbandonJobs => {
+                self.report.abandoned = self.open.len();
+                self.scheduler.abandon_jobs(now, out);
+            }
             Event::Poll => {
                 self.schedule(now + POLL_INTERVAL, Event::Poll);
                 self.scheduler.poll(now, out);
--- a/policy/tests/simulation/report.rs
+++ b/policy/tests/simulation/report.rs
@@ -28,6 +28,8 @@
 pub struct Report {
     pub counts: [Counts; 3],
     pub refusals: Vec<Refused>,
+    /// Jobs that were open when the scheduler abandoned them.
+    pub abandoned: usize,
     /// Pieces whose inputs no longer existed.
     pub expired_inputs: u32,
     /// Pieces without memory for their result.
--- a/policy/tests/simulation/workload.rs
+++ b/policy/tests/simulation/workload.rs
@@ -10,6 +10,7 @@
     pub(super) deaths: Option<(f64, f64)>,
     pub(super) slow: Option<(f64, f64)>,
     pub(super) scheduler_loss: Option<f64>,
+    pub(super) scheduler_fault: Option<f64>,
     /// Factor on the arrival rates of all kinds.
     pub(super) load: f64,
 }
@@ -22,6 +23,7 @@
             deaths: None,
             slow: None,
             scheduler_loss: None,
+            scheduler_fault: None,
             load: 1.0,
         }
     }
@@ -56,6 +58,12 @@
         self
     }
 
+    /// Makes the scheduler abandon its jobs `at` seconds into the simulation.
+    pub fn with_scheduler_fault(mut self, at: f64) -> Self {
+        self.scheduler_fault = Some(at);
+        self
+    }
+
     /// Returns the arrival rate of a kind, in requests per second.
     pub(super) fn rate(&self, kind: usize, at: Time) -> f64 {
         let at = at.as_secs_f64();
