--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -9,6 +9,7 @@
     frame::{Frame, LinkId},
     outcome::Reason,
     rate::GRANT_DELAY,
+    scheduler::Runner,
     state::{self, Relay},
 };
 use compact_str::CompactString;
@@ -20,14 +21,13 @@
         plan::Plan,
         rate::Rate,
         registry::{Target, TargetChange},
-        scheduler::{Command, Handle, Job, JobId, Refusal, Scheduler, StageSpec, Throttle},
+        scheduler::{Command, Handle, Job, JobId, Refusal, Scheduler, StageSpec},
     },
 };
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    panic::{self, AssertUnwindSafe},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -111,17 +111,11 @@
 /// Jobs of this daemon, and the scheduler that it runs while it is the leader.
 #[derive(Debug)]
 pub(super) struct JobDispatcher {
-    scheduler: RefCell<Scheduler>,
+    pub scheduler: Runner,
     submitted: RefCell<HashMap<u64, SubmittedJob>>,
     next_number: Cell<u64>,
     /// When this daemon became the leader; absent if it is not.
     leads_since: Cell<Option<UnixMillis>>,
-    /// Time in which the scheduler ran since the queues were last logged.
-    scheduler_time: Cell<Duration>,
-    /// Decides when calls are chosen.
-    throttle: Cell<Throttle>,
-    /// Whether a task waits to choose calls.
-    is_choice_pending: Cell<bool>,
 }
 
 impl SubmittedJob {
@@ -139,21 +133,19 @@
     pub fn new() -> Self {
         Self {
             leads_since: Cell::new(None),
-            scheduler: RefCell::new(Scheduler::new()),
+            scheduler: Runner::default(),
             submitted: RefCell::default(),
             next_number: Cell::new(0),
-            scheduler_time: Cell::default(),
-            throttle: Cell::default(),
-            is_choice_pending: Cell::new(false),
         }
     }
 
     pub fn set_plan(&self, relay: &Rc<Relay>, plan: &Plan) {
-        self.with_scheduler(relay, |scheduler, _, _| scheduler.set_plan(plan));
+        self.scheduler
+            .act(relay, |scheduler, _, _| scheduler.set_plan(plan));
     }
 
     pub fn apply_target_change(&self, relay: &Rc<Relay>, change: &TargetChange) {
-        self.with_scheduler(relay, |scheduler, now, out| {
+        self.scheduler.act(relay, |scheduler, now, out| {
             scheduler.apply_target_change(change);
             scheduler.poll(now, out);
         });
@@ -161,96 +153,22 @@
 
     /// Sends a stage target nothing until the end of a pause that it asked for.
     pub fn pause_target(&self, target: &Target, end: Time) {
-        self.scheduler.borrow_mut().pause_target(target, end);
+        self.scheduler.state().pause_target(target, end);
     }
 
     /// Calls a stage target at no more than `rate`, if it names a limit.
     pub fn limit_target(&self, now: Time, target: &Target, rate: Option<Rate>) {
-        let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.limit_target(now, target, rate);
+        self.scheduler.state().limit_target(now, target, rate);
     }
 
     /// Discards what is saved up of the rates of stage targets.
     pub fn hold_rates(&self, now: Time) {
-        self.scheduler.borrow_mut().hold_rates(now);
+        self.scheduler.state().hold_rates(now);
     }
 
     /// Forgets failed calls to all stage targets.
     pub fn clear_failures(&self) {
-        self.scheduler.borrow_mut().clear_failures();
-    }
-
-    /// Logs the state of the queues if there are unfinished jobs.
-    fn log_queues(&self, relay: &Relay) {
-        let scheduler_time = self.scheduler_time.take();
-        let scheduler = self.scheduler.borrow();
-        if scheduler.unfinished_jobs() == 0 {
-            return;
-        }
-        for stats in scheduler.pool_stats(relay.now()) {
-            event::pool_stats(&stats, scheduler.unfinished_jobs(), scheduler_time);
-        }
-    }
-
-    /// Calls `act` with the scheduler, then chooses calls, or has them chosen later, and executes the
-    /// commands that the scheduler returns.
-    fn with_scheduler(
-        &self,
-        relay: &Rc<Relay>,
-        act: impl FnOnce(&mut Scheduler, Duration, &mut Vec<Command>),
-    ) {
-        let mut commands = Vec::new();
-        self.run_scheduler(relay, &mut commands, act);
-        for command in commands {
-            relay.execute(command);
-        }
-        match self.throttle.get().wait(relay.now()) {
-            None => self.choose_calls(relay),
-            Some(at) if !self.is_choice_pending.replace(true) => {
-                let relay = Rc::clone(relay);
-                tokio::task::spawn_local(async move {
-                    time::sleep_until(relay.instant_of(at).into()).await;
-                    relay.dispatcher.is_choice_pending.set(false);
-                    relay.dispatcher.choose_calls(&relay);
-                });
-            }
-            Some(_) => {}
-        }
-    }
-
-    fn choose_calls(&self, relay: &Rc<Relay>) {
-        let mut commands = Vec::new();
-        let started = relay.now();
-        self.run_scheduler(relay, &mut commands, Scheduler::dispatch_calls);
-        let mut throttle = self.throttle.get();
-        throttle.record(started, relay.now());
-        self.throttle.set(throttle);
-        for command in commands {
-            relay.execute(command);
-        }
-    }
-
-    /// Calls `act` with the scheduler and measures its time. If it panics, all jobs are refused, as nothing
-    /// is known of their pieces.
-    fn run_scheduler(
-        &self,
-        relay: &Relay,
-        commands: &mut Vec<Command>,
-        act: impl FnOnce(&mut Scheduler, Duration, &mut Vec<Command>),
-    ) {
-        let started = Instant::now();
-        let mut scheduler = self.scheduler.borrow_mut();
-        let acted = panic::catch_unwind(AssertUnwindSafe(|| {
-            act(&mut scheduler, relay.now(), commands);
-        }));
-        // The panic hook has logged it.
-        if let Err(_panic) = acted {
-            scheduler.abandon_jobs(relay.now(), commands);
-        }
-        let taken = started.elapsed();
-        self.scheduler_time.set(self.scheduler_time.get() + taken);
-        let seconds = &relay.metrics.scheduler_seconds;
-        seconds.inc_by(taken.as_secs_f64());
+        self.scheduler.state().clear_failures();
     }
 }
 
@@ -263,11 +181,12 @@
         relay.update_leadership();
         if logged_at.elapsed() >= QUEUE_LOG_INTERVAL {
             logged_at = Instant::now();
-            relay.dispatcher.log_queues(&relay);
+            relay.dispatcher.scheduler.log_queues(&relay);
         }
         let started = Instant::now();
-        if relay.dispatcher.scheduler.borrow().unfinished_jobs() > 0 {
-            relay.dispatcher.with_scheduler(&relay, Scheduler::poll);
+        let scheduler = &relay.dispatcher.scheduler;
+        if scheduler.state().unfinished_jobs() > 0 {
+            scheduler.act(&relay, Scheduler::poll);
         }
         rest = POLL_INTERVAL.max(started.elapsed() * POLL_REST_RATIO);
     }
@@ -427,13 +346,15 @@
             stages: request.stages,
         };
         self.dispatcher
-            .with_scheduler(self, |scheduler, now, out| scheduler.submit(now, job, out));
+            .scheduler
+            .act(self, |scheduler, now, out| scheduler.submit(now, job, out));
     }
 
     pub(super) fn release_job(self: &Rc<Self>, origin: LinkId, number: u64) {
         let id = JobId { origin, number };
         self.dispatcher
-            .with_scheduler(self, |scheduler, _, _| scheduler.release(id));
+            .scheduler
+            .act(self, |scheduler, _, _| scheduler.release(id));
     }
 
     /// Handles the word of the scheduler at the other end of the link `origin` that a job is complete.
@@ -486,7 +407,7 @@
     /// Releases the jobs that came over a link that ended, and submits the jobs that were sent over
     /// it to the next leader.
     pub(super) fn handle_link_lost(self: &Rc<Self>, origin: LinkId) {
-        self.dispatcher.with_scheduler(self, |scheduler, _, _| {
+        self.dispatcher.scheduler.act(self, |scheduler, _, _| {
             scheduler.release_origin(origin);
         });
         let lost_jobs: Vec<u64> = {
@@ -507,7 +428,8 @@
         }
     }
 
-    fn execute(self: &Rc<Self>, command: Command) {
+    /// Executes a command of the scheduler.
+    pub(super) fn execute(self: &Rc<Self>, command: Command) {
         match command {
             Command::Call {
                 call,
@@ -523,7 +445,8 @@
                         .await;
                     relay
                         .dispatcher
-                        .with_scheduler(&relay, |scheduler, now, out| {
+                        .scheduler
+                        .act(&relay, |scheduler, now, out| {
                             scheduler.reply(now, call, reply, out);
                         });
                 });
@@ -573,7 +496,7 @@
                 let relay = Rc::clone(self);
                 tokio::task::spawn_local(async move {
                     if relay.free_results(&target, &address, &handles).await {
-                        relay.dispatcher.with_scheduler(&relay, |scheduler, _, _| {
+                        relay.dispatcher.scheduler.act(&relay, |scheduler, _, _| {
                             scheduler.record_freed(&target, &handles);
                         });
                     }
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -33,6 +33,7 @@
 mod rejection;
 mod replication;
 mod run;
+mod scheduler;
 mod send;
 mod settings;
 mod side;
