--- a/policy/src/relay/scheduler/job.rs
+++ b/policy/src/relay/scheduler/job.rs
@@ -110,7 +110,7 @@
         self.pieces.iter().all(|piece| piece.result.is_some())
     }
 
-    /// Sets whether a stage in a queue has pieces to be sent, and returns it.
+    /// Updates and returns whether the stage, which is queued, still has pieces to be sent.
     pub fn review_queued(&mut self) -> bool {
         let is_queued = self.waiting().next().is_some();
         self.is_queued = is_queued;
