Record the end of a process as that of its latest entry

Cause: an engine is replaced under its identifier, and a stream is sent there before the entry of the new process is known. The entry comes while the stream runs. When the process ends as well, the daemon records the end of the process that the entry described when the stream was sent, not of the one whose end it sees. The latest entry counts as that of a living process until the next one comes, and streams of its version go on at the address, where another version runs by now.

The check now takes the latest entry that is known before its first connection. Whatever process that entry describes had begun by then, so a refused connection, or a later start that the target states, shows its end.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -202,6 +202,8 @@
         let (relay, target) = (Rc::clone(self), target.clone());
         tokio::task::spawn_local(async move {
             time::sleep(CHECK_DELAY).await;
+            // Its entry may have come since the request was sent.
+            let target = relay.registry().latest(&target);
             let has_crashed = relay.probe_process(&target).await == Process::Ended;
             let requests = relay.crash_watch.checks.borrow_mut().remove(&target.id);
             let requests = requests.unwrap_or_default();
@@ -288,7 +290,7 @@
         if !watched.insert(target.id.clone()) {
             return;
         }
-        let (relay, target) = (Rc::clone(self), target.clone());
+        let (relay, target) = (Rc::clone(self), self.registry().latest(target));
         tokio::task::spawn_local(async move {
             if relay.has_restarted(&target).await {
                 let ending = Start {
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -442,6 +442,14 @@
         Some(&entry.registration.target)
     }
 
+    /// Returns a target as its latest entry describes it, or as `target` does if no entry of a later start
+    /// is known.
+    pub fn latest(&self, target: &Target) -> Target {
+        let known = self.get(&target.id);
+        let later = known.filter(|known| known.started_unix_ms > target.started_unix_ms);
+        later.unwrap_or(target).clone()
+    }
+
     /// Returns all targets, including those that drain or are missing, by identifier.
     pub fn all(&self) -> impl Iterator<Item = &Target> {
         self.targets
