Record up to which start a target's processes have ended

Cause: an engine (start 4) is replaced (5), ends again and is back (6). The daemon whose connection breaks knows start 4; the entry of 5 reaches it 35 ms later, during the check. The engine then states start 6, and the daemon records that 4 has ended. The entry of 5 counts as that of a living process, and a stream of its version goes on at 6, which runs another one.

The start that an engine states shows that all earlier ones have ended, so the daemon now records the last start before it.

An entry that arrives only after an engine has refused connections, and has begun before that, is still taken for a living one. It takes an engine that ends again before its entry is known.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -16,7 +16,8 @@
             Change, CrashTracker, Feature, MAX_QUARANTINED, MAX_SUSPECTS, PayloadHash, Quarantine,
             Report, Verdict,
         },
-        ending::Process,
+        ending::{self, Process},
+        leader::UnixMillis,
         quarantine::Records,
         registry::{Start, Target},
         selection::{Part, PartId},
@@ -292,10 +293,10 @@
         }
         let (relay, target) = (Rc::clone(self), self.registry().latest(target));
         tokio::task::spawn_local(async move {
-            if relay.has_restarted(&target).await {
+            if let Some(started_unix_ms) = relay.find_restart(&target).await {
                 let ending = Start {
                     target: target.id.clone(),
-                    started_unix_ms: target.started_unix_ms,
+                    started_unix_ms,
                 };
                 relay.apply_ending(ending, "restart");
             }
@@ -303,24 +304,29 @@
         });
     }
 
-    async fn has_restarted(&self, target: &Target) -> bool {
+    /// Returns the last start of a target that has ended, if it restarts before its check has ended.
+    async fn find_restart(&self, target: &Target) -> Option<UnixMillis> {
         let is_checked = || !self.crash_watch.checks.borrow().contains_key(&target.id);
         match self.try_target(target).await {
             Testimony::Refused => {}
             Testimony::Reached => {
-                return self.states_later_start(target).await.unwrap_or(false);
+                let started = self.ask_start(target).await?;
+                return ending::last_ended_start(target, started);
             }
-            Testimony::Unknown | Testimony::NoWitness => return false,
+            Testimony::Unknown | Testimony::NoWitness => return None,
         }
         loop {
             time::sleep(RESTART_POLL_INTERVAL).await;
             let is_last = is_checked();
             if self.try_target(target).await == Testimony::Reached {
                 // The end of a partition looks the same unless the target states its start.
-                return self.states_later_start(target).await.unwrap_or(true);
+                return match self.ask_start(target).await {
+                    Some(started) => ending::last_ended_start(target, started),
+                    None => Some(target.started_unix_ms),
+                };
             }
             if is_last {
-                return false;
+                return None;
             }
         }
     }
--- a/godwithinge/src/relay/process.rs
+++ b/godwithinge/src/relay/process.rs
@@ -172,17 +172,14 @@
         try_connection(&target.address).await
     }
 
-    /// Asks a target that accepts connections whether its start is later than that of its entry; `None`
-    /// if it does not state one.
-    pub(super) async fn states_later_start(&self, target: &Target) -> Option<bool> {
+    /// Asks a target that accepts connections for its start; `None` if it does not state one.
+    pub(super) async fn ask_start(&self, target: &Target) -> Option<UnixMillis> {
         if self.is_paused(target) {
             return None;
         }
         match self.ask_target(target).await {
-            Answer::Given(Some(started)) => {
-                Some(Process::with_start(target, Some(started)) == Process::Ended)
-            }
-            Answer::Given(None) | Answer::Absent | Answer::Broken | Answer::Unreached => None,
+            Answer::Given(started) => started,
+            Answer::Absent | Answer::Broken | Answer::Unreached => None,
         }
     }
 }
--- a/policy/src/relay/ending.rs
+++ b/policy/src/relay/ending.rs
@@ -31,12 +31,9 @@
     /// Returns what the start that a target states in an answer, if any, shows of the process that its
     /// entry describes.
     pub fn with_start(target: &Target, started: Option<UnixMillis>) -> Self {
-        let known = target.started_unix_ms;
-        let has_restarted = known > 0 && started.is_some_and(|started| started > known);
-        if has_restarted {
-            Self::Ended
-        } else {
-            Self::Alive
+        match started.and_then(|started| last_ended_start(target, started)) {
+            Some(_) => Self::Ended,
+            None => Self::Alive,
         }
     }
 
@@ -50,6 +47,13 @@
     }
 }
 
+/// Returns up to which start the processes of a target have ended that states `started` in an answer;
+/// `None` if that is no later one than its entry does. Entries of starts in between may still arrive.
+pub fn last_ended_start(target: &Target, started: UnixMillis) -> Option<UnixMillis> {
+    let known = target.started_unix_ms;
+    (known > 0 && started > known).then(|| started - 1)
+}
+
 /// Time for which the ending of a target without an entry is remembered.
 const ENDING_MEMORY: Duration = Duration::from_secs(60);
 
