Try stage targets that were slow with a small call now and then

From second 13 to 27 the leader logs 80 to 1,224 waiting pieces with 22 to 30 of 43 targets busy and none paused; before it was 35 to 43.

Cause: a slow target gets no call unless the queue is so long that it helps, and only a call measures its speed. It concerns each site, and each pool whose queue stays below that length.

Such a target is now tried each second with the least urgent stage of its domain. The pieces are sent to another target as well if it takes longer than a usual call. A call that shows that the target has recovered counts for most of the estimate at once.

--- a/policy/src/relay/scheduler/call.rs
+++ b/policy/src/relay/scheduler/call.rs
@@ -4,6 +4,9 @@
 //! is held from the start of its own call until its reader's call has ended. Stages therefore leave
 //! their home domain for an idle target when their home targets stay busy, and are not split when
 //! the parts would hold memory for one another.
+//!
+//! Targets that have become slow are avoided unless the queue is so long that they help. Now and then
+//! they are tried with a small call, since nothing else would show that they have recovered.
 
 use super::{JobId, PoolState, Scheduler, job::RunningJob};
 use crate::{id::Time, relay::plan};
@@ -18,6 +21,16 @@
 /// Identifies a piece by job, stage and index within the stage.
 pub(super) type PieceRef = (JobId, usize, usize);
 
+/// The next call to a target of a pool.
+#[derive(Clone, Debug)]
+pub(super) struct Choice {
+    /// Index of the target.
+    pub target: usize,
+    pub pieces: Vec<PieceRef>,
+    /// Whether it shows if a slow target has recovered.
+    pub is_probe: bool,
+}
+
 /// A queued stage that a call may carry.
 #[derive(Clone, Copy, Debug)]
 struct Candidate<'a> {
@@ -39,46 +52,52 @@
 }
 
 impl Scheduler {
-    /// Chooses a target, by index, and the pieces of its next call.
+    /// Chooses a target and the pieces of its next call.
     pub(super) fn build_call(
         &self,
         now: Time,
         pool_state: &PoolState,
         limits: &plan::BatchLimits,
         order: &[(JobId, usize)],
-    ) -> Option<(usize, Vec<PieceRef>)> {
-        let min_slowdown = pool_state
-            .targets
-            .iter()
-            .map(|stage_target| stage_target.slowdown);
-        let min_slowdown = min_slowdown.fold(f64::INFINITY, f64::min);
+    ) -> Option<Choice> {
+        let max_slowdown = self.max_slowdown(pool_state, limits);
         let idle = idle_by_preference(now, pool_state, limits);
         if idle.is_empty() {
             return None;
         }
         let candidates = self.candidates(now, pool_state, limits, order);
-        for index in idle {
-            let stage_target = &pool_state.targets[index];
-            if stage_target.slowdown > min_slowdown * SLOW_FACTOR
-                && !self.is_worth_calling(pool_state, limits, stage_target.slowdown)
-            {
+        for target in idle {
+            let stage_target = &pool_state.targets[target];
+            let is_probe = stage_target.slowdown > max_slowdown;
+            if is_probe && !stage_target.is_probe_due(now) {
                 continue;
             }
             let mut room = stage_target.room(limits);
-            let mut chosen = Vec::with_capacity(limits.max_pieces);
+            let mut pieces = Vec::with_capacity(limits.max_pieces);
             let batch = limits.max_pieces;
             let is_own =
                 |candidate: &Candidate<'_>| candidate.running.home_domain == stage_target.domain;
             let own = candidates.iter().filter(|candidate| is_own(candidate));
-            add_pieces(&own, batch, &mut room, Split::Allowed, &mut chosen);
-            let is_empty = chosen.is_empty();
-            let others = candidates.iter().filter(|candidate| {
-                // A call that is sent anyway takes only stages that would wait long at home.
-                !is_own(candidate) && (candidate.leaves_home || is_empty && candidate.reads_little)
-            });
-            add_pieces(&others, batch, &mut room, Split::Refused, &mut chosen);
-            if !chosen.is_empty() {
-                return Some((index, chosen));
+            if is_probe {
+                // The least urgent stage bears the risk.
+                let last = own.last().into_iter();
+                add_pieces(&last, batch, &mut room, Split::Refused, &mut pieces);
+            } else {
+                add_pieces(&own, batch, &mut room, Split::Allowed, &mut pieces);
+                let is_empty = pieces.is_empty();
+                let others = candidates.iter().filter(|candidate| {
+                    // A call that is sent anyway takes only stages that would wait long at home.
+                    !is_own(candidate)
+                        && (candidate.leaves_home || is_empty && candidate.reads_little)
+                });
+                add_pieces(&others, batch, &mut room, Split::Refused, &mut pieces);
+            }
+            if !pieces.is_empty() {
+                return Some(Choice {
+                    target,
+                    pieces,
+                    is_probe,
+                });
             }
         }
         None
@@ -114,17 +133,18 @@
         candidates.collect()
     }
 
-    /// Returns whether a slow target would complete a call before the other targets would have
-    /// drained the queue.
-    fn is_worth_calling(
-        &self,
-        pool_state: &PoolState,
-        limits: &plan::BatchLimits,
-        slowdown: f64,
-    ) -> bool {
+    /// Returns the slowdown up to which targets get usual calls: a slower one would complete its call only
+    /// after the others have drained the queue.
+    fn max_slowdown(&self, pool_state: &PoolState, limits: &plan::BatchLimits) -> f64 {
+        let slowdowns = pool_state.targets.iter().map(|target| target.slowdown);
+        let fastest = slowdowns.clone().fold(f64::INFINITY, f64::min);
+        let usual = fastest * SLOW_FACTOR;
+        if slowdowns.fold(0.0, f64::max) <= usual {
+            return usual;
+        }
         let drain_seconds =
             self.count_waiting(pool_state) as f64 / pool_state.rate(limits, SLOW_FACTOR);
-        drain_seconds > limits.full_call_time().as_secs_f64() * (slowdown - 1.0)
+        usual.max(1.0 + drain_seconds / limits.full_call_time().as_secs_f64())
     }
 }
 
--- a/policy/src/relay/scheduler/dispatch.rs
+++ b/policy/src/relay/scheduler/dispatch.rs
@@ -3,7 +3,7 @@
 use super::{
     CALL_TIMEOUT_FACTOR, Call, Command, Item, JobId, OVERDUE_FACTOR, OVERDUE_SLACK, PoolState,
     Refusal, Scheduler, Source,
-    call::PieceRef,
+    call::{Choice, PieceRef},
     job::{Job, RunningJob},
     pool::MAX_DRAIN_SECONDS,
 };
@@ -60,7 +60,7 @@
             if let Some(stage_target) =
                 pool_state.and_then(|pool_state| pool_state.target_mut(&call.target))
             {
-                stage_target.record_overdue(ratio);
+                stage_target.record_overdue(now, ratio);
             }
             for &(job, stage, piece) in &call.items {
                 if let Some(running) = self.jobs.get_mut(&job) {
@@ -193,11 +193,10 @@
         {
             let front = pool_state.sorted_front.as_ref();
             let order = front.map_or(&[][..], |(_, order)| order);
-            let Some((stage_target, chosen)) = self.build_call(now, pool_state, &limits, order)
-            else {
+            let Some(choice) = self.build_call(now, pool_state, &limits, order) else {
                 return;
             };
-            self.send_call(now, pool, stage_target, &limits, &chosen, out);
+            self.send_call(now, pool, &limits, &choice, out);
         }
     }
 
@@ -354,16 +353,16 @@
         &mut self,
         now: Time,
         pool: &PoolId,
-        index: usize,
         limits: &plan::BatchLimits,
-        chosen: &[PieceRef],
+        choice: &Choice,
         out: &mut Vec<Command>,
     ) {
+        let chosen = &choice.pieces;
         let items = chosen.iter().filter_map(|&entry| self.item(now, entry));
         let items: Vec<Item> = items.collect();
         let mut bytes = Vec::with_capacity(chosen.len());
         let pool_state = self.pools.get(pool);
-        let domain = pool_state.map(|pool_state| pool_state.targets[index].domain.clone());
+        let domain = pool_state.map(|pool_state| pool_state.targets[choice.target].domain.clone());
         let domain = domain.unwrap_or_default();
         for &(job, stage, piece) in chosen {
             if let Some(running) = self.jobs.get_mut(&job) {
@@ -388,22 +387,24 @@
             let running = jobs.get_mut(&job);
             running.is_some_and(|running| running.stages[stage].review_queued())
         });
-        let stage_target = &mut pool_state.targets[index];
+        let stage_target = &mut pool_state.targets[choice.target];
         stage_target.call = Some(id);
         stage_target.spend(now);
         let nominal = limits.call_overhead + limits.piece_time * chosen.len() as u32;
-        let expected = nominal.mul_f64(stage_target.slowdown.max(MIN_SLOWDOWN));
+        let usual = nominal.mul_f64(stage_target.slowdown.max(MIN_SLOWDOWN));
+        // The pieces of a probe are soon sent to another target if its own has not recovered.
+        let expected = if choice.is_probe { nominal } else { usual };
         out.push(Command::Call {
             call: id,
             target: stage_target.id.clone(),
             address: stage_target.address.clone(),
             items,
-            timeout: expected.mul_f64(CALL_TIMEOUT_FACTOR) + OVERDUE_SLACK,
+            timeout: usual.mul_f64(CALL_TIMEOUT_FACTOR) + OVERDUE_SLACK,
         });
         let call = Call {
             pool: pool.clone(),
             target: stage_target.id.clone(),
-            items: chosen.to_vec(),
+            items: chosen.clone(),
             bytes,
             started: now,
             nominal,
--- a/policy/src/relay/scheduler/reply.rs
+++ b/policy/src/relay/scheduler/reply.rs
@@ -42,7 +42,7 @@
                 }
                 _ => {
                     let nominal = call.nominal.as_secs_f64().max(0.001);
-                    stage_target.record_success(taken.as_secs_f64() / nominal);
+                    stage_target.record_success(now, taken.as_secs_f64() / nominal);
                 }
             }
         }
--- a/policy/src/relay/scheduler/target.rs
+++ b/policy/src/relay/scheduler/target.rs
@@ -15,6 +15,11 @@
 
 /// Weight of the latest call in the moving average of a target's slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.4; // detects a slow target within two or three calls
+/// Same as [`SLOWDOWN_WEIGHT`] for a call that took less than half as long as expected: the target has
+/// recovered, and each further call that it does not get costs others time.
+const RECOVERY_WEIGHT: f64 = 0.8;
+/// Time without a measurement after which a slow target is tried with a small call.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1); // a few calls; targets are slow for seconds
 /// Maximum backoff after repeated failures.
 const MAX_PAUSE: Duration = Duration::from_secs(2); // a crashed target is back after a few seconds
 
@@ -28,6 +33,8 @@
     pub call: Option<CallId>,
     /// Moving average of call durations relative to the nominal duration; 1 is nominal speed.
     pub slowdown: f64,
+    /// When it was last measured.
+    measured_at: Time,
     /// No call is sent to the target before this time.
     pub paused_until: Time,
     /// The target wants nothing before this time.
@@ -62,6 +69,7 @@
             domain: target.domain.clone(),
             call: None,
             slowdown: 1.0,
+            measured_at: Time::ZERO,
             paused_until: Time::ZERO,
             closed_until: Time::ZERO,
             pace: None,
@@ -159,14 +167,27 @@
     }
 
     /// Records a completed call; `ratio` is its duration relative to the nominal one.
-    pub fn record_success(&mut self, ratio: f64) {
-        self.slowdown += SLOWDOWN_WEIGHT * (ratio - self.slowdown);
+    pub fn record_success(&mut self, now: Time, ratio: f64) {
+        let has_recovered = ratio < self.slowdown / 2.0;
+        let weight = if has_recovered {
+            RECOVERY_WEIGHT
+        } else {
+            SLOWDOWN_WEIGHT
+        };
+        self.slowdown += weight * (ratio - self.slowdown);
+        self.measured_at = now;
         self.failures = 0;
     }
 
     /// Records that a call is taking at least `ratio` times its nominal duration.
-    pub fn record_overdue(&mut self, ratio: f64) {
+    pub fn record_overdue(&mut self, now: Time, ratio: f64) {
         self.slowdown = self.slowdown.max(ratio);
+        self.measured_at = now;
+    }
+
+    /// Returns whether a target that is too slow for usual calls may be tried with a small one.
+    pub fn is_probe_due(&self, now: Time) -> bool {
+        now >= self.measured_at + PROBE_INTERVAL
     }
 
     /// Records a failed call and pauses the target with exponential backoff, which begins with the
--- a/policy/tests/scheduler.rs
+++ b/policy/tests/scheduler.rs
@@ -15,6 +15,8 @@
 const MAX_LOST_REQUESTS: u32 = 92; // 2.0 times 11.5 requests per second
 /// Load of the large site as a multiple of that of the typical one.
 const LARGE_SITE_LOAD: f64 = 17.6; // 203 chains a second instead of 11.5
+/// Maximum fraction of requests that are late or refused because targets were slow some seconds before.
+const MAX_ADDED_LATENESS: f64 = 0.03;
 /// Simulated time, which covers a burst and its aftermath.
 const RUN_LENGTH: Duration = Duration::from_secs(24);
 
@@ -164,6 +166,33 @@
     assert!(report.served(CHAIN) >= 0.97, "{:?}", report.counts);
 }
 
+/// Guards against targets that get no more work for having been slow: a burst some seconds later is carried
+/// as if they had never been.
+#[rstest]
+#[case::first_pool(0, 14)]
+#[case::second_pool(1, 11)]
+#[case::third_pool(2, 13)]
+fn targets_that_were_slow_get_work_again(
+    #[case] pool: usize,
+    #[case] targets: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let burst = Workload::typical_site()
+        .with_load(LARGE_SITE_LOAD)
+        .with_burst(CHAIN, 1.8, 12.0, 16.0);
+    let slow = burst
+        .clone()
+        .with_slow_period(pool, 0..targets, 4.0, (4.0, 8.0));
+    let late = [burst, slow].map(|workload| {
+        let report = Simulation::large(seed).run(&workload, Duration::from_secs(16));
+        report.late_after(Duration::from_secs(12))
+    });
+    assert!(
+        late[1] <= late[0] + MAX_ADDED_LATENESS,
+        "late without and with slow targets: {late:?}"
+    );
+}
+
 /// Guards against refusals so close to the deadline that the caller can't retry.
 #[rstest]
 fn refusals_are_early(#[values(1, 2, 3)] seed: u64) {
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -246,6 +246,18 @@
             let id = "t-1-0".into();
             self.schedule(Duration::from_secs_f64(begin), Event::Slow(id, factor));
         }
+        if let Some(period) = &workload.slow_period {
+            for number in &period.targets {
+                let id: TargetId = format!("t-{}-{number}", period.pool).into();
+                if !self.targets.contains_key(&id) {
+                    continue;
+                }
+                let slow = Event::Slow(id.clone(), period.factor);
+                self.schedule(Duration::from_secs_f64(period.begin), slow);
+                let normal = Event::Slow(id, period.factor.recip());
+                self.schedule(Duration::from_secs_f64(period.end), normal);
+            }
+        }
         if let Some(at) = workload.scheduler_loss {
             self.schedule(Duration::from_secs_f64(at), Event::LoseScheduler);
         }
--- a/policy/tests/simulation/workload.rs
+++ b/policy/tests/simulation/workload.rs
@@ -3,12 +3,26 @@
 use super::REQUESTS_PER_SECOND;
 use policy::id::Time;
 
+/// A time in which some targets of a pool are slow.
+#[derive(Clone, Debug)]
+pub(super) struct SlowPeriod {
+    /// Index of the pool.
+    pub pool: usize,
+    /// Numbers of the targets.
+    pub targets: Vec<usize>,
+    pub factor: f64,
+    /// In seconds.
+    pub begin: f64,
+    pub end: f64,
+}
+
 /// Load of a site, with optional faults.
 #[derive(Clone, Debug)]
 pub struct Workload {
     pub(super) burst: Option<(usize, f64, f64, f64)>,
     pub(super) deaths: Option<(f64, f64)>,
     pub(super) slow: Option<(f64, f64)>,
+    pub(super) slow_period: Option<SlowPeriod>,
     pub(super) scheduler_loss: Option<f64>,
     pub(super) scheduler_fault: Option<f64>,
     /// Factor on the arrival rates of all kinds.
@@ -22,6 +36,7 @@
             burst: None,
             deaths: None,
             slow: None,
+            slow_period: None,
             scheduler_loss: None,
             scheduler_fault: None,
             load: 1.0,
@@ -52,6 +67,24 @@
         self
     }
 
+    /// Slows some targets of a pool down by `factor` from `begin` to `end`, in seconds.
+    pub fn with_slow_period(
+        mut self,
+        pool: usize,
+        targets: impl IntoIterator<Item = usize>,
+        factor: f64,
+        (begin, end): (f64, f64),
+    ) -> Self {
+        self.slow_period = Some(SlowPeriod {
+            pool,
+            targets: targets.into_iter().collect(),
+            factor,
+            begin,
+            end,
+        });
+        self
+    }
+
     /// Loses the scheduler and its state `at` seconds into the simulation.
     pub fn with_scheduler_loss(mut self, at: f64) -> Self {
         self.scheduler_loss = Some(at);
