Do not wait at home for targets that are too slow to be called

While the targets of a domain were slow, requests with stages whose home it is were late: their stages waited for targets that were idle, but got no calls because they are slow, although targets of other domains were idle, too. The wait for the home domain counted them as available.

They no longer count, so that such stages leave their home domain at once.

--- a/policy/src/relay/scheduler/call.rs
+++ b/policy/src/relay/scheduler/call.rs
@@ -65,7 +65,7 @@
         if idle.is_empty() {
             return None;
         }
-        let candidates = self.candidates(now, pool_state, limits, order);
+        let candidates = self.candidates(now, pool_state, limits, max_slowdown, order);
         for target in idle {
             let stage_target = &pool_state.targets[target];
             let is_probe = stage_target.slowdown > max_slowdown;
@@ -109,9 +109,10 @@
         now: Time,
         pool_state: &PoolState,
         limits: &plan::BatchLimits,
+        max_slowdown: f64,
         order: &[(JobId, usize)],
     ) -> Vec<Candidate<'_>> {
-        let mut homes = self.home_targets(now, pool_state);
+        let mut homes = self.home_targets(now, pool_state, max_slowdown);
         let candidates = order.iter().filter_map(|&(id, stage)| {
             let running = self.jobs.get(&id)?;
             let waiting = running.stages[stage].waiting().count();
--- a/policy/src/relay/scheduler/locality.rs
+++ b/policy/src/relay/scheduler/locality.rs
@@ -108,10 +108,17 @@
         }
     }
 
-    /// Returns the targets of a pool by domain.
-    pub(super) fn home_targets<'a>(&self, now: Time, pool_state: &'a PoolState) -> Vec<Home<'a>> {
+    /// Returns the targets of a pool by domain, without those whose slowdown is more than `max_slowdown`,
+    /// which stages do not wait for.
+    pub(super) fn home_targets<'a>(
+        &self,
+        now: Time,
+        pool_state: &'a PoolState,
+        max_slowdown: f64,
+    ) -> Vec<Home<'a>> {
         let mut homes: Vec<Home<'a>> = Vec::new();
-        for stage_target in &pool_state.targets {
+        let targets = pool_state.targets.iter();
+        for stage_target in targets.filter(|target| target.slowdown <= max_slowdown) {
             let call = stage_target.call.and_then(|call| self.calls.get(&call));
             let call_end = call.map_or(now, |call| call.started + call.expected);
             let idle_at = call_end.max(stage_target.paused_until).max(now);
--- a/policy/tests/scheduler.rs
+++ b/policy/tests/scheduler.rs
@@ -193,6 +193,19 @@
     );
 }
 
+/// Guards against stages that wait for the targets of their home domain, which are idle because they are
+/// too slow to be called.
+#[rstest]
+fn slow_home_targets_are_not_waited_for(#[values(1, 2)] pool: usize, #[values(1, 2, 3)] seed: u64) {
+    let one_domain = (0..45).step_by(5);
+    let workload = Workload::typical_site()
+        .with_load(LARGE_SITE_LOAD)
+        .with_slow_period(pool, one_domain, 4.0, (4.0, 20.0));
+    let report = Simulation::large(seed).run(&workload, Duration::from_secs(10));
+    let late = report.late_after(Duration::from_secs(6));
+    assert!(late <= MAX_ADDED_LATENESS, "{late} are late");
+}
+
 /// Guards against refusals so close to the deadline that the caller can't retry.
 #[rstest]
 fn refusals_are_early(#[values(1, 2, 3)] seed: u64) {
