--- a/policy/src/relay/scheduler/call.rs
+++ b/policy/src/relay/scheduler/call.rs
@@ -77,10 +77,10 @@
             let batch = limits.max_pieces;
             let is_own =
                 |candidate: &Candidate<'_>| candidate.running.home_domain == stage_target.domain;
-            let own = candidates.iter().filter(|candidate| is_own(candidate));
+            let mut own = candidates.iter().filter(|candidate| is_own(candidate));
             if is_probe {
                 // The least urgent stage bears the risk.
-                let last = own.last().into_iter();
+                let last = own.next_back().into_iter();
                 add_pieces(&last, batch, &mut room, Split::Refused, &mut pieces);
             } else {
                 add_pieces(&own, batch, &mut room, Split::Allowed, &mut pieces);
