Log how many stage targets are too slow for usual calls

That a third of a pool got no calls could only be inferred from the number of busy targets beside a queue. The leader's "stage queue" lines now state it.

--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -369,6 +369,7 @@
         busy = stats.busy,
         carried = stats.carried,
         paused = stats.paused,
+        slow = stats.slow,
         room_bytes = stats.room,
         usual_ms = millis(stats.call_time),
         jobs,
--- a/policy/src/relay/scheduler/call.rs
+++ b/policy/src/relay/scheduler/call.rs
@@ -136,7 +136,7 @@
 
     /// Returns the slowdown up to which targets get usual calls: a slower one would complete its call only
     /// after the others have drained the queue.
-    fn max_slowdown(&self, pool_state: &PoolState, limits: &plan::BatchLimits) -> f64 {
+    pub(super) fn max_slowdown(&self, pool_state: &PoolState, limits: &plan::BatchLimits) -> f64 {
         let slowdowns = pool_state.targets.iter().map(|target| target.slowdown);
         let fastest = slowdowns.clone().fold(f64::INFINITY, f64::min);
         let usual = fastest * SLOW_FACTOR;
--- a/policy/src/relay/scheduler/message.rs
+++ b/policy/src/relay/scheduler/message.rs
@@ -142,6 +142,8 @@
     pub carried: usize,
     /// Number of targets that are paused after a failure.
     pub paused: usize,
+    /// Number of targets that are too slow for usual calls.
+    pub slow: usize,
     /// Bytes available for results on all targets.
     pub room: u64,
     /// Mean duration of a call; zero before the first one.
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -309,6 +309,9 @@
             let paused = pool_state.targets.iter();
             let paused = paused
                 .filter(|stage_target| stage_target.call.is_none() && !stage_target.is_idle(now));
+            let max_slowdown = self.max_slowdown(pool_state, &limits);
+            let targets = pool_state.targets.iter();
+            let slow = targets.filter(|stage_target| stage_target.slowdown > max_slowdown);
             let room = pool_state
                 .targets
                 .iter()
@@ -325,6 +328,7 @@
                 busy: busy.count(),
                 carried: carried.sum(),
                 paused: paused.count(),
+                slow: slow.count(),
                 room: room.sum(),
                 call_time: Duration::from_secs_f64(
                     pool_state.mean_call_seconds.unwrap_or_default(),
