--- a/policy/src/relay/scheduler/call.rs
+++ b/policy/src/relay/scheduler/call.rs
@@ -8,7 +8,7 @@
 //! Targets that have become slow are avoided unless the queue is so long that they help. Now and then
 //! they are tried with a small call, since nothing else would show that they have recovered.
 
-use super::{JobId, PoolState, Scheduler, job::RunningJob};
+use super::{JobId, PoolState, Scheduler, job::RunningJob, target::StageTarget};
 use crate::{id::Time, relay::plan};
 use std::cmp::Reverse;
 
@@ -44,6 +44,13 @@
     reads_little: bool,
 }
 
+impl Candidate<'_> {
+    /// Returns whether a target is in the home domain of the stage's job.
+    fn is_at_home(&self, stage_target: &StageTarget) -> bool {
+        self.running.home_domain == stage_target.domain
+    }
+}
+
 /// Whether a call may take only part of a stage's pieces.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Split {
@@ -72,26 +79,11 @@
             if is_probe && !stage_target.is_probe_due(now) {
                 continue;
             }
-            let mut room = stage_target.room(limits);
-            let mut pieces = Vec::with_capacity(limits.max_pieces);
-            let batch = limits.max_pieces;
-            let is_own =
-                |candidate: &Candidate<'_>| candidate.running.home_domain == stage_target.domain;
-            let mut own = candidates.iter().filter(|candidate| is_own(candidate));
-            if is_probe {
-                // The least urgent stage bears the risk.
-                let last = own.next_back().into_iter();
-                add_pieces(&last, batch, &mut room, Split::Refused, &mut pieces);
+            let pieces = if is_probe {
+                probe_pieces(stage_target, limits, &candidates)
             } else {
-                add_pieces(&own, batch, &mut room, Split::Allowed, &mut pieces);
-                let is_empty = pieces.is_empty();
-                let others = candidates.iter().filter(|candidate| {
-                    // A call that is sent anyway takes only stages that would wait long at home.
-                    !is_own(candidate)
-                        && (candidate.leaves_home || is_empty && candidate.reads_little)
-                });
-                add_pieces(&others, batch, &mut room, Split::Refused, &mut pieces);
-            }
+                usual_pieces(stage_target, limits, &candidates)
+            };
             if !pieces.is_empty() {
                 return Some(Choice {
                     target,
@@ -149,6 +141,52 @@
     }
 }
 
+/// Returns the pieces of a call to a target that is not slow.
+fn usual_pieces(
+    stage_target: &StageTarget,
+    limits: &plan::BatchLimits,
+    candidates: &[Candidate<'_>],
+) -> Vec<PieceRef> {
+    let batch = limits.max_pieces;
+    let mut room = stage_target.room(limits);
+    let mut pieces = Vec::with_capacity(batch);
+    let own = candidates
+        .iter()
+        .filter(|candidate| candidate.is_at_home(stage_target));
+    add_pieces(&own, batch, &mut room, Split::Allowed, &mut pieces);
+    let is_empty = pieces.is_empty();
+    let others = candidates.iter().filter(|candidate| {
+        // A call that is sent anyway takes only stages that would wait long at home.
+        !candidate.is_at_home(stage_target)
+            && (candidate.leaves_home || is_empty && candidate.reads_little)
+    });
+    add_pieces(&others, batch, &mut room, Split::Refused, &mut pieces);
+    pieces
+}
+
+/// Returns the pieces of a call that shows whether a slow target has recovered: those of the least urgent
+/// stage of its domain, which bears the risk.
+fn probe_pieces(
+    stage_target: &StageTarget,
+    limits: &plan::BatchLimits,
+    candidates: &[Candidate<'_>],
+) -> Vec<PieceRef> {
+    let mut room = stage_target.room(limits);
+    let mut pieces = Vec::new();
+    let mut own = candidates
+        .iter()
+        .filter(|candidate| candidate.is_at_home(stage_target));
+    let last = own.next_back().into_iter();
+    add_pieces(
+        &last,
+        limits.max_pieces,
+        &mut room,
+        Split::Refused,
+        &mut pieces,
+    );
+    pieces
+}
+
 /// Adds whole stages in order while they fit, then, if splitting is allowed, fills the remaining capacity
 /// with parts of stages.
 fn add_pieces<'a>(
