--- a/policy/src/relay/ending.rs
+++ b/policy/src/relay/ending.rs
@@ -47,8 +47,8 @@
     }
 }
 
-/// Returns up to which start the processes of a target have ended that states `started` in an answer;
-/// `None` if that is no later one than its entry does. Entries of starts in between may still arrive.
+/// Returns the last start of a target that has ended, given that it states `started` in an answer; `None`
+/// unless that is later than the start in its entry. Entries of starts in between may still arrive.
 pub fn last_ended_start(target: &Target, started: UnixMillis) -> Option<UnixMillis> {
     let known = target.started_unix_ms;
     (known > 0 && started > known).then(|| started - 1)
