--- a/policy/tests/scheduler.rs
+++ b/policy/tests/scheduler.rs
@@ -15,7 +15,8 @@
 const MAX_LOST_REQUESTS: u32 = 92; // 2.0 times 11.5 requests per second
 /// Load of the large site as a multiple of that of the typical one.
 const LARGE_SITE_LOAD: f64 = 17.6; // 203 chains a second instead of 11.5
-/// Maximum fraction of requests that are late or refused because targets were slow some seconds before.
+/// Maximum fraction of requests that are late or refused because targets are slow, or were some
+/// seconds before.
 const MAX_ADDED_LATENESS: f64 = 0.03;
 /// Simulated time, which covers a burst and its aftermath.
 const RUN_LENGTH: Duration = Duration::from_secs(24);
