--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -8,6 +8,7 @@
     workload::Workload,
 };
 
+use self::workload::SlowPeriod;
 use policy::{
     id::{PoolId, TargetId, Time},
     relay::{
@@ -246,16 +247,10 @@
             let id = "t-1-0".into();
             self.schedule(Duration::from_secs_f64(begin), Event::Slow(id, factor));
         }
-        if let Some(period) = &workload.slow_period {
-            for number in &period.targets {
-                let id: TargetId = format!("t-{}-{number}", period.pool).into();
-                if !self.targets.contains_key(&id) {
-                    continue;
-                }
-                let slow = Event::Slow(id.clone(), period.factor);
-                self.schedule(Duration::from_secs_f64(period.begin), slow);
-                let normal = Event::Slow(id, period.factor.recip());
-                self.schedule(Duration::from_secs_f64(period.end), normal);
+        let changes = workload.slow_period.iter().flat_map(SlowPeriod::changes);
+        for (at, id, factor) in changes {
+            if self.targets.contains_key(&id) {
+                self.schedule(Duration::from_secs_f64(at), Event::Slow(id, factor));
             }
         }
         if let Some(at) = workload.scheduler_loss {
--- a/policy/tests/simulation/workload.rs
+++ b/policy/tests/simulation/workload.rs
@@ -1,7 +1,7 @@
 //! Load and faults of a simulation.
 
 use super::REQUESTS_PER_SECOND;
-use policy::id::Time;
+use policy::id::{TargetId, Time};
 
 /// A time in which some targets of a pool are slow.
 #[derive(Clone, Debug)]
@@ -16,6 +16,17 @@
     pub end: f64,
 }
 
+impl SlowPeriod {
+    /// Returns when, in seconds, the speed of which target changes, and the factor on its slowdown.
+    pub fn changes(&self) -> impl Iterator<Item = (f64, TargetId, f64)> {
+        self.targets.iter().flat_map(|number| {
+            let id: TargetId = format!("t-{}-{number}", self.pool).into();
+            let slow = (self.begin, id.clone(), self.factor);
+            [slow, (self.end, id, self.factor.recip())]
+        })
+    }
+}
+
 /// Load of a site, with optional faults.
 #[derive(Clone, Debug)]
 pub struct Workload {
