Contact several seeds while a daemon has no link

Cause: a daemon contacted one random seed a second. Load is ruled out: dead seeds refuse at once.

Change: a daemon without a link contacts four seeds in each round. A linked one still contacts one, so that the cost of dead seeds stays as it was.

--- a/godwithinge/src/peer/maintenance.rs
+++ b/godwithinge/src/peer/maintenance.rs
@@ -5,7 +5,6 @@
     id::{HostId, Time},
     member::overlay,
 };
-use rand::seq::IndexedRandom;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::{self, MissedTickBehavior};
 
@@ -51,8 +50,8 @@
     }
 }
 
-/// Starts an exchange with a random daemon without a link, and with one seed that is not a known
-/// member's address.
+/// Starts exchanges with a random daemon without a link, and with seeds that are not addresses of
+/// known members.
 fn exchange(hub: &Arc<Hub>, now: Time) {
     let linked = hub.linked();
     let state = hub.state();
@@ -64,16 +63,11 @@
         member.profile.peer.parse().ok()
     };
     let known_addresses: Vec<_> = members.iter().filter_map(|m| address(&m.host)).collect();
-    let unknown_seeds = state
-        .seeds
-        .iter()
-        .filter(|seed| !known_addresses.contains(seed));
-    let unknown_seeds: Vec<_> = unknown_seeds.copied().collect();
+    let seeds = state.seeds.iter().copied();
+    let unknown_seeds = seeds.filter(|seed| !known_addresses.contains(seed));
     let drawn = peer.as_ref().and_then(address);
-    for address in drawn
-        .into_iter()
-        .chain(unknown_seeds.choose(&mut rng).copied())
-    {
+    let seeds = overlay::random_seeds(unknown_seeds, !linked.is_empty(), &mut rng);
+    for address in drawn.into_iter().chain(seeds) {
         link::spawn(hub, link::exchange(Arc::clone(hub), address));
     }
 }
--- a/policy/src/member/overlay.rs
+++ b/policy/src/member/overlay.rs
@@ -6,11 +6,14 @@
     id::{DomainId, HostId},
 };
 use rand::{Rng, seq::IteratorRandom};
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
 /// Number of links that a daemon opens; on average it accepts as many.
 pub const OUTGOING_LINKS: usize = 3;
 
+/// Number of seeds that a daemon without a link contacts in each round.
+pub const ISOLATED_SEEDS: usize = 4; // a fleet that starts at once sends each daemon about as many
+
 /// Returns the peers that the daemon on `host` opens links to.
 ///
 /// The first is the successor on a ring of hashed host names, so that the links connect all
@@ -50,6 +53,17 @@
         .map(|member| member.host.clone())
 }
 
+/// Chooses seeds for a round of single exchanges, out of those that are not known to be members.
+///
+/// A daemon without a link contacts several, since most of its seeds may have stopped.
+pub fn random_seeds(
+    unknown: impl Iterator<Item = SocketAddr>,
+    is_linked: bool,
+    rng: &mut impl Rng,
+) -> Vec<SocketAddr> {
+    unknown.sample(rng, if is_linked { 1 } else { ISOLATED_SEEDS })
+}
+
 /// Returns the index of the digest bucket, out of `count`, that contains a host's items.
 ///
 /// # Panics
