Count the missing and waiting pieces of a stage as they change

Cause: a choice of calls looks at up to 500 queued stages, and for each of them at all pieces of it and of the stages that it reads, to see whether its inputs are complete and how many pieces are to be sent. It also looked up the pool and its expected call time for each stage. The leader of the large site has little processor time left in its bursts.

Change: a stage keeps the two counts; pieces change through its methods only. The expected call time is computed once for a choice.

--- a/policy/src/relay/scheduler/call.rs
+++ b/policy/src/relay/scheduler/call.rs
@@ -105,25 +105,29 @@
         order: &[(JobId, usize)],
     ) -> Vec<Candidate<'_>> {
         let mut homes = self.home_targets(now, pool_state, max_slowdown);
-        let candidates = order.iter().filter_map(|&(id, stage)| {
-            let running = self.jobs.get(&id)?;
-            let waiting = running.stages[stage].waiting().count();
+        let call_time = pool_state.expected_call_time();
+        let mut candidates = Vec::with_capacity(order.len());
+        for &(id, stage) in order {
+            let Some(running) = self.jobs.get(&id) else {
+                continue;
+            };
+            let waiting = running.stages[stage].waiting();
             let mut homes = homes.iter_mut();
             let home = homes.find(|home| *home.domain == running.home_domain);
             let home_wait = home.map(|home| home.queue(now, waiting, limits));
             // Inputs may have been lost, and pieces sent, since the queue was sorted.
             if waiting == 0 || !running.has_inputs(stage) {
-                return None;
+                continue;
             }
-            Some(Candidate {
+            candidates.push(Candidate {
                 running,
                 stage,
                 waiting,
-                leaves_home: self.leaves_home(running, stage, home_wait),
+                leaves_home: running.leaves_home(stage, home_wait, call_time),
                 reads_little: running.reads_little(stage),
-            })
-        });
-        candidates.collect()
+            });
+        }
+        candidates
     }
 
     /// Returns the slowdown up to which targets get usual calls: a slower one would complete its call only
@@ -230,7 +234,7 @@
                 is_blocked |= is_large && !may_split;
                 continue;
             }
-            for piece in candidate.running.stages[stage].waiting().take(fits) {
+            for piece in candidate.running.stages[stage].waiting_indices().take(fits) {
                 *room -= bytes;
                 chosen.push((id, stage, piece));
             }
--- a/policy/src/relay/scheduler/dispatch.rs
+++ b/policy/src/relay/scheduler/dispatch.rs
@@ -64,8 +64,7 @@
             }
             for &(job, stage, piece) in &call.items {
                 if let Some(running) = self.jobs.get_mut(&job) {
-                    let piece = &mut running.stages[stage].pieces[piece];
-                    piece.calls = piece.calls.saturating_sub(1);
+                    running.stages[stage].end_call(piece);
                 }
             }
         }
@@ -299,10 +298,7 @@
     fn cumulative_queue(&self, now: Time, pool_state: &PoolState) -> Queue {
         let waiting = pool_state.waiting.iter().filter_map(|&(job, stage)| {
             let running = self.jobs.get(&job)?;
-            Some((
-                precedence(now, running),
-                running.stages[stage].waiting().count(),
-            ))
+            Some((precedence(now, running), running.stages[stage].waiting()))
         });
         let mut stages: Vec<(Precedence, usize)> = waiting.collect();
         stages.sort();
@@ -366,7 +362,7 @@
         let domain = domain.unwrap_or_default();
         for &(job, stage, piece) in chosen {
             if let Some(running) = self.jobs.get_mut(&job) {
-                running.stages[stage].pieces[piece].calls += 1;
+                running.stages[stage].begin_call(piece);
                 // Later stages run in the domain that holds the results they read.
                 running.home_domain.clone_from(&domain);
                 bytes.push(running.job.stages[stage].bytes);
@@ -470,7 +466,7 @@
             let Some(limits) = limits else {
                 return before;
             };
-            let waiting = running.stages[stage].waiting().count();
+            let waiting = running.stages[stage].waiting();
             if waiting == 0 {
                 let end = stage_ends.get(&(running.job.id, stage));
                 return before + end.map_or(Duration::ZERO, |end| end.saturating_sub(now));
--- a/policy/src/relay/scheduler/job.rs
+++ b/policy/src/relay/scheduler/job.rs
@@ -65,17 +65,21 @@
 
 /// Progress of one piece.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Piece {
+struct Piece {
     /// Absent until computed, and again if the result is lost.
-    pub result: Option<StoredResult>,
+    result: Option<StoredResult>,
     /// Number of calls that carry the piece and are not overdue.
-    pub calls: u32,
+    calls: u32,
 }
 
 /// Progress of one stage.
 #[derive(Clone, Debug)]
 pub(super) struct StageState {
-    pub pieces: Vec<Piece>,
+    pieces: Vec<Piece>,
+    /// Number of pieces without a result.
+    missing: usize,
+    /// Number of pieces to be sent.
+    waiting: usize,
     /// Whether the results were released after all of their readers were done.
     pub is_freed: bool,
     /// Whether the stage is in its pool's queue.
@@ -100,36 +104,97 @@
 }
 
 impl Piece {
-    pub fn is_waiting(&self) -> bool {
+    fn is_waiting(&self) -> bool {
         self.result.is_none() && self.calls == 0
     }
 }
 
 impl StageState {
+    fn new(pieces: u32) -> Self {
+        let pieces = pieces as usize;
+        Self {
+            pieces: vec![Piece::default(); pieces],
+            missing: pieces,
+            waiting: pieces,
+            is_freed: false,
+            is_queued: false,
+        }
+    }
+
     pub fn is_done(&self) -> bool {
-        self.pieces.iter().all(|piece| piece.result.is_some())
+        self.missing == 0
     }
 
-    /// Updates and returns whether the stage, which is queued, still has pieces to be sent.
-    pub fn review_queued(&mut self) -> bool {
-        let is_queued = self.waiting().next().is_some();
-        self.is_queued = is_queued;
-        is_queued
+    /// Returns the number of pieces without a result.
+    pub fn missing(&self) -> usize {
+        self.missing
+    }
+
+    /// Returns the number of pieces to be sent.
+    pub fn waiting(&self) -> usize {
+        self.waiting
     }
 
-    pub fn waiting(&self) -> impl Iterator<Item = usize> {
+    /// Returns the indices of the pieces to be sent.
+    pub fn waiting_indices(&self) -> impl Iterator<Item = usize> {
         let pieces = self.pieces.iter().enumerate();
         pieces.filter_map(|(index, piece)| piece.is_waiting().then_some(index))
     }
+
+    pub fn results(&self) -> impl Iterator<Item = &StoredResult> {
+        self.pieces.iter().filter_map(|piece| piece.result.as_ref())
+    }
+
+    /// Updates and returns whether the stage, which is queued, still has pieces to be sent.
+    pub fn review_queued(&mut self) -> bool {
+        self.is_queued = self.waiting > 0;
+        self.is_queued
+    }
+
+    /// Records that a call carries a piece.
+    pub fn begin_call(&mut self, piece: usize) {
+        self.update(piece, |piece| piece.calls += 1);
+    }
+
+    /// Records that a call that carried a piece has ended or is overdue.
+    pub fn end_call(&mut self, piece: usize) {
+        self.update(piece, |piece| piece.calls = piece.calls.saturating_sub(1));
+    }
+
+    /// Stores the result of a piece, or returns it if the piece already has one.
+    pub fn store(&mut self, piece: usize, result: StoredResult) -> Option<StoredResult> {
+        if self.pieces[piece].result.is_some() {
+            return Some(result);
+        }
+        self.update(piece, |piece| piece.result = Some(result));
+        None
+    }
+
+    /// Discards the results that are lost, and returns whether there were any.
+    fn discard(&mut self, is_lost: impl Fn(&StoredResult) -> bool) -> bool {
+        let missing = self.missing;
+        for index in 0..self.pieces.len() {
+            if self.pieces[index].result.as_ref().is_some_and(&is_lost) {
+                self.update(index, |piece| piece.result = None);
+            }
+        }
+        self.missing > missing
+    }
+
+    /// Changes a piece and counts it anew.
+    fn update(&mut self, index: usize, change: impl FnOnce(&mut Piece)) {
+        let piece = &mut self.pieces[index];
+        self.missing -= usize::from(piece.result.is_none());
+        self.waiting -= usize::from(piece.is_waiting());
+        change(piece);
+        self.missing += usize::from(piece.result.is_none());
+        self.waiting += usize::from(piece.is_waiting());
+    }
 }
 
 impl RunningJob {
     pub fn new(job: Job, home_domain: DomainId) -> Self {
-        let stages = job.stages.iter().map(|spec| StageState {
-            pieces: vec![Piece::default(); spec.pieces as usize],
-            is_freed: false,
-            is_queued: false,
-        });
+        let stages = job.stages.iter().map(|spec| StageState::new(spec.pieces));
         Self {
             home_domain,
             remaining: Duration::ZERO,
@@ -144,10 +209,9 @@
     /// Adds the number of missing pieces to the sum of each pool.
     pub fn add_missing_pieces(&self, sums: &mut HashMap<PoolId, usize>) {
         for (spec, stage) in self.job.stages.iter().zip(&self.stages) {
-            let missing = stage.pieces.iter().filter(|piece| piece.result.is_none());
             match sums.get_mut(&spec.pool) {
-                Some(sum) => *sum += missing.count(),
-                None => drop(sums.insert(spec.pool.clone(), missing.count())),
+                Some(sum) => *sum += stage.missing(),
+                None => drop(sums.insert(spec.pool.clone(), stage.missing())),
             }
         }
     }
@@ -155,7 +219,7 @@
     /// Returns whether a pool has to be sent pieces of the job.
     pub fn has_waiting_pieces(&self, pool: &PoolId) -> bool {
         let mut stages = self.job.stages.iter().zip(&self.stages);
-        stages.any(|(spec, stage)| spec.pool == *pool && stage.waiting().next().is_some())
+        stages.any(|(spec, stage)| spec.pool == *pool && stage.waiting() > 0)
     }
 
     /// Discards the results that are lost, and resets the stages whose released results are needed
@@ -166,12 +230,7 @@
             if self.stages[stage].is_freed {
                 continue;
             }
-            for piece in &mut self.stages[stage].pieces {
-                if piece.result.as_ref().is_some_and(&is_lost) {
-                    piece.result = None;
-                    has_any = true;
-                }
-            }
+            has_any |= self.stages[stage].discard(&is_lost);
             if !self.stages[stage].is_done() {
                 for from in self.job.stages[stage].after.clone() {
                     if self.stages[from].is_freed {
@@ -187,9 +246,7 @@
     pub fn reset_stage(&mut self, stage: usize) {
         let stage = &mut self.stages[stage];
         stage.is_freed = false;
-        for piece in &mut stage.pieces {
-            piece.result = None;
-        }
+        stage.discard(|_| true);
     }
 
     /// Returns whether no stage reads the results of `stage`.
@@ -217,8 +274,8 @@
     /// Returns the handles of the results of several stages in order.
     pub fn results(&self, stages: impl Iterator<Item = usize>) -> Vec<Handle> {
         stages
-            .flat_map(|stage| self.stages[stage].pieces.iter())
-            .filter_map(|piece| piece.result.as_ref().map(|result| result.handle.clone()))
+            .flat_map(|stage| self.stages[stage].results())
+            .map(|result| result.handle.clone())
             .collect()
     }
 
@@ -234,10 +291,7 @@
         let heavy =
             stages.filter(|&stage| self.job.stages[stage].bytes >= super::LARGE_RESULT_BYTES);
         let mut sums: Vec<(DomainId, usize)> = Vec::new();
-        for result in heavy
-            .flat_map(|stage| &self.stages[stage].pieces)
-            .filter_map(|piece| piece.result.as_ref())
-        {
+        for result in heavy.flat_map(|stage| self.stages[stage].results()) {
             match sums.iter_mut().find(|(domain, _)| *domain == result.domain) {
                 Some((_, count)) => *count += 1,
                 None => sums.push((result.domain.clone(), 1)),
--- a/policy/src/relay/scheduler/locality.rs
+++ b/policy/src/relay/scheduler/locality.rs
@@ -93,9 +93,8 @@
             .filter(|running| running.ready_at.is_none())
         {
             for (spec, stage) in running.job.stages.iter().zip(&running.stages) {
-                let missing = stage.pieces.iter().filter(|piece| piece.result.is_none());
                 let key = (spec.pool.clone(), running.home_domain.clone());
-                *self.load_by_domain.entry(key).or_default() += missing.count();
+                *self.load_by_domain.entry(key).or_default() += stage.missing();
             }
         }
     }
@@ -137,24 +136,6 @@
         }
         homes
     }
-
-    /// Returns whether a stage does not wait for a target in its home domain. `home_wait` is absent
-    /// if that domain has none.
-    pub(super) fn leaves_home(
-        &self,
-        running: &RunningJob,
-        stage: usize,
-        home_wait: Option<Duration>,
-    ) -> bool {
-        let spec = &running.job.stages[stage];
-        let fraction = if spec.bytes >= LARGE_RESULT_BYTES {
-            MAX_HOME_WAIT_LARGE
-        } else {
-            MAX_HOME_WAIT
-        };
-        let limit = self.expected_call_time(&spec.pool).mul_f64(fraction);
-        home_wait.is_none_or(|wait| wait > limit)
-    }
 }
 
 impl Home<'_> {
@@ -175,6 +156,22 @@
 }
 
 impl RunningJob {
+    /// Returns whether a stage does not wait for a target in its home domain. `home_wait` is absent
+    /// if that domain has none; `call_time` is the expected duration of a call.
+    pub(super) fn leaves_home(
+        &self,
+        stage: usize,
+        home_wait: Option<Duration>,
+        call_time: Duration,
+    ) -> bool {
+        let fraction = if self.job.stages[stage].bytes >= LARGE_RESULT_BYTES {
+            MAX_HOME_WAIT_LARGE
+        } else {
+            MAX_HOME_WAIT
+        };
+        home_wait.is_none_or(|wait| wait > call_time.mul_f64(fraction))
+    }
+
     /// Returns whether running a stage outside of its home domain transfers little data.
     pub(super) fn reads_little(&self, stage: usize) -> bool {
         self.job.stages[stage].bytes < LARGE_RESULT_BYTES
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -191,9 +191,8 @@
         };
         for &(job, stage, piece) in &call.items {
             if let Some(running) = self.jobs.get_mut(&job) {
-                let piece = &mut running.stages[stage].pieces[piece];
                 if !call.is_overdue {
-                    piece.calls = piece.calls.saturating_sub(1);
+                    running.stages[stage].end_call(piece);
                 }
             }
         }
@@ -428,7 +427,7 @@
 
     fn waiting_pieces(&self, job: JobId, stage: usize) -> usize {
         let running = self.jobs.get(&job);
-        running.map_or(0, |running| running.stages[stage].waiting().count())
+        running.map_or(0, |running| running.stages[stage].waiting())
     }
 
     /// Queues each stage that has its inputs and pieces to be sent.
@@ -458,8 +457,7 @@
             return;
         }
         for stage in 0..running.stages.len() {
-            let is_open =
-                running.has_inputs(stage) && running.stages[stage].waiting().next().is_some();
+            let is_open = running.has_inputs(stage) && running.stages[stage].waiting() > 0;
             let pool = running.job.stages[stage].pool.clone();
             if is_open
                 && let Some(pool_state) = self.pools.get_mut(&pool)
@@ -510,9 +508,8 @@
             if is_read && !running.stages[stage].is_freed {
                 running.stages[stage].is_freed = true;
                 let pool = running.job.stages[stage].pool.clone();
-                let pieces = running.stages[stage].pieces.iter();
-                let result = pieces.filter_map(|piece| piece.result.clone());
-                to_free.extend(result.map(|result| (pool.clone(), result)));
+                let results = running.stages[stage].results().cloned();
+                to_free.extend(results.map(|result| (pool.clone(), result)));
             }
         }
         self.release_results(to_free);
@@ -538,8 +535,8 @@
         let to_free = stages
             .filter(|(_, stage)| !stage.is_freed)
             .flat_map(|(spec, stage)| {
-                let result = stage.pieces.iter().filter_map(|piece| piece.result.clone());
-                result.map(|result| (spec.pool.clone(), result))
+                let results = stage.results().cloned();
+                results.map(|result| (spec.pool.clone(), result))
             });
         let to_free = to_free.collect();
         self.release_results(to_free);
--- a/policy/src/relay/scheduler/reply.rs
+++ b/policy/src/relay/scheduler/reply.rs
@@ -74,10 +74,12 @@
         if let Some(stage_target) = pool_state.target_mut(&call.target) {
             stage_target.add_result(result.handle.clone(), bytes, result.expires_at);
         }
-        let running = self.jobs.get_mut(&job);
-        match running.map(|running| &mut running.stages[stage].pieces[piece]) {
-            Some(piece) if piece.result.is_none() => piece.result = Some(result),
-            Some(_) | None => self.release_results(vec![(call.pool.clone(), result)]),
+        let unused = match self.jobs.get_mut(&job) {
+            Some(running) => running.stages[stage].store(piece, result),
+            None => Some(result),
+        };
+        if let Some(result) = unused {
+            self.release_results(vec![(call.pool.clone(), result)]);
         }
     }
 
