--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -190,10 +190,10 @@
             return;
         };
         for &(job, stage, piece) in &call.items {
-            if let Some(running) = self.jobs.get_mut(&job) {
-                if !call.is_overdue {
-                    running.stages[stage].end_call(piece);
-                }
+            if let Some(running) = self.jobs.get_mut(&job)
+                && !call.is_overdue
+            {
+                running.stages[stage].end_call(piece);
             }
         }
         match reply {
