Let peers check engines whose entries have been removed

What callers saw: 502 for a whole response without a length, at a daemon that is partitioned from all engines, if the engine left meanwhile.

Cause: the end of such a response is checked by asking the engine whether its process lives. A partitioned daemon asks through a tunnel of a peer, and peers open tunnels only to targets that they may send requests to; an engine whose entry has been removed is unknown to them, so that the check had no witness. Directly, a daemon asks such an engine as well.

Change: who opens a tunnel states its purpose. For a check, peers connect to targets that have said that they leave, and to those whose entries were removed in the last minute. Requests, and daemons of earlier versions that state no purpose, are refused as before. The connection is no evidence of a partition of the peer, since the host of the target may be gone.

--- a/godwithinge/src/relay/process.rs
+++ b/godwithinge/src/relay/process.rs
@@ -1,6 +1,6 @@
 //! Checks whether the process of a target lives.
 
-use super::{crash::CHECK_DELAY, event, reach::Testimony, state::Relay};
+use super::{crash::CHECK_DELAY, event, reach::Testimony, state::Relay, tunnel::Purpose};
 use crate::http::{Error, Reuse};
 use bytes::Bytes;
 use futures::future;
@@ -122,7 +122,7 @@
         };
         let exchange = async {
             let (id, address) = (&target.id, target.address.as_str());
-            let open = || self.open_connection(id, address);
+            let open = || self.open_connection(id, address, Purpose::Check);
             let key = self.connection_key(id, address);
             let sent = self
                 .pool
--- a/godwithinge/src/relay/reach.rs
+++ b/godwithinge/src/relay/reach.rs
@@ -8,7 +8,7 @@
     event,
     metrics::TunnelSide,
     state::{CONNECT_TIMEOUT, Relay},
-    tunnel,
+    tunnel::{self, Purpose},
 };
 use crate::http::{Connection, Error, Request, Response, Reuse};
 use compact_str::{CompactString, format_compact};
@@ -145,7 +145,7 @@
         if !self.may_send(target) {
             return Err(Error::Withdrawn);
         }
-        let open = || self.open_connection(target, address);
+        let open = || self.open_connection(target, address, Purpose::Request);
         let may_write = || {
             let may_send = self.may_send(target);
             if may_send {
@@ -188,6 +188,7 @@
         &self,
         target: &TargetId,
         address: &str,
+        purpose: Purpose,
     ) -> Result<Connection, Error> {
         let is_partitioned = self.reach.is_partitioned();
         let mut hops = if is_partitioned || self.reach.reach.borrow().may_relay(self.now(), target)
@@ -206,7 +207,7 @@
             if self.reach.reach.borrow().is_relayed(self.now(), target)
                 && let Some(hop) = hops.pop_front()
             {
-                attempts.push(Box::pin(self.open_through(hop, target)));
+                attempts.push(Box::pin(self.open_through(hop, target, purpose)));
             }
         }
         loop {
@@ -214,7 +215,7 @@
                 let Some(hop) = hops.pop_front() else {
                     break;
                 };
-                attempts.push(Box::pin(self.open_through(hop, target)));
+                attempts.push(Box::pin(self.open_through(hop, target, purpose)));
             }
             tokio::select! {
                 attempt = attempts.next() => match attempt {
@@ -229,7 +230,7 @@
                 },
                 () = time::sleep(HEAD_START), if !hops.is_empty() => {
                     if let Some(hop) = hops.pop_front() {
-                        attempts.push(Box::pin(self.open_through(hop, target)));
+                        attempts.push(Box::pin(self.open_through(hop, target, purpose)));
                     }
                 }
             }
@@ -247,9 +248,14 @@
         connection
     }
 
-    async fn open_through(&self, hop: Hop, target: &TargetId) -> Result<Connection, Error> {
+    async fn open_through(
+        &self,
+        hop: Hop,
+        target: &TargetId,
+        purpose: Purpose,
+    ) -> Result<Connection, Error> {
         let own_host = self.settings().host.clone();
-        let tunnel = tunnel::open(hop.address, &own_host, target, TUNNEL_TIMEOUT).await;
+        let tunnel = tunnel::open(hop.address, &own_host, target, purpose, TUNNEL_TIMEOUT).await;
         let result = tunnel
             .as_ref()
             .map_or_else(tunnel::Error::label, |_| "opened");
@@ -290,9 +296,10 @@
             *rank
         });
         hops.truncate(MAX_WITNESSES);
-        let answers = hops
-            .iter()
-            .map(|hop| tunnel::open(hop.address, &own_host, target, TUNNEL_TIMEOUT));
+        let answers = hops.iter().map(|hop| {
+            let purpose = Purpose::Check;
+            tunnel::open(hop.address, &own_host, target, purpose, TUNNEL_TIMEOUT)
+        });
         let mut answers = future::join_all(answers).await;
         answers.retain(|answer| {
             !matches!(
--- a/godwithinge/src/relay/tunnel.rs
+++ b/godwithinge/src/relay/tunnel.rs
@@ -55,6 +55,19 @@
     target: TargetId,
     /// Host that opens the tunnel.
     host: HostId,
+    /// Daemons of earlier versions do not send it.
+    #[serde(default)]
+    purpose: Purpose,
+}
+
+/// What a tunnel is for.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) enum Purpose {
+    /// It carries requests, which only targets that are in use get.
+    #[default]
+    Request,
+    /// It shows whether the target's process lives, which may have left meanwhile.
+    Check,
 }
 
 /// Answer to [`Open`].
@@ -115,6 +128,7 @@
     address: SocketAddr,
     host: &HostId,
     target: &TargetId,
+    purpose: Purpose,
     timeout: Duration,
 ) -> Result<Tunnel, Error> {
     let open = async {
@@ -126,6 +140,7 @@
         let message = Open {
             target: target.clone(),
             host: host.clone(),
+            purpose,
         };
         socket.send(encode(&message)).await?;
         match receive(&mut socket).await? {
@@ -166,7 +181,7 @@
     };
     let accepted = time::timeout(OPEN_TIMEOUT, accept).await;
     let (mut socket, open) = accepted.unwrap_or(Err(Error::TimedOut))?;
-    let connected = relay.connect_for_peer(&open.target).await;
+    let connected = relay.connect_for_peer(&open.target, open.purpose).await;
     let result = connected
         .as_ref()
         .map_or_else(|refusal| (*refusal).into(), |_| "opened");
@@ -246,7 +261,11 @@
 
 impl Relay {
     /// Opens a connection to a target for a peer.
-    async fn connect_for_peer(self: &Rc<Self>, target: &TargetId) -> Result<TcpStream, Refusal> {
+    async fn connect_for_peer(
+        self: &Rc<Self>,
+        target: &TargetId,
+        purpose: Purpose,
+    ) -> Result<TcpStream, Refusal> {
         if self.tunnels.get() > MAX_TUNNELS {
             return Err(Refusal::Busy);
         }
@@ -256,11 +275,14 @@
         if self.reach.is_partitioned() {
             return Err(Refusal::Partitioned);
         }
-        let address = self.address_for_peer(target)?;
+        let address = self.address_for_peer(target, purpose)?;
         let connect = TcpStream::connect(address.as_str());
         let connected = time::timeout(CONNECT_TIMEOUT, connect).await;
         let connected = connected.unwrap_or(Err(io::ErrorKind::TimedOut.into()));
-        self.record_direct(target, connected.is_ok());
+        // One that has left says nothing about the network.
+        if self.registry().get(target).is_some() {
+            self.record_direct(target, connected.is_ok());
+        }
         let stream = connected.map_err(|error| match error.kind() {
             io::ErrorKind::ConnectionRefused => Refusal::ConnectionRefused,
             _ => Refusal::Unreached,
@@ -271,13 +293,20 @@
         Ok(stream)
     }
 
-    /// Returns the address of a target that may be sent requests through this daemon.
-    fn address_for_peer(&self, target: &TargetId) -> Result<CompactString, Refusal> {
+    /// Returns the address of a target to which a peer may be connected.
+    fn address_for_peer(
+        &self,
+        target: &TargetId,
+        purpose: Purpose,
+    ) -> Result<CompactString, Refusal> {
         let registry = self.registry();
-        let known = registry.get(target).ok_or(Refusal::UnknownTarget)?;
-        if registry.has_departed(known) {
-            return Err(Refusal::UnknownTarget);
-        }
+        let known = match purpose {
+            Purpose::Request => registry
+                .get(target)
+                .filter(|known| !registry.has_departed(known)),
+            Purpose::Check => registry.get_or_removed(target),
+        };
+        let known = known.ok_or(Refusal::UnknownTarget)?;
         if self.is_paused(known) {
             // The target may be open to another daemon.
             return Err(Refusal::Busy);
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -442,6 +442,14 @@
         Some(&entry.registration.target)
     }
 
+    /// Returns a target like [`get`](Self::get), or as its last entry described it if that has been removed
+    /// for less than [`REMOVAL_MEMORY`].
+    pub fn get_or_removed(&self, id: &str) -> Option<&Target> {
+        let removed = self.removed.get(id);
+        self.get(id)
+            .or_else(|| removed.map(|(registration, _)| &registration.target))
+    }
+
     /// Returns a target as its latest entry describes it, or as `target` does if no entry of a later start
     /// is known.
     pub fn latest(&self, target: &Target) -> Target {
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -143,6 +143,18 @@
     assert_eq!(has_ready_target(&registry), is_ready);
 }
 
+#[test]
+fn removed_target_is_remembered_but_not_used() {
+    let mut registry = Registry::default();
+    registry.upsert(NOW, entry(1, 5, 7, true));
+    registry.remove(NOW, "i-1", false);
+    assert!(registry.get("i-1").is_none());
+    let remembered = registry.get_or_removed("i-1");
+    assert_eq!(remembered, Some(&entry(1, 5, 7, true).target));
+    registry.expire(NOW + Duration::from_secs(60));
+    assert!(registry.get_or_removed("i-1").is_none());
+}
+
 /// A daemon that did not notice an outage learns of it from the reader that removes the target.
 #[test]
 fn target_missing_from_the_copy_is_kept_until_it_may_have_registered_again() {
