Order the readers anew as soon as the peers change

What callers saw: nothing. A daemon did not ask a reader that had just been linked for all targets, but first at its next heartbeat; the test only_readers_are_asked failed twice beside load with 0 questions, not 1.

Cause: the order of the readers is kept for 100 ms. If it was determined just before a peer was linked, that peer is no reader at its first heartbeat. The test's peer tells of recent tables at the first one only.

Change: the order is forgotten when a peer is linked, lost or leaves.

--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -450,6 +450,7 @@
         self.pool.keep_forwarded_by(&peer.profile.host);
         peers.insert(peer.profile.host.clone(), peer);
         self.metrics.set_links(peers.len());
+        self.forget_reader_order();
         Ok((link_id, outgoing))
     }
 
@@ -471,6 +472,7 @@
         if is_current && let Some(peer) = peers.remove(host) {
             self.links.addresses.record_link_lost(peer.profile.link);
             self.metrics.set_links(peers.len());
+            self.forget_reader_order();
             self.pool.close_forwarded_by(host);
         }
         drop(peers);
@@ -498,6 +500,7 @@
             } = frame
         {
             if *is_leaving && !peer.is_leaving {
+                self.forget_reader_order();
                 self.pool.close_forwarded_by(host);
             }
             peer.is_leaving = *is_leaving;
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -323,6 +323,11 @@
         read(order)
     }
 
+    /// Orders the readers anew at the next use, since the peers that may read have changed.
+    pub(super) fn forget_reader_order(&self) {
+        self.tables.reader_order.take();
+    }
+
     fn reader_order(&self) -> Order {
         let settings = self.settings();
         let own = reader::Candidate {
