--- a/policy/src/member/overlay.rs
+++ b/policy/src/member/overlay.rs
@@ -12,7 +12,7 @@
 pub const OUTGOING_LINKS: usize = 3;
 
 /// Number of seeds that a daemon without a link contacts in each round.
-pub const ISOLATED_SEEDS: usize = 4; // a fleet that starts at once sends each daemon about as many
+pub const ISOLATED_SEEDS: usize = 4; // also the mean number of daemons that contact each one when a fleet starts
 
 /// Returns the peers that the daemon on `host` opens links to.
 ///
--- a/policy/src/relay/scheduler/target.rs
+++ b/policy/src/relay/scheduler/target.rs
@@ -48,7 +48,7 @@
     held: HashMap<Handle, Reservation>,
     /// Memory that may be taken by results whose handles are unknown.
     unidentified: Vec<Reservation>,
-    /// Sum of both.
+    /// Bytes of `held` and `unidentified` together.
     used_bytes: u64,
     /// Results that the target has yet to be told to free.
     pub to_free: Vec<Handle>,
