--- a/review/standins-2/src/builds.rs
+++ b/review/standins-2/src/builds.rs
@@ -192,7 +192,14 @@
     time::sleep(Duration::from_secs(4)).await;
     let fronts: Vec<SocketAddr> = relays.iter().map(|relay| relay.front).collect();
     let clients: Vec<_> = (0..STREAMS)
-        .map(|number| tokio::spawn(follow(number, fronts.clone(), fronts.clone(), record.clone())))
+        .map(|number| {
+            tokio::spawn(follow(
+                number,
+                fronts.clone(),
+                fronts.clone(),
+                record.clone(),
+            ))
+        })
         .collect();
     time::sleep(Duration::from_secs(2)).await;
     if has_trouble {
--- a/review/standins-2/src/survivor.rs
+++ b/review/standins-2/src/survivor.rs
@@ -60,9 +60,15 @@
     let left = vec![fronts[MACHINES - 1]];
     let later = if has_trouble { left } else { fronts.clone() };
     let begin = |number: usize, fronts: &[SocketAddr]| {
-        tokio::spawn(follow(number, fronts.to_vec(), later.clone(), record.clone()))
+        tokio::spawn(follow(
+            number,
+            fronts.to_vec(),
+            later.clone(),
+            record.clone(),
+        ))
     };
-    let clients: Vec<JoinHandle<Stream>> = (0..STREAMS).map(|number| begin(number, &fronts)).collect();
+    let clients: Vec<JoinHandle<Stream>> =
+        (0..STREAMS).map(|number| begin(number, &fronts)).collect();
     time::sleep(Duration::from_secs(2)).await;
     if has_trouble {
         record.say("all machines but one are lost");
@@ -72,7 +78,9 @@
     }
     // New streams at machines in touch.
     time::sleep(STABILITY_WINDOW + Duration::from_millis(500)).await;
-    let new: Vec<JoinHandle<Stream>> = (STREAMS..2 * STREAMS).map(|number| begin(number, &later)).collect();
+    let new: Vec<JoinHandle<Stream>> = (STREAMS..2 * STREAMS)
+        .map(|number| begin(number, &later))
+        .collect();
     let mut complete = 0;
     let mut mixed = 0;
     let (mut taken_up, mut went_on) = (0, 0);
--- a/review/standins-2/src/takeup.rs
+++ b/review/standins-2/src/takeup.rs
@@ -56,7 +56,14 @@
     }
     time::sleep(Duration::from_secs(5)).await;
     let fronts: Vec<SocketAddr> = relays.iter().map(|relay| relay.front).collect();
-    let begin = |number: usize| tokio::spawn(follow(number, fronts.clone(), fronts.clone(), record.clone()));
+    let begin = |number: usize| {
+        tokio::spawn(follow(
+            number,
+            fronts.clone(),
+            fronts.clone(),
+            record.clone(),
+        ))
+    };
     let clients: Vec<JoinHandle<Stream>> = (0..STREAMS).map(begin).collect();
     time::sleep(Duration::from_secs(2)).await;
     let mut restarted = Instant::now();
--- a/review/standins-2/src/upgrade.rs
+++ b/review/standins-2/src/upgrade.rs
@@ -69,7 +69,14 @@
     time::sleep(Duration::from_secs(5)).await;
     let fronts: Vec<SocketAddr> = relays.iter().map(|relay| relay.front).collect();
     let clients: Vec<JoinHandle<Stream>> = (0..STREAMS)
-        .map(|number| tokio::spawn(follow(number, fronts.clone(), fronts.clone(), record.clone())))
+        .map(|number| {
+            tokio::spawn(follow(
+                number,
+                fronts.clone(),
+                fronts.clone(),
+                record.clone(),
+            ))
+        })
         .collect();
     time::sleep(Duration::from_secs(1)).await;
     let counts: Vec<usize> = (0..ENGINES)
