Review: a new template is quarantined in place of the part that crashes

Cause: a daemon that had only sound requests at the third engine that crashes charges their first part before it hears that the crashing part was there too, quarantines it and tells all others.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins-2/run-case.sh" "$(dirname "$0")" takeup
+exec "$(dirname "$0")/../standins-2/run-case.sh" "$(dirname "$0")" builds
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases 6 to 10, without a network. The build of the deploy file comes first.
 set -euo pipefail
 cd "$(dirname "$0")/standins-2"
-cargo build --release --locked --offline
+cargo build --release --locked --offline --target-dir target
--- a/review/standins-2/src/builds.rs
+++ b/review/standins-2/src/builds.rs
@@ -38,6 +38,7 @@
 
 pub fn profile(number: usize, version: &str) -> Profile {
     Profile {
+        crashes: None,
         id: format!("i-{number}"),
         service: "needle-llm".to_owned(),
         version: version.to_owned(),
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -14,6 +14,7 @@
 use tokio::{
     io::{AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
+    sync::mpsc::UnboundedSender,
     task::AbortHandle,
     time,
 };
@@ -21,6 +22,8 @@
 /// What differs between engines.
 #[derive(Clone)]
 pub struct Profile {
+    /// Whether parts of prompts may crash it.
+    pub crashes: Option<UnboundedSender<String>>,
     pub id: String,
     pub service: String,
     pub version: String,
@@ -31,6 +34,10 @@
     pub interval: Duration,
 }
 
+/// Start of the name of each part of a prompt at which an engine crashes when it begins to write an
+/// answer.
+pub const CRASHING_PART: &str = "dead";
+
 /// A run of a request.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -230,6 +237,14 @@
         field(&request.fields, "godwithinge-tenant-name"),
     ));
     time::sleep(profile.work).await;
+    let mut parts = field(&request.fields, "godwithinge-prompt-prefix").split(',');
+    if let Some(crashes) = &profile.crashes
+        && parts.any(|part| part.starts_with(CRASHING_PART))
+    {
+        let _told = crashes.send(profile.id.clone());
+        // The process ends now.
+        std::future::pending::<()>().await;
+    }
     let fields = state.answer_fields(&id);
     if field(&request.fields, "godwithinge-token-counts").is_empty() {
         let body = format!("answer to {id}");
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod http;
 mod memory;
+mod parts;
 mod record;
 mod relay;
 mod revoked;
@@ -33,6 +34,7 @@
         "upgrade" => upgrade::run(has_trouble).await,
         "revoked" => revoked::run(has_trouble).await,
         "survivor" => survivor::run(has_trouble).await,
+        "parts" => parts::run(has_trouble).await,
         "memory" => memory::run(has_trouble).await,
         _ => Verdict::NotRun,
     };
--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -99,6 +99,7 @@
     let mut engines = Vec::new();
     for number in 0..9 {
         let profile = Profile {
+            crashes: None,
             id: format!("i-{number}"),
             service: "needle-llm".to_owned(),
             version: "v1".to_owned(),
--- a/review/standins-2/src/revoked.rs
+++ b/review/standins-2/src/revoked.rs
@@ -82,6 +82,7 @@
         .enumerate()
     {
         let profile = Profile {
+            crashes: None,
             id: format!("i-{number}"),
             service: service.to_owned(),
             version: "v1".to_owned(),
