--- a/review/standins-2/src/builds.rs
+++ b/review/standins-2/src/builds.rs
@@ -153,6 +153,7 @@
         if let Some(delay) = RETRY_DELAYS.get(attempt) {
             let asked = crate::http::field(&answer.fields, "retry-after").parse();
             let asked = Duration::from_secs_f64(asked.unwrap_or(0.0));
+            let left = DEADLINE.saturating_sub(started.elapsed());
             time::sleep(asked.min(left / 3).max(*delay)).await;
         }
     }
--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -80,7 +80,7 @@
         let front = fronts[number as usize % fronts.len()];
         let (record, body, ends) = (record.clone(), Arc::clone(body), Arc::clone(ends));
         tokio::spawn(async move {
-            let id = format!("m{number:05}");
+            let id = format!("b{number:05}");
             let request = request(&id, &body);
             let answer = client::send(front, &request, &id, DEADLINE, &record).await;
             let is_served = answer.status == 200 && answer.is_complete;
--- a/review/standins-2/src/parts.rs
+++ b/review/standins-2/src/parts.rs
@@ -204,7 +204,7 @@
         } else {
             template
         };
-        let id = format!("s{round}{number:04}");
+        let id = format!("e{round}{number:04}");
         let front = fronts[number % fronts.len()];
         number += 1;
         let (record, attempts) = (record.clone(), Arc::clone(&attempts));
