The last daemon of a fleet goes on with streams of a single build

Cause: a daemon that does not know where a stream began wants the word of a peer that its pool has had a single build. Once there is no peer, it waits for that word for ever, since the addresses of former ones are kept.

Where no peer can tell, the daemon now reads the records of builds from the store. The read begins after the stream was taken up, so it also shows a build that joined while the daemon stood still.

--- a/godwithinge/src/relay/builds.rs
+++ b/godwithinge/src/relay/builds.rs
@@ -63,8 +63,7 @@
 
     /// Sets the records to the rows of the whole table.
     pub(super) fn load_builds(&self, rows: &[Row]) {
-        let records = rows.iter().filter_map(decode);
-        self.build_records_mut().load(records);
+        self.build_records_mut().load(decode_all(rows));
     }
 
     /// Applies a row that was written or deleted.
@@ -84,6 +83,11 @@
     }
 }
 
+/// Returns the records of rows, without those that are malformed.
+pub(super) fn decode_all(rows: &[Row]) -> impl Iterator<Item = (Key, Presence)> {
+    rows.iter().filter_map(decode)
+}
+
 fn row_key((pool, build): &Key) -> String {
     format!("{pool}/{build}")
 }
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -37,6 +37,7 @@
 mod send;
 mod settings;
 mod side;
+mod snapshot;
 mod sse;
 mod state;
 mod store;
--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -51,6 +51,8 @@
     Peer,
     /// The pool has had a single build, as peers confirm.
     SingleBuild,
+    /// The pool has had a single build, as the store confirms.
+    RecordedBuild,
 }
 
 /// Known origins of streams, and queries to peers in progress.
@@ -160,8 +162,8 @@
                 Some((build, Source::Peer))
             } else {
                 self.wait_for_tables().await;
-                let build = self.confirmed_single_build(pool, max_age, &answers.single_builds);
-                build.map(|build| (build, Source::SingleBuild))
+                self.confirmed_single_build(pool, max_age, &answers.single_builds)
+                    .await
             };
         }
         let source: &str = found
@@ -192,21 +194,31 @@
         build.cloned()
     }
 
-    /// Returns the only build that a pool has had for `period`, if peers see the same. A daemon that
-    /// stood still, or has lost its peers, does not know which builds have joined meanwhile, and neither
-    /// does one that may have read an older copy of the store.
-    fn confirmed_single_build(
-        &self,
+    /// Returns the only build that a pool has had for `period`, if peers see the same, or the store where
+    /// no peer can tell. A daemon that stood still, or has lost its peers, does not know which builds have
+    /// joined meanwhile, and neither does one that may have read an older copy of the store.
+    async fn confirmed_single_build(
+        self: &Rc<Self>,
         pool: &PoolId,
         period: Duration,
         views: &[Option<Build>],
-    ) -> Option<Build> {
+    ) -> Option<(Build, Source)> {
         let build = self.single_build(pool, period)?;
-        let is_agreed = views.iter().all(|view| view.as_ref() == Some(&build));
+        if !views.is_empty() {
+            let is_agreed = views.iter().all(|view| view.as_ref() == Some(&build));
+            return is_agreed.then_some((build, Source::SingleBuild));
+        }
+        if self.registry().may_show_copy(self.now()) {
+            return None;
+        }
+        if let Some(snapshot) = self.read_snapshot().await {
+            let unix_now = state::unix_millis_now();
+            let records = &snapshot.records;
+            let is_only = !records.has_other(unix_now, pool, &build, period);
+            return is_only.then_some((build, Source::RecordedBuild));
+        }
         let is_alone = self.links.addresses.count() == 0 || self.has_just_started();
-        let is_current =
-            !views.is_empty() || is_alone && !self.registry().may_show_copy(self.now());
-        (is_agreed && is_current).then_some(build)
+        is_alone.then_some((build, Source::SingleBuild))
     }
 
     /// Returns whether this daemon has started, and read its tables, a moment ago by both clocks; one
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -12,6 +12,7 @@
     rejection::RejectionWatch,
     replication::Replication,
     settings::Settings,
+    snapshot::SnapshotReader,
     store::Store,
     watch::TableCache,
 };
@@ -82,6 +83,7 @@
     pub(super) links: Links,
     pub(super) replication: Replication,
     pub(super) origins: OriginTable,
+    pub(super) snapshots: SnapshotReader,
     pub(super) tables: TableCache,
     pub(super) dispatcher: JobDispatcher,
     pub(super) metrics: Metrics,
@@ -115,6 +117,7 @@
             links: Links::new(&settings),
             replication: Replication::new(settings.host.clone()),
             origins: OriginTable::default(),
+            snapshots: SnapshotReader::default(),
             dialect,
             incarnation: rand::random(),
             started_unix_ms: unix_millis_now(),
@@ -258,9 +261,9 @@
         act(budget)
     }
 
-    /// Returns the number of daemons that share the fleet's retry budgets. Shortly after the start,
-    /// known addresses count as well, since links to them are still being established.
-    fn fleet_size(&self) -> usize {
+    /// Returns the number of daemons that share the fleet's budgets of retries and reads. Shortly after the
+    /// start, known addresses count as well, since links to them are still being established.
+    pub(super) fn fleet_size(&self) -> usize {
         let linked = self.links.count();
         let others = if self.now() < leader::JOIN_TIMEOUT {
             linked.max(self.links.addresses.count())
