Every build of a pool is on record before resumable streams begin at it

Cause: builds were recorded in the store only if two of them were present at the same moment, and a missing record was read as 'a single build'. A pool that changes its build between two looks left none.

Each build is now recorded as soon as a daemon sees a target of it, and a resumable stream begins only at a recorded build, or in a pool without records. So a build without a record has begun no stream, and one record alone proves a single build, without the word of a peer. Readers tell the others (frame Builds, protocol 6); a daemon that hears nothing writes the record itself. The record of a former build is kept by the clock of the process, no longer by those of hosts, which may jump, and records that an older copy of the store lacks are written again.

--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -103,7 +103,7 @@
     Targets,
     /// Link addresses of the daemons, each written by the daemon itself.
     Daemons,
-    /// Builds of pools that have had more than one, written by daemons.
+    /// Builds that pools have had, written by daemons.
     Builds,
     /// Features of requests that crash targets, written by daemons.
     Quarantine,
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -7,6 +7,7 @@
 use policy::{
     id::{DomainId, HostId, Incarnation, PoolId, RequestId, TargetId},
     relay::{
+        builds,
         crash::{Feature, PayloadHash, Quarantine, Report},
         history::{Era, Version},
         leader::UnixMillis,
@@ -50,7 +51,7 @@
 }
 
 /// Version of the protocol between daemons that this build speaks.
-pub(super) const PROTOCOL: u32 = RATE_PROTOCOL;
+pub(super) const PROTOCOL: u32 = BUILD_PROTOCOL;
 
 /// Version of the protocol from which daemons exchange the features of requests whose targets crash.
 pub(super) const CRASH_PROTOCOL: u32 = 2;
@@ -65,6 +66,9 @@
 /// which processes of targets have ended.
 const RATE_PROTOCOL: u32 = 5;
 
+/// Version of the protocol from which daemons tell which builds the store has records of.
+const BUILD_PROTOCOL: u32 = 6;
+
 /// Row of a table as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireRow {
@@ -205,6 +209,8 @@
     Pause(WirePause),
     /// The processes of targets seem to have ended.
     Endings(Vec<WireStart>),
+    /// The store has records of these builds.
+    Builds(Vec<WireBuild>),
     /// Limits on the rate of requests that targets have named, or name no more.
     Rates(Vec<WireRate>),
     /// Asks the leader for a send to a target that names a limit.
@@ -219,6 +225,25 @@
     Permit { number: u64, permit: WirePermit },
 }
 
+/// Build of a pool, as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireBuild {
+    pool: PoolId,
+    build: Build,
+}
+
+impl From<builds::Key> for WireBuild {
+    fn from((pool, build): builds::Key) -> Self {
+        Self { pool, build }
+    }
+}
+
+impl From<WireBuild> for builds::Key {
+    fn from(build: WireBuild) -> Self {
+        (build.pool, build.build)
+    }
+}
+
 /// Limit on the rate of requests of a target, as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireRate {
@@ -425,6 +450,7 @@
     /// Returns the version of the protocol from which daemons can decode this frame.
     pub fn protocol(&self) -> u32 {
         match self {
+            Self::Builds(_) => BUILD_PROTOCOL,
             Self::Rates(_)
             | Self::RequestPermit { .. }
             | Self::Permit { .. }
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -318,6 +318,7 @@
     relay.send_departures(&host);
     relay.send_rates(&host);
     relay.send_endings(&host);
+    relay.send_builds(&host);
     let end = tokio::select! {
         end = receive_frames(relay, &host, link_id, receiver) => end,
         end = send_frames(relay, &host, sender, queue) => end,
--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -39,7 +39,7 @@
 
 /// Maximum age of a stream that a caller takes up, in timeouts of its route: that of the attempt that
 /// began it and of the one that takes it up.
-const MAX_STREAM_TIMEOUTS: u32 = 2;
+pub(super) const MAX_STREAM_TIMEOUTS: u32 = 2;
 
 /// How a daemon learned the build of a stream that a caller takes up.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
@@ -194,31 +194,35 @@
         build.cloned()
     }
 
-    /// Returns the only build that a pool has had for `period`, if peers see the same, or the store where
-    /// no peer can tell. A daemon that stood still, or has lost its peers, does not know which builds have
-    /// joined meanwhile, and neither does one that may have read an older copy of the store.
+    /// Returns the only build that a pool has had for `period`, if peers see the same, or else the store.
+    /// A daemon that stood still, or has lost its peers, does not know which builds have joined meanwhile,
+    /// and neither does one that may have read an older copy of the store.
     async fn confirmed_single_build(
         self: &Rc<Self>,
         pool: &PoolId,
         period: Duration,
         views: &[Option<Build>],
     ) -> Option<(Build, Source)> {
-        let build = self.single_build(pool, period)?;
-        if !views.is_empty() {
-            let is_agreed = views.iter().all(|view| view.as_ref() == Some(&build));
-            return is_agreed.then_some((build, Source::SingleBuild));
+        let single = self.single_build(pool, period);
+        let is_agreed = |build: &Build| views.iter().all(|view| view.as_ref() == Some(build));
+        if !views.is_empty() && single.as_ref().is_some_and(is_agreed) {
+            return single.map(|build| (build, Source::SingleBuild));
         }
         if self.registry().may_show_copy(self.now()) {
             return None;
         }
         if let Some(snapshot) = self.read_snapshot().await {
-            let unix_now = state::unix_millis_now();
-            let records = &snapshot.records;
-            let is_only = !records.has_other(unix_now, pool, &build, period);
-            return is_only.then_some((build, Source::RecordedBuild));
+            let registry = self.registry();
+            let build = registry.recorded_build(pool, &snapshot.records)?;
+            // Records that the store has lost are written again.
+            let is_only = !self.build_records().has_other(pool, build);
+            return is_only.then(|| (build.clone(), Source::RecordedBuild));
         }
         let is_alone = self.links.addresses.count() == 0 || self.has_just_started();
-        is_alone.then_some((build, Source::SingleBuild))
+        let is_current = views.is_empty() && is_alone;
+        single
+            .filter(|_| is_current)
+            .map(|build| (build, Source::SingleBuild))
     }
 
     /// Returns whether this daemon has started, and read its tables, a moment ago by both clocks; one
--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -80,6 +80,7 @@
             Frame::Departures(departures) => self.receive_departures(departures),
             Frame::Pause(pause) => self.apply_pause(&pause.target, pause.left),
             Frame::Endings(endings) => self.receive_endings(endings),
+            Frame::Builds(builds) => self.receive_builds(builds),
             Frame::Rates(rates) => self.receive_rates(rates),
             Frame::RequestPermit {
                 number,
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -541,9 +541,18 @@
 
     /// Returns whether the request may be sent to a target as far as its stream's build is concerned.
     pub(super) fn fits_build(&self, registry: &Registry, target: &Target) -> bool {
-        let build = self.build.get();
-        build.is_none_or(|build| target.build == *build && !registry.has_ended(target))
-            && !self.is_build_unknown.get()
+        if self.is_build_unknown.get() {
+            return false;
+        }
+        match self.build.get() {
+            Some(build) => target.build == *build && !registry.has_ended(target),
+            // After a loss of all daemons, only the records tell where the stream can have begun.
+            None if self.route.is_resumable => {
+                let records = self.relay.build_records();
+                records.may_begin(&target.pool, &target.build)
+            }
+            None => true,
+        }
     }
 
     /// Returns this daemon's share of the connections to one target of a pool.
--- a/godwithinge/src/relay/snapshot.rs
+++ b/godwithinge/src/relay/snapshot.rs
@@ -83,7 +83,7 @@
     async fn read(store: &Store, relay: &Relay) -> Result<Self, store::Error> {
         let rows = store.read_table(relay, Table::Builds).await?;
         let mut records = BuildRecords::default();
-        records.load(builds::decode_all(&rows.rows));
+        records.load(rows.version.era, builds::decode_all(&rows.rows));
         Ok(Self { records })
     }
 }
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -40,7 +40,10 @@
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
-use tokio::{sync::watch, time};
+use tokio::{
+    sync::{Notify, watch},
+    time,
+};
 
 /// Connect timeout for targets. A target that does not answer a SYN in this time is treated as
 /// unreachable.
@@ -65,6 +68,8 @@
     plan_row: RefCell<Option<Row>>,
     registry: RefCell<Registry>,
     build_records: RefCell<BuildRecords>,
+    /// Notified when a target was added or changed.
+    pub(super) targets_changed: Notify,
     target_selector: RefCell<TargetSelector>,
     /// When targets last sent events of streams.
     pub(super) activity: RefCell<Activity>,
@@ -128,6 +133,7 @@
             plan_row: RefCell::default(),
             registry: RefCell::default(),
             build_records: RefCell::default(),
+            targets_changed: Notify::new(),
             target_selector: RefCell::default(),
             activity: RefCell::default(),
             crash_watch: CrashWatch::default(),
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -162,7 +162,7 @@
             }
             match table {
                 Table::Targets => relay.replace_targets(rows.rows, rows.version),
-                Table::Builds => relay.load_builds(&rows.rows),
+                Table::Builds => relay.load_builds(rows.version.era, &rows.rows),
                 Table::Quarantine => relay.load_quarantine(&rows.rows),
                 Table::Plan | Table::Daemons => relay.apply_rows(table, rows.rows),
             }
@@ -584,6 +584,7 @@
             }
             self.dispatcher.apply_target_change(self, &change);
             if let TargetChange::Added(target) = &change {
+                self.targets_changed.notify_one();
                 self.limit_stage_target(&target.id);
             }
         }
--- a/policy/src/relay/plan.rs
+++ b/policy/src/relay/plan.rs
@@ -182,6 +182,12 @@
         }
     }
 
+    /// Returns the longest timeout of all routes.
+    pub fn longest_timeout(&self) -> Duration {
+        let timeouts = self.routes.iter().map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns the route for `host` with the longest prefix of `path`, and the workspace of `key`.
     ///
     /// The workspace is absent if the route is public or no workspaces are configured.
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -355,9 +355,9 @@
 
     /// Returns the build of a pool if all of its targets had the same one during the last `period`.
     ///
-    /// A daemon that has started since then relies on the records of the store. Without them, it
-    /// relies on the start times of the present targets by the clock `unix_now`, since a former build
-    /// was replaced by targets that started.
+    /// A daemon that has started since then relies on the records of the store, of which this build's has
+    /// to be the only one. Without records, it relies on the start times of the present targets by the
+    /// clock `unix_now`, since a former build was replaced by targets that started.
     pub fn single_build(
         &self,
         now: Time,
@@ -382,13 +382,24 @@
         };
         let is_excluded = is_known_for_period
             || if records.is_loaded() {
-                !records.has_other(unix_now, pool, build, period)
+                records.only_build(pool) == Some(build)
             } else {
                 present().all(has_started_before)
             };
         (!has_other && is_excluded).then_some(build)
     }
 
+    /// Returns the build of a pool if it is the only one of which streams can be, given the records that the
+    /// store has now. A process that has ended is no doubt: whatever replaced it is recorded before streams
+    /// begin there, or is a target that is known.
+    pub fn recorded_build<'a>(&self, pool: &str, records: &'a BuildRecords) -> Option<&'a Build> {
+        let build = records.only_build(pool)?;
+        let mut present = self.all().filter(|target| target.pool == pool);
+        present
+            .all(|target| target.build == *build)
+            .then_some(build)
+    }
+
     /// Returns whether the store may show an older copy, in which targets are missing that have not
     /// registered again. A daemon that has just started does not know when the store came back.
     pub fn may_show_copy(&self, now: Time) -> bool {
--- a/standin/src/site/store.rs
+++ b/standin/src/site/store.rs
@@ -46,6 +46,8 @@
     /// Change feeds that start before this version are answered with 410.
     truncated_version: AtomicU64,
     is_unavailable: AtomicBool,
+    /// Whether calls that write are answered with 503.
+    is_read_only: AtomicBool,
     request_count: AtomicU64,
     fault: Mutex<Fault>,
     /// Last answer on each connection.
@@ -115,6 +117,7 @@
             version: watch::Sender::new(1),
             truncated_version: AtomicU64::new(0),
             is_unavailable: AtomicBool::new(false),
+            is_read_only: AtomicBool::new(false),
             request_count: AtomicU64::new(0),
             fault: Mutex::default(),
             last_answers: Mutex::default(),
@@ -167,6 +170,13 @@
             .store(is_unavailable, Ordering::Relaxed);
     }
 
+    /// Answers 503 to all calls that write while `is_read_only` is true.
+    pub fn set_read_only(&self, is_read_only: bool) {
+        self.state
+            .is_read_only
+            .store(is_read_only, Ordering::Relaxed);
+    }
+
     /// Sets how the store answers wrongly.
     pub fn set_fault(&self, fault: Fault) {
         *lock(&self.state.fault) = fault;
@@ -366,6 +376,13 @@
                 let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
                 self.feed(&table, number("after").unwrap_or(0), wait).await
             }
+            (&Method::POST, "/rows-tx") if self.is_read_only.load(Ordering::Relaxed) => {
+                reply::error(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "read_only",
+                    "store accepts no writes",
+                )
+            }
             (&Method::POST, "/rows-tx") => self.apply_transaction(request.body()),
             _ => reply::not_found(),
         }
