Builds of streams outlive their daemons while a pool has several

Cause: where a stream began was known only to its daemon and two peers, which may all end at once.

While a pool has more than one build on record, each daemon keeps the builds of the streams that it forwards in one row of the store, written twice a second at most and 500 times a second by the whole fleet. A stream that no daemon knows goes on at the build in these rows. With a single build nothing is written.

--- a/godwithinge/src/relay/builds.rs
+++ b/godwithinge/src/relay/builds.rs
@@ -3,7 +3,6 @@
 use super::{
     dialect::{Row, Table},
     frame::{Frame, WireBuild},
-    origin::MAX_STREAM_TIMEOUTS,
     state::{self, Relay},
 };
 use compact_str::CompactString;
@@ -78,14 +77,14 @@
 
 impl Relay {
     fn pending_build_records(&self) -> Vec<(Key, Option<Presence>)> {
-        let Some(plan) = self.plan() else {
+        let Some(max_age) = self.max_stream_age() else {
             return Vec::new();
         };
         let mut records = self.build_records_mut();
         if !records.is_loaded() {
             return Vec::new();
         }
-        let mut retention = MIN_RETENTION.max(plan.longest_timeout() * MAX_STREAM_TIMEOUTS);
+        let mut retention = MIN_RETENTION.max(max_age);
         if !self.is_reader() {
             // Must not take a build for recorded whose record the readers have removed.
             retention /= 2;
--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -107,6 +107,8 @@
     Builds,
     /// Features of requests that crash targets, written by daemons.
     Quarantine,
+    /// Builds of streams, each row written by the daemon that forwards them.
+    Streams,
 }
 
 /// A row of the store.
--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -1,8 +1,8 @@
 //! Startup of a daemon, and shutdown without losing requests.
 
 use super::{
-    address, builds, conduct, dialect::Table, front, link, process, quarantine, rate, reach,
-    settings::Settings, side, state::Relay, tunnel, watch,
+    address, builds, conduct, dialect::Table, front, ledger, link, process, quarantine, rate,
+    reach, settings::Settings, side, state::Relay, tunnel, watch,
 };
 use crate::task;
 use policy::relay::shutdown::Timetable;
@@ -109,6 +109,8 @@
     }
     spawn_loop(relay, watch::register_daemon);
     spawn_loop(relay, builds::record_builds);
+    spawn_loop(relay, ledger::keep_streams);
+    spawn_loop(relay, ledger::sweep_streams);
     spawn_loop(relay, quarantine::record_quarantine);
     spawn_loop(relay, rate::expire_limits);
     spawn_loop(relay, conduct::poll_scheduler);
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -20,6 +20,7 @@
 mod frame;
 mod front;
 mod handover;
+mod ledger;
 mod link;
 mod metrics;
 mod notice;
--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -39,7 +39,7 @@
 
 /// Maximum age of a stream that a caller takes up, in timeouts of its route: that of the attempt that
 /// began it and of the one that takes it up.
-pub(super) const MAX_STREAM_TIMEOUTS: u32 = 2;
+const MAX_STREAM_TIMEOUTS: u32 = 2;
 
 /// How a daemon learned the build of a stream that a caller takes up.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
@@ -49,6 +49,8 @@
     Own,
     /// A peer answered.
     Peer,
+    /// The daemon that forwarded it had stored its build.
+    Stored,
     /// The pool has had a single build, as peers confirm.
     SingleBuild,
     /// The pool has had a single build, as the store confirms.
@@ -58,7 +60,7 @@
 /// Known origins of streams, and queries to peers in progress.
 #[derive(Debug, Default)]
 pub(super) struct OriginTable {
-    origins: RefCell<Origins>,
+    pub(super) origins: RefCell<Origins>,
     queries: RefCell<HashMap<u64, Query>>,
     next_number: Cell<u64>,
 }
@@ -106,9 +108,17 @@
 }
 
 impl Relay {
-    /// Records the build at which a stream began, here and at the peers that keep it.
-    pub(super) fn record_origin(&self, stream: &RequestId, build: &Build) {
-        self.keep_origin(stream.clone(), build.clone(), Duration::ZERO);
+    /// Returns the maximum age of streams that callers may take up; `None` without a configuration.
+    pub(super) fn max_stream_age(&self) -> Option<Duration> {
+        let plan = self.plan()?;
+        Some(plan.longest_timeout() * MAX_STREAM_TIMEOUTS)
+    }
+
+    /// Records the build at which a stream of `pool` began, here and at the peers that keep it.
+    fn record_origin(&self, stream: &RequestId, build: &Build, pool: &PoolId) {
+        let mut origins = self.origins.origins.borrow_mut();
+        origins.insert_forwarded(self.now(), stream.clone(), build.clone(), pool.clone());
+        drop(origins);
         let peers = self.keeping_peers();
         self.send_origin(stream, build, Duration::ZERO, peers);
     }
@@ -162,8 +172,8 @@
                 Some((build, Source::Peer))
             } else {
                 self.wait_for_tables().await;
-                self.confirmed_single_build(pool, max_age, &answers.single_builds)
-                    .await
+                let views = &answers.single_builds;
+                self.find_unkept_origin(&stream, pool, max_age, views).await
             };
         }
         let source: &str = found
@@ -194,11 +204,13 @@
         build.cloned()
     }
 
-    /// Returns the only build that a pool has had for `period`, if peers see the same, or else the store.
-    /// A daemon that stood still, or has lost its peers, does not know which builds have joined meanwhile,
-    /// and neither does one that may have read an older copy of the store.
-    async fn confirmed_single_build(
+    /// Returns the build of a stream that no daemon keeps: the only one that its pool has had for `period`,
+    /// if peers see the same, or what the store says. A daemon that stood still, or has lost its peers, does
+    /// not know which builds have joined meanwhile, and neither does one that may have read an older copy
+    /// of the store.
+    async fn find_unkept_origin(
         self: &Rc<Self>,
+        stream: &RequestId,
         pool: &PoolId,
         period: Duration,
         views: &[Option<Build>],
@@ -208,18 +220,20 @@
         if !views.is_empty() && single.as_ref().is_some_and(is_agreed) {
             return single.map(|build| (build, Source::SingleBuild));
         }
-        if self.registry().may_show_copy(self.now()) {
-            return None;
-        }
-        if let Some(snapshot) = self.read_snapshot().await {
+        let snapshot = self.read_snapshot().await;
+        let may_show_copy = self.registry().may_show_copy(self.now());
+        if let Some(snapshot) = snapshot {
+            if let Some(build) = snapshot.ledger.build(stream, pool) {
+                return Some((build.clone(), Source::Stored));
+            }
             let registry = self.registry();
             let build = registry.recorded_build(pool, &snapshot.records)?;
             // Records that the store has lost are written again.
-            let is_only = !self.build_records().has_other(pool, build);
+            let is_only = !self.build_records().has_other(pool, build) && !may_show_copy;
             return is_only.then(|| (build.clone(), Source::RecordedBuild));
         }
         let is_alone = self.links.addresses.count() == 0 || self.has_just_started();
-        let is_current = views.is_empty() && is_alone;
+        let is_current = views.is_empty() && is_alone && !may_show_copy;
         single
             .filter(|_| is_current)
             .map(|build| (build, Source::SingleBuild))
@@ -364,23 +378,36 @@
             return;
         }
         let build = self.build.get_or_init(|| target.build.clone());
-        self.record_origin(build);
+        self.record_origin(build, &target.pool);
     }
 
     /// Forgets the build at which the stream began if its target, whose events are still arriving, has
     /// registered with another one since. They may come from the later process.
     pub(super) fn review_build(&self, target: &Target) {
         if self.relay.registry().has_other_build(target) && !self.is_build_unknown.replace(true) {
-            self.record_origin(&Build::default());
+            self.record_origin(&Build::default(), &target.pool);
         }
     }
 
-    fn record_origin(&self, build: &Build) {
+    fn record_origin(&self, build: &Build, pool: &PoolId) {
         if self.route.is_resumable {
-            let resumption = self.metadata.resumption.as_ref();
-            let stream = resumption.and_then(|resumption| resumption.stream.as_ref());
-            let stream = stream.unwrap_or(&self.metadata.id);
-            self.relay.record_origin(stream, build);
+            self.relay.record_origin(self.stream(), build, pool);
         }
     }
+
+    /// Records that the caller got all of the response.
+    pub(super) fn record_completion(&self) {
+        if self.route.is_resumable {
+            let now = self.relay.now();
+            let mut origins = self.relay.origins.origins.borrow_mut();
+            origins.record_completion(now, self.stream());
+        }
+    }
+
+    /// Returns the identifier of the request that brought the stream's first event.
+    fn stream(&self) -> &RequestId {
+        let resumption = self.metadata.resumption.as_ref();
+        let stream = resumption.and_then(|resumption| resumption.stream.as_ref());
+        stream.unwrap_or(&self.metadata.id)
+    }
 }
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -188,7 +188,11 @@
         if self.stats.ended.replace(true) {
             return;
         }
-        self.record_run(reason == ANSWERED);
+        let is_complete = reason == ANSWERED;
+        self.record_run(is_complete);
+        if is_complete {
+            self.record_completion();
+        }
         let kind: &'static str = self.route.kind.into();
         let code = status.map_or("0".to_owned(), |status| status.as_u16().to_string());
         let metrics = &self.relay.metrics;
--- a/godwithinge/src/relay/snapshot.rs
+++ b/godwithinge/src/relay/snapshot.rs
@@ -6,6 +6,7 @@
 use super::{
     builds,
     dialect::Table,
+    ledger::Ledger,
     state::Relay,
     store::{self, Store},
 };
@@ -33,6 +34,8 @@
 #[derive(Debug)]
 pub(super) struct Snapshot {
     pub records: BuildRecords,
+    /// Builds of streams; empty if no pool has several.
+    pub ledger: Ledger,
 }
 
 /// A read that several requests wait for; yields nothing if it fails.
@@ -84,6 +87,11 @@
         let rows = store.read_table(relay, Table::Builds).await?;
         let mut records = BuildRecords::default();
         records.load(rows.version.era, builds::decode_all(&rows.rows));
-        Ok(Self { records })
+        let ledger = if records.is_any_divided() {
+            Ledger::new(&store.read_table(relay, Table::Streams).await?.rows)
+        } else {
+            Ledger::default()
+        };
+        Ok(Self { records, ledger })
     }
 }
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -164,13 +164,17 @@
                 Table::Targets => relay.replace_targets(rows.rows, rows.version),
                 Table::Builds => relay.load_builds(rows.version.era, &rows.rows),
                 Table::Quarantine => relay.load_quarantine(&rows.rows),
-                Table::Plan | Table::Daemons => relay.apply_rows(table, rows.rows),
+                Table::Plan | Table::Daemons | Table::Streams => {
+                    relay.apply_rows(table, rows.rows);
+                }
             }
         }
         Some(version) => {
             let wait = match table {
                 Table::Plan | Table::Targets => relay.read_schedule().feed_wait,
-                Table::Daemons | Table::Builds | Table::Quarantine => OWN_FEED_WAIT,
+                Table::Daemons | Table::Builds | Table::Quarantine | Table::Streams => {
+                    OWN_FEED_WAIT
+                }
             };
             let changes = relay
                 .store
@@ -189,7 +193,7 @@
         match table {
             Table::Plan => self.plan_read_at.set(now),
             Table::Targets => self.targets_read_at.set(now),
-            Table::Daemons | Table::Builds | Table::Quarantine => {}
+            Table::Daemons | Table::Builds | Table::Quarantine | Table::Streams => {}
         }
     }
 
@@ -360,7 +364,7 @@
         }
         match table {
             Table::Plan | Table::Targets => self.must_stand_in(),
-            Table::Daemons | Table::Builds | Table::Quarantine => false,
+            Table::Daemons | Table::Builds | Table::Quarantine | Table::Streams => false,
         }
     }
 
@@ -401,6 +405,8 @@
                 Table::Daemons => self.learn_daemon_address(&row),
                 Table::Builds => self.apply_build_record(&row),
                 Table::Quarantine => self.apply_quarantine_record(&row),
+                // Read only when a stream of unknown origin is taken up.
+                Table::Streams => {}
             }
         }
     }
--- a/policy/src/relay/builds.rs
+++ b/policy/src/relay/builds.rs
@@ -161,6 +161,17 @@
         self.builds(pool).any(|recorded| recorded != build)
     }
 
+    /// Returns whether more than one build of a pool is recorded.
+    pub fn is_divided(&self, pool: &str) -> bool {
+        self.builds(pool).nth(1).is_some()
+    }
+
+    /// Returns whether any pool [is divided](Self::is_divided).
+    pub fn is_any_divided(&self) -> bool {
+        let pools = || self.records.keys().map(|(pool, _)| pool);
+        pools().zip(pools().skip(1)).any(|(one, next)| one == next)
+    }
+
     fn builds(&self, pool: &str) -> impl Iterator<Item = &Build> {
         let first = (PoolId::from(pool), Build::default());
         let records = self.records.range(first..);
--- a/policy/tests/builds.rs
+++ b/policy/tests/builds.rs
@@ -248,6 +248,6 @@
         let build = registry.recorded_build("model", &records);
         build.map(ToString::to_string)
     };
-    assert_eq!(recorded(&[old.clone()]).as_deref(), Some("v1"));
+    assert_eq!(recorded(std::slice::from_ref(&old)).as_deref(), Some("v1"));
     assert_eq!(recorded(&[old, new]), None);
 }
--- a/policy/tests/origin.rs
+++ b/policy/tests/origin.rs
@@ -2,7 +2,7 @@
 
 use policy::{
     id::HostId,
-    relay::origin::{Origins, asked_daemons, keepers},
+    relay::origin::{MAX_STORED_STREAMS, Origins, asked_daemons, keepers, stream_hash},
 };
 use rstest::rstest;
 use std::time::Duration;
@@ -91,3 +91,50 @@
     // Whoever keeps it next must not go on with the former build either.
     assert_eq!(origins.recent(now).count(), 1);
 }
+
+/// Time for which streams may be taken up.
+const MAX_AGE: Duration = Duration::from_secs(40);
+const NOW: Duration = Duration::from_secs(100);
+
+/// Returns the hashes of the streams to store, whose pool has several builds.
+fn stored(origins: &Origins, now: Duration) -> Vec<u64> {
+    let stored = origins.stored(now, MAX_AGE, |pool| pool == "model");
+    stored.into_iter().map(|(stream, ..)| stream).collect()
+}
+
+#[test]
+fn streams_that_may_be_taken_up_are_stored() {
+    let mut origins = Origins::default();
+    let mut forward = |at, stream: &str, build: &str, pool: &str| {
+        origins.insert_forwarded(at, stream.into(), build.into(), pool.into());
+    };
+    forward(NOW - MAX_AGE - Duration::from_secs(1), "old", "v1", "model");
+    forward(NOW - Duration::from_secs(1), "open", "v1", "model");
+    forward(NOW, "newest", "v2", "model");
+    forward(NOW, "of_a_pool_with_one_build", "v1", "other");
+    forward(NOW, "of_unknown_build", "", "model");
+    origins.insert(NOW, "of_a_peer".into(), "v1".into());
+    origins.insert(NOW, "newest".into(), "v2".into());
+    let expected = ["newest", "open"].map(stream_hash);
+    assert_eq!(stored(&origins, NOW), expected);
+    // Its last bytes may not have reached the caller.
+    origins.record_completion(NOW, "newest");
+    assert_eq!(stored(&origins, NOW + Duration::from_secs(1)), expected);
+    assert_eq!(
+        stored(&origins, NOW + Duration::from_secs(2)),
+        expected[1..]
+    );
+}
+
+/// The newest streams are stored if there are too many for a row.
+#[test]
+fn stored_streams_are_bounded() {
+    let mut origins = Origins::default();
+    for number in 0..MAX_STORED_STREAMS as u64 + 1 {
+        let at = Duration::from_millis(number);
+        origins.insert_forwarded(at, format!("s{number}").into(), "v1".into(), "model".into());
+    }
+    let stored = stored(&origins, Duration::from_secs(6));
+    assert_eq!(stored.len(), MAX_STORED_STREAMS);
+    assert!(!stored.contains(&stream_hash("s0")));
+}
--- a/standin/src/site/store.rs
+++ b/standin/src/site/store.rs
@@ -163,6 +163,15 @@
         row.is_some_and(|row| row.value.is_some())
     }
 
+    /// Returns the keys of a table's rows.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let rows = self.state.rows();
+        let present = rows
+            .iter()
+            .filter(|((of, _), row)| of == table && row.value.is_some());
+        present.map(|((_, key), _)| key.clone()).collect()
+    }
+
     /// Answers 503 to all requests while `is_unavailable` is true.
     pub fn set_unavailable(&self, is_unavailable: bool) {
         self.state
