--- a/policy/tests/origin.rs
+++ b/policy/tests/origin.rs
@@ -95,6 +95,8 @@
 /// Time for which streams may be taken up.
 const MAX_AGE: Duration = Duration::from_secs(40);
 const NOW: Duration = Duration::from_secs(100);
+/// A moment at which a stream began that may not be taken up any more at [`NOW`].
+const LONG_AGO: Duration = Duration::from_secs(59);
 
 /// Returns the hashes of the streams to store, whose pool has several builds.
 fn stored(origins: &Origins, now: Duration) -> Vec<u64> {
@@ -108,8 +110,8 @@
     let mut forward = |at, stream: &str, build: &str, pool: &str| {
         origins.insert_forwarded(at, stream.into(), build.into(), pool.into());
     };
-    forward(NOW - MAX_AGE - Duration::from_secs(1), "old", "v1", "model");
-    forward(NOW - Duration::from_secs(1), "open", "v1", "model");
+    forward(LONG_AGO, "old", "v1", "model");
+    forward(LONG_AGO + MAX_AGE, "open", "v1", "model");
     forward(NOW, "newest", "v2", "model");
     forward(NOW, "of_a_pool_with_one_build", "v1", "other");
     forward(NOW, "of_unknown_build", "", "model");
@@ -130,7 +132,7 @@
 #[test]
 fn stored_streams_are_bounded() {
     let mut origins = Origins::default();
-    for number in 0..MAX_STORED_STREAMS as u64 + 1 {
+    for number in 0..=MAX_STORED_STREAMS as u64 {
         let at = Duration::from_millis(number);
         origins.insert_forwarded(at, format!("s{number}").into(), "v1".into(), "model".into());
     }
