A stream goes on only at a process whose start is that of its entry

Cause: the build of a target was taken from its entry. That the process behind the entry had ended was seen on connections only, and an engine without requests has none that tell.

When a stream that has begun gets its first event from another target, that target is asked for its start before the event is passed on. A later start than the entry's ends the attempt, and all daemons are told. One question for a resumption, none for a new request.

--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -14,7 +14,13 @@
 use http_body_util::Full;
 use policy::{
     id::{TargetId, Time},
-    relay::{plan::Kind, registry::Target, scheduler::Handle, sse::EventId},
+    relay::{
+        ending::last_ended_start,
+        plan::Kind,
+        registry::{Start, Target},
+        scheduler::Handle,
+        sse::EventId,
+    },
 };
 use std::{
     cell::Cell,
@@ -278,8 +284,7 @@
         let received = resumption.and_then(|resumption| resumption.last_event);
         let mut reader = sse::Reader::new(response, last_event_id.or(received));
         match reader.next(self.deadline).await {
-            // Its process may have been replaced since it was selected.
-            Ok(Some(_)) if !self.may_go_on_at(target) => SendOutcome::Failed("replaced"),
+            Ok(Some(_)) if !self.may_go_on_at(target).await => SendOutcome::Failed("replaced"),
             Ok(Some(first)) => SendOutcome::Streaming(Box::new(StreamingResponse {
                 reader,
                 first,
@@ -303,9 +308,26 @@
         }
     }
 
-    /// Returns whether a stream that has begun may go on with what a target has sent.
-    fn may_go_on_at(&self, target: &Target) -> bool {
-        self.build.get().is_none() || !self.relay.registry().may_be_replaced(target)
+    /// Returns whether a stream that has begun may go on with what a target has sent. Its process may have
+    /// been replaced by one whose entry is not known yet, and which no daemon has seen start.
+    async fn may_go_on_at(&self, target: &Target) -> bool {
+        if self.build.get().is_none() {
+            return true;
+        }
+        let is_replaced = || self.relay.registry().may_be_replaced(target);
+        if is_replaced() {
+            return false;
+        }
+        let started = self.relay.ask_start(target).await;
+        if let Some(ended) = started.and_then(|started| last_ended_start(target, started)) {
+            let ending = Start {
+                target: target.id.clone(),
+                started_unix_ms: ended,
+            };
+            self.relay.apply_ending(ending, "resumption");
+        }
+        // An entry may also have arrived meanwhile.
+        !is_replaced()
     }
 
     /// Returns whether a response belongs to this request and was not altered on its way from the
