Memory that a buffer returns is what was taken for it

Reservation::shrink returned the difference of two sizes; for shares of which a part does not count that is too much. No share is shrunk so today.

--- a/godwithinge/src/relay/buffer.rs
+++ b/godwithinge/src/relay/buffer.rs
@@ -48,7 +48,7 @@
     pub fn shrink(&mut self, size: usize) {
         if size < self.size {
             let mut usage = self.relay.memory_usage_mut();
-            usage.release(self.share, (self.size - size) as u64);
+            usage.shrink(self.share, self.size as u64, size as u64);
             self.size = size;
         }
     }
--- a/policy/src/relay/memory.rs
+++ b/policy/src/relay/memory.rs
@@ -78,10 +78,16 @@
         has_room
     }
 
+    /// Returns the memory by which something shrinks from `from` to `to` bytes.
+    pub fn shrink(&mut self, share: Share, from: u64, to: u64) {
+        let returned = share.counted(from).saturating_sub(share.counted(to));
+        let taken = self.taken_mut(share);
+        *taken = taken.saturating_sub(returned);
+    }
+
     /// Returns the memory of something of `size` bytes.
     pub fn release(&mut self, share: Share, size: u64) {
-        let taken = self.taken_mut(share);
-        *taken = taken.saturating_sub(share.counted(size));
+        self.shrink(share, size, 0);
     }
 
     /// Returns the memory that is taken from a share.
--- a/policy/tests/memory.rs
+++ b/policy/tests/memory.rs
@@ -93,3 +93,19 @@
     );
     assert!(usage.try_grow(Share::Requests, 0, SMALL_REQUEST_BYTES, LIMIT));
 }
+
+/// What is returned of something is what was taken for it, also where a part of it does not count.
+#[rstest]
+#[case::request(Share::Requests)]
+#[case::response(Share::Responses)]
+fn shrinking_returns_what_was_taken(#[case] share: Share) {
+    const LIMIT: u64 = 160_000_000;
+    let (from, to) = (SMALL_RESPONSE_BYTES * 3, SMALL_RESPONSE_BYTES * 2);
+    let (mut shrunk, mut small) = (Usage::default(), Usage::default());
+    assert!(shrunk.try_grow(share, 0, from, LIMIT));
+    shrunk.shrink(share, from, to);
+    assert!(small.try_grow(share, 0, to, LIMIT));
+    assert_eq!(shrunk, small);
+    shrunk.release(share, to);
+    assert_eq!(shrunk, Usage::default());
+}
