Stages of a route may be listed in any order

Cause: the order of the list was taken for a topological one, and one route that could not be converted failed the whole configuration.

Stages are sorted when a configuration is read, and keep their positions for the numbers of pieces that callers state.

--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -21,7 +21,7 @@
     id::{DomainId, HostId, PoolId, TargetId, WorkspaceId},
     relay::{
         crash::{Feature, PayloadHash},
-        plan::{Kind, Plan, Route},
+        plan::{Kind, Plan, Route, Stage},
         registry::{Build, Registry, Target},
         scheduler::StageSpec,
         selection::{Criteria, Selection},
@@ -353,17 +353,11 @@
         since: Instant,
     ) -> Result<StageResults, Rejection> {
         let started = Instant::now();
-        let stages = self.route.stages.iter().enumerate();
-        let stages = stages.map(|(index, stage)| StageSpec {
+        let stages = self.route.stages.iter().map(|stage| StageSpec {
             pool: stage.pool.clone(),
             after: stage.after.clone(),
             bytes: stage.bytes,
-            pieces: self
-                .metadata
-                .piece_counts
-                .get(index)
-                .copied()
-                .unwrap_or_default(),
+            pieces: self.piece_count(stage),
         });
         let due = self.event_deadline(since);
         let due = self.latest_send().map_or(due, |at| at.min(due));
@@ -572,11 +566,17 @@
 
     /// Returns the size in bytes of the results of the request's largest stage.
     fn largest_stage_bytes(&self) -> u64 {
-        let stages = self.route.stages.iter().zip(&self.metadata.piece_counts);
-        let bytes = stages.map(|(stage, &pieces)| stage.bytes * u64::from(pieces));
+        let stages = self.route.stages.iter();
+        let bytes = stages.map(|stage| stage.bytes * u64::from(self.piece_count(stage)));
         bytes.max().unwrap_or_default()
     }
 
+    /// Returns the number of pieces of a stage; 0 if the caller does not state it.
+    fn piece_count(&self, stage: &Stage) -> u32 {
+        let counts = &self.metadata.piece_counts;
+        counts.get(stage.position).copied().unwrap_or_default()
+    }
+
     /// Counts and logs a send that returned no response to forward.
     pub(super) fn record_failed_send(
         &self,
--- a/policy/src/relay/plan.rs
+++ b/policy/src/relay/plan.rs
@@ -38,6 +38,48 @@
     pub after: Vec<usize>,
     /// Approximate size of one result in bytes.
     pub bytes: u64,
+    /// Position in the configuration, by which callers state numbers of pieces.
+    pub position: usize,
+}
+
+/// Maximum number of stages of a route; pipelines have three to six.
+const MAX_STAGES: usize = 256;
+
+/// Stages read the results of each other in a circle, or of a stage that does not exist.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Unordered;
+
+impl Stage {
+    /// Returns stages in topological order, given those of a configuration, which may list them in any.
+    /// Stages that are in order stay where they are.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such order, or if there are more than [`MAX_STAGES`].
+    pub fn sort(stages: &[Self]) -> Result<Vec<Self>, Unordered> {
+        if stages.len() > MAX_STAGES {
+            return Err(Unordered);
+        }
+        let mut order: Vec<usize> = Vec::with_capacity(stages.len());
+        while order.len() < stages.len() {
+            let is_next = |index: &usize| {
+                let mut inputs = stages[*index].after.iter();
+                !order.contains(index) && inputs.all(|input| order.contains(input))
+            };
+            let next = (0..stages.len()).find(is_next).ok_or(Unordered)?;
+            order.push(next);
+        }
+        let place_of = |input: &usize| order.iter().position(|index| index == input);
+        let sorted = order.iter().map(|&index| {
+            let stage = &stages[index];
+            let after: Option<Vec<usize>> = stage.after.iter().map(place_of).collect();
+            Ok(Self {
+                after: after.ok_or(Unordered)?,
+                ..stage.clone()
+            })
+        });
+        sorted.collect()
+    }
 }
 
 /// Handling of the requests for one host and path prefix.
