A target that has ended is a doubt about the only build on record

Cause: took one record for a proof although a target of the pool seemed to have ended. Streams begin at its successor, whose entry still names the recorded build, and their own build is kept as unknown.

An ended target is a doubt again, as for what peers confirm.

--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -390,14 +390,13 @@
     }
 
     /// Returns the build of a pool if it is the only one of which streams can be, given the records that the
-    /// store has now. A process that has ended is no doubt: whatever replaced it is recorded before streams
-    /// begin there, or is a target that is known.
+    /// store has now. Streams may have begun at a process that has replaced one which has ended, and whose
+    /// entry is not known yet.
     pub fn recorded_build<'a>(&self, pool: &str, records: &'a BuildRecords) -> Option<&'a Build> {
         let build = records.only_build(pool)?;
         let mut present = self.all().filter(|target| target.pool == pool);
-        present
-            .all(|target| target.build == *build)
-            .then_some(build)
+        let is_only = present.all(|target| target.build == *build && !self.has_ended(target));
+        is_only.then_some(build)
     }
 
     /// Returns whether the store may show an older copy, in which targets are missing that have not
--- a/policy/tests/builds.rs
+++ b/policy/tests/builds.rs
@@ -5,7 +5,7 @@
     relay::{
         builds::{BuildRecords, Key, Presence},
         history::{Era, Version},
-        registry::{Registration, Registry, Target},
+        registry::{Registration, Registry, Start, Target},
     },
 };
 use rstest::rstest;
@@ -251,3 +251,21 @@
     assert_eq!(recorded(std::slice::from_ref(&old)).as_deref(), Some("v1"));
     assert_eq!(recorded(&[old, new]), None);
 }
+
+/// A target whose process has ended may have been replaced by one of another build, at which streams begin
+/// before its entry is known.
+#[test]
+fn ended_target_is_a_doubt() {
+    let mut store = Store::default();
+    let targets = [target("i-1", "v1", 1), target("i-2", "v1", 1)];
+    store.update(&mut store.clone().daemon(), UNIX_NOW, &targets);
+    let records = store.load(1);
+    let mut registry = registry(&targets);
+    assert!(registry.recorded_build("model", &records).is_some());
+    let ending = Start {
+        target: "i-1".into(),
+        started_unix_ms: 1,
+    };
+    registry.record_ending(Time::ZERO, &ending);
+    assert_eq!(registry.recorded_build("model", &records), None);
+}
