--- a/policy/src/relay/memory.rs
+++ b/policy/src/relay/memory.rs
@@ -14,7 +14,7 @@
 /// Part of a daemon's memory that it may use, in percent. The rest is left for what is not counted.
 const USED_PERCENT: u64 = 85;
 /// Memory of a daemon without requests in bytes: code, tables and connections.
-const BASE_BYTES: u64 = 48_000_000; // 36 MB on sites of 295 daemons
+const BASE_BYTES: u64 = 48_000_000;
 
 /// Part of a daemon's memory; the name is a label value.
 #[derive(Clone, Copy, Debug, EnumIter, Eq, IntoStaticStr, PartialEq)]
