Evacuate failure domains that the operator names in the store

Deployments have an operator who takes a failure domain out of use with a row `evacuate/ZONE` in the table of the configuration. The rows were ignored, and requests, stage calls and releases of results went on to arrive there.

`policy::relay::evacuation` keeps the rows by version; a full read of the table without a row ends its evacuation, and an older row never begins it again. The registry offers no target of an evacuated domain: that covers selection, hedges, resumed streams, waiting and refusal, and `may_send` looks again before a request is written. The scheduler keeps such targets apart, with their calls and results, and neither calls nor counts them. Peers are refused tunnels for requests. Daemons tell each other of changes in `Frame::Evacuations` (protocol 7, not sent to earlier builds), and heartbeats carry a digest by which a daemon that has missed a change gets it. A daemon of this build reads the table beside readers of earlier builds, which do not hand these rows on.

--- a/godwithinge/src/relay/crash.rs
+++ b/godwithinge/src/relay/crash.rs
@@ -310,7 +310,7 @@
         match self.try_target(target).await {
             Testimony::Refused => {}
             Testimony::Reached => {
-                let started = self.ask_start(target).await?;
+                let started = self.ask_start_in_use(target).await?;
                 return ending::last_ended_start(target, started);
             }
             Testimony::Unknown | Testimony::NoWitness => return None,
@@ -320,7 +320,7 @@
             let is_last = is_checked();
             if self.try_target(target).await == Testimony::Reached {
                 // The end of a partition looks the same unless the target states its start.
-                return match self.ask_start(target).await {
+                return match self.ask_start_in_use(target).await {
                     Some(started) => ending::last_ended_start(target, started),
                     None => Some(target.started_unix_ms),
                 };
--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -97,7 +97,7 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Table {
-    /// The configuration.
+    /// The configuration, and the evacuations of failure domains.
     Plan,
     /// Registered targets.
     Targets,
@@ -240,6 +240,10 @@
     /// Returns an error if the value is malformed.
     fn parse_plan(&self, row: &Row) -> Result<Option<Plan>, Error>;
 
+    /// Returns the failure domain whose evacuation a row of [`Table::Plan`] is about; `None` if it holds
+    /// something else. The domain is evacuated unless the row is deleted.
+    fn parse_evacuation(&self, row: &Row) -> Option<DomainId>;
+
     /// Decodes the entry of a target.
     ///
     /// # Errors
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -4,7 +4,7 @@
 use crate::{http::Framing, log::ORDINARY_TARGET};
 use http::StatusCode;
 use policy::{
-    id::{HostId, PoolId, RequestId, TargetId},
+    id::{DomainId, HostId, PoolId, RequestId, TargetId},
     relay::{
         crash::{Feature, PayloadHash},
         ending::Process,
@@ -243,6 +243,16 @@
     tracing::info!(target_id = %target, rate, "{message}");
 }
 
+/// Logs that the evacuation of a failure domain has begun or ended.
+pub(super) fn evacuation_changed(domain: &DomainId, is_evacuated: bool, source: &str) {
+    let message = if is_evacuated {
+        "failure domain evacuated"
+    } else {
+        "evacuation of failure domain ended"
+    };
+    tracing::info!(domain = %domain, source, "{message}");
+}
+
 /// Logs that a request is not sent to a target because of its limit, and when the target takes the
 /// next one.
 pub(super) fn permit_refused(
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -9,6 +9,7 @@
     relay::{
         builds,
         crash::{Feature, PayloadHash, Quarantine, Report},
+        evacuation::Record,
         history::{Era, Version},
         leader::UnixMillis,
         rate::{self, Decision, Rate},
@@ -51,7 +52,7 @@
 }
 
 /// Version of the protocol between daemons that this build speaks.
-pub(super) const PROTOCOL: u32 = BUILD_PROTOCOL;
+pub(super) const PROTOCOL: u32 = EVACUATION_PROTOCOL;
 
 /// Version of the protocol from which daemons exchange the features of requests whose targets crash.
 pub(super) const CRASH_PROTOCOL: u32 = 2;
@@ -69,6 +70,9 @@
 /// Version of the protocol from which daemons tell which builds the store has records of.
 const BUILD_PROTOCOL: u32 = 6;
 
+/// Version of the protocol from which daemons tell of evacuations of failure domains.
+pub(super) const EVACUATION_PROTOCOL: u32 = 7;
+
 /// Row of a table as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireRow {
@@ -118,6 +122,9 @@
         /// Whether it is partitioned from all targets.
         #[serde(default)]
         is_partitioned: bool,
+        /// Digest of the evacuated domains that it knows of; absent if it knows of none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        evacuated: Option<u64>,
     },
     /// Requests all entries of targets.
     #[serde(rename = "WantTargets")]
@@ -223,6 +230,52 @@
     },
     /// Answer to such a question.
     Permit { number: u64, permit: WirePermit },
+    /// All evacuations that the sender knows of.
+    Evacuations(WireEvacuations),
+}
+
+/// Evacuations of failure domains, as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireEvacuations {
+    /// Era and number of the version at which the whole table was last read; absent if it was not.
+    read_at: Option<(Era, u64)>,
+    domains: Vec<WireEvacuation>,
+}
+
+/// Row about the evacuation of a failure domain, as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct WireEvacuation {
+    domain: DomainId,
+    era: Era,
+    version: u64,
+    is_present: bool,
+}
+
+impl From<(Option<Version>, Vec<Record>)> for WireEvacuations {
+    fn from((read_at, records): (Option<Version>, Vec<Record>)) -> Self {
+        let domains = records.into_iter().map(|record| WireEvacuation {
+            domain: record.domain,
+            era: record.version.era,
+            version: record.version.number,
+            is_present: record.is_present,
+        });
+        Self {
+            read_at: read_at.map(|version| (version.era, version.number)),
+            domains: domains.collect(),
+        }
+    }
+}
+
+impl From<WireEvacuations> for (Option<Version>, Vec<Record>) {
+    fn from(evacuations: WireEvacuations) -> Self {
+        let version = |(era, number)| Version { era, number };
+        let records = evacuations.domains.into_iter().map(|row| Record {
+            domain: row.domain,
+            version: version((row.era, row.version)),
+            is_present: row.is_present,
+        });
+        (evacuations.read_at.map(version), records.collect())
+    }
 }
 
 /// Build of a pool, as encoded in frames.
@@ -450,6 +503,7 @@
     /// Returns the version of the protocol from which daemons can decode this frame.
     pub fn protocol(&self) -> u32 {
         match self {
+            Self::Evacuations(_) => EVACUATION_PROTOCOL,
             Self::Builds(_) => BUILD_PROTOCOL,
             Self::Rates(_)
             | Self::RequestPermit { .. }
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -314,6 +314,7 @@
     relay.links.addresses.add([profile.link]);
     let host = profile.host.clone();
     let (link_id, queue) = relay.add_peer(profile, receiver.progress())?;
+    relay.send_evacuations(&host);
     relay.send_crash_state(&host);
     relay.send_departures(&host);
     relay.send_rates(&host);
@@ -392,6 +393,7 @@
             table_age: self.reader_table_age(),
             leads_since: self.leads_since(),
             is_partitioned: self.reach.is_partitioned(),
+            evacuated: self.evacuation_digest(),
         }
     }
 
@@ -497,6 +499,7 @@
                 table_age,
                 leads_since,
                 is_partitioned,
+                evacuated,
                 ..
             } = frame
         {
@@ -509,6 +512,9 @@
             peer.heartbeat_interval = *interval;
             peer.table_age = table_age.map(|age| (age, Instant::now()));
             peer.leads_since = *leads_since;
+            if let Some(frame) = self.evacuations_for(peer.profile.protocol, *evacuated) {
+                peer.send(frame);
+            }
             // Before the first read of its tables, a daemon requests the targets also from some
             // peers that have a configuration but are not readers.
             if !peer.has_requested_targets
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -86,6 +86,7 @@
     partitioned: IntGauge,
     quarantined: IntGauge,
     rate_limited_targets: IntGauge,
+    pub holds: HoldMetrics,
     links: IntGauge,
     revision: IntGauge,
     /// Requests that are not finished.
@@ -194,6 +195,7 @@
                 "rate_limited_targets",
                 "Targets that limit the rate of their requests",
             ),
+            holds: HoldMetrics::new(&registry),
             links: gauge("links", "Daemons that are linked"),
             revision: gauge("revision", "Revision of the configuration"),
             in_flight: gauge("in_flight", "Requests without an answer"),
@@ -274,6 +276,39 @@
     }
 }
 
+/// Metrics about what keeps requests from targets that accept them.
+#[derive(Clone, Debug)]
+pub(super) struct HoldMetrics {
+    evacuated_domains: IntGauge,
+    held_sends: IntCounterVec,
+}
+
+impl HoldMetrics {
+    fn new(registry: &Registry) -> Self {
+        let gauge = |name, help| register(registry, IntGauge::with_opts(opts(name, help)));
+        let held_sends = opts(
+            "held_sends_total",
+            "Requests held back from a selected target",
+        );
+        let held_sends = IntCounterVec::new(held_sends, &["pool", "reason"]);
+        Self {
+            evacuated_domains: gauge("evacuated_domains", "Failure domains that are evacuated"),
+            held_sends: register(registry, held_sends),
+        }
+    }
+
+    /// Sets the number of failure domains that are evacuated.
+    pub fn set_evacuated_domains(&self, count: usize) {
+        self.evacuated_domains
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a request that is held back from a selected target.
+    pub fn record_held_send(&self, pool: &str, reason: &str) {
+        self.held_sends.with_label_values(&[pool, reason]).inc();
+    }
+}
+
 fn opts(name: &str, help: &str) -> Opts {
     Opts::new(name, help).namespace("gwi_relay")
 }
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod crash;
 pub mod dialect;
 mod drain;
+mod evacuation;
 mod event;
 mod frame;
 mod front;
--- a/godwithinge/src/relay/notice.rs
+++ b/godwithinge/src/relay/notice.rs
@@ -28,7 +28,7 @@
     /// selected counts as well.
     pub(super) fn may_send(&self, target: &TargetId) -> bool {
         let registry = self.registry();
-        let may_send = |target: &Target| target.is_ready && !self.is_paused(target);
+        let may_send = |target: &Target| registry.may_use(target) && !self.is_paused(target);
         registry.get(target).is_some_and(may_send)
     }
 
--- a/godwithinge/src/relay/process.rs
+++ b/godwithinge/src/relay/process.rs
@@ -60,7 +60,7 @@
 impl Relay {
     async fn review_ending(&self, target: &Target) {
         let asked = self.now();
-        if self.is_paused(target) {
+        if self.is_paused(target) || self.is_evacuated(target) {
             return;
         }
         let Answer::Given(Some(started_unix_ms)) = self.ask_target(target).await else {
@@ -172,6 +172,14 @@
         try_connection(&target.address).await
     }
 
+    /// Asks a target about its start like [`ask_start`](Self::ask_start), unless its domain is evacuated.
+    pub(super) async fn ask_start_in_use(&self, target: &Target) -> Option<UnixMillis> {
+        if self.is_evacuated(target) {
+            return None;
+        }
+        self.ask_start(target).await
+    }
+
     /// Asks a target that accepts connections for its start; `None` if it does not state one.
     pub(super) async fn ask_start(&self, target: &Target) -> Option<UnixMillis> {
         if self.is_paused(target) {
--- a/godwithinge/src/relay/reach.rs
+++ b/godwithinge/src/relay/reach.rs
@@ -110,7 +110,7 @@
         time::sleep(POLL_INTERVAL).await;
         let targets: Vec<Target> = {
             let registry = relay.registry();
-            let ready: Vec<&Target> = registry.all().filter(|target| target.is_ready).collect();
+            let ready: Vec<&Target> = registry.usable().collect();
             let mut reach = relay.reach.reach.borrow_mut();
             let probes = reach.probes(relay.now(), &ready);
             probes.into_iter().cloned().collect()
@@ -143,6 +143,7 @@
         connected: impl Fn(),
     ) -> Result<Response, Error> {
         if !self.may_send(target) {
+            self.record_held_send(target);
             return Err(Error::Withdrawn);
         }
         let open = || self.open_connection(target, address, Purpose::Request);
@@ -150,6 +151,8 @@
             let may_send = self.may_send(target);
             if may_send {
                 connected();
+            } else {
+                self.record_held_send(target);
             }
             may_send
         };
@@ -387,7 +390,7 @@
 
     fn ready_targets(&self) -> usize {
         let registry = self.registry();
-        registry.all().filter(|target| target.is_ready).count()
+        registry.usable().count()
     }
 
     /// Closes the idle connections of the way that is no longer used, and tells all peers.
--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -81,6 +81,7 @@
             Frame::Pause(pause) => self.apply_pause(&pause.target, pause.left),
             Frame::Endings(endings) => self.receive_endings(endings),
             Frame::Builds(builds) => self.receive_builds(builds),
+            Frame::Evacuations(evacuations) => self.receive_evacuations(evacuations),
             Frame::Rates(rates) => self.receive_rates(rates),
             Frame::RequestPermit {
                 number,
--- a/godwithinge/src/relay/tunnel.rs
+++ b/godwithinge/src/relay/tunnel.rs
@@ -303,7 +303,7 @@
         let known = match purpose {
             Purpose::Request => registry
                 .get(target)
-                .filter(|known| !registry.has_departed(known)),
+                .filter(|known| !registry.has_departed(known) && !registry.is_evacuated(known)),
             Purpose::Check => registry.get_or_removed(target),
         };
         let known = known.ok_or(Refusal::UnknownTarget)?;
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -2,7 +2,7 @@
 
 use super::{
     dialect::{Row, Table},
-    frame::{PROTOCOL, Profile},
+    frame::{EVACUATION_PROTOCOL, PROTOCOL, Profile},
     state::Relay,
     store::{self, CALL_TIMEOUT},
 };
@@ -164,9 +164,12 @@
                 Table::Targets => relay.replace_targets(rows.rows, rows.version),
                 Table::Builds => relay.load_builds(rows.version.era, &rows.rows),
                 Table::Quarantine => relay.load_quarantine(&rows.rows),
-                Table::Plan | Table::Daemons | Table::Streams => {
+                Table::Plan => {
+                    // Before the configuration, from which on the daemon is ready.
+                    relay.replace_evacuations(rows.version, &rows.rows);
                     relay.apply_rows(table, rows.rows);
                 }
+                Table::Daemons | Table::Streams => relay.apply_rows(table, rows.rows),
             }
         }
         Some(version) => {
@@ -376,7 +379,9 @@
             let place = order.place(&host);
             let mut is_fresh = false;
             self.links.for_each_peer(|peer| {
-                is_fresh |= peer.table_age().is_some_and(|age| age < max_age)
+                // A peer of an earlier build does not tell of evacuations.
+                is_fresh |= peer.profile.protocol >= EVACUATION_PROTOCOL
+                    && peer.table_age().is_some_and(|age| age < max_age)
                     && order.place(&peer.profile.host) < place;
             });
             (!is_fresh).then(|| order.stand_in_delay(&host))
@@ -400,6 +405,7 @@
         let is_lenient = self.registry().is_lenient(self.now());
         for row in rows {
             match table {
+                Table::Plan if self.apply_evacuation(&row) => {}
                 Table::Plan => self.apply_plan(row),
                 Table::Targets => self.apply_target(&row, is_lenient),
                 Table::Daemons => self.learn_daemon_address(&row),
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -6,7 +6,8 @@
 //! known targets, [`memory`] the memory that large responses take, [`patience`] decides how long a
 //! silent target is waited for, [`history`] orders the entries of targets when the store
 //! loses writes, [`distribution`] brings a new configuration to all daemons, [`origin`] holds where streams
-//! began, [`sse`] judges whether a stream is complete, [`ending`] holds which targets' processes have ended, [`crash`] finds what in requests crashes
+//! began, [`sse`] judges whether a stream is complete, [`ending`] holds which targets' processes have ended, [`evacuation`] which
+//! failure domains get no requests, [`crash`] finds what in requests crashes
 //! targets, [`quarantine`] holds the records of that, [`reach`] tells a partition of this daemon
 //! from failures of targets, [`rejection`] limits how often targets reject requests, [`departure`] holds
 //! which targets have said that they leave, [`pause`] keeps the pauses that targets ask for, [`rate`] the
@@ -18,6 +19,7 @@
 pub mod departure;
 pub mod distribution;
 pub mod ending;
+pub mod evacuation;
 pub mod history;
 pub mod leader;
 pub mod memory;
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -7,8 +7,8 @@
 //! of targets as they were then; these are ignored until the target writes its entry again.
 
 use super::{
-    builds::BuildRecords, departure::Departures, ending::Endings, history::Version,
-    leader::UnixMillis,
+    builds::BuildRecords, departure::Departures, ending::Endings, evacuation::Evacuations,
+    history::Version, leader::UnixMillis,
 };
 use crate::id::{DomainId, PoolId, TargetId, Time};
 use compact_str::CompactString;
@@ -97,6 +97,7 @@
     known_since: Option<Time>,
     departures: Departures,
     endings: Endings,
+    evacuations: Evacuations,
 }
 
 #[derive(Clone, Debug)]
@@ -440,10 +441,34 @@
         changes.collect()
     }
 
-    /// Returns the targets of a pool that accept new work.
+    /// Returns the evacuated failure domains.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the evacuated failure domains, to be changed.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
+    /// Returns whether a target is in a failure domain that is evacuated.
+    pub fn is_evacuated(&self, target: &Target) -> bool {
+        self.evacuations.contains(&target.domain)
+    }
+
+    /// Returns whether a target accepts new work, and its failure domain is not evacuated.
+    pub fn may_use(&self, target: &Target) -> bool {
+        target.is_ready && !self.is_evacuated(target)
+    }
+
+    /// Returns all targets that [may be used](Self::may_use).
+    pub fn usable(&self) -> impl Iterator<Item = &Target> {
+        self.all().filter(|target| self.may_use(target))
+    }
+
+    /// Returns the targets of a pool that [may be used](Self::may_use).
     pub fn ready<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Target> {
-        self.all()
-            .filter(move |target| target.pool == pool && target.is_ready)
+        self.usable().filter(move |target| target.pool == pool)
     }
 
     /// Returns a target, which may drain or be missing.
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -77,6 +77,8 @@
     has_lost_results: bool,
     /// Missing pieces by pool and home domain of their jobs.
     load_by_domain: HashMap<(PoolId, DomainId), usize>,
+    /// Domains whose targets get no calls and no releases of results.
+    evacuated_domains: BTreeSet<DomainId>,
 }
 
 /// A call in progress.
@@ -170,7 +172,7 @@
         }
         for pool_state in self.pools.values_mut() {
             pool_state.sorted_front = None;
-            for stage_target in &mut pool_state.targets {
+            for stage_target in pool_state.all_mut() {
                 stage_target.call = None;
             }
         }
@@ -203,10 +205,7 @@
             Reply::Items(_) | Reply::Lost => self.handle_failed_call(now, &call, true),
             Reply::Full | Reply::Unreached => self.handle_failed_call(now, &call, false),
             Reply::Replaced => {
-                let pool_state = self.pool_state(&call.pool);
-                pool_state
-                    .targets
-                    .retain(|stage_target| stage_target.id != call.target);
+                self.pool_state(&call.pool).remove_target(&call.target);
             }
         }
         for job in call.jobs() {
@@ -281,7 +280,7 @@
     /// Discards what is saved up of the rates of targets, as long as another daemon leads.
     pub fn hold_rates(&mut self, now: Time) {
         let targets = self.pools.values_mut();
-        let targets = targets.flat_map(|pool_state| &mut pool_state.targets);
+        let targets = targets.flat_map(PoolState::all_mut);
         for pace in targets.filter_map(|stage_target| stage_target.pace.as_mut()) {
             pace.hold(now);
         }
@@ -290,7 +289,7 @@
     /// Forgets all failed calls, which were those of this daemon's network.
     pub fn clear_failures(&mut self) {
         for (pool, pool_state) in &mut self.pools {
-            for stage_target in &mut pool_state.targets {
+            for stage_target in pool_state.all_mut() {
                 stage_target.clear_failures();
             }
             self.dirty_pools.insert(pool.clone());
@@ -354,32 +353,30 @@
     }
 
     fn add_target(&mut self, target: &Target) {
+        let is_evacuated = self.evacuated_domains.contains(&target.domain);
         let pool_state = self.pool_state(&target.pool);
-        let known = pool_state.targets.iter_mut();
-        match known
-            .into_iter()
-            .find(|stage_target| stage_target.id == target.id)
+        let Some(stage_target) = pool_state.target_mut(&target.id) else {
+            return pool_state.add_target(StageTarget::new(target), is_evacuated);
+        };
+        let has_moved = stage_target.domain != target.domain;
+        if stage_target.address == target.address
+            && stage_target.started_unix_ms == target.started_unix_ms
+            && !has_moved
         {
-            Some(stage_target)
-                if stage_target.address == target.address
-                    && stage_target.started_unix_ms == target.started_unix_ms => {}
-            Some(stage_target) => {
-                // It holds nothing of before.
-                *stage_target = StageTarget::new(target);
-                self.discard_target_results(&target.id);
-            }
-            None => pool_state.targets.push(StageTarget::new(target)),
+            return;
         }
+        // It holds nothing of before.
+        *stage_target = StageTarget::new(target);
+        if has_moved {
+            pool_state.remove_target(&target.id);
+            pool_state.add_target(StageTarget::new(target), is_evacuated);
+        }
+        self.discard_target_results(&target.id);
     }
 
     /// Removes a target. If it has ended, its results are lost and computed again.
     fn remove_target(&mut self, target: &Target, has_ended: bool) {
-        let pool_state = self.pool_state(&target.pool);
-        let before = pool_state.targets.len();
-        pool_state
-            .targets
-            .retain(|stage_target| stage_target.id != target.id);
-        let is_last = before > 0 && pool_state.targets.is_empty();
+        let is_last = self.pool_state(&target.pool).remove_target(&target.id);
         if has_ended {
             self.discard_target_results(&target.id);
         } else if is_last {
@@ -387,8 +384,20 @@
         }
     }
 
-    /// Refuses the jobs with pieces to be sent to pools that only have targets that leave. One that
-    /// crashed may be back in time.
+    /// Sets which domains are evacuated. Their targets get no calls and no releases of results, and no
+    /// stage waits for them. Calls in progress go on, and stored results are read from there.
+    pub fn set_evacuated(&mut self, now: Time, domains: BTreeSet<DomainId>) {
+        for (pool, pool_state) in &mut self.pools {
+            if pool_state.set_evacuated(now, &domains) {
+                self.abandoned_pools.insert(pool.clone());
+            }
+            self.dirty_pools.insert(pool.clone());
+        }
+        self.evacuated_domains = domains;
+    }
+
+    /// Refuses the jobs with pieces to be sent to pools that only have targets that leave or are in
+    /// evacuated domains. One that crashed may be back in time.
     fn refuse_abandoned(&mut self, now: Time, out: &mut Vec<Command>) {
         for pool in std::mem::take(&mut self.abandoned_pools) {
             let jobs = self
--- a/policy/src/relay/scheduler/pool.rs
+++ b/policy/src/relay/scheduler/pool.rs
@@ -2,10 +2,10 @@
 
 use super::{JobId, target::StageTarget};
 use crate::{
-    id::{TargetId, Time},
+    id::{DomainId, TargetId, Time},
     relay::{plan, rate::Pace},
 };
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 /// Fraction of the throughput of full calls that a pool sustains. Targets without memory for
 /// results and crashed targets leave gaps between calls.
@@ -23,6 +23,8 @@
 pub(super) struct PoolState {
     pub limits: Option<plan::BatchLimits>,
     pub targets: Vec<StageTarget>,
+    /// Targets in evacuated domains, which get no calls and no releases of results.
+    pub evacuated: Vec<StageTarget>,
     /// Stages with pieces to be sent, in order of arrival.
     pub waiting: Vec<(JobId, usize)>,
     /// Exponentially weighted mean duration of a call in seconds.
@@ -36,12 +38,54 @@
 }
 
 impl PoolState {
+    /// Returns a target, which may be in an evacuated domain.
     pub fn target_mut(&mut self, target: &TargetId) -> Option<&mut StageTarget> {
-        self.targets
-            .iter_mut()
+        self.all_mut()
             .find(|stage_target| stage_target.id == *target)
     }
 
+    /// Returns all targets, those in evacuated domains last.
+    pub fn all_mut(&mut self) -> impl Iterator<Item = &mut StageTarget> {
+        self.targets.iter_mut().chain(&mut self.evacuated)
+    }
+
+    /// Adds a target that the pool does not have.
+    pub fn add_target(&mut self, target: StageTarget, is_evacuated: bool) {
+        if is_evacuated {
+            self.evacuated.push(target);
+        } else {
+            self.targets.push(target);
+        }
+    }
+
+    /// Removes a target. Returns whether it was the last one that gets calls.
+    pub fn remove_target(&mut self, target: &TargetId) -> bool {
+        let had_any = !self.targets.is_empty();
+        self.targets
+            .retain(|stage_target| stage_target.id != *target);
+        self.evacuated
+            .retain(|stage_target| stage_target.id != *target);
+        had_any && self.targets.is_empty()
+    }
+
+    /// Sets which domains are evacuated. Returns whether the last target that gets calls is now in one of
+    /// them.
+    pub fn set_evacuated(&mut self, now: Time, domains: &BTreeSet<DomainId>) -> bool {
+        let had_any = !self.targets.is_empty();
+        let is_evacuated = |target: &mut StageTarget| domains.contains(&target.domain);
+        let mut returned: Vec<StageTarget> = self
+            .evacuated
+            .extract_if(.., |target| !is_evacuated(target))
+            .collect();
+        for stage_target in &mut returned {
+            stage_target.end_evacuation(now);
+        }
+        let evacuated = self.targets.extract_if(.., is_evacuated);
+        self.evacuated.extend(evacuated);
+        self.targets.append(&mut returned);
+        had_any && self.targets.is_empty()
+    }
+
     /// Returns whether stages are queued and a target is idle.
     pub fn has_work(&self, now: Time) -> bool {
         let mut targets = self.targets.iter();
--- a/policy/src/relay/scheduler/target.rs
+++ b/policy/src/relay/scheduler/target.rs
@@ -149,6 +149,17 @@
         }
     }
 
+    /// Handles the end of the evacuation of the target's domain. Results that have expired meanwhile need
+    /// not be freed.
+    pub fn end_evacuation(&mut self, now: Time) {
+        self.expire(now);
+        let held = &self.held;
+        self.to_free.retain(|handle| held.contains_key(handle));
+        if let Some(pace) = &mut self.pace {
+            pace.hold(now);
+        }
+    }
+
     /// Drops results that the target has freed.
     pub fn remove_freed(&mut self, handles: &[Handle]) {
         for handle in handles {
