Admit jobs by the capacity of their chain, and keep the place of begun ones

Jobs that had waited too long fell behind all fresh ones, also when their first stages were done.

A job is now accepted if it is expected to be on time behind the accepted work that has precedence, or, if it can only be late, as long as there is capacity that accepted work on time leaves. Begun jobs go before others. First stages start while the work on its way to the later pools of the chain is less than these need to stay busy; work counts from the start of the call that makes its input, since the rule before started too much after each pause. Jobs submitted again after the loss of a leader are refused for their deadline only.

The frame that submits a job carries the workspace and whether it was submitted before; both have defaults, so that builds without them interoperate.

--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -15,7 +15,7 @@
 use compact_str::CompactString;
 use futures::channel::oneshot;
 use policy::{
-    id::{DomainId, HostId, RequestId, Time},
+    id::{DomainId, HostId, RequestId, Time, WorkspaceId},
     relay::{
         leader::{self, Candidate, Leader, UnixMillis},
         plan::Plan,
@@ -63,6 +63,12 @@
     #[serde(rename = "hint")]
     pub preferred_domain: Option<DomainId>,
     pub stages: Vec<StageSpec>,
+    /// Workspace of the caller; absent from builds that do not send it.
+    #[serde(default)]
+    pub workspace: Option<WorkspaceId>,
+    /// Whether it was submitted to an earlier leader.
+    #[serde(default)]
+    pub is_resubmitted: bool,
 }
 
 /// Final results of the stages of a request; released when this is dropped.
@@ -241,6 +247,7 @@
         request.time_to_objective = request.time_to_objective.saturating_sub(waited);
         request.time_to_deadline = request.time_to_deadline.saturating_sub(waited);
         entry.leader = self.leader_link();
+        entry.request.is_resubmitted |= entry.leader.is_some();
         match &entry.leader {
             None => return,
             Some(LeaderLink::Own) => {}
@@ -344,6 +351,8 @@
             first_event_latency: request.first_event_latency,
             preferred_domain: request.preferred_domain,
             stages: request.stages,
+            workspace: request.workspace,
+            is_resubmitted: request.is_resubmitted,
         };
         self.dispatcher
             .scheduler
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -373,6 +373,8 @@
                 + Duration::from_secs_f64(f64::from(self.metadata.prompt_tokens) / PREFILL_RATE),
             preferred_domain: self.expected_domain(),
             stages: stages.collect(),
+            workspace: self.workspace.clone(),
+            is_resubmitted: false,
         };
         let made = tokio::select! {
             made = time::timeout(due, self.relay.run_stages(request)) => made,
--- a/policy/src/relay/scheduler/dispatch.rs
+++ b/policy/src/relay/scheduler/dispatch.rs
@@ -5,7 +5,7 @@
     Refusal, Scheduler, Source,
     call::{Choice, PieceRef},
     job::{Job, RunningJob},
-    pool::MAX_DRAIN_SECONDS,
+    precedence::{Precedence, precedence},
 };
 use crate::{
     id::{PoolId, Time},
@@ -13,9 +13,6 @@
 };
 use std::{collections::HashMap, time::Duration};
 
-/// Upper bound on the `retry_after` of a refusal.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(5); // callers retry after 1/3 of their time
-
 /// Interval between checks for jobs that would miss their deadline.
 pub(super) const REVIEW_PERIOD: Duration = Duration::from_millis(100); // a third of a call
 /// Queue length in stages from which the sorted front is reused between calls.
@@ -24,8 +21,6 @@
 const FRONT_TTL: Duration = Duration::from_millis(30); // a tenth of a call
 /// Maximum number of stages in the sorted front.
 const MAX_FRONT_STAGES: usize = 500; // one call to each target of the largest pools
-/// Maximum expected time between the computation of a result and its use, in mean calls.
-const MAX_IDLE_CALLS: f64 = 1.2;
 /// Slack that a request needs to count as on time, in mean calls of its slowest pool. Without it, a
 /// queue of requests that are all just in time makes each of them slightly late.
 const ON_TIME_MARGIN_CALLS: f64 = 0.6;
@@ -33,17 +28,6 @@
 /// mean calls. It covers the wait for a target.
 const EARLY_SLACK_CALLS: f64 = 0.6;
 
-/// Sort key of a queue: class (0 on time, 1 late), priority within the class, and due time.
-type Precedence = (u8, u8, Time);
-/// Queued stages of a pool in order.
-#[derive(Clone, Debug)]
-struct Queue {
-    /// Each stage with the cumulative number of pieces up to it.
-    stages: Vec<(Precedence, usize)>,
-    /// Estimated time to process one piece in full calls.
-    seconds_per_piece: f64,
-}
-
 impl Scheduler {
     /// Requeues the pieces of overdue calls, so that another target can compute them.
     pub(super) fn requeue_overdue(&mut self, now: Time) {
@@ -105,80 +89,6 @@
         }
     }
 
-    /// Refuses jobs that can't be on time and would miss their deadline too, because of the work
-    /// ahead of them in the queues.
-    pub(super) fn refuse_backlogged(&mut self, now: Time, out: &mut Vec<Command>) {
-        self.recount_load();
-        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
-        for id in jobs {
-            self.update_remaining(id);
-        }
-        let unready = self
-            .jobs
-            .values()
-            .filter(|running| running.ready_at.is_none());
-        let mut queue: Vec<(Precedence, JobId)> = unready
-            .map(|running| (precedence(now, running), running.job.id))
-            .collect();
-        queue.sort();
-        self.missing_by_rank.clear();
-        let mut ahead = HashMap::new();
-        let mut backlogged = Vec::new();
-        for ((class, rank, _), job) in queue {
-            let running = &self.jobs[&job];
-            running.add_missing_pieces(self.missing_by_rank.entry((class, rank)).or_default());
-            if class > 0
-                && now + self.first_event_behind(now, running, &ahead) > running.job.deadline
-            {
-                backlogged.push(job);
-            } else {
-                running.add_missing_pieces(&mut ahead);
-            }
-        }
-        for job in backlogged {
-            self.refuse(now, job, Refusal::Backlog, out);
-        }
-    }
-
-    /// Returns the expected time to a new job's first event if all work of the same or a higher
-    /// rank is done first.
-    ///
-    /// The amount of work is that of the last review plus the jobs submitted since.
-    pub(super) fn estimated_first_event(&self, now: Time, running: &RunningJob) -> Duration {
-        let (class, rank, _) = precedence(now, running);
-        let before = self.missing_by_rank.range(..=(class, rank));
-        let mut ahead = HashMap::new();
-        for (pool, pieces) in before.flat_map(|(_, sums)| sums) {
-            *ahead.entry(pool.clone()).or_default() += pieces;
-        }
-        self.first_event_behind(now, running, &ahead)
-    }
-
-    /// Adds the pieces of a new job to the work of its rank.
-    pub(super) fn add_to_rank(&mut self, now: Time, running: &RunningJob) {
-        let (class, rank, _) = precedence(now, running);
-        running.add_missing_pieces(self.missing_by_rank.entry((class, rank)).or_default());
-    }
-
-    /// Returns the expected time to a job's first event with `ahead` pieces queued before it in
-    /// each pool.
-    fn first_event_behind(
-        &self,
-        now: Time,
-        running: &RunningJob,
-        ahead: &HashMap<PoolId, usize>,
-    ) -> Duration {
-        let end = running.critical_path(|stage, before| {
-            let pool = &running.job.stages[stage].pool;
-            let pieces = ahead.get(pool).copied().unwrap_or_default();
-            let wait = self.pools.get(pool).map_or(Duration::ZERO, |pool_state| {
-                pool_state.time_to_open(now) + pool_state.drain_time_for(pieces)
-            });
-            before.max(wait) + self.expected_call_time(pool)
-        });
-        end + running.job.first_event_latency
-    }
-
     /// Sends calls to the idle targets of a pool until none is idle or nothing suitable is queued.
     pub(super) fn dispatch(&mut self, now: Time, pool: &PoolId, out: &mut Vec<Command>) {
         let pool_state = self.pools.get(pool);
@@ -218,23 +128,27 @@
 
     /// Returns the queued stages of a pool that may run now, the most urgent first.
     fn sorted_queue(&self, now: Time, pool_state: &PoolState) -> Vec<(JobId, usize)> {
-        let mut queues = HashMap::new();
         let mut order: Vec<(Precedence, (JobId, usize))> = Vec::new();
         for &(job, stage) in &pool_state.waiting {
             let Some(running) = self.jobs.get(&job) else {
                 continue;
             };
             // Inputs may have been lost since the stage was queued.
-            if !running.has_inputs(stage) || self.is_early(running, stage) {
-                continue;
-            }
-            let precedence = precedence(now, running);
-            if !self.results_would_wait(now, running, stage, precedence, &mut queues) {
-                order.push((precedence, (job, stage)));
+            if running.has_inputs(stage) && !self.is_early(running, stage) {
+                order.push((precedence(now, running), (job, stage)));
             }
         }
         order.sort();
-        order.into_iter().map(|(_, entry)| entry).collect()
+        let mut flow = None;
+        let order = order.into_iter().map(|(_, entry)| entry);
+        let admitted = order.filter(|&(job, stage)| {
+            let running = &self.jobs[&job];
+            running.is_final(stage)
+                || flow
+                    .get_or_insert_with(|| self.flow())
+                    .admit(running, stage)
+        });
+        admitted.collect()
     }
 
     /// Returns whether a large final result would be held in memory until the request's other
@@ -256,63 +170,6 @@
         others > own + own.mul_f64(EARLY_SLACK_CALLS)
     }
 
-    /// Returns whether the results of a stage would be idle while the stages that follow are
-    /// queued. Idle results take memory and may expire before they are read.
-    fn results_would_wait(
-        &self,
-        now: Time,
-        running: &RunningJob,
-        stage: usize,
-        precedence: Precedence,
-        queues: &mut HashMap<PoolId, Queue>,
-    ) -> bool {
-        let mut wait = |pool: &PoolId| {
-            let Some(pool_state) = self.pools.get(pool) else {
-                return Duration::ZERO;
-            };
-            let queue = queues.entry(pool.clone());
-            let queue = queue.or_insert_with(|| self.cumulative_queue(now, pool_state));
-            let before = queue
-                .stages
-                .partition_point(|(other, _)| *other < precedence);
-            let ahead = before.checked_sub(1).map_or(0, |last| queue.stages[last].1);
-            let seconds = ahead as f64 * queue.seconds_per_piece;
-            Duration::from_secs_f64(seconds.min(MAX_DRAIN_SECONDS))
-        };
-        let own = self.expected_call_time(&running.job.stages[stage].pool);
-        let max_idle = own.mul_f64(MAX_IDLE_CALLS);
-        let remaining = running.remaining;
-        let specs = running.job.stages.iter().enumerate();
-        let mut specs = specs.filter(|&(other, spec)| {
-            other != stage && spec.pieces > 0 && !running.stages[other].is_done()
-        });
-        specs.any(|(other, spec)| {
-            let is_reader = spec.after.contains(&stage);
-            let is_sibling = spec.bytes >= super::LARGE_RESULT_BYTES && running.is_final(other);
-            is_reader && wait(&spec.pool) > own + max_idle
-                || is_sibling && wait(&spec.pool) > remaining + max_idle
-        })
-    }
-
-    /// Returns the queued stages of a pool in order with the cumulative number of pieces.
-    fn cumulative_queue(&self, now: Time, pool_state: &PoolState) -> Queue {
-        let waiting = pool_state.waiting.iter().filter_map(|&(job, stage)| {
-            let running = self.jobs.get(&job)?;
-            Some((precedence(now, running), running.stages[stage].waiting()))
-        });
-        let mut stages: Vec<(Precedence, usize)> = waiting.collect();
-        stages.sort();
-        let mut sum = 0;
-        for (_, pieces) in &mut stages {
-            sum += *pieces;
-            *pieces = sum;
-        }
-        Queue {
-            stages,
-            seconds_per_piece: pool_state.seconds_per_piece(),
-        }
-    }
-
     /// Recomputes the expected remaining time of a job and its margin.
     pub(super) fn update_remaining(&mut self, id: JobId) {
         let Some(running) = self.jobs.get(&id) else {
@@ -332,7 +189,7 @@
     }
 
     /// Returns the mean call time of a job's slowest pool.
-    fn longest_call_time(&self, job: &Job) -> Duration {
+    pub(super) fn longest_call_time(&self, job: &Job) -> Duration {
         let specs = job.stages.iter().filter(|spec| spec.pieces > 0);
         let call_times = specs.map(|spec| self.expected_call_time(&spec.pool));
         call_times.max().unwrap_or_default()
@@ -363,6 +220,7 @@
         for &(job, stage, piece) in chosen {
             if let Some(running) = self.jobs.get_mut(&job) {
                 running.stages[stage].begin_call(piece);
+                running.is_begun = true;
                 // Later stages run in the domain that holds the results they read.
                 running.home_domain.clone_from(&domain);
                 bytes.push(running.job.stages[stage].bytes);
@@ -489,24 +347,8 @@
         stage_ends
     }
 
-    /// Returns the time until the queues of a job's pools have drained, as of the last review, and until
-    /// the pools take calls.
-    pub(super) fn drain_time(&self, now: Time, running: &RunningJob) -> Duration {
-        let drains = running.job.stages.iter().filter_map(|spec| {
-            let pool_state = self.pools.get(&spec.pool)?;
-            let missing = self
-                .missing_by_rank
-                .values()
-                .filter_map(|sums| sums.get(&spec.pool));
-            Some(pool_state.drain_time_for(missing.sum()))
-        });
-        let longest = drains.max().unwrap_or_default();
-        let shortest = self.longest_call_time(&running.job);
-        longest.max(shortest).min(MAX_RETRY_AFTER) + self.time_to_open(now, &running.job)
-    }
-
     /// Returns the time until each pool of a job has a target that takes calls.
-    fn time_to_open(&self, now: Time, job: &Job) -> Duration {
+    pub(super) fn time_to_open(&self, now: Time, job: &Job) -> Duration {
         let specs = job.stages.iter().filter(|spec| spec.pieces > 0);
         let pools = specs.filter_map(|spec| self.pools.get(&spec.pool));
         let times = pools.map(|pool_state| pool_state.time_to_open(now));
@@ -517,13 +359,3 @@
 /// Slowdown assumed for the fastest calls. Some stages take a third of the pool's nominal time
 /// per piece.
 const MIN_SLOWDOWN: f64 = 0.6;
-
-/// Returns the sort key of a job, which is the same in all queues.
-fn precedence(now: Time, running: &RunningJob) -> Precedence {
-    let job = &running.job;
-    if now + running.remaining + running.on_time_margin <= job.objective {
-        (0, job.priority, job.objective)
-    } else {
-        (1, 0, job.deadline)
-    }
-}
--- a/policy/src/relay/scheduler/job.rs
+++ b/policy/src/relay/scheduler/job.rs
@@ -1,6 +1,6 @@
 //! Jobs: the stages that a request needs, and their progress.
 
-use crate::id::{DomainId, PoolId, RequestId, TargetId, Time};
+use crate::id::{DomainId, PoolId, RequestId, TargetId, Time, WorkspaceId};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, time::Duration};
@@ -51,6 +51,10 @@
     pub preferred_domain: Option<DomainId>,
     /// Stages in topological order.
     pub stages: Vec<StageSpec>,
+    /// Workspace of the request, if it has one.
+    pub workspace: Option<WorkspaceId>,
+    /// Whether an earlier scheduler may have accepted the job.
+    pub is_resubmitted: bool,
 }
 
 /// Location of a result.
@@ -91,6 +95,10 @@
 pub(super) struct RunningJob {
     pub job: Job,
     pub stages: Vec<StageState>,
+    /// When the job was submitted.
+    pub submitted_at: Time,
+    /// Whether a piece has been sent, so that work would be lost if the job were refused.
+    pub is_begun: bool,
     /// Domain whose targets are preferred for the pieces.
     pub home_domain: DomainId,
     /// Expected time to the first event without queueing, as of the last progress or review.
@@ -193,9 +201,11 @@
 }
 
 impl RunningJob {
-    pub fn new(job: Job, home_domain: DomainId) -> Self {
+    pub fn new(now: Time, job: Job, home_domain: DomainId) -> Self {
         let stages = job.stages.iter().map(|spec| StageState::new(spec.pieces));
         Self {
+            submitted_at: now,
+            is_begun: false,
             home_domain,
             remaining: Duration::ZERO,
             on_time_margin: Duration::ZERO,
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -5,17 +5,21 @@
 //! 80% empty. One daemon, the leader, therefore keeps the queue of each pool, fills a call when a
 //! target becomes idle, and accounts for the memory that results take on the targets.
 //!
-//! In a burst of one kind of request, the queue order decides which requests are served: first
-//! those that can still meet their objective, by priority, then late ones, by deadline. Jobs that
-//! can no longer meet their deadline, or have too much work ahead of them to do so, are refused at
-//! once.
+//! In a burst of one kind of request, a job is accepted if it is expected to be on time behind the work
+//! accepted before (`admission`). First come jobs that have been begun, then those that can still meet their
+//! objective, then late ones (`precedence`). Jobs are begun at the rate of the slowest pool of their stages
+//! (`flow`). Jobs that can no longer meet their deadline, or have not been begun and have too much work ahead of
+//! them to do so, are refused at once.
 
+mod admission;
 mod call;
 mod dispatch;
+mod flow;
 mod job;
 mod locality;
 mod message;
 mod pool;
+mod precedence;
 mod reply;
 mod target;
 mod throttle;
@@ -27,8 +31,10 @@
 };
 
 use self::{
+    admission::Accepted,
     job::{RunningJob, StoredResult},
     pool::PoolState,
+    precedence::precedence,
     target::StageTarget,
 };
 use crate::{
@@ -69,8 +75,8 @@
     last_review: Time,
     /// Pools to be dispatched because a target, their queue or their memory changed.
     dirty_pools: BTreeSet<PoolId>,
-    /// Missing pieces of each pool, by class and priority of their jobs.
-    missing_by_rank: BTreeMap<(u8, u8), HashMap<PoolId, usize>>,
+    /// Missing pieces of the accepted jobs.
+    accepted: Accepted,
     /// Pools whose last targets accept no new work, and whose jobs have not been refused yet.
     abandoned_pools: BTreeSet<PoolId>,
     /// Whether results were lost whose pieces have not been queued again yet.
@@ -122,7 +128,7 @@
         let id = job.id;
         self.review_call_times(now);
         let home_domain = self.choose_home_domain(&job);
-        let mut running = RunningJob::new(job, home_domain);
+        let mut running = RunningJob::new(now, job, home_domain);
         let unserved = running.job.stages.iter();
         let mut unserved = unserved.filter(|spec| spec.pieces > 0);
         if unserved.any(|spec| !self.is_served(&spec.pool)) {
@@ -131,12 +137,12 @@
         }
         running.remaining = self.expected_remaining(&running);
         running.on_time_margin = self.on_time_margin(&running.job);
-        if now + self.estimated_first_event(now, &running) > running.job.deadline {
+        if !self.admit(now, &running) {
             let refusal = self.refusal(now, &running, Refusal::Backlog);
             return out.push(refusal);
         }
         self.add_load(&running);
-        self.add_to_rank(now, &running);
+        self.accepted.add(precedence(now, &running), &running);
         self.jobs.insert(id, running);
         self.advance(now, id, out);
     }
@@ -180,7 +186,7 @@
         for job in unready {
             self.refuse(now, job, Refusal::Failed, out);
         }
-        self.missing_by_rank.clear();
+        self.accepted.clear(now);
         self.dirty_pools.clear();
     }
 
--- a/policy/src/relay/scheduler/pool.rs
+++ b/policy/src/relay/scheduler/pool.rs
@@ -1,6 +1,6 @@
 //! Scheduler state of one pool: its stage targets, its queue and its throughput.
 
-use super::{JobId, target::StageTarget};
+use super::{JobId, admission::AcceptedLoad, target::StageTarget};
 use crate::{
     id::{TargetId, Time},
     relay::{plan, rate::Pace},
@@ -33,6 +33,8 @@
     pub has_spare_rate: bool,
     /// Most urgent stages of the queue, and when they were sorted.
     pub sorted_front: Option<(Time, Vec<(JobId, usize)>)>,
+    /// Work for jobs that were accepted to be on time.
+    pub accepted_load: AcceptedLoad,
 }
 
 impl PoolState {
@@ -150,7 +152,7 @@
 /// Lower bound on the rate of a pool in pieces per second, to avoid division by zero.
 const MIN_RATE: f64 = 0.1;
 /// Upper bound on the estimated drain time.
-pub(super) const MAX_DRAIN_SECONDS: f64 = 60.0;
+const MAX_DRAIN_SECONDS: f64 = 60.0;
 
 impl plan::BatchLimits {
     /// Returns the nominal duration of a call with the maximum number of pieces.
--- a/policy/tests/regression/limited_stage_target_was_never_asked.rs
+++ b/policy/tests/regression/limited_stage_target_was_never_asked.rs
@@ -32,6 +32,8 @@
         first_event_latency: Duration::from_millis(50),
         preferred_domain: None,
         stages: stages.collect(),
+        workspace: None,
+        is_resubmitted: false,
     }
 }
 
--- a/policy/tests/regression/slow_call_refused_everything.rs
+++ b/policy/tests/regression/slow_call_refused_everything.rs
@@ -95,6 +95,8 @@
             first_event_latency: MS * 50,
             preferred_domain: None,
             stages: stages.collect(),
+            workspace: None,
+            is_resubmitted: false,
         }
     }
 
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -371,7 +371,9 @@
                 .apply_target_change(&TargetChange::Added(target_state.target.clone()));
         }
         for id in &self.open {
-            self.scheduler.submit(now, self.jobs[id].2.clone(), out);
+            let mut job = self.jobs[id].2.clone();
+            job.is_resubmitted = true;
+            self.scheduler.submit(now, job, out);
         }
     }
 
@@ -419,6 +421,8 @@
             first_event_latency: FIRST_EVENT_LATENCY,
             preferred_domain: None,
             stages,
+            workspace: None,
+            is_resubmitted: false,
         }
     }
 
