Target selection by learned speed, load factor and prompt memory

Daemons measure the pace of the events of each stream, tell each other their samples with heartbeats (a field that earlier builds ignore), and weigh the expected time to read the prompt, the load and the rest of the answer with the speed that follows. The fourth figure of the load header counts for the 600 ms in which it changes. Where the configuration states the prompt memory of the targets, parts count as cached until the pool has been sent that much, instead of for 30 s. Without samples, figures and memory the costs are those before.

The effect is not measured yet.

--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -32,6 +32,8 @@
     pub parts: Vec<Part>,
     /// Length of the whole prompt in tokens; 0 if unknown.
     pub prompt_tokens: u32,
+    /// Expected length of the answer in tokens; 0 if unknown.
+    pub answer_tokens: u32,
     /// Number of pieces of each stage, in the order of the route's stages.
     pub piece_counts: Vec<u32>,
     /// Key of the pieces that read no results of other stages.
@@ -82,6 +84,8 @@
     pub has_server_stamp: bool,
     /// Numbers of running and waiting requests at the target, if reported.
     pub load: Option<(u32, u32)>,
+    /// Time that work takes on the target's machine at the moment, relative to the usual one, if stated.
+    pub load_factor: Option<f64>,
     /// Number of rejections a second that the target bears, if it states one.
     pub max_rejections: Option<u32>,
     /// Number of requests a second that the target takes from all daemons together, if it names one.
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -11,6 +11,7 @@
         crash::{Feature, PayloadHash, Quarantine, Report},
         history::{Era, Version},
         leader::UnixMillis,
+        performance::PaceSample,
         rate::{self, Decision, Rate},
         registry::{Build, Start},
         rejection,
@@ -118,6 +119,9 @@
         /// Whether it is partitioned from all targets.
         #[serde(default)]
         is_partitioned: bool,
+        /// Pace of streams that it has forwarded since its last heartbeat on the link.
+        #[serde(default)]
+        paces: Vec<WirePace>,
     },
     /// Requests all entries of targets.
     #[serde(rename = "WantTargets")]
@@ -225,6 +229,36 @@
     Permit { number: u64, permit: WirePermit },
 }
 
+/// Pace of a stream, as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WirePace {
+    target: TargetId,
+    /// Mean time between two events in microseconds.
+    micros: u32,
+    /// Number of these intervals.
+    events: u32,
+}
+
+impl From<&PaceSample> for WirePace {
+    fn from(sample: &PaceSample) -> Self {
+        Self {
+            target: sample.target.clone(),
+            micros: sample.interval.as_micros().try_into().unwrap_or(u32::MAX),
+            events: sample.events,
+        }
+    }
+}
+
+impl From<WirePace> for PaceSample {
+    fn from(pace: WirePace) -> Self {
+        Self {
+            target: pace.target,
+            interval: Duration::from_micros(pace.micros.into()),
+            events: pace.events,
+        }
+    }
+}
+
 /// Build of a pool, as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireBuild {
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -8,7 +8,7 @@
     accept,
     address::AddressBook,
     dialect::Row,
-    frame::{Frame, LinkId, Profile},
+    frame::{Frame, LinkId, Profile, WirePace},
     replication::UploadGuard,
     settings::Settings,
     state::Relay,
@@ -353,6 +353,7 @@
     mut queue: mpsc::Receiver<Outgoing>,
 ) -> Result<(), Error> {
     let mut next_heartbeat = Instant::now();
+    let mut next_pace = relay.target_selector().performance().first_sample();
     loop {
         tokio::select! {
             outgoing = queue.recv() => {
@@ -371,7 +372,9 @@
             }
             () = time::sleep_until(next_heartbeat.into()) => {
                 let interval = relay.heartbeat_interval();
-                sender.send(&relay.metrics, &relay.heartbeat(interval)).await?;
+                let paces = relay.paces_from(&mut next_pace);
+                let heartbeat = relay.heartbeat(interval, paces);
+                sender.send(&relay.metrics, &heartbeat).await?;
                 next_heartbeat = Instant::now() + interval;
             }
         }
@@ -379,7 +382,7 @@
 }
 
 impl Relay {
-    fn heartbeat(&self, interval: Duration) -> Frame {
+    fn heartbeat(&self, interval: Duration, paces: Vec<WirePace>) -> Frame {
         let plan = self.plan_edition();
         let version = plan.map(|edition| edition.version).unwrap_or_default();
         Frame::Heartbeat {
@@ -392,6 +395,7 @@
             table_age: self.reader_table_age(),
             leads_since: self.leads_since(),
             is_partitioned: self.reach.is_partitioned(),
+            paces,
         }
     }
 
@@ -400,7 +404,7 @@
     /// daemon leaves.
     pub(super) fn broadcast_heartbeat(&self) {
         self.links
-            .broadcast(&self.heartbeat(self.heartbeat_interval()));
+            .broadcast(&self.heartbeat(self.heartbeat_interval(), Vec::new()));
     }
 
     /// Sends the entry of a target to all peers.
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -26,6 +26,7 @@
 mod notice;
 mod origin;
 mod outcome;
+mod pace;
 mod process;
 mod quarantine;
 mod rate;
--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -22,9 +22,11 @@
                 plan_era,
                 plan_revision,
                 era,
+                paces,
                 ..
             } => {
                 self.store.record_era(era);
+                self.receive_paces(paces);
                 let offered = Edition {
                     version: Version {
                         era: plan_era,
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -24,7 +24,7 @@
         plan::{Kind, Plan, Route, Stage},
         registry::{Build, Registry, Target},
         scheduler::StageSpec,
-        selection::{Criteria, Selection},
+        selection::{Criteria, PartMemory, Selection},
     },
 };
 use std::{
@@ -527,6 +527,10 @@
             domain: Some(&settings.domain),
             tried: &attempts.tried,
             max_in_flight: self.max_target_connections(pool).max(1),
+            events: self.metadata.answer_tokens,
+            time_left: Some(self.remaining()),
+            memory: self.part_memory(pool),
+            draw: hash::bytes(self.metadata.id.as_bytes()),
         };
         let registry = self.relay.registry();
         let selector = self.relay.target_selector();
@@ -556,6 +560,15 @@
         }
     }
 
+    /// Returns the memory for parts of prompts that each target of a pool has, if it is configured.
+    fn part_memory(&self, pool: &PoolId) -> Option<PartMemory> {
+        let plan = self.relay.plan()?;
+        Some(PartMemory {
+            tokens: plan.pool(pool)?.memory_tokens?,
+            daemons: self.relay.links.count() as u32 + 1,
+        })
+    }
+
     /// Returns this daemon's share of the connections to one target of a pool.
     pub(super) fn max_target_connections(&self, pool: &PoolId) -> u32 {
         let members = self.relay.links.count() as u32 + 1;
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -4,6 +4,7 @@
     buffer::{Buffer, TooLarge},
     dialect::{ForwardingMetadata, RequestMetadata, ResponseMetadata},
     outcome,
+    pace::PaceMeter,
     run::ActiveRequest,
     sse::{self, Interruption},
     state::Relay,
@@ -97,6 +98,7 @@
     pub target: Target,
     /// When the first events were received.
     pub begun_at: Instant,
+    pub pace: PaceMeter,
     pub _call: CallGuard,
 }
 
@@ -213,6 +215,12 @@
             let mut selector = self.relay.target_selector_mut();
             selector.record_load(now, &target.id, running, waiting);
         }
+        if let Some(factor) = metadata.load_factor {
+            let now = self.relay.now();
+            let mut selector = self.relay.target_selector_mut();
+            let performance = selector.performance_mut();
+            performance.record_factor(now, &target.pool, &target.id, factor);
+        }
         self.relay.record_limit(target, status, &metadata);
         self.relay.record_rate(target, sent_at, &metadata);
         self.relay
@@ -285,13 +293,18 @@
         let mut reader = sse::Reader::new(response, last_event_id.or(received));
         match reader.next(self.deadline).await {
             Ok(Some(_)) if !self.may_go_on_at(target).await => SendOutcome::Failed("replaced"),
-            Ok(Some(first)) => SendOutcome::Streaming(Box::new(StreamingResponse {
-                reader,
-                first,
-                target: target.clone(),
-                begun_at: Instant::now(),
-                _call: call,
-            })),
+            Ok(Some(first)) => {
+                let mut pace = PaceMeter::new(&self.relay, target);
+                pace.record(reader.last_id());
+                SendOutcome::Streaming(Box::new(StreamingResponse {
+                    reader,
+                    first,
+                    target: target.clone(),
+                    begun_at: Instant::now(),
+                    pace,
+                    _call: call,
+                }))
+            }
             Ok(None) => {
                 let response = reader.response();
                 SendOutcome::Buffered(BufferedResponse {
@@ -397,7 +410,7 @@
         let now = relay.now();
         relay
             .target_selector_mut()
-            .start_call(now, &target.id, &metadata.parts);
+            .start_call(now, target, &metadata.parts);
         relay.start_limited_call(target);
         Self {
             relay: Rc::clone(relay),
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -69,11 +69,14 @@
             Err(interruption) => return self.resume(interruption).await,
             Ok(next) => next,
         };
-        let Some(source) = &self.source else {
+        let Some(source) = &mut self.source else {
             return Ok(next);
         };
         let request = &self.request;
         let is_complete = next.is_none();
+        if !is_complete {
+            source.pace.record(source.reader.last_id());
+        }
         if !self.is_served && (is_complete || source.begun_at.elapsed() >= CRASH_PERIOD) {
             self.is_served = true;
             request.record_served();
--- a/policy/src/hash.rs
+++ b/policy/src/hash.rs
@@ -63,8 +63,12 @@
 
 /// Returns the rendezvous weight of a node for a key; nodes with higher weights are preferred.
 pub fn rendezvous_weight(key: &str, node: &str) -> u64 {
-    let mut x = texts(&[key, node]);
-    // MurmurHash3 finalizer: FNV-1a alone does not mix its last bytes well enough for an order.
+    // FNV-1a alone does not mix its last bytes well enough for an order.
+    mix(texts(&[key, node]))
+}
+
+/// Returns a number each bit of which depends on all bits of `x`: the finalizer of `MurmurHash3`.
+pub fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     x = (x ^ (x >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     x ^ (x >> 33)
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`plan`] maps the host and path of a request to a route. One daemon of the fleet, elected by
 //! [`leader`], combines the pieces of the request's stages with those of other requests into calls
-//! ([`scheduler`]). [`selection`] chooses the target of the request itself. [`registry`] holds the
+//! ([`scheduler`]). [`selection`] chooses the target of the request itself, also by the speed that [`performance`] has learned. [`registry`] holds the
 //! known targets, [`memory`] the memory that large responses take, [`patience`] decides how long a
 //! silent target is waited for, [`history`] orders the entries of targets when the store
 //! loses writes, [`distribution`] brings a new configuration to all daemons, [`origin`] holds where streams
@@ -24,6 +24,7 @@
 pub mod origin;
 pub mod patience;
 pub mod pause;
+pub mod performance;
 pub mod plan;
 pub mod quarantine;
 pub mod rate;
--- a/policy/src/relay/plan.rs
+++ b/policy/src/relay/plan.rs
@@ -137,6 +137,8 @@
     pub max_connections: u32,
     /// Batch limits; present only if the pool serves stages.
     pub batch_limits: Option<BatchLimits>,
+    /// Memory of one target for prompts and cached parts of them, in tokens, if stated.
+    pub memory_tokens: Option<u32>,
 }
 
 /// Size and time limits for the requests of callers.
--- a/policy/tests/rejection.rs
+++ b/policy/tests/rejection.rs
@@ -297,7 +297,7 @@
             }
             return self.refuse(request);
         };
-        daemon.selector.start_call(now, &target.id, &[]);
+        daemon.selector.start_call(now, &target, &[]);
         daemon.limiter.start_call(now, &target);
         *self
             .in_flight
