No target counts as faster than its pool

All daemons learn the same speeds from each other. A target that seemed faster than the mean got the requests of all of them until their own calls in flight outweighed the difference.

--- a/policy/src/relay/performance.rs
+++ b/policy/src/relay/performance.rs
@@ -28,7 +28,9 @@
 /// What is expected of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Expectation {
-    /// Time that work usually takes, relative to the mean of the pool; 1 if unknown.
+    /// Time that work usually takes, relative to the mean of the pool; 1 if unknown or shorter. All
+    /// daemons learn the same, and would send everything to a target that counted as faster than others:
+    /// 1,200 requests had to be in flight there until their own loads outweighed it.
     pub slowness: f64,
     /// Time that work takes at the moment, relative to its usual time there; 1 if unknown.
     pub momentary: f64,
@@ -90,8 +92,7 @@
 /// one sample over that between targets, at 2.5 times the time for 15% of the moments and targets that
 /// take 0.7 to 1.7 times the nominal time.
 const PRIOR_WEIGHT: f64 = 0.6;
-/// Part of the logarithm of a target's slowness that is put down to chance and load. All daemons learn
-/// the same, and would otherwise send everything to the target that seems the fastest by a hair.
+/// Part of the logarithm of a target's slowness that is put down to chance and load.
 const UNCERTAINTY: f64 = 0.2; // twice the error of an average of 8 samples
 /// Time in which the weight of an average halves without samples. A slow target that gets no requests
 /// is then tried again after about a minute.
@@ -165,8 +166,7 @@
             own.fade(now);
             let share = own.weight / (own.weight + PRIOR_WEIGHT);
             let difference = share * (own.mean - pool.interval.mean);
-            let certain = (difference.abs() - UNCERTAINTY).max(0.0);
-            certain.copysign(difference).exp()
+            (difference - UNCERTAINTY).max(0.0).exp()
         });
         let momentary = pool
             .zip(target)
