Learned speeds are steadier, and owners of parts are not slow

Averages of speeds that stood for 8 samples followed the noise of single moments, and a slow target counted as an owner of parts again after half a minute, so that parts moved back and forth. Averages now stand for up to 30 samples, fade with a half-life of 20 s, and the momentary load factor only weighs on the time to the first event.

--- a/policy/src/relay/performance.rs
+++ b/policy/src/relay/performance.rs
@@ -85,18 +85,18 @@
 const MAX_SAMPLE_RATIO: f64 = 4.0;
 /// Number of samples that a target's average stands for at most. At the 4 samples a second that all
 /// daemons together have of a target, it follows a change within a few seconds.
-const MAX_WEIGHT: f64 = 8.0;
+const MAX_WEIGHT: f64 = 30.0;
 /// Number of samples that a pool's average stands for at most.
-const MAX_POOL_WEIGHT: f64 = 200.0;
+const MAX_POOL_WEIGHT: f64 = 1000.0;
 /// Number of samples that the mean of the pool counts for in the estimate of a target: the variance of
 /// one sample over that between targets, at 2.5 times the time for 15% of the moments and targets that
 /// take 0.7 to 1.7 times the nominal time.
 const PRIOR_WEIGHT: f64 = 0.6;
 /// Part of the logarithm of a target's slowness that is put down to chance and load.
-const UNCERTAINTY: f64 = 0.2; // twice the error of an average of 8 samples
+const UNCERTAINTY: f64 = 0.3; // twice the error of an average of 8 samples
 /// Time in which the weight of an average halves without samples. A slow target that gets no requests
 /// is then tried again after about a minute.
-const HALF_LIFE: Duration = Duration::from_secs(10);
+const HALF_LIFE: Duration = Duration::from_secs(20);
 /// Time within which the load factor of a target changes.
 const FACTOR_TTL: Duration = Duration::from_millis(600);
 /// Load factors that are believed.
--- a/policy/src/relay/selection.rs
+++ b/policy/src/relay/selection.rs
@@ -139,11 +139,9 @@
 /// Cost of each second that the rest of an answer takes, relative to one until its first event. Late
 /// first events cost the objective; a slow rest causes pauses and missed deadlines.
 const REST_COST: f64 = 0.5;
-/// Time for which the momentary speed of a target is expected to last.
-const MOMENT: Duration = Duration::from_millis(300);
 /// Slowness from which a target is not expected to cache parts as an owner: daemons that know of it
 /// prefer others.
-const MAX_OWNER_SLOWNESS: f64 = 1.4;
+const MAX_OWNER_SLOWNESS: f64 = 1.2;
 /// Number of events from which longer answers cost no more. Their expected length is often a bound.
 const MAX_EVENTS: u32 = 256;
 /// Range in seconds of the random cost that spreads requests over targets that are about as good, once
@@ -484,9 +482,7 @@
             return 0.0;
         };
         let usual = f64::from(self.events.min(MAX_EVENTS)) * interval;
-        let steady = usual * expectation.slowness;
-        let moment = steady.min(MOMENT.as_secs_f64());
-        let rest = steady + moment * (expectation.momentary - 1.0);
+        let rest = usual * expectation.slowness;
         let left = self
             .time_left
             .map_or(f64::INFINITY, |left| left.as_secs_f64());
