--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -12,6 +12,7 @@
         evacuation::Record,
         history::{Era, Version},
         leader::UnixMillis,
+        performance::PaceSample,
         rate::{self, Decision, Rate},
         registry::{Build, Start},
         rejection,
@@ -125,6 +126,9 @@
         /// Digest of the evacuated domains that it knows of; absent if it knows of none.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         evacuated: Option<u64>,
+        /// Pace of streams that it has forwarded since its last heartbeat on the link.
+        #[serde(default)]
+        paces: Vec<WirePace>,
     },
     /// Requests all entries of targets.
     #[serde(rename = "WantTargets")]
@@ -278,6 +282,36 @@
     }
 }
 
+/// Pace of a stream, as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WirePace {
+    target: TargetId,
+    /// Mean time between two events in microseconds.
+    micros: u32,
+    /// Number of these intervals.
+    events: u32,
+}
+
+impl From<&PaceSample> for WirePace {
+    fn from(sample: &PaceSample) -> Self {
+        Self {
+            target: sample.target.clone(),
+            micros: sample.interval.as_micros().try_into().unwrap_or(u32::MAX),
+            events: sample.events,
+        }
+    }
+}
+
+impl From<WirePace> for PaceSample {
+    fn from(pace: WirePace) -> Self {
+        Self {
+            target: pace.target,
+            interval: Duration::from_micros(pace.micros.into()),
+            events: pace.events,
+        }
+    }
+}
+
 /// Build of a pool, as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireBuild {
