A status that HTTP does not have is a broken response

Callers got answers with the statuses 101, 600, 777 and 999 of a target in trouble; with a header that says that nothing ran, requests that may run at most once got 503. hyper fails on codes below 100 and skips interim responses, but returns 101 and all codes up to 999, and no user of the client looked further than at successes, refusals and server errors.

The client now fails on codes other than 200 to 599, so that such a response counts as broken wherever the client is used: requests, stage calls, reports, the store, tunnels, the entry and the planner.

--- a/godwithinge/src/http/connection.rs
+++ b/godwithinge/src/http/connection.rs
@@ -11,6 +11,7 @@
     collections::VecDeque,
     hash::{DefaultHasher, Hash, Hasher},
     io,
+    ops::RangeInclusive,
     time::{Duration, Instant},
 };
 use tokio::{
@@ -30,6 +31,10 @@
 /// Number of bodies that a connection remembers. A second response follows the first one closely.
 const MAX_DELIVERED: usize = 32;
 
+/// Status codes of final responses. hyper fails on those below 100 and skips interim responses, but returns
+/// 101, which no request asks for, and codes up to 999.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// HTTP/1.1 connection, closed on drop.
 #[derive(Debug)]
 pub struct Connection {
@@ -109,13 +114,19 @@
                 unsent: Some(request),
             });
         }
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut failure| SendError {
-                unsent: failure.take_message(),
-                error: Error::Broken(failure.into_error()),
-            })
+        let response = self.sender.try_send_request(request).await;
+        let response = response.map_err(|mut failure| SendError {
+            unsent: failure.take_message(),
+            error: Error::Broken(failure.into_error()),
+        })?;
+        let status = response.status();
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Err(SendError {
+                error: Error::Status(status),
+                unsent: None,
+            });
+        }
+        Ok(response)
     }
 
     /// Returns the name of the host that forwards its bytes; `None` if it is direct.
--- a/godwithinge/src/http/error.rs
+++ b/godwithinge/src/http/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the HTTP client.
 
+use http::StatusCode;
 use std::{error, fmt, io};
 
 /// Error of an HTTP exchange.
@@ -11,6 +12,8 @@
     Withdrawn,
     /// The connection failed after part of the request may have been sent.
     Broken(hyper::Error),
+    /// The response has a status that no final response has, as of a server in trouble.
+    Status(StatusCode),
     /// The exchange, or the idle timeout of a response, exceeded its time limit. A timeout while
     /// connecting is [`Error::Connect`].
     Timeout,
@@ -24,6 +27,9 @@
             Self::Connect(cause) => write!(f, "failed to open connection: {cause}"),
             Self::Withdrawn => f.write_str("request was withdrawn before it was sent"),
             Self::Broken(cause) => write!(f, "connection failed: {cause}"),
+            Self::Status(status) => {
+                write!(f, "response has the invalid status {}", status.as_u16())
+            }
             Self::Timeout => f.write_str("exchange timed out"),
             Self::TooLong => f.write_str("body exceeds the length limit"),
         }
@@ -35,7 +41,7 @@
         match self {
             Self::Connect(cause) => Some(cause),
             Self::Broken(cause) => Some(cause),
-            Self::Withdrawn | Self::Timeout | Self::TooLong => None,
+            Self::Withdrawn | Self::Status(_) | Self::Timeout | Self::TooLong => None,
         }
     }
 }
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -177,9 +177,12 @@
             }
             Err(pool::Error::Connect(_)) => SendOutcome::Unreached,
             Err(pool::Error::Withdrawn) => SendOutcome::Withdrawn,
-            Err(pool::Error::Broken(_) | pool::Error::Timeout | pool::Error::TooLong) => {
-                SendOutcome::Failed("broken")
-            }
+            Err(
+                pool::Error::Broken(_)
+                | pool::Error::Status(_)
+                | pool::Error::Timeout
+                | pool::Error::TooLong,
+            ) => SendOutcome::Failed("broken"),
         };
         let has_not_run = matches!(
             outcome,
--- a/standin/src/site/behavior.rs
+++ b/standin/src/site/behavior.rs
@@ -39,6 +39,9 @@
     CutHead(usize),
     /// Executes the request and returns 200 with a text that is no stream.
     PlainText,
+    /// Executes the request and returns a complete response with this status, which may be none of HTTP,
+    /// then closes the connection. Reports have it as well.
+    Status(RawStatus),
     /// Returns a response with neither a length nor chunks, which ends with its connection.
     Unframed(Cut),
     /// Executes the request and returns 500 with neither a length nor chunks.
@@ -47,6 +50,15 @@
     Endless(Section),
 }
 
+/// Status of a response that an engine writes itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RawStatus {
+    /// Written with three digits.
+    pub code: u16,
+    /// Whether the response says that the request was not executed.
+    pub is_refusal: bool,
+}
+
 /// Whether a repeated refusal names the request that it was for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RefusalId {
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -2,7 +2,7 @@
 //! stage engines.
 
 pub use super::{
-    behavior::{Behavior, Cut, RefusalId, Section},
+    behavior::{Behavior, Cut, RawStatus, RefusalId, Section},
     execution::ExecutedRequest,
     notice::Arrival,
 };
@@ -280,6 +280,12 @@
         if let (Behavior::CutHead(length), Some(raw)) = (behavior, raw) {
             return self.send_cut_head(raw, "", length).await;
         }
+        if let (Behavior::Status(status), Some(raw)) = (behavior, raw) {
+            let results = self.stage_run(request.body()).unwrap_or_default();
+            return self
+                .send_status(raw, "", status, &results.to_string())
+                .await;
+        }
         let slot = match self.admit().await {
             Ok(slot) => slot,
             Err(reply) => return Ok(reply),
@@ -304,11 +310,11 @@
         }
     }
 
-    fn report(&self) -> Reply {
-        reply::ok(&json!({
+    pub(super) fn report(&self) -> Value {
+        json!({
             "stage": "both", "busy": false, "sequence": 0, "waiting": 0, "running": 0,
             "born": 1 + self.restarts.load(Ordering::Relaxed),
-        }))
+        })
     }
 
     fn stage_free(&self, body: &[u8]) -> Reply {
@@ -488,7 +494,13 @@
 impl Handler for State {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Result<Reply, ConnectionClosed> {
         if request.uri().path() == "/report" {
-            return Ok(self.with_state(self.report()));
+            let behavior = *lock(&self.behavior);
+            let raw = request.extensions().get::<RawConnection>();
+            if let (Behavior::Status(status), Some(raw)) = (behavior, raw) {
+                let report = self.report().to_string();
+                return self.send_status(raw, "", status, &report).await;
+            }
+            return Ok(self.with_state(reply::ok(&self.report())));
         }
         let id = request.headers().get("godwithinge-attempt-id");
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
--- a/standin/src/site/raw.rs
+++ b/standin/src/site/raw.rs
@@ -1,7 +1,7 @@
 //! Responses that a fake engine writes to its connection itself, since they don't follow the protocol.
 
 use super::{
-    behavior::{Behavior, Cut, RefusalId, Section},
+    behavior::{Behavior, Cut, RawStatus, RefusalId, Section},
     engine::{
         BRITTLE, CRASH_DOWNTIME, EVENT_INTERVAL, EVENTS_BEFORE_CUT, LEAVING, LIMIT, State, lock,
         plain_answer,
@@ -54,6 +54,10 @@
                 self.send_cut(raw, &head, &answer, cut).await
             }
             Behavior::Endless(section) => self.send_endless(raw, id, section).await,
+            Behavior::Status(status) => {
+                let answer = plain_answer(id);
+                self.send_status(raw, id, status, &answer).await
+            }
             Behavior::CutHead(length) => self.send_cut_head(raw, id, length).await,
             _ => return None,
         };
@@ -206,6 +210,27 @@
         Err(ConnectionClosed)
     }
 
+    /// Sends a response with a status, and closes the connection.
+    pub(super) async fn send_status(
+        &self,
+        raw: &RawConnection,
+        id: &str,
+        status: RawStatus,
+        body: &str,
+    ) -> Result<Reply, ConnectionClosed> {
+        let head = self.unframed_head(id);
+        let head = head.replacen("200 OK", &format!("{:03} Trouble", status.code), 1);
+        let refusal = if status.is_refusal {
+            "godwithinge-not-executed: 1\r\n"
+        } else {
+            ""
+        };
+        let (head, length) = (head.trim_end(), body.len());
+        let response = format!("{head}\r\n{refusal}content-length: {length}\r\n\r\n{body}");
+        send(raw, &response).await?;
+        Err(ConnectionClosed)
+    }
+
     /// Returns the head of a response with a length.
     fn framed_head(&self, id: &str) -> String {
         let head = self.unframed_head(id);
--- a/standin/src/site/store.rs
+++ b/standin/src/site/store.rs
@@ -67,6 +67,8 @@
     RepeatRefusal,
     /// Closes the connection after this number of bytes of the head of an answer.
     CutHead(usize),
+    /// Sends its answers with this status, which may be none of HTTP, and closes the connection.
+    Status(u16),
 }
 
 #[derive(Clone, Debug)]
@@ -365,6 +367,11 @@
                 write(&text[..length.min(end)]).await?;
                 return Err(ConnectionClosed);
             }
+            Fault::Status(code) => {
+                let status = format!("{} ", head.status.as_u16());
+                write(&text.replacen(&status, &format!("{code:03} "), 1)).await?;
+                return Err(ConnectionClosed);
+            }
         }
         Ok(Reply::from_parts(
             head,
