An end before the request was written does not complete a response

An engine answers a long upload at once with a 200 without length or chunks, sends a part, ends its side of the connection and resets it. Callers got the part as the whole answer, directly and through a tunnel. A reset alone never did that: the failure of the write ends the body with an error. But an end in order that arrives before the reset ends the body, Linux reports the reset to writes only, and the process that is asked whether it lives does.

Such an end is an error now unless the request was written by then, which the stream under hyper records. Connections to targets and tunnels have send buffers of 128 KiB, since Linux took uploads of 3 MB at once, which then counted as written. A daemon that forwards a tunnel does not pass the end on as one in order while it holds bytes for the target.

The stand-in's proxy has a small send buffer as well: it took the upload in place of the engine, so that no end could come before it was written.

--- a/godwithinge/src/http/connection.rs
+++ b/godwithinge/src/http/connection.rs
@@ -1,6 +1,9 @@
 //! HTTP/1.1 connection to one address.
 
-use super::{Error, Request};
+use super::{
+    Error, Request,
+    tracked::{TrackedStream, Written},
+};
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::Response;
@@ -11,12 +14,13 @@
     collections::VecDeque,
     hash::{DefaultHasher, Hash, Hasher},
     io,
+    net::SocketAddr,
     ops::RangeInclusive,
     time::{Duration, Instant},
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream, lookup_host},
     task::AbortHandle,
     time,
 };
@@ -28,6 +32,10 @@
 /// Size of the read buffer in bytes, which also limits the size of a response head.
 const READ_BUFFER_BYTES: usize = 64 << 10; // usual heads have less than one KiB
 
+/// Size of the send buffer in bytes, which Linux doubles. That is the throughput of 1 Gbit/s over 2 ms, and
+/// links to targets have up to 200 Mbit/s.
+const SEND_BUFFER_BYTES: u32 = 128 << 10;
+
 /// Number of bodies that a connection remembers. A second response follows the first one closely.
 const MAX_DELIVERED: usize = 32;
 
@@ -42,6 +50,7 @@
     via: Option<CompactString>,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    written: Written,
     requests: u64,
     /// When a response body was last read to its end.
     last_response: Option<Instant>,
@@ -66,7 +75,7 @@
     ///
     /// Fails with [`Error::Connect`] if this is not done within `timeout`.
     pub async fn open(address: &str, timeout: Duration) -> Result<Self, Error> {
-        let stream = time::timeout(timeout, TcpStream::connect(address))
+        let stream = time::timeout(timeout, connect(address))
             .await
             .map_err(|_elapsed| Error::Connect(io::ErrorKind::TimedOut.into()))?
             .map_err(Error::Connect)?;
@@ -84,6 +93,8 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
+        let stream = TrackedStream::new(stream);
+        let written = stream.written();
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
@@ -98,6 +109,7 @@
             via,
             sender,
             driver: driver.abort_handle(),
+            written,
             requests: 0,
             last_response: None,
             idle_timeout: None,
@@ -134,6 +146,11 @@
         self.via.as_deref()
     }
 
+    /// Returns whether the latest request was written, which changes with time.
+    pub(super) fn written(&self) -> Written {
+        Written::clone(&self.written)
+    }
+
     /// Returns whether a request was sent over the connection before the latest one.
     pub(super) fn is_reused(&self) -> bool {
         self.requests > 1
@@ -182,6 +199,24 @@
     }
 }
 
+/// Opens a TCP connection whose host buffers little of what is sent, so that a request that a server does
+/// not read is not taken for written.
+pub(crate) async fn connect(address: &str) -> io::Result<TcpStream> {
+    let mut failure = io::ErrorKind::AddrNotAvailable.into();
+    for address in lookup_host(address).await? {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        match socket.connect(address).await {
+            Ok(stream) => return Ok(stream),
+            Err(error) => failure = error,
+        }
+    }
+    Err(failure)
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/godwithinge/src/http/error.rs
+++ b/godwithinge/src/http/error.rs
@@ -12,6 +12,9 @@
     Withdrawn,
     /// The connection failed after part of the request may have been sent.
     Broken(hyper::Error),
+    /// The server ended the connection, which marks the end of the response body, before the request
+    /// was written, so that the body may be incomplete.
+    Early,
     /// The response has a status that no final response has, as of a server in trouble.
     Status(StatusCode),
     /// The exchange, or the idle timeout of a response, exceeded its time limit. A timeout while
@@ -27,6 +30,7 @@
             Self::Connect(cause) => write!(f, "failed to open connection: {cause}"),
             Self::Withdrawn => f.write_str("request was withdrawn before it was sent"),
             Self::Broken(cause) => write!(f, "connection failed: {cause}"),
+            Self::Early => f.write_str("response ended before the request was written"),
             Self::Status(status) => {
                 write!(f, "response has the invalid status {}", status.as_u16())
             }
@@ -41,7 +45,7 @@
         match self {
             Self::Connect(cause) => Some(cause),
             Self::Broken(cause) => Some(cause),
-            Self::Withdrawn | Self::Status(_) | Self::Timeout | Self::TooLong => None,
+            Self::Withdrawn | Self::Early | Self::Status(_) | Self::Timeout | Self::TooLong => None,
         }
     }
 }
--- a/godwithinge/src/http/mod.rs
+++ b/godwithinge/src/http/mod.rs
@@ -5,7 +5,9 @@
 mod framing;
 mod received;
 mod response;
+mod tracked;
 
+pub(crate) use self::connection::connect;
 pub use self::{
     connection::Connection, error::Error, framing::Framing, received::Received, response::Response,
 };
--- a/godwithinge/src/http/response.rs
+++ b/godwithinge/src/http/response.rs
@@ -1,12 +1,12 @@
 //! HTTP response with a streamed body.
 
-use super::{Connection, Error, Framing, Pool, Received};
+use super::{Connection, Error, Framing, Pool, Received, tracked::Written};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use http::{HeaderMap, StatusCode, header, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 use tokio::time;
 
 /// Length in bytes of the status line `HTTP/1.1 200 OK` and of the empty line that ends the head.
@@ -24,6 +24,7 @@
     head: Parts,
     body: Incoming,
     framing: Framing,
+    written: Written,
     connection: Option<Connection>,
     pool: Pool,
     key: CompactString,
@@ -46,6 +47,7 @@
         }
         Self {
             framing: Framing::new(&head.headers, &body),
+            written: connection.written(),
             head,
             body,
             reused: connection.is_reused(),
@@ -114,8 +116,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Error::Broken`] if the connection fails before the end of the body, and with
-    /// [`Error::Timeout`] if nothing arrives within the idle timeout.
+    /// Fails with [`Error::Broken`] if the connection fails before the end of the body, with
+    /// [`Error::Early`] if it ends the body before the request was written, and with [`Error::Timeout`] if nothing arrives within the idle timeout.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
             let frame = self.body.frame();
@@ -126,6 +128,7 @@
                 None => frame.await,
             };
             match frame {
+                None if self.is_early() => return Err(Error::Early),
                 None => {
                     self.finish();
                     return Ok(None);
@@ -179,6 +182,13 @@
         Ok(body.freeze())
     }
 
+    /// Returns whether a body that ends here may be incomplete, since its server has neither declared the
+    /// end nor read the request. One in trouble closes connections in order as well, and what is written to
+    /// them later fails after that.
+    fn is_early(&self) -> bool {
+        !self.framing.is_end_declared() && !self.written.load(Ordering::Relaxed)
+    }
+
     /// Returns the connection to the pool, or closes it if its reuse is disabled.
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take()
--- a/godwithinge/src/relay/call.rs
+++ b/godwithinge/src/relay/call.rs
@@ -44,9 +44,13 @@
         let reply = match exchange {
             Ok(answer) => self.stage_reply(target, items.len(), answer),
             Err(Error::Connect(_) | Error::Withdrawn) => Reply::Unreached,
-            Err(Error::Broken(_) | Error::Status(_) | Error::Timeout | Error::TooLong) => {
-                Reply::Lost
-            }
+            Err(
+                Error::Broken(_)
+                | Error::Early
+                | Error::Status(_)
+                | Error::Timeout
+                | Error::TooLong,
+            ) => Reply::Lost,
         };
         let result = event::stage_call(target, items.len(), started_at.elapsed(), &reply);
         let pool = self.registry().get(target).map(|one| one.pool.clone());
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -179,6 +179,7 @@
             Err(pool::Error::Withdrawn) => SendOutcome::Withdrawn,
             Err(
                 pool::Error::Broken(_)
+                | pool::Error::Early
                 | pool::Error::Status(_)
                 | pool::Error::Timeout
                 | pool::Error::TooLong,
--- a/godwithinge/src/relay/tunnel.rs
+++ b/godwithinge/src/relay/tunnel.rs
@@ -7,6 +7,7 @@
 //! order; any other end is an error, because a response without a length would look complete.
 
 use super::{accept, event, metrics::TunnelSide, state::Relay};
+use crate::http;
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures::{Sink, SinkExt, Stream, StreamExt};
@@ -132,7 +133,8 @@
     timeout: Duration,
 ) -> Result<Tunnel, Error> {
     let open = async {
-        let stream = TcpStream::connect(address).await.map_err(Error::Connect)?;
+        let stream = http::connect(&address.to_string()).await;
+        let stream = stream.map_err(Error::Connect)?;
         stream.set_nodelay(true).map_err(Error::Connect)?;
         let url = format!("ws://{address}/");
         let opened = client_async_with_config(url, stream, Some(websocket_config())).await;
@@ -205,14 +207,17 @@
     let (mut sink, mut messages) = socket.split();
     let (reader, mut writer) = target.into_split();
     let used_at = Cell::new(time::Instant::now());
+    let is_writing = Cell::new(false);
     let to_target = async {
         while let Some(Ok(message)) = messages.next().await {
             used_at.set(time::Instant::now());
             match message {
                 Message::Binary(bytes) => {
+                    is_writing.set(true);
                     if writer.write_all(&bytes).await.is_err() {
                         return;
                     }
+                    is_writing.set(false);
                 }
                 Message::Ping(_) | Message::Pong(_) => {}
                 Message::Close(_) | Message::Text(_) | Message::Frame(_) => return,
@@ -224,7 +229,8 @@
         is_ended = forward_to_peer(reader, &mut sink, &used_at) => is_ended,
         () = until_idle(&used_at) => false,
     };
-    if is_ended && sink.send(Message::Close(None)).await.is_ok() {
+    // A target that ends its side before it has read a request may not have sent the whole response.
+    if is_ended && !is_writing.get() && sink.send(Message::Close(None)).await.is_ok() {
         let rest = async { while let Some(Ok(_)) = messages.next().await {} };
         // The peer closes the connection as soon as it has read the close frame.
         drop(time::timeout(CLOSE_TIMEOUT, rest).await);
@@ -276,7 +282,7 @@
             return Err(Refusal::Partitioned);
         }
         let address = self.address_for_peer(target, purpose)?;
-        let connect = TcpStream::connect(address.as_str());
+        let connect = http::connect(&address);
         let connected = time::timeout(CONNECT_TIMEOUT, connect).await;
         let connected = connected.unwrap_or(Err(io::ErrorKind::TimedOut.into()));
         // One that has left says nothing about the network.
--- a/godwithinge/src/target/mod.rs
+++ b/godwithinge/src/target/mod.rs
@@ -230,7 +230,7 @@
 fn to_fault(error: &HttpError) -> Fault {
     match error {
         HttpError::Connect(_) | HttpError::Withdrawn => Fault::Unsent,
-        HttpError::Broken(_) | HttpError::Status(_) => Fault::Broken,
+        HttpError::Broken(_) | HttpError::Early | HttpError::Status(_) => Fault::Broken,
         HttpError::Timeout => Fault::Silent,
         HttpError::TooLong => Fault::Error,
     }
--- a/standin/src/http/mod.rs
+++ b/standin/src/http/mod.rs
@@ -48,6 +48,16 @@
         self: Arc<Self>,
         request: Request<Bytes>,
     ) -> impl Future<Output = Result<Reply, ConnectionClosed>> + Send;
+
+    /// Returns whether new connections are passed to [`serve_raw`](Self::serve_raw).
+    fn is_raw(&self) -> bool {
+        false
+    }
+
+    /// Serves a connection on its socket, from which nothing has been read.
+    fn serve_raw(self: Arc<Self>, stream: TcpStream) -> impl Future<Output = ()> + Send {
+        async move { drop(stream) }
+    }
 }
 
 /// Server that listens on 127.0.0.1. Dropping it terminates the server with all its connections.
@@ -174,6 +184,10 @@
         drop(stream.set_zero_linger());
         return;
     }
+    if handler.is_raw() {
+        server_handle.spawn(Arc::clone(handler).serve_raw(stream));
+        return;
+    }
     let stream = SilenceableStream::new(stream, server_handle.pause());
     let silence_flag = stream.silence_flag();
     let task = tokio::spawn(serve_connection(stream, Arc::clone(handler)));
--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -190,7 +190,7 @@
                 let state = Arc::clone(&state);
                 tokio::spawn(async move {
                     // If the server refuses the connection, the client's is closed at once.
-                    if let Ok(server) = TcpStream::connect(state.server_address).await {
+                    if let Ok(server) = connect(state.server_address).await {
                         forward(client, server, &state).await;
                     }
                 });
@@ -199,6 +199,13 @@
     }
 }
 
+/// Opens a connection to the server that holds few bytes which the server does not read, as a network.
+async fn connect(server: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.connect(server).await
+}
+
 /// Refuses new connections, or lets them hang, until they are accepted again.
 async fn reject(
     listener: TcpListener,
@@ -233,6 +240,8 @@
     }
 }
 
+/// Size of the send buffer of a connection to a server.
+const SEND_BUFFER_BYTES: u32 = 64 << 10;
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -3,6 +3,7 @@
 
 pub use super::{
     behavior::{Behavior, Cut, RawStatus, RefusalId, Section},
+    early::{EarlyAnswer, End, Part},
     execution::ExecutedRequest,
     notice::Arrival,
 };
@@ -26,7 +27,7 @@
     },
     time::Duration,
 };
-use tokio::time;
+use tokio::{net::TcpStream, time};
 
 /// Number of events in a complete stream; their ids run from 1.
 pub const STREAM_EVENTS: u64 = 6;
@@ -82,6 +83,9 @@
     pub(super) repeated_answers: AtomicUsize,
     /// Endless responses that their callers have not closed.
     pub(super) endless_responses: AtomicUsize,
+    pub(super) early_answer: Mutex<Option<EarlyAnswer>>,
+    /// Number of answers that the engine began before it had read their requests.
+    pub(super) early_answers: AtomicUsize,
     pub(super) admissions: Admissions,
     pub(super) notices: Notices,
     server_handle: Arc<ServerHandle>,
@@ -125,6 +129,8 @@
             last_answers: Mutex::default(),
             repeated_answers: AtomicUsize::default(),
             endless_responses: AtomicUsize::default(),
+            early_answer: Mutex::default(),
+            early_answers: AtomicUsize::default(),
             admissions: Admissions::default(),
             notices: Notices::default(),
             server_handle: Arc::clone(listener.server_handle()),
@@ -165,6 +171,16 @@
         *lock(&self.state.behavior) = behavior;
     }
 
+    /// Makes the engine answer on new connections before it has read the requests; `None` ends this.
+    pub fn set_early_answer(&self, answer: Option<EarlyAnswer>) {
+        *lock(&self.state.early_answer) = answer;
+    }
+
+    /// Returns the number of answers that the engine began before it had read their requests.
+    pub fn early_answers(&self) -> usize {
+        self.state.early_answers.load(Ordering::Relaxed)
+    }
+
     /// Ends the process of the engine: closes all connections and refuses new ones.
     pub fn exit(&self) {
         self.state.server_handle.set_refusing(true);
@@ -520,6 +536,18 @@
         };
         reply.map(|reply| self.with_state(reply))
     }
+
+    fn is_raw(&self) -> bool {
+        lock(&self.early_answer).is_some()
+    }
+
+    async fn serve_raw(self: Arc<Self>, stream: TcpStream) {
+        let early = *lock(&self.early_answer);
+        if let Some(early) = early {
+            // The caller may have closed the connection.
+            drop(self.answer_early(stream, early).await);
+        }
+    }
 }
 
 /// Returns a stream of events; a truncated one breaks off within event 3.
--- a/standin/src/site/mod.rs
+++ b/standin/src/site/mod.rs
@@ -2,6 +2,7 @@
 
 mod behavior;
 pub mod capacity;
+mod early;
 pub mod engine;
 mod execution;
 mod notice;
--- a/standin/src/site/raw.rs
+++ b/standin/src/site/raw.rs
@@ -272,7 +272,7 @@
     }
 
     /// Returns the head of a response without a length.
-    fn unframed_head(&self, id: &str) -> String {
+    pub(super) fn unframed_head(&self, id: &str) -> String {
         let limit = self.admissions.announced_limit();
         let limit = limit.map_or(String::new(), |limit| format!("{BRITTLE}: {limit}\r\n"));
         let rate = self.notices.rate();
