--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -2,7 +2,8 @@
 //! stage engines.
 
 pub use super::{
-    behavior::{Behavior, Cut, RefusalId, Section},
+    behavior::{Behavior, Cut, RawStatus, RefusalId, Section},
+    early::{EarlyAnswer, End, Part},
     execution::ExecutedRequest,
     notice::Arrival,
 };
@@ -26,7 +27,7 @@
     },
     time::Duration,
 };
-use tokio::time;
+use tokio::{net::TcpStream, time};
 
 /// Number of events in a complete stream; their ids run from 1.
 pub const STREAM_EVENTS: u64 = 6;
@@ -82,6 +83,9 @@
     pub(super) repeated_answers: AtomicUsize,
     /// Endless responses that their callers have not closed.
     pub(super) endless_responses: AtomicUsize,
+    pub(super) early_answer: Mutex<Option<EarlyAnswer>>,
+    /// Number of answers that the engine began before it had read their requests.
+    pub(super) early_answers: AtomicUsize,
     pub(super) admissions: Admissions,
     pub(super) notices: Notices,
     server_handle: Arc<ServerHandle>,
@@ -125,6 +129,8 @@
             last_answers: Mutex::default(),
             repeated_answers: AtomicUsize::default(),
             endless_responses: AtomicUsize::default(),
+            early_answer: Mutex::default(),
+            early_answers: AtomicUsize::default(),
             admissions: Admissions::default(),
             notices: Notices::default(),
             server_handle: Arc::clone(listener.server_handle()),
@@ -165,6 +171,16 @@
         *lock(&self.state.behavior) = behavior;
     }
 
+    /// Makes the engine answer on new connections before it has read the requests; `None` ends this.
+    pub fn set_early_answer(&self, answer: Option<EarlyAnswer>) {
+        *lock(&self.state.early_answer) = answer;
+    }
+
+    /// Returns the number of answers that the engine began before it had read their requests.
+    pub fn early_answers(&self) -> usize {
+        self.state.early_answers.load(Ordering::Relaxed)
+    }
+
     /// Ends the process of the engine: closes all connections and refuses new ones.
     pub fn exit(&self) {
         self.state.server_handle.set_refusing(true);
@@ -280,6 +296,12 @@
         if let (Behavior::CutHead(length), Some(raw)) = (behavior, raw) {
             return self.send_cut_head(raw, "", length).await;
         }
+        if let (Behavior::Status(status), Some(raw)) = (behavior, raw) {
+            let results = self.stage_run(request.body()).unwrap_or_default();
+            return self
+                .send_status(raw, "", status, &results.to_string())
+                .await;
+        }
         let slot = match self.admit().await {
             Ok(slot) => slot,
             Err(reply) => return Ok(reply),
@@ -304,11 +326,11 @@
         }
     }
 
-    fn report(&self) -> Reply {
-        reply::ok(&json!({
+    pub(super) fn report(&self) -> Value {
+        json!({
             "stage": "both", "busy": false, "sequence": 0, "waiting": 0, "running": 0,
             "born": 1 + self.restarts.load(Ordering::Relaxed),
-        }))
+        })
     }
 
     fn stage_free(&self, body: &[u8]) -> Reply {
@@ -488,7 +510,13 @@
 impl Handler for State {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Result<Reply, ConnectionClosed> {
         if request.uri().path() == "/report" {
-            return Ok(self.with_state(self.report()));
+            let behavior = *lock(&self.behavior);
+            let raw = request.extensions().get::<RawConnection>();
+            if let (Behavior::Status(status), Some(raw)) = (behavior, raw) {
+                let report = self.report().to_string();
+                return self.send_status(raw, "", status, &report).await;
+            }
+            return Ok(self.with_state(reply::ok(&self.report())));
         }
         let id = request.headers().get("godwithinge-attempt-id");
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
@@ -508,6 +536,18 @@
         };
         reply.map(|reply| self.with_state(reply))
     }
+
+    fn is_raw(&self) -> bool {
+        lock(&self.early_answer).is_some()
+    }
+
+    async fn serve_raw(self: Arc<Self>, stream: TcpStream) {
+        let early = *lock(&self.early_answer);
+        if let Some(early) = early {
+            // The caller may have closed the connection.
+            drop(self.answer_early(stream, early).await);
+        }
+    }
 }
 
 /// Returns a stream of events; a truncated one breaks off within event 3.
