Send cold targets no more than the configuration allows

Targets that have just started, or return from an evacuation, fail if they get many requests at once. The configuration states per service for how long they are cold (`cold-start-s`) and how many requests a second they take (`cold-per-s`); entries and answers state the remaining time. All of it was ignored.

`policy::relay::cold` keeps how long each start of a target is cold: by its latest entry, and by what answers and peers say (`Frame::Cold`), which only extends it. `policy::relay::rate` limits such targets like those that name a limit, with one pace for both and the smaller rate, so that the leader grants each send. Selection adds the expected wait for a permit. An entry that counts down is handed on only if it differs by more than two seconds from what is known.

--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -86,6 +86,8 @@
     pub max_rejections: Option<u32>,
     /// Number of requests a second that the target takes from all daemons together, if it names one.
     pub max_rate: Option<Rate>,
+    /// Time for which the target is still cold; zero if it states none.
+    pub cold_for: Duration,
     /// Whether the target says that it leaves.
     pub is_leaving: bool,
     /// Time for which the target wants nothing from this daemon, if it turned the request away and
--- a/godwithinge/src/relay/drain.rs
+++ b/godwithinge/src/relay/drain.rs
@@ -1,7 +1,7 @@
 //! Startup of a daemon, and shutdown without losing requests.
 
 use super::{
-    address, builds, conduct, dialect::Table, front, ledger, link, process, quarantine, rate,
+    address, builds, cold, conduct, dialect::Table, front, ledger, link, process, quarantine, rate,
     reach, settings::Settings, side, state::Relay, tunnel, watch,
 };
 use crate::task;
@@ -113,6 +113,7 @@
     spawn_loop(relay, ledger::sweep_streams);
     spawn_loop(relay, quarantine::record_quarantine);
     spawn_loop(relay, rate::expire_limits);
+    spawn_loop(relay, cold::end_cold_times);
     spawn_loop(relay, conduct::poll_scheduler);
     spawn_loop(relay, expire_targets);
     Ok(())
--- a/godwithinge/src/relay/evacuation.rs
+++ b/godwithinge/src/relay/evacuation.rs
@@ -116,6 +116,9 @@
         };
         for change in changes {
             event::evacuation_changed(&change.domain, change.is_evacuated, source);
+            if !change.is_evacuated {
+                self.record_cold_domain(&change.domain);
+            }
         }
         self.metrics.holds.set_evacuated_domains(domains.len());
         self.dispatcher.scheduler.act(self, |scheduler, now, out| {
--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -243,6 +243,16 @@
     tracing::info!(target_id = %target, rate, "{message}");
 }
 
+/// Logs that a target is cold, with the limit on its requests and the time for which it holds, or that it
+/// no longer is.
+pub(super) fn cold_changed(target: &TargetId, limit: Option<(Rate, Duration)>) {
+    if let Some((rate, left)) = limit {
+        tracing::info!(target_id = %target, rate, left_ms = millis(left), "target is cold");
+    } else {
+        tracing::info!(target_id = %target, "target is no longer cold");
+    }
+}
+
 /// Logs that the evacuation of a failure domain has begun or ended.
 pub(super) fn evacuation_changed(domain: &DomainId, is_evacuated: bool, source: &str) {
     let message = if is_evacuated {
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -73,6 +73,9 @@
 /// Version of the protocol from which daemons tell of evacuations of failure domains.
 pub(super) const EVACUATION_PROTOCOL: u32 = 7;
 
+/// Version of the protocol from which daemons tell which targets are cold.
+pub(super) const COLD_PROTOCOL: u32 = 7;
+
 /// Row of a table as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireRow {
@@ -227,11 +230,63 @@
         /// Time that the send may wait.
         #[serde(default)]
         max_wait: Duration,
+        /// Time for which the target is cold, if it is.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        cold_for: Option<Duration>,
     },
     /// Answer to such a question.
     Permit { number: u64, permit: WirePermit },
     /// All evacuations that the sender knows of.
     Evacuations(WireEvacuations),
+    /// Targets are cold, apart from what their entries say.
+    Cold(Vec<WireCold>),
+}
+
+/// Time for which a target is cold, as encoded in frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireCold {
+    target: TargetId,
+    /// Start time of the target; 0 if it is not known.
+    #[serde(default)]
+    started: UnixMillis,
+    /// Time until its end.
+    left: Duration,
+}
+
+impl From<(Start, Duration)> for WireCold {
+    fn from((start, left): (Start, Duration)) -> Self {
+        Self {
+            target: start.target,
+            started: start.started_unix_ms,
+            left,
+        }
+    }
+}
+
+impl From<WireCold> for (Start, Duration) {
+    fn from(cold: WireCold) -> Self {
+        let start = Start {
+            target: cold.target,
+            started_unix_ms: cold.started,
+        };
+        (start, cold.left)
+    }
+}
+
+impl WireRate {
+    /// Returns whether the target names a limit.
+    pub fn is_limited(&self) -> bool {
+        self.rate.is_some()
+    }
+
+    /// Returns that the target is cold for `left`.
+    pub fn to_cold(&self, left: Duration) -> WireCold {
+        WireCold {
+            target: self.target.clone(),
+            started: self.started,
+            left,
+        }
+    }
 }
 
 /// Evacuations of failure domains, as encoded in frames.
@@ -504,6 +559,7 @@
     pub fn protocol(&self) -> u32 {
         match self {
             Self::Evacuations(_) => EVACUATION_PROTOCOL,
+            Self::Cold(_) => COLD_PROTOCOL,
             Self::Builds(_) => BUILD_PROTOCOL,
             Self::Rates(_)
             | Self::RequestPermit { .. }
--- a/godwithinge/src/relay/link.rs
+++ b/godwithinge/src/relay/link.rs
@@ -213,6 +213,13 @@
         peer.is_some_and(|peer| peer.send(frame))
     }
 
+    /// Returns whether a linked daemon speaks a version of the protocol.
+    pub fn speaks(&self, host: &str, protocol: u32) -> bool {
+        let peers = self.peers.borrow();
+        let peer = peers.get(host);
+        peer.is_some_and(|peer| peer.profile.protocol >= protocol)
+    }
+
     /// Queues a frame on a link; it is dropped if the link has ended.
     pub fn send_on_link(&self, link_id: LinkId, frame: Frame) {
         let peers = self.peers.borrow();
@@ -318,6 +325,7 @@
     relay.send_crash_state(&host);
     relay.send_departures(&host);
     relay.send_rates(&host);
+    relay.send_cold(&host);
     relay.send_endings(&host);
     relay.send_builds(&host);
     let end = tokio::select! {
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -280,6 +280,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct HoldMetrics {
     evacuated_domains: IntGauge,
+    cold_targets: IntGauge,
     held_sends: IntCounterVec,
 }
 
@@ -293,6 +294,7 @@
         let held_sends = IntCounterVec::new(held_sends, &["pool", "reason"]);
         Self {
             evacuated_domains: gauge("evacuated_domains", "Failure domains that are evacuated"),
+            cold_targets: gauge("cold_targets", "Targets with a limit since they are cold"),
             held_sends: register(registry, held_sends),
         }
     }
@@ -303,6 +305,12 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of targets with a limit since they are cold.
+    pub fn set_cold_targets(&self, count: usize) {
+        self.cold_targets
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a request that is held back from a selected target.
     pub fn record_held_send(&self, pool: &str, reason: &str) {
         self.held_sends.with_label_values(&[pool, reason]).inc();
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod buffer;
 mod builds;
 mod call;
+mod cold;
 mod conduct;
 mod crash;
 pub mod dialect;
--- a/godwithinge/src/relay/notice.rs
+++ b/godwithinge/src/relay/notice.rs
@@ -63,6 +63,9 @@
                 self.links.send_to_host(host, Frame::Pause(pause));
             }
         }
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            self.record_cold_answer(target, metadata);
+        }
         if metadata.is_leaving {
             let departure = departure(&self.registry(), target, status);
             if let Some(departure) = departure {
--- a/godwithinge/src/relay/rate.rs
+++ b/godwithinge/src/relay/rate.rs
@@ -8,7 +8,7 @@
     conduct::LeaderLink,
     dialect::ResponseMetadata,
     event,
-    frame::{Frame, LinkId, WirePermit, WireRate},
+    frame::{COLD_PROTOCOL, Frame, LinkId, WirePermit, WireRate},
     run::ActiveRequest,
     state::Relay,
 };
@@ -17,12 +17,12 @@
     id::{HostId, TargetId, Time},
     relay::{
         pause,
-        rate::{Decision, Limits, Report},
+        rate::{Decision, Limits, Rate, Report},
         registry::Target,
     },
 };
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, RefCell, RefMut},
     collections::HashMap,
     rc::Rc,
     time::Duration,
@@ -36,6 +36,10 @@
 const LEADER_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time after its start before which a daemon grants nothing: others may still be unknown to it.
 pub(super) const GRANT_DELAY: Duration = Duration::from_millis(1_500);
+/// Questions for permits at a cold target as a multiple of its rate while other targets are open.
+const COLD_QUESTIONS: f64 = 2.0;
+/// Longest time over which daemons spread these questions.
+const MAX_COLD_SPREAD: Duration = Duration::from_secs(5);
 /// Age up to which the known daemons are used again.
 const FLEET_TTL: Duration = Duration::from_millis(100);
 /// Interval at which limits of targets without an entry are checked for expiry.
@@ -69,6 +73,16 @@
         self.limits.borrow_mut().remove_target(target);
     }
 
+    /// Returns the limits, to be changed.
+    pub fn limits_mut(&self) -> RefMut<'_, Limits> {
+        self.limits.borrow_mut()
+    }
+
+    /// Returns the targets that are cold, and how long requests have to expect to wait for permits.
+    pub fn cold_waits(&self, now: Time) -> Vec<(TargetId, Duration)> {
+        self.limits.borrow().cold_waits(now)
+    }
+
     /// Returns until when nothing is sent to a target because of its limit.
     pub fn end(&self, now: Time, target: &Target) -> Option<Time> {
         self.limits.borrow().end(now, target)
@@ -100,7 +114,7 @@
             let sends = &self.metrics.rate_limited_sends;
             sends.with_label_values(&[&target.pool]).inc();
         }
-        let before = self.rates.limits.borrow().rate(target);
+        let before = self.rates.limits.borrow().named_rate(target);
         if rate.is_none() && before.is_none() {
             return;
         }
@@ -164,7 +178,7 @@
     }
 
     /// Records which daemons share the rates.
-    fn record_rate_fleet(&self) {
+    pub(super) fn record_rate_fleet(&self) {
         let now = self.now();
         let known_at = self.rates.fleet_known_at.get();
         if known_at.is_some_and(|at| now < at + FLEET_TTL) {
@@ -209,9 +223,16 @@
         number: u64,
         rate: WireRate,
         max_wait: Duration,
+        cold_for: Option<Duration>,
     ) {
         let target = rate.target.clone();
-        self.receive_rates(vec![rate]);
+        if let Some(cold_for) = cold_for {
+            self.receive_cold(vec![rate.to_cold(cold_for)]);
+        }
+        // A question because the target is cold does not say that it names no limit.
+        if rate.is_limited() {
+            self.receive_rates(vec![rate]);
+        }
         let decision = match self.leads_since() {
             Some(_) => self.grant(&target, max_wait),
             None => Decision::Refuse(LEADER_RETRY_DELAY),
@@ -241,14 +262,20 @@
             Some(LeaderLink::Peer(host, _)) => host,
             None => return Err(Obstacle::NoLeader),
         };
-        let rate = {
+        let now = self.now();
+        let (report, cold) = {
             let limits = self.rates.limits.borrow();
-            let report = limits.report(self.now(), target);
-            match report {
-                Some(report) => report.into(),
-                None => return Ok(Decision::Send(Duration::ZERO)),
-            }
+            (limits.report(now, target), limits.cold(target))
         };
+        let Some(mut report) = report else {
+            return Ok(Decision::Send(Duration::ZERO));
+        };
+        if let Some(cold) = cold
+            && !self.links.speaks(&host, COLD_PROTOCOL)
+        {
+            // A leader of an earlier build knows limits that targets name only.
+            report.rate = Some(report.rate.map_or(cold.rate, |rate| rate.min(cold.rate)));
+        }
         let number = self.rates.next_number.get();
         self.rates.next_number.set(number + 1);
         let (sender, answer) = oneshot::channel();
@@ -260,8 +287,9 @@
         };
         let question = Frame::RequestPermit {
             number,
-            rate,
+            rate: report.into(),
             max_wait,
+            cold_for: cold.map(|cold| cold.until.saturating_sub(now)),
         };
         let is_sent = self.links.send_to_host(&host, question);
         let answer = if is_sent {
@@ -277,6 +305,14 @@
     }
 }
 
+/// Returns the time over which daemons that were refused a send to a cold target ask again if other
+/// targets take their requests. Together they then ask for a few times the rate, not each for all of it.
+fn cold_spread(daemons: usize, rate: Rate) -> Duration {
+    let seconds = daemons as f64 / (COLD_QUESTIONS * rate);
+    Duration::try_from_secs_f64(seconds)
+        .map_or(MAX_COLD_SPREAD, |spread| spread.min(MAX_COLD_SPREAD))
+}
+
 impl ActiveRequest {
     /// Waits until the request may be sent to a target. Returns `false` if it may not because of the
     /// target's limit.
@@ -299,7 +335,14 @@
         relay.metrics.record_permit(&target.pool, result);
         event::permit_refused(&self.metadata.id, &target.id, result, wait);
         // Daemons do not ask again at the same moment.
-        let until = relay.now() + pause::retry_after(wait, rand::random());
+        let mut until = relay.now() + pause::retry_after(wait, rand::random());
+        let cold = relay.rates.limits.borrow().cold(target);
+        if let Some(cold) = cold {
+            relay.metrics.holds.record_held_send(&target.pool, "cold");
+            if max_wait.is_zero() {
+                until += cold_spread(relay.fleet_size(), cold.rate).mul_f64(rand::random());
+            }
+        }
         relay.rates.limits.borrow_mut().close(&target.id, until);
         false
     }
--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -87,7 +87,9 @@
                 number,
                 rate,
                 max_wait,
-            } => self.answer_permit(link_id, number, rate, max_wait),
+                cold_for,
+            } => self.answer_permit(link_id, number, rate, max_wait, cold_for),
+            Frame::Cold(words) => self.receive_cold(words),
             Frame::Permit { number, permit } => self.receive_permit(number, permit),
             Frame::Served(features) => self.receive_served(&features),
             Frame::Quarantine(features) => {
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -521,12 +521,14 @@
         read: impl FnOnce(&Selection<'_>) -> T,
     ) -> Option<T> {
         let settings = self.relay.settings();
+        let waits = self.relay.rates.cold_waits(self.relay.now());
         let criteria = Criteria {
             parts: &self.metadata.parts,
             large_results: results_domain.map(|domain| (domain, self.largest_stage_bytes())),
             domain: Some(&settings.domain),
             tried: &attempts.tried,
             max_in_flight: self.max_target_connections(pool).max(1),
+            waits: &waits,
         };
         let registry = self.relay.registry();
         let selector = self.relay.target_selector();
--- a/godwithinge/src/relay/settings.rs
+++ b/godwithinge/src/relay/settings.rs
@@ -37,7 +37,8 @@
     pub store_address: CompactString,
     /// Time from SIGTERM until the process is killed.
     pub grace_period: Duration,
-    /// Time within which a new configuration, or a target that leaves, has to be known everywhere.
+    /// Time within which a new configuration, a target that leaves, or an evacuation has to be known
+    /// everywhere.
     pub change_bound: Duration,
     /// Maximum time for which callers may cache the addresses of daemons.
     pub address_ttl: Duration,
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -201,6 +201,7 @@
         *self.plan.borrow_mut() = Some(Rc::new(plan));
         *self.plan_row.borrow_mut() = Some(row);
         self.replication.clear_packed();
+        self.reapply_cold();
     }
 
     pub(super) fn registry(&self) -> Ref<'_, Registry> {
--- a/godwithinge/src/relay/watch.rs
+++ b/godwithinge/src/relay/watch.rs
@@ -491,14 +491,18 @@
             // Other entries of these targets show the peers which process lives.
             if self.registry().is_refresh(registration)
                 && !self.registry().has_ended(&registration.target)
-                && !self.registry().has_replaced_later_start(&row.key));
+                && !self.registry().has_replaced_later_start(&row.key)
+                && !self.is_cold_news(registration));
         if !is_refresh && self.serves_tables() {
             self.broadcast_target(row, is_lenient);
         }
         let change = match parsed {
             Some(Ok(registration)) => {
                 let now = self.now();
-                self.registry_mut().upsert(now, registration)
+                let (target, cold_for) = (registration.target.clone(), registration.cold_for);
+                let change = self.registry_mut().upsert(now, registration);
+                self.record_cold_entry(&target, cold_for);
+                change
             }
             Some(Err(fault)) => {
                 tracing::debug!(key = %row.key, %fault, "entry of a target ignored");
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -11,10 +11,11 @@
 //! targets, [`quarantine`] holds the records of that, [`reach`] tells a partition of this daemon
 //! from failures of targets, [`rejection`] limits how often targets reject requests, [`departure`] holds
 //! which targets have said that they leave, [`pause`] keeps the pauses that targets ask for, [`rate`] the
-//! limits on requests that they name, [`reader`] says which daemons read the store, and [`shutdown`] which
+//! limits on requests that they name, [`cold`] which of them are cold, [`reader`] says which daemons read the store, and [`shutdown`] which
 //! requests a daemon that shuts down still sends.
 
 pub mod builds;
+pub mod cold;
 pub mod crash;
 pub mod departure;
 pub mod distribution;
--- a/policy/src/relay/plan.rs
+++ b/policy/src/relay/plan.rs
@@ -1,5 +1,6 @@
 //! Active configuration: routes, pools, limits and access keys of one revision.
 
+use super::rate::Rate;
 use crate::{
     hash,
     id::{PoolId, Revision, WorkspaceId},
@@ -137,6 +138,17 @@
     pub max_connections: u32,
     /// Batch limits; present only if the pool serves stages.
     pub batch_limits: Option<BatchLimits>,
+    /// Limits of targets that are cold; absent if they take any number of requests.
+    pub cold_limits: Option<ColdLimits>,
+}
+
+/// Limits of targets that are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimits {
+    /// Time for which a target is cold after the evacuation of its domain.
+    pub duration: Duration,
+    /// Requests a second that it takes from all daemons together.
+    pub rate: Rate,
 }
 
 /// Size and time limits for the requests of callers.
--- a/policy/src/relay/rate.rs
+++ b/policy/src/relay/rate.rs
@@ -12,6 +12,9 @@
 //! All daemons tell each other of limits, and ask with the limit that they know, so that the leader
 //! need not have heard of it. Answers overtake each other: one without a limit ends it only if its
 //! request was sent after the limit was last named. So do reports: what was named last holds.
+//!
+//! A target that is cold has such a limit too, by the configuration, until it is no longer
+//! [`cold`](super::cold). Of both limits, the smaller one holds.
 
 use super::{leader::UnixMillis, registry::Target};
 use crate::id::{HostId, TargetId, Time};
@@ -73,13 +76,25 @@
     fleet: Fleet,
 }
 
+/// Limit of a target while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Requests a second.
+    pub rate: Rate,
+    /// End of the limit.
+    pub until: Time,
+}
+
 #[derive(Clone, Debug)]
 struct Limit {
-    /// Start of the target that named it.
+    /// Start of the target that it applies to.
     started: UnixMillis,
-    rate: Rate,
+    /// Limit that the target names, if it does.
+    named: Option<Rate>,
     /// When it was last named.
     named_at: Time,
+    /// Limit of a target that is cold.
+    cold: Option<Cold>,
     /// When any daemon last reported it.
     reported_at: Time,
     pace: Pace,
@@ -158,7 +173,7 @@
         if share.to_bits() != self.fleet.share.to_bits() {
             self.fleet.share = share;
             for limit in self.targets.values_mut() {
-                limit.pace.set_rate(now, limit.rate.max(MIN_RATE) * share);
+                limit.pace.set_rate(now, limit.rate().max(MIN_RATE) * share);
             }
         }
     }
@@ -209,7 +224,7 @@
     fn apply(&mut self, now: Time, report: &Report) -> bool {
         let started = report.started_unix_ms;
         let at = now.saturating_sub(report.age);
-        let spendable = report.rate.unwrap_or_default().max(MIN_RATE) * self.fleet.share;
+        let share = self.fleet.share;
         let known = self.targets.get_mut(&report.target);
         let known = known.filter(|known| known.started >= started);
         match (report.rate, known) {
@@ -217,27 +232,33 @@
             (Some(_), Some(known)) if at < known.named_at => false,
             (Some(rate), Some(known)) => {
                 known.named_at = at;
-                let has_changed = known.rate.to_bits() != rate.to_bits();
+                let has_changed = known.named.map(Rate::to_bits) != Some(rate.to_bits());
                 if has_changed {
-                    known.rate = rate;
-                    known.pace.set_rate(now, spendable);
+                    known.named = Some(rate);
+                    known.update_pace(now, share);
                 }
                 has_changed
             }
             (Some(rate), None) => {
                 let limit = Limit {
                     started,
-                    rate,
+                    named: Some(rate),
                     named_at: at,
+                    cold: None,
                     reported_at: now,
-                    pace: Pace::new(now, spendable),
+                    pace: Pace::new(now, rate.max(MIN_RATE) * share),
                     closed_until: Time::ZERO,
                 };
                 self.targets.insert(report.target.clone(), limit);
                 true
             }
-            (None, Some(known)) if at > known.named_at => {
-                self.targets.remove(&report.target);
+            (None, Some(known)) if known.named.is_some() && at > known.named_at => {
+                known.named = None;
+                if known.cold.is_none() {
+                    self.targets.remove(&report.target);
+                } else {
+                    known.update_pace(now, share);
+                }
                 true
             }
             (None, _) => false,
@@ -247,7 +268,88 @@
     /// Returns all limits, to be told to a peer that has just been linked.
     pub fn reports(&self, now: Time) -> impl Iterator<Item = Report> {
         let limits = self.targets.iter();
-        limits.map(move |(target, limit)| limit.to_report(now, target))
+        let named = limits.filter(|(_, limit)| limit.named.is_some());
+        named.map(move |(target, limit)| limit.to_report(now, target))
+    }
+
+    /// Sets the limit of a target that is cold; `None` if it is not. Returns whether this begins, ends or
+    /// changes the limit, apart from its end.
+    pub fn set_cold(&mut self, now: Time, target: &Target, cold: Option<Cold>) -> bool {
+        let started = target.started_unix_ms;
+        let share = self.fleet.share;
+        let known = self.targets.get_mut(&target.id);
+        match (cold, known.filter(|known| known.started >= started)) {
+            (_, Some(known)) if known.started > started => false,
+            (Some(cold), Some(known)) => {
+                let before = known.cold.replace(cold).map(|before| before.rate.to_bits());
+                let has_changed = before != Some(cold.rate.to_bits());
+                if has_changed {
+                    known.update_pace(now, share);
+                }
+                has_changed
+            }
+            (Some(cold), None) => {
+                let limit = Limit {
+                    started,
+                    named: None,
+                    named_at: Time::ZERO,
+                    cold: Some(cold),
+                    reported_at: Time::ZERO,
+                    pace: Pace::new(now, cold.rate.max(MIN_RATE) * share),
+                    closed_until: Time::ZERO,
+                };
+                self.targets.insert(target.id.clone(), limit);
+                true
+            }
+            (None, Some(known)) => {
+                let has_changed = known.cold.take().is_some();
+                if known.named.is_none() {
+                    self.targets.remove(&target.id);
+                } else if has_changed {
+                    known.update_pace(now, share);
+                }
+                has_changed
+            }
+            (None, None) => false,
+        }
+    }
+
+    /// Ends the limits of targets that are no longer cold, and returns these.
+    pub fn end_cold(&mut self, now: Time) -> Vec<TargetId> {
+        let share = self.fleet.share;
+        let mut ended = Vec::new();
+        self.targets.retain(|target, limit| {
+            if limit.cold.is_some_and(|cold| cold.until <= now) {
+                limit.cold = None;
+                limit.update_pace(now, share);
+                ended.push(target.clone());
+                return limit.named.is_some();
+            }
+            true
+        });
+        ended
+    }
+
+    /// Returns the limit of a target that is cold.
+    pub fn cold(&self, target: &Target) -> Option<Cold> {
+        self.get(target)?.cold
+    }
+
+    /// Returns the number of targets with a limit because they are cold.
+    pub fn cold_count(&self) -> usize {
+        let limits = self.targets.values();
+        limits.filter(|limit| limit.cold.is_some()).count()
+    }
+
+    /// Returns the targets that are cold, and how long a request has to expect to wait for a permit.
+    pub fn cold_waits(&self, now: Time) -> Vec<(TargetId, Duration)> {
+        let limits = self.targets.iter();
+        let cold = limits.filter(|(_, limit)| limit.cold.is_some());
+        let waits = cold.map(|(target, limit)| {
+            let wait = limit.pace.open_at().saturating_sub(now);
+            (target.clone(), wait.max(limit.pace.interval))
+        });
+        waits.collect()
     }
 
     /// Returns the limit of one target, to be told to a peer.
@@ -256,14 +358,19 @@
         Some(limit.to_report(now, &target.id))
     }
 
-    /// Returns the targets that name a limit.
+    /// Returns the targets with a limit.
     pub fn targets(&self) -> impl Iterator<Item = &TargetId> {
         self.targets.keys()
     }
 
-    /// Returns the limit of a target, if it names one.
+    /// Returns the limit of a target, if it has one: the smaller one if it names one and is cold, too.
     pub fn rate(&self, target: &Target) -> Option<Rate> {
-        self.get(target).map(|limit| limit.rate)
+        self.get(target).map(Limit::rate)
+    }
+
+    /// Returns the limit that a target names, if it names one.
+    pub fn named_rate(&self, target: &Target) -> Option<Rate> {
+        self.get(target)?.named
     }
 
     /// Returns the share of a target's limit that the linked daemons may spend.
@@ -307,13 +414,16 @@
 
     /// Drops limits named long ago of targets for which `has_entry` is false.
     pub fn expire(&mut self, now: Time, has_entry: impl Fn(&TargetId) -> bool) {
-        self.targets
-            .retain(|target, limit| has_entry(target) || now < limit.named_at + LIMIT_MEMORY);
+        self.targets.retain(|target, limit| {
+            let is_cold = limit.cold.is_some_and(|cold| now < cold.until);
+            has_entry(target) || is_cold || now < limit.named_at + LIMIT_MEMORY
+        });
     }
 
     /// Returns the number of targets that name a limit.
     pub fn count(&self) -> usize {
-        self.targets.len()
+        let limits = self.targets.values();
+        limits.filter(|limit| limit.named.is_some()).count()
     }
 
     fn get(&self, target: &Target) -> Option<&Limit> {
@@ -323,11 +433,22 @@
 }
 
 impl Limit {
+    fn rate(&self) -> Rate {
+        let named = self.named.unwrap_or(Rate::INFINITY);
+        let cold = self.cold.map_or(Rate::INFINITY, |cold| cold.rate);
+        named.min(cold)
+    }
+
+    /// Applies a change of the rate, of which `share` may be spent.
+    fn update_pace(&mut self, now: Time, share: f64) {
+        self.pace.set_rate(now, self.rate().max(MIN_RATE) * share);
+    }
+
     fn to_report(&self, now: Time, target: &TargetId) -> Report {
         Report {
             target: target.clone(),
             started_unix_ms: self.started,
-            rate: Some(self.rate),
+            rate: self.named,
             age: now.saturating_sub(self.named_at),
         }
     }
--- a/policy/src/relay/registry.rs
+++ b/policy/src/relay/registry.rs
@@ -7,8 +7,8 @@
 //! of targets as they were then; these are ignored until the target writes its entry again.
 
 use super::{
-    builds::BuildRecords, departure::Departures, ending::Endings, evacuation::Evacuations,
-    history::Version, leader::UnixMillis,
+    builds::BuildRecords, cold::ColdTargets, departure::Departures, ending::Endings,
+    evacuation::Evacuations, history::Version, leader::UnixMillis,
 };
 use crate::id::{DomainId, PoolId, TargetId, Time};
 use compact_str::CompactString;
@@ -38,6 +38,8 @@
     pub sequence: u64,
     /// Version of the entry.
     pub version: Version,
+    /// Time for which the target is still cold.
+    pub cold_for: Duration,
 }
 
 /// A registered target.
@@ -98,6 +100,7 @@
     departures: Departures,
     endings: Endings,
     evacuations: Evacuations,
+    cold: ColdTargets,
 }
 
 #[derive(Clone, Debug)]
@@ -451,6 +454,16 @@
         &mut self.evacuations
     }
 
+    /// Returns which targets are cold.
+    pub fn cold(&self) -> &ColdTargets {
+        &self.cold
+    }
+
+    /// Returns which targets are cold, to be changed.
+    pub fn cold_mut(&mut self) -> &mut ColdTargets {
+        &mut self.cold
+    }
+
     /// Returns whether a target is in a failure domain that is evacuated.
     pub fn is_evacuated(&self, target: &Target) -> bool {
         self.evacuations.contains(&target.domain)
--- a/policy/src/relay/selection.rs
+++ b/policy/src/relay/selection.rs
@@ -41,6 +41,8 @@
     pub tried: &'a [TargetId],
     /// Maximum number of concurrent calls from this daemon to one target.
     pub max_in_flight: u32,
+    /// Times that the request has to expect to wait before it may be sent to targets.
+    pub waits: &'a [(TargetId, Duration)],
 }
 
 /// Load and failure statistics of one target.
@@ -251,7 +253,10 @@
             .stats
             .get(&target.id)
             .map_or(0.0, |stats| stats.cost(now, target));
-        self.prefill_seconds(now, target, criteria, rank) + load + distance + large_results
+        let waits = criteria.waits.iter();
+        let mut waits = waits.filter(|(of, _)| *of == target.id);
+        let wait = waits.next().map_or(0.0, |(_, wait)| wait.as_secs_f64());
+        self.prefill_seconds(now, target, criteria, rank) + load + distance + large_results + wait
     }
 
     /// Returns the expected seconds to prefill the shared prompt parts that the target has not
--- a/policy/tests/builds.rs
+++ b/policy/tests/builds.rs
@@ -82,6 +82,7 @@
             target: target.clone(),
             sequence: 1,
             version: Version { era: 1, number: 1 },
+            cold_for: Duration::ZERO,
         };
         registry.upsert(Time::ZERO, registration);
     }
--- a/policy/tests/registry.rs
+++ b/policy/tests/registry.rs
@@ -30,6 +30,7 @@
         },
         sequence,
         version: Version { era, number: 1 },
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/policy/tests/regression/limited_stage_target_was_never_asked.rs
+++ b/policy/tests/regression/limited_stage_target_was_never_asked.rs
@@ -55,6 +55,7 @@
         name: pool.clone(),
         max_connections: 100,
         batch_limits: Some(limits),
+        cold_limits: None,
     }];
     let target = Target {
         id: "t".into(),
--- a/policy/tests/regression/slow_call_refused_everything.rs
+++ b/policy/tests/regression/slow_call_refused_everything.rs
@@ -54,6 +54,7 @@
             name: pool.clone(),
             max_connections: 360,
             batch_limits: Some(limits),
+            cold_limits: None,
         }];
         let mut scheduler = Scheduler::new();
         scheduler.set_plan(&Plan::new(1, callers, Vec::new(), pools, Vec::new()));
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -164,6 +164,7 @@
                 name: name.clone(),
                 max_connections: 360,
                 batch_limits: Some(batch_limits),
+                cold_limits: None,
             });
             for number in 0..count {
                 let target = Target {
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -24,7 +24,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::time;
 
@@ -53,6 +53,8 @@
 pub(super) const BRITTLE: &str = "server-brittle";
 /// Header in which an engine names the requests a second that it takes from all machines together.
 pub(super) const LIMIT: &str = "server-limit";
+/// Header in which an engine states for how many milliseconds it is still cold.
+pub(super) const COLD: &str = "godwithinge-cold-ms";
 /// Header by which an engine says that it leaves.
 pub(super) const LEAVING: &str = "server-leaving";
 
@@ -211,6 +213,12 @@
         self.state.notices.set_rate(rate);
     }
 
+    /// Makes the engine state in its answers, apart from raw ones, that it is cold from now on for
+    /// `duration`.
+    pub fn set_cold(&self, duration: Duration) {
+        self.state.notices.set_cold_until(Instant::now() + duration);
+    }
+
     /// Makes the engine turn everything away with 503, and ask for this pause; `None` ends this.
     pub fn set_pause(&self, pause: Option<Duration>) {
         self.state.notices.set_pause(pause);
@@ -467,6 +475,9 @@
         if let Some(rate) = self.notices.rate() {
             set_header(&mut reply, LIMIT, &rate.to_string());
         }
+        if let Some(left) = self.notices.cold_for() {
+            set_header(&mut reply, COLD, &left.as_millis().to_string());
+        }
         if self.notices.is_leaving() {
             set_header(&mut reply, LEAVING, "1");
         }
--- a/standin/src/site/notice.rs
+++ b/standin/src/site/notice.rs
@@ -31,6 +31,7 @@
     is_leaving: bool,
     pause: Option<Duration>,
     rate: Option<f64>,
+    cold_until: Option<Instant>,
     arrivals: Vec<Arrival>,
 }
 
@@ -51,6 +52,17 @@
         self.state().rate
     }
 
+    pub fn set_cold_until(&self, until: Instant) {
+        self.state().cold_until = Some(until);
+    }
+
+    /// Returns the time for which the engine is still cold, if it is.
+    pub fn cold_for(&self) -> Option<Duration> {
+        self.state()
+            .cold_until?
+            .checked_duration_since(Instant::now())
+    }
+
     pub fn is_leaving(&self) -> bool {
         self.state().is_leaving
     }
