--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -523,6 +523,7 @@
         read: impl FnOnce(&Selection<'_>) -> T,
     ) -> Option<T> {
         let settings = self.relay.settings();
+        let waits = self.relay.rates.cold_waits(self.relay.now());
         let criteria = Criteria {
             parts: &self.metadata.parts,
             large_results: results_domain.map(|domain| (domain, self.largest_stage_bytes())),
@@ -533,6 +534,7 @@
             time_left: Some(self.remaining()),
             memory: self.part_memory(pool),
             draw: hash::bytes(self.metadata.id.as_bytes()),
+            waits: &waits,
         };
         let registry = self.relay.registry();
         let selector = self.relay.target_selector();
--- a/policy/src/relay/selection.rs
+++ b/policy/src/relay/selection.rs
@@ -52,6 +52,8 @@
     pub memory: Option<PartMemory>,
     /// Random number, by which daemons spread their requests over targets that are about as good.
     pub draw: u64,
+    /// Times that the request has to expect to wait before it may be sent to targets.
+    pub waits: &'a [(TargetId, Duration)],
 }
 
 /// Memory of the targets of a pool for prompts and cached parts of them.
@@ -474,6 +476,14 @@
             + large_results
             + slow_prefill
             + self.rest_cost(target, expectation)
+            + self.wait(&target.id)
+    }
+
+    /// Returns the seconds that the request has to expect to wait before it may be sent to a target.
+    fn wait(&self, target: &TargetId) -> f64 {
+        let mut waits = self.waits.iter();
+        let wait = waits.find(|(of, _)| of == target);
+        wait.map_or(0.0, |(_, wait)| wait.as_secs_f64())
     }
 
     /// Returns the cost of the time from the first event to the last one, less the usual one in the pool.
--- a/policy/tests/regression/limited_stage_target_was_never_asked.rs
+++ b/policy/tests/regression/limited_stage_target_was_never_asked.rs
@@ -58,6 +58,7 @@
         max_connections: 100,
         batch_limits: Some(limits),
         memory_tokens: None,
+        cold_limits: None,
     }];
     let target = Target {
         id: "t".into(),
--- a/policy/tests/regression/slow_call_refused_everything.rs
+++ b/policy/tests/regression/slow_call_refused_everything.rs
@@ -55,6 +55,7 @@
             max_connections: 360,
             batch_limits: Some(limits),
             memory_tokens: None,
+            cold_limits: None,
         }];
         let mut scheduler = Scheduler::new();
         scheduler.set_plan(&Plan::new(1, callers, Vec::new(), pools, Vec::new()));
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -165,6 +165,7 @@
                 max_connections: 360,
                 batch_limits: Some(batch_limits),
                 memory_tokens: None,
+                cold_limits: None,
             });
             for number in 0..count {
                 let target = Target {
