Time to earlier answers counts only until the pace of a pool is known

A daemon has few answers of each target, and their time depends on prompts and caches. Knowledge of a pool ends a minute after its last sample, and weights of averages halve in 30 s instead of 20 s, since targets that were tried again took parts from their holders.

--- a/policy/src/relay/performance.rs
+++ b/policy/src/relay/performance.rs
@@ -88,6 +88,8 @@
 const MAX_WEIGHT: f64 = 30.0;
 /// Number of samples that a pool's average stands for at most.
 const MAX_POOL_WEIGHT: f64 = 1000.0;
+/// Time without any sample of a pool after which nothing is known of its targets.
+const POOL_TTL: Duration = Duration::from_secs(60);
 /// Number of samples that the mean of the pool counts for in the estimate of a target: the variance of
 /// one sample over that between targets, at 2.5 times the time for 15% of the moments and targets that
 /// take 0.7 to 1.7 times the nominal time.
@@ -96,7 +98,7 @@
 const UNCERTAINTY: f64 = 0.3; // twice the error of an average of 8 samples
 /// Time in which the weight of an average halves without samples. A slow target that gets no requests
 /// is then tried again after about a minute.
-const HALF_LIFE: Duration = Duration::from_secs(20);
+const HALF_LIFE: Duration = Duration::from_secs(30);
 /// Time within which the load factor of a target changes.
 const FACTOR_TTL: Duration = Duration::from_millis(600);
 /// Load factors that are believed.
@@ -160,7 +162,8 @@
     pub fn expectation(&self, now: Time, pool: &PoolId, target: &TargetId) -> Expectation {
         let pool = self.pools.get(pool);
         let target = self.targets.get(target);
-        let known = pool.filter(|pool| pool.interval.weight > 0.0);
+        let known = pool
+            .filter(|pool| pool.interval.weight > 0.0 && now < pool.interval.updated + POOL_TTL);
         let slowness = known.zip(target).map(|(pool, target)| {
             let mut own = target.interval;
             own.fade(now);
--- a/policy/src/relay/selection.rs
+++ b/policy/src/relay/selection.rs
@@ -433,9 +433,15 @@
         let running = own.max(self.running * weight);
         let over = (running + 1.0 - f64::from(target.slots)).max(0.0);
         let waiting = self.waiting * weight + over;
+        // The pace of streams shows the speed of a target better than the time to the first events of a
+        // few requests, which depends on their prompts and on what was cached.
+        let time = match expectation.pool_interval {
+            Some(_) => 0.0,
+            None => self.mean_seconds.unwrap_or_default().min(1.0) * TIME_COST,
+        };
         (running * LOAD_COST + waiting * WAIT_COST) * expectation.factor()
             + self.error_rate * ERROR_COST
-            + self.mean_seconds.unwrap_or_default().min(1.0) * TIME_COST
+            + time
     }
 }
 
