Bound the connections of callers by memory and descriptors

Cause: nothing limited the connections of callers. Heads that never ended kept theirs for 123 s, since the timeout of the HTTP library also has to cover idle connections, and responses that were not read kept theirs for good.

A daemon now keeps as many connections as fit into a fifth of its memory at 40 kB each and into half of `max-fds` without the 200 for files. Beyond that, it closes those without a whole request, with an unread response, with a stalled body or idle ones, in this order, and refuses new ones if all are busy. Connections beyond 600 take from the memory of request bodies. Heads end after `header-timeout-ms`, and connections whose caller reads nothing of a response after `idle-timeout-ms`.

--- a/godwithinge/src/relay/accept.rs
+++ b/godwithinge/src/relay/accept.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time,
+    task, time,
 };
 
 /// Delay before the next attempt after accepting a connection has failed. File descriptors are
@@ -21,7 +21,10 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let serve = Rc::clone(&serve);
-                tokio::task::spawn_local(async move { serve(stream).await });
+                task::spawn_local(async move { serve(stream).await });
+                // Connections that are closed in favor of new ones give their descriptors back before the next
+                // one is accepted.
+                task::yield_now().await;
             }
             Err(fault) => {
                 tracing::warn!(%fault, "failed to accept a connection");
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -4,10 +4,11 @@
     accept,
     body::Body,
     buffer::Reservation,
+    callers::{Activity, BodyGuard, CallerStream, RequestGuard},
     crash,
     outcome::{Reason, Rejection},
     run::{self, ActiveRequest, RequestStats},
-    state::{ConnectionGuard, InFlightGuard, Relay, UnansweredGuard},
+    state::{InFlightGuard, Relay, UnansweredGuard},
 };
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, Response, Version, header, request::Parts};
@@ -39,15 +40,6 @@
 /// Minimum buffer size for request heads that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
-/// Activity of one connection, from which its idle time is derived.
-#[derive(Debug)]
-struct ConnectionActivity {
-    in_flight: Cell<usize>,
-    last_used: Cell<Instant>,
-    /// Keeps the process running until the connection has ended; absent before the first request.
-    guard: OnceCell<ConnectionGuard>,
-}
-
 /// Accepts connections until the process ends.
 pub(super) async fn listen(relay: Rc<Relay>, listener: TcpListener) {
     accept::serve_connections(listener, move |stream| serve(Rc::clone(&relay), stream)).await;
@@ -59,12 +51,11 @@
         tracing::debug!(fault = %error, "failed to set TCP_NODELAY, closing connection");
         return;
     }
+    let Some(place) = relay.admit_caller() else {
+        return;
+    };
+    let activity = Rc::clone(&place.activity);
     let (header_bytes, header_timeout, _) = limits(&relay);
-    let activity = Rc::new(ConnectionActivity {
-        in_flight: Cell::new(0),
-        last_used: Cell::new(Instant::now()),
-        guard: OnceCell::new(),
-    });
     let handler = {
         let (relay, activity) = (Rc::clone(&relay), Rc::clone(&activity));
         service::service_fn(move |request| {
@@ -78,7 +69,7 @@
         // time.
         .header_read_timeout(header_timeout + MAX_IDLE_TIMEOUT)
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), handler);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, &activity)), handler);
     tokio::pin!(connection);
     let mut idle_check = time::interval(IDLE_CHECK_INTERVAL);
     let mut closing = pin!(relay.until_closing());
@@ -96,22 +87,45 @@
             () = &mut closing, if !is_closing => {
                 is_closing = true;
                 // The first request may be on its way; its response closes the connection.
-                if activity.guard.get().is_some() {
+                if activity.has_carried_request() {
                     connection.as_mut().graceful_shutdown();
                 }
             }
             _ = idle_check.tick() => {
+                if let Some(reason) = overdue(&relay, &activity) {
+                    relay.record_closed_caller(reason);
+                    return;
+                }
                 let (_, _, idle_timeout) = limits(&relay);
-                let is_idle = activity.in_flight.get() == 0
-                    && activity.last_used.get().elapsed() > idle_timeout;
-                if is_idle {
+                if activity.is_idle_for(idle_timeout) {
                     connection.as_mut().graceful_shutdown();
                 }
             }
+            () = activity.until_closed() => {
+                if !activity.is_unused() {
+                    return;
+                }
+                connection.as_mut().graceful_shutdown();
+            }
         }
     }
 }
 
+/// Returns why a connection has to be closed although its caller has not ended what it began.
+fn overdue(relay: &Relay, activity: &Activity) -> Option<&'static str> {
+    let (_, header_timeout, idle_timeout) = limits(relay);
+    if activity.is_head_late(header_timeout) {
+        return Some("head_timeout");
+    }
+    // A head that follows another request at once is not noticed until the connection counts as idle.
+    if activity.is_idle_for(idle_timeout + header_timeout) {
+        return Some("idle_timeout");
+    }
+    activity
+        .is_unread_for(idle_timeout)
+        .then_some("unread_timeout")
+}
+
 /// Maximum idle time of a connection, whatever the configuration says.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 
@@ -128,12 +142,10 @@
 
 async fn handle(
     relay: Rc<Relay>,
-    activity: Rc<ConnectionActivity>,
+    activity: Rc<Activity>,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    activity.in_flight.set(activity.in_flight.get() + 1);
-    activity.guard.get_or_init(|| ConnectionGuard::new(&relay));
-    let guard = RequestGuard(Rc::clone(&activity));
+    let guard = activity.begin_request(&relay);
     // The caller may have meant bytes after a chunked body as part of that body, so the connection
     // is not reused.
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
@@ -147,17 +159,6 @@
     response
 }
 
-/// Counts a request as in flight on its connection until dropped.
-#[derive(Debug)]
-pub(super) struct RequestGuard(Rc<ConnectionActivity>);
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-        self.0.last_used.set(Instant::now());
-    }
-}
-
 async fn respond(
     relay: Rc<Relay>,
     request: Request<Incoming>,
@@ -222,18 +223,24 @@
     // A request that can't be served before the process ends is refused for want of time.
     let deadline = relay.last_call().map_or(deadline, |at| at.min(deadline));
     let mut memory = Reservation::new(relay, Share::Requests);
+    let length = usize::try_from(hyper::body::Body::size_hint(&body).lower());
+    let reading = guard.begin_body(length.unwrap_or(usize::MAX));
     let mut incoming = body;
     let body = tokio::select! {
         body = read_body(&mut incoming, plan.limits.body_bytes, deadline, &mut memory) => body,
         () = relay.until_last_call() => Err(leaving),
     };
-    let body = body.map_err(|rejection| {
-        let is_sent_on = !head.headers.contains_key(header::EXPECT);
-        if rejection.reason == Reason::NoMemory && is_sent_on {
-            tokio::task::spawn_local(discard(incoming, plan.limits.body_bytes));
+    let body = match body {
+        Ok(body) => body,
+        Err(rejection) => {
+            let is_sent_on = !head.headers.contains_key(header::EXPECT);
+            if rejection.reason == Reason::NoMemory && is_sent_on {
+                tokio::task::spawn_local(discard(incoming, plan.limits.body_bytes, reading));
+            }
+            return Err(reject(rejection, &metadata.id));
         }
-        reject(rejection, &metadata.id)
-    })?;
+    };
+    drop(reading);
     if relay.is_closing() {
         // The body has ended too late for the request to be passed on.
         return Err(reject(leaving, &metadata.id));
@@ -319,7 +326,7 @@
 
 /// Reads the rest of the body of a request that has been rejected, and keeps nothing of it. Closing the
 /// connection instead would reset it, and the caller might not get the response.
-async fn discard(mut body: Incoming, limit: usize) {
+async fn discard(mut body: Incoming, limit: usize, _reading: BodyGuard) {
     let end = Instant::now() + DISCARD_TIMEOUT;
     let mut read = 0;
     while read <= limit {
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -93,6 +93,8 @@
     /// By share.
     memory_bytes: IntGaugeVec,
     memory_limit_bytes: IntGaugeVec,
+    /// Connections of callers that were closed or refused, by reason.
+    pub closed_callers: IntCounterVec,
 }
 
 impl Metrics {
@@ -199,6 +201,7 @@
             in_flight: gauge("in_flight", "Requests without an answer"),
             memory_bytes: share_gauge(&registry, "memory_bytes", "Memory that is taken"),
             memory_limit_bytes: share_gauge(&registry, "memory_limit_bytes", "Size of a share"),
+            closed_callers: closed_callers(&registry),
             registry,
         }
     }
@@ -283,6 +286,12 @@
     register(registry, IntGaugeVec::new(opts(name, help), &["share"]))
 }
 
+fn closed_callers(registry: &Registry) -> IntCounterVec {
+    let help = "Connections of callers that were closed or refused";
+    let opts = opts("closed_callers_total", help);
+    register(registry, IntCounterVec::new(opts, &["reason"]))
+}
+
 /// Adds a new metric to a registry and returns it.
 ///
 /// # Panics
--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod buffer;
 mod builds;
 mod call;
+mod callers;
 mod conduct;
 mod crash;
 pub mod dialect;
--- a/godwithinge/src/relay/settings.rs
+++ b/godwithinge/src/relay/settings.rs
@@ -15,6 +15,8 @@
     pub cpu_cores: f64,
     /// Memory limit of the daemon.
     pub memory_bytes: u64,
+    /// Number of descriptors that the daemon may have open; absent if it is not limited.
+    pub max_descriptors: Option<u64>,
     /// Rate of the host's network link in each direction.
     pub link_bytes_per_second: u64,
     /// Listen address for callers.
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of a daemon.
 
 use super::{
+    callers::Callers,
     conduct::JobDispatcher,
     crash::CrashWatch,
     dialect::{Dialect, Row},
@@ -81,6 +82,8 @@
     /// Pauses that targets asked for.
     pub(super) pauses: RefCell<Pauses>,
     pub(super) rates: RateWatch,
+    /// Open connections of callers.
+    pub(super) callers: Callers,
     memory_usage: RefCell<memory::Usage>,
     /// Durations of requests that must not be repeated.
     pub(super) run_times: RefCell<RunTimes>,
@@ -142,6 +145,7 @@
             rejection_watch: RejectionWatch::new(&settings),
             pauses: RefCell::default(),
             rates: RateWatch::default(),
+            callers: Callers::default(),
             memory_usage: RefCell::default(),
             run_times: RefCell::default(),
             retry_budgets: RefCell::default(),
--- a/policy/src/relay/memory.rs
+++ b/policy/src/relay/memory.rs
@@ -13,7 +13,12 @@
 
 /// Part of a daemon's memory that it may use, in percent. The rest is left for what is not counted.
 const USED_PERCENT: u64 = 85;
-/// Memory of a daemon without requests in bytes: code, tables and connections.
+/// Memory of a connection of a caller in bytes: its buffers and its task. Measured: 27 kB for one without a request,
+/// 40 kB after one.
+pub const CONNECTION_BYTES: u64 = 40_000;
+/// Memory for connections of callers in bytes that is part of [`BASE_BYTES`].
+const BASE_CONNECTION_BYTES: u64 = 24_000_000;
+/// Memory of a daemon without requests in bytes: code, tables and some hundred connections.
 const BASE_BYTES: u64 = 48_000_000;
 
 /// Part of a daemon's memory; the name is a label value.
@@ -24,6 +29,8 @@
     Requests,
     /// Responses that are received as a whole. A growing buffer may need twice its size.
     Responses,
+    /// Connections of callers. Beyond what is usual, they take from the share of the requests.
+    Connections,
 }
 
 /// Memory that is taken from each share.
@@ -31,6 +38,7 @@
 pub struct Usage {
     requests: u64,
     responses: u64,
+    connections: u64,
 }
 
 impl Share {
@@ -43,6 +51,7 @@
                 rest.max(memory / 8)
             }
             Self::Responses => memory / 8,
+            Self::Connections => memory / 5,
         }
     }
 
@@ -51,14 +60,14 @@
         match self {
             Self::Requests if size > SMALL_REQUEST_BYTES => self.size(memory) / 14 * 13,
             Self::Responses if size <= SMALL_RESPONSE_BYTES => u64::MAX,
-            Self::Requests | Self::Responses => self.size(memory),
+            Self::Requests | Self::Responses | Self::Connections => self.size(memory),
         }
     }
 
     /// Returns the part of something of `size` bytes that counts.
     fn counted(self, size: u64) -> u64 {
         match self {
-            Self::Requests => size,
+            Self::Requests | Self::Connections => size,
             Self::Responses => size.saturating_sub(SMALL_RESPONSE_BYTES),
         }
     }
@@ -71,13 +80,27 @@
     pub fn try_grow(&mut self, share: Share, from: u64, to: u64, memory: u64) -> bool {
         let growth = share.counted(to).saturating_sub(share.counted(from));
         let taken = self.taken(share) + growth;
-        let has_room = taken <= share.bound(to, memory);
+        let bound = share.bound(to, memory);
+        let has_room = taken <= bound.saturating_sub(self.taken_by_others(share));
         if has_room {
             *self.taken_mut(share) = taken;
         }
         has_room
     }
 
+    /// Sets the number of connections of callers.
+    pub fn set_connections(&mut self, count: usize) {
+        self.connections = count as u64 * CONNECTION_BYTES;
+    }
+
+    /// Returns what other shares have taken from a share.
+    fn taken_by_others(&self, share: Share) -> u64 {
+        match share {
+            Share::Requests => self.connections.saturating_sub(BASE_CONNECTION_BYTES),
+            Share::Responses | Share::Connections => 0,
+        }
+    }
+
     /// Returns the memory by which something shrinks from `from` to `to` bytes.
     pub fn shrink(&mut self, share: Share, from: u64, to: u64) {
         let returned = share.counted(from).saturating_sub(share.counted(to));
@@ -95,6 +118,7 @@
         match share {
             Share::Requests => self.requests,
             Share::Responses => self.responses,
+            Share::Connections => self.connections,
         }
     }
 
@@ -102,6 +126,7 @@
         match share {
             Share::Requests => &mut self.requests,
             Share::Responses => &mut self.responses,
+            Share::Connections => &mut self.connections,
         }
     }
 }
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -3,7 +3,8 @@
 //! [`plan`] maps the host and path of a request to a route. One daemon of the fleet, elected by
 //! [`leader`], combines the pieces of the request's stages with those of other requests into calls
 //! ([`scheduler`]). [`selection`] chooses the target of the request itself. [`registry`] holds the
-//! known targets, [`memory`] the memory that large responses take, [`patience`] decides how long a
+//! known targets, [`memory`] the memory that callers and targets may take, [`callers`] says which connections
+//! of callers are closed when there are too many, [`patience`] decides how long a
 //! silent target is waited for, [`history`] orders the entries of targets when the store
 //! loses writes, [`distribution`] brings a new configuration to all daemons, [`origin`] holds where streams
 //! began, [`sse`] judges whether a stream is complete, [`ending`] holds which targets' processes have ended, [`crash`] finds what in requests crashes
@@ -14,6 +15,7 @@
 //! requests a daemon that shuts down still sends.
 
 pub mod builds;
+pub mod callers;
 pub mod crash;
 pub mod departure;
 pub mod distribution;
--- a/policy/tests/memory.rs
+++ b/policy/tests/memory.rs
@@ -1,7 +1,11 @@
-//! Memory that bursts of large requests, and responses without end, may take from a daemon.
+//! Memory that bursts of large requests, responses without end and connections may take from a daemon.
 
-use policy::relay::memory::{SMALL_REQUEST_BYTES, SMALL_RESPONSE_BYTES, Share, Usage};
+use policy::relay::{
+    callers::{Phase, Progress, first_to_close, max_connections},
+    memory::{CONNECTION_BYTES, SMALL_REQUEST_BYTES, SMALL_RESPONSE_BYTES, Share, Usage},
+};
 use rstest::rstest;
+use std::time::Duration;
 
 /// Bytes that arrive at once.
 const CHUNK: u64 = 16 << 10;
@@ -109,3 +113,74 @@
     shrunk.release(share, to);
     assert_eq!(shrunk, Usage::default());
 }
+
+/// Hundreds of idle connections are kept on the smallest machines, and not more than the descriptors allow.
+#[rstest]
+#[case::memory(120_000_000, Some(10_250), 600)]
+#[case::no_descriptor_limit(120_000_000, None, 600)]
+#[case::descriptors(512_000_000, Some(3_075), 1_437)]
+#[case::few_descriptors(120_000_000, Some(100), 16)]
+fn connections_are_bounded(
+    #[case] memory: u64,
+    #[case] descriptors: Option<u64>,
+    #[case] expected: usize,
+) {
+    assert_eq!(max_connections(memory, descriptors), expected);
+}
+
+/// Connections beyond the usual number take from the requests, so that both together stay in the memory.
+#[test]
+fn connections_take_from_requests() {
+    const LIMIT: u64 = 512_000_000;
+    let (mut few, mut many) = (Usage::default(), Usage::default());
+    few.set_connections(600);
+    many.set_connections(2_560);
+    let size = Share::Requests.size(LIMIT) / 14 * 13;
+    assert!(few.try_grow(Share::Requests, 0, size, LIMIT));
+    assert!(!many.try_grow(Share::Requests, 0, size, LIMIT));
+    let taken = 1_960 * CONNECTION_BYTES;
+    assert!(many.try_grow(Share::Requests, 0, size - taken, LIMIT));
+}
+
+/// Connections without a request are closed before idle ones, the oldest first, and busy ones never.
+#[test]
+fn least_useful_connection_is_closed_first() {
+    let seconds = Duration::from_secs;
+    let mut open = vec![
+        ("busy", Phase::Busy, seconds(90)),
+        ("idle", Phase::Idle, seconds(12)),
+        ("stalled", Phase::Stalled, seconds(2)),
+        ("unread", Phase::Unread, seconds(3)),
+        ("new", Phase::New, seconds(1)),
+        ("older", Phase::New, seconds(2)),
+        ("head", Phase::Head, seconds(0)),
+    ];
+    let mut closed = Vec::new();
+    while let Some(first) = first_to_close(open.iter().copied()) {
+        open.retain(|(name, _, _)| *name != first);
+        closed.push(first);
+    }
+    assert_eq!(
+        closed,
+        ["head", "older", "new", "unread", "stalled", "idle"]
+    );
+}
+
+/// A body of 4 MiB that arrives evenly within the longest deadline never counts as stalled.
+#[rstest]
+#[case::within_deadline(Duration::from_secs(20), false)]
+#[case::too_slow(Duration::from_secs(40), true)]
+fn slow_body_is_stalled_only_beyond_deadlines(#[case] time: Duration, #[case] expected: bool) {
+    const TICK: Duration = Duration::from_millis(100);
+    let ticks = time.as_millis() / TICK.as_millis();
+    let is_stalled = (1..=ticks).any(|tick| {
+        let progress = Progress {
+            expected: LARGE_REQUEST,
+            received: LARGE_REQUEST * tick as u64 / ticks as u64 + 1,
+            age: TICK * tick as u32,
+            silence: TICK,
+        };
+        progress.is_stalled()
+    });
+    assert_eq!(is_stalled, expected);
+}
