Count responses until they are written

Cause: the memory of a response that was received whole was given back before the caller had read it, so responses to callers that do not read had no bound.

The memory is now kept until the response has been written. If there is none for another response, the connection whose response has been unread for longest, at least a second, is closed.

--- a/godwithinge/src/relay/buffer.rs
+++ b/godwithinge/src/relay/buffer.rs
@@ -84,15 +84,20 @@
     /// Fails if the response is too large.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), TooLarge> {
         let size = self.bytes.len() + bytes.len();
-        if size > MAX_RESPONSE_BYTES || !self.memory.try_grow(size) {
+        if size > MAX_RESPONSE_BYTES {
             return Err(TooLarge);
         }
+        while !self.memory.try_grow(size) {
+            if !self.memory.relay.close_unread_caller() {
+                return Err(TooLarge);
+            }
+        }
         self.bytes.extend_from_slice(bytes);
         Ok(())
     }
 
-    /// Returns all bytes.
-    pub fn into_bytes(self) -> Bytes {
-        self.bytes.freeze()
+    /// Returns all bytes and their memory, which has to be kept until they are sent.
+    pub fn into_parts(self) -> (Bytes, Reservation) {
+        (self.bytes.freeze(), self.memory)
     }
 }
--- a/godwithinge/src/relay/callers.rs
+++ b/godwithinge/src/relay/callers.rs
@@ -1,6 +1,9 @@
 //! Connections of callers, their number and what each of them does.
 
-use super::state::{ConnectionGuard, Relay};
+use super::{
+    buffer::Reservation,
+    state::{ConnectionGuard, Relay},
+};
 use policy::relay::callers::{self, Phase, Progress};
 use std::{
     cell::{Cell, OnceCell, RefCell},
@@ -47,6 +50,8 @@
     body: Cell<Option<BodyActivity>>,
     /// Since when the caller has taken no byte of a response.
     unread_since: Cell<Option<Instant>>,
+    /// Memory of a response that is not written yet.
+    response: RefCell<Option<Reservation>>,
     is_closing: Cell<bool>,
     close: Notify,
     /// Keeps the process running until the connection has ended; absent before the first request.
@@ -110,6 +115,16 @@
         })
     }
 
+    /// Begins to close the connection whose response has been unread for longest, and returns the memory of that
+    /// response. Returns `false` if there is none.
+    pub(super) fn close_unread_caller(&self) -> bool {
+        let is_closed = self.callers.close_unread();
+        if is_closed {
+            self.record_closed_caller("unread");
+        }
+        is_closed
+    }
+
     /// Counts a connection that was closed, and logs it unless another one was logged recently.
     pub(super) fn record_closed_caller(&self, reason: &str) {
         let counter = self.metrics.closed_callers.with_label_values(&[reason]);
@@ -150,10 +165,30 @@
         });
         let activity = callers::first_to_close(candidates)?;
         let (phase, _) = activity.phase(now)?;
+        self.begin_closing(activity);
+        Some(phase)
+    }
+
+    fn close_unread(&self) -> bool {
+        let open = self.open.borrow();
+        let now = Instant::now();
+        let unread = open.values().filter_map(|activity| {
+            let (phase, since) = activity.phase(now)?;
+            let has_memory = activity.response.borrow().is_some();
+            (phase == Phase::Unread && has_memory).then_some((activity, since))
+        });
+        let Some((activity, _)) = unread.min_by_key(|(_, since)| *since) else {
+            return false;
+        };
+        self.begin_closing(activity);
+        activity.response.take();
+        true
+    }
+
+    fn begin_closing(&self, activity: &Activity) {
         activity.is_closing.set(true);
         activity.close.notify_one();
         self.closing.set(self.closing.get() + 1);
-        Some(phase)
     }
 }
 
@@ -165,6 +200,7 @@
             head_since: Cell::new(None),
             body: Cell::new(None),
             unread_since: Cell::new(None),
+            response: RefCell::default(),
             is_closing: Cell::new(false),
             close: Notify::new(),
             guard: OnceCell::new(),
@@ -191,7 +227,10 @@
 
     /// Returns whether the connection may be closed at any time without a request being lost.
     pub fn is_unused(&self) -> bool {
-        self.in_flight.get() == 0 && self.head_since.get().is_none() && self.body.get().is_none()
+        self.in_flight.get() == 0
+            && self.head_since.get().is_none()
+            && self.body.get().is_none()
+            && self.unread_since.get().is_none()
     }
 
     /// Returns whether nothing was requested for `timeout`.
@@ -270,6 +309,11 @@
 }
 
 impl RequestGuard {
+    /// Keeps the memory of a response until it has been written. The response has to be returned without a wait.
+    pub fn hold_response(&self, memory: Reservation) {
+        self.0.response.replace(Some(memory));
+    }
+
     /// Marks the connection as receiving a body for which `expected` bytes of memory are taken.
     pub fn begin_body(&self, expected: usize) -> BodyGuard {
         let now = Instant::now();
@@ -357,6 +401,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // All that was buffered has been written.
+        self.activity.response.take();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -258,7 +258,7 @@
         is_tried: Cell::new(false),
         build: OnceCell::new(),
         is_build_unknown: Cell::new(false),
-        _connection: guard,
+        connection: guard,
         _flight: flight,
         plan: Rc::clone(&plan),
         head,
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -85,7 +85,7 @@
     pub is_build_unknown: Cell<bool>,
     pub stats: RequestStats,
     /// Keeps the connection from counting as idle until the whole response has been produced.
-    pub _connection: RequestGuard,
+    pub connection: RequestGuard,
     pub _flight: InFlightGuard,
 }
 
@@ -309,6 +309,9 @@
     fn forward(&self, buffered: BufferedResponse) -> Response<Body> {
         self.stats.first_byte.set(Some(self.arrived.elapsed()));
         self.end(Some(buffered.status), ANSWERED, None);
+        if let Some(memory) = buffered.memory {
+            self.connection.hold_response(memory);
+        }
         let mut response = Response::new(Body::new(buffered.body));
         *response.status_mut() = buffered.status;
         *response.headers_mut() = buffered.headers;
@@ -338,7 +341,12 @@
                 let attempts = std::mem::take(attempts);
                 let chunks = stream::body_stream(Rc::clone(self), *stream, attempts);
                 *response.body_mut() = match self.head.version {
-                    Version::HTTP_10 => stream::whole_body(&self.relay, chunks).await?,
+                    Version::HTTP_10 => {
+                        let buffer = stream::whole_body(&self.relay, chunks).await?;
+                        let (bytes, memory) = buffer.into_parts();
+                        self.connection.hold_response(memory);
+                        Body::new(bytes)
+                    }
                     _ => Body::from_stream(chunks),
                 };
                 Ok(response)
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -1,7 +1,7 @@
 //! Sending of a request to a target, and evaluation of the outcome.
 
 use super::{
-    buffer::{Buffer, TooLarge},
+    buffer::{Buffer, Reservation, TooLarge},
     dialect::{ForwardingMetadata, RequestMetadata, ResponseMetadata},
     outcome,
     run::ActiveRequest,
@@ -78,6 +78,8 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Memory of the body; absent if it is empty.
+    pub memory: Option<Reservation>,
 }
 
 impl BufferedResponse {
@@ -248,8 +250,8 @@
             response.disable_reuse();
         }
         let is_end_declared = response.framing().is_end_declared();
-        let body = match self.receive_body(response).await {
-            Ok(body) => body,
+        let (body, memory) = match self.receive_body(response).await {
+            Ok(buffer) => buffer.into_parts(),
             Err(result) => return SendOutcome::Failed(result),
         };
         progress.has_body.set(!is_end_declared);
@@ -260,16 +262,17 @@
             status,
             headers,
             body,
+            memory: Some(memory),
         })
     }
 
     /// Receives the body of a response; fails with the label of the cause.
-    async fn receive_body(&self, mut response: pool::Response) -> Result<Bytes, &'static str> {
+    async fn receive_body(&self, mut response: pool::Response) -> Result<Buffer, &'static str> {
         let mut buffer = Buffer::new(&self.relay);
         while let Some(chunk) = response.chunk().await.map_err(|_broken| "broken")? {
             buffer.push(&chunk).map_err(|TooLarge| "too_large")?;
         }
-        Ok(buffer.into_bytes())
+        Ok(buffer)
     }
 
     /// Receives a stream up to its first event, or to its end if it has none.
@@ -298,6 +301,7 @@
                     status: response.status(),
                     headers: self.relay.dialect.response_headers(response.headers()),
                     body: Bytes::new(),
+                    memory: None,
                 })
             }
             Err(interruption) => {
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -3,7 +3,7 @@
 
 use super::{
     attempt::Attempts,
-    body::{Body, TruncatedResponse},
+    body::TruncatedResponse,
     buffer::Buffer,
     crash::CRASH_PERIOD,
     event::{self, SilenceStep},
@@ -233,7 +233,7 @@
 pub(super) async fn whole_body(
     relay: &Rc<Relay>,
     chunks: impl Stream<Item = Result<Bytes, TruncatedResponse>>,
-) -> Result<Body, Rejection> {
+) -> Result<Buffer, Rejection> {
     let broken = Rejection::new(Reason::Broken);
     let mut buffer = Buffer::new(relay);
     let mut chunks = pin!(chunks);
@@ -241,7 +241,7 @@
         let chunk = chunk.map_err(|_truncated| broken)?;
         buffer.push(&chunk).map_err(|_too_large| broken)?;
     }
-    Ok(Body::new(buffer.into_bytes()))
+    Ok(buffer)
 }
 
 impl ActiveRequest {
