--- a/godwithinge/src/relay/mod.rs
+++ b/godwithinge/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod buffer;
 mod builds;
 mod call;
+mod callers;
 mod cold;
 mod conduct;
 mod crash;
