--- a/policy/src/relay/cold.rs
+++ b/policy/src/relay/cold.rs
@@ -15,6 +15,8 @@
 /// Difference between two statements of the remaining time that says nothing new: entries and answers
 /// take up to that long to arrive.
 const TOLERANCE: Duration = Duration::from_secs(2);
+/// Time up to which the end of a cold time is not worth a message: answers and clocks differ by as much.
+const MIN_WORD: Duration = Duration::from_millis(500);
 /// Maximum time for which a target is cold. Longer ones would be errors.
 const MAX_COLD_TIME: Duration = Duration::from_secs(3_600);
 
@@ -75,7 +77,7 @@
         let until = now + left.min(MAX_COLD_TIME);
         let before = known.until().max(now);
         known.told_until = known.told_until.max(until);
-        until > before + TOLERANCE || before == now
+        until > before + TOLERANCE || before == now && left > MIN_WORD
     }
 
     /// Returns until when a target is cold; `None` if it is not.
