Share a short pool between kinds, and reserve work for callers who come back

In an overload, the order of the queue let one kind bear the whole shortage, refused callers came back as told and were refused again, and their later attempts, with a new objective, took the place of requests on time.

- A kind is refused while a pool is too short for another one and its accepted share leads by more than 0.01 to 0.04, depending on urgency.
- Retry-After times are handed out one after the other at a tenth of the pool's rate, and the work is reserved; who comes back as told is accepted if it can meet its deadline, and keeps its first objective.
- The throughput of a pool is measured while it has a queue, for admission only.

Not measured: the time of the leader.

--- a/policy/src/relay/scheduler/admission.rs
+++ b/policy/src/relay/scheduler/admission.rs
@@ -8,12 +8,19 @@
     Command, JobId, PoolState, Refusal, Scheduler,
     job::RunningJob,
     precedence::{Class, Precedence, precedence},
+    refusals::Returned,
 };
 use crate::id::{PoolId, Time};
 use std::{collections::HashMap, time::Duration};
 
 /// Upper bound on the `retry_after` of a refusal.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5); // callers retry after 1/3 of their time
+/// `retry_after` of a refusal because a pool has no target.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1); // a replacement registers in ~1 s
+/// Callers wait for Retry-After up to this fraction of their remaining time.
+const HONORED_FRACTION: u32 = 3;
+/// Time beyond that fraction that is named to callers who cannot be served in time.
+const UNTIMELY: Duration = Duration::from_millis(100);
 /// Time constant of the mean of the accepted load.
 const LOAD_SECONDS: f64 = 2.0; // several calls; bursts last for 5 to 7 s
 /// Lower bound on the fraction of a pool that is left for late jobs, since the load is an estimate.
@@ -22,7 +29,7 @@
 const DUE_STEP: Duration = Duration::from_millis(100); // a third of a call
 
 /// Missing pieces of each pool.
-type Sums = HashMap<PoolId, usize>;
+pub(super) type Sums = HashMap<PoolId, usize>;
 
 /// Missing pieces of the accepted jobs by precedence, as of the last review and with the jobs since.
 #[derive(Clone, Debug, Default)]
@@ -43,6 +50,15 @@
         running.add_missing_pieces(sums);
     }
 
+    /// Adds pieces that are reserved for a caller who comes back.
+    fn add_pieces(&mut self, precedence: Precedence, pieces: &Sums, fraction: f64) {
+        let sums = self.by_precedence.entry(step(precedence)).or_default();
+        for (pool, pieces) in pieces {
+            let pieces = (*pieces as f64 * fraction).round() as usize;
+            *sums.entry(pool.clone()).or_default() += pieces;
+        }
+    }
+
     /// Returns the pieces of each pool that have precedence.
     fn before(&self, precedence: Precedence) -> Sums {
         sum(self
@@ -91,23 +107,105 @@
 }
 
 impl Scheduler {
-    /// Returns whether a new job is accepted.
-    pub(super) fn admit(&mut self, now: Time, running: &RunningJob) -> bool {
+    /// Returns whether a new job is accepted. `returned` states what is known of it if it was refused before.
+    pub(super) fn admit(
+        &mut self,
+        now: Time,
+        running: &RunningJob,
+        returned: Option<Returned>,
+    ) -> bool {
         let job = &running.job;
         let ahead = self.accepted.before(precedence(now, running));
         let expected = now + self.first_event_behind(now, running, &ahead);
-        if expected > job.deadline {
-            return false;
+        let is_promised =
+            job.is_resubmitted || returned.is_some_and(|returned| returned.is_as_told);
+        let is_on_time = expected + running.on_time_margin <= job.objective;
+        let has_room = expected <= job.deadline
+            && (is_on_time
+                || is_promised
+                || now + self.late_first_event(now, running) <= job.deadline);
+        let is_allowed = is_promised || self.allows_kind(now, running);
+        let is_accepted = has_room && is_allowed;
+        if !has_room && let Some(pool) = self.shortest_pool(running) {
+            self.pool_state(&pool)
+                .shares
+                .record_shortage(now, running.kind);
         }
-        if expected + running.on_time_margin <= job.objective {
-            for spec in job.stages.iter().filter(|spec| spec.pieces > 0) {
-                if let Some(pool_state) = self.pools.get_mut(&spec.pool) {
-                    pool_state.accepted_load.record(now, spec.pieces);
+        let is_feasible = now + running.remaining <= job.objective;
+        for spec in job.stages.iter().filter(|spec| spec.pieces > 0) {
+            let Some(pool_state) = self.pools.get_mut(&spec.pool) else {
+                continue;
+            };
+            if is_accepted && is_on_time {
+                pool_state.accepted_load.record(now, spec.pieces);
+            }
+            match returned {
+                None if is_feasible && !job.is_resubmitted => {
+                    let kind = running.kind;
+                    pool_state.shares.record(now, kind, is_accepted);
                 }
+                Some(_) if is_accepted => pool_state.shares.correct(now, running.kind, true),
+                _ => {}
             }
-            return true;
         }
-        job.is_resubmitted || now + self.late_first_event(now, running) <= job.deadline
+        is_accepted
+    }
+
+    /// Returns whether no other kind has a smaller share of the pools of a job, or they have enough for all.
+    fn allows_kind(&self, now: Time, running: &RunningJob) -> bool {
+        let specs = running.job.stages.iter().filter(|spec| spec.pieces > 0);
+        let mut pools = specs.filter_map(|spec| self.pools.get(&spec.pool));
+        pools.all(|pool_state| pool_state.shares.allow(now, running.kind))
+    }
+
+    /// Records that a job that was accepted is refused.
+    pub(super) fn record_shortage(&mut self, now: Time, running: &RunningJob) {
+        let kind = running.kind;
+        for spec in running.job.stages.iter().filter(|spec| spec.pieces > 0) {
+            let shares = &mut self.pool_state(&spec.pool).shares;
+            shares.correct(now, kind, false);
+        }
+        if let Some(pool) = self.shortest_pool(running) {
+            self.pool_state(&pool).shares.record_shortage(now, kind);
+        }
+    }
+
+    /// Returns the pool of a job that needs the longest for the accepted work.
+    fn shortest_pool(&self, running: &RunningJob) -> Option<PoolId> {
+        let missing = self.accepted.all();
+        let specs = running.job.stages.iter().filter(|spec| spec.pieces > 0);
+        let drains = specs.filter_map(|spec| {
+            let pool_state = self.pools.get(&spec.pool)?;
+            let pieces = missing.get(&spec.pool).copied().unwrap_or_default();
+            Some((pool_state.drain_time_for(pieces), &spec.pool))
+        });
+        drains.max().map(|(_, pool)| pool.clone())
+    }
+
+    /// Returns after which time a refused caller may come back, and reserves work for it if that is soon enough.
+    pub(super) fn book_retry(&mut self, now: Time, running: &RunningJob) -> Duration {
+        let drain = self.drain_time(now, running);
+        let longest_wait = running.job.deadline.saturating_sub(now) / HONORED_FRACTION;
+        let Some(pool) = self.shortest_pool(running) else {
+            return drain;
+        };
+        let earliest =
+            now + self.longest_call_time(&running.job) + self.time_to_open(now, &running.job);
+        let on_time = running.job.objective;
+        let on_time = on_time.saturating_sub(running.remaining + running.on_time_margin);
+        let mut pieces = Sums::new();
+        running.add_missing_pieces(&mut pieces);
+        let pieces = pieces.get(&pool).copied().unwrap_or_default();
+        let work = self.pool_state(&pool).drain_time_for(pieces);
+        let latest = on_time.min(now + longest_wait);
+        let reserved = self
+            .refusals
+            .reserve(running, &pool, work, (earliest, latest));
+        if let Some(at) = reserved {
+            return at.saturating_sub(now);
+        }
+        self.refusals.remember(running);
+        drain.max(longest_wait + UNTIMELY)
     }
 
     /// Returns the expected time to the first event of a job that waits behind all accepted work and that of
@@ -140,6 +238,11 @@
             .collect();
         queue.sort();
         self.accepted.clear(now);
+        let (return_rate, reserved) = self.refusals.review(now);
+        for (objective, pieces) in reserved {
+            self.accepted
+                .add_pieces((Class::OnTime, objective), pieces, return_rate);
+        }
         let mut ahead = Sums::new();
         let mut backlogged = Vec::new();
         for (precedence, job) in queue {
@@ -195,4 +298,49 @@
         let shortest = self.longest_call_time(&running.job);
         longest.max(shortest).min(MAX_RETRY_AFTER) + self.time_to_open(now, &running.job)
     }
+    /// Refuses the jobs with pieces to be sent to pools that only have targets that leave. One that
+    /// crashed may be back in time.
+    pub(super) fn refuse_abandoned(&mut self, now: Time, out: &mut Vec<Command>) {
+        for pool in std::mem::take(&mut self.abandoned_pools) {
+            let jobs = self
+                .jobs
+                .values()
+                .filter(|running| running.ready_at.is_none() && running.has_waiting_pieces(&pool));
+            let jobs: Vec<JobId> = jobs.map(|running| running.job.id).collect();
+            for job in jobs {
+                if !self.is_served(&pool) {
+                    self.refuse(now, job, Refusal::NoTarget, out);
+                }
+            }
+        }
+    }
+
+    pub(super) fn refuse(&mut self, now: Time, id: JobId, reason: Refusal, out: &mut Vec<Command>) {
+        let Some(running) = self.jobs.get(&id).cloned() else {
+            return;
+        };
+        if reason == Refusal::Backlog {
+            self.record_shortage(now, &running);
+        }
+        let refusal = self.refusal(now, &running, reason);
+        self.release(id);
+        out.push(refusal);
+    }
+
+    /// Returns the refusal of a job, with the expected and remaining times behind it.
+    pub(super) fn refusal(&mut self, now: Time, running: &RunningJob, reason: Refusal) -> Command {
+        let retry_after = match reason {
+            Refusal::NoTarget => NO_TARGET_RETRY_AFTER,
+            Refusal::Backlog => self.book_retry(now, running),
+            Refusal::Late | Refusal::Failed => self.drain_time(now, running),
+        };
+        Command::Refuse {
+            job: running.job.id,
+            request: running.job.request.clone(),
+            reason,
+            expected: self.estimated_first_event(now, running),
+            left: running.job.deadline.saturating_sub(now),
+            retry_after,
+        }
+    }
 }
--- a/policy/src/relay/scheduler/flow.rs
+++ b/policy/src/relay/scheduler/flow.rs
@@ -37,7 +37,7 @@
     pub(super) fn flow(&self) -> Flow<'_> {
         let pools = self.pools.iter().map(|(pool, pool_state)| PoolFlow {
             pool,
-            seconds_per_piece: pool_state.seconds_per_piece(),
+            seconds_per_piece: pool_state.usual_seconds_per_piece(),
             call_time: PoolState::expected_call_time(pool_state).as_secs_f64(),
             near: 0.0,
             begun: 0.0,
--- a/policy/src/relay/scheduler/job.rs
+++ b/policy/src/relay/scheduler/job.rs
@@ -1,5 +1,6 @@
 //! Jobs: the stages that a request needs, and their progress.
 
+use super::shares::Kind;
 use crate::id::{DomainId, PoolId, RequestId, TargetId, Time, WorkspaceId};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -97,6 +98,8 @@
     pub stages: Vec<StageState>,
     /// When the job was submitted.
     pub submitted_at: Time,
+    /// Kind of its request.
+    pub kind: Kind,
     /// Whether a piece has been sent, so that work would be lost if the job were refused.
     pub is_begun: bool,
     /// Domain whose targets are preferred for the pieces.
@@ -205,6 +208,7 @@
         let stages = job.stages.iter().map(|spec| StageState::new(spec.pieces));
         Self {
             submitted_at: now,
+            kind: Kind::new(now, &job),
             is_begun: false,
             home_domain,
             remaining: Duration::ZERO,
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -20,7 +20,9 @@
 mod message;
 mod pool;
 mod precedence;
+mod refusals;
 mod reply;
+mod shares;
 mod target;
 mod throttle;
 
@@ -35,6 +37,7 @@
     job::{RunningJob, StoredResult},
     pool::PoolState,
     precedence::precedence,
+    refusals::Refusals,
     target::StageTarget,
 };
 use crate::{
@@ -77,6 +80,8 @@
     dirty_pools: BTreeSet<PoolId>,
     /// Missing pieces of the accepted jobs.
     accepted: Accepted,
+    /// Refused requests whose callers may come back.
+    refusals: Refusals,
     /// Pools whose last targets accept no new work, and whose jobs have not been refused yet.
     abandoned_pools: BTreeSet<PoolId>,
     /// Whether results were lost whose pieces have not been queued again yet.
@@ -124,11 +129,18 @@
     }
 
     /// Accepts a job, or refuses it at once if a pool has no target or the deadline can't be met.
-    pub fn submit(&mut self, now: Time, job: Job, out: &mut Vec<Command>) {
+    pub fn submit(&mut self, now: Time, mut job: Job, out: &mut Vec<Command>) {
         let id = job.id;
+        let returned = self.refusals.take(now, &job.request);
+        if let Some(returned) = returned {
+            job.objective = job.objective.min(returned.objective);
+        }
         self.review_call_times(now);
         let home_domain = self.choose_home_domain(&job);
         let mut running = RunningJob::new(now, job, home_domain);
+        if let Some(returned) = returned {
+            running.kind = returned.kind;
+        }
         let unserved = running.job.stages.iter();
         let mut unserved = unserved.filter(|spec| spec.pieces > 0);
         if unserved.any(|spec| !self.is_served(&spec.pool)) {
@@ -137,7 +149,7 @@
         }
         running.remaining = self.expected_remaining(&running);
         running.on_time_margin = self.on_time_margin(&running.job);
-        if !self.admit(now, &running) {
+        if !self.admit(now, &running, returned) {
             let refusal = self.refusal(now, &running, Refusal::Backlog);
             return out.push(refusal);
         }
@@ -239,6 +251,7 @@
             self.last_review = now;
             self.review_call_times(now);
             self.prune_queues();
+            self.review_throughput(now);
             self.discard_expired_results(now);
             self.refuse_late(now, out);
             self.refuse_backlogged(now, out);
@@ -393,23 +406,6 @@
         }
     }
 
-    /// Refuses the jobs with pieces to be sent to pools that only have targets that leave. One that
-    /// crashed may be back in time.
-    fn refuse_abandoned(&mut self, now: Time, out: &mut Vec<Command>) {
-        for pool in std::mem::take(&mut self.abandoned_pools) {
-            let jobs = self
-                .jobs
-                .values()
-                .filter(|running| running.ready_at.is_none() && running.has_waiting_pieces(&pool));
-            let jobs: Vec<JobId> = jobs.map(|running| running.job.id).collect();
-            for job in jobs {
-                if !self.is_served(&pool) {
-                    self.refuse(now, job, Refusal::NoTarget, out);
-                }
-            }
-        }
-    }
-
     /// Discards the results of a target that has ended.
     fn discard_target_results(&mut self, target: &TargetId) {
         let unready = self.jobs.values_mut();
@@ -550,35 +546,8 @@
             pool_state.waiting.retain(|&(job, _)| job != id);
         }
     }
-
-    fn refuse(&mut self, now: Time, id: JobId, reason: Refusal, out: &mut Vec<Command>) {
-        let Some(running) = self.jobs.get(&id) else {
-            return;
-        };
-        let refusal = self.refusal(now, running, reason);
-        self.release(id);
-        out.push(refusal);
-    }
-
-    /// Returns the refusal of a job, with the expected and remaining times behind it.
-    fn refusal(&self, now: Time, running: &RunningJob, reason: Refusal) -> Command {
-        let retry_after = match reason {
-            Refusal::NoTarget => NO_TARGET_RETRY_AFTER,
-            Refusal::Backlog | Refusal::Late | Refusal::Failed => self.drain_time(now, running),
-        };
-        Command::Refuse {
-            job: running.job.id,
-            request: running.job.request.clone(),
-            reason,
-            expected: self.estimated_first_event(now, running),
-            left: running.job.deadline.saturating_sub(now),
-            retry_after,
-        }
-    }
 }
 
-/// `retry_after` of a refusal because a pool has no target.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1); // a replacement registers in ~1 s
 /// Time before expiry from which a result is too old to be read by another target.
 const FETCH_MARGIN: Duration = Duration::from_millis(50); // the largest transfers take a few ms
 /// Time for which memory that a target reported as full counts as taken, in mean calls: the wait for
--- a/policy/src/relay/scheduler/pool.rs
+++ b/policy/src/relay/scheduler/pool.rs
@@ -1,15 +1,19 @@
 //! Scheduler state of one pool: its stage targets, its queue and its throughput.
 
-use super::{JobId, admission::AcceptedLoad, target::StageTarget};
+use super::{JobId, Scheduler, admission::AcceptedLoad, shares::Shares, target::StageTarget};
 use crate::{
     id::{TargetId, Time},
     relay::{plan, rate::Pace},
 };
 use std::time::Duration;
 
-/// Fraction of the throughput of full calls that a pool sustains. Targets without memory for
-/// results and crashed targets leave gaps between calls.
+/// Fraction of the throughput of full calls that a pool sustains, until it is measured. Targets without
+/// memory for results and crashed targets leave gaps between calls.
 const UTILIZATION: f64 = 0.85;
+/// Bounds on the measured fraction, so that a wrong measurement still lets jobs through.
+const UTILIZATION_RANGE: (f64, f64) = (0.7, 1.0);
+/// Time constant of the measured fraction.
+const UTILIZATION_SECONDS: f64 = 3.0; // several calls; fewer are too few in small pools
 
 /// Weight of the latest call in the mean call duration of a pool.
 const CALL_TIME_WEIGHT: f64 = 0.1;
@@ -35,9 +39,54 @@
     pub sorted_front: Option<(Time, Vec<(JobId, usize)>)>,
     /// Work for jobs that were accepted to be on time.
     pub accepted_load: AcceptedLoad,
+    /// Measured throughput.
+    pub throughput: Throughput,
+    /// Shares of the kinds of requests that are accepted.
+    pub shares: Shares,
+}
+
+/// Throughput of a pool while it has a queue.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Throughput {
+    /// Pieces completed since the last review.
+    pub completed: usize,
+    reviewed_at: Time,
+    /// Whether the pool had a queue at that time.
+    had_queue: bool,
+    /// Difference of the measured fraction of the throughput of full calls from [`UTILIZATION`].
+    excess: f64,
 }
 
 impl PoolState {
+    /// Measures the throughput if the pool has had a queue since the last review. Otherwise the measured
+    /// fraction approaches the usual one, as it would else refuse the jobs that could correct it.
+    pub fn review_throughput(&mut self, now: Time, has_queue: bool) {
+        let Some(limits) = self.limits else {
+            return;
+        };
+        let elapsed = now
+            .saturating_sub(self.throughput.reviewed_at)
+            .as_secs_f64();
+        let full = self.rate(&limits, f64::INFINITY);
+        let throughput = &mut self.throughput;
+        let weight = 1.0 - (-elapsed / UTILIZATION_SECONDS).exp();
+        if has_queue && throughput.had_queue && elapsed > 0.0 {
+            let measured = throughput.completed as f64 / elapsed / full;
+            throughput.excess += weight * (measured - UTILIZATION - throughput.excess);
+        } else {
+            throughput.excess -= weight * throughput.excess;
+        }
+        throughput.completed = 0;
+        throughput.reviewed_at = now;
+        throughput.had_queue = has_queue;
+    }
+
+    /// Returns the fraction of the throughput of full calls that the pool sustains.
+    fn utilization(&self) -> f64 {
+        let (least, most) = UTILIZATION_RANGE;
+        (UTILIZATION + self.throughput.excess).clamp(least, most)
+    }
+
     pub fn target_mut(&mut self, target: &TargetId) -> Option<&mut StageTarget> {
         self.targets
             .iter_mut()
@@ -140,11 +189,20 @@
         Duration::from_secs_f64(seconds.min(MAX_DRAIN_SECONDS))
     }
 
+    /// Same as [`Self::seconds_per_piece`] with the usual throughput. Work for a pool is started at this
+    /// rate: at the measured one, a pool that was given too little would be given even less.
+    pub fn usual_seconds_per_piece(&self) -> f64 {
+        let limits = self.limits.as_ref();
+        limits.map_or(0.0, |limits| {
+            (self.rate(limits, f64::INFINITY) * UTILIZATION).recip()
+        })
+    }
+
     /// Returns the estimated time to process one piece in full calls; zero if the pool has no limits.
     pub fn seconds_per_piece(&self) -> f64 {
         let limits = self.limits.as_ref();
         limits.map_or(0.0, |limits| {
-            (self.rate(limits, f64::INFINITY) * UTILIZATION).recip()
+            (self.rate(limits, f64::INFINITY) * self.utilization()).recip()
         })
     }
 }
@@ -160,3 +218,29 @@
         self.call_overhead + self.piece_time * self.max_pieces as u32
     }
 }
+
+impl Scheduler {
+    pub(super) fn review_throughput(&mut self, now: Time) {
+        let queued: Vec<bool> = self
+            .pools
+            .values()
+            .map(|pool| self.has_queue(pool))
+            .collect();
+        for (pool_state, has_queue) in self.pools.values_mut().zip(queued) {
+            pool_state.review_throughput(now, has_queue);
+        }
+    }
+
+    /// Returns whether stages that may start fill a call to half of a pool's targets. Fewer do not keep all
+    /// of them busy.
+    fn has_queue(&self, pool_state: &PoolState) -> bool {
+        let Some((_, front)) = &pool_state.sorted_front else {
+            return false;
+        };
+        let pieces = front
+            .iter()
+            .map(|&(job, stage)| self.waiting_pieces(job, stage));
+        let batch = pool_state.limits.map_or(0, |limits| limits.max_pieces);
+        pieces.sum::<usize>() > batch * pool_state.targets.len() / 2
+    }
+}
--- a/policy/src/relay/scheduler/reply.rs
+++ b/policy/src/relay/scheduler/reply.rs
@@ -26,6 +26,7 @@
         if !is_full {
             pool_state.record_call_time(now, taken);
         }
+        pool_state.throughput.completed += items.iter().filter(|item| item.is_ok()).count();
         let reserved_until = now
             + pool_state
                 .expected_call_time()
--- a/policy/tests/scheduler.rs
+++ b/policy/tests/scheduler.rs
@@ -20,6 +20,8 @@
 const MAX_ADDED_LATENESS: f64 = 0.03;
 /// Simulated time, which covers a burst and its aftermath.
 const RUN_LENGTH: Duration = Duration::from_secs(24);
+/// Simulated time for bursts that end by 11.5 s.
+const BURST_RUN_LENGTH: Duration = Duration::from_secs(16);
 
 fn burst(kind: usize, factor: f64) -> Workload {
     Workload::typical_site().with_burst(kind, factor, 4.0, 10.0)
@@ -270,3 +272,66 @@
     }
     assert!(report.served(CHAIN) >= carried / 2.0, "{:?}", report.counts);
 }
+
+/// Overlapping bursts of explanations in deployment A, up to 1,000 a second; the second pool can do 285.
+fn bursts_of_explanations() -> Workload {
+    Workload::typical_site()
+        .with_burst(CHAIN, 2.5, 2.3, 8.7)
+        .with_burst(CHAIN, 2.6, 4.5, 11.5)
+        .with_returns()
+}
+
+/// Guards against work that is lost since fresh jobs displace begun ones, against a bottleneck that is
+/// idle meanwhile, and against refusals of callers who come back as told.
+#[rstest]
+fn bursts_are_served_at_the_rate_of_the_bottleneck(#[values(1, 2, 3)] seed: u64) {
+    let report = Simulation::deployment_a(seed).run(&bursts_of_explanations(), BURST_RUN_LENGTH);
+    let unused = report.unused_stage_time();
+    assert!(unused < 0.02, "{unused} of the stage time is unused");
+    let (begin, end) = (Duration::from_secs(4), Duration::from_secs(11));
+    let (busy, pieces) = report.throughput(1, begin, end);
+    assert!(busy >= 14.0, "{busy} of 15 targets are busy");
+    assert!(pieces >= 1_500.0, "{pieces} pieces a second");
+    let counts = report.counts;
+    // About 4,700 requests of both kinds fit into the time of the second pool, 4,200 of them explanations.
+    assert!(counts[CHAIN].on_time >= 3_700, "{counts:?}");
+    assert!(report.on_time(LARGE_RESULTS) >= 0.98, "{counts:?}");
+    assert!(report.served(MIXED) >= 0.25, "{counts:?}");
+    let again = report.refused_again();
+    assert!(again <= 0.2, "{again} are refused again: {counts:?}");
+}
+
+/// Same with targets that differ in speed and become slow at random.
+#[rstest]
+fn bursts_at_uneven_targets_waste_little(#[values(1, 2, 3)] seed: u64) {
+    let workload = bursts_of_explanations().with_noise();
+    let mut simulation = Simulation::deployment_a(seed).with_uneven_targets();
+    let report = simulation.run(&workload, BURST_RUN_LENGTH);
+    let unused = report.unused_stage_time();
+    assert!(unused < 0.05, "{unused} of the stage time is unused");
+    let counts = report.counts;
+    assert!(report.served(CHAIN) >= 0.4, "{counts:?}");
+    assert!(report.on_time(LARGE_RESULTS) >= 0.95, "{counts:?}");
+}
+
+/// Guards against a less urgent kind that is served better than a more urgent one of the same pool, and
+/// against lateness for want of memory for results.
+#[rstest]
+#[case::digests(LARGE_RESULTS, 0.95)]
+#[case::advice(CHAIN, 0.98)]
+fn bursts_of_deployment_b_spare_the_more_urgent(
+    #[case] kind: usize,
+    #[case] on_time: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let workload = Workload::typical_site()
+        .with_burst(kind, 2.5, 3.0, 9.0)
+        .with_returns();
+    let report = Simulation::deployment_b(seed).run(&workload, BURST_RUN_LENGTH);
+    let counts = report.counts;
+    assert!(report.on_time(kind) >= on_time, "{counts:?}");
+    let most = report.served(MIXED) - 0.05;
+    assert!(report.served(CHAIN) >= most, "{counts:?}");
+    assert!(report.served(LARGE_RESULTS) >= most, "{counts:?}");
+    assert!(report.unused_stage_time() < 0.02);
+}
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -1,5 +1,7 @@
 //! Discrete-event simulation of the stage targets and callers of a site.
 
+mod caller;
+mod deployment;
 mod report;
 mod workload;
 
@@ -8,7 +10,10 @@
     workload::Workload,
 };
 
-use self::workload::SlowPeriod;
+use self::{
+    deployment::{EARLIER_KINDS, Kind},
+    workload::SlowPeriod,
+};
 use policy::{
     id::{PoolId, TargetId, Time},
     relay::{
@@ -34,17 +39,19 @@
 /// Kind of request with both, and the lowest priority.
 pub const MIXED: usize = 2;
 
-/// Arrival rate of each kind.
-const REQUESTS_PER_SECOND: [f64; 3] = [9.44, 11.5, 8.15];
-/// Objective and deadline of each kind, in seconds after arrival.
-const OBJECTIVES_AND_DEADLINES: [(f64, f64); 3] = [(1.1, 4.4), (1.8, 6.0), (1.7, 6.8)];
-/// Priority of each kind; 0 is the highest.
-const PRIORITIES: [u8; 3] = [1, 0, 2];
 /// Time from the last result to the first event.
 const FIRST_EVENT_LATENCY: Duration = Duration::from_millis(120);
 /// One-way latency between a target and the scheduler.
 const NETWORK_DELAY: Duration = Duration::from_millis(3);
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Time that a caller needs at least for another attempt.
+const MIN_ATTEMPT: Duration = Duration::from_millis(300);
+/// Interval at which other targets become slow.
+const NOISE_PERIOD: Duration = Duration::from_millis(600);
+/// Fraction of the targets that are slow at any moment, and how much slower they are.
+const NOISE: (f64, f64) = (0.15, 2.5);
+/// Slowdowns of the targets of a pool, by turns.
+const UNEVEN_SLOWDOWNS: [f64; 3] = [0.7, 0.7, 1.7];
 /// Time from the loss of the scheduler until its successor takes over.
 const FAILOVER_TIME: Duration = Duration::from_millis(1_300);
 /// Limits on callers, which the scheduler does not use.
@@ -61,6 +68,9 @@
 #[derive(Debug)]
 pub struct Simulation {
     rng: ChaCha8Rng,
+    kinds: [Kind; 3],
+    /// Time from the last result until the request's target has read the results.
+    read_time: Duration,
     scheduler: Scheduler,
     targets: BTreeMap<TargetId, SimulatedTarget>,
     results: HashMap<Handle, (TargetId, u64, Time)>,
@@ -68,6 +78,12 @@
     jobs: HashMap<JobId, (usize, Time, Job)>,
     /// Jobs that are neither ready nor refused.
     open: BTreeSet<JobId>,
+    /// Jobs of callers that came back after their Retry-After.
+    returned: BTreeSet<JobId>,
+    /// Whether callers come back after a refusal.
+    has_returns: bool,
+    /// Pieces computed at least once.
+    computed: BTreeSet<(JobId, usize, usize)>,
     plan: Plan,
     /// Number of schedulers lost so far.
     generation: u32,
@@ -83,6 +99,8 @@
     batch_limits: BatchLimits,
     /// Duration of calls relative to the limits of the pool.
     slowdown: f64,
+    /// Factor on the slowdown that changes at random.
+    noise: f64,
     is_dead: bool,
     /// Number of crashes; calls sent to an earlier incarnation are lost.
     incarnation: u32,
@@ -91,6 +109,9 @@
 #[derive(Debug)]
 enum Event {
     Arrive(usize),
+    /// A refused caller comes back; whether as late as it was told to.
+    Return(JobId, bool),
+    ChangeNoise,
     Start(u32, CallId, TargetId, Vec<Item>),
     End(u32, CallId, TargetId, u32, Vec<Result<Handle, ItemError>>),
     Freed(TargetId, Vec<Handle>),
@@ -138,12 +159,17 @@
     fn with_pools(seed: u64, domains: usize, pools: [(usize, usize, f64, f64); 3]) -> Self {
         let mut simulation = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            kinds: EARLIER_KINDS,
+            read_time: FIRST_EVENT_LATENCY,
             scheduler: Scheduler::new(),
             targets: BTreeMap::new(),
             results: HashMap::new(),
             events: BTreeMap::new(),
             jobs: HashMap::new(),
             open: BTreeSet::new(),
+            returned: BTreeSet::new(),
+            has_returns: false,
+            computed: BTreeSet::new(),
             plan: Plan::new(1, CALLER_LIMITS, Vec::new(), Vec::new(), Vec::new()),
             generation: 0,
             is_scheduler_lost: false,
@@ -181,6 +207,7 @@
                     target: target.clone(),
                     batch_limits,
                     slowdown,
+                    noise: 1.0,
                     is_dead: false,
                     incarnation: 0,
                 };
@@ -235,6 +262,10 @@
         for kind in [LARGE_RESULTS, CHAIN, MIXED] {
             self.schedule(Duration::ZERO, Event::Arrive(kind));
         }
+        self.has_returns = workload.has_returns;
+        if workload.has_noise {
+            self.schedule(Duration::ZERO, Event::ChangeNoise);
+        }
         self.schedule(POLL_INTERVAL, Event::Poll);
         if let Some((begin, end)) = workload.deaths {
             for index in 0..3 {
@@ -289,7 +320,8 @@
         match event {
             Event::Arrive(kind) => {
                 if now < length {
-                    let gap = -self.rng.random::<f64>().max(1e-9).ln() / workload.rate(kind, now);
+                    let gap =
+                        -self.rng.random::<f64>().max(1e-9).ln() / self.rate(workload, kind, now);
                     self.schedule(now + Duration::from_secs_f64(gap), Event::Arrive(kind));
                     let job = self.job(now, kind);
                     self.report.counts[kind].submitted += 1;
@@ -300,6 +332,15 @@
                     }
                 }
             }
+            Event::Return(id, is_as_told) => self.come_back(now, id, is_as_told, out),
+            Event::ChangeNoise => {
+                self.schedule(now + NOISE_PERIOD, Event::ChangeNoise);
+                let (share, factor) = NOISE;
+                for target_state in self.targets.values_mut() {
+                    let is_slow = self.rng.random_bool(share);
+                    target_state.noise = if is_slow { factor } else { 1.0 };
+                }
+            }
             Event::Start(generation, call, id, items) => {
                 self.start_call(now, (generation, call), &id, &items, out);
             }
@@ -377,55 +418,6 @@
         }
     }
 
-    fn job(&mut self, now: Time, kind: usize) -> Job {
-        let spec = |index: usize, after: Vec<usize>, bytes: u64, pieces: u32| StageSpec {
-            pool: pool(index),
-            after,
-            bytes,
-            pieces,
-        };
-        let large = |rng: &mut ChaCha8Rng, share: f64, max: u32| {
-            if rng.random_bool(share) {
-                rng.random_range(1..=max)
-            } else {
-                0
-            }
-        };
-        let last = self.rng.random_range(6..=14);
-        let stages = match kind {
-            LARGE_RESULTS => vec![spec(0, vec![], 1_500_000, large(&mut self.rng, 0.7, 4))],
-            CHAIN => vec![
-                spec(0, vec![], 8_000, 1),
-                spec(1, vec![0], 60_000, 6),
-                spec(2, vec![1], 6_000, last),
-            ],
-            _ => vec![
-                spec(0, vec![], 1_500_000, large(&mut self.rng, 0.4, 2)),
-                spec(0, vec![], 8_000, 1),
-                spec(1, vec![1], 60_000, 6),
-                spec(2, vec![2], 6_000, last),
-            ],
-        };
-        self.next += 1;
-        let (objective, deadline) = OBJECTIVES_AND_DEADLINES[kind];
-        Job {
-            id: JobId {
-                origin: 0,
-                number: self.next,
-            },
-            request: format!("r-{}", self.next).into(),
-            key: "key".into(),
-            priority: PRIORITIES[kind],
-            objective: now + Duration::from_secs_f64(objective),
-            deadline: now + Duration::from_secs_f64(deadline),
-            first_event_latency: FIRST_EVENT_LATENCY,
-            preferred_domain: None,
-            stages,
-            workspace: None,
-            is_resubmitted: false,
-        }
-    }
-
     fn start_call(
         &mut self,
         now: Time,
@@ -470,7 +462,8 @@
             }
             outcomes.push((outcome, spec.bytes));
         }
-        let end = now + work.mul_f64(target_state.slowdown);
+        let end = now + work.mul_f64(target_state.slowdown * target_state.noise);
+        self.record_call(now, end, items, &outcomes);
         let until = end + target_state.batch_limits.result_ttl;
         let outcomes = outcomes.into_iter().map(|(outcome, bytes)| {
             let handle = outcome?;
@@ -493,10 +486,7 @@
 
     /// Returns the stage of an item and the number of inputs that it needs.
     fn spec_and_input_count(&self, item: &Item) -> (StageSpec, usize) {
-        let number = item.request.strip_prefix("r-");
-        let number = number.and_then(|number| number.parse().ok());
-        let number = number.expect("request of a job");
-        let (_, _, job) = &self.jobs[&JobId { origin: 0, number }];
+        let (_, _, job) = &self.jobs[&request_job(&item.request)];
         let spec = job.stages[item.stage].clone();
         let inputs = spec
             .after
@@ -546,14 +536,14 @@
                     self.schedule(now + NETWORK_DELAY, start);
                 }
                 Command::Ready { job, handles, .. } => self.handle_ready(now, job, &handles),
-                Command::Refuse { job, reason, .. } => {
+                Command::Refuse {
+                    job,
+                    reason,
+                    retry_after,
+                    ..
+                } => {
                     self.open.remove(&job);
-                    if let Some((kind, _, job)) = self.jobs.get(&job) {
-                        self.report.counts[*kind].refused += 1;
-                        let left = job.deadline.saturating_sub(now);
-                        self.report.refusals.push(Refused { reason, left });
-                        self.report.ends.push((now, true));
-                    }
+                    self.handle_refusal(now, job, reason, retry_after);
                 }
                 Command::Free {
                     target, handles, ..
@@ -570,32 +560,19 @@
         sends.push(now);
     }
 
-    fn handle_ready(&mut self, now: Time, id: JobId, handles: &[Handle]) {
-        self.open.remove(&id);
-        let (kind, _, job) = &self.jobs[&id];
-        let finals = job
-            .stages
-            .iter()
-            .enumerate()
-            .filter(|(stage, _)| !job.stages.iter().any(|spec| spec.after.contains(stage)));
-        let expected: u32 = finals.map(|(_, spec)| spec.pieces).sum();
-        assert_eq!(
-            handles.len(),
-            expected as usize,
-            "final results of a request"
-        );
-        let is_late = now + FIRST_EVENT_LATENCY > job.objective;
-        let counts = &mut self.report.counts[*kind];
-        if is_late {
-            counts.late += 1;
-        } else {
-            counts.on_time += 1;
-        }
-        self.report.ends.push((now, is_late));
-        self.schedule(now + FIRST_EVENT_LATENCY, Event::Read(id));
+    fn rate(&self, workload: &Workload, kind: usize, at: Time) -> f64 {
+        self.kinds[kind].rate * workload.factor(kind, at)
     }
 }
 
+/// Returns the first job of a request.
+fn request_job(request: &str) -> JobId {
+    let number = request.strip_prefix("r-");
+    let number = number.and_then(|number| number.parse().ok());
+    let number = number.expect("request of a job");
+    JobId { origin: 0, number }
+}
+
 fn pool(index: usize) -> PoolId {
     format!("pool-{index}").into()
 }
--- a/policy/tests/simulation/report.rs
+++ b/policy/tests/simulation/report.rs
@@ -1,8 +1,8 @@
 //! Outcome of a simulation.
 
 use policy::{
-    id::{TargetId, Time},
-    relay::scheduler::Refusal,
+    id::{PoolId, TargetId, Time},
+    relay::scheduler::{JobId, Refusal},
 };
 use std::{collections::HashMap, time::Duration};
 
@@ -12,7 +12,20 @@
     pub submitted: u32,
     pub on_time: u32,
     pub late: u32,
+    /// Requests whose callers gave up after a refusal.
     pub refused: u32,
+    /// Attempts after the time that the refusal before named, and how many of them were refused.
+    pub returned: u32,
+    pub refused_again: u32,
+}
+
+/// A call to a stage target.
+#[derive(Clone, Debug)]
+pub(super) struct SimulatedCall {
+    pub pool: PoolId,
+    pub start: Time,
+    pub end: Time,
+    pub pieces: usize,
 }
 
 /// A refused job.
@@ -40,6 +53,12 @@
     pub sends: HashMap<TargetId, Vec<Time>>,
     /// When each request ended, and whether it was late or refused.
     pub(super) ends: Vec<(Time, bool)>,
+    pub(super) calls: Vec<SimulatedCall>,
+    /// Time of all calls in seconds, and its part for the results of delivered jobs.
+    pub(super) stage_time: f64,
+    pub(super) used_time: f64,
+    /// Time for the jobs that have not ended.
+    pub(super) time_by_job: HashMap<JobId, f64>,
 }
 
 impl Report {
@@ -60,6 +79,34 @@
         self.counts.iter().map(|counts| counts.refused).sum()
     }
 
+    /// Returns the fraction of the stage time that was spent on results that were never used.
+    pub fn unused_stage_time(&self) -> f64 {
+        1.0 - self.used_time / self.stage_time.max(f64::EPSILON)
+    }
+
+    /// Returns the fraction of callers that were refused again although they came back as told.
+    pub fn refused_again(&self) -> f64 {
+        let counts = self.counts.iter();
+        let returned: u32 = counts.clone().map(|counts| counts.returned).sum();
+        let again: u32 = counts.map(|counts| counts.refused_again).sum();
+        f64::from(again) / f64::from(returned.max(1))
+    }
+
+    /// Returns the mean number of targets of a pool that run calls in a period, and the pieces a second.
+    pub fn throughput(&self, pool: usize, begin: Time, end: Time) -> (f64, f64) {
+        let pool = super::pool(pool);
+        let calls = self.calls.iter().filter(|call| call.pool == pool);
+        let (mut busy, mut pieces) = (0.0, 0.0);
+        for call in calls {
+            let inside = call.end.min(end).saturating_sub(call.start.max(begin));
+            let taken = call.end.saturating_sub(call.start).as_secs_f64();
+            busy += inside.as_secs_f64();
+            pieces += call.pieces as f64 * inside.as_secs_f64() / taken;
+        }
+        let length = end.saturating_sub(begin).as_secs_f64();
+        (busy / length, pieces / length)
+    }
+
     /// Returns the fraction of late or refused requests among those that ended after `time`.
     pub fn late_after(&self, time: Time) -> f64 {
         let ends = self.ends.iter().filter(|(at, _)| *at > time);
--- a/policy/tests/simulation/workload.rs
+++ b/policy/tests/simulation/workload.rs
@@ -1,6 +1,5 @@
 //! Load and faults of a simulation.
 
-use super::REQUESTS_PER_SECOND;
 use policy::id::{TargetId, Time};
 
 /// A time in which some targets of a pool are slow.
@@ -30,7 +29,7 @@
 /// Load of a site, with optional faults.
 #[derive(Clone, Debug)]
 pub struct Workload {
-    pub(super) burst: Option<(usize, f64, f64, f64)>,
+    pub(super) bursts: Vec<(usize, f64, f64, f64)>,
     pub(super) deaths: Option<(f64, f64)>,
     pub(super) slow: Option<(f64, f64)>,
     pub(super) slow_period: Option<SlowPeriod>,
@@ -38,25 +37,32 @@
     pub(super) scheduler_fault: Option<f64>,
     /// Factor on the arrival rates of all kinds.
     pub(super) load: f64,
+    /// Whether refused callers come back.
+    pub(super) has_returns: bool,
+    /// Whether some targets are slow at any moment.
+    pub(super) has_noise: bool,
 }
 
 impl Workload {
     /// Creates the mean load of a site, without faults.
     pub fn typical_site() -> Self {
         Self {
-            burst: None,
+            bursts: Vec::new(),
             deaths: None,
             slow: None,
             slow_period: None,
             scheduler_loss: None,
             scheduler_fault: None,
             load: 1.0,
+            has_returns: false,
+            has_noise: false,
         }
     }
 
-    /// Multiplies the arrival rate of one kind by `factor` from `begin` to `end`, in seconds.
+    /// Multiplies the arrival rate of one kind by `factor` from `begin` to `end`, in seconds. Bursts may
+    /// overlap.
     pub fn with_burst(mut self, kind: usize, factor: f64, begin: f64, end: f64) -> Self {
-        self.burst = Some((kind, factor, begin, end));
+        self.bursts.push((kind, factor, begin, end));
         self
     }
 
@@ -108,15 +114,24 @@
         self
     }
 
-    /// Returns the arrival rate of a kind, in requests per second.
-    pub(super) fn rate(&self, kind: usize, at: Time) -> f64 {
+    /// Makes refused callers come back.
+    pub fn with_returns(mut self) -> Self {
+        self.has_returns = true;
+        self
+    }
+
+    /// Slows changing targets down.
+    pub fn with_noise(mut self) -> Self {
+        self.has_noise = true;
+        self
+    }
+
+    /// Returns the factor on the arrival rate of a kind.
+    pub(super) fn factor(&self, kind: usize, at: Time) -> f64 {
         let at = at.as_secs_f64();
-        let usual = REQUESTS_PER_SECOND[kind] * self.load;
-        match self.burst {
-            Some((of, factor, begin, end)) if of == kind && (begin..end).contains(&at) => {
-                usual * factor
-            }
-            _ => usual,
-        }
+        let bursts = self.bursts.iter();
+        let current =
+            bursts.filter(|&&(of, _, begin, end)| of == kind && (begin..end).contains(&at));
+        current.map(|&(_, factor, ..)| factor).product::<f64>() * self.load
     }
 }
