--- a/godwithinge/src/relay/buffer.rs
+++ b/godwithinge/src/relay/buffer.rs
@@ -44,6 +44,20 @@
         is_taken
     }
 
+    /// Takes memory for a request body of unknown length up to a total of `size` bytes, and leaves `headroom`
+    /// bytes for one whose length is known. Returns `false`, and takes no more, if there is not enough.
+    #[must_use]
+    pub fn try_grow_unannounced(&mut self, size: usize, headroom: usize) -> bool {
+        let memory = self.relay.settings().memory_bytes;
+        let mut usage = self.relay.memory_usage_mut();
+        let (from, to, headroom) = (self.size as u64, size as u64, headroom as u64);
+        let is_taken = to <= from || usage.try_grow_unannounced(from, to, headroom, memory);
+        if is_taken {
+            self.size = self.size.max(size);
+        }
+        is_taken
+    }
+
     /// Returns the memory beyond a total of `size` bytes.
     pub fn shrink(&mut self, size: usize) {
         if size < self.size {
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -313,7 +313,7 @@
             if size > bytes.capacity() {
                 // The buffer doubles, and exists twice while it is moved.
                 let grown = size.next_power_of_two().min(limit);
-                if !memory.try_grow(grown + bytes.len()) {
+                if !memory.try_grow_unannounced(grown + bytes.len(), limit) {
                     return Err(no_memory);
                 }
                 bytes.reserve(grown - bytes.len());
--- a/godwithinge/src/relay/metrics.rs
+++ b/godwithinge/src/relay/metrics.rs
@@ -91,9 +91,7 @@
     revision: IntGauge,
     /// Requests that are not finished.
     pub in_flight: IntGauge,
-    /// By share.
-    memory_bytes: IntGaugeVec,
-    memory_limit_bytes: IntGaugeVec,
+    memory: MemoryMetrics,
     /// Connections of callers that were closed or refused, by reason.
     pub closed_callers: IntCounterVec,
 }
@@ -201,8 +199,7 @@
             links: gauge("links", "Daemons that are linked"),
             revision: gauge("revision", "Revision of the configuration"),
             in_flight: gauge("in_flight", "Requests without an answer"),
-            memory_bytes: share_gauge(&registry, "memory_bytes", "Memory that is taken"),
-            memory_limit_bytes: share_gauge(&registry, "memory_limit_bytes", "Size of a share"),
+            memory: MemoryMetrics::new(&registry),
             closed_callers: closed_callers(&registry),
             registry,
         }
@@ -258,8 +255,8 @@
                 let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
                 gauge.with_label_values(&label).set(bytes);
             };
-            set(&self.memory_bytes, usage.taken(share));
-            set(&self.memory_limit_bytes, share.size(memory));
+            set(&self.memory.taken, usage.taken(share));
+            set(&self.memory.limit, share.size(memory));
         }
     }
 
@@ -279,6 +276,22 @@
     }
 }
 
+/// Memory that is taken from each share, and the size of the share.
+#[derive(Clone, Debug)]
+struct MemoryMetrics {
+    taken: IntGaugeVec,
+    limit: IntGaugeVec,
+}
+
+impl MemoryMetrics {
+    fn new(registry: &Registry) -> Self {
+        Self {
+            taken: share_gauge(registry, "memory_bytes", "Memory that is taken"),
+            limit: share_gauge(registry, "memory_limit_bytes", "Size of a share"),
+        }
+    }
+}
+
 /// Metrics about what keeps requests from targets that accept them.
 #[derive(Clone, Debug)]
 pub(super) struct HoldMetrics {
--- a/policy/src/relay/memory.rs
+++ b/policy/src/relay/memory.rs
@@ -88,6 +88,21 @@
         has_room
     }
 
+    /// Takes the memory by which a request body of unknown length grows from `from` to `to` bytes, like
+    /// [`try_grow`](Self::try_grow). While other bodies hold memory, `headroom` bytes of the share are left for one
+    /// whose length is known. Bodies that grow in turns would otherwise leave no room for it.
+    #[must_use]
+    pub fn try_grow_unannounced(&mut self, from: u64, to: u64, headroom: u64, memory: u64) -> bool {
+        let share = Share::Requests;
+        let others = self.taken(share).saturating_sub(from);
+        // A large body with a known length may not take the part for small ones.
+        let kept_for_small = share.size(memory) - share.bound(u64::MAX, memory);
+        let bound = share.bound(to, memory);
+        let bound = bound.saturating_sub(headroom + kept_for_small);
+        let has_room = others == 0 || others + to <= bound;
+        has_room && self.try_grow(share, from, to, memory)
+    }
+
     /// Sets the number of connections of callers.
     pub fn set_connections(&mut self, count: usize) {
         self.connections = count as u64 * CONNECTION_BYTES;
--- a/policy/tests/memory.rs
+++ b/policy/tests/memory.rs
@@ -184,3 +184,31 @@
     });
     assert_eq!(is_stalled, expected);
 }
+
+/// Guards against bodies of unknown length that grow in turns and leave no room for one whose length is
+/// known.
+#[rstest]
+fn growing_bodies_leave_room_for_an_announced_one(#[values(80, 160, 260, 512)] megabytes: u64) {
+    const BODY_BYTES: u64 = 4 << 20;
+    let memory = megabytes * 1_000_000;
+    let mut usage = Usage::default();
+    let mut sizes = [0_u64; 100];
+    for _ in 0..64 {
+        for size in &mut sizes {
+            let grown = (*size + (64 << 10)).min(BODY_BYTES);
+            if usage.try_grow_unannounced(*size, grown, BODY_BYTES, memory) {
+                *size = grown;
+            }
+        }
+    }
+    assert!(usage.try_grow(Share::Requests, 0, BODY_BYTES, memory));
+}
+
+/// Guards against a single body of unknown length being refused although no other one holds memory.
+#[rstest]
+fn single_growing_body_has_room(#[values(80, 160, 260, 512)] megabytes: u64) {
+    let memory = megabytes * 1_000_000;
+    let mut usage = Usage::default();
+    // A buffer that doubles needs the new size and the old one at the last step.
+    assert!(usage.try_grow_unannounced(0, 6 << 20, 4 << 20, memory));
+}
