Stalled bodies give their memory back while others find none

While bodies find no memory, a body that gets no byte for 300 ms is ended with 408; otherwise the timeout is 2 s as before.

--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -13,7 +13,11 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, Response, Version, header, request::Parts};
 use http_body_util::BodyExt;
-use hyper::{body::Incoming, server::conn::http1, service};
+use hyper::{
+    body::{Frame, Incoming},
+    server::conn::http1,
+    service,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use policy::relay::memory::Share;
 use std::{
@@ -31,6 +35,11 @@
 
 /// Maximum time between two frames of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(2); // the largest body takes tens of ms
+/// The same while other bodies find no memory. Clients that stop short of the end of their bodies would hold it for
+/// most of the time.
+const SHORT_BODY_TIMEOUT: Duration = Duration::from_millis(300); // a lost packet is sent again within 200 ms
+/// Time after a body found no memory during which memory counts as short.
+const SHORTAGE_PERIOD: Duration = Duration::from_secs(1); // the retry delay of refused callers
 /// Head size in bytes, head timeout and idle timeout that apply until a configuration is loaded;
 /// the values that users usually configure.
 const DEFAULT_LIMITS: (usize, Duration, Duration) =
@@ -227,7 +236,7 @@
     let reading = guard.begin_body(length.unwrap_or(usize::MAX));
     let mut incoming = body;
     let body = tokio::select! {
-        body = read_body(&mut incoming, plan.limits.body_bytes, deadline, &mut memory) => body,
+        body = read_body(relay, &mut incoming, plan.limits.body_bytes, deadline, &mut memory) => body,
         () = relay.until_last_call() => Err(leaving),
     };
     let body = match body {
@@ -281,6 +290,7 @@
 /// Reads a request body of at most `limit` bytes, and takes the memory for it before it arrives if its
 /// length is known.
 async fn read_body(
+    relay: &Relay,
     body: &mut Incoming,
     limit: usize,
     deadline: Instant,
@@ -295,13 +305,13 @@
         return Err(too_large);
     }
     if !memory.try_grow(length) {
+        relay.record_refused_body();
         return Err(no_memory);
     }
     let mut bytes = BytesMut::with_capacity(length);
     loop {
-        let chunk_deadline = deadline.min(Instant::now() + BODY_TIMEOUT);
-        let frame = time::timeout_at(chunk_deadline.into(), body.frame()).await;
-        let Some(frame) = frame.map_err(|_elapsed| timed_out)? else {
+        let frame = next_frame(relay, body, deadline).await.ok_or(timed_out)?;
+        let Some(frame) = frame else {
             return Ok(bytes.freeze());
         };
         let frame = frame.map_err(|_broken| timed_out)?;
@@ -314,6 +324,7 @@
                 // The buffer doubles, and exists twice while it is moved.
                 let grown = size.next_power_of_two().min(limit);
                 if !memory.try_grow_unannounced(grown + bytes.len(), limit) {
+                    relay.record_refused_body();
                     return Err(no_memory);
                 }
                 bytes.reserve(grown - bytes.len());
@@ -324,6 +335,25 @@
     }
 }
 
+/// Returns the next frame of a request body; `None` if it does not arrive in time. While memory is short, less
+/// time is left to it.
+async fn next_frame(
+    relay: &Relay,
+    body: &mut Incoming,
+    deadline: Instant,
+) -> Option<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    let end = deadline.min(Instant::now() + BODY_TIMEOUT);
+    loop {
+        let next = end.min(Instant::now() + SHORT_BODY_TIMEOUT);
+        if let Ok(frame) = time::timeout_at(next.into(), body.frame()).await {
+            return Some(frame);
+        }
+        if next >= end || relay.has_refused_body(SHORTAGE_PERIOD) {
+            return None;
+        }
+    }
+}
+
 /// Reads the rest of the body of a request that has been rejected, and keeps nothing of it. Closing the
 /// connection instead would reset it, and the caller might not get the response.
 async fn discard(mut body: Incoming, limit: usize, _reading: BodyGuard) {
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -85,6 +85,8 @@
     /// Open connections of callers.
     pub(super) callers: Callers,
     memory_usage: RefCell<memory::Usage>,
+    /// When there was last no memory for a request body.
+    body_refused_at: Cell<Option<Instant>>,
     /// Durations of requests that must not be repeated.
     pub(super) run_times: RefCell<RunTimes>,
     retry_budgets: RefCell<HashMap<PoolId, Budget>>,
@@ -147,6 +149,7 @@
             rates: RateWatch::default(),
             callers: Callers::default(),
             memory_usage: RefCell::default(),
+            body_refused_at: Cell::new(None),
             run_times: RefCell::default(),
             retry_budgets: RefCell::default(),
             dispatcher: JobDispatcher::new(),
@@ -237,6 +240,17 @@
         self.memory_usage.borrow_mut()
     }
 
+    /// Records that there was no memory for a request body.
+    pub(super) fn record_refused_body(&self) {
+        self.body_refused_at.set(Some(Instant::now()));
+    }
+
+    /// Returns whether there was no memory for a request body within the last `period`.
+    pub(super) fn has_refused_body(&self, period: Duration) -> bool {
+        let refused_at = self.body_refused_at.get();
+        refused_at.is_some_and(|at| at.elapsed() < period)
+    }
+
     /// Records the first send of a request, which earns a fraction of a retry.
     pub(super) fn record_first_send(&self, pool: &PoolId) {
         self.with_retry_budget(pool, Budget::deposit);
--- a/policy/src/relay/performance.rs
+++ b/policy/src/relay/performance.rs
@@ -97,7 +97,7 @@
 /// Part of the logarithm of a target's slowness that is put down to chance and load.
 const UNCERTAINTY: f64 = 0.3; // twice the error of an average of 8 samples
 /// Time in which the weight of an average halves without samples. A slow target that gets no requests
-/// is then tried again after about a minute.
+/// is then tried again after about three minutes.
 const HALF_LIFE: Duration = Duration::from_secs(30);
 /// Time within which the load factor of a target changes.
 const FACTOR_TTL: Duration = Duration::from_millis(600);
