A response that ends before its request is written stays broken

Whether the request was written was looked up when the end of the body was handled. A server, or a daemon that forwards a tunnel, may have discarded the rest of the request by then, so that a part of a response looked complete.

The stream of a connection now decides when it reads the end. The close frame of a tunnel carries the number of bytes that the target got.

discarded_upload_counted_as_written fails before and passes now.

--- a/godwithinge/src/http/connection.rs
+++ b/godwithinge/src/http/connection.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Error, Request,
-    tracked::{TrackedStream, Written},
+    tracked::{EndedEarly, TrackedStream},
 };
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -50,7 +50,7 @@
     via: Option<CompactString>,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
-    written: Written,
+    ended_early: EndedEarly,
     requests: u64,
     /// When a response body was last read to its end.
     last_response: Option<Instant>,
@@ -94,7 +94,7 @@
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
         let stream = TrackedStream::new(stream);
-        let written = stream.written();
+        let ended_early = stream.ended_early();
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
@@ -109,7 +109,7 @@
             via,
             sender,
             driver: driver.abort_handle(),
-            written,
+            ended_early,
             requests: 0,
             last_response: None,
             idle_timeout: None,
@@ -146,9 +146,10 @@
         self.via.as_deref()
     }
 
-    /// Returns whether the latest request was written, which changes with time.
-    pub(super) fn written(&self) -> Written {
-        Written::clone(&self.written)
+    /// Returns whether the server ended its side before the latest request was written, which changes with
+    /// time.
+    pub(super) fn ended_early(&self) -> EndedEarly {
+        EndedEarly::clone(&self.ended_early)
     }
 
     /// Returns whether a request was sent over the connection before the latest one.
--- a/godwithinge/src/http/response.rs
+++ b/godwithinge/src/http/response.rs
@@ -1,6 +1,6 @@
 //! HTTP response with a streamed body.
 
-use super::{Connection, Error, Framing, Pool, Received, tracked::Written};
+use super::{Connection, Error, Framing, Pool, Received, tracked::EndedEarly};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use http::{HeaderMap, StatusCode, header, response::Parts};
@@ -24,7 +24,7 @@
     head: Parts,
     body: Incoming,
     framing: Framing,
-    written: Written,
+    ended_early: EndedEarly,
     connection: Option<Connection>,
     pool: Pool,
     key: CompactString,
@@ -47,7 +47,7 @@
         }
         Self {
             framing: Framing::new(&head.headers, &body),
-            written: connection.written(),
+            ended_early: connection.ended_early(),
             head,
             body,
             reused: connection.is_reused(),
@@ -186,7 +186,7 @@
     /// end nor read the request. One in trouble closes connections in order as well, and what is written to
     /// them later fails after that.
     fn is_early(&self) -> bool {
-        !self.framing.is_end_declared() && !self.written.load(Ordering::Relaxed)
+        !self.framing.is_end_declared() && self.ended_early.load(Ordering::Relaxed)
     }
 
     /// Returns the connection to the pool, or closes it if its reuse is disabled.
--- a/godwithinge/src/http/tracked.rs
+++ b/godwithinge/src/http/tracked.rs
@@ -1,4 +1,4 @@
-//! Stream that records whether the bytes passed to it were written.
+//! Stream that records whether its other side ended before the bytes passed to it were written.
 
 use std::{
     io::{self, IoSlice},
@@ -7,31 +7,35 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Whether all bytes of a request were written; shared with the stream.
-pub(super) type Written = Arc<AtomicBool>;
+/// Whether the server ended its side before the request was written; shared with the stream. It is
+/// decided when the end is read: what is written later may be discarded by the server or on the way.
+pub(super) type EndedEarly = Arc<AtomicBool>;
 
-/// Stream that records whether a flush has succeeded since the last write. hyper flushes a stream once
-/// it has written all that it has buffered, which for a request is its head and its body.
+/// Stream that records whether a flush has succeeded between the last write and the end of the other
+/// side. hyper flushes a stream once it has written all that it has buffered, which for a request is its
+/// head and its body.
 #[derive(Debug)]
 pub(super) struct TrackedStream<S> {
     stream: S,
-    written: Written,
+    is_written: bool,
+    ended_early: EndedEarly,
 }
 
 impl<S> TrackedStream<S> {
     pub(super) fn new(stream: S) -> Self {
         Self {
             stream,
-            written: Arc::new(AtomicBool::new(true)),
+            is_written: true,
+            ended_early: Arc::default(),
         }
     }
 
-    pub(super) fn written(&self) -> Written {
-        Arc::clone(&self.written)
+    pub(super) fn ended_early(&self) -> EndedEarly {
+        Arc::clone(&self.ended_early)
     }
 }
 
@@ -41,7 +45,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let unread = buf.remaining();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if unread > 0 && buf.remaining() == unread && !self.is_written {
+            self.ended_early.store(true, Ordering::Relaxed);
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -51,7 +60,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.written.store(false, Ordering::Relaxed);
+        self.is_written = false;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -60,7 +69,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.written.store(false, Ordering::Relaxed);
+        self.is_written = false;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -71,7 +80,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.stream).poll_flush(cx);
         if matches!(flushed, Poll::Ready(Ok(()))) {
-            self.written.store(true, Ordering::Relaxed);
+            self.is_written = true;
         }
         flushed
     }
--- a/godwithinge/src/relay/tunnel.rs
+++ b/godwithinge/src/relay/tunnel.rs
@@ -4,7 +4,8 @@
 //! retries and cancellation stay where they are. A tunnel is a WebSocket connection. The peer opens
 //! it with the identifier of a target, to which the daemon connects directly, never through another
 //! tunnel. Binary messages carry the bytes. A close frame says that the target has ended its side in
-//! order; any other end is an error, because a response without a length would look complete.
+//! order, and how many bytes it got; any other end is an error, because a response without a length
+//! would look complete.
 
 use super::{accept, event, metrics::TunnelSide, state::Relay};
 use crate::http;
@@ -30,7 +31,10 @@
 };
 use tokio_tungstenite::{
     WebSocketStream, accept_async_with_config, client_async_with_config,
-    tungstenite::{self, Message, protocol::WebSocketConfig},
+    tungstenite::{
+        self, Message,
+        protocol::{CloseFrame, WebSocketConfig, frame::coding::CloseCode},
+    },
 };
 
 /// Timeout of the connection to a target. Shorter than that of direct connections, since the peer
@@ -114,6 +118,8 @@
 pub(super) struct Tunnel {
     socket: WebSocketStream<TcpStream>,
     received: Bytes,
+    /// Number of bytes passed to the WebSocket.
+    sent: u64,
     is_ended: bool,
 }
 
@@ -149,6 +155,7 @@
             Answer::Opened => Ok(Tunnel {
                 socket,
                 received: Bytes::new(),
+                sent: 0,
                 is_ended: false,
             }),
             Answer::Refused(refusal) => Err(Error::Refused(refusal)),
@@ -208,6 +215,7 @@
     let (reader, mut writer) = target.into_split();
     let used_at = Cell::new(time::Instant::now());
     let is_writing = Cell::new(false);
+    let forwarded = Cell::new(0);
     let to_target = async {
         while let Some(Ok(message)) = messages.next().await {
             used_at.set(time::Instant::now());
@@ -218,6 +226,7 @@
                         return;
                     }
                     is_writing.set(false);
+                    forwarded.set(forwarded.get() + bytes.len() as u64);
                 }
                 Message::Ping(_) | Message::Pong(_) => {}
                 Message::Close(_) | Message::Text(_) | Message::Frame(_) => return,
@@ -230,7 +239,7 @@
         () = until_idle(&used_at) => false,
     };
     // A target that ends its side before it has read a request may not have sent the whole response.
-    if is_ended && !is_writing.get() && sink.send(Message::Close(None)).await.is_ok() {
+    if is_ended && !is_writing.get() && sink.send(close(forwarded.get())).await.is_ok() {
         let rest = async { while let Some(Ok(_)) = messages.next().await {} };
         // The peer closes the connection as soon as it has read the close frame.
         drop(time::timeout(CLOSE_TIMEOUT, rest).await);
@@ -349,6 +358,21 @@
     Message::binary(bytes)
 }
 
+/// Returns the close frame of a target that has ended its side after `forwarded` bytes.
+fn close(forwarded: u64) -> Message {
+    Message::Close(Some(CloseFrame {
+        code: CloseCode::Normal,
+        reason: forwarded.to_string().into(),
+    }))
+}
+
+/// Returns whether the target got less than the `sent` bytes; false if a daemon of an earlier version,
+/// which does not count them, has sent the frame.
+fn is_short(frame: Option<&CloseFrame>, sent: u64) -> bool {
+    let forwarded = frame.and_then(|frame| frame.reason.parse::<u64>().ok());
+    forwarded.is_some_and(|forwarded| forwarded < sent)
+}
+
 /// Receives a message that is not forwarded.
 async fn receive<T: for<'de> Deserialize<'de>>(
     socket: &mut WebSocketStream<TcpStream>,
@@ -381,6 +405,10 @@
         while self.received.is_empty() && !self.is_ended {
             match ready!(Pin::new(&mut self.socket).poll_next(cx)) {
                 Some(Ok(Message::Binary(bytes))) => self.received = bytes,
+                // What the target did not get is a part of a request that it has not read.
+                Some(Ok(Message::Close(frame))) if is_short(frame.as_ref(), self.sent) => {
+                    return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+                }
                 Some(Ok(Message::Close(_))) => self.is_ended = true,
                 Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
                 Some(Ok(Message::Text(_) | Message::Frame(_))) => {
@@ -407,6 +435,7 @@
         let length = buf.len().min(MAX_MESSAGE_BYTES);
         let message = Message::Binary(Bytes::copy_from_slice(&buf[..length]));
         socket.start_send(message).map_err(into_io)?;
+        self.sent += length as u64;
         Poll::Ready(Ok(length))
     }
 
