Workspaces share a pool that is too short for all

A workspace whose callers ask for much more than usual took the capacity of all others in proportion.

--- a/policy/src/relay/scheduler/admission.rs
+++ b/policy/src/relay/scheduler/admission.rs
@@ -124,12 +124,10 @@
             && (is_on_time
                 || is_promised
                 || now + self.late_first_event(now, running) <= job.deadline);
-        let is_allowed = is_promised || self.allows_kind(now, running);
+        let is_allowed = is_promised || self.allows_share(now, running);
         let is_accepted = has_room && is_allowed;
         if !has_room && let Some(pool) = self.shortest_pool(running) {
-            self.pool_state(&pool)
-                .shares
-                .record_shortage(now, running.kind);
+            self.pool_state(&pool).record_shortage(now, running);
         }
         let is_feasible = now + running.remaining <= job.objective;
         for spec in job.stages.iter().filter(|spec| spec.pieces > 0) {
@@ -141,32 +139,31 @@
             }
             match returned {
                 None if is_feasible && !job.is_resubmitted => {
-                    let kind = running.kind;
-                    pool_state.shares.record(now, kind, is_accepted);
+                    pool_state.record_request(now, running, is_accepted);
                 }
-                Some(_) if is_accepted => pool_state.shares.correct(now, running.kind, true),
+                Some(_) if is_accepted => pool_state.correct_request(now, running, true),
                 _ => {}
             }
         }
         is_accepted
     }
 
-    /// Returns whether no other kind has a smaller share of the pools of a job, or they have enough for all.
-    fn allows_kind(&self, now: Time, running: &RunningJob) -> bool {
+    /// Returns whether no other kind or workspace has a smaller share of the pools of a job, or they have enough
+    /// for all.
+    fn allows_share(&self, now: Time, running: &RunningJob) -> bool {
         let specs = running.job.stages.iter().filter(|spec| spec.pieces > 0);
         let mut pools = specs.filter_map(|spec| self.pools.get(&spec.pool));
-        pools.all(|pool_state| pool_state.shares.allow(now, running.kind))
+        pools.all(|pool_state| pool_state.allows(now, running))
     }
 
     /// Records that a job that was accepted is refused.
     pub(super) fn record_shortage(&mut self, now: Time, running: &RunningJob) {
-        let kind = running.kind;
         for spec in running.job.stages.iter().filter(|spec| spec.pieces > 0) {
-            let shares = &mut self.pool_state(&spec.pool).shares;
-            shares.correct(now, kind, false);
+            let pool_state = self.pool_state(&spec.pool);
+            pool_state.correct_request(now, running, false);
         }
         if let Some(pool) = self.shortest_pool(running) {
-            self.pool_state(&pool).shares.record_shortage(now, kind);
+            self.pool_state(&pool).record_shortage(now, running);
         }
     }
 
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod shares;
 mod target;
 mod throttle;
+mod workspaces;
 
 pub use self::{
     job::{Handle, Job, JobId, RequestIdentity, StageSpec},
--- a/policy/src/relay/scheduler/pool.rs
+++ b/policy/src/relay/scheduler/pool.rs
@@ -1,6 +1,9 @@
 //! Scheduler state of one pool: its stage targets, its queue and its throughput.
 
-use super::{JobId, Scheduler, admission::AcceptedLoad, shares::Shares, target::StageTarget};
+use super::{
+    JobId, Scheduler, admission::AcceptedLoad, job::RunningJob, shares::Shares,
+    target::StageTarget, workspaces::Workspaces,
+};
 use crate::{
     id::{DomainId, TargetId, Time},
     relay::{plan, rate::Pace},
@@ -44,7 +47,9 @@
     /// Measured throughput.
     pub throughput: Throughput,
     /// Shares of the kinds of requests that are accepted.
-    pub shares: Shares,
+    shares: Shares,
+    /// Shares of the workspaces in them.
+    workspaces: Workspaces,
 }
 
 /// Throughput of a pool while it has a queue.
@@ -89,6 +94,37 @@
         (UTILIZATION + self.throughput.excess).clamp(least, most)
     }
 
+    /// Returns whether no other kind or workspace has a smaller share of the pool, or it has enough for all.
+    pub fn allows(&self, now: Time, running: &RunningJob) -> bool {
+        let workspace = running.job.workspace.as_ref();
+        self.shares.allow(now, running.kind)
+            && workspace.is_none_or(|workspace| self.workspaces.allow(now, workspace))
+    }
+
+    /// Records a new request and whether it was accepted.
+    pub fn record_request(&mut self, now: Time, running: &RunningJob, is_accepted: bool) {
+        self.shares.record(now, running.kind, is_accepted);
+        if let Some(workspace) = &running.job.workspace {
+            self.workspaces.record(now, workspace, is_accepted);
+        }
+    }
+
+    /// Records that a request that was accepted is refused, or accepted after it was refused.
+    pub fn correct_request(&mut self, now: Time, running: &RunningJob, is_accepted: bool) {
+        self.shares.correct(now, running.kind, is_accepted);
+        if let Some(workspace) = &running.job.workspace {
+            self.workspaces.correct(now, workspace, is_accepted);
+        }
+    }
+
+    /// Records that the pool is too short for a request.
+    pub fn record_shortage(&mut self, now: Time, running: &RunningJob) {
+        self.shares.record_shortage(now, running.kind);
+        if let Some(workspace) = &running.job.workspace {
+            self.workspaces.record_shortage(now, workspace);
+        }
+    }
+
     /// Returns a target, which may be in an evacuated domain.
     pub fn target_mut(&mut self, target: &TargetId) -> Option<&mut StageTarget> {
         self.all_mut()
@@ -272,6 +308,7 @@
             .collect();
         for (pool_state, has_queue) in self.pools.values_mut().zip(queued) {
             pool_state.review_throughput(now, has_queue);
+            pool_state.workspaces.prune(now);
         }
     }
 
--- a/policy/tests/scheduler.rs
+++ b/policy/tests/scheduler.rs
@@ -314,6 +314,54 @@
     assert!(report.on_time(LARGE_RESULTS) >= 0.95, "{counts:?}");
 }
 
+/// Guards against a workspace that takes the capacity of all others by asking for much more than usual, and
+/// against one that is shut out for it.
+#[rstest]
+#[case::small(10, 100.0)]
+#[case::large(1, 25.0)]
+fn flood_of_one_workspace_spares_the_others(
+    #[case] flooding: usize,
+    #[case] factor: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let workload = Workload::typical_site()
+        .with_flood(flooding, factor, 6.0, 14.0)
+        .with_returns();
+    let report = Simulation::deployment_b(seed).run(&workload, BURST_RUN_LENGTH);
+    let served = report.served_by_workspace();
+    let counts = report.counts;
+    let submitted: u32 = counts.iter().map(|counts| counts.submitted).sum();
+    let all: u32 = counts
+        .iter()
+        .map(|counts| counts.on_time + counts.late)
+        .sum();
+    let all = f64::from(all) / f64::from(submitted);
+    let others = served.iter().enumerate();
+    let others = others.filter(|(workspace, _)| *workspace != flooding);
+    let mean = others.map(|(_, served)| served).sum::<f64>() / (served.len() - 1) as f64;
+    assert!(mean >= 0.9, "{served:?}, all: {all}");
+    assert!(served[flooding] >= all / 4.0, "{served:?}, all: {all}");
+}
+
+/// Guards against shares that refuse requests when all workspaces ask for more than usual: none is served much
+/// less than the others, although they differ in size.
+#[rstest]
+fn burst_of_all_workspaces_is_shared(#[values(1, 2, 3)] seed: u64) {
+    let workload = Workload::typical_site()
+        .with_burst(LARGE_RESULTS, 4.0, 6.0, 12.0)
+        .with_burst(CHAIN, 5.0, 6.0, 12.0)
+        .with_returns();
+    let report = Simulation::deployment_b(seed).run(&workload, BURST_RUN_LENGTH);
+    let served = report.served_by_workspace();
+    let mean = served.iter().sum::<f64>() / served.len() as f64;
+    for (workspace, served) in served.iter().enumerate() {
+        assert!(
+            *served >= mean - 0.12,
+            "workspace {workspace}: {served}, mean: {mean}"
+        );
+    }
+}
+
 /// Guards against a less urgent kind that is served better than a more urgent one of the same pool, and
 /// against lateness for want of memory for results.
 #[rstest]
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -325,7 +325,10 @@
                     let gap =
                         -self.rng.random::<f64>().max(1e-9).ln() / self.rate(workload, kind, now);
                     self.schedule(now + Duration::from_secs_f64(gap), Event::Arrive(kind));
-                    let job = self.job(now, kind);
+                    let mut job = self.job(now, kind);
+                    let workspace = workload.workspace(now, job.id.number);
+                    self.report.record_submission(&workspace);
+                    job.workspace = Some(workspace);
                     self.report.counts[kind].submitted += 1;
                     self.jobs.insert(job.id, (kind, now, job.clone()));
                     self.open.insert(job.id);
--- a/policy/tests/simulation/report.rs
+++ b/policy/tests/simulation/report.rs
@@ -1,7 +1,8 @@
 //! Outcome of a simulation.
 
+use super::workload::workspace;
 use policy::{
-    id::{PoolId, TargetId, Time},
+    id::{PoolId, TargetId, Time, WorkspaceId},
     relay::scheduler::{JobId, Refusal},
 };
 use std::{collections::HashMap, time::Duration};
@@ -54,6 +55,8 @@
     /// When each request ended, and whether it was late or refused.
     pub(super) ends: Vec<(Time, bool)>,
     pub(super) calls: Vec<SimulatedCall>,
+    /// Requests of each workspace that were submitted and served.
+    by_workspace: HashMap<WorkspaceId, (u32, u32)>,
     /// Time of all calls in seconds, and its part for the results of delivered jobs.
     pub(super) stage_time: f64,
     pub(super) used_time: f64,
@@ -74,6 +77,26 @@
         f64::from(counts.on_time + counts.late) / f64::from(counts.submitted.max(1))
     }
 
+    pub(super) fn record_submission(&mut self, workspace: &WorkspaceId) {
+        let counts = self.by_workspace.entry(workspace.clone());
+        counts.or_default().0 += 1;
+    }
+
+    pub(super) fn record_service(&mut self, workspace: Option<&WorkspaceId>) {
+        if let Some(counts) = workspace.and_then(|name| self.by_workspace.get_mut(name)) {
+            counts.1 += 1;
+        }
+    }
+
+    /// Returns the fraction of the requests of each workspace that were served, in their order.
+    pub fn served_by_workspace(&self) -> Vec<f64> {
+        let workspaces = (0..self.by_workspace.len()).map(workspace);
+        let counts = workspaces.map(|name| self.by_workspace[&name]);
+        counts
+            .map(|(submitted, served)| f64::from(served) / f64::from(submitted))
+            .collect()
+    }
+
     /// Returns the number of refused requests.
     pub fn refused(&self) -> u32 {
         self.counts.iter().map(|counts| counts.refused).sum()
--- a/policy/tests/simulation/workload.rs
+++ b/policy/tests/simulation/workload.rs
@@ -1,6 +1,13 @@
 //! Load and faults of a simulation.
 
-use policy::id::{TargetId, Time};
+use policy::{
+    hash,
+    id::{TargetId, Time, WorkspaceId},
+};
+
+/// Fractions of the requests that the largest workspaces send; the other ones send the rest in equal parts.
+const LARGE_WORKSPACES: [f64; 3] = [0.25, 0.15, 0.1];
+const WORKSPACES: usize = 16;
 
 /// A time in which some targets of a pool are slow.
 #[derive(Clone, Debug)]
@@ -30,6 +37,8 @@
 #[derive(Clone, Debug)]
 pub struct Workload {
     pub(super) bursts: Vec<(usize, f64, f64, f64)>,
+    /// Workspace that sends more than usual, with the factor, the begin and the end in seconds.
+    flood: Option<(usize, f64, f64, f64)>,
     pub(super) deaths: Option<(f64, f64)>,
     pub(super) slow: Option<(f64, f64)>,
     pub(super) slow_period: Option<SlowPeriod>,
@@ -48,6 +57,7 @@
     pub fn typical_site() -> Self {
         Self {
             bursts: Vec::new(),
+            flood: None,
             deaths: None,
             slow: None,
             slow_period: None,
@@ -66,6 +76,12 @@
         self
     }
 
+    /// Multiplies the requests of one workspace by `factor` from `begin` to `end`, in seconds.
+    pub fn with_flood(mut self, workspace: usize, factor: f64, begin: f64, end: f64) -> Self {
+        self.flood = Some((workspace, factor, begin, end));
+        self
+    }
+
     /// Multiplies the arrival rates of all kinds by `load`.
     pub fn with_load(mut self, load: f64) -> Self {
         self.load = load;
@@ -126,12 +142,44 @@
         self
     }
 
+    /// Returns the workspace of a request with this number.
+    pub(super) fn workspace(&self, at: Time, number: u64) -> WorkspaceId {
+        let weights = self.workspace_weights(at);
+        let mut rest = hash::mix(number) as f64 / u64::MAX as f64 * weights.iter().sum::<f64>();
+        let last = weights.len() - 1;
+        let chosen = weights.iter().position(|weight| {
+            rest -= weight;
+            rest < 0.0
+        });
+        workspace(chosen.unwrap_or(last))
+    }
+
+    /// Returns the requests that each workspace sends, relative to those of all in usual times.
+    fn workspace_weights(&self, at: Time) -> [f64; WORKSPACES] {
+        let small = WORKSPACES - LARGE_WORKSPACES.len();
+        let rest = 1.0 - LARGE_WORKSPACES.iter().sum::<f64>();
+        let at = at.as_secs_f64();
+        std::array::from_fn(|index| {
+            let weight = LARGE_WORKSPACES.get(index).copied();
+            let flood = self
+                .flood
+                .filter(|&(of, _, begin, end)| of == index && (begin..end).contains(&at));
+            weight.unwrap_or(rest / small as f64) * flood.map_or(1.0, |(_, factor, ..)| factor)
+        })
+    }
+
     /// Returns the factor on the arrival rate of a kind.
     pub(super) fn factor(&self, kind: usize, at: Time) -> f64 {
+        let flood: f64 = self.workspace_weights(at).iter().sum();
         let at = at.as_secs_f64();
         let bursts = self.bursts.iter();
         let current =
             bursts.filter(|&&(of, _, begin, end)| of == kind && (begin..end).contains(&at));
-        current.map(|&(_, factor, ..)| factor).product::<f64>() * self.load
+        current.map(|&(_, factor, ..)| factor).product::<f64>() * self.load * flood
     }
 }
+
+/// Returns the name of a workspace.
+pub(super) fn workspace(index: usize) -> WorkspaceId {
+    format!("workspace-{index}").into()
+}
