A fleet that starts as a whole elects its leader at once

After a loss of all daemons, requests with stages waited a second for a leader that could not exist any more: each daemon waits for a link to the current one. If all linked daemons have started within 3 s of each other, and nine tenths of the known ones are linked, none of them can know an earlier leader, and they elect one at once. Daemons dial the others after 50 ms instead of 200 ms, and again 200 ms after a first failure instead of 400 ms.

restarted_fleet_elects_at_once fails before in its first two cases.

--- a/godwithinge/src/relay/address.rs
+++ b/godwithinge/src/relay/address.rs
@@ -10,7 +10,7 @@
 };
 use tokio::time;
 
-/// Initial delay before an address is dialled again; doubles with each failure.
+/// Delay before an address is dialled again after a failure; doubles with each further one.
 const INITIAL_REDIAL_DELAY: Duration = Duration::from_millis(200);
 /// Maximum delay before an address is dialled again.
 const MAX_REDIAL_DELAY: Duration = Duration::from_secs(3);
@@ -106,8 +106,9 @@
     /// tells whether the address was reachable, which resets the delay.
     fn record_dial_end(&self, address: SocketAddr, was_open: bool) {
         if let Some(dial) = self.known.borrow_mut().get_mut(&address) {
-            dial.failures = if was_open { 0 } else { dial.failures + 1 };
-            let delay = INITIAL_REDIAL_DELAY * 2_u32.saturating_pow(dial.failures.min(8));
+            let earlier = if was_open { 0 } else { dial.failures };
+            let delay = INITIAL_REDIAL_DELAY * 2_u32.saturating_pow(earlier.min(8));
+            dial.failures = if was_open { 0 } else { earlier + 1 };
             dial.next_attempt = dial
                 .next_attempt
                 .max(Instant::now() + delay.min(MAX_REDIAL_DELAY));
@@ -117,11 +118,12 @@
 }
 
 /// Interval at which the known addresses are checked for due dials.
-const DIAL_INTERVAL: Duration = Duration::from_millis(200); // as long as the initial redial delay
+const DIAL_INTERVAL: Duration = Duration::from_millis(50); // daemons that start again wait for their links
 
 /// Dials known daemons that are not linked; never returns.
 pub(super) async fn dial_peers(relay: Rc<Relay>) {
     loop {
+        time::sleep(DIAL_INTERVAL).await;
         let linked = relay.links.linked_addresses();
         for address in relay.links.addresses.take_due(&linked) {
             let relay = Rc::clone(&relay);
@@ -137,6 +139,5 @@
                 relay.links.addresses.record_dial_end(address, was_open);
             });
         }
-        time::sleep(DIAL_INTERVAL).await;
     }
 }
--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -277,7 +277,7 @@
     }
 
     fn elect_leader(&self, own: &Candidate, peers: &[Candidate]) -> Option<LeaderLink> {
-        match leader::elect(own, peers, self.links.addresses.count() == 0) {
+        match leader::elect(own, peers, self.links.addresses.count()) {
             Leader::Own => Some(LeaderLink::Own),
             Leader::Peer(host) => {
                 let origin = self.links.link_id(&host)?;
--- a/policy/src/relay/leader.rs
+++ b/policy/src/relay/leader.rs
@@ -17,6 +17,11 @@
 const LINK_SETTLE_TIME: Duration = Duration::from_millis(2_500);
 /// Time for which a daemon that has just started waits for a link to the leader.
 pub const JOIN_TIMEOUT: Duration = Duration::from_secs(1); // peers dial in 200 ms, or are dialled
+/// Fraction of the known daemons that a daemon must be linked to before it elects a leader of daemons that have all
+/// just started. The others may be lost.
+const LINKED_RATIO: f64 = 0.9;
+/// Maximum difference between the starts of daemons that start again after a loss of all of them, in milliseconds.
+const RESTART_SPREAD: UnixMillis = 3_000;
 /// Time after its start before which a daemon does not announce itself as leader: enough to dial
 /// after the other end has yielded.
 const CLAIM_DELAY: Duration = Duration::from_millis(1_500);
@@ -61,10 +66,11 @@
 
 /// Returns the leader from the point of view of a daemon that is linked to `peers`.
 ///
-/// `is_alone` is whether the daemon knows of no other daemon, linked or not.
-pub fn elect(own: &Candidate, peers: &[Candidate], is_alone: bool) -> Leader {
+/// `known` is the number of other daemons that it knows of, linked or not.
+pub fn elect(own: &Candidate, peers: &[Candidate], known: usize) -> Leader {
     let has_leader = peers.iter().any(Candidate::is_leader);
-    if !is_alone && !has_leader && own.linked_for < JOIN_TIMEOUT {
+    let is_unsure = known > 0 && !has_leader && own.linked_for < JOIN_TIMEOUT;
+    if is_unsure && !have_all_started(own, peers, known) {
         return Leader::Unknown;
     }
     let largest_cpu = largest_cpu(own, peers);
@@ -85,6 +91,15 @@
     }
 }
 
+/// Returns whether all daemons have just started, as after a loss of all of them. None of them can be linked to an
+/// earlier leader then, and requests would wait for the [`JOIN_TIMEOUT`] in vain.
+fn have_all_started(own: &Candidate, peers: &[Candidate], known: usize) -> bool {
+    let are_new = peers
+        .iter()
+        .all(|peer| peer.started.abs_diff(own.started) <= RESTART_SPREAD);
+    are_new && peers.len() as f64 >= known as f64 * LINKED_RATIO
+}
+
 /// Returns whether a daemon that elects itself may announce to its peers that it is the leader.
 ///
 /// Before daemons are linked to most others, many of them would elect themselves. If two daemons
--- a/policy/tests/leader.rs
+++ b/policy/tests/leader.rs
@@ -29,7 +29,7 @@
     let leaders = (0..fleet.len()).map(|index| {
         let mut peers = fleet.to_vec();
         let own = peers.remove(index);
-        match elect(&own, &peers, false) {
+        match elect(&own, &peers, peers.len()) {
             Leader::Own => Leader::Peer(own.host),
             leader => leader,
         }
@@ -149,7 +149,31 @@
     if let Some(leader) = leader {
         peers[leader].leads_since = Some(2_000);
     }
-    assert_eq!(elect(&own, &peers, false), expected);
+    assert_eq!(elect(&own, &peers, FLEET_SIZE), expected);
+}
+
+/// Guards against requests that wait for a leader after a loss of all daemons: nobody can be linked to an earlier
+/// one. While some daemons are not linked yet, or one has run for longer, a leader may exist.
+#[rstest]
+#[case::all_linked(FLEET_SIZE, 1_900, Leader::Peer("h7".into()))]
+#[case::some_are_lost(FLEET_SIZE * 19 / 20, 1_900, Leader::Peer("h7".into()))]
+#[case::some_are_not_linked(FLEET_SIZE * 4 / 5, 1_900, Leader::Unknown)]
+#[case::one_has_run_for_longer(FLEET_SIZE, 90_000, Leader::Unknown)]
+fn restarted_fleet_elects_at_once(
+    #[case] links: usize,
+    #[case] started_before_ms: u64,
+    #[case] expected: Leader,
+) {
+    let mut own = candidate(FLEET_SIZE);
+    own.started = 100_000;
+    own.linked_for = Duration::from_millis(150);
+    let mut peers: Vec<Candidate> = (0..links).map(candidate).collect();
+    for peer in &mut peers {
+        peer.started = own.started;
+        peer.linked_for = Duration::from_millis(50);
+    }
+    peers[LARGE_HOSTS].started = own.started - started_before_ms;
+    assert_eq!(elect(&own, &peers, FLEET_SIZE), expected);
 }
 
 /// Guards against a daemon without known peers waiting for a leader to link.
@@ -157,7 +181,7 @@
 fn lone_daemon_leads_at_once() {
     let mut own = candidate(0);
     own.linked_for = Duration::ZERO;
-    assert_eq!(elect(&own, &[], true), Leader::Own);
+    assert_eq!(elect(&own, &[], 0), Leader::Own);
 }
 
 /// Guards against slow failover when the leader crashes together with its successor: the leader
