Bodies of rejected requests are discarded at a bounded rate

Under many large bodies, the daemon spent its processor time on the bodies of requests that it had rejected, and the accepted ones arrived too slowly to be answered. All rejected bodies together are now read at 16 MB/s after the first 16 MB, so that a single rejected upload is read without a wait as before.

--- a/godwithinge/src/relay/buffer.rs
+++ b/godwithinge/src/relay/buffer.rs
@@ -101,12 +101,23 @@
         if size > MAX_RESPONSE_BYTES {
             return Err(TooLarge);
         }
-        while !self.memory.try_grow(size) {
+        if size > self.bytes.capacity() {
+            self.grow(size)?;
+        }
+        self.bytes.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// Makes room for `size` bytes. The buffer doubles, and exists twice while it is moved.
+    fn grow(&mut self, size: usize) -> Result<(), TooLarge> {
+        let grown = size.next_power_of_two().min(MAX_RESPONSE_BYTES);
+        while !self.memory.try_grow(grown + self.bytes.len()) {
             if !self.memory.relay.close_unread_caller() {
                 return Err(TooLarge);
             }
         }
-        self.bytes.extend_from_slice(bytes);
+        self.bytes.reserve(grown - self.bytes.len());
+        self.memory.shrink(self.bytes.capacity());
         Ok(())
     }
 
--- a/godwithinge/src/relay/callers.rs
+++ b/godwithinge/src/relay/callers.rs
@@ -4,7 +4,7 @@
     buffer::Reservation,
     state::{ConnectionGuard, Relay},
 };
-use policy::relay::callers::{self, Phase, Progress};
+use policy::relay::callers::{self, DiscardPace, Phase, Progress};
 use std::{
     cell::{Cell, OnceCell, RefCell},
     collections::BTreeMap,
@@ -35,6 +35,7 @@
     next_key: Cell<u64>,
     /// Number of open connections that are about to be closed.
     closing: Cell<usize>,
+    discard_pace: Cell<DiscardPace>,
     logged_at: Cell<Option<Instant>>,
     /// Connections that were closed since the last log line.
     unlogged: Cell<u64>,
@@ -127,6 +128,14 @@
         self.callers.open.borrow().len() * 2 >= self.max_callers()
     }
 
+    /// Records that bytes of a rejected body were discarded, and returns the wait before more of it is read.
+    pub(super) fn record_discard(&self, bytes: usize) -> Duration {
+        let mut pace = self.callers.discard_pace.get();
+        let wait = pace.record(self.now(), bytes);
+        self.callers.discard_pace.set(pace);
+        wait
+    }
+
     fn max_callers(&self) -> usize {
         let settings = self.settings();
         callers::max_connections(settings.memory_bytes, settings.max_descriptors)
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -247,7 +247,8 @@
         Err(rejection) => {
             let is_sent_on = !head.headers.contains_key(header::EXPECT);
             if rejection.reason == Reason::NoMemory && is_sent_on {
-                tokio::task::spawn_local(discard(incoming, plan.limits.body_bytes, reading));
+                let relay = Rc::clone(relay);
+                tokio::task::spawn_local(discard(relay, incoming, plan.limits.body_bytes, reading));
             }
             return Err(reject(rejection, &metadata.id));
         }
@@ -359,13 +360,21 @@
 
 /// Reads the rest of the body of a request that has been rejected, and keeps nothing of it. Closing the
 /// connection instead would reset it, and the caller might not get the response.
-async fn discard(mut body: Incoming, limit: usize, _reading: BodyGuard) {
+async fn discard(relay: Rc<Relay>, mut body: Incoming, limit: usize, _reading: BodyGuard) {
     let end = Instant::now() + DISCARD_TIMEOUT;
     let mut read = 0;
     while read <= limit {
         let next = end.min(Instant::now() + BODY_TIMEOUT);
         let frame = time::timeout_at(next.into(), body.frame()).await;
         let Ok(Some(Ok(frame))) = frame else { return };
-        read += frame.data_ref().map_or(0, Bytes::len);
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        read += length;
+        let wait = relay.record_discard(length);
+        if Instant::now() + wait >= end {
+            return;
+        }
+        if !wait.is_zero() {
+            time::sleep(wait).await;
+        }
     }
 }
--- a/policy/src/relay/callers.rs
+++ b/policy/src/relay/callers.rs
@@ -5,6 +5,7 @@
 //! are closed in favor of new ones.
 
 use super::memory::{CONNECTION_BYTES, Share};
+use crate::id::Time;
 use std::{cmp::Reverse, time::Duration};
 use strum::{EnumIter, IntoStaticStr};
 
@@ -15,6 +16,11 @@
 /// Longest time that callers give a request. A body that would take longer can't be part of a request that is
 /// answered in time.
 const MAX_BODY_TIME: Duration = Duration::from_secs(20);
+/// Rate in bytes a second at which the bodies of rejected requests are discarded, all of them together. Many of them
+/// would otherwise take the processor time that accepted bodies need.
+const DISCARD_RATE: f64 = 16e6;
+/// Number of bytes that are discarded without a wait. One rejected upload is not delayed.
+const DISCARD_BURST: f64 = 16e6;
 /// Time without a byte, or at too low a rate, after which a body counts as stalled.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
@@ -63,6 +69,23 @@
     }
 }
 
+/// Pace at which the bodies of rejected requests are discarded.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DiscardPace {
+    /// When all that was discarded would have been read at the rate.
+    drained_at: Time,
+}
+
+impl DiscardPace {
+    /// Records that `bytes` were discarded, and returns the wait before more of the same body is read.
+    pub fn record(&mut self, now: Time, bytes: usize) -> Duration {
+        let taken = Duration::from_secs_f64(bytes as f64 / DISCARD_RATE);
+        self.drained_at = self.drained_at.max(now) + taken;
+        let burst = Duration::from_secs_f64(DISCARD_BURST / DISCARD_RATE);
+        self.drained_at.saturating_sub(now + burst)
+    }
+}
+
 /// Returns how many connections of callers a daemon keeps that has `memory` bytes and, if its machine limits
 /// them, `descriptors`. Half of the descriptors are left for the requests on these connections, each of which
 /// may need a connection to a target.
