A body that arrives too slowly gives its memory to others

When a body finds no memory, the one that is expected to take longest, and more than 4 s, is now ended with 408. A body of 4 MiB over the slowest link of the platform takes 3.4 s.

--- a/godwithinge/src/relay/callers.rs
+++ b/godwithinge/src/relay/callers.rs
@@ -49,6 +49,8 @@
     /// When the first part of a head arrived of which no request has come yet.
     head_since: Cell<Option<Instant>>,
     body: Cell<Option<BodyActivity>>,
+    /// Ends the body that is being read; absent if it holds no memory.
+    body_end: RefCell<Option<Rc<Notify>>>,
     /// Since when the caller has taken no byte of a response.
     unread_since: Cell<Option<Instant>>,
     /// Memory of a response that is not written yet.
@@ -82,7 +84,10 @@
 
 /// Marks a connection as receiving the body of a request until dropped.
 #[derive(Debug)]
-pub(super) struct BodyGuard(Rc<Activity>);
+pub(super) struct BodyGuard {
+    activity: Rc<Activity>,
+    end: Rc<Notify>,
+}
 
 /// Stream of a connection that records its activity.
 #[derive(Debug)]
@@ -123,6 +128,16 @@
         is_closed
     }
 
+    /// Ends the body that arrives most slowly, if it is too slow to keep its memory while others find none. Returns
+    /// `false` if there is none. The memory is free once its task has run.
+    pub(super) fn end_slow_body(&self) -> bool {
+        let is_ended = self.callers.end_slow_body();
+        if is_ended {
+            self.record_closed_caller("slow_body");
+        }
+        is_ended
+    }
+
     /// Returns whether half of the connections that may be open are.
     pub(super) fn has_many_callers(&self) -> bool {
         self.callers.open.borrow().len() * 2 >= self.max_callers()
@@ -201,6 +216,19 @@
         true
     }
 
+    fn end_slow_body(&self) -> bool {
+        let open = self.open.borrow();
+        let now = Instant::now();
+        let bodies = open.values().filter_map(|activity| {
+            let body = activity.body.get()?;
+            let holds_memory = activity.body_end.borrow().is_some();
+            holds_memory.then(|| (activity, body.progress(now)))
+        });
+        let slowest = callers::slowest_body(bodies);
+        let end = slowest.and_then(|activity| activity.body_end.take());
+        end.inspect(|end| end.notify_one()).is_some()
+    }
+
     fn begin_closing(&self, activity: &Activity) {
         activity.is_closing.set(true);
         activity.close.notify_one();
@@ -215,6 +243,7 @@
             last_used: Cell::new(Instant::now()),
             head_since: Cell::new(None),
             body: Cell::new(None),
+            body_end: RefCell::default(),
             unread_since: Cell::new(None),
             response: RefCell::default(),
             is_closing: Cell::new(false),
@@ -339,7 +368,24 @@
             expected,
             received: 0,
         }));
-        BodyGuard(Rc::clone(&self.0))
+        let end = Rc::new(Notify::new());
+        self.0.body_end.replace(Some(Rc::clone(&end)));
+        BodyGuard {
+            activity: Rc::clone(&self.0),
+            end,
+        }
+    }
+}
+
+impl BodyGuard {
+    /// Waits until the body has to give its memory to others.
+    pub async fn until_ended(&self) {
+        self.end.notified().await;
+    }
+
+    /// Records that the body holds no memory.
+    pub fn release_memory(&self) {
+        self.activity.body_end.take();
     }
 }
 
@@ -352,7 +398,8 @@
 
 impl Drop for BodyGuard {
     fn drop(&mut self) {
-        self.0.body.set(None);
+        self.activity.body.set(None);
+        self.activity.body_end.take();
     }
 }
 
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -240,6 +240,7 @@
     let mut incoming = body;
     let body = tokio::select! {
         body = read_body(relay, &mut incoming, plan.limits.body_bytes, deadline, &mut memory) => body,
+        () = reading.until_ended() => Err(Rejection::new(Reason::BodyTimeout)),
         () = relay.until_last_call() => Err(leaving),
     };
     let body = match body {
@@ -247,6 +248,7 @@
         Err(rejection) => {
             let is_sent_on = !head.headers.contains_key(header::EXPECT);
             if rejection.reason == Reason::NoMemory && is_sent_on {
+                reading.release_memory();
                 let relay = Rc::clone(relay);
                 tokio::task::spawn_local(discard(relay, incoming, plan.limits.body_bytes, reading));
             }
@@ -308,9 +310,13 @@
     if length > limit {
         return Err(too_large);
     }
-    if !memory.try_grow(length) {
-        relay.record_refused_body();
-        return Err(no_memory);
+    while !memory.try_grow(length) {
+        if !relay.end_slow_body() {
+            relay.record_refused_body();
+            return Err(no_memory);
+        }
+        // The task of the body that was ended returns its memory.
+        tokio::task::yield_now().await;
     }
     let mut bytes = BytesMut::with_capacity(length);
     loop {
--- a/policy/src/relay/callers.rs
+++ b/policy/src/relay/callers.rs
@@ -16,6 +16,11 @@
 /// Longest time that callers give a request. A body that would take longer can't be part of a request that is
 /// answered in time.
 const MAX_BODY_TIME: Duration = Duration::from_secs(20);
+/// Time that a body may still need while others find no memory. A body of 4 MiB takes 3.4 s over a link of
+/// 10 Mbit/s, the slowest one of the platform.
+const MAX_REST_TIME: Duration = Duration::from_secs(4);
+/// Age from which the rate of a body is known.
+const MIN_BODY_AGE: Duration = Duration::from_millis(300);
 /// Rate in bytes a second at which the bodies of rejected requests are discarded, all of them together. Many of them
 /// would otherwise take the processor time that accepted bodies need.
 const DISCARD_RATE: f64 = 16e6;
@@ -57,6 +62,19 @@
 }
 
 impl Progress {
+    /// Returns the time until the body is complete if the rest arrives at the same rate; `None` if nothing has
+    /// arrived.
+    fn rest_time(&self) -> Option<Duration> {
+        let rest = self.expected.saturating_sub(self.received);
+        (self.received > 0).then(|| self.age.mul_f64(rest as f64 / self.received as f64))
+    }
+
+    /// Returns whether the body arrives too slowly to keep its memory while others find none.
+    fn is_slow(&self) -> bool {
+        let rest_time = self.rest_time();
+        self.age >= MIN_BODY_AGE && rest_time.is_none_or(|rest_time| rest_time > MAX_REST_TIME)
+    }
+
     /// Returns whether the body has stalled, or arrives so slowly that its request can't be answered before any
     /// deadline.
     pub fn is_stalled(&self) -> bool {
@@ -98,6 +116,13 @@
     usize::try_from(bound).unwrap_or(usize::MAX)
 }
 
+/// Returns the slowest of the bodies that arrive too slowly to keep their memory while others find none.
+pub fn slowest_body<K>(bodies: impl Iterator<Item = (K, Progress)>) -> Option<K> {
+    let slow = bodies.filter(|(_, progress)| progress.is_slow());
+    let slowest = slow.max_by_key(|(_, progress)| progress.rest_time().unwrap_or(Duration::MAX));
+    slowest.map(|(key, _)| key)
+}
+
 /// Returns the connection that is closed first, given what each one does and for how long; `None` if all of
 /// them are busy.
 pub fn first_to_close<K>(connections: impl Iterator<Item = (K, Phase, Duration)>) -> Option<K> {
--- a/policy/tests/memory.rs
+++ b/policy/tests/memory.rs
@@ -1,7 +1,7 @@
 //! Memory that bursts of large requests, responses without end and connections may take from a daemon.
 
 use policy::relay::{
-    callers::{Phase, Progress, first_to_close, max_connections},
+    callers::{DiscardPace, Phase, Progress, first_to_close, max_connections, slowest_body},
     memory::{CONNECTION_BYTES, SMALL_REQUEST_BYTES, SMALL_RESPONSE_BYTES, Share, Usage},
 };
 use rstest::rstest;
@@ -212,3 +212,50 @@
     // A buffer that doubles needs the new size and the old one at the last step.
     assert!(usage.try_grow_unannounced(0, 6 << 20, 4 << 20, memory));
 }
+
+const MB: u64 = 1_000_000;
+
+/// Returns a body of 4 MB of which a part has arrived in `age_ms`.
+fn body(received: u64, age_ms: u64) -> Progress {
+    Progress {
+        expected: 4 * MB,
+        received,
+        age: Duration::from_millis(age_ms),
+        silence: Duration::ZERO,
+    }
+}
+
+/// Guards against large bodies that find no memory beside many that arrive piece by piece, and against bodies that are
+/// ended although they are new or arrive as fast as the slowest link allows.
+#[test]
+fn slowest_body_gives_its_memory_to_others() {
+    let kept = [
+        body(0, 299),
+        body(MB / 20, 299),
+        body(MB, 1_000),
+        body(4 * MB - 1, 9_000),
+    ];
+    assert_eq!(slowest_body(kept.iter().copied().enumerate()), None);
+    let slow = [
+        body(MB / 2, 1_000),
+        body(MB / 4, 1_000),
+        body(4 * MB - 1, 9_000),
+    ];
+    assert_eq!(slowest_body(slow.into_iter().enumerate()), Some(1));
+    let silent = [body(MB / 4, 1_000), body(0, 300)];
+    assert_eq!(slowest_body(silent.into_iter().enumerate()), Some(1));
+}
+
+/// Guards against rejected bodies that take the processor time of accepted ones, and against a wait for a single one.
+#[test]
+fn rejected_bodies_are_discarded_at_a_bounded_rate() {
+    let mut pace = DiscardPace::default();
+    let single: Duration = (0..64).map(|_| pace.record(Duration::ZERO, 64 << 10)).sum();
+    assert_eq!(single, Duration::ZERO);
+    let (mut now, mut bytes) = (Duration::ZERO, 0);
+    while now < Duration::from_secs(10) {
+        bytes += 64 << 10;
+        now += pace.record(now, 64 << 10);
+    }
+    assert!(bytes as u64 <= 11 * 16 * MB, "{bytes} bytes in 10 s");
+}
