--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -12,7 +12,7 @@
         rate::Rate,
         reach::Evidence,
         registry::{Build, Target},
-        scheduler::{PoolStats, Refusal, Reply},
+        scheduler::{PoolStats, Refusal, Reply, Scheduler},
         selection::{Part, PartId, Selection},
         sse::EventId,
     },
@@ -381,7 +381,7 @@
 }
 
 /// Logs the state of one pool of the leader's scheduler.
-pub(super) fn pool_stats(stats: &PoolStats, jobs: usize, scheduler_time: Duration) {
+pub(super) fn pool_stats(stats: &PoolStats, scheduler: &Scheduler, scheduler_time: Duration) {
     tracing::info!(
         pool = %stats.pool,
         waiting = stats.waiting,
@@ -392,7 +392,8 @@
         slow = stats.slow,
         room_bytes = stats.room,
         usual_ms = millis(stats.call_time),
-        jobs,
+        jobs = scheduler.unfinished_jobs(),
+        share_refusals = scheduler.share_refusals(),
         scheduler_ms = millis(scheduler_time),
         "stage queue"
     );
--- a/godwithinge/src/relay/scheduler.rs
+++ b/godwithinge/src/relay/scheduler.rs
@@ -39,7 +39,7 @@
             return;
         }
         for stats in scheduler.pool_stats(relay.now()) {
-            event::pool_stats(&stats, scheduler.unfinished_jobs(), busy_time);
+            event::pool_stats(&stats, &scheduler, busy_time);
         }
     }
 
--- a/policy/src/relay/scheduler/admission.rs
+++ b/policy/src/relay/scheduler/admission.rs
@@ -126,6 +126,7 @@
                 || now + self.late_first_event(now, running) <= job.deadline);
         let is_allowed = is_promised || self.allows_share(now, running);
         let is_accepted = has_room && is_allowed;
+        self.share_refusals += u64::from(has_room && !is_allowed);
         if !has_room && let Some(pool) = self.shortest_pool(running) {
             self.pool_state(&pool).record_shortage(now, running);
         }
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -89,6 +89,8 @@
     has_lost_results: bool,
     /// Missing pieces by pool and home domain of their jobs.
     load_by_domain: HashMap<(PoolId, DomainId), usize>,
+    /// Jobs that were refused so that others get their share.
+    share_refusals: u64,
     /// Domains whose targets get no calls and no releases of results.
     evacuated_domains: BTreeSet<DomainId>,
 }
@@ -362,6 +364,11 @@
         jobs.filter(|running| running.ready_at.is_none()).count()
     }
 
+    /// Returns how many jobs were refused, although there was room, so that other kinds and workspaces get their share.
+    pub fn share_refusals(&self) -> u64 {
+        self.share_refusals
+    }
+
     fn pool_state(&mut self, pool: &PoolId) -> &mut PoolState {
         self.pools.entry(pool.clone()).or_default()
     }
