--- a/godwithinge/src/http/tracked.rs
+++ b/godwithinge/src/http/tracked.rs
@@ -45,9 +45,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let unread = buf.remaining();
+        let free = buf.remaining();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        if unread > 0 && buf.remaining() == unread && !self.is_written {
+        if free > 0 && buf.remaining() == free && !self.is_written {
             self.ended_early.store(true, Ordering::Relaxed);
         }
         Poll::Ready(Ok(()))
