--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the third review start, without a network. The daemons are built
+# with the command of the deploy file before.
+set -euo pipefail
+cd "$(dirname "$0")/standins-3"
+cargo build --release --locked --offline
