--- a/review/standins-3/src/bin/case-15.rs
+++ b/review/standins-3/src/bin/case-15.rs
@@ -1,194 +1,255 @@
-//! A daemon that is stopped after its settings file has changed without a signal.
+//! Many clients that read their streams slowly, at one daemon.
 
 use serde_json::{Value, json};
 use standins_3::{
     case::{self, Draw, Record},
-    client::{self, Call},
+    client::{self, Answer, Call},
     engine::{Engine, Role, World},
     fleet::Fleet,
+    http,
     store::Store,
 };
 use std::{
-    collections::HashMap,
     fs,
-    sync::{Arc, Mutex},
+    io::{BufReader, Read, Write},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
 const DEADLINE: Duration = Duration::from_secs(20);
-const REQUESTS: usize = 10;
-/// Duration of a stage call, of which the two engines run one at a time each.
-const CALL: Duration = Duration::from_millis(1_500);
-const GRACE_BEFORE: u64 = 8;
-const GRACE_AFTER: u64 = 4;
-const LOSS_SLACK: Duration = Duration::from_millis(200);
+const CLIENTS: usize = 1_200;
+const ENGINES: usize = 20;
+const EVENT_BYTES: usize = 4_000;
+const EVENTS: u64 = 200;
+/// What a slow client reads at a time, and the pause after it: 60 kB a second, so that it has its stream of
+/// 0.8 MB in 14 s.
+const READ_BYTES: usize = 3_000;
+const READ_PAUSE: Duration = Duration::from_millis(50);
+const RECEIVE_BUFFER: usize = 4 << 10;
+/// `memory-mb` of the settings.
+const MEMORY_BYTES: u64 = 260_000_000;
+const STACK_BYTES: usize = 256 << 10;
 
-/// What became of a request.
-struct Outcome {
-    sent: Instant,
-    ended: Instant,
-    status: u16,
-    is_complete: bool,
+#[derive(Default)]
+struct Counts {
+    kept: usize,
+    whole: usize,
+    cut: usize,
+    refused: usize,
 }
 
 fn main() {
     let record = Record::create(15);
     let store = Store::start();
     let world = Arc::new(World::default());
-    let model = Role::Model {
-        pause: Duration::from_millis(20),
-        bytes: 60,
-    };
-    let maker = Role::Stage {
-        call: CALL,
-        item: Duration::ZERO,
+    let role = Role::Model {
+        pause: Duration::from_millis(1),
+        bytes: EVENT_BYTES,
     };
     let mut engines = Vec::new();
-    for (service, role) in [("s-model", model), ("s-scan", maker)] {
-        for (number, zone) in [(1, "z-a"), (2, "z-b")] {
-            let id = format!("i-{service}-{number}");
-            engines.push(Engine::start(
-                &world, &store, &id, service, zone, "v1", role,
-            ));
-        }
-    }
-    store.put("op", "config", &config());
-    let mut fleet = Fleet::start(store.address, 2);
-    thread::sleep(Duration::from_secs(4));
-    let grace = if case::has_trouble() {
-        let file = fleet.settings_file(0);
-        let text = fs::read_to_string(file).expect("the settings file is readable");
-        let text = text.replace(
-            &format!("grace-s = {GRACE_BEFORE}\n"),
-            &format!("grace-s = {GRACE_AFTER}\n"),
+    for number in 0..ENGINES {
+        let (id, zone) = (
+            format!("i-model-{number}"),
+            ["z-a", "z-b", "z-c"][number % 3],
         );
-        fs::write(file, text).expect("the settings file is writable");
-        record.line(format!(
-            "the settings file of daemon 0 has grace-s = {GRACE_AFTER} from now on, no signal"
+        engines.push(Engine::start(
+            &world, &store, &id, "s-model", zone, "v1", role,
         ));
-        GRACE_AFTER
-    } else {
-        GRACE_BEFORE
-    };
+    }
+    store.put("op", "config", &config());
+    let mut fleet = Fleet::start(store.address, 1);
     thread::sleep(Duration::from_secs(3));
 
-    let outcomes: Mutex<HashMap<String, Outcome>> = Mutex::default();
+    let (counts, is_over) = (Mutex::new(Counts::default()), AtomicBool::new(false));
     let mut draw = Draw::new(15);
     let address = fleet.front(0);
-    let mut terminated = Instant::now();
+    let mut most = 0;
+    let mut is_killed = false;
     thread::scope(|scope| {
-        for _ in 0..REQUESTS {
-            let (id, key) = (draw.id(), draw.id());
-            let (record, outcomes) = (&record, &outcomes);
-            scope.spawn(move || {
-                let sent = Instant::now();
-                record.line(format!("sent {id}"));
-                let answer = client::send(address, &request(&id, &key), sent + DEADLINE);
+        let (record, counts, is_over) = (&record, &counts, &is_over);
+        scope.spawn(move || {
+            let clients: Vec<_> = (0..CLIENTS)
+                .map(|_| {
+                    let ids = [draw.id(), draw.id()];
+                    let client = thread::Builder::new().stack_size(STACK_BYTES);
+                    let client =
+                        client.spawn_scoped(scope, move || run(record, counts, address, &ids));
+                    thread::sleep(Duration::from_millis(2));
+                    client.expect("a thread can be started")
+                })
+                .collect();
+            for client in clients {
+                drop(client.join());
+            }
+            is_over.store(true, Ordering::SeqCst);
+        });
+        // The platform kills a process that exceeds its memory.
+        while !is_over.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(100));
+            let Some(id) = fleet.process_id(0) else {
+                continue;
+            };
+            let used = resident_bytes(id);
+            if used > most + 10_000_000 {
+                record.line(format!("the daemon has {} MB", used / 1_000_000));
+                most = used;
+            }
+            if used > MEMORY_BYTES && !is_killed {
+                is_killed = true;
                 record.line(format!(
-                    "answered {id} {} complete {} events {} {}",
-                    answer.status,
-                    answer.is_complete,
-                    answer.event_ids().len(),
-                    if answer.status == 200 {
-                        String::new()
-                    } else {
-                        answer.text().trim().to_owned()
-                    }
+                    "the daemon has {used} bytes, more than {MEMORY_BYTES}: killed"
                 ));
-                let outcome = Outcome {
-                    sent,
-                    ended: Instant::now(),
-                    status: answer.status,
-                    is_complete: answer.is_complete,
-                };
-                outcomes.lock().unwrap().insert(id, outcome);
-            });
-            thread::sleep(Duration::from_millis(20));
-        }
-        thread::sleep(Duration::from_millis(300));
-        terminated = Instant::now();
-        fleet.signal(0, "TERM");
-        record.line("SIGTERM to daemon 0");
-        while terminated.elapsed() < Duration::from_secs(grace) {
-            if let Some(status) = fleet.has_exited(0) {
-                record.line(format!("daemon 0 has ended: {status}"));
-                break;
+                fleet.kill(0);
             }
-            thread::sleep(Duration::from_millis(20));
-        }
-        if fleet.process_id(0).is_some() {
-            fleet.kill(0);
-            record.line(format!("SIGKILL to daemon 0, {grace} s after SIGTERM"));
         }
     });
+    record.line(format!(
+        "engines ran {} requests",
+        world.runs.lock().unwrap().len()
+    ));
     drop(fleet);
-    // Engines record their calls when they end.
-    thread::sleep(CALL + Duration::from_millis(500));
-    let outcomes = outcomes.into_inner().unwrap();
-    let last_sixth = terminated + Duration::from_secs(grace).mul_f64(5.0 / 6.0);
-    let (mut answered, mut excused, mut lost) = (0, 0, 0);
-    for (id, outcome) in &outcomes {
-        if outcome.is_complete && outcome.status != 0 {
-            answered += 1;
-        } else if is_in_work(&world, id, last_sixth) {
-            excused += 1;
-        } else if outcome.ended > outcome.sent + LOSS_SLACK {
-            lost += 1;
-            record.line(format!(
-                "LOST: {id} had no complete answer, and no engine was at work on it"
-            ));
-        }
-    }
+    let counts = counts.into_inner().unwrap();
     let summary = format!(
-        "{answered} of {} requests answered, {excused} cut while an engine was at work on them, {lost} cut while they waited",
-        outcomes.len()
+        "the daemon had {} MB at most, killed {is_killed}; of {} streams on kept connections {} came whole, {} were cut after an engine had begun, {} were refused",
+        most / 1_000_000,
+        counts.kept,
+        counts.whole,
+        counts.cut,
+        counts.refused
     );
-    case::finish(&record, lost > 0, &summary);
+    if counts.kept * 2 < CLIENTS {
+        record.line(&summary);
+        standins_3::fleet::unable("most connections could not be opened");
+    }
+    case::finish(&record, counts.cut > 3, &summary);
 }
 
-/// Returns whether an engine worked on a request, or on a piece of it, at or after `since`.
-fn is_in_work(world: &World, id: &str, since: Instant) -> bool {
-    let calls = world.calls.lock().unwrap();
-    let has_call = calls.iter().any(|call| {
-        call.at + CALL >= since
-            && call
-                .items
-                .iter()
-                .any(|item| item["id"].as_str() == Some(id))
-    });
-    has_call || world.runs.lock().unwrap().iter().any(|run| run.id == id)
+/// Sends a short request and then a stream on one connection.
+fn run(record: &Record, counts: &Mutex<Counts>, address: SocketAddr, ids: &[String; 2]) {
+    let Ok(mut stream) = client::connect_with_buffer(address, RECEIVE_BUFFER) else {
+        return;
+    };
+    let until = Instant::now() + DEADLINE;
+    let mut first = Answer::default();
+    let Ok(clone) = stream.try_clone() else {
+        return;
+    };
+    drop(client::exchange(
+        clone,
+        &request(&ids[0], 2),
+        until,
+        &mut first,
+        &mut |_| (),
+    ));
+    if !first.is_complete || first.status != 200 {
+        record.line(format!(
+            "answered {} {} complete {}",
+            ids[0], first.status, first.is_complete
+        ));
+        return;
+    }
+    counts.lock().unwrap().kept += 1;
+    if stream
+        .write_all(&request(&ids[1], EVENTS).encode())
+        .is_err()
+    {
+        return;
+    }
+    let until = Instant::now() + DEADLINE;
+    drop(stream.set_read_timeout(Some(DEADLINE)));
+    let mut reader = BufReader::with_capacity(READ_BYTES, Slow(&stream));
+    let mut answer = Answer::default();
+    if let Ok(Some(head)) = http::read_head(&mut reader) {
+        answer.status = head
+            .start
+            .split(' ')
+            .nth(1)
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0);
+        answer.head = head;
+        while answer.status == 200 && Instant::now() < until {
+            match http::read_chunk(&mut reader) {
+                Ok(chunk) if chunk.is_empty() => answer.is_complete = true,
+                Ok(chunk) => {
+                    answer.body.extend(chunk);
+                    continue;
+                }
+                Err(_) => {}
+            }
+            break;
+        }
+    }
+    let is_late = Instant::now() >= until;
+    record.line(format!(
+        "answered {} {} complete {} events {} late {is_late}",
+        ids[1],
+        answer.status,
+        answer.is_complete,
+        answer.event_ids().len()
+    ));
+    let mut counts = counts.lock().unwrap();
+    match answer.status {
+        200 if answer.is_complete => counts.whole += 1,
+        200 if !is_late => counts.cut += 1,
+        200 => {}
+        _ => counts.refused += 1,
+    }
+}
+
+/// Reads without a pause, or slowly.
+struct Slow<'a>(&'a std::net::TcpStream);
+
+impl Read for Slow<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let read = self.0.read(buffer)?;
+        if case::has_trouble() {
+            thread::sleep(READ_PAUSE);
+        }
+        Ok(read)
+    }
+}
+
+fn resident_bytes(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .unwrap_or_default();
+    let kib: u64 = line
+        .split_whitespace()
+        .nth(1)
+        .and_then(|kib| kib.parse().ok())
+        .unwrap_or(0);
+    kib * 1_024
 }
 
-fn request(id: &str, key: &str) -> Call {
-    Call::new("POST", "/note/7", id, DEADLINE)
+fn request(id: &str, events: u64) -> Call {
+    Call::new("POST", "/chat/7", id, DEADLINE)
         .with("Godwithinge-Model-Name", "m")
-        .with("Godwithinge-Token-Counts", "640,6")
+        .with("Godwithinge-Token-Counts", format!("640,{events}"))
         .with(
             "Godwithinge-Prompt-Prefix",
             format!("5c1e07a2:500,{id}:140"),
         )
-        .with("Godwithinge-Piece-Count", "1")
-        .with("Godwithinge-Piece-Key", key)
-        .with_body(b"a note".to_vec())
+        .with_body(b"a question".to_vec())
 }
 
 fn config() -> Value {
-    let pieces = json!({"slots": 1, "queue": 2, "batch": 1, "call-ms": CALL.as_millis() as u64, "item-ms": 1.0,
-                        "room-mb": 18.0, "handle-s": 4.0, "link-mbps": 10000});
     json!({
         "version": 1,
         "routes": [{
-            "name": "r-note", "host": "fit.example", "prefix": "/note/", "kind": "streaming",
-            "timeout-ms": 20_000, "target-latency-ms": 15_000, "priority": 2, "service": "s-model",
-            "max-attempts": 2, "stages": [{"service": "s-scan", "after": [], "bytes": 8000}],
-            "public": false, "sticky": true, "resumable": true, "gap-aim-ms": 200,
+            "name": "r-chat", "host": "fit.example", "prefix": "/chat/", "kind": "streaming",
+            "timeout-ms": 20_000, "target-latency-ms": 1700, "priority": 2, "service": "s-model",
+            "max-attempts": 2, "stages": [], "public": false, "sticky": true, "resumable": true,
+            "gap-aim-ms": 200,
         }],
-        "services": [
-            {"name": "s-model", "health-path": "/healthz", "max-connections": 360, "protocol": "h1",
-             "tls": false, "engine": {"slots": 64, "kv-tokens": 370_000}},
-            {"name": "s-scan", "health-path": "/healthz", "max-connections": 360, "pieces": pieces},
-        ],
+        "services": [{"name": "s-model", "health-path": "/healthz", "max-connections": 360,
+                      "protocol": "h1", "tls": false, "engine": {"slots": 64, "kv-tokens": 370_000}}],
         "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304,
                    "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
         "tenants": [{"name": "tailors", "api-keys": ["k-1"]}],
