--- a/review/standins-3/src/bin/case-13.rs
+++ b/review/standins-3/src/bin/case-13.rs
@@ -1,189 +1,257 @@
-//! Answers that clients read slowly while the configuration shortens the idle timeout.
+//! Many clients that read their streams slowly, at one daemon.
 
 use serde_json::{Value, json};
 use standins_3::{
     case::{self, Draw, Record},
-    client::{self, Call},
+    client::{self, Answer, Call},
     engine::{Engine, Role, World},
     fleet::Fleet,
     http,
     store::Store,
 };
 use std::{
+    fs,
     io::{BufReader, Read, Write},
-    net::{Shutdown, SocketAddr},
-    sync::{Arc, Mutex},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
-const DEADLINE: Duration = Duration::from_secs(60);
-const ANSWER_BYTES: usize = 2_400_000;
-/// What a client reads at a time, and the pause after it: 200 kB a second.
-const READ_BYTES: usize = 4_000;
-const READ_PAUSE: Duration = Duration::from_millis(20);
-/// Receive buffer of a client.
+const DEADLINE: Duration = Duration::from_secs(20);
+const CLIENTS: usize = 1_200;
+const ENGINES: usize = 20;
+const EVENT_BYTES: usize = 4_000;
+const EVENTS: u64 = 200;
+/// What a slow client reads at a time, and the pause after it: 60 kB a second, so that it has its stream of
+/// 0.8 MB in 14 s.
+const READ_BYTES: usize = 3_000;
+const READ_PAUSE: Duration = Duration::from_millis(50);
 const RECEIVE_BUFFER: usize = 4 << 10;
-const READERS: usize = 6;
-/// Time between the requests and the configuration.
-const CHANGE_AFTER: Duration = Duration::from_secs(6);
-/// `config-ms` of the settings + 1 s: the time after the acknowledgement in which a configuration counts as planned work.
-const PLANNED: Duration = Duration::from_secs(3);
+/// `memory-mb` of the settings.
+const MEMORY_BYTES: u64 = 260_000_000;
+const STACK_BYTES: usize = 256 << 10;
 
-/// What became of a request.
-#[derive(Clone, Debug)]
-struct Outcome {
-    status: u16,
-    received: usize,
-    ended: Instant,
-    is_complete: bool,
+#[derive(Default)]
+struct Counts {
+    kept: usize,
+    whole: usize,
+    cut: usize,
+    refused: usize,
 }
 
 fn main() {
     let record = Record::create(13);
     let store = Store::start();
     let world = Arc::new(World::default());
-    let role = Role::Plain {
-        work: Duration::from_millis(30),
-        bytes: ANSWER_BYTES,
+    let role = Role::Model {
+        pause: Duration::from_millis(1),
+        bytes: EVENT_BYTES,
     };
     let mut engines = Vec::new();
-    for (number, zone) in [(1, "z-a"), (2, "z-b"), (3, "z-c")] {
-        let id = format!("i-plain-{number}");
+    for number in 0..ENGINES {
+        let (id, zone) = (
+            format!("i-model-{number}"),
+            ["z-a", "z-b", "z-c"][number % 3],
+        );
         engines.push(Engine::start(
-            &world, &store, &id, "s-plain", zone, "v1", role,
+            &world, &store, &id, "s-model", zone, "v1", role,
         ));
     }
-    store.put("op", "config", &config(1, 15_000));
-    let fleet = Fleet::start(store.address, 2);
+    store.put("op", "config", &config());
+    let mut fleet = Fleet::start(store.address, 1);
     thread::sleep(Duration::from_secs(3));
 
-    let mut draw = Draw::new(13);
-    let outcomes: [Mutex<Vec<Outcome>>; 2] = Default::default();
-    let mut acknowledged = None;
+    let (counts, is_over) = (Mutex::new(Counts::default()), AtomicBool::new(false));
+    let mut draw = Draw::new(15);
+    let address = fleet.front(0);
+    let mut most = 0;
+    let mut is_killed = false;
     thread::scope(|scope| {
-        // Before any change, then beside one.
-        for (phase, outcomes) in outcomes.iter().enumerate() {
-            for number in 0..READERS {
-                let (id, address) = (draw.id(), fleet.front(number % fleet.len()));
-                let record = &record;
-                scope.spawn(move || {
-                    let outcome = read_slowly(record, address, &id);
-                    record.line(format!(
-                        "answered {id} {} {} of {ANSWER_BYTES} bytes, complete {}",
-                        outcome.status, outcome.received, outcome.is_complete
-                    ));
-                    outcomes.lock().unwrap().push(outcome);
-                });
+        let (record, counts, is_over) = (&record, &counts, &is_over);
+        scope.spawn(move || {
+            let clients: Vec<_> = (0..CLIENTS)
+                .map(|_| {
+                    let ids = [draw.id(), draw.id()];
+                    let client = thread::Builder::new().stack_size(STACK_BYTES);
+                    let client =
+                        client.spawn_scoped(scope, move || run(record, counts, address, &ids));
+                    thread::sleep(Duration::from_millis(2));
+                    client.expect("a thread can be started")
+                })
+                .collect();
+            for client in clients {
+                drop(client.join());
             }
-            if phase == 0 {
-                thread::sleep(Duration::from_secs(14));
+            is_over.store(true, Ordering::SeqCst);
+        });
+        // The platform kills a process that exceeds its memory.
+        while !is_over.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(100));
+            let Some(id) = fleet.process_id(0) else {
                 continue;
+            };
+            let used = resident_bytes(id);
+            if used > most + 10_000_000 {
+                record.line(format!("the daemon has {} MB", used / 1_000_000));
+                most = used;
+            }
+            if used > MEMORY_BYTES && !is_killed {
+                is_killed = true;
+                record.line(format!(
+                    "the daemon has {used} bytes, more than {MEMORY_BYTES}: killed"
+                ));
+                fleet.kill(0);
             }
-            thread::sleep(CHANGE_AFTER);
-            let idle = if case::has_trouble() { 2_000 } else { 15_000 };
-            let at = store.put("op", "config", &config(2, idle));
-            record.line_at(
-                at,
-                format!("configuration 2 acknowledged: idle-timeout-ms {idle}"),
-            );
-            acknowledged = Some(at);
         }
     });
-    for run in world.runs.lock().unwrap().iter() {
-        record.line_at(run.at, format!("{} ran {}", run.engine, run.id));
-    }
+    record.line(format!(
+        "engines ran {} requests",
+        world.runs.lock().unwrap().len()
+    ));
     drop(fleet);
-    let [before, beside] = outcomes.map(|outcomes| outcomes.into_inner().unwrap());
-    let acknowledged = acknowledged.unwrap_or_else(Instant::now);
-    let is_cut = |outcome: &&Outcome| outcome.status == 200 && !outcome.is_complete;
-    let cut_before = before.iter().filter(is_cut).count();
-    let cut_beside = beside.iter().filter(is_cut);
-    let cut_beside = cut_beside
-        .filter(|outcome| outcome.ended <= acknowledged + PLANNED)
-        .count();
-    let whole = |outcomes: &[Outcome]| {
-        outcomes
-            .iter()
-            .filter(|outcome| outcome.is_complete)
-            .count()
-    };
+    let counts = counts.into_inner().unwrap();
     let summary = format!(
-        "before the change {} of {} answers whole, {cut_before} cut; beside it {} of {} whole, {cut_beside} cut within {PLANNED:?} of its acknowledgement",
-        whole(&before),
-        before.len(),
-        whole(&beside),
-        beside.len()
+        "the daemon had {} MB at most, killed {is_killed}; of {} streams on kept connections {} came whole, {} were cut after an engine had begun, {} were refused",
+        most / 1_000_000,
+        counts.kept,
+        counts.whole,
+        counts.cut,
+        counts.refused
     );
-    if whole(&before) * 2 < before.len() {
+    if counts.kept * 2 < CLIENTS {
         record.line(&summary);
-        standins_3::fleet::unable("answers are not whole without a change");
+        standins_3::fleet::unable("most connections could not be opened");
     }
-    // Beside a configuration, cuts count if they are more than three times as frequent as at other times.
-    case::finish(
-        &record,
-        cut_beside > 3 && cut_beside > cut_before * 3,
-        &summary,
-    );
+    case::finish(&record, counts.cut > 3, &summary);
 }
 
-/// Sends a request and reads its answer slowly, but without a pause of more than 20 ms.
-fn read_slowly(record: &Record, address: SocketAddr, id: &str) -> Outcome {
-    let call = Call::new("POST", "/order/7", id, DEADLINE).with_body(b"a report".to_vec());
-    record.line(format!("sent {id}"));
-    let mut outcome = Outcome {
-        status: 0,
-        received: 0,
-        ended: Instant::now(),
-        is_complete: false,
-    };
+/// Sends a short request and then a stream on one connection.
+fn run(record: &Record, counts: &Mutex<Counts>, address: SocketAddr, ids: &[String; 2]) {
     let Ok(mut stream) = client::connect_with_buffer(address, RECEIVE_BUFFER) else {
-        return outcome;
+        return;
     };
-    if stream.write_all(&call.encode()).is_err() {
-        return outcome;
+    let until = Instant::now() + DEADLINE;
+    let mut first = Answer::default();
+    let Ok(clone) = stream.try_clone() else {
+        return;
+    };
+    drop(client::exchange(
+        clone,
+        &request(&ids[0], 2),
+        until,
+        &mut first,
+        &mut |_| (),
+    ));
+    if !first.is_complete || first.status != 200 {
+        record.line(format!(
+            "answered {} {} complete {}",
+            ids[0], first.status, first.is_complete
+        ));
+        return;
+    }
+    counts.lock().unwrap().kept += 1;
+    if stream
+        .write_all(&request(&ids[1], EVENTS).encode())
+        .is_err()
+    {
+        return;
     }
     let until = Instant::now() + DEADLINE;
     drop(stream.set_read_timeout(Some(DEADLINE)));
-    let mut reader = BufReader::with_capacity(READ_BYTES, &stream);
+    let mut reader = BufReader::with_capacity(READ_BYTES, Slow(&stream));
+    let mut answer = Answer::default();
     if let Ok(Some(head)) = http::read_head(&mut reader) {
-        outcome.status = head
+        answer.status = head
             .start
             .split(' ')
             .nth(1)
             .and_then(|code| code.parse().ok())
             .unwrap_or(0);
-        let length = head
-            .field("content-length")
-            .and_then(|length| length.parse().ok())
-            .unwrap_or(0);
-        let mut buffer = vec![0; READ_BYTES];
-        while outcome.received < length && Instant::now() < until {
-            match reader.read(&mut buffer) {
-                Ok(0) | Err(_) => break,
-                Ok(read) => outcome.received += read,
+        answer.head = head;
+        while answer.status == 200 && Instant::now() < until {
+            match http::read_chunk(&mut reader) {
+                Ok(chunk) if chunk.is_empty() => answer.is_complete = true,
+                Ok(chunk) => {
+                    answer.body.extend(chunk);
+                    continue;
+                }
+                Err(_) => {}
             }
+            break;
+        }
+    }
+    let is_late = Instant::now() >= until;
+    record.line(format!(
+        "answered {} {} complete {} events {} late {is_late}",
+        ids[1],
+        answer.status,
+        answer.is_complete,
+        answer.event_ids().len()
+    ));
+    let mut counts = counts.lock().unwrap();
+    match answer.status {
+        200 if answer.is_complete => counts.whole += 1,
+        200 if !is_late => counts.cut += 1,
+        200 => {}
+        _ => counts.refused += 1,
+    }
+}
+
+/// Reads without a pause, or slowly.
+struct Slow<'a>(&'a std::net::TcpStream);
+
+impl Read for Slow<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let read = self.0.read(buffer)?;
+        if case::has_trouble() {
             thread::sleep(READ_PAUSE);
         }
-        outcome.is_complete = outcome.received == length;
+        Ok(read)
     }
-    outcome.ended = Instant::now();
-    drop(stream.shutdown(Shutdown::Both));
-    outcome
 }
 
-fn config(version: u64, idle_ms: u64) -> Value {
+fn resident_bytes(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .unwrap_or_default();
+    let kib: u64 = line
+        .split_whitespace()
+        .nth(1)
+        .and_then(|kib| kib.parse().ok())
+        .unwrap_or(0);
+    kib * 1_024
+}
+
+fn request(id: &str, events: u64) -> Call {
+    Call::new("POST", "/chat/7", id, DEADLINE)
+        .with("Godwithinge-Model-Name", "m")
+        .with("Godwithinge-Token-Counts", format!("640,{events}"))
+        .with(
+            "Godwithinge-Prompt-Prefix",
+            format!("5c1e07a2:500,{id}:140"),
+        )
+        .with_body(b"a question".to_vec())
+}
+
+fn config() -> Value {
     json!({
-        "version": version,
+        "version": 1,
         "routes": [{
-            "name": "r-order", "host": "fit.example", "prefix": "/order/", "kind": "non_idempotent",
-            "timeout-ms": 60_000, "target-latency-ms": 1000, "priority": 2, "service": "s-plain",
-            "max-attempts": 1, "stages": [], "public": false, "sticky": false,
+            "name": "r-chat", "host": "fit.example", "prefix": "/chat/", "kind": "streaming",
+            "timeout-ms": 20_000, "target-latency-ms": 1700, "priority": 2, "service": "s-model",
+            "max-attempts": 2, "stages": [], "public": false, "sticky": true, "resumable": true,
+            "gap-aim-ms": 200,
         }],
-        "services": [{"name": "s-plain", "health-path": "/healthz", "max-connections": 100,
-                      "protocol": "h1", "tls": false}],
+        "services": [{"name": "s-model", "health-path": "/healthz", "max-connections": 360,
+                      "protocol": "h1", "tls": false, "engine": {"slots": 64, "kv-tokens": 370_000}}],
         "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304,
-                   "header-timeout-ms": 3000, "idle-timeout-ms": idle_ms},
+                   "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
         "tenants": [{"name": "tailors", "api-keys": ["k-1"]}],
     })
 }
--- a/review/standins-3/src/bin/case-14.rs
+++ b/review/standins-3/src/bin/case-14.rs
@@ -1,9 +1,9 @@
-//! New connections at a daemon that has as many as it takes, beside clients that read their answers slowly.
+//! Answers that clients read slowly while the configuration shortens the idle timeout.
 
 use serde_json::{Value, json};
 use standins_3::{
     case::{self, Draw, Record},
-    client::{self, Answer, Call},
+    client::{self, Call},
     engine::{Engine, Role, World},
     fleet::Fleet,
     http,
@@ -11,233 +11,179 @@
 };
 use std::{
     io::{BufReader, Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
 
-const DEADLINE: Duration = Duration::from_secs(30);
-const REPORT_BYTES: usize = 300_000;
-const READERS: usize = 40;
-/// What a reader takes at a time, and the pause after it: 20 kB a second, so that it has its report in 15 s.
-const READ_BYTES: usize = 1_000;
-const READ_PAUSE: Duration = Duration::from_millis(50);
+const DEADLINE: Duration = Duration::from_secs(60);
+const ANSWER_BYTES: usize = 2_400_000;
+/// What a client reads at a time, and the pause after it: 200 kB a second.
+const READ_BYTES: usize = 4_000;
+const READ_PAUSE: Duration = Duration::from_millis(20);
+/// Receive buffer of a client.
 const RECEIVE_BUFFER: usize = 4 << 10;
-/// Clients that have got an answer and keep their connection for the next request.
-const KEPT: usize = 1_240;
-/// Clients that connect at the same time in the beginning.
-const OPENERS: usize = 16;
-/// Clients that come at once.
-const NEW: usize = 100;
+const READERS: usize = 6;
+/// Time between the requests and the configuration.
+const CHANGE_AFTER: Duration = Duration::from_secs(6);
+/// `config-ms` of the settings + 1 s: the time after the acknowledgement in which a configuration counts as planned work.
+const PLANNED: Duration = Duration::from_secs(3);
 
-#[derive(Default)]
-struct Counts {
-    whole: usize,
-    cut: usize,
-    other: usize,
-    new: usize,
-    new_served: usize,
-    /// Connections of the new clients, which they keep.
-    streams: Vec<TcpStream>,
+/// What became of a request.
+#[derive(Clone, Debug)]
+struct Outcome {
+    status: u16,
+    received: usize,
+    ended: Instant,
+    is_complete: bool,
 }
 
 fn main() {
     let record = Record::create(14);
     let store = Store::start();
     let world = Arc::new(World::default());
+    let role = Role::Plain {
+        work: Duration::from_millis(30),
+        bytes: ANSWER_BYTES,
+    };
     let mut engines = Vec::new();
-    for (service, bytes) in [("s-orders", 800), ("s-reports", REPORT_BYTES)] {
-        let role = Role::Plain {
-            work: Duration::from_millis(20),
-            bytes,
-        };
-        for (number, zone) in [(1, "z-a"), (2, "z-b"), (3, "z-c")] {
-            let id = format!("i-{service}-{number}");
-            engines.push(Engine::start(
-                &world, &store, &id, service, zone, "v1", role,
-            ));
-        }
+    for (number, zone) in [(1, "z-a"), (2, "z-b"), (3, "z-c")] {
+        let id = format!("i-plain-{number}");
+        engines.push(Engine::start(
+            &world, &store, &id, "s-plain", zone, "v1", role,
+        ));
     }
-    store.put("op", "config", &config());
-    let fleet = Fleet::start(store.address, 1);
-    thread::sleep(Duration::from_secs(4));
+    store.put("op", "config", &config(1, 15_000));
+    let fleet = Fleet::start(store.address, 2);
+    thread::sleep(Duration::from_secs(3));
 
-    let counts = Mutex::new(Counts::default());
-    let mut draw = Draw::new(14);
-    let address = fleet.front(0);
-    let ids: Vec<String> = (0..KEPT).map(|_| draw.id()).collect();
-    let kept: Vec<TcpStream> = thread::scope(|scope| {
-        let openers = ids.chunks(KEPT.div_ceil(OPENERS)).map(|ids| {
-            scope.spawn(move || {
-                ids.iter()
-                    .filter_map(|id| order(address, id))
-                    .collect::<Vec<_>>()
-            })
-        });
-        let openers: Vec<_> = openers.collect();
-        openers
-            .into_iter()
-            .flat_map(|opener| opener.join().unwrap_or_default())
-            .collect()
-    });
-    record.line(format!(
-        "{} clients have had an answer and keep their connections",
-        kept.len()
-    ));
-    let mut open = 0;
+    let mut draw = Draw::new(13);
+    let outcomes: [Mutex<Vec<Outcome>>; 2] = Default::default();
+    let mut acknowledged = None;
     thread::scope(|scope| {
-        let (record, counts) = (&record, &counts);
-        for _ in 0..READERS {
-            let ids = [draw.id(), draw.id()];
-            scope.spawn(move || read_report(record, counts, address, &ids));
-        }
-        thread::sleep(Duration::from_secs(4));
-        if case::has_trouble() {
-            record.line(format!("{NEW} clients come"));
-            for _ in 0..NEW {
-                let id = draw.id();
+        // Before any change, then beside one.
+        for (phase, outcomes) in outcomes.iter().enumerate() {
+            for number in 0..READERS {
+                let (id, address) = (draw.id(), fleet.front(number % fleet.len()));
+                let record = &record;
                 scope.spawn(move || {
-                    let stream = order(address, &id);
-                    let mut counts = counts.lock().unwrap();
-                    counts.new += 1;
-                    counts.new_served += usize::from(stream.is_some());
-                    counts.streams.extend(stream);
+                    let outcome = read_slowly(record, address, &id);
+                    record.line(format!(
+                        "answered {id} {} {} of {ANSWER_BYTES} bytes, complete {}",
+                        outcome.status, outcome.received, outcome.is_complete
+                    ));
+                    outcomes.lock().unwrap().push(outcome);
                 });
-                thread::sleep(Duration::from_millis(10));
             }
+            if phase == 0 {
+                thread::sleep(Duration::from_secs(14));
+                continue;
+            }
+            thread::sleep(CHANGE_AFTER);
+            let idle = if case::has_trouble() { 2_000 } else { 15_000 };
+            let at = store.put("op", "config", &config(2, idle));
+            record.line_at(
+                at,
+                format!("configuration 2 acknowledged: idle-timeout-ms {idle}"),
+            );
+            acknowledged = Some(at);
         }
-        thread::sleep(Duration::from_secs(1));
-        open = kept.iter().filter(|stream| is_open(stream)).count();
-        record.line(format!(
-            "{open} of the connections without a request are open"
-        ));
     });
-    for run in world
-        .runs
-        .lock()
-        .unwrap()
-        .iter()
-        .filter(|run| run.service == "s-reports")
-    {
+    for run in world.runs.lock().unwrap().iter() {
         record.line_at(run.at, format!("{} ran {}", run.engine, run.id));
     }
-    for line in fleet
-        .log_lines(0, "connections of callers closed")
-        .iter()
-        .take(5)
-    {
-        record.line(format!("log of the daemon: {line}"));
-    }
     drop(fleet);
-    let counts = counts.into_inner().unwrap();
+    let [before, beside] = outcomes.map(|outcomes| outcomes.into_inner().unwrap());
+    let acknowledged = acknowledged.unwrap_or_else(Instant::now);
+    let is_cut = |outcome: &&Outcome| outcome.status == 200 && !outcome.is_complete;
+    let cut_before = before.iter().filter(is_cut).count();
+    let cut_beside = beside.iter().filter(is_cut);
+    let cut_beside = cut_beside
+        .filter(|outcome| outcome.ended <= acknowledged + PLANNED)
+        .count();
+    let whole = |outcomes: &[Outcome]| {
+        outcomes
+            .iter()
+            .filter(|outcome| outcome.is_complete)
+            .count()
+    };
     let summary = format!(
-        "of {READERS} reports on kept connections {} came whole, {} were cut by the daemon, {} ended otherwise; {} of {} new clients were served; {open} of {} connections without a request stayed open",
-        counts.whole,
-        counts.cut,
-        counts.other,
-        counts.new_served,
-        counts.new,
-        kept.len()
+        "before the change {} of {} answers whole, {cut_before} cut; beside it {} of {} whole, {cut_beside} cut within {PLANNED:?} of its acknowledgement",
+        whole(&before),
+        before.len(),
+        whole(&beside),
+        beside.len()
     );
-    if kept.len() < KEPT * 9 / 10 {
+    if whole(&before) * 2 < before.len() {
         record.line(&summary);
-        standins_3::fleet::unable("most connections could not be opened");
+        standins_3::fleet::unable("answers are not whole without a change");
     }
-    case::finish(&record, counts.cut > 3, &summary);
-}
-
-/// Sends an order and reads its answer. Returns the connection, which stays open.
-fn order(address: SocketAddr, id: &str) -> Option<TcpStream> {
-    let stream = client::connect_with_buffer(address, RECEIVE_BUFFER).ok()?;
-    let call = Call::new("POST", "/order/1", id, DEADLINE).with_body(b"an order".to_vec());
-    let mut answer = Answer::default();
-    let clone = stream.try_clone().ok()?;
-    client::exchange(
-        clone,
-        &call,
-        Instant::now() + DEADLINE,
-        &mut answer,
-        &mut |_| (),
-    )
-    .ok()?;
-    (answer.is_complete && answer.status == 200).then_some(stream)
+    // Beside a configuration, cuts count if they are more than three times as frequent as at other times.
+    case::finish(
+        &record,
+        cut_beside > 3 && cut_beside > cut_before * 3,
+        &summary,
+    );
 }
 
-/// Sends an order, and then asks for a report on the same connection and reads it slowly.
-fn read_report(record: &Record, counts: &Mutex<Counts>, address: SocketAddr, ids: &[String; 2]) {
-    let Some(mut stream) = order(address, &ids[0]) else {
-        counts.lock().unwrap().other += 1;
-        return;
+/// Sends a request and reads its answer slowly, but without a pause of more than 20 ms.
+fn read_slowly(record: &Record, address: SocketAddr, id: &str) -> Outcome {
+    let call = Call::new("POST", "/order/7", id, DEADLINE).with_body(b"a report".to_vec());
+    record.line(format!("sent {id}"));
+    let mut outcome = Outcome {
+        status: 0,
+        received: 0,
+        ended: Instant::now(),
+        is_complete: false,
+    };
+    let Ok(mut stream) = client::connect_with_buffer(address, RECEIVE_BUFFER) else {
+        return outcome;
     };
-    let call = Call::new("POST", "/report/1", &ids[1], DEADLINE).with_body(b"a report".to_vec());
+    if stream.write_all(&call.encode()).is_err() {
+        return outcome;
+    }
     let until = Instant::now() + DEADLINE;
-    let (mut status, mut received, mut length) = (0, 0, 0);
-    drop(stream.write_all(&call.encode()));
     drop(stream.set_read_timeout(Some(DEADLINE)));
     let mut reader = BufReader::with_capacity(READ_BYTES, &stream);
     if let Ok(Some(head)) = http::read_head(&mut reader) {
-        status = head
+        outcome.status = head
             .start
             .split(' ')
             .nth(1)
             .and_then(|code| code.parse().ok())
             .unwrap_or(0);
-        length = head
+        let length = head
             .field("content-length")
             .and_then(|length| length.parse().ok())
             .unwrap_or(0);
         let mut buffer = vec![0; READ_BYTES];
-        while received < length && Instant::now() < until {
+        while outcome.received < length && Instant::now() < until {
             match reader.read(&mut buffer) {
                 Ok(0) | Err(_) => break,
-                Ok(read) => received += read,
+                Ok(read) => outcome.received += read,
             }
             thread::sleep(READ_PAUSE);
         }
+        outcome.is_complete = outcome.received == length;
     }
-    let is_late = Instant::now() >= until;
-    record.line(format!(
-        "answered {} {status} {received} of {length} bytes late {is_late}",
-        ids[1]
-    ));
-    let mut counts = counts.lock().unwrap();
-    match status {
-        200 if received == length => counts.whole += 1,
-        0 | 200 if !is_late => counts.cut += 1,
-        _ => counts.other += 1,
-    }
+    outcome.ended = Instant::now();
+    drop(stream.shutdown(Shutdown::Both));
+    outcome
 }
 
-fn is_open(mut stream: &TcpStream) -> bool {
-    drop(stream.set_read_timeout(Some(Duration::from_millis(1))));
-    let read = stream.read(&mut [0; 1]);
-    read.is_err_and(|fault| {
-        matches!(
-            fault.kind(),
-            std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
-        )
-    })
-}
-
-fn config() -> Value {
-    let route = |prefix: &str, service: &str| {
-        json!({
-            "name": format!("r-{service}"), "host": "fit.example", "prefix": prefix, "kind": "non_idempotent",
-            "timeout-ms": 30_000, "target-latency-ms": 1000, "priority": 2, "service": service,
-            "max-attempts": 1, "stages": [], "public": false, "sticky": false,
-        })
-    };
-    let service = |name: &str| {
-        json!({"name": name, "health-path": "/healthz", "max-connections": 360,
-                                      "protocol": "h1", "tls": false})
-    };
+fn config(version: u64, idle_ms: u64) -> Value {
     json!({
-        "version": 1,
-        "routes": [route("/order/", "s-orders"), route("/report/", "s-reports")],
-        "services": [service("s-orders"), service("s-reports")],
+        "version": version,
+        "routes": [{
+            "name": "r-order", "host": "fit.example", "prefix": "/order/", "kind": "non_idempotent",
+            "timeout-ms": 60_000, "target-latency-ms": 1000, "priority": 2, "service": "s-plain",
+            "max-attempts": 1, "stages": [], "public": false, "sticky": false,
+        }],
+        "services": [{"name": "s-plain", "health-path": "/healthz", "max-connections": 100,
+                      "protocol": "h1", "tls": false}],
         "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304,
-                   "header-timeout-ms": 3000, "idle-timeout-ms": 15_000},
+                   "header-timeout-ms": 3000, "idle-timeout-ms": idle_ms},
         "tenants": [{"name": "tailors", "api-keys": ["k-1"]}],
     })
 }
--- a/review/standins-3/src/bin/case-15.rs
+++ b/review/standins-3/src/bin/case-15.rs
@@ -1,4 +1,5 @@
-//! Many clients that read their streams slowly, at one daemon.
+//! Short streams of two software versions, when all daemons are killed at once: KNOWN-RED.txt lists the
+//! bench's days `power-off-and-releases` and `losses-and-releases`.
 
 use serde_json::{Value, json};
 use standins_3::{
@@ -6,12 +7,10 @@
     client::{self, Answer, Call},
     engine::{Engine, Role, World},
     fleet::Fleet,
-    http,
     store::Store,
 };
 use std::{
-    fs,
-    io::{BufReader, Read, Write},
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -21,26 +20,46 @@
     time::{Duration, Instant},
 };
 
-const DEADLINE: Duration = Duration::from_secs(20);
-const CLIENTS: usize = 1_200;
-const ENGINES: usize = 20;
-const EVENT_BYTES: usize = 4_000;
-const EVENTS: u64 = 200;
-/// What a slow client reads at a time, and the pause after it: 60 kB a second, so that it has its stream of
-/// 0.8 MB in 14 s.
-const READ_BYTES: usize = 3_000;
-const READ_PAUSE: Duration = Duration::from_millis(50);
-const RECEIVE_BUFFER: usize = 4 << 10;
-/// `memory-mb` of the settings.
-const MEMORY_BYTES: u64 = 260_000_000;
-const STACK_BYTES: usize = 256 << 10;
+const DAEMONS: usize = 7;
+const DEADLINE: Duration = Duration::from_secs(6);
+/// 17 events, as `full-fitting-brief` has on the sheet.
+const EVENTS: u64 = 17;
+const EVENT_PAUSE: Duration = Duration::from_millis(18);
+/// Time between two streams.
+const INTERVAL: Duration = Duration::from_millis(8);
+/// Number of times that all daemons are killed, and the time before each one.
+const KILLS: usize = 1;
+const BEFORE: Duration = Duration::from_secs(6);
+const DOWN: Duration = Duration::from_millis(700);
+/// `stability-window-ms` of the settings.
+const STABILITY: Duration = Duration::from_secs(3);
+/// Time between two tries of a client to take its stream up.
+const RETRY: Duration = Duration::from_millis(400);
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
+/// A stream that was broken off after an event.
+struct TakenUp {
+    went_on: bool,
+    /// Whether a try was sent to machines in touch, and whether one of these went on.
+    in_touch: Option<bool>,
+    versions: usize,
+}
 
 #[derive(Default)]
 struct Counts {
-    kept: usize,
     whole: usize,
-    cut: usize,
-    refused: usize,
+    broken: usize,
+    taken_up: Vec<TakenUp>,
+    new: usize,
+    begun: usize,
+}
+
+struct Scene<'a> {
+    record: &'a Record,
+    counts: Mutex<Counts>,
+    fronts: Vec<SocketAddr>,
+    /// From when the machines are in touch again; absent before the kill.
+    in_touch_from: Mutex<Option<Instant>>,
 }
 
 fn main() {
@@ -48,203 +67,203 @@
     let store = Store::start();
     let world = Arc::new(World::default());
     let role = Role::Model {
-        pause: Duration::from_millis(1),
-        bytes: EVENT_BYTES,
+        pause: EVENT_PAUSE,
+        bytes: 60,
     };
     let mut engines = Vec::new();
-    for number in 0..ENGINES {
-        let (id, zone) = (
-            format!("i-model-{number}"),
-            ["z-a", "z-b", "z-c"][number % 3],
-        );
-        engines.push(Engine::start(
-            &world, &store, &id, "s-model", zone, "v1", role,
-        ));
+    for version in VERSIONS {
+        for (number, zone) in [(1, "z-a"), (2, "z-b"), (3, "z-c")] {
+            let id = format!("i-{version}-{number}");
+            engines.push(Engine::start(
+                &world, &store, &id, "s-model", zone, version, role,
+            ));
+        }
     }
     store.put("op", "config", &config());
-    let mut fleet = Fleet::start(store.address, 1);
-    thread::sleep(Duration::from_secs(3));
+    let mut fleet = Fleet::start(store.address, DAEMONS);
+    thread::sleep(Duration::from_secs(6));
 
-    let (counts, is_over) = (Mutex::new(Counts::default()), AtomicBool::new(false));
-    let mut draw = Draw::new(15);
-    let address = fleet.front(0);
-    let mut most = 0;
-    let mut is_killed = false;
-    thread::scope(|scope| {
-        let (record, counts, is_over) = (&record, &counts, &is_over);
-        scope.spawn(move || {
-            let clients: Vec<_> = (0..CLIENTS)
-                .map(|_| {
-                    let ids = [draw.id(), draw.id()];
-                    let client = thread::Builder::new().stack_size(STACK_BYTES);
-                    let client =
-                        client.spawn_scoped(scope, move || run(record, counts, address, &ids));
-                    thread::sleep(Duration::from_millis(2));
-                    client.expect("a thread can be started")
-                })
-                .collect();
-            for client in clients {
-                drop(client.join());
-            }
+    let scene = Scene {
+        record: &record,
+        counts: Mutex::default(),
+        fronts: (0..DAEMONS).map(|index| fleet.front(index)).collect(),
+        in_touch_from: Mutex::default(),
+    };
+    let mut draw = Draw::new(std::process::id().into());
+    for kill in 0..KILLS as u64 {
+        let is_over = AtomicBool::new(false);
+        thread::scope(|scope| {
+            let (scene, is_over) = (&scene, &is_over);
+            scope.spawn(move || {
+                let mut draw = Draw::new(16 + kill);
+                while !is_over.load(Ordering::SeqCst) {
+                    let seed = draw.next();
+                    scope.spawn(move || follow(scene, seed));
+                    thread::sleep(INTERVAL);
+                }
+            });
+            // The kill comes at any moment of the daemons' own intervals.
+            thread::sleep(BEFORE + Duration::from_millis(draw.below(500)));
             is_over.store(true, Ordering::SeqCst);
-        });
-        // The platform kills a process that exceeds its memory.
-        while !is_over.load(Ordering::SeqCst) {
-            thread::sleep(Duration::from_millis(100));
-            let Some(id) = fleet.process_id(0) else {
-                continue;
-            };
-            let used = resident_bytes(id);
-            if used > most + 10_000_000 {
-                record.line(format!("the daemon has {} MB", used / 1_000_000));
-                most = used;
+            if case::has_trouble() {
+                for index in 0..DAEMONS {
+                    fleet.signal(index, "KILL");
+                }
+                record.line("SIGKILL to all daemons");
+                for index in 0..DAEMONS {
+                    fleet.kill(index);
+                }
+                thread::sleep(DOWN);
+                for index in 0..DAEMONS {
+                    fleet.spawn(index);
+                }
+                record.line("all daemons are started again");
+                *scene.in_touch_from.lock().unwrap() = Some(Instant::now() + STABILITY);
             }
-            if used > MEMORY_BYTES && !is_killed {
-                is_killed = true;
-                record.line(format!(
-                    "the daemon has {used} bytes, more than {MEMORY_BYTES}: killed"
-                ));
-                fleet.kill(0);
+            thread::sleep(STABILITY + Duration::from_millis(200));
+            for _ in 0..20 {
+                let seed = draw.next();
+                scope.spawn(move || begin(scene, seed));
+                thread::sleep(Duration::from_millis(50));
             }
-        }
-    });
-    record.line(format!(
-        "engines ran {} requests",
-        world.runs.lock().unwrap().len()
-    ));
+        });
+        *scene.in_touch_from.lock().unwrap() = None;
+    }
     drop(fleet);
-    let counts = counts.into_inner().unwrap();
+    let counts = scene.counts.into_inner().unwrap();
+    let went_on = counts
+        .taken_up
+        .iter()
+        .filter(|stream| stream.went_on)
+        .count();
+    let in_touch = counts.taken_up.iter().filter_map(|stream| stream.in_touch);
+    let in_touch: Vec<bool> = in_touch.collect();
+    let in_touch_on = in_touch.iter().filter(|went_on| **went_on).count();
+    let two = counts
+        .taken_up
+        .iter()
+        .filter(|stream| stream.versions > 1)
+        .count();
+    let share = |part: usize, all: usize| part as f64 / all.max(1) as f64;
+    let begun = share(counts.begun, counts.new);
     let summary = format!(
-        "the daemon had {} MB at most, killed {is_killed}; of {} streams on kept connections {} came whole, {} were cut after an engine had begun, {} were refused",
-        most / 1_000_000,
-        counts.kept,
+        "{} streams whole, {} broken off; {} taken up, {went_on} of them went on at any try; {} taken up at machines in touch, {in_touch_on} of them went on; {} of {} new streams began; {two} with events of two versions",
         counts.whole,
-        counts.cut,
-        counts.refused
+        counts.broken,
+        counts.taken_up.len(),
+        in_touch.len(),
+        counts.begun,
+        counts.new
     );
-    if counts.kept * 2 < CLIENTS {
+    if counts.begun * 2 < counts.new {
         record.line(&summary);
-        standins_3::fleet::unable("most connections could not be opened");
+        standins_3::fleet::unable("new streams did not begin");
     }
-    case::finish(&record, counts.cut > 3, &summary);
+    // Counted in both ways: tries at machines in touch alone, and all tries.
+    let is_low = |part, all| all >= 12 && share(part, all) < begun / 2.0;
+    let is_lost = is_low(in_touch_on, in_touch.len()) && is_low(went_on, counts.taken_up.len());
+    case::finish(&record, is_lost || two > 2, &summary);
 }
 
-/// Sends a short request and then a stream on one connection.
-fn run(record: &Record, counts: &Mutex<Counts>, address: SocketAddr, ids: &[String; 2]) {
-    let Ok(mut stream) = client::connect_with_buffer(address, RECEIVE_BUFFER) else {
-        return;
-    };
+/// Sends a stream, and takes it up a few times within its deadline if its connection breaks.
+fn follow(scene: &Scene<'_>, seed: u64) {
+    let mut draw = Draw::new(seed);
+    let first = draw.id();
     let until = Instant::now() + DEADLINE;
-    let mut first = Answer::default();
-    let Ok(clone) = stream.try_clone() else {
-        return;
-    };
-    drop(client::exchange(
-        clone,
-        &request(&ids[0], 2),
-        until,
-        &mut first,
-        &mut |_| (),
-    ));
-    if !first.is_complete || first.status != 200 {
-        record.line(format!(
-            "answered {} {} complete {}",
-            ids[0], first.status, first.is_complete
-        ));
-        return;
-    }
-    counts.lock().unwrap().kept += 1;
-    if stream
-        .write_all(&request(&ids[1], EVENTS).encode())
-        .is_err()
-    {
+    let answer = client::send(front(scene, &mut draw), &request(&first, DEADLINE), until);
+    let events = answer.event_ids();
+    if answer.is_complete && answer.status == 200 {
+        scene.counts.lock().unwrap().whole += 1;
         return;
     }
-    let until = Instant::now() + DEADLINE;
-    drop(stream.set_read_timeout(Some(DEADLINE)));
-    let mut reader = BufReader::with_capacity(READ_BYTES, Slow(&stream));
-    let mut answer = Answer::default();
-    if let Ok(Some(head)) = http::read_head(&mut reader) {
-        answer.status = head
-            .start
-            .split(' ')
-            .nth(1)
-            .and_then(|code| code.parse().ok())
-            .unwrap_or(0);
-        answer.head = head;
-        while answer.status == 200 && Instant::now() < until {
-            match http::read_chunk(&mut reader) {
-                Ok(chunk) if chunk.is_empty() => answer.is_complete = true,
-                Ok(chunk) => {
-                    answer.body.extend(chunk);
-                    continue;
-                }
-                Err(_) => {}
-            }
-            break;
+    scene.counts.lock().unwrap().broken += 1;
+    let Some(last) = events.last() else { return };
+    scene
+        .record
+        .line(format!("{first} broken off after event {last}"));
+    let mut stream = TakenUp {
+        went_on: false,
+        in_touch: None,
+        versions: versions(&[&answer]),
+    };
+    while Instant::now() + RETRY < until && !stream.went_on {
+        thread::sleep(RETRY);
+        let id = draw.id();
+        let left = until.saturating_duration_since(Instant::now());
+        let call = request(&id, left)
+            .with("Last-Event-Id", last)
+            .with("Resumes", &first);
+        let in_touch_from = *scene.in_touch_from.lock().unwrap();
+        let is_in_touch = in_touch_from.is_some_and(|from| Instant::now() >= from);
+        let resumed = client::send(front(scene, &mut draw), &call, until);
+        if resumed.status == 0 {
+            continue;
         }
+        stream.went_on = resumed.event_ids().first() == Some(&(last + 1));
+        stream.versions = stream.versions.max(versions(&[&answer, &resumed]));
+        if is_in_touch {
+            stream.in_touch = Some(stream.went_on);
+        }
+        scene.record.line(format!(
+            "{first} taken up as {id}, in touch {is_in_touch}: {} {}",
+            resumed.status,
+            if resumed.status == 200 {
+                String::new()
+            } else {
+                resumed.text().trim().to_owned()
+            }
+        ));
     }
-    let is_late = Instant::now() >= until;
-    record.line(format!(
-        "answered {} {} complete {} events {} late {is_late}",
-        ids[1],
-        answer.status,
-        answer.is_complete,
-        answer.event_ids().len()
-    ));
-    let mut counts = counts.lock().unwrap();
-    match answer.status {
-        200 if answer.is_complete => counts.whole += 1,
-        200 if !is_late => counts.cut += 1,
-        200 => {}
-        _ => counts.refused += 1,
-    }
+    scene.counts.lock().unwrap().taken_up.push(stream);
 }
 
-/// Reads without a pause, or slowly.
-struct Slow<'a>(&'a std::net::TcpStream);
+fn begin(scene: &Scene<'_>, seed: u64) {
+    let mut draw = Draw::new(seed);
+    let id = draw.id();
+    let answer = client::send(
+        front(scene, &mut draw),
+        &request(&id, DEADLINE),
+        Instant::now() + DEADLINE,
+    );
+    let mut counts = scene.counts.lock().unwrap();
+    counts.new += 1;
+    counts.begun += usize::from(answer.event_ids().first() == Some(&1));
+}
 
-impl Read for Slow<'_> {
-    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
-        let read = self.0.read(buffer)?;
-        if case::has_trouble() {
-            thread::sleep(READ_PAUSE);
-        }
-        Ok(read)
-    }
+fn front(scene: &Scene<'_>, draw: &mut Draw) -> SocketAddr {
+    scene.fronts[draw.below(DAEMONS as u64) as usize]
 }
 
-fn resident_bytes(process: u32) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = status
-        .lines()
-        .find(|line| line.starts_with("VmRSS:"))
-        .unwrap_or_default();
-    let kib: u64 = line
-        .split_whitespace()
-        .nth(1)
-        .and_then(|kib| kib.parse().ok())
-        .unwrap_or(0);
-    kib * 1_024
+fn versions(answers: &[&Answer]) -> usize {
+    let found: BTreeSet<&str> = answers
+        .iter()
+        .flat_map(|answer| {
+            let text = answer.text();
+            VERSIONS
+                .into_iter()
+                .filter(move |version| text.contains(&format!(" {version} ")))
+        })
+        .collect();
+    found.len()
 }
 
-fn request(id: &str, events: u64) -> Call {
-    Call::new("POST", "/chat/7", id, DEADLINE)
+fn request(id: &str, deadline: Duration) -> Call {
+    Call::new("POST", "/brief/7", id, deadline)
         .with("Godwithinge-Model-Name", "m")
-        .with("Godwithinge-Token-Counts", format!("640,{events}"))
+        .with("Godwithinge-Token-Counts", format!("640,{EVENTS}"))
         .with(
             "Godwithinge-Prompt-Prefix",
             format!("5c1e07a2:500,{id}:140"),
         )
-        .with_body(b"a question".to_vec())
+        .with_body(b"a brief".to_vec())
 }
 
 fn config() -> Value {
     json!({
         "version": 1,
         "routes": [{
-            "name": "r-chat", "host": "fit.example", "prefix": "/chat/", "kind": "streaming",
-            "timeout-ms": 20_000, "target-latency-ms": 1700, "priority": 2, "service": "s-model",
+            "name": "r-brief", "host": "fit.example", "prefix": "/brief/", "kind": "streaming",
+            "timeout-ms": 6_000, "target-latency-ms": 1100, "priority": 1, "service": "s-model",
             "max-attempts": 2, "stages": [], "public": false, "sticky": true, "resumable": true,
             "gap-aim-ms": 200,
         }],
--- a/review/standins-3/src/case.rs
+++ b/review/standins-3/src/case.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet;
 use std::{
+    fmt::Display,
     fs::File,
     io::Write,
     path::Path,
@@ -20,14 +21,14 @@
 }
 
 impl Record {
-    /// Creates the record of the case with this number, and ends the case if it takes too long.
-    pub fn create(case: u32) -> Self {
+    /// Creates the record of a case in this folder of the review, and ends the case if it takes too long.
+    pub fn create(folder: impl Display) -> Self {
         thread::spawn(|| {
             thread::sleep(MAX_TIME);
             fleet::kill_all();
             fleet::unable("it took too long");
         });
-        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("../{case}/record.txt"));
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("../{folder}/record.txt"));
         match File::create(&path) {
             Ok(file) => Self {
                 started: Instant::now(),
