--- a/review/standins-3/src/bin/case-13.rs
+++ b/review/standins-3/src/bin/case-13.rs
@@ -95,10 +95,10 @@
                 continue;
             };
             let used = resident_bytes(id);
-            if used > most + 10_000_000 {
+            if used / 10_000_000 > most / 10_000_000 {
                 record.line(format!("the daemon has {} MB", used / 1_000_000));
-                most = used;
             }
+            most = most.max(used);
             if used > MEMORY_BYTES && !is_killed {
                 is_killed = true;
                 record.line(format!(
