Stages keep the numbers of their configuration

Cause: a configuration was read into a list in topological order. The number of pieces was looked up by the place of a stage in the configuration, everything else by its index in the sorted list, which also went out in calls. Both were plain integers.

Now there is one numbering, with a type of its own (StageNumber). Routes, counts of pieces, jobs, results and items are indexed by it, and the topological order is a list of such numbers that only the scheduler walks. Jobs in frames hold the same numbers (protocol 8). The leader finds those of a job that an earlier version sent in its configuration, or refuses the job. A job whose stages have no order, which made the scheduler give up all jobs, is refused alone.

The stand-in engines record which pieces they were asked for and what their inputs hold.

--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -6,9 +6,10 @@
 
 use super::{
     event,
-    frame::{Frame, LinkId},
+    frame::{Frame, LinkId, STAGE_NUMBER_PROTOCOL},
     outcome::Reason,
     rate::GRANT_DELAY,
+    run::POOL_RETRY_AFTER,
     scheduler::Runner,
     state::{self, Relay},
 };
@@ -22,7 +23,11 @@
         plan::Plan,
         rate::Rate,
         registry::{Target, TargetChange},
-        scheduler::{Command, Handle, Job, JobId, Refusal, RequestIdentity, Scheduler, StageSpec},
+        scheduler::{
+            self, Command, Handle, Job, JobId, Refusal, RequestIdentity, Scheduler, StageSpec,
+            Stages,
+        },
+        stage::{ByStage, Unordered},
     },
 };
 use serde::{Deserialize, Serialize};
@@ -66,7 +71,7 @@
     /// Domain in which the request's own target is expected, if known.
     #[serde(rename = "hint")]
     pub preferred_domain: Option<DomainId>,
-    pub stages: Vec<StageSpec>,
+    pub stages: ByStage<StageSpec>,
     /// Workspace of the caller; absent from builds that do not send it.
     #[serde(default)]
     pub workspace: Option<WorkspaceId>,
@@ -342,8 +347,52 @@
         }
     }
 
+    /// Submits a job of a peer to the local scheduler.
+    pub(super) fn accept_peer_job(
+        self: &Rc<Self>,
+        host: &HostId,
+        origin: LinkId,
+        number: u64,
+        mut request: JobRequest,
+    ) {
+        if !self.links.speaks(host, STAGE_NUMBER_PROTOCOL) {
+            let plan = self.plan();
+            let renumbered = plan.and_then(|plan| scheduler::renumber(&request.stages, &plan));
+            let Some(stages) = renumbered else {
+                return self.refuse_stages(origin, number, &request, "their numbers are not known");
+            };
+            request.stages = stages;
+        }
+        self.accept_job(origin, number, request);
+    }
+
+    /// Refuses a job whose stages can't be run, for the reason `fault`.
+    fn refuse_stages(
+        self: &Rc<Self>,
+        origin: LinkId,
+        number: u64,
+        request: &JobRequest,
+        fault: &str,
+    ) {
+        tracing::warn!(request_id = %request.request, fault, "stages of a job can't be run");
+        self.execute(Command::Refuse {
+            job: JobId { origin, number },
+            request: request.request.clone(),
+            expected: Duration::ZERO,
+            left: request.time_to_deadline,
+            reason: Refusal::Failed,
+            retry_after: POOL_RETRY_AFTER,
+        });
+    }
+
     /// Submits a job of this daemon or of a peer to the local scheduler.
     pub(super) fn accept_job(self: &Rc<Self>, origin: LinkId, number: u64, request: JobRequest) {
+        let stages = match Stages::new(request.stages.clone()) {
+            Ok(stages) => stages,
+            Err(Unordered) => {
+                return self.refuse_stages(origin, number, &request, "they have no order");
+            }
+        };
         let now = self.now();
         let identity = match request.identity {
             0 => hash::texts(&[&request.request]),
@@ -359,7 +408,7 @@
             deadline: now + request.time_to_deadline,
             first_event_latency: request.first_event_latency,
             preferred_domain: request.preferred_domain,
-            stages: request.stages,
+            stages,
             workspace: request.workspace,
             is_resubmitted: request.is_resubmitted,
         };
--- a/godwithinge/src/relay/dialect.rs
+++ b/godwithinge/src/relay/dialect.rs
@@ -14,6 +14,7 @@
         scheduler::{Handle, Item, ItemError},
         selection::Part,
         sse::EventId,
+        stage::ByStage,
     },
 };
 use std::{error, fmt, time::Duration};
@@ -34,8 +35,8 @@
     pub prompt_tokens: u32,
     /// Expected length of the answer in tokens; 0 if unknown.
     pub answer_tokens: u32,
-    /// Number of pieces of each stage, in the order of the route's stages.
-    pub piece_counts: Vec<u32>,
+    /// Number of pieces of each stage.
+    pub piece_counts: ByStage<u32>,
     /// Key of the pieces that read no results of other stages.
     pub piece_key: CompactString,
     /// Stream that the request takes up; absent if it begins a new one.
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -53,7 +53,7 @@
 }
 
 /// Version of the protocol between daemons that this build speaks.
-pub(super) const PROTOCOL: u32 = EVACUATION_PROTOCOL;
+pub(super) const PROTOCOL: u32 = STAGE_NUMBER_PROTOCOL;
 
 /// Version of the protocol from which daemons exchange the features of requests whose targets crash.
 pub(super) const CRASH_PROTOCOL: u32 = 2;
@@ -77,6 +77,9 @@
 /// Version of the protocol from which daemons tell which targets are cold.
 pub(super) const COLD_PROTOCOL: u32 = 7;
 
+/// Version of the protocol from which daemons number stages as their configuration does.
+pub(super) const STAGE_NUMBER_PROTOCOL: u32 = 8;
+
 /// Row of a table as encoded in frames.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct WireRow {
--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -51,7 +51,7 @@
                     self.apply_target(&row.into(), is_lenient);
                 }
             }
-            Frame::Submit { number, job } => self.accept_job(link_id, number, job),
+            Frame::Submit { number, job } => self.accept_peer_job(host, link_id, number, job),
             Frame::Release { number } => self.release_job(link_id, number),
             Frame::Ready {
                 number,
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -21,10 +21,11 @@
     id::{DomainId, HostId, PoolId, TargetId, WorkspaceId},
     relay::{
         crash::{Feature, PayloadHash},
-        plan::{Kind, Plan, Route, Stage},
+        plan::{Kind, Plan, Route},
         registry::{Build, Registry, Target},
         scheduler::{RequestIdentity, StageSpec},
         selection::{Criteria, PartMemory, Selection},
+        stage::StageNumber,
     },
 };
 use std::{
@@ -361,11 +362,12 @@
         since: Instant,
     ) -> Result<StageResults, Rejection> {
         let started = Instant::now();
-        let stages = self.route.stages.iter().map(|stage| StageSpec {
+        let stages = self.route.stages.iter_enumerated();
+        let stages = stages.map(|(number, stage)| StageSpec {
             pool: stage.pool.clone(),
             after: stage.after.clone(),
             bytes: stage.bytes,
-            pieces: self.piece_count(stage),
+            pieces: self.piece_count(number),
         });
         let due = self.event_deadline(since);
         let due = self.latest_send().map_or(due, |at| at.min(due));
@@ -601,15 +603,15 @@
 
     /// Returns the size in bytes of the results of the request's largest stage.
     fn largest_stage_bytes(&self) -> u64 {
-        let stages = self.route.stages.iter();
-        let bytes = stages.map(|stage| stage.bytes * u64::from(self.piece_count(stage)));
+        let stages = self.route.stages.iter_enumerated();
+        let bytes = stages.map(|(number, stage)| stage.bytes * u64::from(self.piece_count(number)));
         bytes.max().unwrap_or_default()
     }
 
     /// Returns the number of pieces of a stage; 0 if the caller does not state it.
-    fn piece_count(&self, stage: &Stage) -> u32 {
+    fn piece_count(&self, stage: StageNumber) -> u32 {
         let counts = &self.metadata.piece_counts;
-        counts.get(stage.position).copied().unwrap_or_default()
+        counts.get(stage).copied().unwrap_or_default()
     }
 
     /// Counts and logs a send that returned no response to forward.
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -1,6 +1,6 @@
 //! Decisions of the relay, which forwards requests unchanged.
 //!
-//! [`plan`] maps the host and path of a request to a route. One daemon of the fleet, elected by
+//! [`plan`] maps the host and path of a request to a route, whose stages are numbered as [`stage`] says. One daemon of the fleet, elected by
 //! [`leader`], combines the pieces of the request's stages with those of other requests into calls
 //! ([`scheduler`]). [`selection`] chooses the target of the request itself, also by the speed that
 //! [`performance`] has learned. [`registry`] holds the known targets, [`memory`] the memory that callers
@@ -41,3 +41,4 @@
 pub mod selection;
 pub mod shutdown;
 pub mod sse;
+pub mod stage;
--- a/policy/src/relay/plan.rs
+++ b/policy/src/relay/plan.rs
@@ -1,6 +1,9 @@
 //! Active configuration: routes, pools, limits and access keys of one revision.
 
-use super::rate::Rate;
+use super::{
+    rate::Rate,
+    stage::{ByStage, StageNumber},
+};
 use crate::{
     hash,
     id::{PoolId, Revision, WorkspaceId},
@@ -35,52 +38,10 @@
 pub struct Stage {
     /// Pool that computes the results.
     pub pool: PoolId,
-    /// Indices of the stages whose results this one reads.
-    pub after: Vec<usize>,
+    /// Stages whose results this one reads.
+    pub after: Vec<StageNumber>,
     /// Approximate size of one result in bytes.
     pub bytes: u64,
-    /// Position in the configuration, by which callers state numbers of pieces.
-    pub position: usize,
-}
-
-/// Maximum number of stages of a route; pipelines have three to six.
-const MAX_STAGES: usize = 256;
-
-/// Stages read the results of each other in a circle, or of a stage that does not exist.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Unordered;
-
-impl Stage {
-    /// Returns stages in topological order, given those of a configuration, which may list them in any.
-    /// Stages that are in order stay where they are.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is no such order, or if there are more than [`MAX_STAGES`].
-    pub fn sort(stages: &[Self]) -> Result<Vec<Self>, Unordered> {
-        if stages.len() > MAX_STAGES {
-            return Err(Unordered);
-        }
-        let mut order: Vec<usize> = Vec::with_capacity(stages.len());
-        while order.len() < stages.len() {
-            let is_next = |index: &usize| {
-                let mut inputs = stages[*index].after.iter();
-                !order.contains(index) && inputs.all(|input| order.contains(input))
-            };
-            let next = (0..stages.len()).find(is_next).ok_or(Unordered)?;
-            order.push(next);
-        }
-        let place_of = |input: &usize| order.iter().position(|index| index == input);
-        let sorted = order.iter().map(|&index| {
-            let stage = &stages[index];
-            let after: Option<Vec<usize>> = stage.after.iter().map(place_of).collect();
-            Ok(Self {
-                after: after.ok_or(Unordered)?,
-                ..stage.clone()
-            })
-        });
-        sorted.collect()
-    }
 }
 
 /// Handling of the requests for one host and path prefix.
@@ -104,8 +65,8 @@
     pub split: Vec<WeightedPool>,
     /// Maximum number of targets that one request may be sent to.
     pub max_attempts: u32,
-    /// Stages that run before the request itself, in topological order.
-    pub stages: Vec<Stage>,
+    /// Stages that run before the request itself, as listed in the configuration.
+    pub stages: ByStage<Stage>,
     /// Whether requests are accepted without an access key.
     pub is_public: bool,
     /// Whether an interrupted stream may be resumed at another target.
@@ -281,6 +242,11 @@
         self.pools.values()
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter().map(Arc::as_ref)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.len()
--- a/policy/src/relay/scheduler/call.rs
+++ b/policy/src/relay/scheduler/call.rs
@@ -9,7 +9,10 @@
 //! they are tried with a small call, since nothing else would show that they have recovered.
 
 use super::{JobId, PoolState, Scheduler, job::RunningJob, target::StageTarget};
-use crate::{id::Time, relay::plan};
+use crate::{
+    id::Time,
+    relay::{plan, stage::StageNumber},
+};
 use std::cmp::Reverse;
 
 /// Slowdown relative to the fastest target of the pool above which a target counts as slow.
@@ -18,8 +21,11 @@
 /// Slowdown relative to the median of the pool above which faster targets are preferred.
 const SLUGGISH_FACTOR: f64 = 1.2; // targets of one pool differ by about 25%
 
-/// Identifies a piece by job, stage and index within the stage.
-pub(super) type PieceRef = (JobId, usize, usize);
+/// Identifies a stage of a job.
+pub(super) type StageRef = (JobId, StageNumber);
+
+/// Identifies a piece by job, stage and number within the stage.
+pub(super) type PieceRef = (JobId, StageNumber, usize);
 
 /// The next call to a target of a pool.
 #[derive(Clone, Debug)]
@@ -35,7 +41,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Candidate<'a> {
     running: &'a RunningJob,
-    stage: usize,
+    stage: StageNumber,
     /// Number of pieces to be sent.
     waiting: usize,
     /// Whether it does not wait for a target in its home domain.
@@ -65,7 +71,7 @@
         now: Time,
         pool_state: &PoolState,
         limits: &plan::BatchLimits,
-        order: &[(JobId, usize)],
+        order: &[StageRef],
     ) -> Option<Choice> {
         let max_slowdown = self.max_slowdown(pool_state, limits);
         let idle = idle_by_preference(now, pool_state, limits);
@@ -102,7 +108,7 @@
         pool_state: &PoolState,
         limits: &plan::BatchLimits,
         max_slowdown: f64,
-        order: &[(JobId, usize)],
+        order: &[StageRef],
     ) -> Vec<Candidate<'_>> {
         let mut homes = self.home_targets(now, pool_state, max_slowdown);
         let call_time = pool_state.expected_call_time();
--- a/policy/src/relay/scheduler/dispatch.rs
+++ b/policy/src/relay/scheduler/dispatch.rs
@@ -3,13 +3,13 @@
 use super::{
     CALL_TIMEOUT_FACTOR, Call, Command, Item, JobId, OVERDUE_FACTOR, OVERDUE_SLACK, PoolState,
     Refusal, Scheduler, Source,
-    call::{Choice, PieceRef},
+    call::{Choice, PieceRef, StageRef},
     job::{Job, RunningJob},
     precedence::{Precedence, precedence},
 };
 use crate::{
     id::{PoolId, Time},
-    relay::plan,
+    relay::{plan, stage::StageNumber},
 };
 use std::{collections::HashMap, time::Duration};
 
@@ -127,8 +127,8 @@
     }
 
     /// Returns the queued stages of a pool that may run now, the most urgent first.
-    fn sorted_queue(&self, now: Time, pool_state: &PoolState) -> Vec<(JobId, usize)> {
-        let mut order: Vec<(Precedence, (JobId, usize))> = Vec::new();
+    fn sorted_queue(&self, now: Time, pool_state: &PoolState) -> Vec<StageRef> {
+        let mut order: Vec<(Precedence, StageRef)> = Vec::new();
         for &(job, stage) in &pool_state.waiting {
             let Some(running) = self.jobs.get(&job) else {
                 continue;
@@ -153,7 +153,7 @@
 
     /// Returns whether a large final result would be held in memory until the request's other
     /// stages are done.
-    fn is_early(&self, running: &RunningJob, stage: usize) -> bool {
+    fn is_early(&self, running: &RunningJob, stage: StageNumber) -> bool {
         let spec = &running.job.stages[stage];
         let is_alone = running.job.stages.len() == 1;
         if is_alone || spec.bytes < super::LARGE_RESULT_BYTES || !running.is_final(stage) {
@@ -230,7 +230,7 @@
         self.next_call += 1;
         let jobs = &mut self.jobs;
         let pool_state = self.pools.get_mut(pool).expect("dispatched pool exists");
-        let mut called: Vec<(JobId, usize)> =
+        let mut called: Vec<StageRef> =
             chosen.iter().map(|&(job, stage, _)| (job, stage)).collect();
         called.sort();
         pool_state.waiting.retain(|entry| {
@@ -313,7 +313,7 @@
         &self,
         now: Time,
         running: &RunningJob,
-        stage_ends: &HashMap<(JobId, usize), Time>,
+        stage_ends: &HashMap<StageRef, Time>,
     ) -> Duration {
         running.critical_path(|stage, before| {
             let spec = &running.job.stages[stage];
@@ -335,8 +335,8 @@
     }
 
     /// Returns for each stage when the last of the calls with its pieces is expected to end.
-    fn stage_ends(&self) -> HashMap<(JobId, usize), Time> {
-        let mut stage_ends: HashMap<(JobId, usize), Time> = HashMap::new();
+    fn stage_ends(&self) -> HashMap<StageRef, Time> {
+        let mut stage_ends: HashMap<StageRef, Time> = HashMap::new();
         for call in self.calls.values() {
             let end = call.started + call.expected;
             for &(job, stage, _) in &call.items {
--- a/policy/src/relay/scheduler/flow.rs
+++ b/policy/src/relay/scheduler/flow.rs
@@ -8,7 +8,10 @@
 //! much is started at once, and the pools are alternately idle and overloaded.
 
 use super::{PoolState, Scheduler, job::RunningJob};
-use crate::id::PoolId;
+use crate::{
+    id::PoolId,
+    relay::stage::{ByStage, StageNumber},
+};
 
 /// Work that waits at a pool when it arrives as expected, in mean calls of the pool. It covers calls that
 /// start later than expected and targets that are slower.
@@ -55,7 +58,7 @@
 
 impl<'a> Flow<'a> {
     fn add(&mut self, running: &RunningJob) {
-        for (stage, spec) in running.job.stages.iter().enumerate() {
+        for (stage, spec) in running.job.stages.numbered() {
             let waiting = running.stages[stage].waiting();
             if waiting == 0 || spec.after.is_empty() {
                 continue;
@@ -81,11 +84,11 @@
     }
 
     /// Returns whether a queued stage may start, and if so adds the work that follows from it.
-    pub fn admit(&mut self, running: &RunningJob, stage: usize) -> bool {
+    pub fn admit(&mut self, running: &RunningJob, stage: StageNumber) -> bool {
         if !self.has_room(running, stage) {
             return false;
         }
-        for (later, spec) in running.job.stages.iter().enumerate() {
+        for (later, spec) in running.job.stages.numbered() {
             let is_reader = spec.after.contains(&stage);
             let waiting = running.stages[later].waiting() as f64;
             if let Some(pool) = self.pool_mut(&spec.pool) {
@@ -102,23 +105,21 @@
     }
 
     /// Returns whether the pools of the stages that follow need more work when it arrives.
-    fn has_room(&self, running: &RunningJob, stage: usize) -> bool {
+    fn has_room(&self, running: &RunningJob, stage: StageNumber) -> bool {
         let stages = &running.job.stages;
-        // Times at which the inputs of each stage arrive and at which it ends.
-        let mut ends = Vec::with_capacity(stages.len());
-        for (later, spec) in stages.iter().enumerate() {
-            let inputs = spec.after.iter().filter_map(|&from| ends.get(from));
-            let arrival = inputs.copied().fold(0.0, f64::max);
+        // Times at which each stage ends.
+        let mut ends: ByStage<f64> = std::iter::repeat_n(0.0, stages.len()).collect();
+        for later in stages.in_order() {
+            let spec = &stages[later];
+            let inputs = spec.after.iter().map(|&from| ends[from]);
+            let arrival = inputs.fold(0.0, f64::max);
             let Some(pool) = self.pool(&spec.pool) else {
-                ends.push(0.0);
                 continue;
             };
             let follows = arrival > 0.0 && running.stages[later].waiting() > 0;
-            ends.push(if later == stage || follows {
-                arrival + pool.call_time
-            } else {
-                0.0
-            });
+            if later == stage || follows {
+                ends[later] = arrival + pool.call_time;
+            }
             let most = arrival + pool.call_time * RESERVE_CALLS;
             let is_full = if spec.after.contains(&stage) {
                 pool.near > most
--- a/policy/src/relay/scheduler/job.rs
+++ b/policy/src/relay/scheduler/job.rs
@@ -1,7 +1,10 @@
 //! Jobs: the stages that a request needs, and their progress.
 
-use super::shares::Kind;
-use crate::id::{DomainId, PoolId, RequestId, TargetId, Time, WorkspaceId};
+use super::{shares::Kind, stages::Stages};
+use crate::{
+    id::{DomainId, PoolId, RequestId, TargetId, Time, WorkspaceId},
+    relay::stage::{ByStage, StageNumber},
+};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, time::Duration};
@@ -21,19 +24,6 @@
     pub number: u64,
 }
 
-/// Pieces of one stage that a request needs.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct StageSpec {
-    /// Pool that computes the pieces.
-    pub pool: PoolId,
-    /// Indices of the stages whose results each piece reads.
-    pub after: Vec<usize>,
-    /// Approximate size of one result in bytes.
-    pub bytes: u64,
-    /// Number of pieces; 0 skips the stage.
-    pub pieces: u32,
-}
-
 /// All stages of one request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
@@ -55,8 +45,8 @@
     pub first_event_latency: Duration,
     /// Domain in which the request's own target is expected, if known.
     pub preferred_domain: Option<DomainId>,
-    /// Stages in topological order.
-    pub stages: Vec<StageSpec>,
+    /// Stages of the request.
+    pub stages: Stages,
     /// Workspace of the request, if it has one.
     pub workspace: Option<WorkspaceId>,
     /// Whether an earlier scheduler may have accepted the job.
@@ -100,7 +90,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct RunningJob {
     pub job: Job,
-    pub stages: Vec<StageState>,
+    pub stages: ByStage<StageState>,
     /// When the job was submitted.
     pub submitted_at: Time,
     /// Kind of its request.
@@ -197,6 +187,12 @@
         self.missing > missing
     }
 
+    /// Discards all results.
+    pub fn reset(&mut self) {
+        self.is_freed = false;
+        self.discard(|_| true);
+    }
+
     /// Changes a piece and counts it anew.
     fn update(&mut self, index: usize, change: impl FnOnce(&mut Piece)) {
         let piece = &mut self.pieces[index];
@@ -245,15 +241,15 @@
     /// to compute them again. Returns whether any result was discarded.
     pub fn discard_results(&mut self, is_lost: impl Fn(&StoredResult) -> bool) -> bool {
         let mut has_any = false;
-        for stage in (0..self.stages.len()).rev() {
+        for stage in self.job.stages.in_order().rev() {
             if self.stages[stage].is_freed {
                 continue;
             }
             has_any |= self.stages[stage].discard(&is_lost);
             if !self.stages[stage].is_done() {
-                for from in self.job.stages[stage].after.clone() {
+                for &from in &self.job.stages[stage].after {
                     if self.stages[from].is_freed {
-                        self.reset_stage(from);
+                        self.stages[from].reset();
                     }
                 }
             }
@@ -261,27 +257,20 @@
         has_any
     }
 
-    /// Discards all results of a stage.
-    pub fn reset_stage(&mut self, stage: usize) {
-        let stage = &mut self.stages[stage];
-        stage.is_freed = false;
-        stage.discard(|_| true);
-    }
-
     /// Returns whether no stage reads the results of `stage`.
-    pub fn is_final(&self, stage: usize) -> bool {
+    pub fn is_final(&self, stage: StageNumber) -> bool {
         let mut specs = self.job.stages.iter();
         !specs.any(|spec| spec.pieces > 0 && spec.after.contains(&stage))
     }
 
     /// Returns whether all inputs of `stage` are available.
-    pub fn has_inputs(&self, stage: usize) -> bool {
+    pub fn has_inputs(&self, stage: StageNumber) -> bool {
         let after = self.job.stages[stage].after.iter();
         after.copied().all(|from| self.stages[from].is_done())
     }
 
     /// Returns the bytes that the pieces of a stage read in total.
-    pub fn read_bytes(&self, stage: usize) -> u64 {
+    pub fn read_bytes(&self, stage: StageNumber) -> u64 {
         let spec = &self.job.stages[stage];
         let inputs = spec.after.iter().map(|&from| {
             let from = &self.job.stages[from];
@@ -291,7 +280,7 @@
     }
 
     /// Returns the handles of the results of several stages in order.
-    pub fn results(&self, stages: impl Iterator<Item = usize>) -> Vec<Handle> {
+    pub fn results(&self, stages: impl Iterator<Item = StageNumber>) -> Vec<Handle> {
         stages
             .flat_map(|stage| self.stages[stage].results())
             .map(|result| result.handle.clone())
@@ -300,13 +289,13 @@
 
     /// Returns the handles of all final results in order.
     pub fn final_results(&self) -> Vec<Handle> {
-        let stages = 0..self.stages.len();
+        let stages = self.stages.keys();
         self.results(stages.filter(|&stage| self.is_final(stage)))
     }
 
     /// Returns the domain that holds the most large final results, if there are any.
     pub fn large_result_domain(&self) -> Option<DomainId> {
-        let stages = (0..self.stages.len()).filter(|&stage| self.is_final(stage));
+        let stages = self.stages.keys().filter(|&stage| self.is_final(stage));
         let heavy =
             stages.filter(|&stage| self.job.stages[stage].bytes >= super::LARGE_RESULT_BYTES);
         let mut sums: Vec<(DomainId, usize)> = Vec::new();
@@ -322,19 +311,18 @@
 
     /// Returns the time until the last stage is done. `end` maps an unfinished stage and the time
     /// at which its inputs are available to the time at which it is done.
-    pub fn critical_path(&self, end: impl Fn(usize, Duration) -> Duration) -> Duration {
-        let mut stage_ends: Vec<Duration> = Vec::with_capacity(self.stages.len());
-        for (stage, spec) in self.job.stages.iter().enumerate() {
-            let before = spec
-                .after
-                .iter()
-                .filter_map(|&from| stage_ends.get(from).copied());
-            let before = before.max().unwrap_or_default();
-            stage_ends.push(if self.stages[stage].is_done() {
+    pub fn critical_path(&self, end: impl Fn(StageNumber, Duration) -> Duration) -> Duration {
+        let mut stage_ends: ByStage<Duration> =
+            std::iter::repeat_n(Duration::ZERO, self.stages.len()).collect();
+        for stage in self.job.stages.in_order() {
+            let inputs = self.job.stages[stage].after.iter();
+            let before = inputs.map(|&from| stage_ends[from]).max();
+            let before = before.unwrap_or_default();
+            stage_ends[stage] = if self.stages[stage].is_done() {
                 before
             } else {
                 end(stage, before)
-            });
+            };
         }
         stage_ends.into_iter().max().unwrap_or_default()
     }
--- a/policy/src/relay/scheduler/locality.rs
+++ b/policy/src/relay/scheduler/locality.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     id::{DomainId, PoolId, Time},
-    relay::plan,
+    relay::{plan, stage::StageNumber},
 };
 use std::{collections::HashMap, time::Duration};
 
@@ -160,7 +160,7 @@
     /// if that domain has none; `call_time` is the expected duration of a call.
     pub(super) fn leaves_home(
         &self,
-        stage: usize,
+        stage: StageNumber,
         home_wait: Option<Duration>,
         call_time: Duration,
     ) -> bool {
@@ -173,7 +173,7 @@
     }
 
     /// Returns whether running a stage outside of its home domain transfers little data.
-    pub(super) fn reads_little(&self, stage: usize) -> bool {
+    pub(super) fn reads_little(&self, stage: StageNumber) -> bool {
         self.job.stages[stage].bytes < LARGE_RESULT_BYTES
             && self.read_bytes(stage) <= MAX_REMOTE_READ_BYTES
     }
--- a/policy/src/relay/scheduler/message.rs
+++ b/policy/src/relay/scheduler/message.rs
@@ -4,7 +4,10 @@
     CallId,
     job::{Handle, JobId},
 };
-use crate::id::{DomainId, PoolId, RequestId, TargetId};
+use crate::{
+    id::{DomainId, PoolId, RequestId, TargetId},
+    relay::stage::StageNumber,
+};
 use compact_str::CompactString;
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
@@ -14,8 +17,8 @@
 pub struct Item {
     /// Identifier of the request.
     pub request: RequestId,
-    /// Index of the stage in its job.
-    pub stage: usize,
+    /// Number of the stage in the route of the request.
+    pub stage: StageNumber,
     /// Index of the piece in its stage.
     pub piece: usize,
     /// Time left until the caller gives up.
--- a/policy/src/relay/scheduler/mod.rs
+++ b/policy/src/relay/scheduler/mod.rs
@@ -23,18 +23,21 @@
 mod refusals;
 mod reply;
 mod shares;
+mod stages;
 mod target;
 mod throttle;
 mod workspaces;
 
 pub use self::{
-    job::{Handle, Job, JobId, RequestIdentity, StageSpec},
+    job::{Handle, Job, JobId, RequestIdentity},
     message::{Command, Item, ItemError, PoolStats, Refusal, Reply, Source},
+    stages::{StageSpec, Stages, renumber},
     throttle::Throttle,
 };
 
 use self::{
     admission::Accepted,
+    call::{PieceRef, StageRef},
     job::{RunningJob, StoredResult},
     pool::PoolState,
     precedence::precedence,
@@ -100,7 +103,7 @@
 struct Call {
     pool: PoolId,
     target: TargetId,
-    items: Vec<(JobId, usize, usize)>,
+    items: Vec<PieceRef>,
     /// Approximate size of the result of each item.
     bytes: Vec<u64>,
     started: Time,
@@ -278,9 +281,7 @@
 
     fn count_waiting(&self, pool_state: &PoolState) -> usize {
         let waiting = pool_state.waiting.iter();
-        waiting
-            .map(|&(job, stage)| self.waiting_pieces(job, stage))
-            .sum()
+        waiting.map(|&stage| self.waiting_pieces(stage)).sum()
     }
 
     /// Sends a target nothing until the end of a pause that it asked for.
@@ -444,7 +445,7 @@
         }
     }
 
-    fn waiting_pieces(&self, job: JobId, stage: usize) -> usize {
+    fn waiting_pieces(&self, (job, stage): StageRef) -> usize {
         let running = self.jobs.get(&job);
         running.map_or(0, |running| running.stages[stage].waiting())
     }
@@ -475,7 +476,7 @@
         if running.ready_at.is_some() {
             return;
         }
-        for stage in 0..running.stages.len() {
+        for stage in running.stages.keys() {
             let is_open = running.has_inputs(stage) && running.stages[stage].waiting() > 0;
             let pool = running.job.stages[stage].pool.clone();
             if is_open
@@ -519,8 +520,8 @@
             return;
         };
         let mut to_free = Vec::new();
-        for stage in 0..running.stages.len() {
-            let specs = running.job.stages.iter().enumerate();
+        for stage in running.stages.keys() {
+            let specs = running.job.stages.numbered();
             let mut readers = specs.filter(|(_, spec)| spec.after.contains(&stage));
             let is_read = !running.is_final(stage)
                 && readers.all(|(reader, _)| running.stages[reader].is_done());
--- a/policy/src/relay/scheduler/pool.rs
+++ b/policy/src/relay/scheduler/pool.rs
@@ -1,7 +1,7 @@
 //! Scheduler state of one pool: its stage targets, its queue and its throughput.
 
 use super::{
-    JobId, Scheduler, admission::AcceptedLoad, job::RunningJob, shares::Shares,
+    Scheduler, admission::AcceptedLoad, call::StageRef, job::RunningJob, shares::Shares,
     target::StageTarget, workspaces::Workspaces,
 };
 use crate::{
@@ -33,7 +33,7 @@
     /// Targets in evacuated domains, which get no calls and no releases of results.
     pub evacuated: Vec<StageTarget>,
     /// Stages with pieces to be sent, in order of arrival.
-    pub waiting: Vec<(JobId, usize)>,
+    pub waiting: Vec<StageRef>,
     /// Exponentially weighted mean duration of a call in seconds.
     pub mean_call_seconds: Option<f64>,
     /// When a call last changed that mean, or it was last [reviewed](Self::review_call_time).
@@ -41,7 +41,7 @@
     /// Whether a call could be made at once although the rates of all targets are limited.
     pub has_spare_rate: bool,
     /// Most urgent stages of the queue, and when they were sorted.
-    pub sorted_front: Option<(Time, Vec<(JobId, usize)>)>,
+    pub sorted_front: Option<(Time, Vec<StageRef>)>,
     /// Work for jobs that were accepted to be on time.
     pub accepted_load: AcceptedLoad,
     /// Measured throughput.
@@ -318,9 +318,7 @@
         let Some((_, front)) = &pool_state.sorted_front else {
             return false;
         };
-        let pieces = front
-            .iter()
-            .map(|&(job, stage)| self.waiting_pieces(job, stage));
+        let pieces = front.iter().map(|&stage| self.waiting_pieces(stage));
         let batch = pool_state.limits.map_or(0, |limits| limits.max_pieces);
         pieces.sum::<usize>() > batch * pool_state.targets.len() / 2
     }
--- a/policy/src/relay/scheduler/reply.rs
+++ b/policy/src/relay/scheduler/reply.rs
@@ -1,7 +1,8 @@
 //! Handling of completed and failed calls to stage targets.
 
 use super::{
-    Call, Command, ItemError, JobId, ROOM_RESERVATION_CALLS, Refusal, Scheduler,
+    Call, Command, ItemError, ROOM_RESERVATION_CALLS, Refusal, Scheduler,
+    call::{PieceRef, StageRef},
     job::{Handle, StoredResult},
 };
 use crate::id::{DomainId, Time};
@@ -67,7 +68,7 @@
     fn store_result(
         &mut self,
         call: &Call,
-        (job, stage, piece): (JobId, usize, usize),
+        (job, stage, piece): PieceRef,
         result: StoredResult,
         bytes: u64,
     ) {
@@ -88,7 +89,7 @@
         &mut self,
         now: Time,
         call: &Call,
-        (job, stage): (JobId, usize),
+        (job, stage): StageRef,
         error: ItemError,
         bytes: u64,
         out: &mut Vec<Command>,
@@ -100,8 +101,8 @@
             ItemError::Late => self.refuse(now, job, Refusal::Late, out),
             ItemError::Gone => {
                 running.failures += 1;
-                for from in running.job.stages[stage].after.clone() {
-                    running.reset_stage(from);
+                for &from in &running.job.stages[stage].after {
+                    running.stages[from].reset();
                 }
             }
             // The target was out of memory, so this does not count against the job.
--- a/policy/tests/regression/evacuated_stage_targets_got_calls.rs
+++ b/policy/tests/regression/evacuated_stage_targets_got_calls.rs
@@ -6,7 +6,9 @@
     relay::{
         plan::{BatchLimits, Limits, Plan, Pool},
         registry::{Target, TargetChange},
-        scheduler::{CallId, Command, Handle, Item, Job, JobId, Reply, Scheduler, StageSpec},
+        scheduler::{
+            CallId, Command, Handle, Item, Job, JobId, Reply, Scheduler, StageSpec, Stages,
+        },
     },
 };
 use std::{collections::BTreeSet, time::Duration};
@@ -73,12 +75,16 @@
         deadline: now + Duration::from_secs(2),
         first_event_latency: MS * 50,
         preferred_domain: Some("d-b".into()),
-        stages: vec![StageSpec {
-            pool: POOL.into(),
-            after: Vec::new(),
-            bytes: 8_000,
-            pieces: 2,
-        }],
+        stages: Stages::new(
+            vec![StageSpec {
+                pool: POOL.into(),
+                after: Vec::new(),
+                bytes: 8_000,
+                pieces: 2,
+            }]
+            .into(),
+        )
+        .expect("stages have an order"),
         workspace: None,
         is_resubmitted: false,
     };
--- a/policy/tests/regression/limited_stage_target_was_never_asked.rs
+++ b/policy/tests/regression/limited_stage_target_was_never_asked.rs
@@ -6,7 +6,7 @@
     relay::{
         plan::{BatchLimits, Limits, Plan, Pool},
         registry::{Target, TargetChange},
-        scheduler::{Command, Job, JobId, Scheduler, StageSpec},
+        scheduler::{Command, Job, JobId, Scheduler, StageSpec, Stages},
     },
 };
 use std::time::Duration;
@@ -18,7 +18,7 @@
 fn job(now: Time, number: u64) -> Job {
     let stages = (0..2_usize).map(|stage| StageSpec {
         pool: "s-stage".into(),
-        after: stage.checked_sub(1).into_iter().collect(),
+        after: stage.checked_sub(1).map(Into::into).into_iter().collect(),
         bytes: 8_000,
         pieces: 1,
     });
@@ -32,7 +32,7 @@
         deadline: now + Duration::from_secs(2),
         first_event_latency: Duration::from_millis(50),
         preferred_domain: None,
-        stages: stages.collect(),
+        stages: Stages::new(stages.collect()).expect("stages have an order"),
         workspace: None,
         is_resubmitted: false,
     }
--- a/policy/tests/regression/slow_call_refused_everything.rs
+++ b/policy/tests/regression/slow_call_refused_everything.rs
@@ -6,7 +6,7 @@
     relay::{
         plan::{BatchLimits, Limits, Plan, Pool},
         registry::{Target, TargetChange},
-        scheduler::{CallId, Command, Job, JobId, Reply, Scheduler, StageSpec},
+        scheduler::{CallId, Command, Job, JobId, Reply, Scheduler, StageSpec, Stages},
     },
 };
 use rstest::rstest;
@@ -83,7 +83,7 @@
     fn job(now: Time, number: u64) -> Job {
         let stages = (0..STAGES).map(|stage| StageSpec {
             pool: "s-stage".into(),
-            after: stage.checked_sub(1).into_iter().collect(),
+            after: stage.checked_sub(1).map(Into::into).into_iter().collect(),
             bytes: 8_000,
             pieces: 1,
         });
@@ -97,7 +97,7 @@
             deadline: now + PATIENCE,
             first_event_latency: MS * 50,
             preferred_domain: None,
-            stages: stages.collect(),
+            stages: Stages::new(stages.collect()).expect("stages have an order"),
             workspace: None,
             is_resubmitted: false,
         }
--- a/policy/tests/scheduler.rs
+++ b/policy/tests/scheduler.rs
@@ -111,11 +111,20 @@
 }
 
 /// Guards against calls with missing inputs when targets crash in a burst and pieces are computed
-/// again.
+/// again, also for routes that list their stages in another order than they run in.
 #[rstest]
-fn crashed_targets_cause_no_calls_without_inputs(#[values(1, 2, 3)] seed: u64) {
+fn crashed_targets_cause_no_calls_without_inputs(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(false, true)] is_backwards: bool,
+) {
     let workload = burst(CHAIN, 2.0).with_deaths(5.0, 9.0);
-    let report = Simulation::new(seed).run(&workload, RUN_LENGTH);
+    let simulation = Simulation::new(seed);
+    let mut simulation = if is_backwards {
+        simulation.with_stages_backwards()
+    } else {
+        simulation
+    };
+    let report = simulation.run(&workload, RUN_LENGTH);
     assert_eq!(report.missing_inputs, 0);
     assert!(report.served(CHAIN) >= 0.8, "{:?}", report.counts);
 }
--- a/policy/tests/simulation/caller.rs
+++ b/policy/tests/simulation/caller.rs
@@ -93,8 +93,7 @@
         let (kind, arrived, job) = &self.jobs[&id];
         let finals = job
             .stages
-            .iter()
-            .enumerate()
+            .numbered()
             .filter(|(stage, _)| !job.stages.iter().any(|spec| spec.after.contains(stage)));
         let expected: u32 = finals.map(|(_, spec)| spec.pieces).sum();
         assert_eq!(
--- a/policy/tests/simulation/deployment.rs
+++ b/policy/tests/simulation/deployment.rs
@@ -3,7 +3,7 @@
 use super::{CHAIN, FIRST_EVENT_LATENCY, LARGE_RESULTS, Simulation, UNEVEN_SLOWDOWNS, pool};
 use policy::{
     id::Time,
-    relay::scheduler::{Job, JobId, StageSpec},
+    relay::scheduler::{Job, JobId, StageSpec, Stages},
 };
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -82,10 +82,17 @@
         }
         self
     }
+
+    /// Lists the stages of each request in the opposite order.
+    pub fn with_stages_backwards(mut self) -> Self {
+        self.lists_backwards = true;
+        self
+    }
+
     pub(super) fn job(&mut self, now: Time, kind: usize) -> Job {
         let spec = |index: usize, after: Vec<usize>, bytes: u64, pieces: u32| StageSpec {
             pool: pool(index),
-            after,
+            after: after.into_iter().map(Into::into).collect(),
             bytes,
             pieces,
         };
@@ -111,6 +118,11 @@
                 spec(2, vec![2], 6_000, last),
             ],
         };
+        let stages = if self.lists_backwards {
+            backwards(stages)
+        } else {
+            stages
+        };
         self.next += 1;
         let Kind {
             objective,
@@ -131,9 +143,21 @@
             deadline: now + Duration::from_secs_f64(deadline),
             first_event_latency: FIRST_EVENT_LATENCY,
             preferred_domain: None,
-            stages,
+            stages: Stages::new(stages.into()).expect("stages have an order"),
             workspace: None,
             is_resubmitted: false,
         }
     }
 }
+
+/// Returns stages that are listed in the opposite order.
+fn backwards(stages: Vec<StageSpec>) -> Vec<StageSpec> {
+    let last = stages.len() - 1;
+    let stages = stages.into_iter().rev().map(|mut spec| {
+        for input in &mut spec.after {
+            *input = (last - usize::from(*input)).into();
+        }
+        spec
+    });
+    stages.collect()
+}
--- a/policy/tests/simulation/mod.rs
+++ b/policy/tests/simulation/mod.rs
@@ -23,6 +23,7 @@
             CallId, Command, Handle, Item, ItemError, Job, JobId, Reply, Scheduler, Source,
             StageSpec,
         },
+        stage::StageNumber,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -83,13 +84,15 @@
     /// Whether callers come back after a refusal.
     has_returns: bool,
     /// Pieces computed at least once.
-    computed: BTreeSet<(JobId, usize, usize)>,
+    computed: BTreeSet<(JobId, StageNumber, usize)>,
     plan: Plan,
     /// Number of schedulers lost so far.
     generation: u32,
     /// Whether the scheduler is lost and its successor has not taken over yet.
     is_scheduler_lost: bool,
     next: u64,
+    /// Whether requests list their stages in the opposite order.
+    lists_backwards: bool,
     report: Report,
 }
 
@@ -174,6 +177,7 @@
             generation: 0,
             is_scheduler_lost: false,
             next: 0,
+            lists_backwards: false,
             report: Report::default(),
         };
         let mut plan = Vec::new();
--- a/standin/src/site/engine.rs
+++ b/standin/src/site/engine.rs
@@ -12,6 +12,7 @@
     capacity::{Admission, Admissions, Brittleness, Capacity, Slot},
     execution::Execution,
     notice::Notices,
+    piece::{Item, Piece},
 };
 use crate::http::{ConnectionClosed, Handler, Listener, RawConnection, Reply, ServerHandle, reply};
 use bytes::Bytes;
@@ -79,6 +80,7 @@
     address: Mutex<String>,
     next_result: AtomicU64,
     stage_calls: Mutex<Vec<Value>>,
+    stage_items: Mutex<Vec<Item>>,
     /// Last answer to a stage call on each connection.
     pub(super) last_answers: Mutex<HashMap<usize, String>>,
     /// Number of these, or of refusals, that were sent again.
@@ -93,9 +95,8 @@
     server_handle: Arc<ServerHandle>,
 }
 
-/// Results that the stage engines of a test hold: the identifier of the request of each, by handle. An
-/// input that is missing here is answered as gone.
-pub type StoredResults = Arc<Mutex<HashMap<String, String>>>;
+/// Results that the stage engines of a test hold, by handle. An input that is missing here is answered as gone.
+pub type StoredResults = Arc<Mutex<HashMap<String, Piece>>>;
 
 impl Server {
     /// Starts an engine with the software version `v1` on a free port.
@@ -128,6 +129,7 @@
             address: Mutex::default(),
             next_result: AtomicU64::new(0),
             stage_calls: Mutex::default(),
+            stage_items: Mutex::default(),
             last_answers: Mutex::default(),
             repeated_answers: AtomicUsize::default(),
             endless_responses: AtomicUsize::default(),
@@ -265,6 +267,11 @@
     pub fn stage_calls(&self) -> Vec<Value> {
         lock(&self.state.stage_calls).clone()
     }
+
+    /// Returns the pieces that the engine computed, earliest first.
+    pub fn stage_items(&self) -> Vec<Item> {
+        lock(&self.state.stage_items).clone()
+    }
 }
 
 impl State {
@@ -274,15 +281,14 @@
         let items = call["items"].as_array().cloned().unwrap_or_default();
         lock(&self.stage_calls).push(call);
         let items = items.iter().map(|item| {
-            let inputs = item["inputs"].as_array().into_iter().flatten();
-            let mut inputs = inputs.filter_map(Value::as_str);
-            if inputs.any(|input| !lock(&self.stored_results).contains_key(input)) {
+            let mut stored = lock(&self.stored_results);
+            let Some(item) = Item::parse(item, &stored) else {
                 return json!({ "why": "gone" });
-            }
+            };
             let number = self.next_result.fetch_add(1, Ordering::Relaxed);
             let handle = format!("{}/{}-{number}", lock(&self.address), self.id);
-            let request = item["id"].as_str().unwrap_or_default();
-            lock(&self.stored_results).insert(handle.clone(), request.into());
+            stored.insert(handle.clone(), item.piece.clone());
+            lock(&self.stage_items).push(item);
             json!({ "handle": handle })
         });
         let items: Vec<Value> = items.collect();
@@ -364,7 +370,7 @@
         if behavior == Behavior::Full {
             return Ok(self.refusal(StatusCode::SERVICE_UNAVAILABLE));
         }
-        let Some(sources) = self.sources(&header("godwithinge-input-count")) else {
+        let Some(inputs) = self.inputs(&header("godwithinge-input-count")) else {
             return Ok(self.refusal(StatusCode::CONFLICT));
         };
         let slot = match self.admit().await {
@@ -373,7 +379,7 @@
         };
         let id = header("godwithinge-attempt-id");
         let (mut run, execution) = ExecutedRequest::begin(&id, &request);
-        run.sources = sources;
+        run.inputs = inputs;
         let is_crashing = run.has_crashing_part();
         lock(&self.executed_requests).push(run);
         if is_crashing {
@@ -447,8 +453,8 @@
         Ok(reply)
     }
 
-    /// Returns the requests to which inputs belong; `None` if one of the inputs does not exist.
-    fn sources(&self, inputs: &str) -> Option<Vec<String>> {
+    /// Returns the pieces that inputs hold; `None` if one of the inputs does not exist.
+    fn inputs(&self, inputs: &str) -> Option<Vec<Piece>> {
         let inputs = inputs.split(',').filter(|input| !input.is_empty());
         let stored = lock(&self.stored_results);
         inputs.map(|input| stored.get(input).cloned()).collect()
--- a/standin/src/site/execution.rs
+++ b/standin/src/site/execution.rs
@@ -1,6 +1,6 @@
 //! Requests that a fake engine executes.
 
-use super::engine::CRASHING_PART;
+use super::{engine::CRASHING_PART, piece::Piece};
 use bytes::Bytes;
 use hyper::{HeaderMap, Request};
 use std::{
@@ -19,8 +19,8 @@
     pub headers: HeaderMap,
     /// Body as received.
     pub body: Bytes,
-    /// Identifiers of the requests to which its inputs belong.
-    pub sources: Vec<String>,
+    /// Pieces that its inputs hold.
+    pub inputs: Vec<Piece>,
     /// When the execution began.
     pub at: Instant,
     /// When the execution ended, also because the connection was closed; empty until then.
@@ -36,7 +36,7 @@
             path: request.uri().to_string(),
             headers: request.headers().clone(),
             body: request.body().clone(),
-            sources: Vec::new(),
+            inputs: Vec::new(),
             at: Instant::now(),
             ended: Arc::clone(&ended),
         };
--- a/standin/src/site/mod.rs
+++ b/standin/src/site/mod.rs
@@ -6,5 +6,6 @@
 pub mod engine;
 mod execution;
 mod notice;
+pub mod piece;
 mod raw;
 pub mod store;
