Streams go on in the pool where they began

Cause: the pool of a request was drawn from the identifier of its attempt, which is new when a stream is taken up, and daemons kept the build of a stream without its pool.

Where a stream began is now a pool and a build (Origin), kept, handed over, asked for and stored together. The stream goes on in that pool while its route uses it; if the pool has to be drawn, it is drawn by the identifier of the attempt that began the stream. RouteHistory knows the pools that a route uses or has used while streams may be taken up: a stream of unknown origin goes on only if they all have the same single build, and origins are stored while they have several.

--- a/godwithinge/src/relay/event.rs
+++ b/godwithinge/src/relay/event.rs
@@ -9,9 +9,10 @@
         crash::{Feature, PayloadHash},
         ending::Process,
         leader::UnixMillis,
+        origin::Origin,
         rate::Rate,
         reach::Evidence,
-        registry::{Build, Target},
+        registry::Target,
         scheduler::{PoolStats, Refusal, Reply, Scheduler},
         selection::{Part, PartId, Selection},
         sse::EventId,
@@ -403,13 +404,15 @@
 pub(super) fn stream_taken_up(
     request: &RequestId,
     stream: Option<&RequestId>,
-    build: Option<&Build>,
+    origin: Option<&Origin>,
     source: &str,
 ) {
+    let pool = origin.and_then(|origin| origin.pool.as_ref());
     tracing::info!(
         request = request.as_str(),
         stream = stream.map(RequestId::as_str),
-        build = build.map(Build::as_str),
+        pool = pool.map(PoolId::as_str),
+        build = origin.map(|origin| origin.build.as_str()),
         source,
         "stream taken up"
     );
--- a/godwithinge/src/relay/frame.rs
+++ b/godwithinge/src/relay/frame.rs
@@ -175,21 +175,27 @@
         reason: u8,
         retry_after: Duration,
     },
-    /// Build at which a stream began, for the receiver to keep.
+    /// Where a stream began, for the receiver to keep.
     StreamOrigin {
         stream: RequestId,
+        /// Its pool; absent in frames of earlier builds.
+        #[serde(default)]
+        pool: Option<PoolId>,
         build: Build,
         /// Time since it was recorded.
         age: Duration,
     },
-    /// Requests the build at which a stream began.
+    /// Requests where a stream began.
     FindOrigin {
         number: u64,
         /// Empty if its caller did not name it.
         stream: RequestId,
-        /// Its pool; absent in frames of earlier builds.
+        /// A pool in which it can have begun; absent in frames of earlier builds.
         #[serde(default)]
         pool: Option<PoolId>,
+        /// The others; absent in frames of earlier builds, which judge the first one alone.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        other_pools: Vec<PoolId>,
         /// Time for which the stream may have lasted.
         #[serde(default)]
         max_age: Duration,
@@ -199,7 +205,10 @@
         number: u64,
         /// Absent if it is not known.
         build: Option<Build>,
-        /// The only build that the pool has had meanwhile, as far as the sender knows; absent if there
+        /// Pool with this build; absent if it is not known, and in frames of earlier builds.
+        #[serde(default)]
+        pool: Option<PoolId>,
+        /// The only build that the pools have had meanwhile, as far as the sender knows; absent if there
         /// are several, and in frames of earlier builds.
         #[serde(default)]
         single_build: Option<Build>,
--- a/godwithinge/src/relay/front.rs
+++ b/godwithinge/src/relay/front.rs
@@ -21,7 +21,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use policy::relay::memory::Share;
 use std::{
-    cell::{Cell, OnceCell},
+    cell::{Cell, RefCell},
     convert::Infallible,
     pin::pin,
     rc::Rc,
@@ -271,7 +271,7 @@
         workspace: name,
         stats: RequestStats::default(),
         is_tried: Cell::new(false),
-        build: OnceCell::new(),
+        origin: RefCell::default(),
         is_build_unknown: Cell::new(false),
         connection: guard,
         _flight: flight,
--- a/godwithinge/src/relay/ledger.rs
+++ b/godwithinge/src/relay/ledger.rs
@@ -1,7 +1,8 @@
-//! Rows in which daemons keep the builds of the streams that they forward.
+//! Rows in which daemons keep the origins of the streams that they forward.
 //!
-//! Where a stream began is known to its daemon and two peers, which may all end at once. While a pool has
-//! several builds, each daemon therefore also keeps the builds of its streams in the store, in one row.
+//! Where a stream began is known to its daemon and two peers, which may all end at once. While it can have begun
+//! at several builds, of one pool or of those that its route uses or has used, each daemon therefore also keeps the
+//! origins of its streams in the store, in one row.
 
 use super::{
     dialect::{Row, Table},
@@ -11,14 +12,16 @@
 use policy::{
     id::{PoolId, RequestId},
     relay::{
+        builds::BuildRecords,
         history::{Era, Version},
-        origin::{MAX_STORED_STREAMS, StreamHash, stream_hash},
+        origin::{MAX_STORED_STREAMS, Origin, StreamHash, stream_hash},
         registry::Build,
+        route_history::RouteHistory,
     },
 };
 use serde::{Deserialize, Serialize};
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -42,7 +45,7 @@
     streams: Vec<(StreamHash, usize)>,
 }
 
-/// Builds of streams from the rows of all daemons.
+/// Origins of streams from the rows of all daemons.
 #[derive(Debug, Default)]
 pub(super) struct Ledger {
     /// `None` if two rows differ.
@@ -63,7 +66,7 @@
 }
 
 impl Ledger {
-    /// Collects the builds of all rows. Malformed rows are logged and skipped.
+    /// Collects the origins of all rows. Malformed rows are logged and skipped.
     pub fn new(rows: &[Row]) -> Self {
         let mut ledger = Self::default();
         for row in rows {
@@ -89,10 +92,11 @@
         }
     }
 
-    /// Returns the build at which a stream of `pool` began.
-    pub fn build(&self, stream: &RequestId, pool: &PoolId) -> Option<&Build> {
-        let known = self.builds.get(&stream_hash(stream))?.as_ref();
-        known.filter(|(of, _)| of == pool).map(|(_, build)| build)
+    /// Returns where a stream began.
+    pub fn origin(&self, stream: &RequestId) -> Option<Origin> {
+        let (pool, build) = self.builds.get(&stream_hash(stream))?.clone()?;
+        let pool = Some(pool);
+        Some(Origin { pool, build })
     }
 }
 
@@ -142,7 +146,7 @@
         }
         // Rows that an earlier fleet has left are found by the first sweep.
         let is_swept = unchanged.as_ref().is_some_and(HashMap::is_empty);
-        if is_swept && !relay.build_records().is_any_divided() {
+        if is_swept && !relay.has_ambiguous_pools() {
             continue;
         }
         let swept = relay.sweep_rows(unchanged.get_or_insert_default()).await;
@@ -153,15 +157,34 @@
 }
 
 impl Relay {
+    /// Returns the sets of pools that share streams and have several builds, taken together.
+    fn divided_pools<'a>(
+        &self,
+        records: &'a BuildRecords,
+        routes: &'a RouteHistory,
+    ) -> impl Iterator<Item = &'a BTreeSet<PoolId>> {
+        let max_age = self.max_stream_age().unwrap_or_default();
+        let shared = routes.shared_pools(self.now(), max_age);
+        shared.filter(|pools| records.is_divided_among(pools))
+    }
+
+    /// Returns whether there are pools in which a stream can have begun at one of several builds.
+    fn has_ambiguous_pools(&self) -> bool {
+        let (records, routes) = (self.build_records(), self.route_history());
+        records.is_any_divided() || self.divided_pools(&records, &routes).next().is_some()
+    }
+
     /// Returns the value of this daemon's row; `None` if it has no streams to keep.
     fn encode_streams(&self) -> Option<Vec<u8>> {
-        let records = self.build_records();
-        if !records.is_any_divided() {
+        if !self.has_ambiguous_pools() {
             return None;
         }
         let max_age = self.max_stream_age()?;
+        let (records, routes) = (self.build_records(), self.route_history());
+        let divided: BTreeSet<&PoolId> = self.divided_pools(&records, &routes).flatten().collect();
+        let is_ambiguous = |pool: &PoolId| divided.contains(pool) || records.is_divided(pool);
         let origins = self.origins.origins.borrow();
-        let stored = origins.stored(self.now(), max_age, |pool| records.is_divided(pool));
+        let stored = origins.stored(self.now(), max_age, is_ambiguous);
         let mut wire = WireLedger {
             builds: Vec::new(),
             streams: Vec::with_capacity(stored.len()),
--- a/godwithinge/src/relay/origin.rs
+++ b/godwithinge/src/relay/origin.rs
@@ -1,4 +1,4 @@
-//! Builds at which streams began, exchanged with peers.
+//! Where streams began, exchanged with peers.
 
 use super::{
     dialect::Resumption,
@@ -6,20 +6,22 @@
     frame::{Frame, LinkId},
     link::Peer,
     outcome::{Reason, Rejection},
-    run::{ActiveRequest, POOL_RETRY_AFTER},
+    run::{self, ActiveRequest, POOL_RETRY_AFTER},
     state::{self, Relay},
 };
 use futures::channel::oneshot;
 use policy::{
     id::{HostId, PoolId, RequestId},
     relay::{
-        origin::{self, Origins},
+        origin::{self, Origin, Origins},
+        plan::Plan,
         registry::{Build, Target},
+        route_history::RouteHistory,
     },
 };
 use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
+    cell::{Cell, Ref, RefCell},
+    collections::{BTreeSet, HashMap},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -41,19 +43,19 @@
 /// began it and of the one that takes it up.
 const MAX_STREAM_TIMEOUTS: u32 = 2;
 
-/// How a daemon learned the build of a stream that a caller takes up.
+/// How a daemon learned where a stream began that a caller takes up.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum Source {
-    /// It forwarded the stream, or kept its build for a peer.
+    /// It forwarded the stream, or kept its origin for a peer.
     Own,
     /// A peer answered.
     Peer,
-    /// The daemon that forwarded it had stored its build.
+    /// The daemon that forwarded it had stored its origin.
     Stored,
-    /// The pool has had a single build, as peers confirm.
+    /// Its pools have had a single build, as peers confirm.
     SingleBuild,
-    /// The pool has had a single build, as the store confirms.
+    /// Its pools have had a single build, as the store confirms.
     RecordedBuild,
 }
 
@@ -61,6 +63,7 @@
 #[derive(Debug, Default)]
 pub(super) struct OriginTable {
     pub(super) origins: RefCell<Origins>,
+    routes: RefCell<RouteHistory>,
     queries: RefCell<HashMap<u64, Query>>,
     next_number: Cell<u64>,
 }
@@ -70,17 +73,17 @@
 struct Query {
     /// Number of peers that have not answered.
     unanswered: usize,
-    /// The single build of the pool, as each of those that answered and can tell sees it.
+    /// The single build of the pools, as each of those that answered and can tell sees it.
     single_builds: Vec<Option<Build>>,
-    /// Sends the build of the stream, or nothing when all have answered.
-    sender: oneshot::Sender<Build>,
+    /// Sends the origin of the stream, or nothing when all have answered.
+    sender: oneshot::Sender<Origin>,
 }
 
 /// Answers of peers to a query.
 #[derive(Debug, Default)]
 struct Answers {
-    /// The build of the stream, if one of them knows it.
-    build: Option<Build>,
+    /// The origin of the stream, if one of them knows it.
+    origin: Option<Origin>,
     single_builds: Vec<Option<Build>>,
 }
 
@@ -92,7 +95,7 @@
 }
 
 impl QueryGuard {
-    /// Returns what the peers that have answered say of the pool.
+    /// Returns what the peers that have answered say of the pools.
     fn take_single_builds(&self) -> Vec<Option<Build>> {
         let mut queries = self.relay.origins.queries.borrow_mut();
         let query = queries.remove(&self.number);
@@ -114,66 +117,83 @@
         Some(plan.longest_timeout() * MAX_STREAM_TIMEOUTS)
     }
 
-    /// Records the build at which a stream of `pool` began, here and at the peers that keep it.
-    fn record_origin(&self, stream: &RequestId, build: &Build, pool: &PoolId) {
+    /// Returns which pools routes have used.
+    pub(super) fn route_history(&self) -> Ref<'_, RouteHistory> {
+        self.origins.routes.borrow()
+    }
+
+    /// Records the pools of the routes of a configuration that is about to be in force.
+    pub(super) fn record_routes(&self, next: &Plan) {
+        let former = self.plan();
+        let longest = [former.as_deref(), Some(next)].into_iter().flatten();
+        let longest = longest.map(Plan::longest_timeout).max();
+        let max_age = longest.unwrap_or_default() * MAX_STREAM_TIMEOUTS;
+        let mut routes = self.origins.routes.borrow_mut();
+        routes.record(self.now(), former.as_deref(), next, max_age);
+    }
+
+    /// Records where a stream began, here and at the peers that keep it.
+    fn record_origin(&self, stream: &RequestId, origin: &Origin) {
         let mut origins = self.origins.origins.borrow_mut();
-        origins.insert_forwarded(self.now(), stream.clone(), build.clone(), pool.clone());
+        origins.insert_forwarded(self.now(), stream.clone(), origin.clone());
         drop(origins);
         let peers = self.keeping_peers();
-        self.send_origin(stream, build, Duration::ZERO, peers);
+        self.send_origin(stream, origin, Duration::ZERO, peers);
     }
 
-    /// Keeps the build of a stream, which this daemon or a peer recorded at that age.
-    pub(super) fn keep_origin(&self, stream: RequestId, build: Build, age: Duration) {
+    /// Keeps the origin of a stream, which a peer recorded at that age.
+    pub(super) fn keep_origin(&self, stream: RequestId, origin: Origin, age: Duration) {
         let recorded = self.now().saturating_sub(age);
         let mut origins = self.origins.origins.borrow_mut();
-        origins.insert(recorded, stream, build);
+        origins.insert(recorded, stream, origin);
     }
 
-    /// Hands the builds of recent streams over to peers before this daemon ends, since in a rolling
+    /// Hands the origins of recent streams over to peers before this daemon ends, since in a rolling
     /// restart all others that keep them may end as well.
     pub(super) fn hand_over_origins(&self) {
         let peers = self.keeping_peers();
         let origins = self.origins.origins.borrow();
         let mut count = 0;
-        for (stream, build, age) in origins.recent(self.now()) {
-            self.send_origin(stream, build, age, peers.clone());
+        for (stream, origin, age) in origins.recent(self.now()) {
+            self.send_origin(stream, origin, age, peers.clone());
             count += 1;
         }
         tracing::info!(count, "origins of streams handed over");
     }
 
-    fn send_origin(&self, stream: &RequestId, build: &Build, age: Duration, peers: Vec<HostId>) {
+    fn send_origin(&self, stream: &RequestId, origin: &Origin, age: Duration, peers: Vec<HostId>) {
         for keeper in origin::keepers(stream, peers) {
             let frame = Frame::StreamOrigin {
                 stream: stream.clone(),
-                build: build.clone(),
+                pool: origin.pool.clone(),
+                build: origin.build.clone(),
                 age,
             };
             self.links.send_to_host(&keeper, frame);
         }
     }
 
-    /// Returns the build at which a stream of `pool` began, if it is known or no other is possible.
-    /// The stream began at most `max_age` ago. Without `stream`, the caller did not name it.
+    /// Returns where a stream began, if it is known, or the build if no other is possible. The stream began
+    /// in one of `pools`, at most `max_age` ago. Without `stream`, the caller did not name it.
     pub(super) async fn find_origin(
         self: &Rc<Self>,
         request: &RequestId,
         stream: Option<&RequestId>,
-        pool: &PoolId,
+        pools: &BTreeSet<PoolId>,
         max_age: Duration,
-    ) -> Option<Build> {
+    ) -> Option<Origin> {
         let known = stream.and_then(|stream| self.origins.origins.borrow().get(stream).cloned());
-        let mut found = known.map(|build| (build, Source::Own));
+        let mut found = known.map(|origin| (origin, Source::Own));
         if found.is_none() {
             let stream = stream.cloned().unwrap_or_default();
-            let answers = self.query_origin(&stream, pool, max_age).await;
-            found = if let Some(build) = answers.build {
-                Some((build, Source::Peer))
+            let answers = self.query_origin(&stream, pools, max_age).await;
+            found = if let Some(origin) = answers.origin {
+                Some((origin, Source::Peer))
             } else {
                 self.wait_for_tables().await;
                 let views = &answers.single_builds;
-                self.find_unkept_origin(&stream, pool, max_age, views).await
+                self.find_unkept_origin(&stream, pools, max_age, views)
+                    .await
             };
         }
         let source: &str = found
@@ -181,9 +201,9 @@
             .map_or("unknown", |(_, source)| source.into());
         let resumptions = &self.metrics.resumptions;
         resumptions.with_label_values(&[source]).inc();
-        let build = found.map(|(build, _)| build);
-        event::stream_taken_up(request, stream, build.as_ref(), source);
-        build
+        let origin = found.map(|(origin, _)| origin);
+        event::stream_taken_up(request, stream, origin.as_ref(), source);
+        origin
     }
 
     /// Waits until a daemon that has just started has read its targets and the records of builds.
@@ -195,48 +215,56 @@
         }
     }
 
-    /// Returns the only build that a pool has had for `period`, as this daemon sees it.
-    fn single_build(&self, pool: &PoolId, period: Duration) -> Option<Build> {
+    /// Returns the only build that all of `pools` have had for `period`, as this daemon sees it.
+    fn single_build(&self, pools: &BTreeSet<PoolId>, period: Duration) -> Option<Build> {
         let registry = self.registry();
         let records = self.build_records();
         let unix_now = state::unix_millis_now();
-        let build = registry.single_build(self.now(), unix_now, pool, period, &records);
-        build.cloned()
+        let builds = pools
+            .iter()
+            .map(|pool| registry.single_build(self.now(), unix_now, pool, period, &records));
+        common(builds).cloned()
     }
 
-    /// Returns the build of a stream that no daemon keeps: the only one that its pool has had for `period`,
-    /// if peers see the same, or what the store says. A daemon that stood still, or has lost its peers, does
+    /// Returns the origin of a stream that no daemon keeps: the only build that its pools have had for
+    /// `period`, if peers see the same, or what the store says. A daemon that stood still, or has lost its peers, does
     /// not know which builds have joined meanwhile, and neither does one that may have read an older copy
     /// of the store.
     async fn find_unkept_origin(
         self: &Rc<Self>,
         stream: &RequestId,
-        pool: &PoolId,
+        pools: &BTreeSet<PoolId>,
         period: Duration,
         views: &[Option<Build>],
-    ) -> Option<(Build, Source)> {
-        let single = self.single_build(pool, period);
+    ) -> Option<(Origin, Source)> {
+        let of_build = |build: Build| Origin { pool: None, build };
+        let single = self.single_build(pools, period);
         let is_agreed = |build: &Build| views.iter().all(|view| view.as_ref() == Some(build));
         if !views.is_empty() && single.as_ref().is_some_and(is_agreed) {
-            return single.map(|build| (build, Source::SingleBuild));
+            return single.map(|build| (of_build(build), Source::SingleBuild));
         }
         let snapshot = self.read_snapshot().await;
         let may_show_copy = self.registry().may_show_copy(self.now());
         if let Some(snapshot) = snapshot {
-            if let Some(build) = snapshot.ledger.build(stream, pool) {
-                return Some((build.clone(), Source::Stored));
+            if let Some(origin) = snapshot.ledger.origin(stream) {
+                return Some((origin, Source::Stored));
             }
             let registry = self.registry();
-            let build = registry.recorded_build(pool, &snapshot.records)?;
+            let recorded = pools
+                .iter()
+                .map(|pool| registry.recorded_build(pool, &snapshot.records));
+            let build = common(recorded)?;
             // Records that the store has lost are written again.
-            let is_only = !self.build_records().has_other(pool, build) && !may_show_copy;
-            return is_only.then(|| (build.clone(), Source::RecordedBuild));
+            let records = self.build_records();
+            let has_other = pools.iter().any(|pool| records.has_other(pool, build));
+            let is_only = !has_other && !may_show_copy;
+            return is_only.then(|| (of_build(build.clone()), Source::RecordedBuild));
         }
         let is_alone = self.links.addresses.count() == 0 || self.has_just_started();
         let is_current = views.is_empty() && is_alone && !may_show_copy;
         single
             .filter(|_| is_current)
-            .map(|build| (build, Source::SingleBuild))
+            .map(|build| (of_build(build), Source::SingleBuild))
     }
 
     /// Returns whether this daemon has started, and read its tables, a moment ago by both clocks; one
@@ -246,12 +274,11 @@
         self.now() < START_PERIOD && Duration::from_millis(age) < START_PERIOD
     }
 
-    /// Asks peers for the build at which a stream of `pool` began, and for the single build that the
-    /// pool has had for `max_age`.
+    /// Asks peers where a stream began, and for the single build that `pools` have had for `max_age`.
     async fn query_origin(
         self: &Rc<Self>,
         stream: &RequestId,
-        pool: &PoolId,
+        pools: &BTreeSet<PoolId>,
         max_age: Duration,
     ) -> Answers {
         let number = self.origins.next_number.get();
@@ -261,7 +288,8 @@
             let frame = Frame::FindOrigin {
                 number,
                 stream: stream.clone(),
-                pool: Some(pool.clone()),
+                pool: pools.first().cloned(),
+                other_pools: pools.iter().skip(1).cloned().collect(),
                 max_age,
             };
             self.links.send_to_host(host, frame)
@@ -283,7 +311,7 @@
         };
         let answer = time::timeout(QUERY_TIMEOUT, answer).await;
         Answers {
-            build: answer.ok().and_then(Result::ok),
+            origin: answer.ok().and_then(Result::ok),
             single_builds: guard.take_single_builds(),
         }
     }
@@ -294,16 +322,18 @@
         link_id: LinkId,
         number: u64,
         stream: &RequestId,
-        pool: Option<&PoolId>,
+        pools: &BTreeSet<PoolId>,
         max_age: Duration,
     ) {
-        let build = self.origins.origins.borrow().get(stream).cloned();
+        let origin = self.origins.origins.borrow().get(stream).cloned();
+        let (pool, build) = origin.map(|origin| (origin.pool, origin.build)).unzip();
         let is_unsure = self.registry().may_show_copy(self.now());
-        let known_pool = pool.filter(|_| !is_unsure);
+        let single_build = (!is_unsure).then(|| self.single_build(pools, max_age));
         let frame = Frame::Origin {
             number,
             build,
-            single_build: known_pool.and_then(|pool| self.single_build(pool, max_age)),
+            pool: pool.flatten(),
+            single_build: single_build.flatten(),
             is_unsure,
         };
         self.links.send_on_link(link_id, frame);
@@ -313,7 +343,7 @@
     pub(super) fn receive_origin(
         &self,
         number: u64,
-        build: Option<Build>,
+        origin: Option<Origin>,
         single_build: Option<Build>,
         is_unsure: bool,
     ) {
@@ -325,10 +355,10 @@
         if !is_unsure {
             query.single_builds.push(single_build);
         }
-        if let Some(build) = build {
+        if let Some(origin) = origin {
             if let Some(query) = queries.remove(&number) {
                 // Fails if the caller has left.
-                drop(query.sender.send(build));
+                drop(query.sender.send(origin));
             }
         } else if query.unanswered == 0 {
             // The channel closes, and the views stay for whoever asked.
@@ -353,45 +383,61 @@
 }
 
 impl ActiveRequest {
-    /// Determines the build at which a stream that the caller takes up has to go on.
+    /// Determines where a stream began that the caller takes up, and so where it has to go on.
     ///
     /// Fails if it is not known.
-    pub(super) async fn find_build(&self, resumption: &Resumption) -> Result<(), Rejection> {
-        let pool = self.pool(false)?;
+    pub(super) async fn find_origin(&self, resumption: &Resumption) -> Result<(), Rejection> {
+        // Requests that the configuration in force denies are rejected as such.
+        self.pool(false)?;
         let max_age = self.route.timeout * MAX_STREAM_TIMEOUTS;
+        let pools = self.relay.route_history().pools(
+            self.relay.now(),
+            &self.route,
+            (&run::host(&self.head), self.head.uri.path()),
+            max_age,
+        );
         let stream = resumption.stream.as_ref();
         let found = self
             .relay
-            .find_origin(&self.metadata.id, stream, &pool, max_age)
+            .find_origin(&self.metadata.id, stream, &pools, max_age)
             .await;
         let unknown = Rejection::new(Reason::UnknownBuild).with_retry_after(POOL_RETRY_AFTER);
-        let build = found.ok_or(unknown)?;
-        self.build.get_or_init(|| build);
+        let origin = found.ok_or(unknown)?;
+        self.origin.borrow_mut().get_or_insert(origin);
         Ok(())
     }
 
-    /// Records the build of the target that has sent the first event to this caller.
-    pub(super) fn record_build(&self, target: &Target) {
+    /// Records the target that has sent the first event to this caller as the origin of the stream, or as
+    /// one of the same build.
+    pub(super) fn record_first_event(&self, target: &Target) {
         let may_be_replaced = self.relay.registry().may_be_replaced(target);
-        if may_be_replaced && self.build.get().is_none() {
+        let mut origin = self.origin.borrow_mut();
+        if may_be_replaced && origin.is_none() {
             self.is_build_unknown.set(true);
             return;
         }
-        let build = self.build.get_or_init(|| target.build.clone());
-        self.record_origin(build, &target.pool);
+        let known = origin.take();
+        let origin = origin.insert(Origin {
+            pool: Some(target.pool.clone()),
+            build: known.map_or_else(|| target.build.clone(), |known| known.build),
+        });
+        self.record_origin(origin);
     }
 
-    /// Forgets the build at which the stream began if its target, whose events are still arriving, has
-    /// registered with another one since. They may come from the later process.
-    pub(super) fn review_build(&self, target: &Target) {
+    /// Forgets where the stream began if its target, whose events are still arriving, has registered with
+    /// another build since. They may come from the later process.
+    pub(super) fn review_origin(&self, target: &Target) {
         if self.relay.registry().has_other_build(target) && !self.is_build_unknown.replace(true) {
-            self.record_origin(&Build::default(), &target.pool);
+            self.record_origin(&Origin {
+                pool: Some(target.pool.clone()),
+                build: Build::default(),
+            });
         }
     }
 
-    fn record_origin(&self, build: &Build, pool: &PoolId) {
+    fn record_origin(&self, origin: &Origin) {
         if self.route.is_resumable {
-            self.relay.record_origin(self.stream(), build, pool);
+            self.relay.record_origin(self.stream(), origin);
         }
     }
 
@@ -404,10 +450,16 @@
         }
     }
 
-    /// Returns the identifier of the request that brought the stream's first event.
-    fn stream(&self) -> &RequestId {
+    /// Returns the identifier of the request that brought the stream's first event, or is to bring it.
+    pub(super) fn stream(&self) -> &RequestId {
         let resumption = self.metadata.resumption.as_ref();
         let stream = resumption.and_then(|resumption| resumption.stream.as_ref());
         stream.unwrap_or(&self.metadata.id)
     }
 }
+
+/// Returns the build that all pools have, if each has one and there is no other.
+fn common<'a>(mut builds: impl Iterator<Item = Option<&'a Build>>) -> Option<&'a Build> {
+    let first = builds.next()??;
+    builds.all(|build| build == Some(first)).then_some(first)
+}
--- a/godwithinge/src/relay/receive.rs
+++ b/godwithinge/src/relay/receive.rs
@@ -7,7 +7,10 @@
 };
 use policy::{
     id::HostId,
-    relay::history::{Edition, Version},
+    relay::{
+        history::{Edition, Version},
+        origin::Origin,
+    },
 };
 use std::rc::Rc;
 
@@ -63,19 +66,32 @@
                 reason,
                 retry_after,
             } => self.refuse_job(link_id, number, reason, retry_after),
-            Frame::StreamOrigin { stream, build, age } => self.keep_origin(stream, build, age),
+            Frame::StreamOrigin {
+                stream,
+                pool,
+                build,
+                age,
+            } => self.keep_origin(stream, Origin { pool, build }, age),
             Frame::FindOrigin {
                 number,
                 stream,
                 pool,
+                other_pools,
                 max_age,
-            } => self.answer_origin_query(link_id, number, &stream, pool.as_ref(), max_age),
+            } => {
+                let pools = pool.into_iter().chain(other_pools).collect();
+                self.answer_origin_query(link_id, number, &stream, &pools, max_age);
+            }
             Frame::Origin {
                 number,
                 build,
+                pool,
                 single_build,
                 is_unsure,
-            } => self.receive_origin(number, build, single_build, is_unsure),
+            } => {
+                let origin = build.map(|build| Origin { pool, build });
+                self.receive_origin(number, origin, single_build, is_unsure);
+            }
             Frame::TargetCrash(payload) => self.receive_crash_of_payload(host, payload),
             Frame::Crashes(crashes) => self.receive_crashes(host, crashes),
             Frame::Rejections(report) => self.receive_rejections(&report.into()),
--- a/godwithinge/src/relay/run.rs
+++ b/godwithinge/src/relay/run.rs
@@ -21,15 +21,16 @@
     id::{DomainId, HostId, PoolId, TargetId, WorkspaceId},
     relay::{
         crash::{Feature, PayloadHash},
+        origin::Origin,
         plan::{Kind, Plan, Route},
-        registry::{Build, Registry, Target},
+        registry::{Registry, Target},
         scheduler::{RequestIdentity, StageSpec},
         selection::{Criteria, PartMemory, Selection},
         stage::StageNumber,
     },
 };
 use std::{
-    cell::{Cell, OnceCell, RefCell},
+    cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -80,8 +81,8 @@
     pub features: Vec<Feature>,
     /// Whether it is sent to find out whether it crashes its target.
     pub is_tried: Cell<bool>,
-    /// Build at which the stream began and has to go on; empty before its first event.
-    pub build: OnceCell<Build>,
+    /// Where the stream began and has to go on; absent before its first event.
+    pub origin: RefCell<Option<Origin>>,
     /// Whether the stream began at a target whose build is not known.
     pub is_build_unknown: Cell<bool>,
     pub stats: RequestStats,
@@ -325,7 +326,7 @@
         attempts: &mut Attempts,
     ) -> Result<Response<Body>, Rejection> {
         if let Some(resumption) = &self.metadata.resumption {
-            self.find_build(resumption).await?;
+            self.find_origin(resumption).await?;
         }
         let (target_response, results) = self.start_response(attempts, None).await?;
         match target_response {
@@ -334,7 +335,7 @@
                 // The results can be released: the target has read them before its first event.
                 drop(results);
                 self.stats.first_byte.set(Some(self.arrived.elapsed()));
-                self.record_build(&stream.target);
+                self.record_first_event(&stream.target);
                 let mut response = Response::new(Body::Whole(None));
                 let head = stream.reader.response();
                 *response.status_mut() = head.status();
@@ -488,7 +489,7 @@
         }
         let selected = self.choose(&pool, attempts, results_domain, read);
         let selected = selected.ok_or_else(|| {
-            let rejection = match self.build.get() {
+            let rejection = match *self.origin.borrow() {
                 _ if may_have_executed || attempts.not_executed > 0 => attempts.failure(),
                 Some(_) => Rejection::new(Reason::NoBuild).with_retry_after(BUILD_RETRY_AFTER),
                 None => Rejection::new(Reason::NoTarget).with_retry_after(POOL_RETRY_AFTER),
@@ -500,26 +501,43 @@
 
     /// Returns the pool of the request in the current configuration, which may be newer than the
     /// one that admitted the request. A request that a target may have executed is not denied any
-    /// more, and stays with the configuration that admitted it if the newer one would not.
+    /// more, and stays with the configuration that admitted it if the newer one would not, or if its
+    /// stream began there.
     pub(super) fn pool(&self, may_have_executed: bool) -> Result<PoolId, Rejection> {
         let plan = self.relay.plan().ok_or(Rejection::new(Reason::NoPlan))?;
-        let pool_of = |route: &Route| route.pool_for(&self.metadata.id).cloned();
         let no_route = Rejection::new(Reason::NoRoute);
         if plan.revision == self.plan.revision {
-            return pool_of(&self.route).ok_or(no_route);
+            return self.pool_in(&self.route).ok_or(no_route);
         }
         let host = host(&self.head);
         let admitted = plan.admit(&host, self.head.uri.path(), self.metadata.key.as_deref());
         let pool = match admitted {
-            Ok((route, _)) => pool_of(route).ok_or(no_route),
+            Ok((route, _)) => self.pool_in(route).ok_or(no_route),
             Err(denial) => Err(denial.into()),
         };
-        match pool_of(&self.route) {
-            Some(earlier) if may_have_executed => Ok(pool.unwrap_or(earlier)),
+        match self.pool_in(&self.route) {
+            Some(earlier) if may_have_executed && (pool.is_err() || self.began_in(&earlier)) => {
+                Ok(earlier)
+            }
             _ => pool,
         }
     }
 
+    /// Returns the pool of the request in `route`: that in which its stream began, if the route uses it.
+    fn pool_in(&self, route: &Route) -> Option<PoolId> {
+        let origin = self.origin.borrow();
+        let began = origin.as_ref().and_then(|origin| origin.pool.as_ref());
+        let began = began.filter(|pool| route.uses(pool));
+        began.or_else(|| route.pool_for(self.stream())).cloned()
+    }
+
+    /// Returns whether the stream is known to have begun in a pool.
+    fn began_in(&self, pool: &PoolId) -> bool {
+        let origin = self.origin.borrow();
+        let began = origin.as_ref().and_then(|origin| origin.pool.as_ref());
+        began == Some(pool)
+    }
+
     /// Returns the domain of the target that the request would be sent to now, if its prompt has at
     /// least [`MIN_SHARED_TOKENS`] shared tokens.
     fn expected_domain(&self) -> Option<DomainId> {
@@ -573,8 +591,8 @@
         if self.is_build_unknown.get() {
             return false;
         }
-        match self.build.get() {
-            Some(build) => target.build == *build && !registry.has_ended(target),
+        match &*self.origin.borrow() {
+            Some(origin) => target.build == origin.build && !registry.has_ended(target),
             // After a loss of all daemons, only the records tell where the stream can have begun.
             None if self.route.is_resumable => {
                 let records = self.relay.build_records();
--- a/godwithinge/src/relay/send.rs
+++ b/godwithinge/src/relay/send.rs
@@ -332,7 +332,7 @@
     /// Returns whether a stream that has begun may go on with what a target has sent. Its process may have
     /// been replaced by one whose entry is not known yet, and which no daemon has seen start.
     async fn may_go_on_at(&self, target: &Target) -> bool {
-        if self.build.get().is_none() {
+        if self.origin.borrow().is_none() {
             return true;
         }
         let is_replaced = || self.relay.registry().may_be_replaced(target);
--- a/godwithinge/src/relay/snapshot.rs
+++ b/godwithinge/src/relay/snapshot.rs
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub(super) struct Snapshot {
     pub records: BuildRecords,
-    /// Builds of streams; empty if no pool has several.
+    /// Origins of streams; empty if there is a single build.
     pub ledger: Ledger,
 }
 
@@ -87,7 +87,7 @@
         let rows = store.read_table(relay, Table::Builds).await?;
         let mut records = BuildRecords::default();
         records.load(rows.version.era, builds::decode_all(&rows.rows));
-        let ledger = if records.is_any_divided() {
+        let ledger = if records.has_several() {
             Ledger::new(&store.read_table(relay, Table::Streams).await?.rows)
         } else {
             Ledger::default()
--- a/godwithinge/src/relay/state.rs
+++ b/godwithinge/src/relay/state.rs
@@ -205,6 +205,7 @@
 
     pub(super) fn set_plan(self: &Rc<Self>, plan: Plan, row: Row) {
         self.dispatcher.set_plan(self, &plan);
+        self.record_routes(&plan);
         *self.plan.borrow_mut() = Some(Rc::new(plan));
         *self.plan_row.borrow_mut() = Some(row);
         self.replication.clear_packed();
--- a/godwithinge/src/relay/stream.rs
+++ b/godwithinge/src/relay/stream.rs
@@ -86,7 +86,7 @@
             request.end(Some(source.reader.response().status()), run::ANSWERED, None);
         } else {
             request.relay.record_activity(&source.target.id);
-            request.review_build(&source.target);
+            request.review_origin(&source.target);
         }
         Ok(next)
     }
--- a/policy/src/relay/builds.rs
+++ b/policy/src/relay/builds.rs
@@ -166,6 +166,20 @@
         self.builds(pool).nth(1).is_some()
     }
 
+    /// Returns whether more than one build of several pools is recorded, taken together.
+    pub fn is_divided_among(&self, pools: &BTreeSet<PoolId>) -> bool {
+        let mut builds = pools.iter().flat_map(|pool| self.builds(pool));
+        let first = builds.next();
+        builds.any(|build| Some(build) != first)
+    }
+
+    /// Returns whether more than one build is recorded, of the same pool or of two.
+    pub fn has_several(&self) -> bool {
+        let mut builds = self.records.keys().map(|(_, build)| build);
+        let first = builds.next();
+        builds.any(|build| Some(build) != first)
+    }
+
     /// Returns whether any pool [is divided](Self::is_divided).
     pub fn is_any_divided(&self) -> bool {
         let pools = || self.records.keys().map(|(pool, _)| pool);
--- a/policy/src/relay/mod.rs
+++ b/policy/src/relay/mod.rs
@@ -7,7 +7,7 @@
 //! and targets may take, [`callers`] says which connections of callers are closed when there are too many,
 //! [`patience`] decides how long a silent target is waited for, [`history`] orders the entries of targets
 //! when the store loses writes, [`distribution`] brings a new configuration to all daemons, [`origin`]
-//! holds where streams began, [`sse`] judges whether a stream is complete, [`ending`] holds which targets'
+//! holds where streams began, [`route_history`] where they can have begun, [`sse`] judges whether a stream is complete, [`ending`] holds which targets'
 //! processes have ended, [`evacuation`] which failure domains get no requests, [`cold`] which targets are
 //! cold, [`crash`] finds what in requests crashes targets, [`quarantine`] holds the records of that,
 //! [`reach`] tells a partition of this daemon from failures of targets, [`rejection`] limits how often
@@ -37,6 +37,7 @@
 pub mod reader;
 pub mod registry;
 pub mod rejection;
+pub mod route_history;
 pub mod scheduler;
 pub mod selection;
 pub mod shutdown;
--- a/policy/src/relay/origin.rs
+++ b/policy/src/relay/origin.rs
@@ -1,11 +1,12 @@
-//! Builds at which streams began.
+//! Where streams began: the pool, and the build of its target.
 //!
 //! Targets of several builds may serve a pool side by side, and what two builds write does not fit
-//! together: a stream may go on only at the build that began it. Its caller may take it up at any
-//! daemon, usually because the one before has failed. So the build of each stream that may be resumed
-//! is kept by the daemon that forwards it and by a few others, and a daemon that does not know it
-//! asks those. While a pool has several builds, the daemons also store them for the case that all of them
-//! end at once. If nobody knows, the stream goes on only if its pool has had a
+//! together: a stream may go on only at the build that began it, and in the pool that has it. Its caller may
+//! take it up at any daemon, usually because the one before has failed, and with another identifier. So the
+//! origin of each stream that may be resumed is kept by the daemon that forwards it and by a few others, and a
+//! daemon that does not know it asks those. While several builds are possible, the daemons also store the
+//! origins for the case that all of them end at once. If nobody knows, the stream goes on only if all
+//! [pools in which it can have begun](super::route_history) have had the same
 //! [single build](super::registry::Registry::single_build) for as long as the stream may have lasted.
 
 use super::registry::Build;
@@ -15,13 +16,13 @@
 };
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
-/// Number of daemons, besides the one that forwards a stream, that keep its build. The daemon that
+/// Number of daemons, besides the one that forwards a stream, that keep its origin. The daemon that
 /// forwards it may fail together with another one.
 const KEEPERS: usize = 2;
-/// Number of daemons that are asked for the build of a stream. More than keep it, since daemons that
+/// Number of daemons that are asked for the origin of a stream. More than keep it, since daemons that
 /// have joined or failed since change the order.
 const ASKED_DAEMONS: usize = 4;
-/// Time for which the build of a stream is kept; a few times the longest timeouts of routes.
+/// Time for which the origin of a stream is kept; a few times the longest timeouts of routes.
 const KEEP_TIME: Duration = Duration::from_secs(60);
 /// Number of streams from which expired ones are dropped.
 const MAX_STREAMS: usize = 16_384; // at about 100 bytes each, less than 2 MB
@@ -34,109 +35,118 @@
 /// Hash of a stream's identifier.
 pub type StreamHash = u64;
 
-/// Builds of recent streams, by the identifier of the request that brought their first event.
+/// Where a stream began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Origin {
+    /// Pool of the target that brought the first event; `None` if it is not known, as from daemons of
+    /// earlier versions.
+    pub pool: Option<PoolId>,
+    /// Build of that target; empty in place of one that turned out to be wrong.
+    pub build: Build,
+}
+
+/// Origins of recent streams, by the identifier of the request that brought their first event.
 #[derive(Clone, Debug, Default)]
 pub struct Origins {
-    streams: HashMap<RequestId, Origin>,
+    streams: HashMap<RequestId, Entry>,
 }
 
 #[derive(Clone, Debug)]
-struct Origin {
-    build: Build,
+struct Entry {
+    origin: Origin,
     recorded: Time,
-    /// Pool of the stream if this daemon forwards it.
-    pool: Option<PoolId>,
+    /// Whether this daemon forwards the stream.
+    is_forwarded: bool,
     completed: Option<Time>,
 }
 
 impl Origins {
-    /// Records the build at which a stream began, as a peer tells. `recorded` is the present time, or
-    /// earlier if the peer recorded it before.
-    pub fn insert(&mut self, recorded: Time, stream: RequestId, build: Build) {
+    /// Records where a stream began, as a peer tells. `recorded` is the present time, or earlier if the peer
+    /// recorded it before.
+    pub fn insert(&mut self, recorded: Time, stream: RequestId, mut origin: Origin) {
         let known = self.streams.get(&stream);
-        let pool = known.and_then(|known| known.pool.clone());
-        self.insert_origin(recorded, stream, build, pool);
+        let is_forwarded = known.is_some_and(|known| known.is_forwarded);
+        let known = known.map(|known| &known.origin);
+        if let Some(known) = known.filter(|known| known.build == origin.build) {
+            origin.pool = origin.pool.or(known.pool.clone());
+        }
+        self.insert_entry(recorded, stream, origin, is_forwarded);
     }
 
-    /// Records the build at which a stream of `pool` began that this daemon forwards.
-    pub fn insert_forwarded(&mut self, now: Time, stream: RequestId, build: Build, pool: PoolId) {
-        self.insert_origin(now, stream, build, Some(pool));
+    /// Records where a stream began that this daemon forwards.
+    pub fn insert_forwarded(&mut self, now: Time, stream: RequestId, origin: Origin) {
+        self.insert_entry(now, stream, origin, true);
     }
 
-    fn insert_origin(
+    fn insert_entry(
         &mut self,
         recorded: Time,
         stream: RequestId,
-        build: Build,
-        pool: Option<PoolId>,
+        origin: Origin,
+        is_forwarded: bool,
     ) {
         if self.streams.len() >= MAX_STREAMS {
             self.streams
-                .retain(|_, origin| recorded < origin.recorded + KEEP_TIME);
+                .retain(|_, entry| recorded < entry.recorded + KEEP_TIME);
         }
         if self.streams.len() < MAX_STREAMS || self.streams.contains_key(&stream) {
-            let origin = Origin {
-                build,
+            let entry = Entry {
+                origin,
                 recorded,
-                pool,
+                is_forwarded,
                 completed: None,
             };
-            self.streams.insert(stream, origin);
+            self.streams.insert(stream, entry);
         }
     }
 
     /// Records that all of a stream was forwarded.
     pub fn record_completion(&mut self, now: Time, stream: &str) {
-        if let Some(origin) = self.streams.get_mut(stream) {
-            origin.completed = Some(now);
+        if let Some(entry) = self.streams.get_mut(stream) {
+            entry.completed = Some(now);
         }
     }
 
-    /// Returns the recent streams, their builds and how long ago these were recorded.
-    pub fn recent(&self, now: Time) -> impl Iterator<Item = (&RequestId, &Build, Duration)> {
-        let streams = self.streams.iter().map(move |(stream, origin)| {
-            let age = now.saturating_sub(origin.recorded);
-            (stream, &origin.build, age)
+    /// Returns the recent streams, where they began and how long ago that was recorded.
+    pub fn recent(&self, now: Time) -> impl Iterator<Item = (&RequestId, &Origin, Duration)> {
+        let streams = self.streams.iter().map(move |(stream, entry)| {
+            let age = now.saturating_sub(entry.recorded);
+            (stream, &entry.origin, age)
         });
         streams.filter(|(_, _, age)| *age < KEEP_TIME)
     }
 
-    /// Returns the streams whose builds have to be known even if all daemons are lost: those that this
-    /// daemon forwards, that may still be taken up, and whose pools have several builds. They began at
-    /// most `max_age` ago. The order stays the same while they do.
+    /// Returns the streams whose origins have to be known even if all daemons are lost: those that this
+    /// daemon forwards, that may still be taken up, and that can have begun at several builds, as
+    /// `is_ambiguous` says of their pools. They began at most `max_age` ago. The order stays the same while
+    /// they do.
     pub fn stored(
         &self,
         now: Time,
         max_age: Duration,
-        is_divided: impl Fn(&PoolId) -> bool,
+        is_ambiguous: impl Fn(&PoolId) -> bool,
     ) -> Vec<(StreamHash, &PoolId, &Build)> {
         let mut stored: Vec<_> = self
             .streams
             .iter()
-            .filter_map(|(stream, origin)| {
-                let pool = origin.pool.as_ref()?;
-                let is_open = origin
-                    .completed
-                    .is_none_or(|at| now < at + COMPLETION_GRACE);
-                let is_recent = now.saturating_sub(origin.recorded) <= max_age;
-                let is_stored =
-                    is_open && is_recent && !origin.build.is_empty() && is_divided(pool);
-                is_stored.then(|| (origin, stream_hash(stream), pool))
+            .filter_map(|(stream, entry)| {
+                let Origin { pool, build } = &entry.origin;
+                let pool = pool.as_ref().filter(|_| entry.is_forwarded)?;
+                let is_open = entry.completed.is_none_or(|at| now < at + COMPLETION_GRACE);
+                let is_recent = now.saturating_sub(entry.recorded) <= max_age;
+                let is_stored = is_open && is_recent && !build.is_empty() && is_ambiguous(pool);
+                is_stored.then(|| (entry.recorded, (stream_hash(stream), pool, build)))
             })
             .collect();
-        stored.sort_unstable_by_key(|(origin, stream, _)| (Reverse(origin.recorded), *stream));
+        stored.sort_unstable_by_key(|(recorded, (stream, ..))| (Reverse(*recorded), *stream));
         stored.truncate(MAX_STORED_STREAMS);
-        let stored = stored.into_iter();
-        stored
-            .map(|(origin, stream, pool)| (stream, pool, &origin.build))
-            .collect()
+        stored.into_iter().map(|(_, stream)| stream).collect()
     }
 
-    /// Returns the build at which a stream began, if it is known. An empty one was recorded in place of
-    /// one that turned out to be wrong.
-    pub fn get(&self, stream: &str) -> Option<&Build> {
-        let build = self.streams.get(stream).map(|origin| &origin.build);
-        build.filter(|build| !build.is_empty())
+    /// Returns where a stream began, if it is known.
+    pub fn get(&self, stream: &str) -> Option<&Origin> {
+        let origin = self.streams.get(stream).map(|entry| &entry.origin);
+        origin.filter(|origin| !origin.build.is_empty())
     }
 }
 
@@ -145,13 +155,13 @@
     hash::bytes(stream.as_bytes())
 }
 
-/// Returns the daemons that keep the build of a stream for the daemon that forwards it and is linked
+/// Returns the daemons that keep the origin of a stream for the daemon that forwards it and is linked
 /// to `peers`.
 pub fn keepers(stream: &str, peers: Vec<HostId>) -> Vec<HostId> {
     nearest(stream, peers, KEEPERS)
 }
 
-/// Returns the daemons to ask for the build of a stream.
+/// Returns the daemons to ask for the origin of a stream.
 pub fn asked_daemons(stream: &str, peers: Vec<HostId>) -> Vec<HostId> {
     nearest(stream, peers, ASKED_DAEMONS)
 }
--- a/policy/src/relay/plan.rs
+++ b/policy/src/relay/plan.rs
@@ -254,10 +254,10 @@
 }
 
 impl Route {
-    /// Returns the pool that serves the request with this identifier, or none if the route has no
-    /// pools.
+    /// Returns the pool of a new request with this identifier, or none if the route has no pools.
     ///
-    /// The choice depends only on the identifier, so that retries go to the same pool.
+    /// The choice depends only on the identifier, so that retries go to the same pool. A stream that a
+    /// caller takes up goes on where it [began](super::origin::Origin).
     pub fn pool_for(&self, request: &str) -> Option<&PoolId> {
         let total: f64 = self.split.iter().map(|share| share.weight).sum();
         let drawn = hash::bytes(request.as_bytes()) % SPLIT_STEPS;
@@ -271,6 +271,12 @@
         self.split.last().map(|share| &share.pool)
     }
 
+    /// Returns whether requests of the route may be sent to a pool.
+    pub fn uses(&self, pool: &str) -> bool {
+        let mut shares = self.split.iter();
+        shares.any(|share| share.pool == pool && share.weight > 0.0)
+    }
+
     /// Returns whether a request may be sent to another target although an earlier one may have
     /// run it.
     pub fn is_repeatable(&self) -> bool {
--- a/policy/tests/origin.rs
+++ b/policy/tests/origin.rs
@@ -2,13 +2,20 @@
 
 use policy::{
     id::HostId,
-    relay::origin::{MAX_STORED_STREAMS, Origins, asked_daemons, keepers, stream_hash},
+    relay::origin::{MAX_STORED_STREAMS, Origin, Origins, asked_daemons, keepers, stream_hash},
 };
 use rstest::rstest;
 use std::time::Duration;
 
 const STREAMS: usize = 200;
 
+fn origin(pool: Option<&str>, build: &str) -> Origin {
+    Origin {
+        pool: pool.map(Into::into),
+        build: build.into(),
+    }
+}
+
 fn fleet(size: usize) -> Vec<HostId> {
     (0..size).map(|index| format!("h{index}").into()).collect()
 }
@@ -68,7 +75,7 @@
     let mut origins = Origins::default();
     let insert = |origins: &mut Origins, at: u64, number: usize| {
         let stream = format!("s{number}").into();
-        origins.insert(Duration::from_secs(at), stream, "v1".into());
+        origins.insert(Duration::from_secs(at), stream, origin(None, "v1"));
     };
     for number in 0..20_000 {
         insert(&mut origins, 0, number);
@@ -85,13 +92,24 @@
 fn withdrawn_build_is_unknown() {
     let mut origins = Origins::default();
     let now = Duration::from_secs(1);
-    origins.insert(now, "s-1".into(), "v1".into());
-    origins.insert(now, "s-1".into(), "".into());
+    origins.insert(now, "s-1".into(), origin(None, "v1"));
+    origins.insert(now, "s-1".into(), origin(None, ""));
     assert_eq!(origins.get("s-1"), None);
     // Whoever keeps it next must not go on with the former build either.
     assert_eq!(origins.recent(now).count(), 1);
 }
 
+/// A peer of an earlier version tells the build alone.
+#[rstest]
+#[case::same_build("v1", Some("model"))]
+#[case::other_build("v2", None)]
+fn known_pool_is_kept_with_its_build(#[case] build: &str, #[case] expected: Option<&str>) {
+    let mut origins = Origins::default();
+    origins.insert_forwarded(NOW, "s-1".into(), origin(Some("model"), "v1"));
+    origins.insert(NOW, "s-1".into(), origin(None, build));
+    assert_eq!(origins.get("s-1"), Some(&origin(expected, build)));
+}
+
 /// Time for which streams may be taken up.
 const MAX_AGE: Duration = Duration::from_secs(40);
 const NOW: Duration = Duration::from_secs(100);
@@ -108,15 +126,15 @@
 fn streams_that_may_be_taken_up_are_stored() {
     let mut origins = Origins::default();
     let mut forward = |at, stream: &str, build: &str, pool: &str| {
-        origins.insert_forwarded(at, stream.into(), build.into(), pool.into());
+        origins.insert_forwarded(at, stream.into(), origin(Some(pool), build));
     };
     forward(LONG_AGO, "old", "v1", "model");
     forward(LONG_AGO + MAX_AGE, "open", "v1", "model");
     forward(NOW, "newest", "v2", "model");
     forward(NOW, "of_a_pool_with_one_build", "v1", "other");
     forward(NOW, "of_unknown_build", "", "model");
-    origins.insert(NOW, "of_a_peer".into(), "v1".into());
-    origins.insert(NOW, "newest".into(), "v2".into());
+    origins.insert(NOW, "of_a_peer".into(), origin(Some("model"), "v1"));
+    origins.insert(NOW, "newest".into(), origin(None, "v2"));
     let expected = ["newest", "open"].map(stream_hash);
     assert_eq!(stored(&origins, NOW), expected);
     // Its last bytes may not have reached the caller.
@@ -134,7 +152,8 @@
     let mut origins = Origins::default();
     for number in 0..=MAX_STORED_STREAMS as u64 {
         let at = Duration::from_millis(number);
-        origins.insert_forwarded(at, format!("s{number}").into(), "v1".into(), "model".into());
+        let stream = format!("s{number}").into();
+        origins.insert_forwarded(at, stream, origin(Some("model"), "v1"));
     }
     let stored = stored(&origins, Duration::from_secs(6));
     assert_eq!(stored.len(), MAX_STORED_STREAMS);
