--- a/godwithinge/src/relay/conduct.rs
+++ b/godwithinge/src/relay/conduct.rs
@@ -34,6 +34,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    mem,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -386,8 +387,13 @@
     }
 
     /// Submits a job of this daemon or of a peer to the local scheduler.
-    pub(super) fn accept_job(self: &Rc<Self>, origin: LinkId, number: u64, request: JobRequest) {
-        let stages = match Stages::new(request.stages.clone()) {
+    pub(super) fn accept_job(
+        self: &Rc<Self>,
+        origin: LinkId,
+        number: u64,
+        mut request: JobRequest,
+    ) {
+        let stages = match Stages::new(mem::take(&mut request.stages)) {
             Ok(stages) => stages,
             Err(Unordered) => {
                 return self.refuse_stages(origin, number, &request, "they have no order");
