--- a/policy/src/relay/scheduler/stages.rs
+++ b/policy/src/relay/scheduler/stages.rs
@@ -84,8 +84,8 @@
     }
 }
 
-/// Returns the stages of a job by their numbers, given those that a daemon of an earlier version sent, which
-/// numbers them in the order in which they run. `None` if the routes of `plan` do not tell the numbers: none has
+/// Returns the stages of a job by their numbers, given those that a daemon of an earlier version sent. What it
+/// sends in place of numbers are indices in the order in which the stages run. `None` if the routes of `plan` do not tell the numbers: none has
 /// such stages, or two that list them differently.
 pub fn renumber(sent: &ByStage<StageSpec>, plan: &Plan) -> Option<ByStage<StageSpec>> {
     let mut numberings = plan.routes().filter_map(|route| renumber_as(sent, route));
@@ -101,8 +101,8 @@
     let order = topological_order(&route.stages, |stage| &stage.after).ok()?;
     let mut numbered: Vec<(StageNumber, StageSpec)> = Vec::with_capacity(sent.len());
     for (&number, spec) in order.iter().zip(sent) {
-        let inputs = spec.after.iter();
-        let inputs = inputs.map(|&input| order.get(usize::from(input)).copied());
+        let indices = spec.after.iter().map(|&index| usize::from(index));
+        let inputs = indices.map(|index| order.get(index).copied());
         let spec = StageSpec {
             after: inputs.collect::<Option<_>>()?,
             ..spec.clone()
